--- /dev/null
+++ b/scripts/build.mjs
@@ -0,0 +1,16 @@
+// Makes dist/jackdawtrail: a copy of this Node.js with the bundled program injected as a single executable application.
+import { execFileSync } from "node:child_process";
+import { chmodSync, copyFileSync, mkdirSync, writeFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
+import { inject } from "postject";
+
+const sentinelFuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
+mkdirSync("dist", { recursive: true });
+mkdirSync("build", { recursive: true });
+execFileSync(process.execPath, ["scripts/bundle.mjs", "--quiet"], { stdio: "inherit" });
+writeFileSync("build/sea.json", JSON.stringify({ main: "build/jackdawtrail.cjs", output: "build/sea.blob", disableExperimentalSEAWarning: true }));
+execFileSync(process.execPath, ["--experimental-sea-config", "build/sea.json"], { stdio: "ignore" });
+copyFileSync(process.execPath, "dist/jackdawtrail");
+await inject("dist/jackdawtrail", "NODE_SEA_BLOB", readFileSync("build/sea.blob"), { sentinelFuse });
+chmodSync("dist/jackdawtrail", 0o755);
+console.log("built dist/jackdawtrail");
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,23 @@
+import { Builtins, Cli } from "clipanion";
+import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
+import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
+import { ServeCommand } from "./serve";
+
+const cli = new Cli({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
+[
+    Builtins.HelpCommand,
+    Builtins.VersionCommand,
+    ServeCommand,
+    RecordsApplyCommand,
+    RecordsGetCommand,
+    RecordsListCommand,
+    RecordsHistoryCommand,
+    RecordsWithdrawCommand,
+    RecordsCheckCommand,
+    StatusCommand,
+    ExplainCommand,
+    EventsCommand,
+].forEach(command => cli.register(command));
+
+// Idle connections would keep the process alive.
+void cli.run(process.argv.slice(2)).then(code => process.exit(process.exitCode ?? code));
--- /dev/null
+++ b/src/cli/records.ts
@@ -0,0 +1,137 @@
+import { Command, Option } from "clipanion";
+import { randomUUID } from "node:crypto";
+import { toFailure } from "../core/failures";
+import type { AnyRecord } from "../core/schemas";
+import { ExitCode } from "./exitCode";
+import { OperatorCommand } from "./operatorCommand";
+import { checkRecords, readRecordFiles } from "./recordFiles";
+
+interface Listed {
+    readonly kind: string;
+    readonly name: string;
+    readonly revision: number;
+    readonly record: AnyRecord;
+}
+
+const pathOf = (kind: string, name: string): string => `/admin/records/${kind}/${encodeURIComponent(name)}`;
+const queryOf = (entries: Readonly<Record<string, string | undefined>>): string => {
+    const query = new URLSearchParams(Object.entries(entries).filter((entry): entry is [string, string] => entry[1] !== undefined));
+    return query.size > 0 ? `?${query.toString()}` : "";
+};
+
+/** `jackdawtrail records apply`. */
+export class RecordsApplyCommand extends OperatorCommand {
+    static override paths = [["records", "apply"]];
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Writes records from files, all or none.",
+        examples: [["Write two records and wait until every node has them in force", "jackdawtrail records apply --wait-ms 9000 model.json caller.json"]],
+    });
+    readonly base = Option.String("--base", { description: "revision that was read; for one record, 0 for a new one" });
+    readonly waitMs = Option.String("--wait-ms", { description: "wait up to so many milliseconds until all live nodes report the sequence in force" });
+    readonly operationId = Option.String("--operation-id", { description: "makes the command idempotent: repeat it with the same ID after a lost answer" });
+    readonly files = Option.Rest({ required: 1 });
+
+    override async execute(): Promise<number> {
+        const records = await readRecordFiles(this.files);
+        const base = this.base === undefined ? undefined : Number(this.base);
+        const body = { records: records.map(record => ({ record, base })) };
+        const answer = await this.ask("POST", `/admin/records${queryOf({ waitMs: this.waitMs })}`, body, {
+            "idempotency-key": this.operationId ?? randomUUID(),
+        });
+        return this.print(answer, (value: { sequence: number; behind?: readonly string[]; }) => {
+            const wait = value.behind === undefined
+                ? ""
+                : value.behind.length === 0
+                ? ", in force on every live node"
+                : `, not yet in force on ${value.behind.join(", ")}`;
+            return `${records.length} record(s) written, sequence ${value.sequence}${wait}`;
+        });
+    }
+}
+
+/** `jackdawtrail records get`. */
+export class RecordsGetCommand extends OperatorCommand {
+    static override paths = [["records", "get"]];
+    static override usage = Command.Usage({ category: "Records", description: "Prints a record as it was written.",
+        examples: [["Print a model", "jackdawtrail records get model wiring-7b"]] });
+    readonly kind = Option.String();
+    readonly name = Option.String();
+
+    override async execute(): Promise<number> {
+        return this.print(await this.ask("GET", pathOf(this.kind, this.name)),
+            (value: Listed) => `revision ${value.revision}\n${JSON.stringify(value.record, undefined, 4)}`);
+    }
+}
+
+/** `jackdawtrail records list`. */
+export class RecordsListCommand extends OperatorCommand {
+    static override paths = [["records", "list"]];
+    static override usage = Command.Usage({ category: "Records", description: "Lists the records in force.",
+        examples: [["List the models", "jackdawtrail records list --kind model"]] });
+    readonly kind = Option.String("--kind", { description: "one kind of records" });
+
+    override async execute(): Promise<number> {
+        return this.print(await this.ask("GET", `/admin/records${queryOf({ kind: this.kind })}`),
+            (value: { sequence: number; records: readonly Listed[]; }) =>
+                [`sequence ${value.sequence}`, ...value.records.map(({ kind, name, revision }) => `${kind}/${name} revision ${revision}`)].join("\n"));
+    }
+}
+
+/** `jackdawtrail records history`. */
+export class RecordsHistoryCommand extends OperatorCommand {
+    static override paths = [["records", "history"]];
+    static override usage = Command.Usage({ category: "Records", description: "Prints the changes of a record.",
+        examples: [["Print the changes of a model", "jackdawtrail records history model wiring-7b"]] });
+    readonly kind = Option.String();
+    readonly name = Option.String();
+
+    override async execute(): Promise<number> {
+        return this.print(await this.ask("GET", `${pathOf(this.kind, this.name)}/history`),
+            (value: { changes: readonly { sequence: number; at: number; operationId: string; record?: unknown; }[]; }) =>
+                value.changes.map(change =>
+                    `${change.sequence} ${new Date(change.at).toISOString()} ${change.record ? "written" : "withdrawn"} by operation ${change.operationId}`
+                ).join("\n"));
+    }
+}
+
+/** `jackdawtrail records withdraw`. */
+export class RecordsWithdrawCommand extends OperatorCommand {
+    static override paths = [["records", "withdraw"]];
+    static override usage = Command.Usage({ category: "Records", description: "Withdraws a record.",
+        examples: [["Withdraw a model that is at revision 12", "jackdawtrail records withdraw model wiring-7b --base 12"]] });
+    readonly base = Option.String("--base", { description: "revision that was read" });
+    readonly waitMs = Option.String("--wait-ms", { description: "wait up to so many milliseconds until all live nodes report the sequence in force" });
+    readonly operationId = Option.String("--operation-id", { description: "makes the command idempotent" });
+    readonly kind = Option.String();
+    readonly name = Option.String();
+
+    override async execute(): Promise<number> {
+        const path = `${pathOf(this.kind, this.name)}${queryOf({ base: this.base, waitMs: this.waitMs })}`;
+        return this.print(await this.ask("DELETE", path, undefined, { "idempotency-key": this.operationId ?? randomUUID() }),
+            (value: { sequence: number; }) => `${this.kind}/${this.name} withdrawn, sequence ${value.sequence}`);
+    }
+}
+
+/** `jackdawtrail records check`. */
+export class RecordsCheckCommand extends Command {
+    static override paths = [["records", "check"]];
+    static override usage = Command.Usage({ category: "Records", description: "Checks records in files without a node.",
+        examples: [["Check a file", "jackdawtrail records check model.json"]] });
+    readonly json = Option.Boolean("--json", false, { description: "print JSON" });
+    readonly files = Option.Rest({ required: 1 });
+
+    override async execute(): Promise<number> {
+        const records = await readRecordFiles(this.files);
+        try {
+            checkRecords(records);
+        }
+        catch (err) {
+            const { detail, members } = toFailure(err);
+            this.context.stdout.write(this.json ? `${JSON.stringify({ ok: false, ...members })}\n` : `${detail.replaceAll("; ", "\n")}\n`);
+            return ExitCode.Usage;
+        }
+        this.context.stdout.write(this.json ? `${JSON.stringify({ ok: true })}\n` : `${records.length} record(s) are valid\n`);
+        return ExitCode.Ok;
+    }
+}
--- /dev/null
+++ b/src/core/artifacts.ts
@@ -0,0 +1,8 @@
+import type { AdapterRecord, ModelRecord } from "./schemas";
+
+/** Names a version of a model in ledgers, orders and reports. */
+export const modelArtifact = (model: ModelRecord): string => `model:${model.name}@${model.version}`;
+/** Names a version of an adapter in ledgers, orders and reports. */
+export const adapterArtifact = (adapter: AdapterRecord): string => `adapter:${adapter.name}@${adapter.version}`;
+/** Whether an artifact is an adapter. */
+export const isAdapter = (artifact: string): boolean => artifact.startsWith("adapter:");
--- /dev/null
+++ b/src/core/configFeed.ts
@@ -0,0 +1,50 @@
+import type { ConfigChange, ConfigHead } from "../types/config";
+import type { Table } from "../types/table";
+import { changeKey, changePrefix, headKey, recordPrefix } from "./configKeys";
+import type { ConfigSnapshot, ConfigStore } from "./configStore";
+
+/** Changes read in one call. */
+const changesPerRead = 200;
+/** A node that is further behind reads all records instead of the changes. */
+const maxChangesBehind = 2_000;
+const rowsPerRead = 500;
+
+const readHead = async (table: Table): Promise<number> => ((await table.read(headKey))?.value as ConfigHead | undefined)?.sequence ?? 0;
+
+/** Reads every record. The head is read first: changes committed while the listing runs follow by the feed. */
+export const readSnapshot = async (table: Table): Promise<ConfigSnapshot> => {
+    const sequence = await readHead(table);
+    const records: ConfigChange[] = [];
+    let after: string | undefined;
+    for (;;) {
+        const rows = await table.list(recordPrefix, after, rowsPerRead);
+        records.push(...rows.map(row => row.value as ConfigChange));
+        after = rows.at(-1)?.key;
+        if (rows.length < rowsPerRead) {
+            return { sequence, records: records.filter(change => change.record) };
+        }
+    }
+};
+
+/** Brings the store up to the table's head; returns the number of changes taken. */
+export const followTable = async (table: Table, store: ConfigStore): Promise<number> => {
+    const head = await readHead(table);
+    const behind = head - store.sequence;
+    if (behind <= 0) {
+        return 0;
+    }
+    if (store.sequence === 0 || behind > maxChangesBehind) {
+        const snapshot = await readSnapshot(table);
+        return store.replace(snapshot) ? behind : 0;
+    }
+    let taken = 0;
+    while (store.sequence < head) {
+        const rows = await table.list(changePrefix, changeKey(store.sequence), changesPerRead);
+        const advanced = store.advance(rows.map(row => row.value as ConfigChange));
+        if (advanced === 0) {
+            break;
+        }
+        taken += advanced;
+    }
+    return taken;
+};
--- /dev/null
+++ b/src/core/failures.ts
@@ -0,0 +1,72 @@
+import type { Failure } from "../types/failure";
+import { FailureKind } from "../types/failureKind";
+import { Verdict } from "../types/verdict";
+
+interface FailureClass {
+    readonly status: number;
+    readonly title: string;
+}
+
+/** HTTP status and title of every failure kind. */
+export const failureClasses: Readonly<Record<FailureKind, FailureClass>> = {
+    [FailureKind.BadJson]: { status: 400, title: "the body is not valid JSON" },
+    [FailureKind.BadRequest]: { status: 400, title: "the request is not valid" },
+    [FailureKind.BodyTooLarge]: { status: 413, title: "the body is too large" },
+    [FailureKind.SlowSender]: { status: 408, title: "the body did not arrive in time" },
+    [FailureKind.UnknownPath]: { status: 404, title: "the path is unknown" },
+    [FailureKind.MethodNotAllowed]: { status: 405, title: "the method is not allowed here" },
+    [FailureKind.MissingKey]: { status: 401, title: "no key was given" },
+    [FailureKind.WrongKey]: { status: 401, title: "the key is not known" },
+    [FailureKind.NotOffered]: { status: 403, title: "this is not offered to the caller" },
+    [FailureKind.UnknownModel]: { status: 404, title: "the model is unknown" },
+    [FailureKind.UnknownAdapter]: { status: 404, title: "the adapter is unknown" },
+    [FailureKind.UnknownService]: { status: 404, title: "the service is unknown" },
+    [FailureKind.DeadlineExpired]: { status: 408, title: "the deadline passed" },
+    [FailureKind.QueueFull]: { status: 429, title: "the queue is full" },
+    [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
+    [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
+    [FailureKind.Stopping]: { status: 503, title: "the node is stopping" },
+    [FailureKind.UpstreamRefused]: { status: 503, title: "the upstream refused the request" },
+    [FailureKind.UpstreamLost]: { status: 502, title: "the connection to the upstream was lost" },
+    [FailureKind.UpstreamFailed]: { status: 502, title: "the upstream failed" },
+    [FailureKind.AnswerMismatch]: { status: 502, title: "the upstream sent the answer to another request" },
+    [FailureKind.AnswerTruncated]: { status: 502, title: "the answer was cut short" },
+    [FailureKind.RetryBudgetSpent]: { status: 503, title: "the retry budget is spent" },
+    [FailureKind.CallerGone]: { status: 499, title: "the caller closed the connection" },
+    [FailureKind.ClaimUnavailable]: { status: 503, title: "the claim could not be written" },
+    [FailureKind.ClaimUnsettled]: { status: 409, title: "an earlier attempt with this key may have run" },
+    [FailureKind.ClaimMismatch]: { status: 422, title: "the idempotency key was used for another request" },
+    [FailureKind.TableUnavailable]: { status: 503, title: "the table service is unavailable" },
+    [FailureKind.BadRecord]: { status: 422, title: "the record is not valid" },
+    [FailureKind.RevisionConflict]: { status: 409, title: "the record was revised by another operator" },
+    [FailureKind.UnknownRecord]: { status: 404, title: "the record does not exist" },
+    [FailureKind.Internal]: { status: 500, title: "an internal error" },
+};
+
+/** The error that carries a failure through the call stack. */
+export class FailureError extends Error {
+    private constructor(readonly failure: Failure) {
+        super(`${failureClasses[failure.kind].title}: ${failure.detail}`);
+    }
+
+    /** Wraps a failure. */
+    static create(failure: Failure): FailureError {
+        return new FailureError(failure);
+    }
+}
+
+/** Throws a failure; refusals are not-run unless the verdict says otherwise. */
+export const raise = (kind: FailureKind, detail: string, verdict = Verdict.NotRun, extra?: Partial<Failure>): never => {
+    throw FailureError.create({ ...extra, kind, detail, verdict });
+};
+
+/** The failure that an error carries; an unknown error may have run. */
+export const toFailure = (err: unknown): Failure => {
+    if (err instanceof FailureError) {
+        return err.failure;
+    }
+    return { kind: FailureKind.Internal, verdict: Verdict.MayHaveRun, detail: err instanceof Error ? err.message : String(err) };
+};
+
+/** Whether a failed attempt may be tried again without running a request twice that must not be repeated. */
+export const mayRetry = (verdict: Verdict, repeatable: boolean): boolean => verdict === Verdict.NotRun || (repeatable && verdict === Verdict.MayHaveRun);
--- /dev/null
+++ b/src/core/fleet.ts
@@ -0,0 +1,136 @@
+import type { NodeLoad, NodeState } from "../types/nodeDigest";
+import type { EngineReport } from "../types/report";
+import { ResidencyState } from "../types/report";
+import type { RunnerView } from "../types/upstream";
+import type { Vm } from "../types/vm";
+import { VmKind, VmState } from "../types/vm";
+import type { DigestStore } from "./digests";
+
+/** Names of the two parts of a node's digest. */
+export const statePart = "state";
+export const loadPart = "load";
+
+interface AgedReport {
+    readonly report: EngineReport;
+    readonly ageMs: number;
+}
+
+const noDrains: ReadonlySet<string> = new Set();
+
+/** What a node knows of the VMs: the platform's list, joined with the digests of the nodes. */
+export class Fleet {
+    private vms: readonly Vm[] = [];
+    private views: readonly RunnerView[] = [];
+    private byArtifact = new Map<string, RunnerView[]>();
+    private readonly refused = new Set<string>();
+
+    private constructor(private readonly digests: DigestStore) {}
+
+    /** Makes a fleet over the digests. */
+    static create(digests: DigestStore): Fleet {
+        return new Fleet(digests);
+    }
+
+    /** Takes the platform's list; an empty one is no list. */
+    setVms(vms: readonly Vm[]): void {
+        if (vms.length === 0) {
+            return;
+        }
+        this.vms = vms;
+        const ids = new Set(vms.map(vm => vm.id));
+        for (const id of this.refused) {
+            if (!ids.has(id)) {
+                this.refused.delete(id);
+            }
+        }
+        this.refresh();
+    }
+
+    /** Notes that an upstream itself said that it leaves. */
+    noteLeaving(vmId: string): boolean {
+        const isNew = !this.refused.has(vmId);
+        this.refused.add(vmId);
+        return isNew;
+    }
+
+    /** Upstreams that this node saw leaving. */
+    get leavingSeen(): readonly string[] {
+        return [...this.refused];
+    }
+
+    /** The VMs of a kind, leaving ones included. */
+    vmsOf(kind: VmKind): readonly Vm[] {
+        return this.vms.filter(vm => vm.kind === kind);
+    }
+
+    /** Joins list and digests anew. */
+    refresh(): void {
+        const reports = this.newestReports();
+        const states = this.digests.values<NodeState>(statePart).map(({ value }) => value);
+        const leaving = new Set(states.flatMap(state => state.leaving).concat([...this.refused]));
+        const drains = new Map<string, Set<string>>();
+        for (const drain of states.flatMap(state => state.drains)) {
+            const space = drain.indexOf(" ");
+            const runner = drain.slice(0, space);
+            drains.set(runner, (drains.get(runner) ?? new Set()).add(drain.slice(space + 1)));
+        }
+        this.views = this.vmsOf(VmKind.Runner).map(vm => {
+            const aged = reports.get(vm.id);
+            return {
+                vm,
+                report: aged?.report,
+                reportAgeMs: aged?.ageMs ?? Infinity,
+                leaving: vm.state === VmState.Leaving || leaving.has(vm.id),
+                draining: drains.get(vm.id) ?? noDrains,
+            };
+        });
+        this.indexArtifacts();
+    }
+
+    /** All runners. */
+    runners(): readonly RunnerView[] {
+        return this.views;
+    }
+
+    /** Runners on which an artifact is resident. */
+    holdersOf(artifact: string): readonly RunnerView[] {
+        return this.byArtifact.get(artifact) ?? [];
+    }
+
+    /** Instances of a plain service that take new requests. */
+    serviceVms(name: string): readonly Vm[] {
+        const leaving = new Set(this.digests.values<NodeState>(statePart).flatMap(({ value }) => value.leaving).concat([...this.refused]));
+        return this.vmsOf(VmKind.Service).filter(vm => vm.group === name && vm.state === VmState.Live && !leaving.has(vm.id));
+    }
+
+    private newestReports(): ReadonlyMap<string, AgedReport> {
+        const newest = new Map<string, AgedReport>();
+        for (const { value, ageMs } of this.digests.values<NodeLoad>(loadPart)) {
+            for (const [runner, report] of Object.entries(value.reports)) {
+                const known = newest.get(runner);
+                const isNewer = !known || (known.report.incarnation === report.incarnation ? report.sequence > known.report.sequence : ageMs < known.ageMs);
+                if (isNewer) {
+                    newest.set(runner, { report, ageMs });
+                }
+            }
+        }
+        return newest;
+    }
+
+    private indexArtifacts(): void {
+        this.byArtifact = new Map();
+        for (const view of this.views) {
+            for (const residency of view.report?.residencies ?? []) {
+                if (residency.state === ResidencyState.Resident) {
+                    const holders = this.byArtifact.get(residency.artifact);
+                    if (holders) {
+                        holders.push(view);
+                    }
+                    else {
+                        this.byArtifact.set(residency.artifact, [view]);
+                    }
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/core/generation.ts
@@ -0,0 +1,179 @@
+import type { NodeContext } from "../node/context";
+import type { EngineChunk } from "../types/engine";
+import { StreamEnd } from "../types/engine";
+import { EventId } from "../types/eventId";
+import type { Failure } from "../types/failure";
+import { FailureKind } from "../types/failureKind";
+import type { RunnerView } from "../types/upstream";
+import { Verdict } from "../types/verdict";
+import { emit } from "../utils/events";
+import { assertInvariant } from "../utils/invariants";
+import { getOrCreate } from "../utils/maps";
+import { sleep } from "../utils/time";
+import { FailureError, mayRetry, raise, toFailure } from "./failures";
+import { PrefixHints } from "./prefixHints";
+import { RetryBudget } from "./retryBudget";
+import type { RouteNeed } from "./routing";
+import { chooseRunner } from "./routing";
+import type { Priority } from "./schemas";
+import { UpstreamLimit } from "./upstreamLimit";
+
+/** A generation as a caller asked for it, with names resolved. */
+export interface Generation {
+    readonly requestId: string;
+    readonly caller: string;
+    readonly priority: Priority;
+    readonly path: string;
+    readonly body: Readonly<Record<string, unknown>>;
+    readonly deployment: string;
+    readonly model: string;
+    readonly adapter: string | undefined;
+    readonly prompt: string;
+    /** By the monotonic clock. */
+    readonly deadlineAt: number;
+    readonly signal: AbortSignal;
+}
+
+/** Takes the pieces of an answer in order. */
+export interface AnswerSink {
+    write(chunk: EngineChunk): Promise<void> | void;
+}
+
+const maxAttempts = 5;
+/** Pause before the second attempt; it doubles with each further one. */
+const retryPauseMs = 25;
+const noRunners: ReadonlySet<string> = new Set();
+
+interface Progress {
+    delivered: number;
+    text: string;
+    attempt: number;
+    readonly avoid: Set<string>;
+}
+
+const artifactsOf = (generation: Generation): readonly string[] =>
+    generation.adapter === undefined ? [generation.model] : [generation.model, generation.adapter];
+
+const placeAttempt = (node: NodeContext, generation: Generation, progress: Progress, prefixKey: string): Promise<RunnerView> => {
+    const artifacts = artifactsOf(generation);
+    const need: RouteNeed = {
+        deployment: generation.deployment,
+        artifacts,
+        availabilityZone: node.cfg.availabilityZone,
+        avoid: progress.avoid,
+        prefixHints: node.hints.find(prefixKey),
+    };
+    const tryPlace = (): RunnerView | undefined => {
+        const holders = node.fleet.holdersOf(artifacts.at(-1)!);
+        const trafficOf = (id: string) => getOrCreate(node.limits, id, UpstreamLimit.create);
+        // A runner that failed is met again only where no other holds the artifacts.
+        const runner = chooseRunner(holders, need, trafficOf, node.random) ?? chooseRunner(holders, { ...need, avoid: noRunners }, trafficOf, node.random);
+        if (runner) {
+            getOrCreate(node.limits, runner.vm.id, UpstreamLimit.create).start();
+        }
+        return runner;
+    };
+    return node.queue.place(generation.caller, generation.priority, generation.deadlineAt, tryPlace, generation.signal);
+};
+
+/** Runs one attempt on a runner that has been placed; returns the failure that ended it, if any. */
+const runAttempt = async (node: NodeContext, generation: Generation, progress: Progress, runner: RunnerView,
+    sink: AnswerSink): Promise<Failure | undefined> => {
+    const limit = getOrCreate(node.limits, runner.vm.id, UpstreamLimit.create);
+    const attemptId = `${generation.requestId}.${progress.attempt}`;
+    const startedAt = performance.now();
+    let answered = false;
+    try {
+        const end = await node.engines(runner.vm.url).generate({
+            attemptId,
+            path: generation.path,
+            body: { ...generation.body, model: generation.model, adapter: generation.adapter },
+            resumeOffset: progress.delivered,
+            resumeText: progress.text,
+            timeoutMs: Math.max(1, generation.deadlineAt - startedAt),
+            signal: generation.signal,
+        }, async chunk => {
+            assertInvariant(chunk.data.id === attemptId, EventId.InvariantAnswerOwner, () => `${String(chunk.data.id)} instead of ${attemptId}`);
+            if (!answered) {
+                answered = true;
+                limit.onFirstToken(performance.now() - startedAt);
+            }
+            if (chunk.text !== "") {
+                progress.delivered++;
+                progress.text += chunk.text;
+            }
+            await sink.write(chunk);
+        });
+        return failureOfEnd(end, generation.signal);
+    }
+    catch (err) {
+        const failure = toFailure(err);
+        if (failure.kind === FailureKind.UpstreamLost || failure.kind === FailureKind.UpstreamRefused) {
+            limit.onOverload();
+        }
+        return failure;
+    }
+    finally {
+        limit.end();
+        node.queue.poll();
+    }
+};
+
+const endFailures: Readonly<Record<StreamEnd, FailureKind | undefined>> = {
+    [StreamEnd.Whole]: undefined,
+    [StreamEnd.Truncated]: FailureKind.AnswerTruncated,
+    [StreamEnd.Mismatch]: FailureKind.AnswerMismatch,
+};
+
+const failureOfEnd = (end: StreamEnd, signal: AbortSignal): Failure | undefined => {
+    const kind = signal.aborted && end !== StreamEnd.Whole ? FailureKind.CallerGone : endFailures[end];
+    return kind && { kind, verdict: Verdict.MayHaveRun, detail: "the stream ended early" };
+};
+
+/** Whether a failed attempt is followed by another. Generations have no lasting effect, so they may be repeated. */
+const checkRetry = (node: NodeContext, generation: Generation, progress: Progress, failure: Failure): void => {
+    const verdict = progress.delivered > 0 ? Verdict.MayHaveRun : failure.verdict;
+    if (failure.kind === FailureKind.CallerGone || failure.kind === FailureKind.Internal || !mayRetry(failure.verdict, true)) {
+        throw FailureError.create({ ...failure, verdict });
+    }
+    if (progress.attempt >= maxAttempts) {
+        throw FailureError.create({ ...failure, verdict });
+    }
+    if (performance.now() >= generation.deadlineAt) {
+        raise(FailureKind.DeadlineExpired, failure.detail, verdict);
+    }
+    if (!getOrCreate(node.budgets, generation.model, RetryBudget.create).withdraw()) {
+        raise(FailureKind.RetryBudgetSpent, failure.detail, verdict, { retryAfterMs: 1_000 });
+    }
+};
+
+/** Answers a generation: places it, streams it, and goes on elsewhere from the last piece when an attempt fails. */
+export const generateAnswer = async (node: NodeContext, generation: Generation, sink: AnswerSink): Promise<void> => {
+    artifactsOf(generation).forEach(artifact => node.demand.count(artifact));
+    getOrCreate(node.budgets, generation.model, RetryBudget.create).deposit();
+    const prefixKey = PrefixHints.keyOf(generation.adapter ?? generation.model, generation.prompt);
+    const progress: Progress = { delivered: 0, text: "", attempt: 0, avoid: new Set() };
+    let worst = Verdict.NotRun;
+    for (;;) {
+        progress.attempt++;
+        const runner = await placeAttempt(node, generation, progress, prefixKey).catch((err: unknown) => {
+            const failure = toFailure(err);
+            // An earlier attempt may have run even though this one did not.
+            throw FailureError.create({ ...failure, verdict: worst });
+        });
+        const failure = await runAttempt(node, generation, progress, runner, sink);
+        if (!failure) {
+            node.hints.note(prefixKey, runner.vm.id);
+            return;
+        }
+        worst = failure.verdict === Verdict.NotRun ? worst : Verdict.MayHaveRun;
+        emit(EventId.AttemptFailed, { request: generation.requestId, attempt: progress.attempt, runner: runner.vm.id, kind: failure.kind,
+            verdict: failure.verdict });
+        checkRetry(node, generation, progress, { ...failure, verdict: failure.verdict === Verdict.NotRun ? worst : failure.verdict });
+        if (progress.delivered > 0) {
+            emit(EventId.StreamResumed, { request: generation.requestId, delivered: progress.delivered });
+        }
+        progress.avoid.add(runner.vm.id);
+        await sleep(retryPauseMs * 2 ** (progress.attempt - 1) * (0.5 + node.random()), generation.signal);
+    }
+};
--- /dev/null
+++ b/src/core/ledgerBook.ts
@@ -0,0 +1,82 @@
+import type { LedgerRow } from "../types/ledger";
+import type { Table } from "../types/table";
+import { CommitKind } from "../types/table";
+import { assertFits, ledgerKey, ledgerPrefix } from "./ledger";
+
+interface Held {
+    readonly row: LedgerRow;
+    readonly version: number;
+}
+
+const rowsPerRead = 500;
+
+/** The ledger rows of one zone as a steward last read or wrote them. Every write is conditional on the version read. */
+export class LedgerBook {
+    private held = new Map<string, Held>();
+
+    private constructor(private readonly table: Table, private readonly availabilityZone: string) {}
+
+    /** Makes a book that has read nothing. */
+    static create(table: Table, availabilityZone: string): LedgerBook {
+        return new LedgerBook(table, availabilityZone);
+    }
+
+    /** Reads all rows of the zone, as a new holder of the stewardship must. */
+    async load(): Promise<void> {
+        const held = new Map<string, Held>();
+        const prefix = `${ledgerPrefix}${this.availabilityZone}/`;
+        let after: string | undefined;
+        for (;;) {
+            const rows = await this.table.list(prefix, after, rowsPerRead);
+            for (const row of rows) {
+                held.set(row.key.slice(prefix.length), { row: row.value as LedgerRow, version: row.version });
+            }
+            after = rows.at(-1)?.key;
+            if (rows.length < rowsPerRead) {
+                this.held = held;
+                return;
+            }
+        }
+    }
+
+    /** The committed row of a runner. */
+    get(runner: string): LedgerRow | undefined {
+        return this.held.get(runner)?.row;
+    }
+
+    /** All committed rows. */
+    rows(): readonly LedgerRow[] {
+        return [...this.held.values()].map(held => held.row);
+    }
+
+    /** Commits a row; false where another holder has written it since, whose row is then read. */
+    async write(row: LedgerRow): Promise<boolean> {
+        assertFits(row);
+        const key = ledgerKey(this.availabilityZone, row.runner);
+        const version = this.held.get(row.runner)?.version ?? 0;
+        try {
+            const result = await this.table.commit({ conditions: [{ key, version }], writes: [{ key, value: row }] });
+            if (result.kind === CommitKind.Committed) {
+                this.held.set(row.runner, { row, version: result.version });
+                return true;
+            }
+        }
+        catch (err) {
+            // The write may have taken effect: the row is read again before anything follows from it.
+            await this.reread(row.runner).catch(() => this.held.delete(row.runner));
+            throw err;
+        }
+        await this.reread(row.runner);
+        return false;
+    }
+
+    private async reread(runner: string): Promise<void> {
+        const found = await this.table.read(ledgerKey(this.availabilityZone, runner));
+        if (found) {
+            this.held.set(runner, { row: found.value as LedgerRow, version: found.version });
+        }
+        else {
+            this.held.delete(runner);
+        }
+    }
+}
--- /dev/null
+++ b/src/core/planner.ts
@@ -0,0 +1,206 @@
+import type { LedgerEntry } from "../types/ledger";
+import { EntryState } from "../types/ledger";
+import type { Offer, PlannedRunner, PlanStep, PlanWeights } from "../types/plan";
+import { StepKind } from "../types/plan";
+import { entryOf, freeMiB } from "./ledger";
+
+/** A copy is given up only when the others could carry the demand at this share of their rate. */
+const giveUpShare = 0.6;
+
+interface Draft {
+    readonly runner: PlannedRunner;
+    freeMiB: number;
+    readonly entries: Map<string, LedgerEntry>;
+}
+
+const countsAsCopy = (entry: LedgerEntry): boolean => entry.state === EntryState.Resident || entry.state === EntryState.Loading;
+
+/** Copies that the demand asks for. */
+const wantedCopies = (offer: Offer, weights: PlanWeights): number => Math.max(offer.minCopies, Math.ceil((offer.demand - weights.moveCost) / weights.copyRate));
+
+/** Copies that must stay confirmed in this zone. An adapter may leave: it is loaded again in milliseconds when it is asked for. */
+const leastCopies = (offer: Offer): number => {
+    if (offer.base !== undefined) {
+        return 0;
+    }
+    return offer.homeHolds ? offer.minCopies : Math.max(1, offer.minCopies);
+};
+
+/**
+ * Plans the next steps for the runners of one shard: loads what is missing, drains what is withdrawn or no longer pays, and makes room where a
+ * wanted load does not fit. A step is taken only if it wins more than a move costs.
+ */
+export class Planner {
+    private readonly drafts: Draft[];
+    private readonly offers: ReadonlyMap<string, Offer>;
+    private readonly steps: PlanStep[] = [];
+
+    private constructor(runners: readonly PlannedRunner[], offers: readonly Offer[], private readonly weights: PlanWeights) {
+        this.offers = new Map(offers.map(offer => [offer.artifact, offer]));
+        this.drafts = runners.map(runner => ({
+            runner,
+            freeMiB: freeMiB(runner.row),
+            entries: new Map(runner.row.entries.map(entry => [entry.artifact, entry])),
+        }));
+    }
+
+    /** Makes a planner over the ledger rows and reports of a shard. */
+    static create(runners: readonly PlannedRunner[], offers: readonly Offer[], weights: PlanWeights): Planner {
+        return new Planner(runners, offers, weights);
+    }
+
+    /** The steps to take now, at most `maxSteps`. */
+    plan(): readonly PlanStep[] {
+        const byNeed = [...this.offers.values()].sort((a, b) => this.urgency(b) - this.urgency(a));
+        for (const offer of byNeed) {
+            this.keepWanted(offer);
+        }
+        this.dropWithdrawn();
+        for (const offer of byNeed) {
+            this.addCopies(offer);
+        }
+        for (const offer of byNeed) {
+            this.giveUpCopies(offer);
+        }
+        return this.steps.slice(0, this.weights.maxSteps);
+    }
+
+    /** Offers with no copy come first, models before their adapters. */
+    private urgency(offer: Offer): number {
+        const missing = this.copies(offer.artifact).length === 0 ? 1_000_000 : 0;
+        return missing + (offer.base ? 0 : 500_000) + offer.demand;
+    }
+
+    private copies(artifact: string): readonly Draft[] {
+        return this.drafts.filter(draft => {
+            const entry = draft.entries.get(artifact);
+            return entry !== undefined && countsAsCopy(entry) && !draft.runner.leaving;
+        });
+    }
+
+    private confirmedCopies(artifact: string): number {
+        return this.copies(artifact).filter(draft => draft.entries.get(artifact)?.state === EntryState.Resident).length;
+    }
+
+    private push(kind: StepKind, draft: Draft, artifact: string, memoryMiB: number): void {
+        this.steps.push({ kind, runner: draft.runner.vm.id, artifact, memoryMiB });
+    }
+
+    /** Puts a draining copy back into routing rather than loading another. */
+    private keepWanted(offer: Offer): void {
+        for (const draft of this.drafts) {
+            const entry = draft.entries.get(offer.artifact);
+            if (entry?.state === EntryState.Draining && !draft.runner.leaving && this.copies(offer.artifact).length < wantedCopies(offer, this.weights)) {
+                draft.entries.set(offer.artifact, { ...entry, state: EntryState.Resident });
+                this.push(StepKind.Keep, draft, offer.artifact, entry.memoryMiB);
+            }
+        }
+    }
+
+    private dropWithdrawn(): void {
+        for (const draft of this.drafts) {
+            for (const entry of draft.entries.values()) {
+                if (entry.state === EntryState.Resident && !this.offers.has(entry.artifact)) {
+                    this.drain(draft, entry);
+                }
+            }
+        }
+    }
+
+    private addCopies(offer: Offer): void {
+        const wanted = wantedCopies(offer, this.weights);
+        while (this.copies(offer.artifact).length < wanted) {
+            const place = this.findPlace(offer);
+            if (!place) {
+                return;
+            }
+            place.freeMiB -= offer.memoryMiB;
+            place.entries.set(offer.artifact, { artifact: offer.artifact, memoryMiB: offer.memoryMiB, state: EntryState.Loading, orderId: "", fence: 0,
+                since: 0 });
+            this.push(StepKind.Load, place, offer.artifact, offer.memoryMiB);
+        }
+    }
+
+    private canHold(draft: Draft, offer: Offer): boolean {
+        const { vm, leaving, report } = draft.runner;
+        return vm.group === offer.deployment && !leaving && !report.leaving && !draft.entries.has(offer.artifact)
+            && (offer.base === undefined || entryOf(draft.runner.row, offer.base)?.state === EntryState.Resident);
+    }
+
+    /** The cheapest runner with room, the emptiest among equals; makes room where there is none. */
+    private findPlace(offer: Offer): Draft | undefined {
+        const able = this.drafts.filter(draft => this.canHold(draft, offer));
+        const roomy = able.filter(draft => draft.freeMiB >= offer.memoryMiB);
+        if (roomy.length > 0) {
+            return roomy.reduce((best, draft) => this.isBetterPlace(draft, best) ? draft : best);
+        }
+        this.makeRoom(offer, able);
+        return undefined;
+    }
+
+    private isBetterPlace(draft: Draft, best: Draft): boolean {
+        if (draft.runner.cost !== best.runner.cost) {
+            return draft.runner.cost < best.runner.cost;
+        }
+        return draft.freeMiB > best.freeMiB;
+    }
+
+    /** Drains the copies that are worth least until the offer will fit on one runner, if it is worth more than what it displaces. */
+    private makeRoom(offer: Offer, able: readonly Draft[]): void {
+        const missing = this.copies(offer.artifact).length < offer.minCopies;
+        let best: { readonly draft: Draft; readonly victims: readonly LedgerEntry[]; readonly loss: number; } | undefined;
+        for (const draft of able) {
+            const pending = [...draft.entries.values()].filter(entry => entry.state === EntryState.Draining || entry.state === EntryState.Unloading);
+            let room = draft.freeMiB + pending.reduce((sum, entry) => sum + entry.memoryMiB, 0);
+            const spare = [...draft.entries.values()].filter(entry => this.isSpare(entry, missing)).sort((a, b) => this.worth(a) - this.worth(b));
+            const victims: LedgerEntry[] = [];
+            let loss = 0;
+            while (room < offer.memoryMiB && spare.length > 0) {
+                const victim = spare.shift()!;
+                victims.push(victim);
+                room += victim.memoryMiB;
+                loss += this.worth(victim);
+            }
+            if (room >= offer.memoryMiB && (!best || loss < best.loss)) {
+                best = { draft, victims, loss };
+            }
+        }
+        if (best && ((missing && offer.base === undefined) || offer.demand > best.loss + this.weights.moveCost)) {
+            best.victims.forEach(victim => this.drain(best.draft, victim));
+        }
+    }
+
+    /** A copy that may go: another is resident and confirmed, and it is not needed for the least number of copies. */
+    private isSpare(entry: LedgerEntry, forMissing: boolean): boolean {
+        if (entry.state !== EntryState.Resident) {
+            return false;
+        }
+        const offer = this.offers.get(entry.artifact);
+        if (!offer) {
+            return true;
+        }
+        const others = this.confirmedCopies(entry.artifact) - 1;
+        return others >= (forMissing ? Math.min(1, leastCopies(offer)) : leastCopies(offer));
+    }
+
+    /** Demand that the copy carries. */
+    private worth(entry: LedgerEntry): number {
+        const offer = this.offers.get(entry.artifact);
+        return offer ? offer.demand / Math.max(1, this.copies(entry.artifact).length) : 0;
+    }
+
+    private giveUpCopies(offer: Offer): void {
+        const spare = this.copies(offer.artifact).filter(draft => draft.entries.get(offer.artifact)?.state === EntryState.Resident);
+        const carried = (copies: number): number => copies * this.weights.copyRate * giveUpShare;
+        // Adapters leave only to make room; models also leave when the others can carry the demand, so that accelerators fall idle.
+        if (offer.base === undefined && spare.length > Math.max(1, leastCopies(offer)) && offer.demand < carried(spare.length - 1)) {
+            const draft = spare.reduce((worst, candidate) => candidate.runner.cost > worst.runner.cost ? candidate : worst);
+            this.drain(draft, draft.entries.get(offer.artifact)!);
+        }
+    }
+
+    private drain(draft: Draft, entry: LedgerEntry): void {
+        draft.entries.set(entry.artifact, { ...entry, state: EntryState.Draining });
+        this.push(StepKind.Drain, draft, entry.artifact, entry.memoryMiB);
+    }
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,118 @@
+import { AdmissionQueue } from "../core/admissionQueue";
+import { ConfigStore } from "../core/configStore";
+import { DemandMeter } from "../core/demand";
+import { DigestStore } from "../core/digests";
+import { Fleet } from "../core/fleet";
+import { PrefixHints } from "../core/prefixHints";
+import type { EntryServer } from "../plugins/entryServer";
+import { EventId } from "../types/eventId";
+import type { Route } from "../types/exchange";
+import { emit } from "../utils/events";
+import { sleep } from "../utils/time";
+import type { NodeContext, NodePlugin } from "./context";
+import { NodeStage } from "./context";
+import type { Settings } from "./settings";
+
+/** What a node meets the world through. */
+export type NodePorts = Pick<NodeContext, "table" | "objects" | "vmList" | "engines" | "random">;
+
+const stopPollMs = 20;
+
+/** A node: the state that its parts share, and its life from start to graceful shutdown. */
+export class JackdawNode {
+    private readonly plugins: NodePlugin[] = [];
+    private server: EntryServer | undefined;
+
+    private constructor(readonly context: NodeContext, private readonly background: AbortController) {}
+
+    /** Makes a node that has not started. */
+    static create(cfg: Settings, ports: NodePorts): JackdawNode {
+        const background = new AbortController();
+        const digests = DigestStore.create(cfg.nodeId);
+        return new JackdawNode({
+            ...ports,
+            cfg,
+            config: ConfigStore.create(),
+            digests,
+            fleet: Fleet.create(digests),
+            demand: DemandMeter.create(),
+            hints: PrefixHints.create(),
+            queue: AdmissionQueue.create(cfg.queueCapacity),
+            limits: new Map(),
+            budgets: new Map(),
+            reports: new Map(),
+            drains: new Set(),
+            signal: background.signal,
+            stage: NodeStage.Starting,
+            inProgress: 0,
+        }, background);
+    }
+
+    /** Registers an optional part. */
+    use(...plugins: readonly NodePlugin[]): this {
+        this.plugins.push(...plugins);
+        return this;
+    }
+
+    /** Listens and starts the parts. */
+    async start(server: EntryServer): Promise<void> {
+        this.server = server;
+        server.add(...this.healthRoutes());
+        await server.listen();
+        emit(EventId.NodeStarted, { node: this.context.cfg.nodeId, listen: this.context.cfg.listen, availabilityZone: this.context.cfg.availabilityZone });
+        for (const plugin of this.plugins) {
+            await plugin.start(this.context);
+        }
+    }
+
+    /** Stops gracefully: not ready, leases handed over, no new connections, requests in progress finished. Returns how many were cut off. */
+    async stop(): Promise<number> {
+        const { context } = this;
+        if (context.stage === NodeStage.Stopping || context.stage === NodeStage.Stopped) {
+            return 0;
+        }
+        context.stage = NodeStage.Stopping;
+        emit(EventId.NodeStopping, { inProgress: context.inProgress });
+        const until = performance.now() + context.cfg.stopGraceMs;
+        await Promise.all(this.plugins.map(plugin => plugin.stop?.()));
+        await sleep(context.cfg.stopNoticeMs);
+        this.server?.close();
+        while (context.inProgress > 0 && performance.now() < until) {
+            await sleep(stopPollMs);
+            this.server?.close();
+        }
+        return this.end();
+    }
+
+    /** Ends at once; says what was cut off. */
+    end(): number {
+        const cut = this.context.inProgress;
+        this.background.abort();
+        this.server?.cut();
+        emit(cut > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { requests: cut });
+        this.context.stage = NodeStage.Stopped;
+        return cut;
+    }
+
+    private healthRoutes(): readonly Route[] {
+        const answer = (path: string, isGood: () => boolean): Route => ({
+            path,
+            methods: ["GET", "HEAD"],
+            handle: ({ res }) => {
+                res.writeHead(isGood() ? 200 : 503, { "content-type": "application/json" });
+                res.end(JSON.stringify({ stage: this.context.stage, configSequence: this.context.config.sequence }));
+            },
+        });
+        return [answer("/healthz", () => true), answer("/readyz", () => this.isReady())];
+    }
+
+    /** Ready once a configuration is in force and the fleet is known. */
+    private isReady(): boolean {
+        const { context } = this;
+        if (context.stage === NodeStage.Starting && context.config.sequence > 0 && context.fleet.runners().length > 0) {
+            context.stage = NodeStage.Ready;
+            emit(EventId.NodeReady, { configSequence: context.config.sequence });
+        }
+        return context.stage === NodeStage.Ready;
+    }
+}
--- /dev/null
+++ b/src/plugins/adminRoutes.ts
@@ -0,0 +1,151 @@
+import { randomUUID } from "node:crypto";
+import { followTable } from "../core/configFeed";
+import { changePrefix } from "../core/configKeys";
+import type { Operation } from "../core/configWriter";
+import { commitEdits } from "../core/configWriter";
+import { raise } from "../core/failures";
+import { statePart } from "../core/fleet";
+import type { AnyRecord } from "../core/schemas";
+import type { NodeContext } from "../node/context";
+import type { ConfigChange, RecordEdit } from "../types/config";
+import { RecordKind } from "../types/config";
+import { EventId } from "../types/eventId";
+import type { Exchange, Route } from "../types/exchange";
+import { FailureKind } from "../types/failureKind";
+import type { NodeState } from "../types/nodeDigest";
+import { emit } from "../utils/events";
+import { sendJson } from "../utils/problems";
+import { sleep } from "../utils/time";
+import { bearerOf, parseObject, readWholeBody } from "./callers";
+import { createExplainer } from "./explain";
+import { isSameSecret } from "./peerRouter";
+
+const recordsPath = "/admin/records";
+const maxWaitMs = 60_000;
+const waitPauseMs = 100;
+const historyPerRead = 500;
+
+const kindOf = (text: string | undefined): RecordKind =>
+    Object.values(RecordKind).find(kind => kind === text) ??
+        raise(FailureKind.BadRequest, `kind ${text ?? ""} is not one of ${Object.values(RecordKind).join(", ")}`);
+
+const asEdit = (value: unknown, index: number): RecordEdit => {
+    const edit = value as { record?: AnyRecord; base?: unknown; kind?: string; name?: string; withdraw?: boolean; };
+    if (typeof edit !== "object" || !edit || (edit.base !== undefined && !Number.isInteger(edit.base))) {
+        return raise(FailureKind.BadRecord, `records.${index}: an object with a record and a whole-number base`);
+    }
+    const base = edit.base as number | undefined;
+    if (edit.withdraw) {
+        return { kind: kindOf(edit.kind), name: edit.name ?? "", base };
+    }
+    const record = edit.record ?? raise(FailureKind.BadRecord, `records.${index}.record: missing`);
+    return { kind: record.kind as RecordKind, name: String(record.name), base, record };
+};
+
+/** Waits until every live node reports the sequence in force, and tells those that do not. */
+const waitInForce = async (node: NodeContext, sequence: number, waitMs: number): Promise<readonly string[]> => {
+    const until = performance.now() + Math.min(waitMs, maxWaitMs);
+    for (;;) {
+        const behind = node.digests.values<NodeState>(statePart).filter(({ value }) => value.configSequence < sequence && !value.stopping).map(({ owner }) =>
+            owner
+        );
+        if (behind.length === 0 || performance.now() >= until) {
+            return behind;
+        }
+        await sleep(waitPauseMs);
+    }
+};
+
+const answerCommit = async (node: NodeContext, exchange: Exchange, operation: Operation): Promise<void> => {
+    emit(EventId.RecordsCommitted, { operation: operation.operationId, sequence: operation.sequence });
+    await followTable(node.table, node.config).catch(() => 0);
+    const waitMs = Number(exchange.url.searchParams.get("waitMs") ?? 0);
+    const behind = waitMs > 0 ? await waitInForce(node, operation.sequence, waitMs) : undefined;
+    sendJson(exchange, 200, { ...operation, behind });
+};
+
+const operationIdOf = ({ req }: Exchange): string => {
+    const header = req.headers["idempotency-key"];
+    return (Array.isArray(header) ? header[0] : header) ?? randomUUID();
+};
+
+const handleList = (node: NodeContext, exchange: Exchange): void => {
+    const kind = exchange.url.searchParams.get("kind") ?? undefined;
+    const wanted = kind === undefined ? Object.values(RecordKind) : [kindOf(kind)];
+    const { sequence, records } = node.config.snapshot();
+    sendJson(exchange, 200, {
+        sequence,
+        records: records.filter(change => wanted.includes(change.kind)).map(({ kind: recordKind, name, sequence: revision, record }) => ({ kind: recordKind,
+            name, revision, record })
+        ),
+    });
+};
+
+const handleCollection = (node: NodeContext) => async (exchange: Exchange): Promise<void> => {
+    if (exchange.req.method === "GET") {
+        handleList(node, exchange);
+        return;
+    }
+    const body = parseObject(await readWholeBody(node, exchange));
+    const edits = Array.isArray(body.records) ? body.records.map(asEdit) : raise(FailureKind.BadRecord, "records: a list");
+    await answerCommit(node, exchange, await commitEdits(node.table, edits, operationIdOf(exchange)));
+};
+
+const readHistory = async (node: NodeContext, kind: RecordKind, name: string): Promise<readonly ConfigChange[]> => {
+    const changes: ConfigChange[] = [];
+    let after: string | undefined;
+    for (;;) {
+        const rows = await node.table.list(changePrefix, after, historyPerRead);
+        changes.push(...rows.map(row => row.value as ConfigChange).filter(change => change.kind === kind && change.name === name));
+        after = rows.at(-1)?.key;
+        if (rows.length < historyPerRead) {
+            return changes;
+        }
+    }
+};
+
+const baseOf = ({ url }: Exchange): number | undefined => {
+    const text = url.searchParams.get("base");
+    return text ? Number(text) : undefined;
+};
+
+const handleRecord = (node: NodeContext) => async (exchange: Exchange): Promise<void> => {
+    const [kindText, nameText, view] = exchange.url.pathname.slice(recordsPath.length + 1).split("/");
+    const kind = kindOf(kindText);
+    const name = decodeURIComponent(nameText ?? "");
+    const handlers: Readonly<Record<string, () => Promise<void>>> = {
+        GET: async () => {
+            if (view === "history") {
+                sendJson(exchange, 200, { changes: await readHistory(node, kind, name) });
+                return;
+            }
+            const held = node.config.find({ kind, name }) ?? raise(FailureKind.UnknownRecord, `${kind}/${name}`);
+            sendJson(exchange, 200, { kind, name, revision: held.revision, record: held.raw });
+        },
+        PUT: async () => {
+            const record = parseObject(await readWholeBody(node, exchange));
+            const edit: RecordEdit = { kind, name, base: baseOf(exchange), record: { kind, name, ...record } };
+            await answerCommit(node, exchange, await commitEdits(node.table, [edit], operationIdOf(exchange)));
+        },
+        DELETE: async () => answerCommit(node, exchange, await commitEdits(node.table, [{ kind, name, base: baseOf(exchange) }], operationIdOf(exchange))),
+    };
+    await handlers[exchange.req.method!]!();
+};
+
+/** The routes of operators. */
+export const createAdminRoutes = (node: NodeContext): readonly Route[] => {
+    const guarded = (route: Route): Route => ({
+        ...route,
+        handle: exchange =>
+            isSameSecret(bearerOf(exchange), node.cfg.operatorToken) ? route.handle(exchange) : raise(FailureKind.WrongKey, "this is not the operators' token"),
+    });
+    const explainer = createExplainer(node);
+    const routes: readonly Route[] = [
+        { path: recordsPath, methods: ["GET", "POST"], handle: handleCollection(node) },
+        { path: `${recordsPath}/`, methods: ["GET", "PUT", "DELETE"], handle: handleRecord(node) },
+        { path: "/admin/status", methods: ["GET"], handle: exchange => sendJson(exchange, 200, explainer.status()) },
+        { path: "/admin/explain/", methods: ["GET"],
+            handle: exchange => sendJson(exchange, 200, explainer.explain(exchange.url.pathname.split("/").slice(3).map(decodeURIComponent))) },
+    ];
+    return routes.map(guarded);
+};
--- /dev/null
+++ b/src/plugins/callers.ts
@@ -0,0 +1,76 @@
+import { raise } from "../core/failures";
+import type { CallerRecord } from "../core/schemas";
+import type { NodeContext } from "../node/context";
+import type { Exchange } from "../types/exchange";
+import { FailureKind } from "../types/failureKind";
+import { sha256Hex } from "../utils/hash";
+import { readBody } from "../utils/transport";
+
+/** Header in which a caller gives its deadline, in milliseconds from now. */
+export const deadlineHeader = "jackdawtrail-deadline-ms";
+
+/** The bearer token of a request. */
+export const bearerOf = ({ req }: Exchange): string => {
+    const header = req.headers.authorization;
+    if (header === undefined) {
+        return raise(FailureKind.MissingKey, "send Authorization: Bearer <key>");
+    }
+    const match = /^Bearer\s+(\S+)$/i.exec(header);
+    return match?.[1] ?? raise(FailureKind.WrongKey, "the Authorization header is not a bearer key");
+};
+
+/** The caller whose key a request carries. */
+export const authenticate = (node: NodeContext, exchange: Exchange): CallerRecord => {
+    const key = bearerOf(exchange);
+    if (node.config.sequence === 0) {
+        return raise(FailureKind.NotReady, "no configuration has been read yet", undefined, { retryAfterMs: 1_000 });
+    }
+    return node.config.callerOf(sha256Hex(key)) ?? raise(FailureKind.WrongKey, "no caller record holds this key");
+};
+
+/** The monotonic time at which the caller gives up. */
+export const deadlineOf = (node: NodeContext, { req, startedAt }: Exchange): number => {
+    const header = req.headers[deadlineHeader];
+    if (header === undefined) {
+        return startedAt + node.cfg.defaultDeadlineMs;
+    }
+    const ms = Number(header);
+    if (!Number.isFinite(ms)) {
+        return raise(FailureKind.BadRequest, `${deadlineHeader} is not a number of milliseconds`);
+    }
+    if (ms <= 0) {
+        return raise(FailureKind.DeadlineExpired, "the deadline had passed on arrival");
+    }
+    return startedAt + Math.min(ms, node.cfg.defaultDeadlineMs);
+};
+
+/** Reads the body within the node's limits. */
+export const readWholeBody = async (node: NodeContext, { req }: Exchange): Promise<Buffer> => {
+    const { maxBodyBytes, bodyTimeoutMs } = node.cfg;
+    const reading = await readBody(req, maxBodyBytes, bodyTimeoutMs);
+    switch (reading.kind) {
+        case "whole":
+            return reading.body;
+        case "too-large":
+            return raise(FailureKind.BodyTooLarge, `at most ${maxBodyBytes} bytes`);
+        case "slow":
+            return raise(FailureKind.SlowSender, `the body must arrive within ${bodyTimeoutMs} ms`);
+        default:
+            return raise(FailureKind.CallerGone, "while the body was read");
+    }
+};
+
+/** Parses a body that must be a JSON object. */
+export const parseObject = (body: Buffer): Readonly<Record<string, unknown>> => {
+    let value: unknown;
+    try {
+        value = JSON.parse(body.toString("utf8"));
+    }
+    catch (err) {
+        return raise(FailureKind.BadJson, err instanceof Error ? err.message : "not JSON");
+    }
+    if (typeof value !== "object" || !value || Array.isArray(value)) {
+        return raise(FailureKind.BadRequest, "the body is not a JSON object");
+    }
+    return value as Readonly<Record<string, unknown>>;
+};
--- /dev/null
+++ b/src/plugins/entryServer.ts
@@ -0,0 +1,101 @@
+import { randomUUID } from "node:crypto";
+import { readFileSync } from "node:fs";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { createServer as createTlsServer } from "node:https";
+import { raise, toFailure } from "../core/failures";
+import type { NodeContext } from "../node/context";
+import { NodeStage } from "../node/context";
+import type { Exchange, Route } from "../types/exchange";
+import { FailureKind } from "../types/failureKind";
+import { sendFailure } from "../utils/problems";
+
+const headersTimeoutMs = 10_000;
+const idleTimeoutMs = 65_000;
+const maxHeaderBytes = 32_768;
+
+const findRoute = (routes: readonly Route[], path: string): Route | undefined =>
+    routes.find(route => route.path.endsWith("/") ? path.startsWith(route.path) : path === route.path);
+
+/** The HTTP server of a node: finds the route of each request and answers failures as problems. */
+export class EntryServer {
+    private readonly routes: Route[] = [];
+    private readonly server: Server;
+
+    private constructor(private readonly node: NodeContext) {
+        const listener = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
+        const options = { headersTimeout: headersTimeoutMs, keepAliveTimeout: idleTimeoutMs, requestTimeout: 0, maxHeaderSize: maxHeaderBytes };
+        const { tlsKeyFile, tlsCertificateFile } = node.cfg;
+        this.server = tlsKeyFile !== undefined && tlsCertificateFile !== undefined
+            ? createTlsServer({ ...options, key: readFileSync(tlsKeyFile), cert: readFileSync(tlsCertificateFile) }, listener)
+            : createServer(options, listener);
+    }
+
+    /** Makes a server that does not listen yet. */
+    static create(node: NodeContext): EntryServer {
+        return new EntryServer(node);
+    }
+
+    /** Adds routes; the first that fits a path serves it. */
+    add(...routes: readonly Route[]): void {
+        this.routes.push(...routes);
+    }
+
+    /** Listens on the node's address. */
+    listen(): Promise<void> {
+        const { listen } = this.node.cfg;
+        const colon = listen.lastIndexOf(":");
+        const host = listen.slice(0, colon).replace(/^\[|\]$/g, "");
+        return new Promise((resolve, reject) => {
+            this.server.once("error", reject);
+            this.server.listen(Number(listen.slice(colon + 1)), host, () => resolve());
+        });
+    }
+
+    /** Takes no new connections; ends idle ones. */
+    close(): void {
+        this.server.close();
+        this.server.closeIdleConnections();
+    }
+
+    /** Cuts every connection. */
+    cut(): void {
+        this.server.closeAllConnections();
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const gone = new AbortController();
+        const exchange: Exchange = {
+            requestId: randomUUID(),
+            req,
+            res,
+            url: new URL(req.url ?? "/", "http://node"),
+            startedAt: performance.now(),
+            signal: gone.signal,
+        };
+        this.node.inProgress++;
+        res.once("close", () => {
+            this.node.inProgress--;
+            if (!res.writableFinished) {
+                gone.abort();
+            }
+        });
+        res.on("error", () => gone.abort());
+        if (this.node.stage === NodeStage.Stopping) {
+            res.setHeader("connection", "close");
+        }
+        try {
+            const route = findRoute(this.routes, exchange.url.pathname);
+            if (!route) {
+                return raise(FailureKind.UnknownPath, exchange.url.pathname);
+            }
+            if (!route.methods.includes(req.method ?? "")) {
+                return raise(FailureKind.MethodNotAllowed, `${req.method ?? ""} ${exchange.url.pathname}; allowed: ${route.methods.join(", ")}`);
+            }
+            await route.handle(exchange);
+        }
+        catch (err) {
+            sendFailure(exchange, toFailure(err));
+        }
+    }
+}
--- /dev/null
+++ b/src/plugins/explain.ts
@@ -0,0 +1,92 @@
+import { adapterArtifact, modelArtifact } from "../core/artifacts";
+import { raise } from "../core/failures";
+import { loadPart, statePart } from "../core/fleet";
+import { gatherOfferInputs } from "../core/offers";
+import type { NodeContext } from "../node/context";
+import { RecordKind } from "../types/config";
+import { EventId } from "../types/eventId";
+import { FailureKind } from "../types/failureKind";
+import type { NodeLoad, NodeState } from "../types/nodeDigest";
+import { observeEvents } from "../utils/events";
+import { rankByHash } from "../utils/hash";
+
+/** Requests whose events a node keeps. */
+const maxRequests = 1_000;
+
+type EventFields = Readonly<Record<string, unknown>>;
+
+/** Answers operators' questions about what a node knows. */
+export interface Explainer {
+    status(): unknown;
+    /** Explains `model NAME`, `adapter NAME` or `request ID`. */
+    explain(path: readonly string[]): unknown;
+}
+
+const explainArtifact = (node: NodeContext, artifact: string, deployment: string): unknown => {
+    const inputs = gatherOfferInputs(node);
+    const zones = rankByHash(artifact, inputs.zonesOf.get(deployment) ?? []);
+    return {
+        artifact,
+        deployment,
+        // Why it is where it is: the zones in the order in which copies are dealt out, and the demand that adds copies.
+        zonesInOrder: zones,
+        demandByZone: Object.fromEntries(zones.map(zone => [zone, inputs.demandOf(zone, artifact)])),
+        copies: node.fleet.holdersOf(artifact).map(({ vm, reportAgeMs, leaving, draining }) => ({
+            runner: vm.id,
+            availabilityZone: vm.availabilityZone,
+            reportAgeMs: Math.round(reportAgeMs),
+            leaving,
+            draining: draining.has(artifact),
+        })),
+    };
+};
+
+/** Makes an explainer, which keeps the events of the last requests. */
+export const createExplainer = (node: NodeContext): Explainer => {
+    const requests = new Map<string, { event: EventId; name: string; fields: EventFields; }[]>();
+    observeEvents((event, fields) => {
+        if (typeof fields.request !== "string") {
+            return;
+        }
+        const events = requests.get(fields.request) ?? [];
+        requests.set(fields.request, [...events, { event, name: EventId[event], fields }]);
+        if (requests.size > maxRequests) {
+            requests.delete(requests.keys().next().value!);
+        }
+    });
+    const explainers: Readonly<Record<string, (name: string) => unknown>> = {
+        model: name => {
+            const model = node.config.get(RecordKind.Model, name) ?? raise(FailureKind.UnknownRecord, `model/${name}`);
+            return explainArtifact(node, modelArtifact(model), model.deployment);
+        },
+        adapter: name => {
+            const adapter = node.config.get(RecordKind.Adapter, name) ?? raise(FailureKind.UnknownRecord, `adapter/${name}`);
+            const model = node.config.get(RecordKind.Model, adapter.model) ?? raise(FailureKind.UnknownRecord, `model/${adapter.model}`);
+            return explainArtifact(node, adapterArtifact(adapter), model.deployment);
+        },
+        request: id => ({ request: id, events: requests.get(id) ?? raise(FailureKind.UnknownRecord, `this node keeps no event of request ${id}`) }),
+    };
+    return {
+        status: () => ({
+            node: node.cfg.nodeId,
+            availabilityZone: node.cfg.availabilityZone,
+            stage: node.stage,
+            configSequence: node.config.sequence,
+            requestsInProgress: node.inProgress,
+            requestsQueued: node.queue.length,
+            nodes: node.digests.values<NodeState>(statePart).map(({ value, ageMs }) => ({ ...value, ageMs: Math.round(ageMs) })),
+            runners: node.fleet.runners().map(({ vm, report, reportAgeMs, leaving, draining }) => ({
+                ...vm,
+                leaving,
+                draining: [...draining],
+                reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
+                report,
+            })),
+            demand: node.digests.values<NodeLoad>(loadPart).map(({ owner, value }) => ({ node: owner, ...value.demand })),
+        }),
+        explain: ([what, name]) => {
+            const explainer = explainers[what ?? ""] ?? raise(FailureKind.BadRequest, `explain one of ${Object.keys(explainers).join(", ")}`);
+            return explainer(name ?? "");
+        },
+    };
+};
--- /dev/null
+++ b/src/plugins/metrics.ts
@@ -0,0 +1,94 @@
+import { collectDefaultMetrics, Counter, Gauge, Histogram, Registry } from "prom-client";
+import type { NodeContext, NodePlugin } from "../node/context";
+import { EventId } from "../types/eventId";
+import type { Route } from "../types/exchange";
+import { RequestMetric } from "../types/requestMetric";
+import { isInvariantEvent, observeEvents } from "../utils/events";
+import { getOrCreate } from "../utils/maps";
+
+const secondBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1, 2.5, 5, 10, 30];
+const tokenBuckets = [0.001, 0.005, 0.01, 0.02, 0.042, 0.08, 0.16, 0.5, 2];
+
+/** Metrics of a node: counters for each refusal and retry reason, each event and each broken invariant; gauges of what it holds. */
+export class Metrics implements NodePlugin {
+    readonly name = "metrics";
+    private readonly registry = new Registry();
+    private readonly registers = [this.registry];
+    private readonly refusals = new Counter({ name: "jackdawtrail_refusals_total", help: "Requests refused, by reason and verdict",
+        labelNames: ["reason", "verdict"], registers: this.registers });
+    private readonly retries = new Counter({ name: "jackdawtrail_failed_attempts_total", help: "Attempts that failed and may be retried, by reason and verdict",
+        labelNames: ["reason", "verdict"], registers: this.registers });
+    private readonly events = new Counter({ name: "jackdawtrail_events_total", help: "Numbered log events", labelNames: ["event"], registers: this.registers });
+    private readonly invariants = new Counter({ name: "jackdawtrail_broken_invariants_total", help: "Broken invariants, by event number", labelNames: ["event"],
+        registers: this.registers });
+    private readonly tokens = new Counter({ name: "jackdawtrail_answer_pieces_total", help: "Pieces of answers passed on", registers: this.registers });
+    private readonly histograms: Readonly<Record<RequestMetric, Histogram>> = {
+        [RequestMetric.FirstToken]: new Histogram({ name: "jackdawtrail_first_token_seconds", help: "Time from the request to the first token",
+            buckets: secondBuckets, registers: this.registers }),
+        [RequestMetric.BetweenTokens]: new Histogram({ name: "jackdawtrail_between_tokens_seconds", help: "Time between two tokens", buckets: tokenBuckets,
+            registers: this.registers }),
+        [RequestMetric.Whole]: new Histogram({ name: "jackdawtrail_request_seconds", help: "Time from the request to the end of the answer",
+            buckets: secondBuckets, registers: this.registers }),
+    };
+    private readonly counts = new Map<EventId, number>();
+
+    private constructor() {
+        observeEvents((event, fields) => {
+            this.events.inc({ event });
+            this.counts.set(event, getOrCreate(this.counts, event, () => 0) + 1);
+            if (event === EventId.RequestRefused) {
+                this.refusals.inc({ reason: String(fields.kind), verdict: String(fields.verdict) });
+            }
+            else if (event === EventId.AttemptFailed) {
+                this.retries.inc({ reason: String(fields.kind), verdict: String(fields.verdict) });
+            }
+            else if (isInvariantEvent(event)) {
+                this.invariants.inc({ event });
+            }
+        });
+    }
+
+    /** Makes the metrics of a process. */
+    static create(): Metrics {
+        return new Metrics();
+    }
+
+    /** Takes a measured time of a request. */
+    observe(metric: RequestMetric, ms: number): void {
+        this.histograms[metric].observe(ms / 1_000);
+        if (metric !== RequestMetric.Whole) {
+            this.tokens.inc();
+        }
+    }
+
+    start(node: NodeContext): void {
+        collectDefaultMetrics({ register: this.registry });
+        const gauge = (name: string, help: string, read: () => number) =>
+            new Gauge({
+                name: `jackdawtrail_${name}`,
+                help,
+                registers: this.registers,
+                collect() {
+                    this.set(read());
+                },
+            });
+        gauge("config_sequence", "Sequence of the configuration in force", () => node.config.sequence);
+        gauge("requests_in_progress", "Requests in progress", () => node.inProgress);
+        gauge("requests_queued", "Requests that wait for an upstream", () => node.queue.length);
+        gauge("runners_known", "Runners on the VM list", () => node.fleet.runners().length);
+        gauge("copies_draining", "Copies that this node's stewardship takes out of routing", () => node.drains.size);
+    }
+
+    /** The route on which the metrics are read. */
+    route(): Route {
+        return {
+            path: "/metrics",
+            methods: ["GET"],
+            handle: async ({ res }) => {
+                const text = await this.registry.metrics();
+                res.writeHead(200, { "content-type": this.registry.contentType });
+                res.end(text);
+            },
+        };
+    }
+}
--- /dev/null
+++ b/src/plugins/reportCollector.ts
@@ -0,0 +1,45 @@
+import { assertReportFits } from "../core/ledger";
+import type { NodeContext, NodePlugin } from "../node/context";
+import { EventId } from "../types/eventId";
+import type { EngineReport } from "../types/report";
+import type { Vm } from "../types/vm";
+import { VmKind, VmState } from "../types/vm";
+import { emit } from "../utils/events";
+import { ownerOf } from "../utils/hash";
+import { repeat } from "../utils/time";
+
+/** Keeps the newest report of a runner; reports may arrive out of order. */
+export const isNewerReport = (report: EngineReport, known: EngineReport | undefined): boolean =>
+    !known || known.incarnation !== report.incarnation || report.sequence > known.sequence;
+
+const collectOne = async (node: NodeContext, vm: Vm): Promise<void> => {
+    try {
+        const report = await node.engines(vm.url).report();
+        if (isNewerReport(report, node.reports.get(vm.id))) {
+            node.reports.set(vm.id, report);
+            assertReportFits(vm.id, report);
+        }
+        if (report.leaving && node.fleet.noteLeaving(vm.id)) {
+            emit(EventId.UpstreamLeaving, { upstream: vm.id });
+        }
+    }
+    catch (err) {
+        emit(EventId.ReportFailed, { runner: vm.id, detail: err instanceof Error ? err.message : String(err) });
+    }
+};
+
+/** Collects the reports of the runners that fall to this node; the nodes of a zone share its runners by hash. */
+export const createReportCollector = (): NodePlugin => ({
+    name: "report-collector",
+    start: node => {
+        const collect = async (): Promise<void> => {
+            const inZone = (vm: Vm) => vm.availabilityZone === node.cfg.availabilityZone;
+            const nodes = node.fleet.vmsOf(VmKind.Node).filter(vm => inZone(vm) && vm.state === VmState.Live).map(vm => vm.id);
+            const own = node.fleet.vmsOf(VmKind.Runner).filter(vm => inZone(vm) && ownerOf(vm.id, nodes) === node.cfg.nodeId);
+            const ids = new Set(own.map(vm => vm.id));
+            [...node.reports.keys()].filter(id => !ids.has(id)).forEach(id => node.reports.delete(id));
+            await Promise.all(own.map(vm => collectOne(node, vm)));
+        };
+        void repeat(collect, () => node.cfg.reportPollMs, node.signal, err => emit(EventId.ReportFailed, { detail: String(err) }));
+    },
+});
--- /dev/null
+++ b/src/plugins/serviceHttp.ts
@@ -0,0 +1,61 @@
+import type { Dispatcher } from "undici";
+import { Agent, request } from "undici";
+import { raise } from "../core/failures";
+import { FailureKind } from "../types/failureKind";
+import type { ServiceClient, ServiceRequest } from "../types/service";
+import { Verdict } from "../types/verdict";
+import { codeOf, verdictOfError } from "../utils/transport";
+
+const connectTimeoutMs = 500;
+const maxAnswerBytes = 8_388_608;
+/** With this header a service says in its own words that it did not run the call. */
+const verdictHeader = "jackdawtrail-verdict";
+const passedHeaders = ["content-type", "location", "etag"] as const;
+
+const send = async (agent: Dispatcher, url: string, req: ServiceRequest): Promise<Dispatcher.ResponseData> => {
+    try {
+        return await request(`${url}${req.path}`, {
+            method: req.method as Dispatcher.HttpMethod,
+            dispatcher: agent,
+            headers: { ...req.headers, "x-request-id": req.attemptId },
+            body: req.body.length > 0 ? req.body : undefined,
+            headersTimeout: req.timeoutMs,
+            bodyTimeout: req.timeoutMs,
+        });
+    }
+    catch (err) {
+        return raise(FailureKind.UpstreamLost, codeOf(err), verdictOfError(err));
+    }
+};
+
+const call = async (agent: Dispatcher, url: string, req: ServiceRequest) => {
+    const res = await send(agent, url, req);
+    const echoed = res.headers["x-request-id"];
+    if (echoed !== undefined && echoed !== req.attemptId) {
+        res.body.destroy();
+        return raise(FailureKind.AnswerMismatch, `the answer to ${String(echoed)}`, Verdict.MayHaveRun);
+    }
+    if (res.headers[verdictHeader] === Verdict.NotRun) {
+        await res.body.dump();
+        return raise(FailureKind.UpstreamRefused, `status ${res.statusCode}`);
+    }
+    try {
+        const body = Buffer.from(await res.body.arrayBuffer());
+        if (body.length > maxAnswerBytes) {
+            return raise(FailureKind.UpstreamFailed, "the answer is too large", Verdict.Ran);
+        }
+        const headers = Object.fromEntries(passedHeaders.filter(name => res.headers[name] !== undefined).map(name => [name, String(res.headers[name])]));
+        return { status: res.statusCode, headers, body: body.toString("base64") };
+    }
+    catch (err) {
+        return raise(FailureKind.AnswerTruncated, codeOf(err), Verdict.MayHaveRun);
+    }
+};
+
+/** A client of plain services over HTTP. */
+export const createServiceClient = (): ServiceClient => {
+    const shared = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 4_000 });
+    // An idle connection can be closed by the service just as a call leaves, and nobody could tell whether that call ran.
+    const single = new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 0 });
+    return { call: (url, req) => call(req.repeatable ? shared : single, url, req) };
+};
--- /dev/null
+++ b/src/types/lease.ts
@@ -0,0 +1,6 @@
+/** A lease row. The term rises with each new holder and serves as the fencing number. */
+export interface LeaseRow {
+    readonly holder: string;
+    readonly term: number;
+    readonly expiresAt: number;
+}
--- /dev/null
+++ b/src/types/plan.ts
@@ -0,0 +1,54 @@
+import type { LedgerRow } from "./ledger";
+import type { EngineReport } from "./report";
+import type { Vm } from "./vm";
+
+/** A runner as the planner sees it. */
+export interface PlannedRunner {
+    readonly vm: Vm;
+    readonly row: LedgerRow;
+    readonly report: EngineReport;
+    readonly leaving: boolean;
+    readonly cost: number;
+}
+
+/** An artifact that is offered and may be wanted in this zone. */
+export interface Offer {
+    readonly artifact: string;
+    readonly memoryMiB: number;
+    readonly deployment: string;
+    /** Copies that must always be resident in this zone. */
+    readonly minCopies: number;
+    /** Whether another zone must keep a copy and has one confirmed, so that the last copy of this zone may go. */
+    readonly homeHolds: boolean;
+    /** Requests a second that this zone should be able to answer. */
+    readonly demand: number;
+    /** The model's artifact where the offer is an adapter. */
+    readonly base?: string;
+}
+
+/** A step that the planner asks for. */
+export enum StepKind {
+    Load = "load",
+    /** Take the copy out of routing, to be unloaded once it is idle. */
+    Drain = "drain",
+    /** Put a draining copy back into routing. */
+    Keep = "keep",
+}
+
+/** One step of a plan. */
+export interface PlanStep {
+    readonly kind: StepKind;
+    readonly runner: string;
+    readonly artifact: string;
+    readonly memoryMiB: number;
+}
+
+/** Weights that an operator's deployment prizes. */
+export interface PlanWeights {
+    /** Requests a second that one copy answers within target. */
+    readonly copyRate: number;
+    /** Requests a second that a move must win before it is made. */
+    readonly moveCost: number;
+    /** Steps that one round may start. */
+    readonly maxSteps: number;
+}
--- /dev/null
+++ b/src/types/report.ts
@@ -0,0 +1,31 @@
+/** State of an artifact on an engine, in the engine's own word. */
+export enum ResidencyState {
+    Loading = "loading",
+    Resident = "resident",
+    Unloading = "unloading",
+}
+
+/** A model or adapter held by an engine. */
+export interface Residency {
+    readonly artifact: string;
+    readonly memoryMiB: number;
+    readonly state: ResidencyState;
+    /** Requests in progress that use the artifact. */
+    readonly active: number;
+}
+
+/** Load report of an engine; it lags. */
+export interface EngineReport {
+    readonly incarnation: string;
+    readonly sequence: number;
+    readonly memoryMiB: number;
+    readonly slots: number;
+    readonly active: number;
+    readonly queued: number;
+    /** Highest fencing number that the engine has seen; 0 where it ignores them. */
+    readonly fence: number;
+    readonly leaving: boolean;
+    readonly residencies: readonly Residency[];
+    /** Orders that the engine has taken and not yet finished. */
+    readonly openOrders: readonly string[];
+}
--- /dev/null
+++ b/src/types/requestMetric.ts
@@ -0,0 +1,6 @@
+/** Times that are measured of each request. */
+export enum RequestMetric {
+    FirstToken = "first-token",
+    BetweenTokens = "between-tokens",
+    Whole = "whole",
+}
--- /dev/null
+++ b/src/utils/transport.ts
@@ -0,0 +1,53 @@
+import type { Readable } from "node:stream";
+import { Verdict } from "../types/verdict";
+
+/** Error codes that prove that no byte of the request left. */
+const unsentCodes: ReadonlySet<string> = new Set([
+    "ECONNREFUSED",
+    "EHOSTUNREACH",
+    "ENETUNREACH",
+    "ENOTFOUND",
+    "EADDRNOTAVAIL",
+    "UND_ERR_CONNECT_TIMEOUT",
+]);
+
+/** Code of a transport error, looked for in its cause too. */
+export const codeOf = (err: unknown): string => {
+    const { code, cause } = (err ?? {}) as { code?: string; cause?: { code?: string; }; };
+    return code ?? cause?.code ?? (err instanceof Error ? err.name : "unknown");
+};
+
+/** What a transport error proves of the request. */
+export const verdictOfError = (err: unknown): Verdict => unsentCodes.has(codeOf(err)) ? Verdict.NotRun : Verdict.MayHaveRun;
+
+/** Outcome of reading a body under limits. */
+export type BodyReading =
+    | { readonly kind: "whole"; readonly body: Buffer; }
+    | { readonly kind: "too-large"; }
+    | { readonly kind: "slow"; }
+    | { readonly kind: "lost"; };
+
+/** Reads a body up to a size and a time. */
+export const readBody = (stream: Readable, maxBytes: number, timeoutMs: number): Promise<BodyReading> =>
+    new Promise(resolve => {
+        const chunks: Buffer[] = [];
+        let bytes = 0;
+        const finish = (reading: BodyReading) => {
+            clearTimeout(timer);
+            stream.removeAllListeners("data");
+            resolve(reading);
+        };
+        const timer = setTimeout(() => finish({ kind: "slow" }), timeoutMs);
+        stream.on("data", (chunk: Buffer) => {
+            bytes += chunk.length;
+            if (bytes > maxBytes) {
+                stream.pause();
+                finish({ kind: "too-large" });
+                return;
+            }
+            chunks.push(chunk);
+        });
+        stream.on("end", () => finish({ kind: "whole", body: Buffer.concat(chunks) }));
+        stream.on("error", () => finish({ kind: "lost" }));
+        stream.on("close", () => finish({ kind: "lost" }));
+    });
--- /dev/null
+++ b/test/fakes/engine.ts
@@ -0,0 +1,126 @@
+import { createHash } from "node:crypto";
+import type { ServerResponse } from "node:http";
+import type { EngineOrder } from "../../src/types/order";
+import { OrderAnswer } from "../../src/types/order";
+import { EngineModel } from "./engineModel";
+import type { EngineSetup } from "./engineModel";
+import { answered, serveJson, Status } from "./http";
+
+/** Faults of an engine; counts are used up. */
+interface EngineFaults {
+    crossNext: number;
+    truncateNext: number;
+    refuseNext: number;
+    resetNext: number;
+    dropOrders: number;
+    orderDelayMs: number;
+    reportLagMs: number;
+    leaving: boolean;
+    restart: boolean;
+}
+
+interface EngineBody {
+    readonly model: string;
+    readonly adapter?: string;
+    readonly messages?: unknown;
+    readonly prompt?: unknown;
+    readonly max_tokens?: number;
+    readonly resume_offset?: number;
+    readonly resume_text?: string;
+}
+
+const statuses: Readonly<Record<OrderAnswer, number>> = { [OrderAnswer.Accepted]: 202, [OrderAnswer.StaleFence]: 412, [OrderAnswer.Refused]: 409,
+    [OrderAnswer.Unknown]: 500 };
+const defaultTokens = 16;
+
+/** The pieces of the answer to a prompt; every engine gives the same, so that a resumed answer can be checked. */
+export const expectedTokens = (model: string, prompt: unknown, count = defaultTokens): readonly string[] => {
+    const seed = createHash("md5").update(`${model}${JSON.stringify(prompt)}`).digest();
+    return [...Array(count).keys()].map(index => `${(seed[index % seed.length]! * 31 + index * 7) % 1_000} `);
+};
+
+/** A model engine as a process. */
+export const startEngine = (port: number, setup: EngineSetup & { readonly firstTokenMs: number; readonly tokenMs: number; }) => {
+    const model = EngineModel.create(setup);
+    const faults: EngineFaults = { crossNext: 0, truncateNext: 0, refuseNext: 0, resetNext: 0, dropOrders: 0, orderDelayMs: 0, reportLagMs: 0, leaving: false,
+        restart: false };
+    let lagged = model.report();
+    const spend = (name: "crossNext" | "truncateNext" | "refuseNext" | "resetNext" | "dropOrders"): boolean => faults[name] > 0 && faults[name]-- > 0;
+
+    const stream = async (body: EngineBody, attemptId: string, res: ServerResponse, isChat: boolean): Promise<void> => {
+        const tokens = expectedTokens(body.adapter ?? body.model, body.messages ?? body.prompt, body.max_tokens);
+        const offset = body.resume_offset ?? 0;
+        if (offset > 0 && body.resume_text !== tokens.slice(0, offset).join("")) {
+            model.violations.push(`${attemptId} resumed with another answer's text`);
+        }
+        const id = spend("crossNext") ? "another-request.1" : attemptId;
+        const cutAt = spend("truncateNext") ? offset + Math.ceil((tokens.length - offset) / 2) : Infinity;
+        res.writeHead(200, { "content-type": "text/event-stream", "x-request-id": attemptId });
+        for (let index = offset; index < tokens.length && !res.destroyed; index++) {
+            if (index >= cutAt) {
+                res.destroy();
+                return;
+            }
+            const content = tokens[index];
+            const choice = isChat ? { index: 0, delta: { content } } : { index: 0, text: content };
+            res.write(`data: ${JSON.stringify({ id, object: "chat.completion.chunk", choices: [choice] })}\n\n`);
+            if (setup.tokenMs > 0) {
+                await new Promise(resolve => setTimeout(resolve, setup.tokenMs));
+            }
+        }
+        const usage = { completion_tokens: tokens.length };
+        res.end(`data: ${JSON.stringify({ id, choices: [{ index: 0, delta: {}, finish_reason: "stop" }], usage })}\n\ndata: [DONE]\n\n`);
+    };
+    const generate = async (raw: unknown, attemptId: string, res: ServerResponse, isChat: boolean): Promise<unknown> => {
+        const body = raw as EngineBody;
+        const artifacts = [body.model, ...(body.adapter === undefined ? [] : [body.adapter])];
+        if (spend("resetNext")) {
+            res.destroy();
+            return answered;
+        }
+        if (faults.leaving || spend("refuseNext")) {
+            return new Status(503, { error: "leaving or overloaded" });
+        }
+        if (!model.holds(...artifacts)) {
+            return new Status(404, { error: "not resident" });
+        }
+        model.use(artifacts, 1);
+        try {
+            await new Promise(resolve => setTimeout(resolve, setup.firstTokenMs));
+            await stream(body, attemptId, res, isChat);
+        }
+        finally {
+            model.use(artifacts, -1);
+        }
+        return answered;
+    };
+    return serveJson(port, {
+        "POST /v1/chat/completions": ({ body, req, res }) => generate(body, String(req.headers["x-request-id"]), res, true),
+        "POST /v1/completions": ({ body, req, res }) => generate(body, String(req.headers["x-request-id"]), res, false),
+        "GET /engine/report": () => {
+            const report = faults.reportLagMs > 0 ? lagged : model.report();
+            if (faults.reportLagMs > 0) {
+                setTimeout(() => lagged = model.report(), faults.reportLagMs);
+            }
+            return report;
+        },
+        "POST /engine/orders": async ({ body, res }) => {
+            if (spend("dropOrders")) {
+                res.destroy();
+                return answered;
+            }
+            await new Promise(resolve => setTimeout(resolve, faults.orderDelayMs));
+            return new Status(statuses[model.order(body as EngineOrder)]);
+        },
+        "POST /control": ({ body }) => {
+            Object.assign(faults, body as Partial<EngineFaults>);
+            model.leaving = faults.leaving;
+            if (faults.restart) {
+                faults.restart = false;
+                model.restart();
+            }
+            return faults;
+        },
+        "GET /witness": () => ({ violations: model.violations, loads: model.loads, unloads: model.unloads, active: model.active }),
+    });
+};
--- /dev/null
+++ b/test/fakes/http.ts
@@ -0,0 +1,47 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { json } from "node:stream/consumers";
+
+/** Handles a request and answers with JSON; undefined means that the handler answered itself. */
+export type Handler = (call: Call) => Promise<unknown> | unknown;
+
+/** A request to a stand-in. */
+export interface Call {
+    readonly body: unknown;
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly url: URL;
+}
+
+/** An answer with a status of its own. */
+export class Status {
+    constructor(readonly code: number, readonly value: unknown = {}) {}
+}
+
+export const answered = Symbol("answered");
+
+/** Serves handlers by "METHOD /path", or "METHOD /prefix/". */
+export const serveJson = (port: number, handlers: Readonly<Record<string, Handler>>): Promise<Server> => {
+    const server = createServer((req, res) => {
+        void (async () => {
+            const url = new URL(req.url ?? "/", "http://fake");
+            const prefix = `${req.method ?? ""} /${url.pathname.split("/")[1]}/`;
+            const handler = handlers[`${req.method ?? ""} ${url.pathname}`] ?? handlers[prefix] ?? (() => new Status(404));
+            const body = req.method === "GET" ? undefined : await json(req).catch(() => undefined);
+            const value = await handler({ body, req, res, url });
+            if (value === answered || res.destroyed) {
+                return;
+            }
+            const { code, value: content } = value instanceof Status ? value : new Status(200, value);
+            res.writeHead(code, { "content-type": "application/json" });
+            res.end(content === undefined ? "" : JSON.stringify(content));
+        })().catch((err: unknown) => {
+            process.stderr.write(`${String(err)}\n`);
+            res.destroy();
+        });
+    });
+    return new Promise(resolve => server.listen(port, "127.0.0.1", () => resolve(server)));
+};
+
+/** Port on which a server listens. */
+export const portOf = (server: Server): number => (server.address() as { port: number; }).port;
--- /dev/null
+++ b/test/fakes/main.ts
@@ -0,0 +1,19 @@
+import type { Server } from "node:http";
+import { startBalancer } from "./balancer";
+import { startEngine } from "./engine";
+import { portOf } from "./http";
+import { startPlatform } from "./platform";
+import { startService } from "./service";
+import { startWeightStore } from "./weightStore";
+
+/** Starts one stand-in: `main KIND PORT JSON-SETUP`. Prints its port on one line. */
+const starters: Readonly<Record<string, (port: number, setup: never) => Promise<Server>>> = {
+    platform: startPlatform,
+    engine: startEngine,
+    service: startService,
+    weightStore: (port, { fetchesPerSecond }: { fetchesPerSecond: number; }) => startWeightStore(port, fetchesPerSecond),
+    balancer: (port, { nodeUrls }: { nodeUrls: readonly string[]; }) => startBalancer(port, nodeUrls),
+};
+
+const [kind, port, setup] = process.argv.slice(2);
+void starters[kind ?? ""]!(Number(port), JSON.parse(setup ?? "{}") as never).then(server => process.stdout.write(`${portOf(server)}\n`));
--- /dev/null
+++ b/test/fakes/processes.ts
@@ -0,0 +1,87 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createServer } from "node:net";
+import { createInterface } from "node:readline";
+
+const startTimeoutMs = 15_000;
+
+/** Child processes of a demonstration or test, ended together. */
+export class Processes {
+    readonly children = new Map<string, ChildProcess>();
+
+    static create(): Processes {
+        return new Processes();
+    }
+
+    /** Starts a stand-in and returns its URL. */
+    async startFake(name: string, kind: string, setup: object = {}): Promise<string> {
+        const child = this.spawn(name, ["build/fakes.cjs", kind, "0", JSON.stringify(setup)], {});
+        const lines = createInterface({ input: child.stdout! });
+        const port = await new Promise<string>((resolve, reject) => {
+            lines.once("line", resolve);
+            child.once("exit", code => reject(new Error(`${name} ended with ${code}`)));
+        });
+        return `http://127.0.0.1:${port}`;
+    }
+
+    /** Starts a node of the program; it is ready when /readyz says so. */
+    startNode(name: string, env: Readonly<Record<string, string>>): ChildProcess {
+        const child = this.spawn(name, ["build/jackdawtrail.cjs", "serve"], env);
+        child.stdout!.resume();
+        return child;
+    }
+
+    /** Runs the program's command line to its end. */
+    run(args: readonly string[], env: Readonly<Record<string, string>>, input = ""): Promise<{ code: number; stdout: string; stderr: string; }> {
+        const child = spawn(process.execPath, ["build/jackdawtrail.cjs", ...args], { env: { ...process.env, ...env } });
+        let stdout = "";
+        let stderr = "";
+        child.stdout.on("data", data => stdout += data);
+        child.stderr.on("data", data => stderr += data);
+        child.stdin.end(input);
+        return new Promise(resolve => child.once("close", code => resolve({ code: code ?? -1, stdout, stderr })));
+    }
+
+    /** Signals a child and waits for its end. */
+    async stop(name: string, signal: NodeJS.Signals = "SIGTERM"): Promise<number | undefined> {
+        const child = this.children.get(name)!;
+        if (typeof child.exitCode !== "number" && typeof child.signalCode !== "string") {
+            const ended = new Promise(resolve => child.once("exit", resolve));
+            child.kill(signal);
+            await ended;
+        }
+        return child.exitCode ?? undefined;
+    }
+
+    /** Ends all children. */
+    async stopAll(): Promise<void> {
+        await Promise.all([...this.children.keys()].map(name => this.stop(name, "SIGKILL")));
+    }
+
+    private spawn(name: string, args: readonly string[], env: Readonly<Record<string, string>>): ChildProcess {
+        const child = spawn(process.execPath, args, { env: { ...process.env, ...env },
+            stdio: ["ignore", "pipe", process.env.SHOW_LOGS ? "inherit" : "ignore"] });
+        this.children.set(name, child);
+        return child;
+    }
+}
+
+/** A free port of the loopback address. */
+export const freePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer().listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as { port: number; };
+            server.close(() => resolve(port));
+        });
+    });
+
+/** Waits until a condition holds. */
+export const waitFor = async (what: string, holds: () => Promise<boolean>, timeoutMs = startTimeoutMs): Promise<void> => {
+    const until = Date.now() + timeoutMs;
+    while (!await holds().catch(() => false)) {
+        if (Date.now() > until) {
+            throw new Error(`${what} did not happen within ${timeoutMs} ms`);
+        }
+        await new Promise(resolve => setTimeout(resolve, 50));
+    }
+};
