Record decisions and replay them against stated outcomes

Cause: the users want proof by replay of recorded traces. Change: routing, reconciliation and planning go through one table of decisions on plain JSON, which the daemon can record (--trace-file) and jackdawtrail replay runs again. Ruled out: recording I/O, which would need the engines' timing back. Conclusion: one piece of code decides in the daemon, in tests and in a replay.

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import { Builtins, Cli } from "clipanion";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
 import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
+import { ReplayCommand } from "./replay";
 import { ServeCommand } from "./serve";
 
 const cli = new Cli({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
@@ -16,6 +17,7 @@
     RecordsCheckCommand,
     StatusCommand,
     ExplainCommand,
+    ReplayCommand,
     EventsCommand,
 ].forEach(command => cli.register(command));
 
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -15,7 +15,7 @@
     readonly ageMs: number;
 }
 
-const noDrains: ReadonlySet<string> = new Set();
+const noDrains: readonly string[] = [];
 
 /** What a node knows of the VMs: the platform's list, joined with the digests of the nodes. */
 export class Fleet {
@@ -68,11 +68,11 @@
         const reports = this.newestReports();
         const states = this.digests.values<NodeState>(statePart).map(({ value }) => value);
         const leaving = new Set(states.flatMap(state => state.leaving).concat([...this.refused]));
-        const drains = new Map<string, Set<string>>();
+        const drains = new Map<string, string[]>();
         for (const drain of states.flatMap(state => state.drains)) {
             const space = drain.indexOf(" ");
             const runner = drain.slice(0, space);
-            drains.set(runner, (drains.get(runner) ?? new Set()).add(drain.slice(space + 1)));
+            drains.set(runner, [...drains.get(runner) ?? [], drain.slice(space + 1)]);
         }
         this.views = this.vmsOf(VmKind.Runner).map(vm => {
             const aged = reports.get(vm.id);
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -10,11 +10,11 @@
 import { assertInvariant } from "../utils/invariants";
 import { getOrCreate } from "../utils/maps";
 import { sleep } from "../utils/time";
+import { decide, DecisionKind } from "./decisions";
 import { FailureError, mayRetry, raise, toFailure } from "./failures";
 import { PrefixHints } from "./prefixHints";
 import { RetryBudget } from "./retryBudget";
 import type { RouteNeed } from "./routing";
-import { chooseRunner } from "./routing";
 import type { Priority } from "./schemas";
 import { UpstreamLimit } from "./upstreamLimit";
 
@@ -42,7 +42,6 @@
 const maxAttempts = 5;
 /** Pause before the second attempt; it doubles with each further one. */
 const retryPauseMs = 25;
-const noRunners: ReadonlySet<string> = new Set();
 
 interface Progress {
     delivered: number;
@@ -60,14 +59,14 @@
         deployment: generation.deployment,
         artifacts,
         availabilityZone: node.cfg.availabilityZone,
-        avoid: progress.avoid,
+        avoid: [...progress.avoid],
         prefixHints: node.hints.find(prefixKey),
     };
     const tryPlace = (): RunnerView | undefined => {
         const holders = node.fleet.holdersOf(artifacts.at(-1)!);
-        const trafficOf = (id: string) => getOrCreate(node.limits, id, UpstreamLimit.create);
-        // A runner that failed is met again only where no other holds the artifacts.
-        const runner = chooseRunner(holders, need, trafficOf, node.random) ?? chooseRunner(holders, { ...need, avoid: noRunners }, trafficOf, node.random);
+        const traffic = Object.fromEntries(holders.map(({ vm }) => [vm.id, getOrCreate(node.limits, vm.id, UpstreamLimit.create)]));
+        const id = decide(DecisionKind.Route, { runners: holders, need, traffic, draws: [node.random(), node.random(), node.random(), node.random()] });
+        const runner = holders.find(({ vm }) => vm.id === id);
         if (runner) {
             getOrCreate(node.limits, runner.vm.id, UpstreamLimit.create).start();
         }
--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -56,8 +56,8 @@
 /** What decides how long an unanswered order may still take effect. */
 export interface LatenessRules {
     readonly now: number;
-    /** Time since the entry's last order may have left. */
-    readonly ageOf: (entry: LedgerEntry) => number;
+    /** Time since the last order of an entry may have left, by artifact. */
+    readonly agesMs: Readonly<Record<string, number>>;
     /** After this time an order that was sent can no longer arrive. */
     readonly latenessMs: number;
     /** Whether the engine refuses old fencing numbers; then a higher number seen there ends all older orders. */
@@ -73,7 +73,7 @@
 
 /** Whether no order for the entry can take effect any more. */
 const isSettled = (entry: LedgerEntry, report: EngineReport, rules: LatenessRules): boolean =>
-    (rules.checksFence && report.fence >= entry.fence && !report.openOrders.includes(entry.orderId)) || rules.ageOf(entry) >= rules.latenessMs;
+    (rules.checksFence && report.fence >= entry.fence && !report.openOrders.includes(entry.orderId)) || (rules.agesMs[entry.artifact] ?? 0) >= rules.latenessMs;
 
 /** Brings a ledger row in line with a fresh report of the engine. Memory is given back only on the engine's word. */
 export const reconcileRow = (row: LedgerRow, report: EngineReport, rules: LatenessRules): Reconciliation => {
--- a/src/core/offers.ts
+++ b/src/core/offers.ts
@@ -83,6 +83,8 @@
         zonesOf,
         demandOf: (availabilityZone, artifact) => demand.get(`${availabilityZone} ${artifact}`) ?? 0,
         holds: (availabilityZone, artifact) =>
-            node.fleet.holdersOf(artifact).some(runner => runner.vm.availabilityZone === availabilityZone && !runner.leaving && !runner.draining.has(artifact)),
+            node.fleet.holdersOf(artifact).some(runner =>
+                runner.vm.availabilityZone === availabilityZone && !runner.leaving && !runner.draining.includes(artifact)
+            ),
     };
 };
--- a/src/core/prefixHints.ts
+++ b/src/core/prefixHints.ts
@@ -31,8 +31,8 @@
     }
 
     /** Runners that may hold the prefix. */
-    find(key: string): ReadonlySet<string> {
+    find(key: string): readonly string[] {
         const runner = this.runners.get(key);
-        return new Set(runner === undefined ? [] : [runner]);
+        return runner === undefined ? [] : [runner];
     }
 }
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -9,9 +9,9 @@
     readonly artifacts: readonly string[];
     readonly availabilityZone: string;
     /** Runners that this request must not meet again. */
-    readonly avoid: ReadonlySet<string>;
+    readonly avoid: readonly string[];
     /** Runners likely to hold the prompt's prefix in their cache. */
-    readonly prefixHints: ReadonlySet<string>;
+    readonly prefixHints: readonly string[];
 }
 
 /** What the node itself knows of its traffic to a runner. */
@@ -37,8 +37,8 @@
 /** Whether a runner can take the request now. */
 export const isCandidate = (runner: RunnerView, need: RouteNeed): boolean => {
     const { report, vm } = runner;
-    return vm.group === need.deployment && !runner.leaving && !need.avoid.has(vm.id) && report !== undefined && !report.leaving
-        && need.artifacts.every(artifact => isResident(report, artifact) && !runner.draining.has(artifact));
+    return vm.group === need.deployment && !runner.leaving && report !== undefined && !report.leaving
+        && need.artifacts.every(artifact => isResident(report, artifact) && !runner.draining.includes(artifact));
 };
 
 /** Requests that the runner is thought to hold: its own count, aged, or what this node sent, whichever is more. */
@@ -56,33 +56,29 @@
     const base = traffic.firstTokenMs ?? assumedFirstTokenMs;
     // Below the slot count batching hides load; beyond it every further batch waits for one to end.
     const waiting = base * (1 + busy) + Math.max(0, busy - 1) * base * slots;
-    const saved = need.prefixHints.has(runner.vm.id) ? waiting * prefixSaving : 0;
+    const saved = need.prefixHints.includes(runner.vm.id) ? waiting * prefixSaving : 0;
     return waiting - saved + (runner.vm.availabilityZone === need.availabilityZone ? 0 : crossZoneMs);
 };
 
-/** Chooses the better of two random candidates that have room; own zone first. */
+/** Chooses the better of two random candidates that have room; own zone first, and a hinted runner joins the comparison. */
 export const chooseRunner = (
     runners: readonly RunnerView[],
     need: RouteNeed,
     trafficOf: (runner: string) => OwnTraffic,
     random: Random,
 ): RunnerView | undefined => {
-    const free = runners.filter(runner => isCandidate(runner, need)).filter(runner => {
+    const able = runners.filter(runner => isCandidate(runner, need)).filter(runner => {
         const traffic = trafficOf(runner.vm.id);
         return traffic.inFlight < traffic.limit;
     });
+    // A runner that failed this request is met again only where no other can take it.
+    const fresh = able.filter(runner => !need.avoid.includes(runner.vm.id));
+    const free = fresh.length > 0 ? fresh : able;
     const near = free.filter(runner => runner.vm.availabilityZone === need.availabilityZone);
-    const hinted = free.filter(runner => need.prefixHints.has(runner.vm.id));
-    const pool = near.length > 0 ? near : free;
-    const sampled = sampleTwo(pool, random);
-    const compared = [...new Set([...sampled, ...sampleTwo(hinted, random)])];
-    return compared.reduce<RunnerView | undefined>((best, runner) => {
-        if (!best) {
-            return runner;
-        }
-        const score = predictFirstToken(runner, trafficOf(runner.vm.id), need);
-        return score < predictFirstToken(best, trafficOf(best.vm.id), need) ? runner : best;
-    }, undefined);
+    const hinted = free.filter(runner => need.prefixHints.includes(runner.vm.id));
+    const compared = [...new Set([...sampleTwo(near.length > 0 ? near : free, random), ...sampleTwo(hinted, random)])];
+    const scores = compared.map(runner => predictFirstToken(runner, trafficOf(runner.vm.id), need));
+    return compared[scores.indexOf(Math.min(...scores))];
 };
 
 const sampleTwo = (pool: readonly RunnerView[], random: Random): readonly RunnerView[] => {
--- a/src/core/steward.ts
+++ b/src/core/steward.ts
@@ -14,9 +14,9 @@
 import { assertInvariant } from "../utils/invariants";
 import { getOrCreate } from "../utils/maps";
 import { isAdapter } from "./artifacts";
-import { assertReportFits, createRow, entryOf, moveEntry, reconcileRow, reserveEntry } from "./ledger";
+import { decide, DecisionKind } from "./decisions";
+import { assertReportFits, createRow, entryOf, moveEntry, reserveEntry } from "./ledger";
 import { LedgerBook } from "./ledgerBook";
-import { Planner } from "./planner";
 
 /** Orders of one term: the fencing number is the term times this span plus a counter. */
 const fenceSpan = 2 ** 20;
@@ -96,7 +96,7 @@
             return row && report ? [{ vm, row, report, leaving, cost }] : [];
         });
         const byId = new Map(known.map(runner => [runner.vm.id, runner]));
-        for (const step of Planner.create(planned, offers, this.rules.weights).plan()) {
+        for (const step of decide(DecisionKind.Plan, { runners: planned, offers, weights: this.rules.weights })) {
             await this.take(step, byId.get(step.runner)!);
         }
     }
@@ -121,9 +121,9 @@
         if (base.incarnation !== report.incarnation) {
             emit(EventId.RunnerRestarted, { runner: vm.id, incarnation: report.incarnation });
         }
-        const rules = { now: Date.now(), ageOf: (entry: LedgerEntry) => this.ageOf(vm.id, entry), latenessMs: this.rules.orderLatenessMs,
-            checksFence: runner.checksFence };
-        const { row, confirmed, gone, adopted, overdue } = reconcileRow(base, report, rules);
+        const agesMs = Object.fromEntries(base.entries.map(entry => [entry.artifact, this.ageOf(vm.id, entry)]));
+        const rules = { now: Date.now(), agesMs, latenessMs: this.rules.orderLatenessMs, checksFence: runner.checksFence };
+        const { row, confirmed, gone, adopted, overdue } = decide(DecisionKind.Reconcile, { row: base, report, rules });
         if (!before || confirmed.length + gone.length + adopted.length > 0 || row.incarnation !== before.incarnation) {
             if (!await this.book.write(row)) {
                 return;
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -10,6 +10,7 @@
 import { createReportCollector } from "../plugins/reportCollector";
 import { createServiceClient } from "../plugins/serviceHttp";
 import { createStewardPlugin } from "../plugins/steward";
+import { createTraceFile } from "../plugins/traceFile";
 import { createVmWatcher } from "../plugins/vmWatcher";
 import { createRandom } from "../utils/random";
 import { JackdawNode } from "./node";
@@ -34,6 +35,9 @@
         metrics.route(),
     );
     node.use(createVmWatcher(), createConfigFollower(peers), createReportCollector(), createPeersPlugin(peers), createStewardPlugin(), metrics);
+    if (cfg.traceFile !== undefined) {
+        node.use(createTraceFile(cfg.traceFile));
+    }
     await node.start(server);
     return node;
 };
--- a/src/node/settings.ts
+++ b/src/node/settings.ts
@@ -59,6 +59,7 @@
         defaultValue: "info",
         description: "least level that is logged",
     }),
+    traceFile: spec({ schema: text.optional(), allowed: "a file path", description: "file to which every decision is written as a JSON line, for replay" }),
     maxBodyBytes: wholeSpec(1_024, 1_073_741_824, 4_194_304, "bytes", "largest body of a caller's request"),
     bodyTimeoutMs: wholeSpec(100, 600_000, 10_000, "ms", "time in which a caller's body must arrive"),
     defaultDeadlineMs: wholeSpec(100, 3_600_000, 120_000, "ms", "deadline of a request that names none"),
--- a/src/plugins/explain.ts
+++ b/src/plugins/explain.ts
@@ -36,7 +36,7 @@
             availabilityZone: vm.availabilityZone,
             reportAgeMs: Math.round(reportAgeMs),
             leaving,
-            draining: draining.has(artifact),
+            draining: draining.includes(artifact),
         })),
     };
 };
@@ -78,7 +78,7 @@
             runners: node.fleet.runners().map(({ vm, report, reportAgeMs, leaving, draining }) => ({
                 ...vm,
                 leaving,
-                draining: [...draining],
+                draining,
                 reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
                 report,
             })),
--- a/src/types/upstream.ts
+++ b/src/types/upstream.ts
@@ -9,5 +9,5 @@
     readonly reportAgeMs: number;
     readonly leaving: boolean;
     /** Artifacts that must get no new requests. */
-    readonly draining: ReadonlySet<string>;
+    readonly draining: readonly string[];
 }
