Keep memory and last copies under randomised faults

'm1 lost its last copy': after a restart of an engine the ledger still counted its copy as confirmed, so the other one was unloaded. A copy now counts only while the engine itself reports it, and the unload is decided anew after the drain. 2. 'm3 is not reachable at the end': a copy drained to make room was put back in the next round, for ever. A drain is taken back only where the copy is needed or nothing else is short. 3. an old version was drained before the new one was resident; it now serves until a copy of the new one is confirmed. Ruled out: repeating an unanswered load in an engine that ignores fencing numbers while its sender may only be paused; the entry keeps its memory until the sender signs off or is known to have ended.

--- a/demo/demo.ts
+++ b/demo/demo.ts
@@ -44,8 +44,10 @@
     say(`A caller asks ${nodes[0]}; the answer streams back.`);
     const question = await post(`${nodes[0]}/v1/chat/completions`, { model: "wiring-7b", messages, stream: true });
     say(`  answer: ${streamedText(question.text)}`);
-    check("the streamed answer is whole and the caller's own",
-        streamedText(question.text) === expectedTokens("model:wiring-7b@1", messages).join("") && question.text.endsWith("data: [DONE]\n\n"));
+    check(
+        "the streamed answer is whole and the caller's own",
+        streamedText(question.text) === expectedTokens("model:wiring-7b@1", messages).join("") && question.text.endsWith("data: [DONE]\n\n"),
+    );
 
     say(`Another question goes to the adapter, by way of ${nodes[2]} in the other zone.`);
     const adapted = await post(`${nodes[2]}/v1/chat/completions`, { model: "wiring-7b", adapter: "bus-panels", messages });
@@ -61,8 +63,10 @@
     const second = await post(`${nodes[2]}/services/licences/reservations`, { bundle: "tractor" }, key);
     say(`  first answer ${first.text}; second answer ${second.text}`);
     const { runs } = await fleet.ask(`${fleet.serviceUrl}/witness`, "") as { runs: Record<string, number>; };
-    check("the reservation ran once and both callers have its outcome",
-        runs[key["idempotency-key"]] === 1 && first.status === 200 && second.text === first.text);
+    check(
+        "the reservation ran once and both callers have its outcome",
+        runs[key["idempotency-key"]] === 1 && first.status === 200 && second.text === first.text,
+    );
 
     const unknown = await post(`${nodes[1]}/v1/chat/completions`, { model: "no-such-model", messages });
     say(`An unknown model is refused: status ${unknown.status}, verdict ${unknown.verdict}.`);
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -4,11 +4,23 @@
 const common = { bundle: true, platform: "node", target: "node20", format: "cjs", logLevel: "error", legalComments: "none" };
 const define = { "import.meta.url": "undefined" };
 await Promise.all([
-    build({ ...common, define, entryPoints: ["src/cli/main.ts"], outfile: "build/jackdawtrail.cjs", minifySyntax: true, minifyWhitespace: true,
-        keepNames: true }),
+    build({
+        ...common,
+        define,
+        entryPoints: ["src/cli/main.ts"],
+        outfile: "build/jackdawtrail.cjs",
+        minifySyntax: true,
+        minifyWhitespace: true,
+        keepNames: true,
+    }),
     build({ ...common, define, entryPoints: ["test/fakes/main.ts"], outfile: "build/fakes.cjs" }),
-    build({ ...common, format: "esm", banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
-        entryPoints: ["demo/demo.ts"], outfile: "build/demo.mjs" }),
+    build({
+        ...common,
+        format: "esm",
+        banner: { js: 'import { createRequire } from "node:module"; const require = createRequire(import.meta.url);' },
+        entryPoints: ["demo/demo.ts"],
+        outfile: "build/demo.mjs",
+    }),
     build({ ...common, define, entryPoints: ["src/index.ts"], outfile: "dist/index.cjs" }),
 ]);
 if (!process.argv.includes("--quiet")) {
--- a/src/cli/inspect.ts
+++ b/src/cli/inspect.ts
@@ -8,8 +8,12 @@
     readonly stage: string;
     readonly configSequence: number;
     readonly nodes: readonly { id: string; availabilityZone: string; configSequence: number; ageMs: number; }[];
-    readonly runners: readonly { id: string; availabilityZone: string; leaving: boolean;
-        report?: { residencies: readonly { artifact: string; state: string; }[]; }; }[];
+    readonly runners: readonly {
+        id: string;
+        availabilityZone: string;
+        leaving: boolean;
+        report?: { residencies: readonly { artifact: string; state: string; }[]; };
+    }[];
 }
 
 const describeStatus = ({ node, stage, configSequence, nodes, runners }: Status): string =>
@@ -38,8 +42,10 @@
     static override paths = [["explain"]];
     static override usage = Command.Usage({
         description: "Explains why a model or adapter is where it is, or why a request was refused.",
-        examples: [["Explain a placement", "jackdawtrail explain model wiring-7b"], ["Explain a refusal, at the node that refused",
-            "jackdawtrail explain request 5f0c..."]],
+        examples: [["Explain a placement", "jackdawtrail explain model wiring-7b"], [
+            "Explain a refusal, at the node that refused",
+            "jackdawtrail explain request 5f0c...",
+        ]],
     });
     readonly what = Option.String({ name: "model|adapter|request" });
     readonly name = Option.String();
@@ -52,14 +58,17 @@
 /** `jackdawtrail events`. */
 export class EventsCommand extends Command {
     static override paths = [["events"]];
-    static override usage = Command.Usage({ description: "Prints the catalogue of numbered log events.",
-        examples: [["Print the catalogue", "jackdawtrail events"]] });
+    static override usage = Command.Usage({
+        description: "Prints the catalogue of numbered log events.",
+        examples: [["Print the catalogue", "jackdawtrail events"]],
+    });
     readonly json = Option.Boolean("--json", false, { description: "print JSON" });
 
     override execute(): Promise<number> {
-        const events = Object.entries(EventId).filter((entry): entry is [string, EventId] => typeof entry[1] === "number").map(([name, event]) => ({ event,
-            name })
-        );
+        const events = Object.entries(EventId).filter((entry): entry is [string, EventId] => typeof entry[1] === "number").map(([name, event]) => ({
+            event,
+            name,
+        }));
         this.context.stdout.write(this.json ? `${JSON.stringify(events)}\n` : `${events.map(({ event, name }) => `${event} ${name}`).join("\n")}\n`);
         return Promise.resolve(ExitCode.Ok);
     }
--- a/src/cli/operatorCommand.ts
+++ b/src/cli/operatorCommand.ts
@@ -18,8 +18,12 @@
     readonly json = Option.Boolean("--json", false, { description: "print JSON" });
 
     /** Asks the node. */
-    protected async ask(method: "GET" | "POST" | "PUT" | "DELETE", path: string, body?: unknown,
-        headers: Readonly<Record<string, string>> = {}): Promise<OperatorAnswer> {
+    protected async ask(
+        method: "GET" | "POST" | "PUT" | "DELETE",
+        path: string,
+        body?: unknown,
+        headers: Readonly<Record<string, string>> = {},
+    ): Promise<OperatorAnswer> {
         if (this.url === undefined || this.token === undefined) {
             throw new UsageError("give --url (JACKDAWTRAIL_URL) and --operator-token (JACKDAWTRAIL_OPERATOR_TOKEN)");
         }
--- a/src/cli/records.ts
+++ b/src/cli/records.ts
@@ -53,53 +53,71 @@
 /** `jackdawtrail records get`. */
 export class RecordsGetCommand extends OperatorCommand {
     static override paths = [["records", "get"]];
-    static override usage = Command.Usage({ category: "Records", description: "Prints a record as it was written.",
-        examples: [["Print a model", "jackdawtrail records get model wiring-7b"]] });
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Prints a record as it was written.",
+        examples: [["Print a model", "jackdawtrail records get model wiring-7b"]],
+    });
     readonly kind = Option.String();
     readonly name = Option.String();
 
     override async execute(): Promise<number> {
-        return this.print(await this.ask("GET", pathOf(this.kind, this.name)),
-            (value: Listed) => `revision ${value.revision}\n${JSON.stringify(value.record, undefined, 4)}`);
+        return this.print(
+            await this.ask("GET", pathOf(this.kind, this.name)),
+            (value: Listed) => `revision ${value.revision}\n${JSON.stringify(value.record, undefined, 4)}`,
+        );
     }
 }
 
 /** `jackdawtrail records list`. */
 export class RecordsListCommand extends OperatorCommand {
     static override paths = [["records", "list"]];
-    static override usage = Command.Usage({ category: "Records", description: "Lists the records in force.",
-        examples: [["List the models", "jackdawtrail records list --kind model"]] });
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Lists the records in force.",
+        examples: [["List the models", "jackdawtrail records list --kind model"]],
+    });
     readonly kind = Option.String("--kind", { description: "one kind of records" });
 
     override async execute(): Promise<number> {
-        return this.print(await this.ask("GET", `/admin/records${queryOf({ kind: this.kind })}`),
+        return this.print(
+            await this.ask("GET", `/admin/records${queryOf({ kind: this.kind })}`),
             (value: { sequence: number; records: readonly Listed[]; }) =>
-                [`sequence ${value.sequence}`, ...value.records.map(({ kind, name, revision }) => `${kind}/${name} revision ${revision}`)].join("\n"));
+                [`sequence ${value.sequence}`, ...value.records.map(({ kind, name, revision }) => `${kind}/${name} revision ${revision}`)].join("\n"),
+        );
     }
 }
 
 /** `jackdawtrail records history`. */
 export class RecordsHistoryCommand extends OperatorCommand {
     static override paths = [["records", "history"]];
-    static override usage = Command.Usage({ category: "Records", description: "Prints the changes of a record.",
-        examples: [["Print the changes of a model", "jackdawtrail records history model wiring-7b"]] });
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Prints the changes of a record.",
+        examples: [["Print the changes of a model", "jackdawtrail records history model wiring-7b"]],
+    });
     readonly kind = Option.String();
     readonly name = Option.String();
 
     override async execute(): Promise<number> {
-        return this.print(await this.ask("GET", `${pathOf(this.kind, this.name)}/history`),
+        return this.print(
+            await this.ask("GET", `${pathOf(this.kind, this.name)}/history`),
             (value: { changes: readonly { sequence: number; at: number; operationId: string; record?: unknown; }[]; }) =>
                 value.changes.map(change =>
                     `${change.sequence} ${new Date(change.at).toISOString()} ${change.record ? "written" : "withdrawn"} by operation ${change.operationId}`
-                ).join("\n"));
+                ).join("\n"),
+        );
     }
 }
 
 /** `jackdawtrail records withdraw`. */
 export class RecordsWithdrawCommand extends OperatorCommand {
     static override paths = [["records", "withdraw"]];
-    static override usage = Command.Usage({ category: "Records", description: "Withdraws a record.",
-        examples: [["Withdraw a model that is at revision 12", "jackdawtrail records withdraw model wiring-7b --base 12"]] });
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Withdraws a record.",
+        examples: [["Withdraw a model that is at revision 12", "jackdawtrail records withdraw model wiring-7b --base 12"]],
+    });
     readonly base = Option.String("--base", { description: "revision that was read" });
     readonly waitMs = Option.String("--wait-ms", { description: "wait up to so many milliseconds until all live nodes report the sequence in force" });
     readonly operationId = Option.String("--operation-id", { description: "makes the command idempotent" });
@@ -108,16 +126,21 @@
 
     override async execute(): Promise<number> {
         const path = `${pathOf(this.kind, this.name)}${queryOf({ base: this.base, waitMs: this.waitMs })}`;
-        return this.print(await this.ask("DELETE", path, undefined, { "idempotency-key": this.operationId ?? randomUUID() }),
-            (value: { sequence: number; }) => `${this.kind}/${this.name} withdrawn, sequence ${value.sequence}`);
+        return this.print(
+            await this.ask("DELETE", path, undefined, { "idempotency-key": this.operationId ?? randomUUID() }),
+            (value: { sequence: number; }) => `${this.kind}/${this.name} withdrawn, sequence ${value.sequence}`,
+        );
     }
 }
 
 /** `jackdawtrail records check`. */
 export class RecordsCheckCommand extends Command {
     static override paths = [["records", "check"]];
-    static override usage = Command.Usage({ category: "Records", description: "Checks records in files without a node.",
-        examples: [["Check a file", "jackdawtrail records check model.json"]] });
+    static override usage = Command.Usage({
+        category: "Records",
+        description: "Checks records in files without a node.",
+        examples: [["Check a file", "jackdawtrail records check model.json"]],
+    });
     readonly json = Option.Boolean("--json", false, { description: "print JSON" });
     readonly files = Option.Rest({ required: 1 });
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -15,8 +15,10 @@
         description: "Runs a node.",
         details:
             "Every flag has an environment variable of the same name: --listen is JACKDAWTRAIL_LISTEN. All settings are checked at the start; faults end the program with exit code 2. SIGTERM stops the node gracefully, a second one at once.",
-        examples: [["Run a node with settings from the environment", "jackdawtrail serve"], ["Listen on another port",
-            "jackdawtrail serve --listen 10.0.0.5:9000"]],
+        examples: [["Run a node with settings from the environment", "jackdawtrail serve"], [
+            "Listen on another port",
+            "jackdawtrail serve --listen 10.0.0.5:9000",
+        ]],
     });
 
     constructor() {
--- a/src/core/admissionQueue.ts
+++ b/src/core/admissionQueue.ts
@@ -70,8 +70,10 @@
                 this.remove(waiter);
                 reject(FailureError.create({ kind, verdict: Verdict.NotRun, detail, retryAfterMs: 1_000 }));
             };
-            waiter.timer = setTimeout(() => giveUp(FailureKind.NoUpstream, "no upstream had room before the deadline"),
-                Math.max(0, deadlineAt - performance.now()));
+            waiter.timer = setTimeout(
+                () => giveUp(FailureKind.NoUpstream, "no upstream had room before the deadline"),
+                Math.max(0, deadlineAt - performance.now()),
+            );
             signal.addEventListener("abort", () => giveUp(FailureKind.CallerGone, "while the request waited"), { once: true });
             this.waiters.push(waiter);
             this.poll();
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -4,6 +4,7 @@
 import type { RunnerView } from "../types/upstream";
 import type { Vm } from "../types/vm";
 import { VmKind, VmState } from "../types/vm";
+import { unversioned } from "./artifacts";
 import type { DigestStore } from "./digests";
 
 /** Names of the two parts of a node's digest. */
@@ -97,6 +98,15 @@
         return this.byArtifact.get(artifact) ?? [];
     }
 
+    /** The artifact that serves a request: the version asked for, or another one that is resident while it is not. */
+    servingVersion(artifact: string): string {
+        if (this.byArtifact.has(artifact)) {
+            return artifact;
+        }
+        const name = unversioned(artifact);
+        return [...this.byArtifact.keys()].find(other => unversioned(other) === name) ?? artifact;
+    }
+
     /** Instances of a plain service that take new requests. */
     serviceVms(name: string): readonly Vm[] {
         const leaving = new Set(this.digests.values<NodeState>(statePart).flatMap(({ value }) => value.leaving).concat([...this.refused]));
--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -47,22 +47,34 @@
     delivered: number;
     text: string;
     attempt: number;
+    versions: Versions;
     readonly avoid: Set<string>;
 }
 
-const artifactsOf = (generation: Generation): readonly string[] =>
-    generation.adapter === undefined ? [generation.model] : [generation.model, generation.adapter];
+/** The versions that serve a request. */
+type Versions = Pick<Generation, "model" | "adapter">;
+
+const artifactsOf = ({ model, adapter }: Versions): readonly string[] => adapter === undefined ? [model] : [model, adapter];
+
+/** While a new version is not resident yet, the old one answers; an answer that has begun stays with its version. */
+const chooseVersions = (node: NodeContext, { model, adapter }: Versions): Versions => ({
+    model: node.fleet.servingVersion(model),
+    adapter: adapter === undefined ? undefined : node.fleet.servingVersion(adapter),
+});
 
 const placeAttempt = (node: NodeContext, generation: Generation, progress: Progress, prefixKey: string): Promise<RunnerView> => {
-    const artifacts = artifactsOf(generation);
-    const need: RouteNeed = {
-        deployment: generation.deployment,
-        artifacts,
-        availabilityZone: node.cfg.availabilityZone,
-        avoid: [...progress.avoid],
-        prefixHints: node.hints.find(prefixKey),
-    };
     const tryPlace = (): RunnerView | undefined => {
+        if (progress.delivered === 0) {
+            progress.versions = chooseVersions(node, generation);
+        }
+        const artifacts = artifactsOf(progress.versions);
+        const need: RouteNeed = {
+            deployment: generation.deployment,
+            artifacts,
+            availabilityZone: node.cfg.availabilityZone,
+            avoid: [...progress.avoid],
+            prefixHints: node.hints.find(prefixKey),
+        };
         const holders = node.fleet.holdersOf(artifacts.at(-1)!);
         const traffic = Object.fromEntries(holders.map(({ vm }) => [vm.id, getOrCreate(node.limits, vm.id, UpstreamLimit.create)]));
         const id = decide(DecisionKind.Route, { runners: holders, need, traffic, draws: [node.random(), node.random(), node.random(), node.random()] });
@@ -76,8 +88,13 @@
 };
 
 /** Runs one attempt on a runner that has been placed; returns the failure that ended it, if any. */
-const runAttempt = async (node: NodeContext, generation: Generation, progress: Progress, runner: RunnerView,
-    sink: AnswerSink): Promise<Failure | undefined> => {
+const runAttempt = async (
+    node: NodeContext,
+    generation: Generation,
+    progress: Progress,
+    runner: RunnerView,
+    sink: AnswerSink,
+): Promise<Failure | undefined> => {
     const limit = getOrCreate(node.limits, runner.vm.id, UpstreamLimit.create);
     const attemptId = `${generation.requestId}.${progress.attempt}`;
     const startedAt = performance.now();
@@ -86,7 +103,7 @@
         const end = await node.engines(runner.vm.url).generate({
             attemptId,
             path: generation.path,
-            body: { ...generation.body, model: generation.model, adapter: generation.adapter },
+            body: { ...generation.body, ...progress.versions },
             resumeOffset: progress.delivered,
             resumeText: progress.text,
             timeoutMs: Math.max(1, generation.deadlineAt - startedAt),
@@ -151,7 +168,7 @@
     artifactsOf(generation).forEach(artifact => node.demand.count(artifact));
     getOrCreate(node.budgets, generation.model, RetryBudget.create).deposit();
     const prefixKey = PrefixHints.keyOf(generation.adapter ?? generation.model, generation.prompt);
-    const progress: Progress = { delivered: 0, text: "", attempt: 0, avoid: new Set() };
+    const progress: Progress = { delivered: 0, text: "", attempt: 0, versions: { model: generation.model, adapter: generation.adapter }, avoid: new Set() };
     let worst = Verdict.NotRun;
     for (;;) {
         progress.attempt++;
@@ -166,8 +183,13 @@
             return;
         }
         worst = failure.verdict === Verdict.NotRun ? worst : Verdict.MayHaveRun;
-        emit(EventId.AttemptFailed, { request: generation.requestId, attempt: progress.attempt, runner: runner.vm.id, kind: failure.kind,
-            verdict: failure.verdict });
+        emit(EventId.AttemptFailed, {
+            request: generation.requestId,
+            attempt: progress.attempt,
+            runner: runner.vm.id,
+            kind: failure.kind,
+            verdict: failure.verdict,
+        });
         checkRetry(node, generation, progress, { ...failure, verdict: failure.verdict === Verdict.NotRun ? worst : failure.verdict });
         if (progress.delivered > 0) {
             emit(EventId.StreamResumed, { request: generation.requestId, delivered: progress.delivered });
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -2,30 +2,14 @@
 import { EntryState } from "../types/ledger";
 import type { Offer, PlannedRunner, PlanStep, PlanWeights } from "../types/plan";
 import { StepKind } from "../types/plan";
-import { entryOf, freeMiB } from "./ledger";
+import { unversioned } from "./artifacts";
+import { entryOf } from "./ledger";
+import type { Draft } from "./planDraft";
+import { countsAsCopy, createDraft, leastCopies, wantedCopies } from "./planDraft";
 
 /** A copy is given up only when the others could carry the demand at this share of their rate. */
 const giveUpShare = 0.6;
 
-interface Draft {
-    readonly runner: PlannedRunner;
-    freeMiB: number;
-    readonly entries: Map<string, LedgerEntry>;
-}
-
-const countsAsCopy = (entry: LedgerEntry): boolean => entry.state === EntryState.Resident || entry.state === EntryState.Loading;
-
-/** Copies that the demand asks for. */
-const wantedCopies = (offer: Offer, weights: PlanWeights): number => Math.max(offer.minCopies, Math.ceil((offer.demand - weights.moveCost) / weights.copyRate));
-
-/** Copies that must stay confirmed in this zone. An adapter may leave: it is loaded again in milliseconds when it is asked for. */
-const leastCopies = (offer: Offer): number => {
-    if (offer.base !== undefined) {
-        return 0;
-    }
-    return offer.homeHolds ? offer.minCopies : Math.max(1, offer.minCopies);
-};
-
 /**
  * Plans the next steps for the runners of one shard: loads what is missing, drains what is withdrawn or no longer pays, and makes room where a
  * wanted load does not fit. A step is taken only if it wins more than a move costs.
@@ -33,15 +17,14 @@
 export class Planner {
     private readonly drafts: Draft[];
     private readonly offers: ReadonlyMap<string, Offer>;
+    /** Offers by artifact without the version. */
+    private readonly successors: ReadonlyMap<string, Offer>;
     private readonly steps: PlanStep[] = [];
 
     private constructor(runners: readonly PlannedRunner[], offers: readonly Offer[], private readonly weights: PlanWeights) {
         this.offers = new Map(offers.map(offer => [offer.artifact, offer]));
-        this.drafts = runners.map(runner => ({
-            runner,
-            freeMiB: freeMiB(runner.row),
-            entries: new Map(runner.row.entries.map(entry => [entry.artifact, entry])),
-        }));
+        this.successors = new Map(offers.map(offer => [unversioned(offer.artifact), offer]));
+        this.drafts = runners.map(createDraft);
     }
 
     /** Makes a planner over the ledger rows and reports of a shard. */
@@ -56,6 +39,7 @@
             this.keepWanted(offer);
         }
         this.dropWithdrawn();
+        this.unloadDrained();
         for (const offer of byNeed) {
             this.addCopies(offer);
         }
@@ -74,7 +58,7 @@
     private copies(artifact: string): readonly Draft[] {
         return this.drafts.filter(draft => {
             const entry = draft.entries.get(artifact);
-            return entry !== undefined && countsAsCopy(entry) && !draft.runner.leaving;
+            return entry !== undefined && countsAsCopy(draft.runner, entry) && !draft.runner.leaving;
         });
     }
 
@@ -90,23 +74,54 @@
     private keepWanted(offer: Offer): void {
         for (const draft of this.drafts) {
             const entry = draft.entries.get(offer.artifact);
-            if (entry?.state === EntryState.Draining && !draft.runner.leaving && this.copies(offer.artifact).length < wantedCopies(offer, this.weights)) {
+            const copies = this.copies(offer.artifact).length;
+            const isNeeded = copies < leastCopies(offer) || (copies < wantedCopies(offer, this.weights) && !this.isAnotherShort(offer));
+            if (entry?.state === EntryState.Draining && !draft.runner.leaving && isNeeded) {
                 draft.entries.set(offer.artifact, { ...entry, state: EntryState.Resident });
                 this.push(StepKind.Keep, draft, offer.artifact, entry.memoryMiB);
             }
         }
     }
 
+    /** Whether a copy may be draining to make room for another offer; putting it back would start the same again. */
+    private isAnotherShort(offer: Offer): boolean {
+        return [...this.offers.values()].some(other => other !== offer && this.copies(other.artifact).length < wantedCopies(other, this.weights));
+    }
+
     private dropWithdrawn(): void {
         for (const draft of this.drafts) {
             for (const entry of draft.entries.values()) {
-                if (entry.state === EntryState.Resident && !this.offers.has(entry.artifact)) {
+                if (entry.state === EntryState.Resident && this.isWithdrawn(entry.artifact)) {
                     this.drain(draft, entry);
                 }
             }
         }
     }
 
+    /** Unloads the drained copies that are still not needed: since the drain began, another copy may have been lost. */
+    private unloadDrained(): void {
+        for (const draft of this.drafts) {
+            for (const artifact of draft.runner.drained) {
+                const entry = draft.entries.get(artifact);
+                const offer = this.offers.get(artifact);
+                const isFree = offer ? this.confirmedCopies(artifact) >= leastCopies(offer) : this.isWithdrawn(artifact);
+                if (entry?.state === EntryState.Draining && isFree) {
+                    draft.entries.set(artifact, { ...entry, state: EntryState.Unloading });
+                    this.push(StepKind.Unload, draft, artifact, entry.memoryMiB);
+                }
+            }
+        }
+    }
+
+    /** Whether nothing needs the artifact: an old version serves until a copy of the new one is confirmed. */
+    private isWithdrawn(artifact: string): boolean {
+        if (this.offers.has(artifact)) {
+            return false;
+        }
+        const successor = this.successors.get(unversioned(artifact));
+        return !successor || successor.homeHolds || this.confirmedCopies(successor.artifact) > 0;
+    }
+
     private addCopies(offer: Offer): void {
         const wanted = wantedCopies(offer, this.weights);
         while (this.copies(offer.artifact).length < wanted) {
@@ -115,8 +130,15 @@
                 return;
             }
             place.freeMiB -= offer.memoryMiB;
-            place.entries.set(offer.artifact, { artifact: offer.artifact, memoryMiB: offer.memoryMiB, state: EntryState.Loading, orderId: "", fence: 0,
-                since: 0 });
+            place.entries.set(offer.artifact, {
+                artifact: offer.artifact,
+                memoryMiB: offer.memoryMiB,
+                state: EntryState.Loading,
+                orderId: "",
+                fence: 0,
+                holder: "",
+                since: 0,
+            });
             this.push(StepKind.Load, place, offer.artifact, offer.memoryMiB);
         }
     }
@@ -177,7 +199,7 @@
         }
         const offer = this.offers.get(entry.artifact);
         if (!offer) {
-            return true;
+            return this.isWithdrawn(entry.artifact);
         }
         const others = this.confirmedCopies(entry.artifact) - 1;
         return others >= (forMissing ? Math.min(1, leastCopies(offer)) : leastCopies(offer));
--- a/src/core/routing.ts
+++ b/src/core/routing.ts
@@ -1,7 +1,6 @@
-import type { EngineReport } from "../types/report";
-import { ResidencyState } from "../types/report";
 import type { RunnerView } from "../types/upstream";
 import type { Random } from "../utils/random";
+import { isReported } from "./ledger";
 
 /** What a request needs of a runner. */
 export interface RouteNeed {
@@ -31,14 +30,11 @@
 /** After this time a report of load says nothing more. */
 const reportLifetimeMs = 15_000;
 
-const isResident = (report: EngineReport, artifact: string): boolean =>
-    report.residencies.some(residency => residency.artifact === artifact && residency.state === ResidencyState.Resident);
-
 /** Whether a runner can take the request now. */
 export const isCandidate = (runner: RunnerView, need: RouteNeed): boolean => {
     const { report, vm } = runner;
     return vm.group === need.deployment && !runner.leaving && report !== undefined && !report.leaving
-        && need.artifacts.every(artifact => isResident(report, artifact) && !runner.draining.includes(artifact));
+        && need.artifacts.every(artifact => isReported(report, artifact) && !runner.draining.includes(artifact));
 };
 
 /** Requests that the runner is thought to hold: its own count, aged, or what this node sent, whichever is more. */
--- a/src/core/serviceCall.ts
+++ b/src/core/serviceCall.ts
@@ -76,8 +76,10 @@
             mayHaveRun ||= failure.verdict !== Verdict.NotRun;
             emit(EventId.AttemptFailed, { request: call.requestId, attempt, upstream: vm.id, kind: failure.kind, verdict: failure.verdict });
             const budget = getOrCreate(node.budgets, `service:${call.service.name}`, RetryBudget.create);
-            if (!mayRetry(failure.verdict, repeatable) || attempt >= maxAttempts ||
-                node.fleet.serviceVms(call.service.name).every(other => other.id === vm.id || avoid.has(other.id))) {
+            if (
+                !mayRetry(failure.verdict, repeatable) || attempt >= maxAttempts ||
+                node.fleet.serviceVms(call.service.name).every(other => other.id === vm.id || avoid.has(other.id))
+            ) {
                 return raise(failure.kind, failure.detail, mayHaveRun && failure.verdict === Verdict.NotRun ? Verdict.MayHaveRun : failure.verdict, failure);
             }
             if (!budget.withdraw()) {
--- a/src/node/context.ts
+++ b/src/node/context.ts
@@ -25,6 +25,8 @@
 /** What the parts of a node share. */
 export interface NodeContext {
     readonly cfg: Settings;
+    /** Differs at each start of the process. */
+    readonly incarnation: string;
     readonly table: Table;
     readonly objects: ObjectStore;
     readonly vmList: VmList;
@@ -40,7 +42,7 @@
     /** Reports that this node collected itself. */
     readonly reports: Map<string, EngineReport>;
     /** Copies that this node's stewardship takes out of routing, as `runner artifact`. */
-    readonly drains: Set<string>;
+    drains: readonly string[];
     readonly random: Random;
     /** Aborts when the node stops its background work. */
     readonly signal: AbortSignal;
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import { AdmissionQueue } from "../core/admissionQueue";
 import { ConfigStore } from "../core/configStore";
 import { DemandMeter } from "../core/demand";
@@ -32,6 +33,7 @@
         return new JackdawNode({
             ...ports,
             cfg,
+            incarnation: randomUUID(),
             config: ConfigStore.create(),
             digests,
             fleet: Fleet.create(digests),
@@ -41,7 +43,7 @@
             limits: new Map(),
             budgets: new Map(),
             reports: new Map(),
-            drains: new Set(),
+            drains: [],
             signal: background.signal,
             stage: NodeStage.Starting,
             inProgress: 0,
--- a/src/plugins/adminRoutes.ts
+++ b/src/plugins/adminRoutes.ts
@@ -75,9 +75,12 @@
     const { sequence, records } = node.config.snapshot();
     sendJson(exchange, 200, {
         sequence,
-        records: records.filter(change => wanted.includes(change.kind)).map(({ kind: recordKind, name, sequence: revision, record }) => ({ kind: recordKind,
-            name, revision, record })
-        ),
+        records: records.filter(change => wanted.includes(change.kind)).map(({ kind: recordKind, name, sequence: revision, record }) => ({
+            kind: recordKind,
+            name,
+            revision,
+            record,
+        })),
     });
 };
 
@@ -144,8 +147,11 @@
         { path: recordsPath, methods: ["GET", "POST"], handle: handleCollection(node) },
         { path: `${recordsPath}/`, methods: ["GET", "PUT", "DELETE"], handle: handleRecord(node) },
         { path: "/admin/status", methods: ["GET"], handle: exchange => sendJson(exchange, 200, explainer.status()) },
-        { path: "/admin/explain/", methods: ["GET"],
-            handle: exchange => sendJson(exchange, 200, explainer.explain(exchange.url.pathname.split("/").slice(3).map(decodeURIComponent))) },
+        {
+            path: "/admin/explain/",
+            methods: ["GET"],
+            handle: exchange => sendJson(exchange, 200, explainer.explain(exchange.url.pathname.split("/").slice(3).map(decodeURIComponent))),
+        },
     ];
     return routes.map(guarded);
 };
--- a/src/plugins/engineHttp.ts
+++ b/src/plugins/engineHttp.ts
@@ -30,8 +30,11 @@
 };
 
 /** Reads the stream; each event must carry the attempt's ID. */
-const readStream = async (body: Dispatcher.ResponseData["body"], attemptId: string,
-    onChunk: (chunk: EngineChunk) => Promise<void> | void): Promise<StreamEnd> => {
+const readStream = async (
+    body: Dispatcher.ResponseData["body"],
+    attemptId: string,
+    onChunk: (chunk: EngineChunk) => Promise<void> | void,
+): Promise<StreamEnd> => {
     const pending: EngineChunk[] = [];
     let end: StreamEnd | undefined;
     const parser = createParser({
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -14,21 +14,45 @@
     readonly name = "metrics";
     private readonly registry = new Registry();
     private readonly registers = [this.registry];
-    private readonly refusals = new Counter({ name: "jackdawtrail_refusals_total", help: "Requests refused, by reason and verdict",
-        labelNames: ["reason", "verdict"], registers: this.registers });
-    private readonly retries = new Counter({ name: "jackdawtrail_failed_attempts_total", help: "Attempts that failed and may be retried, by reason and verdict",
-        labelNames: ["reason", "verdict"], registers: this.registers });
+    private readonly refusals = new Counter({
+        name: "jackdawtrail_refusals_total",
+        help: "Requests refused, by reason and verdict",
+        labelNames: ["reason", "verdict"],
+        registers: this.registers,
+    });
+    private readonly retries = new Counter({
+        name: "jackdawtrail_failed_attempts_total",
+        help: "Attempts that failed and may be retried, by reason and verdict",
+        labelNames: ["reason", "verdict"],
+        registers: this.registers,
+    });
     private readonly events = new Counter({ name: "jackdawtrail_events_total", help: "Numbered log events", labelNames: ["event"], registers: this.registers });
-    private readonly invariants = new Counter({ name: "jackdawtrail_broken_invariants_total", help: "Broken invariants, by event number", labelNames: ["event"],
-        registers: this.registers });
+    private readonly invariants = new Counter({
+        name: "jackdawtrail_broken_invariants_total",
+        help: "Broken invariants, by event number",
+        labelNames: ["event"],
+        registers: this.registers,
+    });
     private readonly tokens = new Counter({ name: "jackdawtrail_answer_pieces_total", help: "Pieces of answers passed on", registers: this.registers });
     private readonly histograms: Readonly<Record<RequestMetric, Histogram>> = {
-        [RequestMetric.FirstToken]: new Histogram({ name: "jackdawtrail_first_token_seconds", help: "Time from the request to the first token",
-            buckets: secondBuckets, registers: this.registers }),
-        [RequestMetric.BetweenTokens]: new Histogram({ name: "jackdawtrail_between_tokens_seconds", help: "Time between two tokens", buckets: tokenBuckets,
-            registers: this.registers }),
-        [RequestMetric.Whole]: new Histogram({ name: "jackdawtrail_request_seconds", help: "Time from the request to the end of the answer",
-            buckets: secondBuckets, registers: this.registers }),
+        [RequestMetric.FirstToken]: new Histogram({
+            name: "jackdawtrail_first_token_seconds",
+            help: "Time from the request to the first token",
+            buckets: secondBuckets,
+            registers: this.registers,
+        }),
+        [RequestMetric.BetweenTokens]: new Histogram({
+            name: "jackdawtrail_between_tokens_seconds",
+            help: "Time between two tokens",
+            buckets: tokenBuckets,
+            registers: this.registers,
+        }),
+        [RequestMetric.Whole]: new Histogram({
+            name: "jackdawtrail_request_seconds",
+            help: "Time from the request to the end of the answer",
+            buckets: secondBuckets,
+            registers: this.registers,
+        }),
     };
     private readonly counts = new Map<EventId, number>();
 
@@ -76,7 +100,7 @@
         gauge("requests_in_progress", "Requests in progress", () => node.inProgress);
         gauge("requests_queued", "Requests that wait for an upstream", () => node.queue.length);
         gauge("runners_known", "Runners on the VM list", () => node.fleet.runners().length);
-        gauge("copies_draining", "Copies that this node's stewardship takes out of routing", () => node.drains.size);
+        gauge("copies_draining", "Copies that this node's stewardship takes out of routing", () => node.drains.length);
     }
 
     /** The route on which the metrics are read. */
--- a/src/plugins/peers.ts
+++ b/src/plugins/peers.ts
@@ -49,14 +49,16 @@
         const { cfg } = node;
         const state: NodeState = {
             id: cfg.nodeId,
+            incarnation: node.incarnation,
             availabilityZone: cfg.availabilityZone,
             url: cfg.advertiseUrl,
             stopping: node.stage === NodeStage.Stopping,
             configSequence: node.config.sequence,
-            drains: [...node.drains],
+            drains: node.drains,
             leaving: node.fleet.leavingSeen,
         };
-        if (performance.now() - demandAt >= demandIntervalMs) {
+        // A request that waits for a copy makes its demand known at once.
+        if (node.queue.length > 0 || performance.now() - demandAt >= demandIntervalMs) {
             demand = node.demand.rates();
             demandAt = performance.now();
         }
--- a/src/types/ledger.ts
+++ b/src/types/ledger.ts
@@ -16,6 +16,10 @@
     readonly state: EntryState;
     readonly orderId: string;
     readonly fence: number;
+    /** The process that sent or is about to send the order, as `node/incarnation`. */
+    readonly holder: string;
+    /** Whether the holder has said that it will not send the order any more. */
+    readonly answered?: boolean;
     /** Epoch milliseconds at which the state was entered. */
     readonly since: number;
 }
--- a/src/types/nodeDigest.ts
+++ b/src/types/nodeDigest.ts
@@ -3,6 +3,8 @@
 /** The seldom-changing part of a node's digest. */
 export interface NodeState {
     readonly id: string;
+    /** Differs at each start of the process. */
+    readonly incarnation: string;
     readonly availabilityZone: string;
     readonly url: string;
     readonly stopping: boolean;
--- a/src/types/plan.ts
+++ b/src/types/plan.ts
@@ -9,6 +9,10 @@
     readonly report: EngineReport;
     readonly leaving: boolean;
     readonly cost: number;
+    /** Artifacts whose load has no known outcome; they hold memory but are no copies. */
+    readonly stuck: readonly string[];
+    /** Artifacts that have been out of routing long enough and are idle. */
+    readonly drained: readonly string[];
 }
 
 /** An artifact that is offered and may be wanted in this zone. */
@@ -31,6 +35,8 @@
     Load = "load",
     /** Take the copy out of routing, to be unloaded once it is idle. */
     Drain = "drain",
+    /** Unload a copy that routing has dropped and that is idle. */
+    Unload = "unload",
     /** Put a draining copy back into routing. */
     Keep = "keep",
 }
--- /dev/null
+++ b/src/types/stewardship.ts
@@ -0,0 +1,31 @@
+import type { Offer, PlanWeights } from "./plan";
+import type { EngineReport } from "./report";
+import type { Vm } from "./vm";
+
+/** A runner as a round of stewardship sees it. */
+export interface StewardedRunner {
+    readonly vm: Vm;
+    readonly report: EngineReport | undefined;
+    readonly leaving: boolean;
+    readonly cost: number;
+    readonly checksFence: boolean;
+}
+
+/** Rules of a steward. */
+export interface StewardRules {
+    readonly weights: PlanWeights;
+    readonly drainDelayMs: number;
+    readonly orderLatenessMs: number;
+    readonly loadsAtOnce: number;
+}
+
+/** What a round starts from. */
+export interface StewardInputs {
+    readonly runners: readonly StewardedRunner[];
+    readonly offers: readonly Offer[];
+    /** Whether a process, as `node/incarnation`, is known to have ended. */
+    readonly isGone: (holder: string) => boolean;
+}
+
+/** Tells whether the stewardship is still held. */
+export type HeldCheck = () => boolean;
--- a/src/utils/problems.ts
+++ b/src/utils/problems.ts
@@ -41,8 +41,11 @@
         // What is left of the body is not read.
         res.setHeader("connection", "close");
     }
-    res.writeHead(failureClasses[failure.kind].status, { "content-type": "application/problem+json", [verdictHeader]: failure.verdict,
-        [requestIdHeader]: requestId });
+    res.writeHead(failureClasses[failure.kind].status, {
+        "content-type": "application/problem+json",
+        [verdictHeader]: failure.verdict,
+        [requestIdHeader]: requestId,
+    });
     res.end(JSON.stringify(problem));
 };
 
--- /dev/null
+++ b/test/runs/allRuns.ts
@@ -0,0 +1,9 @@
+import { createMemoryRun } from "./memoryRun";
+import type { Run } from "./run";
+
+/** Every randomised run. */
+export const allRuns: readonly Run<never>[] = [
+    createMemoryRun([true, true, true]),
+    createMemoryRun([false, false, false]),
+    createMemoryRun([true, false, false]),
+] as unknown as readonly Run<never>[];
--- /dev/null
+++ b/test/runs/memoryRun.ts
@@ -0,0 +1,224 @@
+import assert from "node:assert/strict";
+import { Stewardship } from "../../src/core/stewardship";
+import type { Engine } from "../../src/types/engine";
+import { EventId } from "../../src/types/eventId";
+import type { EngineOrder } from "../../src/types/order";
+import { OrderAnswer, OrderKind } from "../../src/types/order";
+import type { Offer } from "../../src/types/plan";
+import { ResidencyState } from "../../src/types/report";
+import type { StewardInputs } from "../../src/types/stewardship";
+import { VmKind, VmState } from "../../src/types/vm";
+import { observeEvents } from "../../src/utils/events";
+import { EngineModel } from "../fakes/engineModel";
+import { MemoryTable } from "../fakes/memoryTable";
+import { Gate, gateTable } from "./gates";
+import type { Operation } from "./memoryOperations";
+import { latenessMs, models, operation } from "./memoryOperations";
+import type { Run, RunClock } from "./run";
+
+const drainDelayMs = 1_000;
+const roundMs = 500;
+const zone = "za";
+
+/** A process that may be the steward. */
+interface Holder {
+    incarnation: string;
+    gate: Gate;
+    stewardship: Stewardship;
+}
+
+/** One zone with three engines, two stewards that race, and the platform's table. */
+class MemoryWorld {
+    private readonly table = MemoryTable.create();
+    private readonly engines: readonly EngineModel[];
+    private readonly holders: Holder[] = [];
+    private readonly versions = models.map(() => 1);
+    private readonly demand = models.map(() => 1);
+    private readonly offered = models.map(() => true);
+    private readonly everResident = new Set<string>();
+    private readonly excused = new Set<string>();
+    private readonly orderFaults = { lost: 0, late: 0, doubled: 0, delayMs: 0 };
+    private incarnations = 0;
+
+    private constructor(private readonly clock: RunClock, private readonly checksFence: readonly boolean[]) {
+        this.engines = checksFence.map(checks => EngineModel.create({ memoryMiB: 100, slots: 4, checksFence: checks, modelLoadMs: 700, adapterLoadMs: 10 }));
+        this.holders.push(this.startHolder("n0"), this.startHolder("n1"));
+    }
+
+    static create(clock: RunClock, checksFence: readonly boolean[]): MemoryWorld {
+        return new MemoryWorld(clock, checksFence);
+    }
+
+    async execute(operations: readonly Operation[]): Promise<void> {
+        for (const drawn of operations) {
+            this.begin(drawn);
+            await this.pass(drawn.op === "wait" ? drawn.ms : roundMs);
+        }
+        Object.assign(this.table.faults, { down: false, loseAnswers: 0, loseCommits: 0 });
+        Object.assign(this.orderFaults, { lost: 0, late: 0, doubled: 0 });
+        await this.pass(90_000);
+        models.forEach((name, at) => assert.ok(!this.offered[at] || this.isResident(at), `${name} is not reachable at the end`));
+    }
+
+    private startHolder(nodeId: string): Holder {
+        const gate = Gate.create();
+        const incarnation = String(++this.incarnations);
+        const stewardship = Stewardship.create(gateTable(this.table, gate), { nodeId, incarnation, availabilityZone: zone }, url => this.engineOf(url, gate), {
+            weights: { copyRate: 4, moveCost: 1, maxSteps: 16 },
+            drainDelayMs,
+            orderLatenessMs: latenessMs,
+            loadsAtOnce: 3,
+        });
+        const holder = { incarnation, gate, stewardship };
+        void this.loop(holder);
+        return holder;
+    }
+
+    private async loop(holder: Holder): Promise<void> {
+        for (;;) {
+            await holder.gate.pass();
+            await holder.stewardship.tick(holder === this.holders[0], () => this.inputs()).catch(() => undefined);
+            await new Promise(resolve => setTimeout(resolve, roundMs));
+        }
+    }
+
+    private inputs(): StewardInputs {
+        const offers: Offer[] = models.flatMap((model, at) =>
+            this.offered[at]
+                ? [{
+                    artifact: `model:${model}@${this.versions[at]}`,
+                    memoryMiB: 35,
+                    deployment: "d",
+                    minCopies: 1,
+                    homeHolds: false,
+                    demand: this.demand[at]!,
+                }]
+                : []
+        );
+        const runners = this.engines.map((engine, at) => ({
+            vm: { id: `r${at}`, kind: VmKind.Runner, state: VmState.Live, availabilityZone: zone, url: String(at), group: "d" },
+            report: engine.report(),
+            leaving: false,
+            cost: 1,
+            checksFence: this.checksFence[at]!,
+        }));
+        return { offers, runners, isGone: holder => !this.holders.some(({ incarnation }, at) => holder === `n${at}/${incarnation}`) };
+    }
+
+    private engineOf(url: string, gate: Gate): Engine {
+        const engine = this.engines[Number(url)]!;
+        return {
+            generate: () => Promise.reject(new Error("not used")),
+            report: async () => {
+                await gate.pass();
+                return engine.report();
+            },
+            order: async order => {
+                // A holder may be paused between its last check and the moment at which the order leaves.
+                await gate.pass();
+                const answer = await this.deliver(engine, order);
+                await gate.pass();
+                return answer;
+            },
+        };
+    }
+
+    private async deliver(engine: EngineModel, order: EngineOrder): Promise<OrderAnswer> {
+        const { orderFaults } = this;
+        if (orderFaults.lost > 0) {
+            orderFaults.lost--;
+            return OrderAnswer.Unknown;
+        }
+        if (orderFaults.late > 0) {
+            orderFaults.late--;
+            setTimeout(() => this.receive(engine, order), orderFaults.delayMs);
+            return OrderAnswer.Unknown;
+        }
+        if (orderFaults.doubled > 0) {
+            orderFaults.doubled--;
+            setTimeout(() => this.receive(engine, order), orderFaults.delayMs);
+        }
+        return this.receive(engine, order);
+    }
+
+    private receive(engine: EngineModel, order: EngineOrder): OrderAnswer {
+        const answer = engine.order(order);
+        if (order.kind === OrderKind.Unload && answer === OrderAnswer.Accepted) {
+            this.assertReachable(`unload of ${order.artifact}`);
+        }
+        return answer;
+    }
+
+    private begin(drawn: Operation): void {
+        const handlers: { readonly [K in Operation["op"]]: (given: Extract<Operation, { op: K; }>) => void; } = {
+            orders: ({ fault, count, delayMs }) => Object.assign(this.orderFaults, { [fault]: count, delayMs }),
+            freeze: ({ node, ms }) => this.holders[node]!.gate.freeze(ms),
+            kill: ({ node }) => {
+                this.holders[node]!.gate.kill();
+                this.holders[node] = this.startHolder(`n${node}`);
+            },
+            table: ({ fault, ms }) => {
+                Object.assign(this.table.faults, { [fault]: fault === "down" ? true : 2 });
+                setTimeout(() => Object.assign(this.table.faults, { down: false }), ms);
+            },
+            restart: ({ runner }) => {
+                this.engines[runner]!.restart();
+                // What a restart takes away is not the system's doing.
+                models.forEach(model => this.excused.add(model));
+                this.everResident.clear();
+            },
+            version: ({ model }) => void this.versions[model]!++,
+            demand: ({ model, rate }) => void (this.demand[model] = rate),
+            withdraw: ({ model }) => {
+                this.offered[model] = !this.offered[model];
+                this.everResident.delete(models[model]!);
+            },
+            wait: () => undefined,
+        };
+        (handlers[drawn.op] as (given: Operation) => void)(drawn);
+    }
+
+    private async pass(ms: number): Promise<void> {
+        for (let passed = 0; passed < ms; passed += 100) {
+            await this.clock.advance(100);
+            const violations = this.engines.flatMap(engine => engine.violations);
+            assert.deepEqual(violations, []);
+            models.forEach((model, at) => this.offered[at] && this.isResident(at) && this.everResident.add(model));
+            this.assertReachable("passing time");
+        }
+    }
+
+    /** A model that was resident once stays so while it is offered, in one version or another. */
+    private assertReachable(when: string): void {
+        models.forEach((model, at) =>
+            assert.ok(!this.offered[at] || !this.everResident.has(model) || this.isResident(at), `${model} lost its last copy: ${when}`)
+        );
+    }
+
+    private isResident(model: number): boolean {
+        return this.engines.some(engine =>
+            engine.report().residencies.some(({ artifact, state }) => artifact.startsWith(`model:${models[model]}@`) && state === ResidencyState.Resident)
+        );
+    }
+}
+
+/** Memory is never overcommitted, and the last copy of an offered model is never taken away. */
+export const createMemoryRun = (checksFence: readonly boolean[]): Run<Operation> => ({
+    name: `memory, engines that ${checksFence.map(checks => checks ? "check" : "ignore").join(", ")} fencing numbers`,
+    operation,
+    execute: async (operations, clock) => {
+        const broken: string[] = [];
+        const stop = observeEvents((event, fields) => {
+            if (event > EventId.InvariantMemory - 1) {
+                broken.push(`${EventId[event]} ${JSON.stringify(fields)}`);
+            }
+        });
+        try {
+            await MemoryWorld.create(clock, checksFence).execute(operations);
+        }
+        finally {
+            stop();
+        }
+        assert.deepEqual(broken, []);
+    },
+});
