--- a/src/core/ledger.ts
+++ b/src/core/ledger.ts
@@ -85,6 +85,9 @@
     return { ...entry, state: EntryState.Resident, answered: true };
 };
 
+/** Whether the process that wrote the entry may still send its order. */
+export const isOpenOrder = ({ answered, state }: LedgerEntry): boolean => answered !== true && (state === EntryState.Loading || state === EntryState.Unloading);
+
 /** Whether the process that was to send the order can no longer do so: it said so, it is this process, or it is gone. */
 const isSenderDone = (entry: LedgerEntry, rules: LatenessRules): boolean =>
     entry.answered === true || entry.holder === rules.self || rules.goneHolders.includes(entry.holder);
--- a/src/core/planner.ts
+++ b/src/core/planner.ts
@@ -38,6 +38,7 @@
         for (const offer of byNeed) {
             this.keepWanted(offer);
         }
+        this.keepOldVersions();
         this.dropWithdrawn();
         this.unloadDrained();
         for (const offer of byNeed) {
@@ -66,10 +67,31 @@
         return this.copies(artifact).filter(draft => draft.entries.get(artifact)?.state === EntryState.Resident).length;
     }
 
+    /** Confirmed copies beside the entry's own. */
+    private othersOf(entry: LedgerEntry): number {
+        return this.confirmedCopies(entry.artifact) - (entry.state === EntryState.Resident ? 1 : 0);
+    }
+
     private push(kind: StepKind, draft: Draft, artifact: string, memoryMiB: number): void {
         this.steps.push({ kind, runner: draft.runner.vm.id, artifact, memoryMiB });
     }
 
+    /** Puts the last copy of an old version back into routing while the new one has none. */
+    private keepOldVersions(): void {
+        for (const draft of this.drafts) {
+            for (const entry of draft.entries.values()) {
+                if (entry.state === EntryState.Draining && !this.offers.has(entry.artifact) && !this.mayGo(entry.artifact, this.othersOf(entry))) {
+                    this.keep(draft, entry);
+                }
+            }
+        }
+    }
+
+    private keep(draft: Draft, entry: LedgerEntry): void {
+        draft.entries.set(entry.artifact, { ...entry, state: EntryState.Resident });
+        this.push(StepKind.Keep, draft, entry.artifact, entry.memoryMiB);
+    }
+
     /** Puts a draining copy back into routing rather than loading another. */
     private keepWanted(offer: Offer): void {
         for (const draft of this.drafts) {
@@ -77,8 +99,7 @@
             const copies = this.copies(offer.artifact).length;
             const isNeeded = copies < leastCopies(offer) || (copies < wantedCopies(offer, this.weights) && !this.isAnotherShort(offer));
             if (entry?.state === EntryState.Draining && !draft.runner.leaving && isNeeded) {
-                draft.entries.set(offer.artifact, { ...entry, state: EntryState.Resident });
-                this.push(StepKind.Keep, draft, offer.artifact, entry.memoryMiB);
+                this.keep(draft, entry);
             }
         }
     }
@@ -91,7 +112,7 @@
     private dropWithdrawn(): void {
         for (const draft of this.drafts) {
             for (const entry of draft.entries.values()) {
-                if (entry.state === EntryState.Resident && this.isWithdrawn(entry.artifact)) {
+                if (entry.state === EntryState.Resident && !this.offers.has(entry.artifact) && this.mayGo(entry.artifact, this.othersOf(entry))) {
                     this.drain(draft, entry);
                 }
             }
@@ -103,9 +124,7 @@
         for (const draft of this.drafts) {
             for (const artifact of draft.runner.drained) {
                 const entry = draft.entries.get(artifact);
-                const offer = this.offers.get(artifact);
-                const isFree = offer ? this.confirmedCopies(artifact) >= leastCopies(offer) : this.isWithdrawn(artifact);
-                if (entry?.state === EntryState.Draining && isFree) {
+                if (entry?.state === EntryState.Draining && this.mayGo(artifact, this.othersOf(entry))) {
                     draft.entries.set(artifact, { ...entry, state: EntryState.Unloading });
                     this.push(StepKind.Unload, draft, artifact, entry.memoryMiB);
                 }
@@ -113,13 +132,14 @@
         }
     }
 
-    /** Whether nothing needs the artifact: an old version serves until a copy of the new one is confirmed. */
-    private isWithdrawn(artifact: string): boolean {
-        if (this.offers.has(artifact)) {
-            return false;
+    /** Whether a copy may go that leaves so many others confirmed; the last copy of an old version serves until the new one is confirmed. */
+    private mayGo(artifact: string, others: number): boolean {
+        const offer = this.offers.get(artifact);
+        if (offer) {
+            return others >= leastCopies(offer);
         }
         const successor = this.successors.get(unversioned(artifact));
-        return !successor || successor.homeHolds || this.confirmedCopies(successor.artifact) > 0;
+        return !successor || successor.homeHolds || others > 0 || this.confirmedCopies(successor.artifact) > 0;
     }
 
     private addCopies(offer: Offer): void {
@@ -197,12 +217,8 @@
         if (entry.state !== EntryState.Resident) {
             return false;
         }
-        const offer = this.offers.get(entry.artifact);
-        if (!offer) {
-            return this.isWithdrawn(entry.artifact);
-        }
-        const others = this.confirmedCopies(entry.artifact) - 1;
-        return others >= (forMissing ? Math.min(1, leastCopies(offer)) : leastCopies(offer));
+        const others = this.othersOf(entry);
+        return this.mayGo(entry.artifact, others) || (forMissing && others > 0);
     }
 
     /** Demand that the copy carries. */
--- a/src/core/steward.ts
+++ b/src/core/steward.ts
@@ -13,7 +13,7 @@
 import { isAdapter } from "./artifacts";
 import { decide, DecisionKind } from "./decisions";
 import { EntryAges } from "./entryAges";
-import { assertReportFits, createRow, entryOf, isWithinMemory, moveEntry } from "./ledger";
+import { assertReportFits, createRow, entryOf, isOpenOrder, isWithinMemory, moveEntry } from "./ledger";
 import { LedgerBook } from "./ledgerBook";
 import { OrderDesk } from "./orderDesk";
 
@@ -90,7 +90,7 @@
 
     /** After the term: tells the successors that this process will not send the orders that it recorded. */
     async signOff(): Promise<void> {
-        const isOpen = (entry: LedgerEntry) => entry.holder === this.self && entry.answered !== true && entry.state !== EntryState.Resident;
+        const isOpen = (entry: LedgerEntry) => isOpenOrder(entry) && entry.holder === this.self;
         for (const { runner } of this.book.rows()) {
             await this.book.reread(runner);
             const row = this.book.get(runner);
@@ -116,10 +116,22 @@
         return newest;
     }
 
+    /** Whether another process may have written the row: one that signed off its orders, or a former holder whose last write came late. */
+    private mayBeStale(runner: string, report: EngineReport): boolean {
+        const row = this.book.get(runner);
+        return row !== undefined && (
+            row.entries.some(entry => isOpenOrder(entry) && entry.holder !== this.self)
+            || report.residencies.some(residency => entryOf(row, residency.artifact) === undefined)
+        );
+    }
+
     private async reconcile(runner: StewardedRunner, offered: ReadonlySet<string>, isGone: (holder: string) => boolean): Promise<void> {
         const { vm } = runner;
+        const report = await this.freshReport(runner, this.book.get(vm.id));
+        if (this.mayBeStale(vm.id, report)) {
+            await this.book.reread(vm.id);
+        }
         const before = this.book.get(vm.id);
-        const report = await this.freshReport(runner, before);
         const base = before ?? createRow(vm.id, report);
         if (base.incarnation !== report.incarnation) {
             emit(EventId.RunnerRestarted, { runner: vm.id, incarnation: report.incarnation });
--- /dev/null
+++ b/test/fakes/settings.ts
@@ -0,0 +1,25 @@
+import type { SettingName, Settings } from "../../src/node/settings";
+import { readSettings } from "../../src/node/settings";
+
+/** Settings of a node that meets only stand-ins in its own process. */
+export const testSettings = (nodeId: string, availabilityZone: string, others: Readonly<Partial<Record<SettingName, string>>> = {}): Settings => {
+    const url = "http://127.0.0.1:1";
+    const secret = "a-secret-of-the-stand-ins";
+    const given = {
+        listen: "127.0.0.1:0",
+        nodeId,
+        availabilityZone,
+        advertiseUrl: `${url}/${nodeId}`,
+        tableUrl: url,
+        objectStoreUrl: url,
+        vmListUrl: url,
+        peerSecret: secret,
+        operatorToken: secret,
+        ...others,
+    };
+    const reading = readSettings(given);
+    if (!reading.ok) {
+        throw new Error(JSON.stringify(reading.faults));
+    }
+    return reading.settings;
+};
