Tell digests by origin and sum zones up

Change: one version an origin; reports only when what an engine holds changes; load every 5 s, demand every 10 s (24 artifacts); between zones only summaries pass, one part a runner. Ruled out: a cursor for each peer instead of summaries (80 peers visited at random bring everything again at each visit).

--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -1,80 +1,16 @@
 import { ConfigStore } from "../src/core/configStore";
 import { decide, DecisionKind } from "../src/core/decisions";
 import { DigestStore } from "../src/core/digests";
-import { Fleet, loadPart, statePart } from "../src/core/fleet";
+import { Fleet } from "../src/core/fleet";
+import { DigestName } from "../src/types/nodeDigest";
 import type { Vm } from "../src/types/vm";
 import { VmKind, VmState } from "../src/types/vm";
-import { createRandom, pick } from "../src/utils/random";
+import { measureDigests } from "./digestSlopes";
 import { measureHeap, printTable, short, show, slopeOf, timeStep } from "./measure";
 import { copiesPerRunner, sampleArtifact, sampleChanges, samplePlan, sampleReport } from "./samples";
 
 const weights = { copyRate: 2, moveCost: 0.5, maxSteps: 64 };
 
-/** Digests: nodes of one zone exchange once a second while a share of the runners' reports changes. */
-const measureDigests = (): void => {
-    const rows = [3, 6, 12, 24, 48].map(nodes => {
-        const random = createRandom(nodes);
-        const stores = [...Array(nodes).keys()].map(node => DigestStore.create(`entry-${node}`));
-        const runnersPerNode = 2;
-        let sequence = 0;
-        const publish = (store: DigestStore, node: number) => {
-            sequence++;
-            const reports = Object.fromEntries(
-                [...Array(runnersPerNode).keys()].map(
-                    runner => [`runner-${node}-${runner}`, sampleReport([...Array(copiesPerRunner).keys()].map(sampleArtifact), sequence)],
-                ),
-            );
-            const demand = Object.fromEntries([...Array(20).keys()].map(model => [sampleArtifact(model * 7), 0.35]));
-            store.publish(loadPart, { reports, demand });
-        };
-        stores.forEach((store, node) =>
-            store.publish(statePart, {
-                id: `entry-${node}`,
-                incarnation: "0f0c2c1e-6a52-4a6c-8d0c-0f5f6f6f6f6f",
-                availabilityZone: "za",
-                url: "http://10.0.0.1:8080",
-                stopping: false,
-                configSequence: 1_400,
-                drains: [],
-                leaving: [],
-            })
-        );
-        let bytes = 0;
-        let rounds = 0;
-        const round = () => {
-            rounds++;
-            stores.forEach((store, node) => {
-                publish(store, node);
-                const peer = pick(stores.filter(other => other !== store), random)!;
-                const ask = store.message();
-                const answer = peer.message(ask.summary);
-                store.merge(answer.parts);
-                const push = store.newerThan(answer.summary);
-                peer.merge(push);
-                // Each byte is counted at its sender and at its receiver.
-                bytes += 2 * (JSON.stringify(ask).length + JSON.stringify(answer).length + JSON.stringify(push).length);
-            });
-        };
-        for (let warm = 0; warm < 10; warm++) {
-            round();
-        }
-        bytes = 0;
-        rounds = 0;
-        const cpu = timeStep(10, round);
-        return { nodes, bytes: bytes / rounds / nodes, cpu: cpu.median / nodes };
-    });
-    printTable(
-        "Digests inside a zone, 1 exchange a second and node, 2 runners a node",
-        ["nodes", "bytes/s a node, in and out", "processor µs/s a node"],
-        rows.map(row => [row.nodes, short(row.bytes), short(row.cpu)]),
-    );
-    console.log(
-        `slope: ${short(slopeOf(rows.map(row => [row.nodes, row.bytes])))} bytes/s and ${
-            short(slopeOf(rows.map(row => [row.nodes, row.cpu])))
-        } µs/s a node for each further node of the zone`,
-    );
-};
-
 const measurePlanner = (): void => {
     const rows = [[16, 30], [46, 70], [91, 140], [182, 280], [182, 1_400]].map(([runners, models]) => {
         const input = { ...samplePlan(runners!, models!), weights };
@@ -121,7 +57,7 @@
                         ],
                     ),
                 );
-                return { key: `entry-${node + 1}/${loadPart}`, version: 1, value: JSON.parse(JSON.stringify({ reports, demand: {} })) };
+                return { origin: `entry-${node + 1}`, name: DigestName.Reports, version: 1, value: JSON.parse(JSON.stringify(reports)) };
             });
             digests.merge(parts);
             const fleet = Fleet.create(digests);
--- a/src/core/fleet.ts
+++ b/src/core/fleet.ts
@@ -1,4 +1,5 @@
-import type { NodeLoad, NodeState } from "../types/nodeDigest";
+import type { DigestLoad, DigestReports, Exclusions } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import type { EngineReport } from "../types/report";
 import { ResidencyState } from "../types/report";
 import type { RunnerView } from "../types/upstream";
@@ -6,10 +7,7 @@
 import { VmKind, VmState } from "../types/vm";
 import { unversioned } from "./artifacts";
 import type { DigestStore } from "./digests";
-
-/** Names of the two parts of a node's digest. */
-export const statePart = "state";
-export const loadPart = "load";
+import { isZoneOrigin } from "./digests";
 
 interface AgedReport {
     readonly report: EngineReport;
@@ -23,6 +21,7 @@
     private vms: readonly Vm[] = [];
     private views: readonly RunnerView[] = [];
     private byArtifact = new Map<string, RunnerView[]>();
+    private leaving: ReadonlySet<string> = new Set();
     private readonly refused = new Set<string>();
 
     private constructor(private readonly digests: DigestStore) {}
@@ -67,8 +66,8 @@
     /** Joins list and digests anew. */
     refresh(): void {
         const reports = this.newestReports();
-        const states = this.digests.values<NodeState>(statePart).map(({ value }) => value);
-        const leaving = new Set(states.flatMap(state => state.leaving).concat([...this.refused]));
+        const states = this.exclusions();
+        this.leaving = new Set(states.flatMap(state => state.leaving).concat([...this.refused]));
         const drains = new Map<string, string[]>();
         for (const drain of states.flatMap(state => state.drains)) {
             const space = drain.indexOf(" ");
@@ -81,7 +80,7 @@
                 vm,
                 report: aged?.report,
                 reportAgeMs: aged?.ageMs ?? Infinity,
-                leaving: vm.state === VmState.Leaving || leaving.has(vm.id),
+                leaving: vm.state === VmState.Leaving || this.leaving.has(vm.id),
                 draining: drains.get(vm.id) ?? noDrains,
             };
         });
@@ -109,21 +108,39 @@
 
     /** Instances of a plain service that take new requests. */
     serviceVms(name: string): readonly Vm[] {
-        const leaving = new Set(this.digests.values<NodeState>(statePart).flatMap(({ value }) => value.leaving).concat([...this.refused]));
-        return this.vmsOf(VmKind.Service).filter(vm => vm.group === name && vm.state === VmState.Live && !leaving.has(vm.id));
+        return this.vmsOf(VmKind.Service).filter(vm => vm.group === name && vm.state === VmState.Live && !this.leaving.has(vm.id));
+    }
+
+    private exclusions(): readonly Exclusions[] {
+        return [DigestName.Node, DigestName.Zone].flatMap(name => this.digests.values<Exclusions>(name)).map(({ value }) => value);
     }
 
+    /** The newest report of each runner, with the newest load that was told of it. */
     private newestReports(): ReadonlyMap<string, AgedReport> {
         const newest = new Map<string, AgedReport>();
-        for (const { value, ageMs } of this.digests.values<NodeLoad>(loadPart)) {
-            for (const [runner, report] of Object.entries(value.reports)) {
+        for (const { value, ageMs } of this.digests.valuesUnder<DigestReports>(DigestName.Reports)) {
+            for (const [runner, report] of Object.entries(value)) {
                 const known = newest.get(runner);
-                const isNewer = !known || (known.report.incarnation === report.incarnation ? report.sequence > known.report.sequence : ageMs < known.ageMs);
+                const isNewer = !known ||
+                    (known.report.incarnation === report.incarnation ? report.sequence > known.report.sequence : ageMs < known.ageMs);
                 if (isNewer) {
                     newest.set(runner, { report, ageMs });
                 }
             }
         }
+        // Zones come first, so that what the own zone's nodes tell goes last and stays.
+        for (
+            const { value, ageMs } of [...this.digests.values<DigestLoad>(DigestName.Load)].sort((a, b) =>
+                Number(isZoneOrigin(b.origin)) - Number(isZoneOrigin(a.origin))
+            )
+        ) {
+            for (const [runner, [active, queued]] of Object.entries(value)) {
+                const known = newest.get(runner);
+                if (known) {
+                    newest.set(runner, { report: { ...known.report, active, queued }, ageMs });
+                }
+            }
+        }
         return newest;
     }
 
--- a/src/core/offers.ts
+++ b/src/core/offers.ts
@@ -1,12 +1,13 @@
 import type { NodeContext } from "../node/context";
 import { RecordKind } from "../types/config";
-import type { NodeLoad, NodeState } from "../types/nodeDigest";
+import type { DigestDemand } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import type { Offer } from "../types/plan";
 import { VmKind } from "../types/vm";
 import { rankByHash } from "../utils/hash";
 import { adapterArtifact, modelArtifact } from "./artifacts";
 import type { ConfigStore } from "./configStore";
-import { loadPart, statePart } from "./fleet";
+import { isZoneOrigin, zoneOrigin } from "./digests";
 
 /** What the offers of one zone are made from. */
 export interface OfferInputs {
@@ -69,11 +70,15 @@
         }
         zonesOf.set(vm.group ?? "", zones);
     }
-    const zoneOfNode = new Map(node.digests.values<NodeState>(statePart).map(({ owner, value }) => [owner, value.availabilityZone]));
     const demand = new Map<string, number>();
-    for (const { owner, value } of node.digests.values<NodeLoad>(loadPart)) {
-        for (const [artifact, rate] of Object.entries(value.demand)) {
-            const key = `${zoneOfNode.get(owner) ?? ""} ${artifact}`;
+    for (const { origin, value } of node.digests.values<DigestDemand>(DigestName.Demand)) {
+        // Nodes tell of this zone; what another zone tells of itself is the demand that it cannot serve.
+        const zone = isZoneOrigin(origin) ? origin : zoneOrigin(node.cfg.availabilityZone);
+        if (isZoneOrigin(origin) && origin === zoneOrigin(node.cfg.availabilityZone)) {
+            continue;
+        }
+        for (const [artifact, rate] of Object.entries(value)) {
+            const key = `${zone} ${artifact}`;
             demand.set(key, (demand.get(key) ?? 0) + rate);
         }
     }
@@ -81,7 +86,7 @@
         config: node.config,
         availabilityZone: node.cfg.availabilityZone,
         zonesOf,
-        demandOf: (availabilityZone, artifact) => demand.get(`${availabilityZone} ${artifact}`) ?? 0,
+        demandOf: (availabilityZone, artifact) => demand.get(`${zoneOrigin(availabilityZone)} ${artifact}`) ?? 0,
         holds: (availabilityZone, artifact) =>
             node.fleet.holdersOf(artifact).some(runner =>
                 runner.vm.availabilityZone === availabilityZone && !runner.leaving && !runner.draining.includes(artifact)
--- a/src/plugins/adminRoutes.ts
+++ b/src/plugins/adminRoutes.ts
@@ -3,8 +3,8 @@
 import { changePrefix } from "../core/configKeys";
 import type { Operation } from "../core/configWriter";
 import { commitEdits } from "../core/configWriter";
+import { zoneOrigin } from "../core/digests";
 import { raise } from "../core/failures";
-import { statePart } from "../core/fleet";
 import type { AnyRecord } from "../core/schemas";
 import type { NodeContext } from "../node/context";
 import type { ConfigChange, RecordEdit } from "../types/config";
@@ -12,7 +12,8 @@
 import { EventId } from "../types/eventId";
 import type { Exchange, Route } from "../types/exchange";
 import { FailureKind } from "../types/failureKind";
-import type { NodeState } from "../types/nodeDigest";
+import type { NodeState, ZoneState } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import { emit } from "../utils/events";
 import { sendJson } from "../utils/problems";
 import { sleep } from "../utils/time";
@@ -46,9 +47,11 @@
 const waitInForce = async (node: NodeContext, sequence: number, waitMs: number): Promise<readonly string[]> => {
     const until = performance.now() + Math.min(waitMs, maxWaitMs);
     for (;;) {
-        const behind = node.digests.values<NodeState>(statePart).filter(({ value }) => value.configSequence < sequence && !value.stopping).map(({ owner }) =>
-            owner
+        const nodes = node.digests.values<NodeState>(DigestName.Node).filter(({ value }) => value.configSequence < sequence && !value.stopping);
+        const zones = node.digests.values<ZoneState>(DigestName.Zone).filter(({ origin, value }) =>
+            value.configSequence < sequence && origin !== zoneOrigin(node.cfg.availabilityZone)
         );
+        const behind = [...nodes, ...zones].map(({ origin }) => origin);
         if (behind.length === 0 || performance.now() >= until) {
             return behind;
         }
--- a/src/plugins/configFollower.ts
+++ b/src/plugins/configFollower.ts
@@ -1,10 +1,10 @@
 import { followTable } from "../core/configFeed";
 import type { ConfigSnapshot } from "../core/configStore";
 import { toFailure } from "../core/failures";
-import { statePart } from "../core/fleet";
 import type { NodeContext, NodePlugin } from "../node/context";
 import { EventId } from "../types/eventId";
-import type { NodeState } from "../types/nodeDigest";
+import type { NodeState, ZoneState } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import { VmKind } from "../types/vm";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
@@ -18,7 +18,8 @@
 const pollMsPerNode = 50;
 
 const followPeers = async (node: NodeContext, peers: PeerOf): Promise<void> => {
-    const ahead = node.digests.values<NodeState>(statePart).map(({ value }) => value).filter(state => state.configSequence > node.config.sequence);
+    const told = [...node.digests.values<NodeState>(DigestName.Node), ...node.digests.values<ZoneState>(DigestName.Zone)].map(({ value }) => value);
+    const ahead = told.filter(state => state.configSequence > node.config.sequence);
     // A node that starts knows no digests yet: it asks any peer on the VM list.
     const listed = node.config.sequence === 0 ? node.fleet.vmsOf(VmKind.Node).filter(vm => vm.id !== node.cfg.nodeId) : [];
     const url = pick(ahead, node.random)?.url ?? pick(listed, node.random)?.url;
--- a/src/plugins/explain.ts
+++ b/src/plugins/explain.ts
@@ -1,12 +1,12 @@
 import { adapterArtifact, modelArtifact } from "../core/artifacts";
 import { raise } from "../core/failures";
-import { loadPart, statePart } from "../core/fleet";
 import { gatherOfferInputs } from "../core/offers";
 import type { NodeContext } from "../node/context";
 import { RecordKind } from "../types/config";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
-import type { NodeLoad, NodeState } from "../types/nodeDigest";
+import type { DigestDemand, NodeState, ZoneState } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import { observeEvents } from "../utils/events";
 import { rankByHash } from "../utils/hash";
 
@@ -74,7 +74,7 @@
             configSequence: node.config.sequence,
             requestsInProgress: node.inProgress,
             requestsQueued: node.queue.length,
-            nodes: node.digests.values<NodeState>(statePart).map(({ value, ageMs }) => ({ ...value, ageMs: Math.round(ageMs) })),
+            nodes: node.digests.values<NodeState>(DigestName.Node).map(({ value, ageMs }) => ({ ...value, ageMs: Math.round(ageMs) })),
             runners: node.fleet.runners().map(({ vm, report, reportAgeMs, leaving, draining }) => ({
                 ...vm,
                 leaving,
@@ -82,7 +82,8 @@
                 reportAgeMs: Number.isFinite(reportAgeMs) ? Math.round(reportAgeMs) : undefined,
                 report,
             })),
-            demand: node.digests.values<NodeLoad>(loadPart).map(({ owner, value }) => ({ node: owner, ...value.demand })),
+            zones: node.digests.values<ZoneState>(DigestName.Zone).map(({ value, ageMs }) => ({ ...value, ageMs: Math.round(ageMs) })),
+            demand: node.digests.values<DigestDemand>(DigestName.Demand).map(({ origin, value }) => ({ origin, rates: value })),
         }),
         explain: ([what, name]) => {
             const explainer = explainers[what ?? ""] ?? raise(FailureKind.BadRequest, `explain one of ${Object.keys(explainers).join(", ")}`);
--- a/src/plugins/peerRouter.ts
+++ b/src/plugins/peerRouter.ts
@@ -1,6 +1,7 @@
 import { initTRPC, TRPCError } from "@trpc/server";
 import { timingSafeEqual } from "node:crypto";
 import { z } from "zod";
+import { isZoneOrigin } from "../core/digests";
 import type { NodeContext } from "../node/context";
 import type { DigestMessage, DigestPart } from "../types/digest";
 import { EventId } from "../types/eventId";
@@ -16,12 +17,8 @@
 
 const t = initTRPC.context<PeerContext>().create();
 
-const digestMessage = z.object({
-    from: z.string(),
-    availabilityZone: z.string(),
-    summary: z.record(z.string(), z.number()),
-    parts: z.array(z.object({ key: z.string(), version: z.number(), value: z.unknown() })),
-});
+const digestParts = z.array(z.object({ origin: z.string(), name: z.string(), version: z.number(), value: z.unknown() }));
+const digestSummary = z.record(z.string(), z.number());
 
 /** Whether two secrets are the same, in a time that does not depend on where they differ. */
 export const isSameSecret = (given: string | undefined, expected: string): boolean =>
@@ -37,13 +34,12 @@
         return next();
     });
     return t.router({
-        /** Takes the sender's parts and answers with the parts that it lacks. */
-        exchange: guarded.input(digestMessage).mutation(({ input }): DigestMessage => {
-            node.digests.merge(input.parts as DigestPart[]);
-            return node.digests.message(input.summary);
-        }),
+        /** Answers a summary with what this node holds and the parts that the sender lacks. */
+        exchange: guarded.input(z.object({ summary: digestSummary, isNear: z.boolean() })).mutation(({ input }): DigestMessage =>
+            node.digests.answer(input.summary, input.isNear ? undefined : isZoneOrigin)
+        ),
         /** Takes parts that the sender found lacking here. */
-        push: guarded.input(digestMessage.pick({ parts: true })).mutation(({ input }) => node.digests.merge(input.parts as DigestPart[])),
+        push: guarded.input(digestParts).mutation(({ input }) => node.digests.merge(input as DigestPart[])),
         /** Changes after a sequence; undefined where they are no longer kept. */
         changesSince: guarded.input(z.number().int()).query(({ input }) => node.config.changesSince(input)),
         /** The whole configuration in force. */
--- a/src/plugins/peers.ts
+++ b/src/plugins/peers.ts
@@ -1,11 +1,10 @@
 import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
-import { loadPart, statePart } from "../core/fleet";
+import { isZoneOrigin } from "../core/digests";
+import { Publisher } from "../core/publisher";
 import type { NodeContext, NodePlugin } from "../node/context";
-import { NodeStage } from "../node/context";
 import type { DigestPart } from "../types/digest";
 import { EventId } from "../types/eventId";
 import type { Route } from "../types/exchange";
-import type { NodeLoad, NodeState } from "../types/nodeDigest";
 import type { Vm } from "../types/vm";
 import { VmKind } from "../types/vm";
 import { emit } from "../utils/events";
@@ -15,9 +14,6 @@
 import { peerPath } from "./peerClient";
 import { createPeerRouter, peerSecretHeader } from "./peerRouter";
 
-/** Demand is told seldom: it decides placements, not routes. */
-const demandIntervalMs = 5_000;
-
 /** The route under which a node answers its peers. */
 export const createPeerRoute = (node: NodeContext): Route => {
     const router = createPeerRouter(node);
@@ -39,52 +35,15 @@
     };
 };
 
-/** Publishes what this node tells its peers, where it has changed. */
-export const createPublisher = (node: NodeContext): () => void => {
-    let lastState = "";
-    let lastLoad = "";
-    let demand: Readonly<Record<string, number>> = {};
-    let demandAt = -Infinity;
-    return () => {
-        const { cfg } = node;
-        const state: NodeState = {
-            id: cfg.nodeId,
-            incarnation: node.incarnation,
-            availabilityZone: cfg.availabilityZone,
-            url: cfg.advertiseUrl,
-            stopping: node.stage === NodeStage.Stopping,
-            configSequence: node.config.sequence,
-            drains: node.drains,
-            leaving: node.fleet.leavingSeen,
-        };
-        // A request that waits for a copy makes its demand known at once.
-        if (node.queue.length > 0 || performance.now() - demandAt >= demandIntervalMs) {
-            demand = node.demand.rates();
-            demandAt = performance.now();
-        }
-        const load: NodeLoad = { reports: Object.fromEntries(node.reports), demand };
-        const stateText = JSON.stringify(state);
-        const loadText = JSON.stringify(load);
-        if (stateText !== lastState) {
-            node.digests.publish(statePart, state);
-            lastState = stateText;
-        }
-        if (loadText !== lastLoad) {
-            node.digests.publish(loadPart, load);
-            lastLoad = loadText;
-        }
-    };
-};
-
-/** Exchanges digests with a random peer: tells and asks, then sends what the peer turned out to lack. */
-const exchangeWith = async (node: NodeContext, peers: PeerOf, peer: Vm): Promise<void> => {
+/** Exchanges digests with a peer: tells and asks, then sends what the peer turned out to lack. Between zones only their summaries pass. */
+const exchangeWith = async (node: NodeContext, peers: PeerOf, peer: Vm, isNear: boolean): Promise<void> => {
     const client = peers(peer.url);
-    const message = node.digests.message();
-    const answer = await client.exchange.mutate({ ...message, parts: [], availabilityZone: node.cfg.availabilityZone });
+    const accepts = isNear ? undefined : isZoneOrigin;
+    const answer = await client.exchange.mutate({ summary: node.digests.summary(accepts), isNear });
     node.digests.merge(answer.parts as DigestPart[]);
-    const lacking = node.digests.newerThan(answer.summary);
+    const lacking = node.digests.newerThan(answer.summary, accepts);
     if (lacking.length > 0) {
-        await client.push.mutate({ parts: [...lacking] });
+        await client.push.mutate([...lacking]);
     }
 };
 
@@ -97,12 +56,12 @@
 export const createPeersPlugin = (peers: PeerOf): NodePlugin => ({
     name: "peers",
     start: node => {
-        const publish = createPublisher(node);
+        const publisher = Publisher.create(node);
         const exchange = (isNear: boolean) => async (): Promise<void> => {
-            publish();
+            publisher.publish();
             const peer = choosePeer(node, isNear);
             if (peer) {
-                await exchangeWith(node, peers, peer);
+                await exchangeWith(node, peers, peer, isNear);
             }
             node.digests.forget();
             node.fleet.refresh();
--- a/src/plugins/steward.ts
+++ b/src/plugins/steward.ts
@@ -1,11 +1,11 @@
 import { toFailure } from "../core/failures";
-import { statePart } from "../core/fleet";
 import { createOffers, gatherOfferInputs } from "../core/offers";
 import { Stewardship } from "../core/stewardship";
 import type { NodeContext, NodePlugin } from "../node/context";
 import { RecordKind } from "../types/config";
 import { EventId } from "../types/eventId";
 import type { NodeState } from "../types/nodeDigest";
+import { DigestName } from "../types/nodeDigest";
 import type { StewardInputs, StewardRules } from "../types/stewardship";
 import { VmKind, VmState } from "../types/vm";
 import { emit } from "../utils/events";
@@ -26,7 +26,7 @@
  * knows the node any more.
  */
 const createGoneCheck = (node: NodeContext) => {
-    const incarnations = new Map(node.digests.values<NodeState>(statePart).map(({ value }) => [value.id, value.incarnation]));
+    const incarnations = new Map(node.digests.values<NodeState>(DigestName.Node).map(({ value }) => [value.id, value.incarnation]));
     const listed = new Set(node.fleet.vmsOf(VmKind.Node).map(vm => vm.id));
     return (holder: string): boolean => {
         const slash = holder.lastIndexOf("/");
--- a/src/types/digest.ts
+++ b/src/types/digest.ts
@@ -1,16 +1,16 @@
-/** A versioned part of what one node tells its peers; the higher version wins. */
+/** A versioned part of what one origin tells: a node of the zone, or another zone as a whole. The higher version wins. */
 export interface DigestPart {
-    readonly key: string;
+    readonly origin: string;
+    readonly name: string;
     readonly version: number;
     readonly value: unknown;
 }
 
-/** The versions that a node holds, by key. */
+/** The newest version held of each origin. */
 export type DigestSummary = Readonly<Record<string, number>>;
 
-/** One message of an exchange: what the sender holds, and the parts that it thinks the other lacks. */
+/** One message of an exchange: what the sender holds, and the parts that the other lacks. */
 export interface DigestMessage {
-    readonly from: string;
     readonly summary: DigestSummary;
     readonly parts: readonly DigestPart[];
 }
--- a/src/types/nodeDigest.ts
+++ b/src/types/nodeDigest.ts
@@ -1,7 +1,29 @@
 import type { EngineReport } from "./report";
 
-/** The seldom-changing part of a node's digest. */
-export interface NodeState {
+/** Names of the parts of a digest; a node tells them of itself, a zone of its runners. */
+export enum DigestName {
+    /** A node's state. */
+    Node = "node",
+    /** A zone's state. */
+    Zone = "zone",
+    /** Reports of engines, told anew when what they hold changes. */
+    Reports = "reports",
+    /** Load of engines. */
+    Load = "load",
+    /** Requests a second by artifact. */
+    Demand = "demand",
+}
+
+/** What must get no new requests. */
+export interface Exclusions {
+    /** Copies, as `runner artifact`. */
+    readonly drains: readonly string[];
+    /** Upstreams that were seen leaving. */
+    readonly leaving: readonly string[];
+}
+
+/** State of a node. */
+export interface NodeState extends Exclusions {
     readonly id: string;
     /** Differs at each start of the process. */
     readonly incarnation: string;
@@ -9,15 +31,21 @@
     readonly url: string;
     readonly stopping: boolean;
     readonly configSequence: number;
-    /** Artifacts that must get no new requests, as `runner artifact`. */
-    readonly drains: readonly string[];
-    /** Upstreams that this node saw leaving. */
-    readonly leaving: readonly string[];
 }
 
-/** The often-changing part: engine reports that this node collected, and the demand that it saw. */
-export interface NodeLoad {
-    readonly reports: Readonly<Record<string, EngineReport>>;
-    /** Requests a second by model and adapter, a moving average. */
-    readonly demand: Readonly<Record<string, number>>;
+/** State of a zone, as one of its nodes sums it up for other zones. */
+export interface ZoneState extends Exclusions {
+    readonly availabilityZone: string;
+    /** URL of the node that summed up. */
+    readonly url: string;
+    readonly nodes: number;
+    /** Least sequence of the configuration in force on a node of the zone. */
+    readonly configSequence: number;
 }
+
+/** Reports by runner. */
+export type DigestReports = Readonly<Record<string, EngineReport>>;
+/** Requests in progress and queued, by runner. */
+export type DigestLoad = Readonly<Record<string, readonly [number, number]>>;
+/** Requests a second by artifact. */
+export type DigestDemand = Readonly<Record<string, number>>;
