Exchange digests every 2 s and tell demand every 20 s

Cause: digests cost 39,500 bytes/s a node worked out for 80 nodes a zone; the target is 11 KB/s. Change: exchanges every 2 s inside the zone and 10 s between zones, demand of 16 artifacts with one digit every 20 s, zone loads every 30 s. A request that waits for a copy is still told at once.

--- a/src/core/publisher.ts
+++ b/src/core/publisher.ts
@@ -9,10 +9,12 @@
 
 /** Loads are told this often inside the zone; in between, a node goes by its own requests in flight. */
 const loadIntervalMs = 5_000;
-/** Demand and what crosses zones are told this often. */
-const slowIntervalMs = 10_000;
+/** Demand is told this often; a request that waits for a copy is told at once. */
+const demandIntervalMs = 20_000;
+/** Loads are told this often to other zones. */
+const zoneLoadIntervalMs = 30_000;
 /** Artifacts of which a node tells the demand, most demanded first. */
-const maxDemanded = 24;
+const maxDemanded = 16;
 
 /** Says when a part is due: when it has changed, and not more often than its interval. */
 class PartGate {
@@ -55,10 +57,10 @@
         node: PartGate.create(),
         reports: PartGate.create(),
         load: PartGate.create(loadIntervalMs),
-        demand: PartGate.create(slowIntervalMs),
+        demand: PartGate.create(demandIntervalMs),
         zone: PartGate.create(),
-        zoneLoad: PartGate.create(slowIntervalMs),
-        zoneDemand: PartGate.create(slowIntervalMs),
+        zoneLoad: PartGate.create(zoneLoadIntervalMs),
+        zoneDemand: PartGate.create(demandIntervalMs),
     };
     private readonly runnerGates = new Map<string, PartGate>();
 
@@ -108,7 +110,11 @@
     }
 
     private topDemand(): DigestDemand {
-        return Object.fromEntries(Object.entries(this.node.demand.rates()).sort(([, a], [, b]) => b - a).slice(0, maxDemanded));
+        return Object.fromEntries(
+            Object.entries(this.node.demand.rates()).sort(([, a], [, b]) => b - a).slice(0, maxDemanded).map((
+                [artifact, rate],
+            ) => [artifact, Number(rate.toPrecision(1))]),
+        );
     }
 
     private speaksForZone(): boolean {
