--- a/src/core/generation.ts
+++ b/src/core/generation.ts
@@ -11,7 +11,7 @@
 import { getOrCreate } from "../utils/maps";
 import { sleep } from "../utils/time";
 import { decide, DecisionKind } from "./decisions";
-import { FailureError, mayRetry, raise, toFailure } from "./failures";
+import { FailureError, mayRetry, toFailure } from "./failures";
 import { PrefixHints } from "./prefixHints";
 import { RetryBudget } from "./retryBudget";
 import type { RouteNeed } from "./routing";
@@ -42,11 +42,14 @@
 const maxAttempts = 5;
 /** Pause before the second attempt; it doubles with each further one. */
 const retryPauseMs = 25;
+const budgetRetryAfterMs = 1_000;
 
 interface Progress {
     delivered: number;
     text: string;
     attempt: number;
+    /** What is known of all attempts together. */
+    verdict: Verdict;
     versions: Versions;
     readonly avoid: Set<string>;
 }
@@ -146,20 +149,37 @@
     return kind && { kind, verdict: Verdict.MayHaveRun, detail: "the stream ended early" };
 };
 
-/** Whether a failed attempt is followed by another. Generations have no lasting effect, so they may be repeated. */
+/** Ends a generation with the verdict of all of its attempts. */
+const fail = (failure: Failure, progress: Progress): never => {
+    const { verdict, delivered } = progress;
+    assertInvariant(verdict !== Verdict.NotRun || delivered === 0, EventId.InvariantVerdict, () => `${delivered} pieces were delivered of what did not run`);
+    throw FailureError.create({ ...failure, verdict });
+};
+
+/** Ends the generation where a failed attempt is not to be followed by another. Generations have no lasting effect, so they may be repeated. */
 const checkRetry = (node: NodeContext, generation: Generation, progress: Progress, failure: Failure): void => {
-    const verdict = progress.delivered > 0 ? Verdict.MayHaveRun : failure.verdict;
     if (failure.kind === FailureKind.CallerGone || failure.kind === FailureKind.Internal || !mayRetry(failure.verdict, true)) {
-        throw FailureError.create({ ...failure, verdict });
+        fail(failure, progress);
     }
     if (progress.attempt >= maxAttempts) {
-        throw FailureError.create({ ...failure, verdict });
+        fail(failure, progress);
     }
     if (performance.now() >= generation.deadlineAt) {
-        raise(FailureKind.DeadlineExpired, failure.detail, verdict);
+        fail({ ...failure, kind: FailureKind.DeadlineExpired }, progress);
     }
     if (!getOrCreate(node.budgets, generation.model, RetryBudget.create).withdraw()) {
-        raise(FailureKind.RetryBudgetSpent, failure.detail, verdict, { retryAfterMs: 1_000 });
+        fail({ ...failure, kind: FailureKind.RetryBudgetSpent, retryAfterMs: budgetRetryAfterMs }, progress);
+    }
+};
+
+/** Notes what a failed attempt proves and costs. */
+const noteFailure = (progress: Progress, failure: Failure, request: string, runner: string): void => {
+    if (failure.verdict !== Verdict.NotRun) {
+        progress.verdict = Verdict.MayHaveRun;
+    }
+    emit(EventId.AttemptFailed, { request, attempt: progress.attempt, runner, kind: failure.kind, verdict: failure.verdict });
+    if (failure.kind === FailureKind.AnswerMismatch) {
+        emit(EventId.AnswerDropped, { request, runner });
     }
 };
 
@@ -168,31 +188,21 @@
     artifactsOf(generation).forEach(artifact => node.demand.count(artifact));
     getOrCreate(node.budgets, generation.model, RetryBudget.create).deposit();
     const prefixKey = PrefixHints.keyOf(generation.adapter ?? generation.model, generation.prompt);
-    const progress: Progress = { delivered: 0, text: "", attempt: 0, versions: { model: generation.model, adapter: generation.adapter }, avoid: new Set() };
-    let worst = Verdict.NotRun;
+    const { requestId, model, adapter } = generation;
+    const progress: Progress = { delivered: 0, text: "", attempt: 0, verdict: Verdict.NotRun, versions: { model, adapter }, avoid: new Set() };
     for (;;) {
         progress.attempt++;
-        const runner = await placeAttempt(node, generation, progress, prefixKey).catch((err: unknown) => {
-            const failure = toFailure(err);
-            // An earlier attempt may have run even though this one did not.
-            throw FailureError.create({ ...failure, verdict: worst });
-        });
+        // An earlier attempt may have run even where no runner takes a further one.
+        const runner = await placeAttempt(node, generation, progress, prefixKey).catch((err: unknown) => fail(toFailure(err), progress));
         const failure = await runAttempt(node, generation, progress, runner, sink);
         if (!failure) {
             node.hints.note(prefixKey, runner.vm.id);
             return;
         }
-        worst = failure.verdict === Verdict.NotRun ? worst : Verdict.MayHaveRun;
-        emit(EventId.AttemptFailed, {
-            request: generation.requestId,
-            attempt: progress.attempt,
-            runner: runner.vm.id,
-            kind: failure.kind,
-            verdict: failure.verdict,
-        });
-        checkRetry(node, generation, progress, { ...failure, verdict: failure.verdict === Verdict.NotRun ? worst : failure.verdict });
+        noteFailure(progress, failure, requestId, runner.vm.id);
+        checkRetry(node, generation, progress, failure);
         if (progress.delivered > 0) {
-            emit(EventId.StreamResumed, { request: generation.requestId, delivered: progress.delivered });
+            emit(EventId.StreamResumed, { request: requestId, delivered: progress.delivered });
         }
         progress.avoid.add(runner.vm.id);
         await sleep(retryPauseMs * 2 ** (progress.attempt - 1) * (0.5 + node.random()), generation.signal);
--- a/test/fakes/engine.ts
+++ b/test/fakes/engine.ts
@@ -58,6 +58,7 @@
         restart: false,
     };
     let lagged = model.report();
+    let received = 0;
     const spend = (name: "crossNext" | "truncateNext" | "refuseNext" | "resetNext" | "dropOrders"): boolean => faults[name] > 0 && faults[name]-- > 0;
 
     const stream = async (body: EngineBody, attemptId: string, res: ServerResponse, isChat: boolean): Promise<void> => {
@@ -85,6 +86,7 @@
         res.end(`data: ${JSON.stringify({ id, choices: [{ index: 0, delta: {}, finish_reason: "stop" }], usage })}\n\ndata: [DONE]\n\n`);
     };
     const generate = async (raw: unknown, attemptId: string, res: ServerResponse, isChat: boolean): Promise<unknown> => {
+        received++;
         const body = raw as EngineBody;
         const artifacts = [body.model, ...(body.adapter === undefined ? [] : [body.adapter])];
         if (spend("resetNext")) {
@@ -134,6 +136,6 @@
             }
             return faults;
         },
-        "GET /witness": () => ({ violations: model.violations, loads: model.loads, unloads: model.unloads, active: model.active }),
+        "GET /witness": () => ({ violations: model.violations, loads: model.loads, unloads: model.unloads, active: model.active, received }),
     });
 };
--- a/test/fakes/platform.ts
+++ b/test/fakes/platform.ts
@@ -16,6 +16,7 @@
     const objects = new Map<string, unknown>();
     const vms = new Map<string, Vm>();
     const listed = new Map<string, Vm>();
+    const faults = { listStaysUp: false };
     let listVersion = 0;
     const guard = (handler: Handler): Handler => async call => {
         try {
@@ -40,9 +41,13 @@
         "GET /vms": ({ req, res }) => {
             const etag = `"${listVersion}"`;
             res.setHeader("etag", etag);
-            return table.faults.down ? new Status(503) : req.headers["if-none-match"] === etag ? new Status(304, undefined) : [...listed.values()];
+            return table.faults.down && !faults.listStaysUp
+                ? new Status(503)
+                : req.headers["if-none-match"] === etag
+                ? new Status(304, undefined)
+                : [...listed.values()];
         },
-        "POST /control": ({ body }) => Object.assign(table.faults, body as Partial<TableFaults>),
+        "POST /control": ({ body }) => Object.assign(faults, Object.assign(table.faults, body as Partial<TableFaults>)),
         "POST /control/vms": ({ body }) => {
             for (const vm of body as Vm[]) {
                 vms.set(vm.id, vm);
--- a/test/path.test.ts
+++ b/test/path.test.ts
@@ -60,8 +60,12 @@
         nodes = [...fleet.nodeUrls.values()];
     });
     after(async () => {
-        assert.deepEqual(await fleet.violations(), []);
-        await fleet.processes.stopAll();
+        try {
+            assert.deepEqual(await fleet.violations(), []);
+        }
+        finally {
+            await fleet.processes.stopAll();
+        }
     });
 
     const send = ({ path, method = "POST", key = callerKey, headers, body }: Omit<Case, "name" | "status" | "reason">, node = nodes[0]!) =>
