--- /dev/null
+++ b/test/cli.test.ts
@@ -0,0 +1,111 @@
+import assert from "node:assert/strict";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { decide, DecisionKind, recordDecisions } from "../src/core/decisions";
+import { checkRecord, readRecord } from "../src/core/schemas";
+import { formatTraceLine } from "../src/core/trace";
+import { settingTable } from "../src/node/settings";
+import { sampleRecords } from "./fakes/fleet";
+import { Processes } from "./fakes/processes";
+
+const folder = mkdtempSync(join(tmpdir(), "cli-"));
+after(() => rmSync(folder, { recursive: true }));
+const fileOf = (name: string, text: string): string => {
+    writeFileSync(join(folder, name), text);
+    return join(folder, name);
+};
+const run = (...args: readonly string[]) => Processes.create().run(args, {});
+
+describe("the command line", () => {
+    it("lists every missing setting at once and ends with 2", async () => {
+        const { code, stderr } = await run("serve", "--listen", "nowhere", "--config-poll-ms", "7", "--operator-token", "short");
+        assert.equal(code, 2);
+        for (const { flag, defaultValue, schema } of Object.values(settingTable)) {
+            const isFault = (defaultValue === undefined && !schema.safeParse(undefined).success) || flag === "--config-poll-ms";
+            assert.equal(stderr.includes(`${flag} (JACKDAWTRAIL_`), isFault, flag);
+        }
+        assert.ok(!stderr.includes('"short"'), "a secret is not shown");
+    });
+
+    it("checks records without a node and names the path of each fault", async () => {
+        assert.equal((await run("records", "check", fileOf("good.json", JSON.stringify(sampleRecords)))).code, 0);
+        const bad = fileOf(
+            "bad.json",
+            JSON.stringify([{ schemaVersion: 2, kind: "model", name: "m", version: "1", memoryMiB: -1 }, { schemaVersion: 9, kind: "model" }]),
+        );
+        const { code, stdout } = await run("records", "check", "--json", bad);
+        assert.equal(code, 2);
+        const paths = (JSON.parse(stdout) as { faults: { path: string; }[]; }).faults.map(({ path }) => path);
+        assert.ok(["records.0.memoryMiB", "records.0.deployment", "records.1.name"].every(path => paths.includes(path)), paths.join());
+    });
+
+    it("replays a trace and prints the first difference with exit code 4", async () => {
+        const lines: string[] = [];
+        recordDecisions((decision, input, outcome) => void lines.push(formatTraceLine({ decision, input, outcome })));
+        const report = {
+            incarnation: "1",
+            sequence: 1,
+            memoryMiB: 100,
+            slots: 1,
+            active: 0,
+            queued: 0,
+            fence: 0,
+            leaving: false,
+            residencies: [],
+            openOrders: [],
+        };
+        const rules = { now: 0, agesMs: {}, latenessMs: 1, checksFence: false, self: "n/1", goneHolders: [] };
+        decide(DecisionKind.Reconcile, { row: { runner: "r", incarnation: "1", memoryMiB: 100, entries: [] }, report, rules });
+        recordDecisions(undefined);
+        assert.equal((await run("replay", fileOf("good.trace", lines.join("\n")))).code, 0);
+        const { code, stdout } = await run("replay", fileOf("bad.trace", lines.join("\n").replace('"gone":[]', '"gone":["model:m@1"]')));
+        assert.deepEqual([code, stdout.startsWith("line 1, reconcile")], [4, true]);
+    });
+
+    it("ends with 3 where no node can be reached", async () => {
+        assert.equal((await run("status", "--url", "http://127.0.0.1:1", "--operator-token", "x")).code, 3);
+    });
+});
+
+describe("record schemas", () => {
+    const v1 = { schemaVersion: 1, kind: "model", name: "m", version: "1", memoryBytes: 1_048_577, deployment: "d", later: { kept: true } };
+    const cases: readonly { readonly name: string; readonly raw: unknown; readonly expected: object | undefined; }[] = [
+        { name: "a model of version 1", raw: v1, expected: { memoryMiB: 2, later: { kept: true } } },
+        {
+            name: "a caller's number as priority",
+            raw: { schemaVersion: 1, kind: "caller", name: "c", keyHashes: ["0".repeat(64)], priority: 2 },
+            expected: { priority: "low" },
+        },
+        {
+            name: "a list of repeatable calls",
+            raw: { schemaVersion: 1, kind: "service", name: "s", calls: ["GET /stock"] },
+            expected: { calls: [{ method: "GET", path: "/stock", repeatable: true }] },
+        },
+        { name: "an unknown kind", raw: { schemaVersion: 2, kind: "car", name: "c" }, expected: undefined },
+        { name: "a list", raw: [], expected: undefined },
+    ];
+    for (const { name, raw, expected } of cases) {
+        it(`reads ${name}`, () => {
+            const reading = readRecord(raw);
+            assert.equal(reading.ok, expected !== undefined);
+            if (reading.ok) {
+                Object.entries(expected!).forEach(([key, value]) => assert.deepEqual((reading.record as Record<string, unknown>)[key], value));
+            }
+        });
+    }
+
+    it("reads a newer version that only adds, and lets nobody write it here", () => {
+        const newer = { schemaVersion: 3, kind: "deployment", name: "d", checksFence: true, added: 1 };
+        assert.equal(readRecord(newer).ok, true);
+        assert.equal(checkRecord(newer).ok, false);
+    });
+});
+
+describe("pages", () => {
+    it("name every event and setting", () => {
+        assert.match(readFileSync("docs/EVENTS.md", "utf8"), /908/);
+        Object.values(settingTable).forEach(({ flag }) => assert.ok(readFileSync("docs/CONFIGURATION.md", "utf8").includes(flag), flag));
+    });
+});
