Deal home copies by capacity, keep adapters with their model, and measure the policy

Change: least copies are dealt in each model's own order of zones, passing over full ones; an adapter is at home with its model. Ruled out: a copy of every model in every zone, which the memory does not hold.

--- a/bench/policy.ts
+++ b/bench/policy.ts
@@ -1,1 +1,49 @@
-export const benchPolicy = (): void => undefined;
+import { createRandom } from "../src/utils/random";
+import { printTable, short, summarize } from "./measure";
+import { createLeastLoadPolicy, createStaticPolicy, JackdawPolicy } from "./policies";
+import type { PolicyResult } from "./policySim";
+import { PolicySim } from "./policySim";
+import type { Workload } from "./policyWorkloads";
+import { drawRequests, Scenario, workloads } from "./policyWorkloads";
+
+const seeds = [1, 2, 3];
+const policies = [createStaticPolicy, createLeastLoadPolicy, (workload: Workload) => new JackdawPolicy({ workload })];
+
+const median = (results: readonly PolicyResult[], of: (result: PolicyResult) => number): string => {
+    const { median: middle, least, most } = summarize(results.map(of));
+    return `${short(middle)} (${short(least)} to ${short(most)})`;
+};
+
+/** Compares the decision code with two baselines on the same requests. */
+export const benchPolicy = (args: readonly string[]): void => {
+    for (const workload of workloads.filter(({ name }) => args.length === 0 || args[0] === name)) {
+        const rows = Object.values(Scenario).filter(scenario => args[1] === undefined || args[1] === scenario).flatMap(scenario =>
+            policies.map(create => {
+                const policy = create(workload);
+                const results = seeds.map(seed =>
+                    new PolicySim(workload, scenario, createRandom(seed + 100), create(workload)).run(drawRequests(workload, scenario, createRandom(seed)))
+                );
+                return [
+                    scenario,
+                    policy.name,
+                    median(results, result => result.attainment),
+                    median(results, result => result.perAccelerator * 100),
+                    median(results, result => result.modelMoves),
+                    median(results, result => result.adapterMoves),
+                    ["p50", "p95", "p99"].map(name => short(summarize(results.map(result => result[name as "p50"])).median)).join(" / "),
+                    median(results, result => result.refused),
+                ];
+            })
+        );
+        printTable(`${workload.name}, seeds ${seeds.join(", ")}, 10 minutes: median (range)`, [
+            "scenario",
+            "policy",
+            "attainment",
+            "attainment per 100 accelerators",
+            "model moves",
+            "adapter moves",
+            "first token p50/p95/p99 ms",
+            "refused",
+        ], rows);
+    }
+};
--- a/bench/slopes.ts
+++ b/bench/slopes.ts
@@ -38,7 +38,14 @@
     const rows = [30, 280, 1_400].map(models => {
         const config = ConfigStore.create();
         config.advance(sampleChanges(models));
-        const inputs = { config, availabilityZone: "za", zonesOf: new Map([["d", zones]]), demandOf: () => 0.2, holds: () => true };
+        const inputs = {
+            config,
+            availabilityZone: "za",
+            zonesOf: new Map([["d", zones]]),
+            capacityOf: () => 80_000 * 182,
+            demandOf: () => 0.2,
+            holds: () => true,
+        };
         return [models, show(timeStep(5, () => void createOffers(inputs)))];
     });
     printTable("Offers of one zone of five, one round", ["models", "processor µs: median (range)"], rows);
--- a/src/core/offers.ts
+++ b/src/core/offers.ts
@@ -15,47 +15,82 @@
     readonly availabilityZone: string;
     /** Zones with runners, by deployment. */
     readonly zonesOf: ReadonlyMap<string, readonly string[]>;
+    /** Memory of a deployment's runners in a zone. */
+    readonly capacityOf: (availabilityZone: string, deployment: string) => number;
     /** Requests a second by zone and artifact. */
     readonly demandOf: (availabilityZone: string, artifact: string) => number;
     /** Whether a zone has a confirmed copy. */
     readonly holds: (availabilityZone: string, artifact: string) => boolean;
 }
 
-/** Copies that fall to a zone when they are dealt out over the zones in the artifact's order. */
-const shareOf = (copies: number, rank: number, zones: number): number => Math.floor(copies / zones) + (rank < copies % zones ? 1 : 0);
+/** Share of a zone's memory that least copies may take; the rest is for demand, adapters and versions that change. */
+const homeShare = 0.8;
 
-const createOffer = (inputs: OfferInputs, artifact: string, memoryMiB: number, deployment: string, copies: number, base: string | undefined):
-    | Offer
-    | undefined => {
-    const zones = rankByHashOnce(artifact, inputs.zonesOf.get(deployment) ?? []);
-    const rank = zones.indexOf(inputs.availabilityZone);
-    if (rank < 0) {
+/** Least copies of a model by zone. */
+type Homes = ReadonlyMap<string, number>;
+
+/**
+ * Deals the least copies of all models out over the zones, in each model's own order of zones, passing over zones that are full. Every node
+ * comes to the same homes from the same records and runners.
+ */
+const dealHomes = ({ config, zonesOf, capacityOf }: OfferInputs): ReadonlyMap<string, Homes> => {
+    const dealt = new Map<string, Homes>();
+    const left = new Map<string, number>();
+    const models = [...config.all(RecordKind.Model)].sort((a, b) => a.name < b.name ? -1 : 1);
+    for (const model of models) {
+        const zones = rankByHashOnce(modelArtifact(model), zonesOf.get(model.deployment) ?? []);
+        const homes = new Map<string, number>();
+        for (let copy = 0; copy < model.minCopies && zones.length > 0; copy++) {
+            const keyOf = (zone: string) => `${model.deployment} ${zone}`;
+            const leftIn = (zone: string) => left.get(keyOf(zone)) ?? capacityOf(zone, model.deployment) * homeShare;
+            const inTurn = [...zones.slice(copy % zones.length), ...zones.slice(0, copy % zones.length)];
+            const zone = inTurn.find(other => leftIn(other) >= model.memoryMiB) ?? inTurn[0]!;
+            left.set(keyOf(zone), leftIn(zone) - model.memoryMiB);
+            homes.set(zone, (homes.get(zone) ?? 0) + 1);
+        }
+        dealt.set(model.name, homes);
+    }
+    return dealt;
+};
+
+const createOffer = (
+    inputs: OfferInputs,
+    artifact: string,
+    memoryMiB: number,
+    deployment: string,
+    homes: Homes,
+    base: string | undefined,
+): Offer | undefined => {
+    const { availabilityZone, holds, demandOf } = inputs;
+    const zones = inputs.zonesOf.get(deployment) ?? [];
+    if (!zones.includes(availabilityZone)) {
         return undefined;
     }
-    const others = zones.filter(zone => zone !== inputs.availabilityZone);
-    const homes = others.filter(zone => shareOf(copies, zones.indexOf(zone), zones.length) > 0);
-    // The first zone also answers for the zones that have no copy of their own.
-    const guests = rank === 0 ? others.filter(zone => !inputs.holds(zone, artifact)) : [];
-    const demand = [inputs.availabilityZone, ...guests].reduce((sum, zone) => sum + inputs.demandOf(zone, artifact), 0);
+    const others = zones.filter(zone => zone !== availabilityZone);
+    // The first home also answers for the zones that have no copy of their own.
+    const guests = homes.keys().next().value === availabilityZone ? others.filter(zone => !holds(zone, artifact)) : [];
     return {
         artifact,
         memoryMiB,
         deployment,
-        minCopies: shareOf(copies, rank, zones.length),
-        homeHolds: homes.some(zone => inputs.holds(zone, artifact)),
-        demand,
+        minCopies: homes.get(availabilityZone) ?? 0,
+        homeHolds: others.some(zone => homes.has(zone) && holds(zone, artifact)),
+        demand: [availabilityZone, ...guests].reduce((sum, zone) => sum + demandOf(zone, artifact), 0),
         base,
     };
 };
 
-/** What a zone offers: each model and adapter of the configuration whose deployment has runners there. */
+/** What a zone offers: each model and adapter of the configuration whose deployment has runners there. An adapter is at home with its model. */
 export const createOffers = (inputs: OfferInputs): readonly Offer[] => {
+    const homes = dealHomes(inputs);
     const models = inputs.config.all(RecordKind.Model).map(model =>
-        createOffer(inputs, modelArtifact(model), model.memoryMiB, model.deployment, model.minCopies, undefined)
+        createOffer(inputs, modelArtifact(model), model.memoryMiB, model.deployment, homes.get(model.name)!, undefined)
     );
     const adapters = inputs.config.all(RecordKind.Adapter).map(adapter => {
         const model = inputs.config.get(RecordKind.Model, adapter.model);
-        return model && createOffer(inputs, adapterArtifact(adapter), adapter.memoryMiB, model.deployment, 1, modelArtifact(model));
+        const first = model && [...homes.get(model.name)!.keys()].slice(0, 1);
+        return model &&
+            createOffer(inputs, adapterArtifact(adapter), adapter.memoryMiB, model.deployment, new Map(first!.map(zone => [zone, 1])), modelArtifact(model));
     });
     return [...models, ...adapters].filter(offer => offer !== undefined);
 };
@@ -82,8 +117,14 @@
             demand.set(key, (demand.get(key) ?? 0) + rate);
         }
     }
+    const capacity = new Map<string, number>();
+    for (const { vm, report, leaving } of node.fleet.runners()) {
+        const key = `${vm.group ?? ""} ${vm.availabilityZone}`;
+        capacity.set(key, (capacity.get(key) ?? 0) + (leaving ? 0 : report?.memoryMiB ?? 0));
+    }
     return {
         config: node.config,
+        capacityOf: (availabilityZone, deployment) => capacity.get(`${deployment} ${availabilityZone}`) ?? 0,
         availabilityZone: node.cfg.availabilityZone,
         zonesOf,
         demandOf: (availabilityZone, artifact) => demand.get(`${zoneOrigin(availabilityZone)} ${artifact}`) ?? 0,
