--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -1,18 +1,9 @@
 // Bundles the program, the demo, the stand-ins and the library into single CommonJS files.
 import { build } from "esbuild";
+import { bundleProgram, common, define } from "./bundleProgram.mjs";
 
-const common = { bundle: true, platform: "node", target: "node20", format: "cjs", logLevel: "error", legalComments: "none" };
-const define = { "import.meta.url": "undefined" };
 await Promise.all([
-    build({
-        ...common,
-        define,
-        entryPoints: ["src/cli/main.ts"],
-        outfile: "build/jackdawtrail.cjs",
-        minifySyntax: true,
-        minifyWhitespace: true,
-        keepNames: true,
-    }),
+    bundleProgram("build/jackdawtrail.cjs"),
     build({ ...common, define, entryPoints: ["test/fakes/main.ts"], outfile: "build/fakes.cjs" }),
     build({
         ...common,
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,12 +3,14 @@
 import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
 import { ReplayCommand } from "./replay";
 import { ServeCommand } from "./serve";
+import { ServePlatformCommand } from "./servePlatform";
 
 const cli = new Cli({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
 [
     Builtins.HelpCommand,
     Builtins.VersionCommand,
     ServeCommand,
+    ServePlatformCommand,
     RecordsApplyCommand,
     RecordsGetCommand,
     RecordsListCommand,
--- /dev/null
+++ b/src/core/chooseUpstream.ts
@@ -0,0 +1,65 @@
+import type { UpstreamServer } from "../types/upstreamServer";
+import type { UpstreamTraffic } from "./upstreamTraffic";
+
+/** Time that a request loses on its way to another zone and back. */
+const crossZoneMs = 3;
+/** Latency assumed for an upstream that has not answered yet. */
+const assumedLatencyMs = 60;
+/** Added to the predicted time for each recent failure. */
+const failurePenaltyMs = 400;
+/** Prompt tokens that a runner reads in a millisecond, before its pace is known. */
+const prefillTokensPerMs = 38;
+/** Time of one step of a batch, and what each further request in it adds. */
+const stepMs = 5.5;
+const stepMsPerRequest = 0.05;
+/** Steps until the first event of a stream leaves. */
+const firstEventSteps = 5;
+/** Time that each request waiting at the runner is thought to add. */
+const waitingMs = 40;
+
+/** An upstream that could take a request. */
+export interface Candidate {
+    readonly server: UpstreamServer;
+    readonly traffic: UpstreamTraffic;
+    /** Prompt tokens that it would have to read; 0 for plain services. */
+    readonly prefillTokens: number;
+    /** Factor of the model's speed; 1 for plain services. */
+    readonly pace: number;
+}
+
+/** A choice with the time to the first byte that it promises. */
+export interface Choice {
+    readonly candidate: Candidate;
+    readonly predictedMs: number;
+    /** Part of it that the request adds for those after it. */
+    readonly prefillMs: number;
+}
+
+/** Time in which a runner reads a prompt. */
+export const prefillTime = (tokens: number, pace: number): number => tokens * pace / prefillTokensPerMs;
+
+const predict = ({ server, traffic, prefillTokens, pace }: Candidate, zone: string): Choice["predictedMs"] => {
+    const away = server.availabilityZone === zone ? 0 : crossZoneMs;
+    if (prefillTokens === 0) {
+        const latency = traffic.firstByteMs ?? assumedLatencyMs;
+        return away + latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) + latency * 0.1 * traffic.load / Math.max(1, server.slots);
+    }
+    const steps = firstEventSteps * (stepMs + stepMsPerRequest * traffic.load) * pace;
+    return away + traffic.pendingPrefillMs + prefillTime(prefillTokens, pace) + steps + waitingMs * traffic.waiting;
+};
+
+/** The upstream that should answer first; one that fails or cannot be reached counts as slower. */
+export const chooseUpstream = (candidates: readonly Candidate[], zone: string): Choice | undefined => {
+    let best: Choice | undefined;
+    let bestCost = Number.POSITIVE_INFINITY;
+    for (const candidate of candidates) {
+        const predictedMs = predict(candidate, zone);
+        const { traffic } = candidate;
+        const cost = predictedMs + failurePenaltyMs * traffic.recentFailures + (traffic.isUnreachable ? 10 * failurePenaltyMs : 0);
+        if (cost < bestCost) {
+            bestCost = cost;
+            best = { candidate, predictedMs, prefillMs: prefillTime(candidate.prefillTokens, candidate.pace) };
+        }
+    }
+    return best;
+};
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -12,6 +12,7 @@
     [FailureKind.BadJson]: { status: 400, title: "the body is not valid JSON" },
     [FailureKind.BadRequest]: { status: 400, title: "the request is not valid" },
     [FailureKind.BodyTooLarge]: { status: 413, title: "the body is too large" },
+    [FailureKind.HeadersTooLarge]: { status: 431, title: "the headers are too large" },
     [FailureKind.SlowSender]: { status: 408, title: "the body did not arrive in time" },
     [FailureKind.UnknownPath]: { status: 404, title: "the path is unknown" },
     [FailureKind.MethodNotAllowed]: { status: 405, title: "the method is not allowed here" },
--- /dev/null
+++ b/src/core/serviceBudget.ts
@@ -0,0 +1,40 @@
+/** What bounds the repeats that all nodes together may send to one service. */
+export interface BudgetRules {
+    readonly ratio: number;
+    readonly windowMs: number;
+    readonly slack: number;
+}
+
+/** Part of the allowance that is used; the rest covers what nodes count differently at the edges of a window. */
+const usedShare = 0.8;
+
+/** Bounds this node's repeats to one service: its share of what the whole system may send in a window. */
+export class ServiceBudget {
+    private requests: number[] = [];
+    private repeats: number[] = [];
+
+    private constructor(private readonly rules: BudgetRules, private readonly nodes: () => number, private readonly now: () => number) {}
+
+    /** Makes a budget; `nodes` tells how many nodes share it. */
+    static create(rules: BudgetRules, nodes: () => number, now: () => number = () => performance.now()): ServiceBudget {
+        return new ServiceBudget(rules, nodes, now);
+    }
+
+    /** Counts a request of a caller. */
+    countRequest(): void {
+        this.requests.push(this.now());
+    }
+
+    /** Takes one repeat from the budget; false when it is spent. */
+    takeRepeat(): boolean {
+        const oldest = this.now() - this.rules.windowMs;
+        this.requests = this.requests.filter(at => at > oldest);
+        this.repeats = this.repeats.filter(at => at > oldest);
+        const allowed = usedShare * (this.rules.ratio * this.requests.length + this.rules.slack / Math.max(1, this.nodes()));
+        if (this.repeats.length + 1 > allowed) {
+            return false;
+        }
+        this.repeats.push(this.now());
+        return true;
+    }
+}
--- /dev/null
+++ b/src/core/tableFollower.ts
@@ -0,0 +1,98 @@
+import { EventId } from "../types/eventId";
+import type { RowStore, StoredRow } from "../types/rowStore";
+import { FeedKind } from "../types/rowStore";
+import { emit } from "../utils/events";
+import type { Random } from "../utils/random";
+import { sleep } from "../utils/time";
+
+/** Wait of one call to the feed: a connection that has gone silent is noticed soon after it. */
+const feedWaitMs = 2_200;
+/** Pause after a failed call, and its jitter: nodes should not return all at once. */
+const retryPauseMs = 150;
+/** Rows that lapsed while the store was away may be back for this long after its return. */
+const returnGraceMs = 2_500;
+
+/** What a follower tells of its table. */
+export interface TableObserver {
+    /** The whole table. `mayBeBack`: rows that are missing may come back, the store was away. */
+    onTable(rows: readonly StoredRow[], version: number, mayBeBack: boolean): void;
+    /** Rows that changed; one without a value was dropped. */
+    onChanges(rows: readonly StoredRow[], version: number, mayBeBack: boolean): void;
+}
+
+/** Keeps in step with one table of the store through its feed. */
+export class TableFollower {
+    private version: number | undefined;
+    private lostAt: number | undefined;
+    private regainedAt = Number.NEGATIVE_INFINITY;
+
+    private constructor(
+        private readonly store: RowStore,
+        private readonly table: string,
+        private readonly observer: TableObserver,
+        private readonly random: Random,
+    ) {}
+
+    /** Makes a follower that has not read yet. */
+    static create(store: RowStore, table: string, observer: TableObserver, random: Random): TableFollower {
+        return new TableFollower(store, table, observer, random);
+    }
+
+    /** Whether the last call was answered. */
+    get isInTouch(): boolean {
+        return this.lostAt === undefined;
+    }
+
+    /** Follows until the signal aborts. */
+    async run(signal: AbortSignal): Promise<void> {
+        while (!signal.aborted) {
+            try {
+                await this.step(signal);
+            }
+            catch (err) {
+                if (signal.aborted) {
+                    return;
+                }
+                this.onLost(err);
+                await sleep(retryPauseMs * (0.5 + this.random()), signal);
+            }
+        }
+    }
+
+    private async step(signal: AbortSignal): Promise<void> {
+        if (this.version === undefined) {
+            const { rows, version } = await this.store.readTable(this.table);
+            this.onAnswer();
+            this.version = version;
+            this.observer.onTable(rows, version, this.mayBeBack);
+            return;
+        }
+        const reading = await this.store.feed(this.table, this.version, feedWaitMs, signal);
+        this.onAnswer();
+        if (reading.kind === FeedKind.HistoryGone) {
+            this.version = undefined;
+            return;
+        }
+        this.version = Math.max(this.version, reading.version);
+        this.observer.onChanges(reading.rows, reading.version, this.mayBeBack);
+    }
+
+    private get mayBeBack(): boolean {
+        return performance.now() - this.regainedAt < returnGraceMs;
+    }
+
+    private onAnswer(): void {
+        if (this.lostAt !== undefined) {
+            emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.lostAt) });
+            this.lostAt = undefined;
+            this.regainedAt = performance.now();
+        }
+    }
+
+    private onLost(err: unknown): void {
+        if (this.lostAt === undefined) {
+            this.lostAt = performance.now();
+            emit(EventId.StoreLost, { table: this.table, version: this.version, detail: err instanceof Error ? err.message : String(err) });
+        }
+    }
+}
--- /dev/null
+++ b/src/core/upstreamTraffic.ts
@@ -0,0 +1,85 @@
+import type { ToldLoad } from "../types/requestWire";
+
+/** Time in which the memory of a failure fades to a half. */
+const failureHalfLifeMs = 3_000;
+/** Weight of a new sample in the moving average of latencies. */
+const smoothing = 0.2;
+/** After this time an upstream's word on its load says little. */
+const toldLifetimeMs = 1_500;
+/** Pause after a connection could not be made. */
+const unreachablePauseMs = 1_000;
+
+/** What a node knows of an upstream from its own requests. */
+export class UpstreamTraffic {
+    /** Own requests in progress. */
+    inFlight = 0;
+    /** Prefill that own requests without a first token still wait for. */
+    pendingPrefillMs = 0;
+    /** Moving average of the time to the first byte of an answer, undefined before the first. */
+    firstByteMs: number | undefined;
+    private told: ToldLoad | undefined;
+    private toldAt = 0;
+    private inFlightWhenTold = 0;
+    private failures = 0;
+    private failuresAt = 0;
+    private unreachableUntil = 0;
+
+    private constructor(private readonly now: () => number) {}
+
+    /** Makes the record of an upstream that has not been used yet. */
+    static create(now: () => number = () => performance.now()): UpstreamTraffic {
+        return new UpstreamTraffic(now);
+    }
+
+    /** Whether connections to it failed a moment ago. */
+    get isUnreachable(): boolean {
+        return this.now() < this.unreachableUntil;
+    }
+
+    /** Recent failures, older ones counting less. */
+    get recentFailures(): number {
+        return this.failures * 2 ** (-(this.now() - this.failuresAt) / failureHalfLifeMs);
+    }
+
+    /** Requests at the upstream: its last word, aged, with what was sent since, or the own count if that is more. */
+    get load(): number {
+        if (!this.told) {
+            return this.inFlight;
+        }
+        const freshness = Math.max(0, 1 - (this.now() - this.toldAt) / toldLifetimeMs);
+        const others = Math.max(0, this.told.running + this.told.waiting - this.inFlightWhenTold);
+        return this.inFlight + others * freshness;
+    }
+
+    /** Requests that waited at the upstream when it last spoke. */
+    get waiting(): number {
+        return this.told && this.now() - this.toldAt < toldLifetimeMs ? this.told.waiting : 0;
+    }
+
+    onLoad(told: ToldLoad): void {
+        this.told = told;
+        this.toldAt = this.now();
+        this.inFlightWhenTold = this.inFlight;
+    }
+
+    onFirstByte(ms: number): void {
+        const average = this.firstByteMs ?? ms;
+        this.firstByteMs = average + smoothing * (ms - average);
+    }
+
+    onFailure(weight = 1): void {
+        this.failures = this.recentFailures + weight;
+        this.failuresAt = this.now();
+    }
+
+    /** A success takes back half of what failures told. */
+    onSuccess(): void {
+        this.failures = this.recentFailures / 2;
+        this.failuresAt = this.now();
+    }
+
+    onUnreachable(): void {
+        this.unreachableUntil = this.now() + unreachablePauseMs;
+        this.onFailure();
+    }
+}
--- /dev/null
+++ b/src/forward/attempt.ts
@@ -0,0 +1,118 @@
+import type { Dispatcher } from "undici";
+import type { AnswerHeaders, HeaderMap, RequestWire } from "../types/requestWire";
+import { codeOf } from "../utils/transport";
+import type { UpstreamConnections } from "./upstreamConnections";
+
+/** How an attempt ended. */
+export enum AttemptEndKind {
+    /** The whole answer came. */
+    Whole = "whole",
+    /** No byte of the request left. */
+    Unsent = "unsent",
+    /** The connection ended, or an answer to another request came: the request may have run. */
+    Lost = "lost",
+    /** The node ended the attempt. */
+    Aborted = "aborted",
+}
+
+/** End of an attempt. */
+export interface AttemptEnd {
+    readonly kind: AttemptEndKind;
+    readonly reason: string;
+}
+
+/** First part of an answer. */
+export interface AnswerHead {
+    readonly status: number;
+    readonly headers: HeaderMap;
+    readonly told: AnswerHeaders;
+}
+
+/** A request as it is sent to an upstream. */
+export interface OutgoingRequest {
+    readonly requestId: string;
+    readonly method: string;
+    readonly path: string;
+    /** Names and values in turn. */
+    readonly headers: string[];
+    readonly body: Buffer;
+    readonly mayRepeat: boolean;
+}
+
+/** Takes an answer as it comes. */
+export interface AnswerSink {
+    onHead(head: AnswerHead): void;
+    /** Returns false to pause the upstream until `resume` is called. */
+    onData(chunk: Buffer, resume: () => void): boolean;
+}
+
+const abortReason = new Error("the node ended the attempt");
+
+/** Sends a request over one connection and passes the answer on. The connection is used again only after a whole answer that belongs to it. */
+export const sendAttempt = (
+    connections: UpstreamConnections,
+    req: OutgoingRequest,
+    wire: RequestWire,
+    sink: AnswerSink,
+    signal: AbortSignal,
+): Promise<AttemptEnd> =>
+    new Promise(resolve => {
+        const client = connections.take(req.mayRepeat);
+        let isSent = false;
+        let isMismatched = false;
+        let controller: Dispatcher.DispatchController | undefined;
+        const finish = (kind: AttemptEndKind, reason: string): void => {
+            signal.removeEventListener("abort", onAbort);
+            if (kind === AttemptEndKind.Whole) {
+                connections.release(client);
+            }
+            else {
+                connections.retire(client);
+            }
+            resolve({ kind, reason });
+        };
+        const onAbort = (): void => {
+            controller?.abort(abortReason);
+            finish(isSent ? AttemptEndKind.Aborted : AttemptEndKind.Unsent, "aborted");
+        };
+        if (signal.aborted) {
+            finish(AttemptEndKind.Unsent, "aborted");
+            return;
+        }
+        signal.addEventListener("abort", onAbort, { once: true });
+        client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null }, {
+            onRequestStart: started => {
+                if (isSent) {
+                    // The library would send the request again over a new connection.
+                    started.abort(abortReason);
+                    return;
+                }
+                isSent = true;
+                controller = started;
+            },
+            onResponseStart: (_, status, headers) => {
+                if (status < 200) {
+                    return;
+                }
+                const told = wire.decodeAnswer(status, headers);
+                if (told.isSealed && told.requestId !== req.requestId) {
+                    isMismatched = true;
+                    controller?.abort(abortReason);
+                    finish(AttemptEndKind.Lost, "answer to another request");
+                    return;
+                }
+                sink.onHead({ status, headers, told });
+            },
+            onResponseData: (current, chunk) => {
+                if (!isMismatched && !sink.onData(chunk, () => current.resume())) {
+                    current.pause();
+                }
+            },
+            onResponseEnd: () => {
+                if (!isMismatched) {
+                    finish(AttemptEndKind.Whole, "whole");
+                }
+            },
+            onResponseError: (_, err) => finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, codeOf(err)),
+        });
+    });
--- /dev/null
+++ b/src/forward/call.ts
@@ -0,0 +1,25 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { CallerHeaders } from "../types/requestWire";
+import type { ServiceRoute } from "../types/servingConfig";
+import { RouteKind } from "../types/servingConfig";
+
+/** A caller's request that has been read and belongs to a route. Times are on the monotonic clock. */
+export interface Call {
+    readonly req: IncomingMessage;
+    readonly res: ServerResponse;
+    readonly caller: CallerHeaders;
+    readonly route: ServiceRoute;
+    readonly service: string;
+    readonly configVersion: number;
+    /** Headers that are passed on, names and values in turn. */
+    readonly headers: readonly string[];
+    readonly body: Buffer;
+    readonly startedAt: number;
+    /** Time of the final answer: the caller's deadline or the route's timeout, whichever is sooner. */
+    readonly deadlineAt: number;
+    /** Aborts when the caller leaves. */
+    readonly signal: AbortSignal;
+}
+
+/** Whether the request may run more than once. */
+export const mayRepeat = ({ kind, isResumable }: ServiceRoute): boolean => kind === RouteKind.Idempotent || (kind === RouteKind.Streaming && isResumable);
--- /dev/null
+++ b/src/forward/gateway.ts
@@ -0,0 +1,96 @@
+import { PromptCache } from "../core/promptCache";
+import { ResidencyView } from "../core/residencyView";
+import { RouteTable } from "../core/routeTable";
+import { ServiceBudget } from "../core/serviceBudget";
+import { UpstreamDirectory } from "../core/upstreamDirectory";
+import { UpstreamTraffic } from "../core/upstreamTraffic";
+import { EventId } from "../types/eventId";
+import type { NodeSettings } from "../types/nodeSettings";
+import type { RequestWire } from "../types/requestWire";
+import type { ServingConfig } from "../types/servingConfig";
+import { emit } from "../utils/events";
+import { getOrCreate } from "../utils/maps";
+import type { Random } from "../utils/random";
+import { UpstreamConnections } from "./upstreamConnections";
+
+/** A configuration in force, with its index. */
+interface ConfigInForce {
+    readonly config: ServingConfig;
+    readonly routes: RouteTable;
+}
+
+/** What the parts of a node that forwards requests share. */
+export class Gateway {
+    readonly directory = UpstreamDirectory.create();
+    readonly cache = PromptCache.create();
+    readonly residency = ResidencyView.create();
+    private inForce: ConfigInForce | undefined;
+    private readonly traffics = new Map<string, UpstreamTraffic>();
+    private readonly pools = new Map<string, UpstreamConnections>();
+    private readonly budgets = new Map<string, ServiceBudget>();
+    /** Nodes that are thought to share the budgets. */
+    knownNodes = 1;
+    /** The configuration in force as it was published, for peers. */
+    configBytes: Buffer | undefined;
+    isStopping = false;
+    /** Requests that are read and not answered yet. */
+    inProgress = 0;
+
+    private constructor(readonly settings: NodeSettings, readonly wire: RequestWire, readonly random: Random) {
+        this.directory.observe(({ id, server, version }, before) => {
+            emit(EventId.UpstreamChanged, {
+                upstream: id,
+                rowVersion: version,
+                service: (server ?? before)?.service,
+                state: server?.state ?? "gone",
+                models: server?.models.map(({ name }) => name),
+            });
+            if (!server || (before && before.bornAt !== server.bornAt)) {
+                this.forget(id);
+            }
+        });
+    }
+
+    /** Makes the shared state of a node that knows nothing yet. */
+    static create(settings: NodeSettings, wire: RequestWire, random: Random): Gateway {
+        return new Gateway(settings, wire, random);
+    }
+
+    get config(): ServingConfig | undefined {
+        return this.inForce?.config;
+    }
+
+    get routes(): RouteTable | undefined {
+        return this.inForce?.routes;
+    }
+
+    /** Puts a configuration in force unless a newer one is; returns whether it did. */
+    applyConfig(config: ServingConfig): boolean {
+        if (this.inForce && config.version <= this.inForce.config.version) {
+            return false;
+        }
+        this.inForce = { config, routes: RouteTable.create(config) };
+        return true;
+    }
+
+    trafficOf(id: string): UpstreamTraffic {
+        return getOrCreate(this.traffics, id, () => UpstreamTraffic.create());
+    }
+
+    connectionsOf(id: string, address: string): UpstreamConnections {
+        return getOrCreate(this.pools, id, () => UpstreamConnections.create(address));
+    }
+
+    budgetOf(service: string): ServiceBudget {
+        const { retryRatio: ratio, retryWindowMs: windowMs, retrySlack: slack } = this.settings;
+        return getOrCreate(this.budgets, service, () => ServiceBudget.create({ ratio, windowMs, slack }, () => this.knownNodes));
+    }
+
+    private forget(id: string): void {
+        this.pools.get(id)?.close();
+        this.pools.delete(id);
+        this.traffics.delete(id);
+        this.cache.forget(id);
+        this.residency.forget(id);
+    }
+}
--- /dev/null
+++ b/src/forward/refusal.ts
@@ -0,0 +1,61 @@
+import type { ServerResponse } from "node:http";
+import { failureClasses } from "../core/failures";
+import { EventId } from "../types/eventId";
+import type { Failure } from "../types/failure";
+import { FailureKind } from "../types/failureKind";
+import { Verdict } from "../types/verdict";
+import { emit } from "../utils/events";
+
+const msPerS = 1_000;
+const badGateway = 502;
+const gatewayTimeout = 504;
+const unavailable = 503;
+
+/** Kinds whose own status stands: the caller's request is at fault. */
+const callerFaults: ReadonlySet<FailureKind> = new Set([
+    FailureKind.BadRequest,
+    FailureKind.BodyTooLarge,
+    FailureKind.HeadersTooLarge,
+    FailureKind.SlowSender,
+    FailureKind.UnknownPath,
+]);
+
+/** Only a request that has provably not run may be answered with a status that says so. */
+const statusOf = ({ kind, verdict }: Failure): number => {
+    if (callerFaults.has(kind)) {
+        return failureClasses[kind].status;
+    }
+    if (verdict === Verdict.NotRun) {
+        return unavailable;
+    }
+    return kind === FailureKind.DeadlineExpired ? gatewayTimeout : badGateway;
+};
+
+/** Answers a request that got no answer of an upstream. A stream that has begun is cut: it must not look complete. */
+export const answerFailure = (res: ServerResponse, requestId: string, failure: Failure, inputs: Readonly<Record<string, unknown>> = {}): void => {
+    const status = statusOf(failure);
+    emit(EventId.RequestRefused, {
+        request: requestId,
+        kind: failure.kind,
+        verdict: failure.verdict,
+        detail: failure.detail,
+        status,
+        retryAfterMs: failure.retryAfterMs,
+        ...inputs,
+    });
+    if (res.headersSent) {
+        res.destroy();
+        return;
+    }
+    if (failure.retryAfterMs !== undefined && status === unavailable) {
+        res.setHeader("Retry-After", (failure.retryAfterMs / msPerS).toFixed(2));
+    }
+    const body = JSON.stringify({
+        type: `urn:jackdawtrail:problem:${failure.kind}`,
+        title: failureClasses[failure.kind].title,
+        status,
+        detail: failure.detail,
+    });
+    res.writeHead(status, { "Content-Type": "application/problem+json", "Content-Length": Buffer.byteLength(body) });
+    res.end(body);
+};
--- /dev/null
+++ b/src/forward/storeWatch.ts
@@ -0,0 +1,57 @@
+import type { TableObserver } from "../core/tableFollower";
+import type { DirectoryChange } from "../core/upstreamDirectory";
+import { EventId } from "../types/eventId";
+import type { StoredRow } from "../types/rowStore";
+import type { ServingConfig } from "../types/servingConfig";
+import type { UpstreamServer } from "../types/upstreamServer";
+import { emit } from "../utils/events";
+import type { Gateway } from "./gateway";
+
+/** Decodes a configuration; names the faults where it cannot be read. */
+export type ConfigDecoder = (bytes: Buffer) => { readonly config: ServingConfig; } | { readonly faults: readonly string[]; };
+/** Decodes a row of the directory; undefined where it names no upstream. */
+export type ServerDecoder = (id: string, bytes: Buffer) => UpstreamServer | undefined;
+
+/** Puts the operators' configurations in force. One that cannot be read leaves the last in force. */
+export const watchConfig = (gateway: Gateway, key: string, decode: ConfigDecoder, onApplied: () => void): TableObserver => {
+    const take = (rows: readonly StoredRow[]): void => {
+        const row = rows.findLast(candidate => candidate.key === key && candidate.value);
+        if (!row?.value) {
+            return;
+        }
+        const reading = decode(row.value);
+        if ("faults" in reading) {
+            emit(EventId.ConfigUnreadableRecord, { rowVersion: row.version, faults: reading.faults.slice(0, 5) });
+            return;
+        }
+        gateway.configBytes = row.value;
+        if (gateway.applyConfig(reading.config)) {
+            emit(EventId.ConfigAdvanced, { version: reading.config.version, rowVersion: row.version, routes: reading.config.routes.length, source: "store" });
+            onApplied();
+        }
+    };
+    return { onTable: take, onChanges: take };
+};
+
+/** Keeps the directory of upstreams in step with its table. */
+export const watchDirectory = (gateway: Gateway, decode: ServerDecoder): TableObserver => {
+    const ignored = new Map<string, number>();
+    const toChange = (row: StoredRow): DirectoryChange => {
+        const server = row.value && decode(row.key, row.value);
+        if (row.value && !server && !ignored.has(row.key)) {
+            ignored.set(row.key, row.version);
+            emit(EventId.UpstreamRowIgnored, { upstream: row.key, rowVersion: row.version });
+        }
+        return { id: row.key, version: row.version, server };
+    };
+    return {
+        onTable: (rows, version, mayBeBack) => {
+            gateway.directory.replace(rows.map(toChange), version, mayBeBack);
+            emit(EventId.DirectoryRead, { version, rows: rows.length });
+        },
+        onChanges: (rows, version, mayBeBack) => {
+            rows.forEach(row => gateway.directory.apply(toChange(row), mayBeBack));
+            gateway.directory.version = Math.max(gateway.directory.version, version);
+        },
+    };
+};
--- /dev/null
+++ b/src/platform/configDecoder.ts
@@ -0,0 +1,109 @@
+import { z } from "zod";
+import type { EngineSpec, ServiceRoute, ServingConfig } from "../types/servingConfig";
+import { RouteKind } from "../types/servingConfig";
+import { parseJson, parseWith } from "./schemas";
+
+const kindOf: Readonly<Record<string, RouteKind>> = {
+    idempotent: RouteKind.Idempotent,
+    non_idempotent: RouteKind.NonIdempotent,
+    streaming: RouteKind.Streaming,
+};
+
+const routeSchema = z.object({
+    name: z.string(),
+    host: z.string(),
+    prefix: z.string(),
+    routeKind: z.string(),
+    timeoutMs: z.number(),
+    sloMs: z.number().default(0),
+    priority: z.number().default(0),
+    service: z.string().optional(),
+    split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+    attempts: z.number().int().default(1),
+    resumable: z.boolean().default(false),
+});
+
+const modelSchema = z.object({
+    name: z.string(),
+    weightsMb: z.number(),
+    loadS: z.number(),
+    warmS: z.number().optional(),
+    diskS: z.number().optional(),
+    adapters: z.number().int().default(0),
+    adapterSizeMb: z.number().default(0),
+});
+
+const engineSchema = z.object({
+    slots: z.number(),
+    kvCapacity: z.number(),
+    /** Of a runner, for models and adapters together. */
+    weightsMb: z.number().default(Number.POSITIVE_INFINITY),
+    adapterSlots: z.number().int().default(0),
+    loadsPerS: z.number().default(Number.POSITIVE_INFINITY),
+    models: z.array(modelSchema).default([]),
+});
+
+const configSchema = z.object({
+    version: z.number(),
+    routes: z.array(routeSchema),
+    services: z.array(z.object({ name: z.string(), healthPath: z.string(), maxConns: z.number(), engine: engineSchema.optional() })),
+    limits: z.object({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() }),
+});
+
+const toRoute = (route: z.infer<typeof routeSchema>): ServiceRoute => ({
+    name: route.name,
+    host: route.host.toLowerCase(),
+    prefix: route.prefix,
+    // What is not known to be repeatable must not be repeated.
+    kind: kindOf[route.routeKind] ?? RouteKind.NonIdempotent,
+    timeoutMs: route.timeoutMs,
+    targetMs: route.sloMs,
+    priority: route.priority,
+    targets: route.split ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
+    maxAttempts: route.attempts,
+    isResumable: route.resumable,
+});
+
+const msPerS = 1_000;
+
+const toEngine = (engine: z.infer<typeof engineSchema>): EngineSpec => ({
+    slots: engine.slots,
+    kvTokens: engine.kvCapacity,
+    memoryMb: engine.weightsMb,
+    adapterSlots: engine.adapterSlots,
+    loadsPerS: engine.loadsPerS,
+    models: new Map(engine.models.map(model => [model.name, {
+        name: model.name,
+        memoryMb: model.weightsMb,
+        loadMs: model.loadS * msPerS,
+        warmLoadMs: (model.warmS ?? model.loadS) * msPerS,
+        diskLoadMs: (model.diskS ?? model.loadS) * msPerS,
+        adapters: model.adapters,
+        adapterMemoryMb: model.adapterSizeMb,
+    }])),
+});
+
+/** Outcome of decoding a configuration. */
+export type ConfigReading = { readonly config: ServingConfig; } | { readonly faults: readonly string[]; };
+
+/** Decodes the operators' configuration. */
+export const decodeConfig = (bytes: Buffer): ConfigReading => {
+    const result = parseWith(configSchema, parseJson(bytes));
+    if ("faults" in result) {
+        return result;
+    }
+    const { version, routes, services, limits } = result.value;
+    return {
+        config: {
+            version,
+            routes: routes.map(toRoute),
+            services: new Map(services.map(({ name, healthPath, maxConns, engine }) => [name, {
+                name,
+                healthPath,
+                maxConnections: maxConns,
+                engine: engine && toEngine(engine),
+            }])),
+            limits,
+        },
+    };
+};
--- /dev/null
+++ b/src/platform/directoryDecoder.ts
@@ -0,0 +1,38 @@
+import { z } from "zod";
+import type { UpstreamServer } from "../types/upstreamServer";
+import { UpstreamState } from "../types/upstreamServer";
+import { atHand, heldModel, parseJson, parseWith } from "./schemas";
+
+const serverSchema = z.object({
+    service: z.string(),
+    addr: z.string().regex(/^[^:\s]+:\d+$/),
+    zone: z.string(),
+    slots: z.number(),
+    state: z.enum(["ready", "draining"]),
+    models: z.array(heldModel).default([]),
+    atHand,
+    born: z.number().int().optional(),
+    remainingMs: z.number().optional(),
+});
+
+/** Decodes a row of the directory; undefined where it names no upstream that can be used. */
+export const decodeServer = (id: string, bytes: Buffer): UpstreamServer | undefined => {
+    const result = parseWith(serverSchema, parseJson(bytes));
+    if ("faults" in result) {
+        return undefined;
+    }
+    const { service, addr, zone, slots, state, models, atHand: copies, born, remainingMs } = result.value;
+    return {
+        id,
+        service,
+        address: addr,
+        availabilityZone: zone,
+        slots,
+        state: state === "ready" ? UpstreamState.Ready : UpstreamState.Draining,
+        models,
+        inMemory: copies.inMemory,
+        onDisk: copies.onDisk,
+        bornAt: born ?? 0,
+        remainingMs,
+    };
+};
--- /dev/null
+++ b/src/platform/requestHeaders.ts
@@ -0,0 +1,86 @@
+import type { ModelNeed, PromptPart } from "../types/modelNeed";
+import type { HeaderMap, RequestWire, ToldLoad } from "../types/requestWire";
+
+const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
+const kvHeaderPrefix = "kv-";
+
+const endToEndHeaders: ReadonlySet<string> = new Set([
+    "host",
+    "attempt-id",
+    "last-event-id",
+    "model",
+    "token-count",
+    "prompt-prefix",
+    "length-hint",
+    "content-type",
+]);
+
+const textOf = (headers: HeaderMap, name: string): string | undefined => {
+    const value = headers[name];
+    return typeof value === "string" ? value : value?.[0];
+};
+
+/** `ID:TOKENS`, the ID in hexadecimal. */
+const decodePart = (text: string): PromptPart => {
+    const [id = "", tokens] = text.trim().split(":");
+    return { id, tokens: Number(tokens) || 0 };
+};
+
+const decodeNeed = (headers: HeaderMap): ModelNeed | undefined => {
+    const name = textOf(headers, "model");
+    if (name === undefined) {
+        return undefined;
+    }
+    const slash = name.indexOf("/");
+    // `Token-Count` holds the prompt's tokens and the most that may be generated.
+    const [prompt, output] = (textOf(headers, "token-count") ?? "").split(",");
+    const prefix = textOf(headers, "prompt-prefix") ?? "";
+    return {
+        model: slash < 0 ? name : name.slice(0, slash),
+        adapter: slash < 0 ? undefined : name.slice(slash + 1),
+        promptTokens: Number(prompt) || 0,
+        maxOutputTokens: Number(output) || 0,
+        parts: prefix === "" ? [] : prefix.split(",").map(decodePart),
+    };
+};
+
+/** `RUNNING,WAITING,SLOTS`. */
+const decodeLoad = (text: string | undefined): ToldLoad | undefined => {
+    const [running, waiting, slots] = (text ?? "").split(",").map(Number);
+    return running !== undefined && waiting !== undefined && slots !== undefined && Number.isFinite(running + waiting + slots)
+        ? { running, waiting, slots }
+        : undefined;
+};
+
+const misdirectedStatus = 421;
+
+/** The headers of requests and answers. */
+export const requestHeaders: RequestWire = {
+    decodeCaller: headers => {
+        const deadline = textOf(headers, "deadline-ms");
+        const deadlineMs = Number(deadline);
+        return {
+            requestId: textOf(headers, "attempt-id") ?? "",
+            deadlineMs: deadline !== undefined && Number.isFinite(deadlineMs) ? deadlineMs : undefined,
+            lastEventId: textOf(headers, "last-event-id"),
+            need: decodeNeed(headers),
+        };
+    },
+    isSystemHeader: name => systemHeaders.has(name) || name.startsWith(kvHeaderPrefix),
+    isEndToEndHeader: name => endToEndHeaders.has(name),
+    encodeAttempt: ({ upstreamId, remainingMs, rank, lastEventId }) => [
+        "Deadline-Ms",
+        String(Math.max(1, Math.floor(remainingMs))),
+        "Expect-Instance",
+        upstreamId,
+        ...(rank === undefined ? [] : ["Request-Priority", String(rank)]),
+        ...(lastEventId === undefined ? [] : ["Last-Event-Id", lastEventId]),
+    ],
+    decodeAnswer: (status, headers) => ({
+        requestId: textOf(headers, "attempt-id"),
+        isSealed: headers["server-seal"] !== undefined,
+        isNotExecuted: headers["not-executed"] !== undefined || status === misdirectedStatus,
+        isMisdirected: status === misdirectedStatus,
+        load: decodeLoad(textOf(headers, "server-load")),
+    }),
+};
--- /dev/null
+++ b/src/platform/runnerClient.ts
@@ -0,0 +1,95 @@
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { FailureError } from "../core/failures";
+import { FailureKind } from "../types/failureKind";
+import type { RunnerAddress, RunnerControl, RunnerOrder, RunnerReport } from "../types/runner";
+import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
+import { Verdict } from "../types/verdict";
+import { codeOf, verdictOfError } from "../utils/transport";
+import { atHand, heldModel, parseJson, parseWith } from "./schemas";
+
+const connectTimeoutMs = 300;
+/** A runner answers an order or report within a few milliseconds. */
+const answerTimeoutMs = 400;
+
+const opOf: Readonly<Record<RunnerOrderKind, string>> = { [RunnerOrderKind.Load]: "load_model", [RunnerOrderKind.Unload]: "unload_model" };
+
+const answerOf: Readonly<Record<number, RunnerOrderAnswer>> = {
+    200: RunnerOrderAnswer.Done,
+    202: RunnerOrderAnswer.Accepted,
+    400: RunnerOrderAnswer.Invalid,
+    409: RunnerOrderAnswer.Conflict,
+    412: RunnerOrderAnswer.StaleEpoch,
+    421: RunnerOrderAnswer.WrongInstance,
+};
+
+const reportSchema = z.object({
+    models: z.array(heldModel),
+    atHand,
+    coming: z.array(z.string()).default([]),
+    busy: z.boolean(),
+    /** Counts accepted orders. */
+    seq: z.number(),
+    queued: z.number(),
+    active: z.number(),
+    born: z.number().optional(),
+});
+
+/** `MODEL/NAME@VERSION` to `model/adapter`. */
+const toComing = (text: string): string => text.slice(0, text.lastIndexOf("@") < 0 ? undefined : text.lastIndexOf("@"));
+
+/** Speaks with runners over HTTP. */
+export class RunnerClient implements RunnerControl {
+    private readonly agent = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 1_000, keepAliveTimeoutThreshold: 200, pipelining: 1 });
+
+    private constructor() {}
+
+    /** Makes a client; connections are opened on first use. */
+    static create(): RunnerClient {
+        return new RunnerClient();
+    }
+
+    async report({ id, address }: RunnerAddress): Promise<RunnerReport> {
+        try {
+            const res = await request(`http://${address}/api/report`, {
+                dispatcher: this.agent,
+                headers: { "expect-instance": id },
+                signal: AbortSignal.timeout(answerTimeoutMs),
+            });
+            const result = parseWith(reportSchema, parseJson(await res.body.text()));
+            if (res.statusCode !== 200 || "faults" in result) {
+                throw FailureError.create({ kind: FailureKind.UpstreamFailed, verdict: Verdict.Ran, detail: `status ${res.statusCode}` });
+            }
+            const { models, atHand: copies, coming, busy, seq, queued, active, born } = result.value;
+            return {
+                models,
+                inMemory: copies.inMemory,
+                onDisk: copies.onDisk,
+                coming: coming.map(toComing),
+                isBusy: busy,
+                acceptedOrders: seq,
+                queued,
+                active,
+                bornAt: born ?? 0,
+            };
+        }
+        catch (err) {
+            if (err instanceof FailureError) {
+                throw err;
+            }
+            throw FailureError.create({ kind: FailureKind.UpstreamLost, verdict: verdictOfError(err), detail: codeOf(err) });
+        }
+    }
+
+    async order({ id, address }: RunnerAddress, { kind, model, adapter, expectedOrders, holder, epoch }: RunnerOrder): Promise<RunnerOrderAnswer> {
+        const res = await request(`http://${address}/api/order`, {
+            method: "POST",
+            dispatcher: this.agent,
+            headers: { "content-type": "application/json", "expect-instance": id },
+            body: JSON.stringify({ op: opOf[kind], model, adapter, expected: expectedOrders, holder, fence: epoch }),
+            signal: AbortSignal.timeout(answerTimeoutMs),
+        });
+        await res.body.dump();
+        return answerOf[res.statusCode] ?? RunnerOrderAnswer.Unknown;
+    }
+}
--- /dev/null
+++ b/src/platform/settingsFile.ts
@@ -0,0 +1,80 @@
+import { parse } from "smol-toml";
+import { z } from "zod";
+import type { NodeSettings } from "../types/nodeSettings";
+import { parseWith } from "./schemas";
+
+const address = z.string().regex(/^[^:]+:\d+$/, "must be IP:PORT");
+
+/** The platform's settings file; fields that are not listed are not used. */
+const settingsSchema = z.object({
+    nodeName: z.string(),
+    ip: z.string(),
+    zone: z.string(),
+    portRange: z.tuple([z.number().int(), z.number().int()]),
+    seeds: z.array(address).default([]),
+    /** Whether the whole system starts for the first time. */
+    bootstrap: z.boolean().default(false),
+    heartbeatMs: z.number().positive(),
+    /** `control` is where peers call. */
+    listen: z.object({ front: address, ready: address, control: address }),
+    limits: z.object({ memoryMb: z.number().positive() }),
+    bounds: z.object({
+        contactMs: z.number(),
+        drainMs: z.number(),
+        graceS: z.number(),
+        applyMs: z.number(),
+        budgetRatio: z.number(),
+        budgetWindowS: z.number(),
+        /** Repeats that are allowed beyond the ratio. */
+        budgetSlack: z.number(),
+        leaseMs: z.number(),
+        /** Whether runners check the epoch of orders. */
+        fencing: z.boolean(),
+        ceilingWindowS: z.number(),
+        ceilingOverrun: z.number(),
+    }),
+    platform: z.object({ addr: address }),
+});
+
+/** Outcome of reading the settings file. */
+export type SettingsReading = { readonly settings: NodeSettings; } | { readonly faults: readonly string[]; };
+
+const msPerS = 1_000;
+
+/** Reads the platform's settings file into the settings of a node; names all faults at once. */
+export const readSettingsFile = (text: string): SettingsReading => {
+    let document: unknown;
+    try {
+        document = parse(text);
+    }
+    catch (err) {
+        return { faults: [`the file is not TOML: ${err instanceof Error ? err.message : String(err)}`] };
+    }
+    const result = parseWith(settingsSchema, document);
+    if ("faults" in result) {
+        return result;
+    }
+    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, listen, bounds, platform } = result.value;
+    return {
+        settings: {
+            nodeId: `${nodeName}@${ip}`,
+            ip,
+            availabilityZone: zone,
+            callerAddress: listen.front,
+            readyAddress: listen.ready,
+            peerAddress: listen.control,
+            metricsAddress: `${ip}:${portRange[0]}`,
+            storeAddress: platform.addr,
+            seeds,
+            heartbeatMs,
+            drainMs: bounds.drainMs,
+            applyMs: bounds.applyMs,
+            graceMs: bounds.graceS * msPerS,
+            retryRatio: bounds.budgetRatio,
+            retryWindowMs: bounds.budgetWindowS * msPerS,
+            retrySlack: bounds.budgetSlack,
+            turnGapMs: bounds.leaseMs,
+            loadWindowMs: bounds.ceilingWindowS * msPerS,
+        },
+    };
+};
--- /dev/null
+++ b/src/platform/storeClient.ts
@@ -0,0 +1,156 @@
+import { Agent, request } from "undici";
+import { z } from "zod";
+import { FailureError } from "../core/failures";
+import { FailureKind } from "../types/failureKind";
+import type { FeedReading, RowName, RowsReading, RowStore, StoredRow, TransactionResult } from "../types/rowStore";
+import { FeedKind, TransactionKind } from "../types/rowStore";
+import { Verdict } from "../types/verdict";
+import { codeOf, verdictOfError } from "../utils/transport";
+import { parseJson, parseWith } from "./schemas";
+
+/** A local store answers within milliseconds; a connection that stays silent longer is given up. */
+const connectTimeoutMs = 500;
+/** Time for an answer beyond the wait that the call asks for; 4 ms a transaction, with room for a slow store. */
+const answerTimeoutMs = 900;
+/** Rows in one answer, the platform's limit. */
+const pageRows = 500;
+
+const rowSchema = z.object({
+    table: z.string().default(""),
+    part: z.string().default(""),
+    key: z.string(),
+    value: z.string().optional(),
+    ver: z.number(),
+    deleted: z.boolean().default(false),
+});
+/** `ver` beside rows is the newest version of the whole store. */
+const rowsSchema = z.object({ rows: z.array(rowSchema), hasMore: z.boolean().default(false), ver: z.number() });
+const committedSchema = z.object({ ver: z.number() });
+const conflictSchema = z.object({ rows: z.array(rowSchema).default([]) });
+
+interface StoreAnswer {
+    readonly status: number;
+    readonly value: unknown;
+}
+
+const toRow = (row: z.infer<typeof rowSchema>): StoredRow => ({
+    table: row.table,
+    part: row.part,
+    key: row.key,
+    value: row.deleted || row.value === undefined ? undefined : Buffer.from(row.value, "base64"),
+    version: row.ver,
+});
+
+const raiseStore = (verdict: Verdict, detail: string): never => {
+    throw FailureError.create({ kind: FailureKind.TableUnavailable, verdict, detail });
+};
+
+const decode = <T>(schema: z.ZodType<T>, answer: StoreAnswer): T => {
+    const result = parseWith(schema, answer.value);
+    return "faults" in result ? raiseStore(Verdict.MayHaveRun, `unexpected answer: ${result.faults.join("; ")}`) : result.value;
+};
+
+/** The client of the platform's metadata store. */
+export class StoreClient implements RowStore {
+    private agent: Agent;
+
+    private constructor(private readonly address: string) {
+        this.agent = StoreClient.createAgent();
+    }
+
+    /** Makes a client; connections are opened on first use. */
+    static create(address: string): StoreClient {
+        return new StoreClient(address);
+    }
+
+    private static createAgent(): Agent {
+        return new Agent({ connect: { timeout: connectTimeoutMs }, headersTimeout: 0, bodyTimeout: 0, connections: 8, pipelining: 1 });
+    }
+
+    async readTable(table: string): Promise<RowsReading> {
+        const rows: StoredRow[] = [];
+        let from = "";
+        // The feed goes on from the first page: what changes while later pages are read comes again.
+        let version: number | undefined;
+        for (;;) {
+            const page = decode(rowsSchema, await this.call("GET", "rows-get", { table, part: "", from, limit: pageRows }));
+            rows.push(...page.rows.map(toRow));
+            version ??= page.ver;
+            const last = page.rows.at(-1);
+            if (!page.hasMore || !last) {
+                return { rows, version };
+            }
+            from = `${last.key}\u0000`;
+        }
+    }
+
+    async readRow({ table, part, key }: RowName): Promise<StoredRow | undefined> {
+        const page = decode(rowsSchema, await this.call("GET", "rows-get", { table, part, from: key, limit: 1 }));
+        return page.rows.map(toRow).find(row => row.key === key);
+    }
+
+    async feed(table: string, after: number, waitMs: number, signal: AbortSignal): Promise<FeedReading> {
+        const answer = await this.call("GET", "rows-feed", { table, after, waitMs }, { waitMs, signal });
+        if (answer.status === 410) {
+            return { kind: FeedKind.HistoryGone };
+        }
+        const page = decode(rowsSchema, answer);
+        return { kind: FeedKind.Changes, rows: page.rows.map(toRow), version: page.ver };
+    }
+
+    async transact({ conditions, puts }: Parameters<RowStore["transact"]>[0]): Promise<TransactionResult> {
+        const answer = await this.call("POST", "rows-tx", {}, {
+            body: {
+                expected: conditions.map(({ table, part, key, version }) => ({ table, part, key, ver: version })),
+                puts: puts.map(({ table, part, key, value }) => ({ table, part, key, value: value.toString("base64") })),
+                remove: [],
+            },
+        });
+        return answer.status === 412
+            ? { kind: TransactionKind.Conflict, rows: decode(conflictSchema, answer).rows.map(toRow) }
+            : { kind: TransactionKind.Committed, version: decode(committedSchema, answer).ver };
+    }
+
+    private async call(
+        method: "GET" | "POST",
+        path: string,
+        query: Readonly<Record<string, string | number>>,
+        { waitMs = 0, signal, body }: { readonly waitMs?: number; readonly signal?: AbortSignal; readonly body?: unknown; } = {},
+    ): Promise<StoreAnswer> {
+        const timeout = AbortSignal.timeout(waitMs + answerTimeoutMs);
+        try {
+            const search = new URLSearchParams(Object.entries(query).map(([name, value]): [string, string] => [name, String(value)]));
+            const res = await request(`http://${this.address}/api/${path}?${search.toString()}`, {
+                method,
+                dispatcher: this.agent,
+                headers: body === undefined ? {} : { "content-type": "application/json" },
+                body: body === undefined ? undefined : JSON.stringify(body),
+                signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+            });
+            const text = await res.body.text();
+            if (res.statusCode === 503 || res.statusCode === 429) {
+                return raiseStore(Verdict.NotRun, `status ${res.statusCode}`);
+            }
+            if (![200, 410, 412].includes(res.statusCode)) {
+                return raiseStore(Verdict.MayHaveRun, `status ${res.statusCode}`);
+            }
+            return { status: res.statusCode, value: parseJson(text) };
+        }
+        catch (err) {
+            if (err instanceof FailureError) {
+                throw err;
+            }
+            if (timeout.aborted) {
+                this.dropConnections();
+            }
+            return raiseStore(verdictOfError(err), codeOf(err));
+        }
+    }
+
+    /** Connections may go silent for good while new ones work. */
+    private dropConnections(): void {
+        const old = this.agent;
+        this.agent = StoreClient.createAgent();
+        void old.destroy();
+    }
+}
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -3,6 +3,7 @@
     BadJson = "bad-json",
     BadRequest = "bad-request",
     BodyTooLarge = "body-too-large",
+    HeadersTooLarge = "headers-too-large",
     SlowSender = "slow-sender",
     UnknownPath = "unknown-path",
     MethodNotAllowed = "method-not-allowed",
--- /dev/null
+++ b/src/types/modelNeed.ts
@@ -0,0 +1,18 @@
+/** A part of a prompt that requests may share. */
+export interface PromptPart {
+    readonly id: string;
+    readonly tokens: number;
+}
+
+/** What a generation needs of a runner. */
+export interface ModelNeed {
+    readonly model: string;
+    readonly adapter?: string;
+    readonly promptTokens: number;
+    readonly maxOutputTokens: number;
+    /** In the order of the prompt; a part is kept only together with those before it. */
+    readonly parts: readonly PromptPart[];
+}
+
+/** Model, and adapter where there is one, as one name. */
+export const artifactOf = (model: string, adapter: string | undefined): string => adapter === undefined ? model : `${model}/${adapter}`;
