Reread settings on SIGHUP, keep places of adapters that are leaving, refuse what cannot end within the grace

A controller cut from the store still answered its peers, and they did not look for a new one. Change: handler and poll for the settings file; adapters that leave keep their place until a report; a stopping node refuses as not run what its grace cannot hold; a holder that cannot renew says so, and its successor need not wait for the lease.

--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -4,8 +4,12 @@
 import { readSettingsFile } from "../platform/settingsFile";
 import { EventId } from "../types/eventId";
 import { emit, setupLogs } from "../utils/events";
+import { codeOf } from "../utils/transport";
 import { ExitCode } from "./exitCode";
 
+/** Pause between two looks at the settings file, which may change without a signal. */
+const settingsPollMs = 2_000;
+
 /** `jackdawtrail serve-platform`: runs a node on the platform until SIGTERM or SIGINT. */
 export class ServePlatformCommand extends Command {
     static override paths = [["serve-platform"]];
@@ -30,6 +34,7 @@
             return ExitCode.Usage;
         }
         const node = PlatformNode.create(reading.settings);
+        this.watchSettings(this.settingsFile, node);
         await node.start();
         return new Promise(resolve => {
             const onSignal = (): void => void node.stop().then(cut => resolve(cut > 0 ? ExitCode.CutOff : ExitCode.Ok));
@@ -37,4 +42,32 @@
             process.once("SIGINT", onSignal);
         });
     }
+
+    /** Reads the settings again when a signal says so, and when the file has changed without one. */
+    private watchSettings(file: string, node: PlatformNode): void {
+        let last = readFileSync(file, "utf8");
+        const reread = (): void => {
+            const text = readFileSync(file, "utf8");
+            if (text === last) {
+                return;
+            }
+            last = text;
+            const reading = readSettingsFile(text);
+            if ("faults" in reading) {
+                emit(EventId.SettingsRefused, { file, faults: reading.faults });
+                return;
+            }
+            node.reload(reading.settings);
+        };
+        const guarded = (): void => {
+            try {
+                reread();
+            }
+            catch (err) {
+                emit(EventId.SettingsRefused, { file, faults: [codeOf(err)] });
+            }
+        };
+        process.on("SIGHUP", guarded);
+        setInterval(guarded, settingsPollMs).unref();
+    }
 }
--- a/src/core/adapterPlan.ts
+++ b/src/core/adapterPlan.ts
@@ -18,7 +18,7 @@
 };
 
 const oldestAdapter = (book: RunnerBook): readonly [string, number] | undefined =>
-    [...book.adapters].sort(([, a], [, b]) => a - b)[0];
+    [...book.adapters].filter(([artifact]) => !book.leaving.has(artifact)).sort(([, a], [, b]) => a - b)[0];
 
 /** Chooses a holder of the model for an adapter: one with a free place, else one whose least used adapter makes way; the least busy first. */
 export const chooseAdapterStep = (
@@ -33,7 +33,7 @@
     let best: AdapterStep | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const book of books) {
-        if (!book.models.has(model) || !book.canOrder || book.server.state !== UpstreamState.Ready || book.adapters.has(artifactOf(model, adapter))) {
+        if (!book.models.has(model) || !book.canOrder || book.leaving.size > 0 || book.server.state !== UpstreamState.Ready || book.adapters.has(artifactOf(model, adapter))) {
             continue;
         }
         const isFull = book.adapters.size >= engine.adapterSlots || book.usedMb(engine) + sizeMb > engine.memoryMb;
--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -1,4 +1,4 @@
-import type { ControllerRow } from "../types/controllerLease";
+import type { ControllerRow, LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { RowName, RowStore, StoredRow } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
@@ -7,10 +7,13 @@
 import { longestSince, takeMoment } from "../utils/stopwatch";
 
 /** Time for which a renewal counts. */
-export const leaseTtlMs = 2_000;
+export const leaseTtlMs = 1_800;
 /** The holder stops this long before the lease ends: an order on its way must arrive in time. */
 const leaseMarginMs = 300;
 
+/** An order longer ago than this is as good as none. */
+const maxAgoMs = 3_600_000;
+
 const rowName: RowName = { table: "jackdawtrail", part: "", key: "controller" };
 
 /** What a node knows of the lease row. */
@@ -31,6 +34,9 @@
     private seen: SeenRow | undefined;
     private epoch = 0;
     private renewedAt: Moment | undefined;
+    private lastOrderAt = Number.NEGATIVE_INFINITY;
+    /** A holder's word that it has stopped: the row's version, and its last order on this node's monotonic clock. */
+    private yielded: { readonly version: number; readonly lastOrderAt: number; } | undefined;
 
     private constructor(
         private readonly store: RowStore,
@@ -48,6 +54,26 @@
         return this.renewedAt && longestSince(this.renewedAt) < leaseTtlMs - leaseMarginMs ? this.epoch : undefined;
     }
 
+    /** Notes that an order leaves now. */
+    onOrder(): void {
+        this.lastOrderAt = performance.now();
+    }
+
+    /** What a holder that could not renew tells its peers: it orders no more under this version of the row. */
+    get yielding(): LeaseYield | undefined {
+        return this.isOwn && this.heldEpoch === undefined && this.epoch > 0
+            ? { version: this.seen!.version, lastOrderAgoMs: Math.min(performance.now() - this.lastOrderAt, maxAgoMs) }
+            : undefined;
+    }
+
+    /** Takes the word of a holder that has stopped. */
+    onYield({ version, lastOrderAgoMs }: LeaseYield): void {
+        this.yielded ??= { version, lastOrderAt: performance.now() - lastOrderAgoMs };
+        if (this.yielded.version !== version) {
+            this.yielded = { version, lastOrderAt: performance.now() - lastOrderAgoMs };
+        }
+    }
+
     /** Where peers reach the holder, as last seen. */
     get holderAddress(): string | undefined {
         return this.seen?.row?.isReleased === false ? this.seen.row.peerAddress : undefined;
@@ -91,10 +117,13 @@
         }
     }
 
-    private mayTakeOver({ row, since }: SeenRow): boolean {
+    private mayTakeOver({ row, since, version }: SeenRow): boolean {
         if (!row || row.holder === this.self.holder) {
             return true;
         }
+        if (this.yielded?.version === version) {
+            return performance.now() - this.yielded.lastOrderAt > this.turnGapMs;
+        }
         return performance.now() - since > this.turnGapMs + (row.isReleased ? 0 : leaseTtlMs);
     }
 
--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -28,6 +28,8 @@
     readonly models = new Set<string>();
     /** Adapters that are loaded or on their way, as `model/adapter`, with the time of their last use. */
     readonly adapters = new Map<string, number>();
+    /** Adapters that are unloaded once their requests have ended; they take a place until then. */
+    readonly leaving = new Set<string>();
     acceptedOrders = 0;
     isBusy = false;
     transit: Transit | undefined;
@@ -114,6 +116,7 @@
         report.models.forEach(({ name }) => this.models.add(name));
         const held = new Set([...report.models.flatMap(({ name, adapters }) => adapters.map(adapter => artifactOf(name, adapter))), ...report.coming]);
         [...this.adapters.keys()].filter(artifact => !held.has(artifact)).forEach(artifact => this.adapters.delete(artifact));
+        [...this.leaving].filter(artifact => !held.has(artifact)).forEach(artifact => this.leaving.delete(artifact));
         held.forEach(artifact => this.adapters.set(artifact, this.adapters.get(artifact) ?? this.now()));
     }
 
@@ -143,18 +146,20 @@
         this.unsettled = undefined;
         this.acceptedOrders = order.expectedOrders + 1;
         if (order.adapter !== undefined) {
-            this.onAdapter(order.kind, artifactOf(order.model, order.adapter));
+            this.onAdapter(order.kind, artifactOf(order.model, order.adapter), answer);
             return;
         }
         const model = engine.models.get(order.model);
-        if (order.kind === RunnerOrderKind.Unload) {
-            this.dropModel(order.model);
-        }
         const lasts = order.kind === RunnerOrderKind.Load && model ? this.loadMs(model) : 0;
         this.transit = { kind: order.kind, model: order.model, doneAt: this.now() + lasts };
         this.isBusy = true;
     }
 
+    /** Whether requests may use an adapter here. */
+    hasAdapter(artifact: string): boolean {
+        return this.adapters.has(artifact) && !this.leaving.has(artifact);
+    }
+
     /** Notes that an adapter is used, so that it is not the first to make way. */
     touch(artifact: string): void {
         if (this.adapters.has(artifact)) {
@@ -162,18 +167,17 @@
         }
     }
 
-    private onAdapter(kind: RunnerOrderKind, artifact: string): void {
+    private onAdapter(kind: RunnerOrderKind, artifact: string, answer: RunnerOrderAnswer): void {
         if (kind === RunnerOrderKind.Load) {
             this.adapters.set(artifact, this.now());
         }
-        else {
+        else if (answer === RunnerOrderAnswer.Done) {
             this.adapters.delete(artifact);
         }
-    }
-
-    private dropModel(model: string): void {
-        // Its memory is free only once its requests have ended: the transit keeps counting it.
-        [...this.adapters.keys()].filter(artifact => artifact.startsWith(`${model}/`)).forEach(artifact => this.adapters.delete(artifact));
+        else {
+            // Requests still use it: it keeps its place until a report says that it is gone.
+            this.leaving.add(artifact);
+        }
     }
 
     private isWarm(model: string): boolean {
@@ -203,6 +207,7 @@
         this.isKnown = false;
         this.models.clear();
         this.adapters.clear();
+        this.leaving.clear();
     }
 }
 
--- a/src/core/serviceBudget.ts
+++ b/src/core/serviceBudget.ts
@@ -1,8 +1,9 @@
 /** What bounds the repeats that all nodes together may send to one service. */
 export interface BudgetRules {
-    readonly ratio: number;
-    readonly windowMs: number;
-    readonly slack: number;
+    /** Share of the requests in a window, and a number beyond it. */
+    readonly retryRatio: number;
+    readonly retryWindowMs: number;
+    readonly retrySlack: number;
 }
 
 /** Part of the allowance that is used; the rest covers what nodes count differently at the edges of a window. */
@@ -13,10 +14,10 @@
     private requests: number[] = [];
     private repeats: number[] = [];
 
-    private constructor(private readonly rules: BudgetRules, private readonly nodes: () => number, private readonly now: () => number) {}
+    private constructor(private readonly rules: () => BudgetRules, private readonly nodes: () => number, private readonly now: () => number) {}
 
     /** Makes a budget; `nodes` tells how many nodes share it. */
-    static create(rules: BudgetRules, nodes: () => number, now: () => number = () => performance.now()): ServiceBudget {
+    static create(rules: () => BudgetRules, nodes: () => number, now: () => number = () => performance.now()): ServiceBudget {
         return new ServiceBudget(rules, nodes, now);
     }
 
@@ -27,10 +28,11 @@
 
     /** Takes one repeat from the budget; false when it is spent. */
     takeRepeat(): boolean {
-        const oldest = this.now() - this.rules.windowMs;
+        const { retryRatio, retryWindowMs, retrySlack } = this.rules();
+        const oldest = this.now() - retryWindowMs;
         this.requests = this.requests.filter(at => at > oldest);
         this.repeats = this.repeats.filter(at => at > oldest);
-        const allowed = usedShare * (this.rules.ratio * this.requests.length + this.rules.slack / Math.max(1, this.nodes()));
+        const allowed = usedShare * (retryRatio * this.requests.length + retrySlack / Math.max(1, this.nodes()));
         if (this.repeats.length + 1 > allowed) {
             return false;
         }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -27,6 +27,16 @@
 const patienceFactor = 6;
 const refusedRetryAfterMs = 700;
 
+/** Another node can take the request at once. */
+const stoppingRetryMs = 50;
+/** Time that a stopping node allows for a plain request, and for a generation besides its tokens. */
+const plainRequestMs = 1_200;
+const outputTokenMs = 8;
+
+/** Whether a request that comes now can be answered before the process ends. */
+const canFinish = ({ endsAt }: Gateway, { caller }: Call): boolean =>
+    performance.now() + plainRequestMs + (caller.need?.maxOutputTokens ?? 0) * outputTokenMs < endsAt;
+
 /** What became of an attempt. */
 enum Outcome {
     Done = "done",
@@ -59,7 +69,11 @@
         const { call, gateway } = this;
         gateway.budgetOf(call.service).countRequest();
         if (call.caller.need) {
-            gateway.placement.countWork(call.caller.need.model, workOf(call.caller.need));
+            gateway.placement.countWork(artifactOf(call.caller.need.model, call.caller.need.adapter), workOf(call.caller.need));
+        }
+        if (!canFinish(gateway, call)) {
+            this.fail(FailureKind.Stopping, "the node ends before the request could", stoppingRetryMs);
+            return;
         }
         const first = await findUpstream(gateway, call, this.met);
         if (isRefusal(first)) {
@@ -105,7 +119,7 @@
     }
 
     private giveUp(outcome: Outcome): void {
-        if (outcome === Outcome.RanAndFailed) {
+        if (outcome === Outcome.RanAndFailed && !this.relay.hasBegun) {
             this.finish();
             return;
         }
@@ -267,7 +281,7 @@
             if (relay.head!.status >= 500) {
                 traffic.onFailure(0.5);
                 this.logFailed(server.id, `failed with ${relay.head!.status}`, Verdict.Ran);
-                if (mayRepeat(call.route)) {
+                if (mayRepeat(call.route) || relay.hasBegun) {
                     return Outcome.RanAndFailed;
                 }
             }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -23,8 +23,8 @@
 /** Sees to it that models and adapters are where requests need them. */
 export interface Placement {
     place(req: PlacementRequest): Promise<PlacementAnswer>;
-    /** Counts work that a request asks of a model's runners, in milliseconds of a runner's time. */
-    countWork(model: string, workMs: number): void;
+    /** Counts work that a request asks of an artifact's runners, in milliseconds of a runner's time. */
+    countWork(artifact: string, workMs: number): void;
 }
 
 const noPlacement: Placement = { place: () => Promise.resolve({ readyInMs: 0, isComing: false }), countWork: () => {} };
@@ -47,10 +47,12 @@
     configBytes: Buffer | undefined;
     placement: Placement = noPlacement;
     isStopping = false;
+    /** When the process ends at the latest, on the monotonic clock; while it stops. */
+    endsAt = Number.POSITIVE_INFINITY;
     /** Requests that are read and not answered yet. */
     inProgress = 0;
 
-    private constructor(readonly settings: NodeSettings, readonly wire: RequestWire, readonly random: Random) {
+    private constructor(public settings: NodeSettings, readonly wire: RequestWire, readonly random: Random) {
         this.directory.observe(({ id, server, version }, before) => {
             emit(EventId.UpstreamChanged, {
                 upstream: id,
@@ -98,8 +100,7 @@
     }
 
     budgetOf(service: string): ServiceBudget {
-        const { retryRatio: ratio, retryWindowMs: windowMs, retrySlack: slack } = this.settings;
-        return getOrCreate(this.budgets, service, () => ServiceBudget.create({ ratio, windowMs, slack }, () => this.knownNodes));
+        return getOrCreate(this.budgets, service, () => ServiceBudget.create(() => this.settings, () => this.knownNodes));
     }
 
     /** What this node's requests put on upstreams. */
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -27,9 +27,9 @@
 const exitMarginMs = 600;
 const pollMs = 50;
 /** Pause between two renewals of the controller's lease. */
-const renewMs = 700;
+const renewMs = 600;
 /** A controller that was not heard of for this long may be gone: the lease row tells. */
-const controllerSilenceMs = 1_500;
+const controllerSilenceMs = 1_200;
 
 /** A node on the platform: forwards callers' requests, and takes its part in placing models. */
 export class PlatformNode {
@@ -82,17 +82,25 @@
         this.lease = lease;
     }
 
+    /** Takes settings that were read again; addresses stay as they were at the start. */
+    reload(next: NodeSettings): void {
+        const { callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
+        this.gateway.settings = { ...next, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
+        emit(EventId.SettingsReloaded, { retrySlack: next.retrySlack, seeds: next.seeds.length });
+    }
+
     /** Ends gracefully: not ready first, then no new connections, then what is in progress. Returns the requests that were cut off. */
     async stop(): Promise<number> {
         const { gateway, settings, server } = this;
         const startedAt = performance.now();
         gateway.isStopping = true;
+        gateway.endsAt = startedAt + settings.graceMs - exitMarginMs;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.StewardFailed, { detail: toFailure(err).detail }));
         await sleep(noticeMs);
         await released;
         server.close();
-        while (gateway.inProgress > 0 && performance.now() - startedAt < settings.graceMs - exitMarginMs) {
+        while (gateway.inProgress > 0 && performance.now() < gateway.endsAt) {
             await sleep(pollMs);
         }
         this.stopped.abort();
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -7,7 +7,8 @@
 import { toFailure } from "../core/failures";
 import type { Gateway } from "../forward/gateway";
 import { EventId } from "../types/eventId";
-import { artifactOf } from "../types/modelNeed";
+import type { LeaseYield } from "../types/controllerLease";
+import { artifactOf, modelOf } from "../types/modelNeed";
 import type { PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { RunnerControl, RunnerOrder } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
@@ -41,7 +42,7 @@
 
 /** Orders the runners of all engine services about while this node holds the lease. */
 export class Controller {
-    readonly demand = ModelDemand.create();
+    private readonly demand = ModelDemand.create();
     private readonly books = new Map<string, RunnerBook>();
     private readonly wanted = new Map<string, number>();
     private readonly intents = new Map<string, Intent>();
@@ -71,7 +72,20 @@
 
     /** Adapters by runner, as far as they are loaded or on their way. */
     adaptersByRunner(): Readonly<Record<string, readonly string[]>> {
-        return Object.fromEntries([...this.books].map(([id, book]) => [id, [...book.adapters.keys()]]));
+        return Object.fromEntries([...this.books].map(([id, book]) => [id, [...book.adapters.keys()].filter(artifact => book.hasAdapter(artifact))]));
+    }
+
+    /** What this node tells peers after it could not renew the lease. */
+    get yielding(): LeaseYield | undefined {
+        return this.lease.yielding;
+    }
+
+    /** Takes work that callers asked for, by model or adapter. */
+    countWork(work: Readonly<Record<string, number>>): void {
+        for (const [artifact, workMs] of Object.entries(work)) {
+            this.demand.count(modelOf(artifact), workMs);
+            this.books.forEach(book => book.touch(artifact));
+        }
     }
 
     /** Says where a model or adapter can be used, and sees to it that it can. */
@@ -104,7 +118,7 @@
         const adapter = req.adapter!;
         const artifact = artifactOf(req.model, adapter);
         const usable = books.filter(({ server }) => !req.avoid.includes(server.id));
-        const holder = usable.find(book => book.adapters.has(artifact) && book.models.has(req.model));
+        const holder = usable.find(book => book.hasAdapter(artifact) && book.models.has(req.model));
         if (holder) {
             holder.touch(artifact);
             return { runner: holder.server.id, readyInMs: 0, isComing: true };
@@ -115,7 +129,10 @@
                 break;
             }
             if (step.evict) {
-                await this.order(step.book, engine, { kind: RunnerOrderKind.Unload, model: step.evict.model, adapter: step.evict.adapter }, "makes room for an adapter");
+                const cleared = await this.order(step.book, engine, { kind: RunnerOrderKind.Unload, ...step.evict }, "makes room for an adapter");
+                if (cleared !== RunnerOrderAnswer.Done) {
+                    continue;
+                }
             }
             const answer = await this.order(step.book, engine, { kind: RunnerOrderKind.Load, model: req.model, adapter }, "adapter wanted");
             if (answer === RunnerOrderAnswer.Accepted || answer === RunnerOrderAnswer.Done) {
@@ -266,6 +283,7 @@
         this.orderedAt.set(book.server.id, performance.now());
         const { kind, model, adapter, expectedOrders, epoch } = order;
         const fields = { runner: book.server.id, kind, model, adapter, expected: expectedOrders, epoch };
+        this.lease.onOrder();
         emit(EventId.OrderSent, { ...fields, reason });
         let answer = RunnerOrderAnswer.Unknown;
         try {
--- a/src/placement/peerHub.ts
+++ b/src/placement/peerHub.ts
@@ -57,13 +57,15 @@
         const { config, configBytes, directory } = gateway;
         const isNewer = config !== undefined && config.version > report.configVersion;
         if (controller.isActive) {
-            Object.entries(report.work).forEach(([model, workMs]) => controller.demand.count(model, workMs));
+            controller.countWork(report.work);
         }
         return {
             peers: [...this.nodes.values()].map(node => node.report.peerAddress),
             configVersion: config?.version ?? 0,
             config: isNewer ? configBytes?.toString("base64") : undefined,
             directoryVersion: directory.version,
+            isController: controller.isActive,
+            yielding: controller.yielding,
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
             adapters: controller.isActive ? controller.adaptersByRunner() : undefined,
             loads: controller.isActive ? this.loadsWithout(report.node) : undefined,
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -59,8 +59,8 @@
     }
 
     /** Counts work that a request asks of a model's runners. */
-    countWork(model: string, workMs: number): void {
-        this.work[model] = (this.work[model] ?? 0) + workMs;
+    countWork(artifact: string, workMs: number): void {
+        this.work[artifact] = (this.work[artifact] ?? 0) + workMs;
     }
 
     /** Asks the controller for a model or adapter; requests for the same one share the answer. */
@@ -89,7 +89,7 @@
     private async exchange(): Promise<void> {
         const report = this.toReport();
         if (this.local.controller.isActive) {
-            this.take(this.local.hub.exchange(report), true);
+            this.take(this.local.hub.exchange(report));
             return;
         }
         const { peerAddress } = this.gateway.settings;
@@ -98,7 +98,7 @@
         const isController = controller !== undefined && controller !== peerAddress && !this.isLost;
         const address = isController ? controller : pick(controller === undefined ? others : [...others, controller], this.gateway.random);
         if (address !== undefined) {
-            this.take(await this.clientOf(address).exchange.mutate({ ...report, loads: toMutable(report.loads) }), address === controller);
+            this.take(await this.clientOf(address).exchange.mutate({ ...report, loads: toMutable(report.loads) }));
         }
     }
 
@@ -115,9 +115,12 @@
         };
     }
 
-    private take(answer: PeerAnswer, isController: boolean): void {
+    private take(answer: PeerAnswer): void {
         const { gateway } = this;
-        if (isController) {
+        if (answer.yielding) {
+            this.lease.onYield(answer.yielding);
+        }
+        if (answer.isController) {
             this.heardAt = performance.now();
             this.isLost = false;
             this.peers = answer.peers.length > 1 ? answer.peers : this.peers;
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -9,3 +9,9 @@
     /** Whether the holder has given the lease up. */
     readonly isReleased: boolean;
 }
+
+/** A holder's word that it sends no more orders under one version of the row. */
+export interface LeaseYield {
+    readonly version: number;
+    readonly lastOrderAgoMs: number;
+}
--- a/src/types/modelNeed.ts
+++ b/src/types/modelNeed.ts
@@ -16,3 +16,6 @@
 
 /** Model, and adapter where there is one, as one name. */
 export const artifactOf = (model: string, adapter: string | undefined): string => adapter === undefined ? model : `${model}/${adapter}`;
+
+/** The model of an artifact's name. */
+export const modelOf = (artifact: string): string => artifact.split("/", 1)[0]!;
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -1,3 +1,4 @@
+import type { LeaseYield } from "./controllerLease";
 import type { DirectoryChange } from "./upstreamServer";
 
 /** What a node asks of the controller. */
@@ -39,6 +40,10 @@
     /** The configuration as it was published, base64, where the asker's is older. */
     readonly config?: string;
     readonly directoryVersion: number;
+    /** Whether the peer is the controller. */
+    readonly isController: boolean;
+    /** From a peer that was the controller and could not renew its lease. */
+    readonly yielding?: LeaseYield;
     /** Changes of the directory that the asker lacks. */
     readonly changes: readonly DirectoryChange[];
     /** Adapters by runner, from the controller only. */
