--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -42,7 +42,7 @@
 /** Share of a prompt that is not kept at its runner, on average. */
 const unkeptShare = 0.6;
 /** What one generated token takes of a runner's time when its batch is well filled. */
-const outputTokenMs = 0.3;
+const outputTokenMs = 0.06;
 
 /** Milliseconds of a runner's time that a generation asks for. */
 export const workOf = ({ promptTokens, maxOutputTokens }: ModelNeed): number =>
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -4,21 +4,26 @@
 import type { ModelDemand } from "./modelDemand";
 import type { RunnerBook } from "./runnerBook";
 
-/** Share of a runner's time that one copy of a model may need before another copy is worth a load. */
-const copyLoad = 0.3;
-/** Worth of the first copy of a model that callers wait for. */
-const firstCopyGain = 1;
-/** Worth of the last copy of a model: always something, and more while it is asked for. */
-const lastCopyLoss = 0.05;
-const recentCopyLoss = 0.7;
-const recencyHalfLifeMs = 6_000;
+/** Worth a second of a first copy of a model that callers wait for, and of one that they may ask for at any time. */
+const wantedWorth = 1;
+const offeredWorth = 0.02;
+/** Worth a second that a model without a copy loses for each share of a runner's time that callers ask of it: they wait for a load. */
+const missingWorth = 1;
 /** What a load costs, for each second that it takes, and if it draws on the weight store. */
 const loadCostPerS = 0.03;
 const storeLoadCost = 0.08;
-/** What a further copy on a busy runner is worth less. */
-const busyRunnerCost = 0.5;
+/** What a copy loses with the prompts that it keeps, for each share of a runner's time that it serves. */
+const droppedCacheCost = 0.3;
 /** Least advantage of a move. */
-const leastAdvantage = 0.05;
+const leastAdvantage = 0.06;
+/** Utilisation above which a runner's queue is as long as it is counted. */
+const maxUtilisation = 0.95;
+
+/** Worth a second that is lost at a runner by its utilisation: requests wait for each other's prompts, the more the busier it is. */
+const queueCost = (utilisation: number): number => {
+    const bounded = Math.min(maxUtilisation, Math.max(0, utilisation));
+    return bounded * bounded / (1 - bounded) + Math.max(0, utilisation - maxUtilisation) / (1 - maxUtilisation);
+};
 
 /** One order that the plan asks for. */
 export interface CopyStep {
@@ -56,13 +61,31 @@
 export const holdsOrLoads = (book: RunnerBook, model: string): boolean =>
     (book.models.has(model) && !isUnloading(book, model)) || isLoading(book, model);
 
-/** Chooses loads and unloads: first copies of wanted models, then further copies where one is too busy. Answers shifts of demand between models. */
+const toStep = (model: ModelSpec, { book, victims, advantage }: Option): CopyStep => {
+    const [victim] = victims;
+    const runner = book.server.id;
+    return victim === undefined
+        ? { kind: RunnerOrderKind.Load, runner, model: model.name, advantage }
+        : { kind: RunnerOrderKind.Unload, runner, model: victim, makesRoomFor: model.name, advantage };
+};
+
+/**
+ * Chooses loads and unloads by what they win: first copies of wanted models, and further copies that level the runners'
+ * utilisation. Answers shifts of demand between models, and bursts of one.
+ */
 export class CopyPlan {
-    private readonly copies = new Map<string, number>();
+    private readonly holders = new Map<string, Set<RunnerBook>>();
+    private readonly utilisation = new Map<RunnerBook, number>();
+    private readonly usable: readonly RunnerBook[];
 
     private constructor(private readonly inputs: CopyPlanInputs) {
+        this.usable = inputs.books.filter(({ server }) => server.state === UpstreamState.Ready && server.remainingMs === undefined);
         for (const model of inputs.engine.models.keys()) {
-            this.copies.set(model, this.usable().filter(book => holdsOrLoads(book, model)).length);
+            this.holders.set(model, new Set(this.usable.filter(book => holdsOrLoads(book, model))));
+        }
+        this.usable.forEach(book => this.utilisation.set(book, 0));
+        for (const [model, books] of this.holders) {
+            books.forEach(book => this.addLoad(book, this.load(model) / books.size));
         }
     }
 
@@ -81,15 +104,9 @@
                 continue;
             }
             taken.add(best.book);
-            const [victim] = best.victims;
-            const runner = best.book.server.id;
-            steps.push(
-                victim === undefined
-                    ? { kind: RunnerOrderKind.Load, runner, model: model.name, advantage: best.advantage }
-                    : { kind: RunnerOrderKind.Unload, runner, model: victim, makesRoomFor: model.name, advantage: best.advantage },
-            );
-            best.victims.forEach(name => this.copies.set(name, this.copiesOf(name) - 1));
-            this.copies.set(model.name, this.copiesOf(model.name) + 1);
+            steps.push(toStep(model, best));
+            best.victims.forEach(victim => this.move(victim, book => book.delete(best.book)));
+            this.move(model.name, books => books.add(best.book));
         }
         return steps;
     }
@@ -97,58 +114,49 @@
     /** The step that brings one model to one runner that was chosen for it before. */
     stepFor(model: ModelSpec, book: RunnerBook): CopyStep | undefined {
         const option = this.optionAt(model, book);
-        if (!option) {
-            return undefined;
-        }
-        const [victim] = option.victims;
-        const runner = book.server.id;
-        return victim === undefined
-            ? { kind: RunnerOrderKind.Load, runner, model: model.name, advantage: option.advantage }
-            : { kind: RunnerOrderKind.Unload, runner, model: victim, makesRoomFor: model.name, advantage: option.advantage };
+        return option && toStep(model, option);
     }
 
-    /** Models that should get a copy, the most urgent first. */
+    /** Models that are asked for, those without a copy first, then the busiest. */
     private needs(): readonly ModelSpec[] {
+        const urgency = (name: string): number => {
+            const copies = this.copies(name);
+            return copies === 0 ? 1_000 * this.missingCost(name) : this.load(name) / copies;
+        };
         return [...this.inputs.engine.models.values()]
-            .map(model => ({ model, gain: this.gain(model.name) }))
-            .filter(({ model, gain }) => gain > 0 && (this.copiesOf(model.name) === 0 || this.pressure(model.name) > copyLoad))
-            .sort((a, b) => b.gain - a.gain)
-            .map(({ model }) => model);
+            .filter(({ name }) => this.load(name) > 0 || this.inputs.wanted.has(name))
+            .sort((a, b) => urgency(b.name) - urgency(a.name));
     }
 
-    private copiesOf(model: string): number {
-        return this.copies.get(model) ?? 0;
+    private load(model: string): number {
+        return this.inputs.demand.loadOf(model);
     }
 
-    private pressure(model: string): number {
-        return this.inputs.demand.loadOf(model) / Math.max(1, this.copiesOf(model));
+    private copies(model: string): number {
+        return this.holders.get(model)?.size ?? 0;
     }
 
-    private gain(model: string): number {
-        const load = this.inputs.demand.loadOf(model);
-        const copies = this.copiesOf(model);
-        if (copies === 0) {
-            return (this.inputs.wanted.has(model) ? firstCopyGain : 0) + load;
-        }
-        return load / copies - load / (copies + 1);
+    private missingCost(model: string): number {
+        return (this.inputs.wanted.has(model) ? wantedWorth : 0) + offeredWorth + missingWorth * this.load(model);
     }
 
-    private loss(model: string): number {
-        const load = this.inputs.demand.loadOf(model);
-        const copies = this.copiesOf(model);
-        if (copies > 1) {
-            return load / (copies - 1) - load / copies;
-        }
-        return lastCopyLoss + load + recentCopyLoss * 2 ** (-this.inputs.demand.idleMs(model) / recencyHalfLifeMs);
+    private addLoad(book: RunnerBook, load: number): void {
+        this.utilisation.set(book, (this.utilisation.get(book) ?? 0) + load);
     }
 
-    private usable(): readonly RunnerBook[] {
-        return this.inputs.books.filter(({ server }) => server.state === UpstreamState.Ready && server.remainingMs === undefined);
+    /** Changes a model's holders and spreads its load anew. */
+    private move(model: string, change: (books: Set<RunnerBook>) => void): void {
+        const books = this.holders.get(model);
+        if (books) {
+            books.forEach(book => this.addLoad(book, -this.load(model) / books.size));
+            change(books);
+            books.forEach(book => this.addLoad(book, this.load(model) / books.size));
+        }
     }
 
     private bestOption(model: ModelSpec, taken: ReadonlySet<RunnerBook>): Option | undefined {
         let best: Option | undefined;
-        for (const book of this.usable()) {
+        for (const book of this.usable) {
             const option = taken.has(book) || !book.canOrder ? undefined : this.optionAt(model, book);
             if (option && option.advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
                 best = option;
@@ -157,33 +165,68 @@
         return best;
     }
 
+    /** The best way to bring a model to a runner, undefined where there is none. */
     private optionAt(model: ModelSpec, book: RunnerBook): Option | undefined {
         const { engine, mayLoadFromStore } = this.inputs;
-        const fromStore = book.loadsFromStore(model.name);
-        if (holdsOrLoads(book, model.name) || (fromStore && !mayLoadFromStore)) {
+        if (holdsOrLoads(book, model.name) || (book.loadsFromStore(model.name) && !mayLoadFromStore)) {
             return undefined;
         }
-        const victims: string[] = [];
-        let missingMb = book.usedMb(engine) + model.memoryMb - engine.memoryMb;
-        const held = [...book.models].map(name => ({ name, loss: this.loss(name) })).sort((a, b) => a.loss - b.loss);
-        let loss = 0;
-        for (const candidate of held) {
-            if (missingMb <= 0) {
-                break;
+        const missingMb = book.usedMb(engine) + model.memoryMb - engine.memoryMb;
+        let best: Option | undefined;
+        for (const victims of this.victimSets(book, missingMb)) {
+            const advantage = this.advantage(model, book, victims);
+            if (advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
+                best = { book, victims, advantage };
             }
-            victims.push(candidate.name);
-            loss += candidate.loss;
-            missingMb -= engine.models.get(candidate.name)?.memoryMb ?? 0;
         }
-        if (missingMb > 0) {
-            return undefined;
+        return best;
+    }
+
+    /** Sets of models that free enough memory: none, one, or the least busy few. */
+    private victimSets(book: RunnerBook, missingMb: number): readonly (readonly string[])[] {
+        if (missingMb <= 0) {
+            return [[]];
+        }
+        const sizeOf = (name: string): number => this.inputs.engine.models.get(name)?.memoryMb ?? 0;
+        const held = [...book.models];
+        const single = held.filter(name => sizeOf(name) >= missingMb).map(name => [name]);
+        if (single.length > 0) {
+            return single;
         }
-        const loadCost = loadCostPerS * book.loadMs(model) / 1_000 + (fromStore ? storeLoadCost : 0);
-        return { book, victims, advantage: this.gain(model.name) - loss - loadCost - busyRunnerCost * this.runnerLoad(book, victims) };
+        const victims: string[] = [];
+        let freedMb = 0;
+        for (const name of held.sort((a, b) => this.load(a) - this.load(b))) {
+            if (freedMb < missingMb) {
+                victims.push(name);
+                freedMb += sizeOf(name);
+            }
+        }
+        return freedMb >= missingMb ? [victims] : [];
     }
 
-    /** Share of a runner's time that its models need, without some of them. */
-    private runnerLoad(book: RunnerBook, without: readonly string[]): number {
-        return [...book.models].filter(name => !without.includes(name)).reduce((sum, name) => sum + this.pressure(name), 0);
+    private advantage(model: ModelSpec, book: RunnerBook, victims: readonly string[]): number {
+        const changes = new Map<RunnerBook, number>();
+        const change = (at: RunnerBook, load: number): void => void changes.set(at, (changes.get(at) ?? 0) + load);
+        const copies = this.copies(model.name);
+        const load = this.load(model.name);
+        this.holders.get(model.name)!.forEach(holder => change(holder, load / (copies + 1) - load / copies));
+        change(book, load / (copies + 1));
+        let lost = 0;
+        for (const victim of victims) {
+            const before = this.copies(victim);
+            const victimLoad = this.load(victim);
+            lost += droppedCacheCost * victimLoad / Math.max(1, before) + (before <= 1 ? this.missingCost(victim) : 0);
+            this.holders.get(victim)?.forEach(holder =>
+                change(holder, holder === book ? -victimLoad / before : victimLoad / (before - 1) - victimLoad / before)
+            );
+        }
+        const won = copies === 0 ? this.missingCost(model.name) : 0;
+        let queues = 0;
+        changes.forEach((delta, at) => {
+            const now = this.utilisation.get(at) ?? 0;
+            queues += queueCost(now + delta) - queueCost(now);
+        });
+        const loadCost = loadCostPerS * book.loadMs(model) / 1_000 + (book.loadsFromStore(model.name) ? storeLoadCost : 0);
+        return won - lost - queues - loadCost;
     }
 }
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -18,7 +18,7 @@
     /** Moving average of the time to the first byte of an answer, undefined before the first. */
     firstByteMs: number | undefined;
     private told: ToldLoad | undefined;
-    private toldAt = 0;
+    private toldAt = Number.NEGATIVE_INFINITY;
     private inFlightWhenTold = 0;
     private othersPrefillMs = 0;
     private othersInFlight = 0;
@@ -71,6 +71,11 @@
         return this.told && this.now() - this.toldAt < toldLifetimeMs ? this.told.waiting : 0;
     }
 
+    /** Age of the upstream's last word on its load. */
+    get toldAgeMs(): number {
+        return this.now() - this.toldAt;
+    }
+
     onLoad(told: ToldLoad): void {
         this.told = told;
         this.toldAt = this.now();
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -39,6 +39,11 @@
         return this.call.res.headersSent;
     }
 
+    /** Whether the newest attempt's answer may end the caller's: a stream goes on only with a stream. */
+    get canComplete(): boolean {
+        return this.isStreaming || !this.hasBegun;
+    }
+
     /** ID of the last event that the caller has. */
     get lastEventId(): string | undefined {
         return this.splitter.lastEventId ?? this.call.caller.lastEventId;
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -80,7 +80,7 @@
             return;
         }
         signal.addEventListener("abort", onAbort, { once: true });
-        client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body.length > 0 ? req.body : null }, {
+        client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body }, {
             onRequestStart: started => {
                 if (isSent) {
                     // The library would send the request again over a new connection.
@@ -90,14 +90,14 @@
                 isSent = true;
                 controller = started;
             },
-            onResponseStart: (_, status, headers) => {
+            onResponseStart: (current, status, headers) => {
                 if (status < 200) {
                     return;
                 }
                 const told = wire.decodeAnswer(status, headers);
                 if (told.isSealed && told.requestId !== req.requestId) {
                     isMismatched = true;
-                    controller?.abort(abortReason);
+                    current.abort(abortReason);
                     finish(AttemptEndKind.Lost, "answer to another request");
                     return;
                 }
@@ -113,6 +113,6 @@
                     finish(AttemptEndKind.Whole, "whole");
                 }
             },
-            onResponseError: (_, err) => finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, codeOf(err)),
+            onResponseError: (current, err) => finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `${codeOf(err)}${current.aborted ? " after an abort" : ""}`),
         });
     });
--- a/src/forward/readyServer.ts
+++ b/src/forward/readyServer.ts
@@ -10,7 +10,7 @@
 /** Tells the balancer whether the node is ready. */
 export const serveReadiness = async (gateway: Gateway, address: string): Promise<void> => {
     let last: boolean | undefined;
-    const server = createServer((_, res) => {
+    const server = createServer((req, res) => {
         const ready = isReady(gateway);
         if (ready !== last) {
             last = ready;
@@ -21,6 +21,7 @@
                 stopping: gateway.isStopping,
             });
         }
+        req.resume();
         res.writeHead(ready ? 200 : 503, { "Content-Length": 0 });
         res.end();
     });
--- a/src/forward/selector.ts
+++ b/src/forward/selector.ts
@@ -7,7 +7,7 @@
 import type { Gateway } from "./gateway";
 
 /** Share of a shared part that the part's preferred runner is thought to keep, though this node has not seen it there. */
-const preferredKeptShare = 0.5;
+const preferredKeptShare = 0.7;
 
 /** Runners of a service that hold a model. */
 export const holdersOf = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -33,6 +33,7 @@
     RequestSent = 407,
     RequestAnswered = 408,
     RequestFailed = 409,
+    CallerLeft = 410,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -35,6 +35,7 @@
     [EventId.RequestSent]: "a request was sent to an upstream",
     [EventId.RequestAnswered]: "a request was answered with an upstream's answer",
     [EventId.RequestFailed]: "a request ended by an error of the program",
+    [EventId.CallerLeft]: "the caller closed the connection; the upstream was told",
     [EventId.LeaseTaken]: "this node became steward of its zone's runners",
     [EventId.LeaseLost]: "this node is no longer steward",
     [EventId.OrderSent]: "an order was sent to an engine",
--- /dev/null
+++ b/test/fakes/gatewayHarness.ts
@@ -0,0 +1,141 @@
+import { request } from "node:http";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { CallerServer } from "../../src/forward/callerServer";
+import { Gateway } from "../../src/forward/gateway";
+import { requestHeaders } from "../../src/platform/requestHeaders";
+import type { NodeSettings } from "../../src/types/nodeSettings";
+import type { ServiceRoute } from "../../src/types/servingConfig";
+import { RouteKind } from "../../src/types/servingConfig";
+import { UpstreamState } from "../../src/types/upstreamServer";
+import { createRandom } from "../../src/utils/random";
+
+/** Settings of a node on loopback. */
+export const testSettings: NodeSettings = {
+    nodeId: "node-1@127.0.0.1",
+    ip: "127.0.0.1",
+    availabilityZone: "a",
+    callerAddress: "127.0.0.1:0",
+    readyAddress: "127.0.0.1:0",
+    peerAddress: "127.0.0.1:0",
+    metricsAddress: "127.0.0.1:0",
+    storeAddress: "127.0.0.1:0",
+    seeds: [],
+    isFirstStart: true,
+    heartbeatMs: 1_000,
+    drainMs: 2_000,
+    applyMs: 2_000,
+    graceMs: 8_000,
+    retryRatio: 0.2,
+    retryWindowMs: 10_000,
+    retrySlack: 100,
+    turnGapMs: 3_000,
+    loadWindowMs: 5_000,
+};
+
+const baseRoute: ServiceRoute = {
+    name: "r",
+    host: "shop.example",
+    prefix: "/desk/",
+    kind: RouteKind.NonIdempotent,
+    timeoutMs: 2_000,
+    targetMs: 300,
+    priority: 1,
+    targets: [{ service: "desk", weight: 1 }],
+    maxAttempts: 1,
+    isResumable: false,
+};
+
+/** A gateway with one route to upstreams at given addresses. */
+export interface TestGateway {
+    readonly gateway: Gateway;
+    readonly address: string;
+    close(): void;
+}
+
+/** A port that was free a moment ago. */
+export const findFreePort = (): Promise<number> =>
+    new Promise(resolve => {
+        const server = createServer();
+        server.listen(0, "127.0.0.1", () => {
+            const { port } = server.address() as AddressInfo;
+            server.close(() => resolve(port));
+        });
+    });
+
+/** Starts a gateway in this process. */
+export const startGateway = async (upstreams: readonly string[], route: Partial<ServiceRoute> = {}): Promise<TestGateway> => {
+    const gateway = Gateway.create(testSettings, requestHeaders, createRandom(1));
+    const limits = { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
+    gateway.applyConfig({
+        version: 1,
+        routes: [{ ...baseRoute, ...route }],
+        services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
+        limits,
+    }, Buffer.from(""));
+    upstreams.forEach((address, index) =>
+        gateway.directory.apply({
+            id: `up-${index}`,
+            version: index + 1,
+            server: {
+                id: `up-${index}`,
+                service: "desk",
+                address,
+                availabilityZone: "a",
+                slots: 8,
+                state: UpstreamState.Ready,
+                models: [{ name: "m", version: 1, adapters: [] }],
+                inMemory: [],
+                onDisk: [],
+                bornAt: 1,
+            },
+        })
+    );
+    const server = CallerServer.create(gateway);
+    const address = `127.0.0.1:${await findFreePort()}`;
+    await server.listen(address);
+    server.applyLimits();
+    return { gateway, address, close: () => server.close() };
+};
+
+/** How a caller's request ended. */
+export interface CallerResult {
+    /** Undefined where the connection ended without an answer. */
+    readonly status?: number;
+    readonly headers: Readonly<Record<string, unknown>>;
+    readonly body: string;
+    readonly isWhole: boolean;
+    readonly afterMs: number;
+}
+
+/** A request of a caller. */
+export interface CallerRequest {
+    readonly method?: string;
+    readonly path?: string;
+    readonly host?: string;
+    readonly headers?: Readonly<Record<string, string>>;
+    readonly body?: string;
+    /** Leaves after this time. */
+    readonly leaveAfterMs?: number;
+}
+
+/** Sends a caller's request and waits for its end. */
+export const callGateway = (address: string, { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", leaveAfterMs }: CallerRequest = {}): Promise<CallerResult> =>
+    new Promise(resolve => {
+        const startedAt = performance.now();
+        const chunks: Buffer[] = [];
+        const colon = address.lastIndexOf(":");
+        const sent = { host, "attempt-id": "id-1", "deadline-ms": "3000", ...headers };
+        const finish = (result: Omit<CallerResult, "afterMs">): void => resolve({ ...result, afterMs: performance.now() - startedAt });
+        const req = request({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method, path, headers: sent, agent: false }, res => {
+            const toResult = (isWhole: boolean) => ({ status: res.statusCode, headers: res.headers, body: Buffer.concat(chunks).toString(), isWhole });
+            res.on("data", (chunk: Buffer) => chunks.push(chunk));
+            res.on("end", () => finish(toResult(res.complete)));
+            res.on("error", () => finish(toResult(false)));
+        });
+        req.on("error", () => finish({ headers: {}, body: "", isWhole: false }));
+        req.end(body);
+        if (leaveAfterMs !== undefined) {
+            setTimeout(() => req.destroy(), leaveAfterMs);
+        }
+    });
--- /dev/null
+++ b/test/forwarding.test.ts
@@ -0,0 +1,182 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { RouteKind } from "../src/types/servingConfig";
+import { setupLogs } from "../src/utils/events";
+import type { CallerRequest, CallerResult, TestGateway } from "./fakes/gatewayHarness";
+import { callGateway, startGateway } from "./fakes/gatewayHarness";
+import type { Script, ScriptedUpstream } from "./fakes/scriptedUpstream";
+import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./fakes/scriptedUpstream";
+
+before(() => setupLogs("silent"));
+
+const events = (from: number, to: number): string => Array.from({ length: to - from + 1 }, (value, at) => `id: ${from + at}\ndata: piece ${from + at}\n\n`).join("");
+
+const refuse: Script = socket => void socket.write("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+const misdirect: Script = socket => void socket.write("HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
+const answer: Script = (socket, { id }) => void socket.write(answerOf(id, "done"));
+const fail: Script = (socket, { id }) => void socket.write(answerOf(id, "sorry", { status: 500 }));
+const reset: Script = socket => void socket.resetAndDestroy();
+const cutShort: Script = socket => {
+    socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Length: 100\r\n\r\nhalf");
+    setTimeout(() => socket.destroy(), 10);
+};
+const cross: Script = socket => void socket.write(answerOf("another-request", "not yours"));
+const garbage: Script = socket => void socket.write("\x01\x02 no answer at all\r\n\r\n");
+const unsealed: Script = (socket, { id }) => void socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
+const untilClose: Script = (socket, { id }) => void socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nno length`);
+const stay: Script = () => undefined;
+const wholeStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(events(1, 4)) + lastChunk);
+const brokenStream: Script = (socket, { id }) => {
+    socket.write(streamHeadOf(id) + chunkOf(`${events(1, 2)}id: 3\ndata: ha`));
+    setTimeout(() => socket.destroy(), 10);
+};
+const resumedStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(events(3, 4)) + lastChunk);
+const refuseThenAnswer: Script = (socket, req) => req.index === 0 ? refuse(socket, req) : answer(socket, req);
+
+interface Case {
+    readonly name: string;
+    readonly kind?: RouteKind;
+    readonly isResumable?: boolean;
+    readonly maxAttempts?: number;
+    readonly timeoutMs?: number;
+    /** One script for each upstream; the request meets the first upstream first. */
+    readonly scripts: readonly Script[];
+    readonly call?: CallerRequest;
+    readonly status: number | undefined;
+    readonly body?: string;
+    readonly isWhole?: boolean;
+    /** Requests that reached upstreams in all. */
+    readonly received: number;
+    readonly check?: (result: CallerResult, upstreams: readonly ScriptedUpstream[]) => void;
+}
+
+const { Idempotent, NonIdempotent, Streaming } = RouteKind;
+
+const cases: readonly Case[] = [
+    { name: "a whole answer passes unchanged", scripts: [answer], status: 200, body: "done", received: 1, check: ({ headers }) => assert.equal(headers["server-seal"], "seal-id-1") },
+    { name: "an upstream's own failure passes with its seal", scripts: [fail], status: 500, body: "sorry", received: 1 },
+    { name: "what may run once is not sent again after a reset", scripts: [reset, answer], maxAttempts: 2, status: 502, received: 1 },
+    { name: "what may be repeated is sent again after a reset", kind: Idempotent, scripts: [reset, answer], maxAttempts: 2, status: 200, body: "done", received: 2 },
+    { name: "attempts bound the runs", kind: Idempotent, scripts: [reset, reset, answer], maxAttempts: 2, status: 502, received: 2 },
+    { name: "a proved refusal is sent elsewhere, also what may run once", scripts: [refuse, answer], status: 200, body: "done", received: 2 },
+    { name: "a misdirected request is sent elsewhere", scripts: [misdirect, answer], status: 200, body: "done", received: 2 },
+    {
+        name: "refusals of all upstreams promise that nothing ran",
+        scripts: [refuse, refuse],
+        status: 503,
+        received: 2,
+        check: ({ headers }) => assert.ok(Number(headers["retry-after"]) > 0),
+    },
+    { name: "an answer to another request is never passed on", scripts: [cross], status: 502, received: 1 },
+    { name: "a short answer never looks whole", scripts: [cutShort], status: 502, received: 1 },
+    { name: "bytes that are no answer are a lost attempt", scripts: [garbage], status: 502, received: 1 },
+    { name: "a success without a seal is no success", scripts: [unsealed], status: 502, received: 1 },
+    { name: "an answer without a length ends with its connection", scripts: [untilClose], status: 200, body: "no length", received: 1 },
+    { name: "a failure that was run may be repeated where the kind allows", kind: Idempotent, scripts: [fail, answer], maxAttempts: 2, status: 200, received: 2 },
+    { name: "the last failure is passed on with its seal", kind: Idempotent, scripts: [fail, fail], maxAttempts: 2, status: 500, body: "sorry", received: 2 },
+    { name: "the route's timeout ends a request with a final answer", scripts: [stay], timeoutMs: 200, status: 504, received: 1, check: ({ afterMs }) => assert.ok(afterMs < 700) },
+    { name: "the caller's deadline is passed on, shortened", scripts: [answer], call: { headers: { "deadline-ms": "900" } }, status: 200, received: 1, check: (result, [first]) => {
+        const told = Number(/^deadline-ms: (\d+)$/im.exec(first!.received[0]!.head)![1]);
+        assert.ok(told > 700 && told < 900, String(told));
+    } },
+    { name: "a stream passes event by event", kind: Streaming, scripts: [wholeStream], status: 200, body: events(1, 4), received: 1 },
+    {
+        name: "a stream that may be resumed goes on after its last whole event",
+        kind: Streaming,
+        isResumable: true,
+        maxAttempts: 2,
+        scripts: [brokenStream, resumedStream],
+        status: 200,
+        body: events(1, 4),
+        received: 2,
+        check: (result, upstreams) => assert.match(upstreams[1]!.received[0]!.head, /^last-event-id: 2$/im),
+    },
+    { name: "a stream that may not be resumed is cut, not completed", kind: Streaming, scripts: [brokenStream, resumedStream], status: 200, isWhole: false, received: 1 },
+    { name: "an unknown path has no route", scripts: [answer], call: { path: "/other/x" }, status: 404, received: 0 },
+    { name: "an unknown host has no route", scripts: [answer], call: { host: "other.example" }, status: 404, received: 0 },
+    { name: "a body above the limit is refused", scripts: [answer], call: { body: "x".repeat(20_000) }, status: 413, received: 0 },
+    { name: "headers above the limit are refused", scripts: [answer], call: { headers: { "x-long": "y".repeat(6_000) } }, status: 431, received: 0 },
+    {
+        name: "headers that only the system sets are dropped, and those of the connection",
+        scripts: [answer],
+        call: { headers: { hold: "h", "pin-ms": "9", "kv-from": "1.2.3.4:5/6", "request-priority": "0", "expect-instance": "x", "expect-version": "1", connection: "model, x-hop", "x-hop": "1", model: "m" } },
+        status: 200,
+        received: 1,
+        check: (result, [first]) => {
+            const { head } = first!.received[0]!;
+            assert.doesNotMatch(head, /^(hold|pin-ms|kv-from|expect-version|x-hop):/im);
+            assert.match(head, /^expect-instance: up-0$/im);
+            assert.match(head, /^model: m$/im);
+        },
+    },
+    { name: "a body of any length passes byte for byte", scripts: [answer], call: { body: "a\r\nb".repeat(300) }, status: 200, received: 1, check: (result, [first]) => assert.equal(first!.received[0]!.body, "a\r\nb".repeat(300)) },
+    { name: "the query passes unchanged", kind: Idempotent, scripts: [answer], call: { method: "GET", path: "/desk/x?a=%2F&b=//" }, status: 200, received: 1, check: (result, [first]) => assert.match(first!.received[0]!.head, /^GET \/desk\/x\?a=%2F&b=\/\/ HTTP/) },
+];
+
+describe("forwarding", () => {
+    for (const { name, scripts, call, status, body, isWhole = status !== undefined, received, check, ...route } of cases) {
+        it(name, async () => {
+            const upstreams = await Promise.all(scripts.map(script => startScriptedUpstream(script)));
+            const node = await startGateway(upstreams.map(({ address }) => address), route);
+            // The first upstream is preferred: the others look slower.
+            upstreams.forEach((upstream, index) => node.gateway.trafficOf(`up-${index}`).onFirstByte(20 + 20 * index));
+            const result = await callGateway(node.address, call);
+            node.close();
+            upstreams.forEach(upstream => upstream.close());
+            assert.equal(result.status, status);
+            assert.equal(result.isWhole, isWhole);
+            if (body !== undefined) {
+                assert.equal(result.body, body);
+            }
+            assert.equal(upstreams.reduce((sum, upstream) => sum + upstream.received.length, 0), received);
+            check?.(result, upstreams);
+        });
+    }
+});
+
+describe("connections to upstreams", () => {
+    const withNode = async (script: Script, run: (node: TestGateway, upstream: ScriptedUpstream) => Promise<void>, kind = NonIdempotent): Promise<void> => {
+        const upstream = await startScriptedUpstream(script);
+        const node = await startGateway([upstream.address], { kind });
+        await run(node, upstream);
+        node.close();
+        upstream.close();
+    };
+
+    it("a connection is used again after a whole answer", () =>
+        withNode(answer, async (node, upstream) => {
+            await callGateway(node.address);
+            await callGateway(node.address);
+            assert.equal(upstream.closedEarly, 0);
+            assert.equal(upstream.received.length, 2);
+        }));
+
+    it("surplus bytes retire a connection and reach nobody", () =>
+        withNode((socket, { id }) => void socket.write(answerOf(id, "mine") + answerOf("old", "surplus")), async node => {
+            const results = [await callGateway(node.address), await callGateway(node.address)];
+            assert.deepEqual(results.map(({ body }) => body).filter(body => body.includes("surplus")), []);
+        }));
+
+    it("a caller that leaves takes its request along at once", () =>
+        withNode(stay, async (node, upstream) => {
+            await callGateway(node.address, { leaveAfterMs: 60 });
+            await new Promise(resolve => setTimeout(resolve, 150));
+            assert.equal(upstream.closedEarly, 1);
+        }));
+
+    it("a refused request may come back and is served", () =>
+        withNode(refuseThenAnswer, async node => {
+            assert.equal((await callGateway(node.address)).status, 503);
+            assert.equal((await callGateway(node.address)).status, 200);
+        }));
+
+    it("nothing is forwarded to an upstream that drains", () =>
+        withNode(answer, async (node, upstream) => {
+            const before = node.gateway.directory.get("up-0")!;
+            node.gateway.directory.apply({ id: "up-0", version: 9, server: { ...before, state: "draining" as typeof before.state } });
+            assert.equal((await callGateway(node.address)).status, 503);
+            assert.equal(upstream.received.length, 0);
+        }));
+});
+
+after(() => setupLogs("info"));
