--- a/src/core/adapterPlan.ts
+++ b/src/core/adapterPlan.ts
@@ -33,7 +33,10 @@
     let best: AdapterStep | undefined;
     let bestCost = Number.POSITIVE_INFINITY;
     for (const book of books) {
-        if (!book.models.has(model) || !book.canOrder || book.leaving.size > 0 || book.server.state !== UpstreamState.Ready || book.adapters.has(artifactOf(model, adapter))) {
+        if (
+            !book.models.has(model) || !book.canOrder || book.leaving.size > 0 || book.server.state !== UpstreamState.Ready ||
+            book.adapters.has(artifactOf(model, adapter))
+        ) {
             continue;
         }
         const isFull = book.adapters.size >= engine.adapterSlots || book.usedMb(engine) + sizeMb > engine.memoryMb;
--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -45,8 +45,7 @@
 const outputTokenMs = 0.06;
 
 /** Milliseconds of a runner's time that a generation asks for. */
-export const workOf = ({ promptTokens, maxOutputTokens }: ModelNeed): number =>
-    prefillTime(promptTokens * unkeptShare, 1) + maxOutputTokens * outputTokenMs;
+export const workOf = ({ promptTokens, maxOutputTokens }: ModelNeed): number => prefillTime(promptTokens * unkeptShare, 1) + maxOutputTokens * outputTokenMs;
 
 const predict = ({ server, traffic, prefillTokens, pace }: Candidate, zone: string): Choice["predictedMs"] => {
     const away = server.availabilityZone === zone ? 0 : crossZoneMs;
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -52,14 +52,10 @@
     readonly advantage: number;
 }
 
-const isLoading = (book: RunnerBook, model: string): boolean =>
-    (book.transit?.kind === RunnerOrderKind.Load && book.transit.model === model) || (book.unsettled?.kind === RunnerOrderKind.Load && book.unsettled.model === model && book.unsettled.adapter === undefined);
-
 const isUnloading = (book: RunnerBook, model: string): boolean => book.transit?.kind === RunnerOrderKind.Unload && book.transit.model === model;
 
 /** Whether a runner holds a model, or will when its order is done. */
-export const holdsOrLoads = (book: RunnerBook, model: string): boolean =>
-    (book.models.has(model) && !isUnloading(book, model)) || isLoading(book, model);
+export const holdsOrLoads = (book: RunnerBook, model: string): boolean => (book.models.has(model) && !isUnloading(book, model)) || book.isLoading(model);
 
 const toStep = (model: ModelSpec, { book, victims, advantage }: Option): CopyStep => {
     const [victim] = victims;
--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -1,9 +1,9 @@
+import { EventId } from "../types/eventId";
 import { artifactOf } from "../types/modelNeed";
 import type { RunnerOrder, RunnerReport } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
-import { EventId } from "../types/eventId";
 import { assertInvariant } from "../utils/invariants";
 
 /** An order without an answer may be carried out this much later. */
@@ -37,8 +37,8 @@
     unsettled: RunnerOrder | undefined;
     /** Whether a report has been read since the controller took over, or since the runner's start. */
     isKnown = false;
-    /** Whether an order is on its way at this moment. */
-    isOrdering = false;
+    /** The order that is on its way at this moment. */
+    ordering: RunnerOrder | undefined;
     queued = 0;
     active = 0;
     reportedAt = Number.NEGATIVE_INFINITY;
@@ -79,7 +79,7 @@
 
     /** Whether the next order may be a new one. */
     get canOrder(): boolean {
-        return this.isKnown && !this.isBusy && !this.isOrdering && !this.unsettled && !this.transit;
+        return this.isKnown && !this.isBusy && !this.ordering && !this.unsettled && !this.transit;
     }
 
     /** Takes the directory's newer word. A restart under the same ID forgets everything but orders that may still come. */
@@ -184,11 +184,18 @@
         return this.server.inMemory.includes(model);
     }
 
+    /** Whether a model is being loaded, or may be. */
+    isLoading(model: string): boolean {
+        return [this.transit, this.unsettled, this.ordering].some(order =>
+            order?.kind === RunnerOrderKind.Load && order.model === model && !("adapter" in order && order.adapter !== undefined)
+        );
+    }
+
     private withTransit(): Set<string> {
         return new Set([
             ...this.models,
             ...(this.transit ? [this.transit.model] : []),
-            ...(this.unsettled && this.unsettled.adapter === undefined ? [this.unsettled.model] : []),
+            ...[this.unsettled, this.ordering].filter(order => order && order.adapter === undefined).map(order => order!.model),
         ]);
     }
 
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -113,6 +113,7 @@
                     finish(AttemptEndKind.Whole, "whole");
                 }
             },
-            onResponseError: (current, err) => finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `${codeOf(err)}${current.aborted ? " after an abort" : ""}`),
+            onResponseError: (current, err) =>
+                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `${codeOf(err)}${current.aborted ? " after an abort" : ""}`),
         });
     });
--- a/src/forward/findUpstream.ts
+++ b/src/forward/findUpstream.ts
@@ -33,10 +33,18 @@
         if (!need) {
             return { detail: "no upstream of the service is ready", retryAfterMs: unknownRetryMs };
         }
-        const { runner, readyInMs, isComing } = await gateway.placement.place({ service: call.service, model: need.model, adapter: need.adapter, avoid: [...met] });
+        const { runner, readyInMs, isComing } = await gateway.placement.place({
+            service: call.service,
+            model: need.model,
+            adapter: need.adapter,
+            avoid: [...met],
+        });
         const leftMs = call.deadlineAt - performance.now();
         if (!isComing || readyInMs + serveMs > leftMs) {
-            return { detail: isComing ? `the model is ready in ${Math.round(readyInMs)} ms` : "no runner holds the model", retryAfterMs: readyInMs || unknownRetryMs };
+            return {
+                detail: isComing ? `the model is ready in ${Math.round(readyInMs)} ms` : "no runner holds the model",
+                retryAfterMs: readyInMs || unknownRetryMs,
+            };
         }
         await sleep(Math.min(maxPauseMs, Math.max(minPauseMs, readyInMs)), call.signal);
         if (runner !== undefined && readyInMs < maxPauseMs) {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -134,7 +134,14 @@
             relay.complete();
             const { caller, route } = this.call;
             const status = relay.head?.status;
-            emit(EventId.RequestAnswered, { request: caller.requestId, route: route.name, upstream: this.upstream, status, sends: this.sends, afterMs: this.elapsedMs() });
+            emit(EventId.RequestAnswered, {
+                request: caller.requestId,
+                route: route.name,
+                upstream: this.upstream,
+                status,
+                sends: this.sends,
+                afterMs: this.elapsedMs(),
+            });
             return;
         }
         const isLate = performance.now() >= this.call.deadlineAt;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -6,13 +6,13 @@
 import { Gateway } from "../forward/gateway";
 import { serveReadiness } from "../forward/readyServer";
 import { watchConfig, watchDirectory } from "../forward/storeWatch";
-import { decodeConfig } from "../platform/configDecoder";
-import { decodeServer } from "../platform/directoryDecoder";
 import { Controller } from "../placement/controller";
 import { PeerHub } from "../placement/peerHub";
 import { PeerLink } from "../placement/peerLink";
-import { RunnerClient } from "../platform/runnerClient";
+import { decodeConfig } from "../platform/configDecoder";
+import { decodeServer } from "../platform/directoryDecoder";
 import { requestHeaders } from "../platform/requestHeaders";
+import { RunnerClient } from "../platform/runnerClient";
 import { StoreClient } from "../platform/storeClient";
 import { platformTables } from "../platform/tables";
 import { EventId } from "../types/eventId";
@@ -77,8 +77,12 @@
                 await lease.tick();
             }
         };
-        void repeat(tick, () => renewMs * (lease.heldEpoch === undefined ? 0.5 + gateway.random() : 1), signal, err =>
-            emit(EventId.StewardFailed, { detail: toFailure(err).detail }));
+        void repeat(
+            tick,
+            () => renewMs * (lease.heldEpoch === undefined ? 0.5 + gateway.random() : 1),
+            signal,
+            err => emit(EventId.StewardFailed, { detail: toFailure(err).detail }),
+        );
         this.lease = lease;
     }
 
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -11,7 +11,7 @@
 import type { PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { RunnerControl } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
-import type { EngineSpec } from "../types/servingConfig";
+import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { resendMs, RunnerDesk } from "./runnerDesk";
 
 /** Pause between two rounds. */
@@ -91,13 +91,7 @@
         if (!books.some(book => book.models.has(req.model))) {
             this.wanted.set(req.model, now);
             this.round();
-            const coming = books.find(book => holdsOrLoads(book, req.model));
-            const intended = [...this.intents].find(([, { model }]) => model === req.model);
-            if (coming?.transit) {
-                return { runner: coming.server.id, readyInMs: Math.max(0, coming.transit.doneAt - now), isComing: true };
-            }
-            const spec = engine.models.get(req.model)!;
-            return { readyInMs: intended ? unloadMs + spec.diskLoadMs : askAgainMs, isComing: intended !== undefined || coming !== undefined };
+            return this.comingIn(req.model, engine.models.get(req.model)!, books);
         }
         if (req.adapter === undefined) {
             const holder = books.find(book => book.models.has(req.model) && !req.avoid.includes(book.server.id));
@@ -106,6 +100,17 @@
         return this.placeAdapter(req, engine, books);
     }
 
+    /** When a model without a copy will have one. */
+    private comingIn(model: string, spec: ModelSpec, books: readonly RunnerBook[]): PlacementAnswer {
+        const loading = books.find(book => book.isLoading(model));
+        if (loading) {
+            const doneAt = loading.transit?.doneAt ?? performance.now() + loading.loadMs(spec);
+            return { runner: loading.server.id, readyInMs: Math.max(0, doneAt - performance.now()), isComing: true };
+        }
+        const isIntended = [...this.intents.values()].some(intent => intent.model === model);
+        return { readyInMs: isIntended ? unloadMs + spec.diskLoadMs : askAgainMs, isComing: isIntended };
+    }
+
     private async placeAdapter(req: PlacementRequest, engine: EngineSpec, books: readonly RunnerBook[]): Promise<PlacementAnswer> {
         const adapter = req.adapter!;
         const artifact = artifactOf(req.model, adapter);
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -1,8 +1,8 @@
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent, fetch } from "undici";
-import { toFailure } from "../core/failures";
 import type { ControllerLease } from "../core/controllerLease";
+import { toFailure } from "../core/failures";
 import type { Gateway, Placement } from "../forward/gateway";
 import type { ConfigDecoder } from "../forward/storeWatch";
 import { takeConfig } from "../forward/storeWatch";
@@ -143,9 +143,14 @@
 
     private clientOf(address: string): TRPCClient<HubRouter> {
         // tRPC is typed for the platform's fetch; the one from undici takes the dispatcher.
-        const fetchWithTimeout = ((input: string, init: object) =>
-            fetch(input, { ...init, dispatcher: this.dispatcher, signal: AbortSignal.timeout(peerTimeoutMs) })) as unknown as typeof globalThis.fetch;
-        return getOrCreate(this.clients, address, () => createTRPCClient<HubRouter>({ links: [httpLink({ url: `http://${address}`, fetch: fetchWithTimeout })] }));
+        const fetchWithTimeout =
+            ((input: string, init: object) =>
+                fetch(input, { ...init, dispatcher: this.dispatcher, signal: AbortSignal.timeout(peerTimeoutMs) })) as unknown as typeof globalThis.fetch;
+        return getOrCreate(
+            this.clients,
+            address,
+            () => createTRPCClient<HubRouter>({ links: [httpLink({ url: `http://${address}`, fetch: fetchWithTimeout })] }),
+        );
     }
 }
 
--- a/src/placement/runnerDesk.ts
+++ b/src/placement/runnerDesk.ts
@@ -91,7 +91,7 @@
             void this.readReport(book, engine);
         }
         const { unsettled } = book;
-        if (unsettled && !book.isOrdering && now - (this.orderedAt.get(book) ?? Number.NEGATIVE_INFINITY) > resendMs) {
+        if (unsettled && !book.ordering && now - (this.orderedAt.get(book) ?? Number.NEGATIVE_INFINITY) > resendMs) {
             void this.send(book, engine, unsettled, "sent again");
         }
     }
@@ -115,17 +115,22 @@
 
     /** Sends an order; one that finds the runner or the lease gone is answered as a conflict. */
     order(book: RunnerBook, engine: EngineSpec, what: OrderContent, reason: string): Promise<RunnerOrderAnswer> {
-        return this.send(book, engine, { ...what, expectedOrders: book.acceptedOrders, holder: this.gateway.settings.nodeId, epoch: this.lease.heldEpoch ?? 0 }, reason);
+        return this.send(
+            book,
+            engine,
+            { ...what, expectedOrders: book.acceptedOrders, holder: this.gateway.settings.nodeId, epoch: this.lease.heldEpoch ?? 0 },
+            reason,
+        );
     }
 
     private async send(book: RunnerBook, engine: EngineSpec, order: RunnerOrder, reason: string): Promise<RunnerOrderAnswer> {
-        if (this.lease.heldEpoch === undefined || this.lease.heldEpoch !== order.epoch || book.isOrdering) {
+        if (this.lease.heldEpoch === undefined || this.lease.heldEpoch !== order.epoch || book.ordering) {
             return RunnerOrderAnswer.Conflict;
         }
         if (book.unsettled === undefined) {
             book.assertFits(order, engine);
         }
-        book.isOrdering = true;
+        book.ordering = order;
         this.orderedAt.set(book, performance.now());
         const { kind, model, adapter, expectedOrders, epoch } = order;
         const fields = { runner: book.server.id, kind, model, adapter, expected: expectedOrders, epoch };
@@ -138,7 +143,7 @@
         catch (err) {
             emit(EventId.OrderUnanswered, { ...fields, detail: toFailure(err).detail });
         }
-        book.isOrdering = false;
+        book.ordering = undefined;
         book.onAnswer(order, answer, engine);
         if (answer !== RunnerOrderAnswer.Unknown && answer !== RunnerOrderAnswer.Accepted && answer !== RunnerOrderAnswer.Done) {
             emit(EventId.OrderRefused, { ...fields, answer });
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -120,7 +120,10 @@
 }
 
 /** Sends a caller's request and waits for its end. */
-export const callGateway = (address: string, { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", leaveAfterMs }: CallerRequest = {}): Promise<CallerResult> =>
+export const callGateway = (
+    address: string,
+    { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", leaveAfterMs }: CallerRequest = {},
+): Promise<CallerResult> =>
     new Promise(resolve => {
         const startedAt = performance.now();
         const chunks: Buffer[] = [];
--- /dev/null
+++ b/test/fakes/modelRunner.ts
@@ -0,0 +1,172 @@
+import { FailureError } from "../../src/core/failures";
+import { FailureKind } from "../../src/types/failureKind";
+import { artifactOf } from "../../src/types/modelNeed";
+import type { RunnerAddress, RunnerControl, RunnerOrder, RunnerReport } from "../../src/types/runner";
+import { RunnerOrderAnswer, RunnerOrderKind } from "../../src/types/runner";
+import type { EngineSpec } from "../../src/types/servingConfig";
+import { Verdict } from "../../src/types/verdict";
+import type { Random } from "../../src/utils/random";
+
+/** Reports describe the runner this long ago. */
+const reportLagMs = 200;
+const latenessMs = { least: 2_000, most: 12_000 };
+/** Longest time that the requests of a model that is unloaded go on. */
+const drainMs = 1_500;
+
+interface HeldModel {
+    readonly adapters: Set<string>;
+}
+
+/** A runner that keeps books of what it is ordered to hold, and notes orders that would overcommit it. */
+export class ModelRunner {
+    readonly models = new Map<string, HeldModel>();
+    readonly faults: string[] = [];
+    /** Starts of loads from the weight store. */
+    readonly storeLoads: number[] = [];
+    acceptedOrders = 0;
+    isBusy = false;
+    bornAt = 1;
+    private readonly onDisk = new Set<string>();
+    private history: { readonly at: number; readonly report: RunnerReport; }[] = [];
+
+    private constructor(readonly id: string, private readonly engine: EngineSpec, private readonly random: Random) {}
+
+    static create(id: string, engine: EngineSpec, random: Random, models: readonly string[]): ModelRunner {
+        const runner = new ModelRunner(id, engine, random);
+        models.forEach(name => runner.models.set(name, { adapters: new Set() }));
+        runner.note();
+        return runner;
+    }
+
+    /** Starts again under the same ID, empty. */
+    restart(): void {
+        this.models.clear();
+        this.acceptedOrders = 0;
+        this.isBusy = false;
+        this.bornAt++;
+        this.history = [];
+        this.note();
+    }
+
+    /** The report of some time ago. */
+    report(): RunnerReport {
+        const at = performance.now() - reportLagMs;
+        return this.history.findLast(entry => entry.at <= at)?.report ?? this.history[0]!.report;
+    }
+
+    /** Carries an order out, as far as its count of accepted orders fits. */
+    take(order: RunnerOrder): RunnerOrderAnswer {
+        if (this.isBusy || order.expectedOrders !== this.acceptedOrders) {
+            return RunnerOrderAnswer.Conflict;
+        }
+        const answer = order.adapter === undefined ? this.takeModel(order) : this.takeAdapter(order, order.adapter);
+        this.note();
+        return answer;
+    }
+
+    usedMb(): number {
+        return [...this.models].reduce((sum, [name, { adapters }]) => {
+            const model = this.engine.models.get(name)!;
+            return sum + model.memoryMb + adapters.size * model.adapterMemoryMb;
+        }, 0);
+    }
+
+    private takeModel({ kind, model }: RunnerOrder): RunnerOrderAnswer {
+        const spec = this.engine.models.get(model)!;
+        this.acceptedOrders++;
+        this.isBusy = true;
+        const born = this.bornAt;
+        const finish = (ms: number, change: () => void): void =>
+            void setTimeout(() => {
+                if (this.bornAt === born) {
+                    change();
+                    this.isBusy = false;
+                    this.note();
+                }
+            }, ms);
+        if (kind === RunnerOrderKind.Unload) {
+            finish(this.random() * drainMs, () => this.models.delete(model));
+            return RunnerOrderAnswer.Accepted;
+        }
+        if (!this.onDisk.has(model)) {
+            this.storeLoads.push(performance.now());
+        }
+        if (this.usedMb() + spec.memoryMb > this.engine.memoryMb) {
+            this.faults.push(`memory: ${model} beside ${[...this.models.keys()].join(" ")}`);
+        }
+        finish(this.onDisk.has(model) ? spec.diskLoadMs : spec.loadMs, () => {
+            this.models.set(model, { adapters: new Set() });
+            this.onDisk.add(model);
+        });
+        return RunnerOrderAnswer.Accepted;
+    }
+
+    private takeAdapter({ kind, model }: RunnerOrder, adapter: string): RunnerOrderAnswer {
+        const held = this.models.get(model);
+        if (!held) {
+            return RunnerOrderAnswer.Invalid;
+        }
+        this.acceptedOrders++;
+        if (kind === RunnerOrderKind.Load) {
+            held.adapters.add(adapter);
+            const places = [...this.models.values()].reduce((sum, { adapters }) => sum + adapters.size, 0);
+            if (places > this.engine.adapterSlots) {
+                this.faults.push(`places: ${artifactOf(model, adapter)}`);
+            }
+            return RunnerOrderAnswer.Accepted;
+        }
+        if (this.random() < 0.5) {
+            held.adapters.delete(adapter);
+            return RunnerOrderAnswer.Done;
+        }
+        // Its requests have to end first.
+        setTimeout(() => {
+            held.adapters.delete(adapter);
+            this.note();
+        }, this.random() * drainMs);
+        return RunnerOrderAnswer.Accepted;
+    }
+
+    private note(): void {
+        const models = [...this.models].map(([name, { adapters }]) => ({ name, version: 1, adapters: [...adapters] }));
+        this.history.push({
+            at: performance.now(),
+            report: {
+                models,
+                inMemory: [],
+                onDisk: [...this.onDisk],
+                coming: [],
+                isBusy: this.isBusy,
+                acceptedOrders: this.acceptedOrders,
+                queued: 0,
+                active: 0,
+                bornAt: this.bornAt,
+            },
+        });
+    }
+}
+
+/** Speaks with runners; answers may be lost, and an order without an answer may be carried out late. */
+export class FaultyControl implements RunnerControl {
+    lossShare = 0;
+
+    private constructor(private readonly runners: ReadonlyMap<string, ModelRunner>, private readonly random: Random) {}
+
+    static create(runners: ReadonlyMap<string, ModelRunner>, random: Random): FaultyControl {
+        return new FaultyControl(runners, random);
+    }
+
+    report({ id }: RunnerAddress): Promise<RunnerReport> {
+        return Promise.resolve(this.runners.get(id)!.report());
+    }
+
+    order({ id }: RunnerAddress, order: RunnerOrder): Promise<RunnerOrderAnswer> {
+        const runner = this.runners.get(id)!;
+        if (this.random() >= this.lossShare) {
+            return Promise.resolve(runner.take(order));
+        }
+        const lateMs = latenessMs.least + this.random() * (latenessMs.most - latenessMs.least);
+        setTimeout(() => runner.take(order), lateMs);
+        return Promise.reject(FailureError.create({ kind: FailureKind.UpstreamLost, verdict: Verdict.MayHaveRun, detail: "no answer" }));
+    }
+}
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -9,7 +9,7 @@
 
 before(() => setupLogs("silent"));
 
-const events = (from: number, to: number): string => Array.from({ length: to - from + 1 }, (value, at) => `id: ${from + at}\ndata: piece ${from + at}\n\n`).join("");
+const events = (from: number, to: number): string => [...Array(to - from + 1).keys()].map(at => `id: ${from + at}\ndata: piece ${from + at}\n\n`).join("");
 
 const refuse: Script = socket => void socket.write("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
 const misdirect: Script = socket => void socket.write("HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
@@ -47,17 +47,30 @@
     readonly isWhole?: boolean;
     /** Requests that reached upstreams in all. */
     readonly received: number;
-    readonly check?: (result: CallerResult, upstreams: readonly ScriptedUpstream[]) => void;
+    readonly check?: (seen: { readonly result: CallerResult; readonly upstreams: readonly ScriptedUpstream[]; }) => void;
 }
 
-const { Idempotent, NonIdempotent, Streaming } = RouteKind;
-
 const cases: readonly Case[] = [
-    { name: "a whole answer passes unchanged", scripts: [answer], status: 200, body: "done", received: 1, check: ({ headers }) => assert.equal(headers["server-seal"], "seal-id-1") },
+    {
+        name: "a whole answer passes unchanged",
+        scripts: [answer],
+        status: 200,
+        body: "done",
+        received: 1,
+        check: ({ result: { headers } }) => assert.equal(headers["server-seal"], "seal-id-1"),
+    },
     { name: "an upstream's own failure passes with its seal", scripts: [fail], status: 500, body: "sorry", received: 1 },
     { name: "what may run once is not sent again after a reset", scripts: [reset, answer], maxAttempts: 2, status: 502, received: 1 },
-    { name: "what may be repeated is sent again after a reset", kind: Idempotent, scripts: [reset, answer], maxAttempts: 2, status: 200, body: "done", received: 2 },
-    { name: "attempts bound the runs", kind: Idempotent, scripts: [reset, reset, answer], maxAttempts: 2, status: 502, received: 2 },
+    {
+        name: "what may be repeated is sent again after a reset",
+        kind: RouteKind.Idempotent,
+        scripts: [reset, answer],
+        maxAttempts: 2,
+        status: 200,
+        body: "done",
+        received: 2,
+    },
+    { name: "attempts bound the runs", kind: RouteKind.Idempotent, scripts: [reset, reset, answer], maxAttempts: 2, status: 502, received: 2 },
     { name: "a proved refusal is sent elsewhere, also what may run once", scripts: [refuse, answer], status: 200, body: "done", received: 2 },
     { name: "a misdirected request is sent elsewhere", scripts: [misdirect, answer], status: 200, body: "done", received: 2 },
     {
@@ -65,33 +78,69 @@
         scripts: [refuse, refuse],
         status: 503,
         received: 2,
-        check: ({ headers }) => assert.ok(Number(headers["retry-after"]) > 0),
+        check: ({ result: { headers } }) => assert.ok(Number(headers["retry-after"]) > 0),
     },
     { name: "an answer to another request is never passed on", scripts: [cross], status: 502, received: 1 },
     { name: "a short answer never looks whole", scripts: [cutShort], status: 502, received: 1 },
     { name: "bytes that are no answer are a lost attempt", scripts: [garbage], status: 502, received: 1 },
     { name: "a success without a seal is no success", scripts: [unsealed], status: 502, received: 1 },
     { name: "an answer without a length ends with its connection", scripts: [untilClose], status: 200, body: "no length", received: 1 },
-    { name: "a failure that was run may be repeated where the kind allows", kind: Idempotent, scripts: [fail, answer], maxAttempts: 2, status: 200, received: 2 },
-    { name: "the last failure is passed on with its seal", kind: Idempotent, scripts: [fail, fail], maxAttempts: 2, status: 500, body: "sorry", received: 2 },
-    { name: "the route's timeout ends a request with a final answer", scripts: [stay], timeoutMs: 200, status: 504, received: 1, check: ({ afterMs }) => assert.ok(afterMs < 700) },
-    { name: "the caller's deadline is passed on, shortened", scripts: [answer], call: { headers: { "deadline-ms": "900" } }, status: 200, received: 1, check: (result, [first]) => {
-        const told = Number(/^deadline-ms: (\d+)$/im.exec(first!.received[0]!.head)![1]);
-        assert.ok(told > 700 && told < 900, String(told));
-    } },
-    { name: "a stream passes event by event", kind: Streaming, scripts: [wholeStream], status: 200, body: events(1, 4), received: 1 },
+    {
+        name: "a failure that was run may be repeated where the kind allows",
+        kind: RouteKind.Idempotent,
+        scripts: [fail, answer],
+        maxAttempts: 2,
+        status: 200,
+        received: 2,
+    },
+    {
+        name: "the last failure is passed on with its seal",
+        kind: RouteKind.Idempotent,
+        scripts: [fail, fail],
+        maxAttempts: 2,
+        status: 500,
+        body: "sorry",
+        received: 2,
+    },
+    {
+        name: "the route's timeout ends a request with a final answer",
+        scripts: [stay],
+        timeoutMs: 200,
+        status: 504,
+        received: 1,
+        check: ({ result: { afterMs } }) => assert.ok(afterMs < 700),
+    },
+    {
+        name: "the caller's deadline is passed on, shortened",
+        scripts: [answer],
+        call: { headers: { "deadline-ms": "900" } },
+        status: 200,
+        received: 1,
+        check: ({ upstreams: [first] }) => {
+            const told = Number(/^deadline-ms: (\d+)$/im.exec(first!.received[0]!.head)![1]);
+            assert.ok(told > 700 && told < 900, String(told));
+        },
+    },
+    { name: "a stream passes event by event", kind: RouteKind.Streaming, scripts: [wholeStream], status: 200, body: events(1, 4), received: 1 },
     {
         name: "a stream that may be resumed goes on after its last whole event",
-        kind: Streaming,
+        kind: RouteKind.Streaming,
         isResumable: true,
         maxAttempts: 2,
         scripts: [brokenStream, resumedStream],
         status: 200,
         body: events(1, 4),
         received: 2,
-        check: (result, upstreams) => assert.match(upstreams[1]!.received[0]!.head, /^last-event-id: 2$/im),
+        check: ({ upstreams }) => assert.match(upstreams[1]!.received[0]!.head, /^last-event-id: 2$/im),
+    },
+    {
+        name: "a stream that may not be resumed is cut, not completed",
+        kind: RouteKind.Streaming,
+        scripts: [brokenStream, resumedStream],
+        status: 200,
+        isWhole: false,
+        received: 1,
     },
-    { name: "a stream that may not be resumed is cut, not completed", kind: Streaming, scripts: [brokenStream, resumedStream], status: 200, isWhole: false, received: 1 },
     { name: "an unknown path has no route", scripts: [answer], call: { path: "/other/x" }, status: 404, received: 0 },
     { name: "an unknown host has no route", scripts: [answer], call: { host: "other.example" }, status: 404, received: 0 },
     { name: "a body above the limit is refused", scripts: [answer], call: { body: "x".repeat(20_000) }, status: 413, received: 0 },
@@ -99,18 +148,45 @@
     {
         name: "headers that only the system sets are dropped, and those of the connection",
         scripts: [answer],
-        call: { headers: { hold: "h", "pin-ms": "9", "kv-from": "1.2.3.4:5/6", "request-priority": "0", "expect-instance": "x", "expect-version": "1", connection: "model, x-hop", "x-hop": "1", model: "m" } },
+        call: {
+            headers: {
+                hold: "h",
+                "pin-ms": "9",
+                "kv-from": "1.2.3.4:5/6",
+                "request-priority": "0",
+                "expect-instance": "x",
+                "expect-version": "1",
+                connection: "model, x-hop",
+                "x-hop": "1",
+                model: "m",
+            },
+        },
         status: 200,
         received: 1,
-        check: (result, [first]) => {
+        check: ({ upstreams: [first] }) => {
             const { head } = first!.received[0]!;
             assert.doesNotMatch(head, /^(hold|pin-ms|kv-from|expect-version|x-hop):/im);
             assert.match(head, /^expect-instance: up-0$/im);
             assert.match(head, /^model: m$/im);
         },
     },
-    { name: "a body of any length passes byte for byte", scripts: [answer], call: { body: "a\r\nb".repeat(300) }, status: 200, received: 1, check: (result, [first]) => assert.equal(first!.received[0]!.body, "a\r\nb".repeat(300)) },
-    { name: "the query passes unchanged", kind: Idempotent, scripts: [answer], call: { method: "GET", path: "/desk/x?a=%2F&b=//" }, status: 200, received: 1, check: (result, [first]) => assert.match(first!.received[0]!.head, /^GET \/desk\/x\?a=%2F&b=\/\/ HTTP/) },
+    {
+        name: "a body of any length passes byte for byte",
+        scripts: [answer],
+        call: { body: "a\r\nb".repeat(300) },
+        status: 200,
+        received: 1,
+        check: ({ upstreams: [first] }) => assert.equal(first!.received[0]!.body, "a\r\nb".repeat(300)),
+    },
+    {
+        name: "the query passes unchanged",
+        kind: RouteKind.Idempotent,
+        scripts: [answer],
+        call: { method: "GET", path: "/desk/x?a=%2F&b=//" },
+        status: 200,
+        received: 1,
+        check: ({ upstreams: [first] }) => assert.match(first!.received[0]!.head, /^GET \/desk\/x\?a=%2F&b=\/\/ HTTP/),
+    },
 ];
 
 describe("forwarding", () => {
@@ -129,13 +205,17 @@
                 assert.equal(result.body, body);
             }
             assert.equal(upstreams.reduce((sum, upstream) => sum + upstream.received.length, 0), received);
-            check?.(result, upstreams);
+            check?.({ result, upstreams });
         });
     }
 });
 
 describe("connections to upstreams", () => {
-    const withNode = async (script: Script, run: (node: TestGateway, upstream: ScriptedUpstream) => Promise<void>, kind = NonIdempotent): Promise<void> => {
+    const withNode = async (
+        script: Script,
+        run: (node: TestGateway, upstream: ScriptedUpstream) => Promise<void>,
+        kind = RouteKind.NonIdempotent,
+    ): Promise<void> => {
         const upstream = await startScriptedUpstream(script);
         const node = await startGateway([upstream.address], { kind });
         await run(node, upstream);
--- /dev/null
+++ b/test/placement.test.ts
@@ -0,0 +1,168 @@
+import { install } from "@sinonjs/fake-timers";
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { ControllerLease } from "../src/core/controllerLease";
+import { Gateway } from "../src/forward/gateway";
+import { Controller } from "../src/placement/controller";
+import { requestHeaders } from "../src/platform/requestHeaders";
+import type { EngineSpec, ModelSpec } from "../src/types/servingConfig";
+import { UpstreamState } from "../src/types/upstreamServer";
+import { setupLogs } from "../src/utils/events";
+import { createRandom, pick } from "../src/utils/random";
+import { testSettings } from "./fakes/gatewayHarness";
+import { MemoryRowStore } from "./fakes/memoryRowStore";
+import { FaultyControl, ModelRunner } from "./fakes/modelRunner";
+
+const service = "desk";
+const stepMs = 50;
+
+const createModel = (name: string, memoryMb: number): ModelSpec => ({
+    name,
+    memoryMb,
+    loadMs: 3_000,
+    warmLoadMs: 300,
+    diskLoadMs: 700,
+    adapters: 10,
+    adapterMemoryMb: 50,
+});
+
+const engine: EngineSpec = {
+    slots: 32,
+    kvTokens: 100_000,
+    memoryMb: 200_000,
+    adapterSlots: 4,
+    loadsPerS: 2,
+    models: new Map([...Array(14).keys()].map(at => [`m${at}`, createModel(`m${at}`, at % 4 === 0 ? 34_000 : 72_000)])),
+};
+
+interface Stage {
+    readonly runners: ReadonlyMap<string, ModelRunner>;
+    readonly controller: Controller;
+    readonly control: FaultyControl;
+    readonly gateway: Gateway;
+    /** Writes what a runner holds into the directory. */
+    readonly publish: (runner: ModelRunner) => void;
+}
+
+const createStage = async (seed: number, count = 6): Promise<Stage> => {
+    const random = createRandom(seed);
+    const gateway = Gateway.create(testSettings, requestHeaders, random);
+    gateway.applyConfig({
+        version: 1,
+        routes: [],
+        services: new Map([[service, { name: service, healthPath: "/h", maxConnections: 10, engine }]]),
+        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    }, Buffer.from(""));
+    const runners = new Map([...Array(count).keys()].map(at => [`r${at}`, ModelRunner.create(`r${at}`, engine, random, [`m${at}`])]));
+    let version = 0;
+    const publish = (runner: ModelRunner): void =>
+        gateway.directory.apply({
+            id: runner.id,
+            version: ++version,
+            server: {
+                id: runner.id,
+                service,
+                address: "127.0.0.1:1",
+                availabilityZone: "a",
+                slots: 32,
+                state: UpstreamState.Ready,
+                models: runner.report().models,
+                inMemory: [],
+                onDisk: [],
+                bornAt: runner.bornAt,
+            },
+        });
+    runners.forEach(publish);
+    const store = MemoryRowStore.create(random);
+    store.lossShare = 0;
+    const lease = ControllerLease.create(store, { holder: "n", boot: "b", peerAddress: "p" }, testSettings.turnGapMs);
+    const control = FaultyControl.create(runners, random);
+    const controller = Controller.create(gateway, lease, control);
+    const abort = new AbortController();
+    await lease.tick();
+    setInterval(() => void lease.tick(), 500);
+    controller.start(abort.signal);
+    return { runners, controller, control, gateway, publish };
+};
+
+/** Most starts of loads from the weight store in any window. */
+const mostStarts = (runners: Iterable<ModelRunner>, windowMs: number): number => {
+    const starts = [...runners].flatMap(({ storeLoads }) => storeLoads).sort((a, b) => a - b);
+    return starts.reduce((most, at, index) => Math.max(most, starts.slice(index).filter(other => other < at + windowMs).length), 0);
+};
+
+describe("placement", () => {
+    let clock: ReturnType<typeof install>;
+    before(() => setupLogs("silent"));
+    after(() => setupLogs("info"));
+
+    const withClock = async (run: () => Promise<void>): Promise<void> => {
+        clock = install({ toFake: ["setTimeout", "clearTimeout", "setInterval", "clearInterval", "Date", "performance"] });
+        try {
+            await run();
+        }
+        finally {
+            clock.uninstall();
+        }
+    };
+
+    for (const seed of [1, 2, 3, 4, 5, 6]) {
+        it(`memory, adapter places and the weight store's rate are kept while orders are late and runners restart (seed ${seed})`, () =>
+            withClock(async () => {
+                const { runners, controller, control, publish } = await createStage(seed);
+                const random = createRandom(seed + 100);
+                control.lossShare = 0.3;
+                let first = 0;
+                let placed = 0;
+                for (let step = 0; step < 1_600; step++) {
+                    await clock.tickAsync(stepMs);
+                    if (step % 200 === 0) {
+                        first = Math.floor(random() * engine.models.size);
+                    }
+                    const model = `m${(first + Math.floor(random() * 4)) % engine.models.size}`;
+                    controller.countWork({ [model]: 100 });
+                    const adapter = random() < 0.5 ? `a${Math.floor(random() * 10)}` : undefined;
+                    void controller.place({ service, model, adapter, avoid: [] }).then(({ runner }) => placed += runner === undefined ? 0 : 1);
+                    if (random() < 0.005) {
+                        const runner = pick([...runners.values()], random)!;
+                        runner.restart();
+                        publish(runner);
+                    }
+                }
+                assert.deepEqual([...runners.values()].flatMap(({ faults }) => faults), []);
+                const { loadWindowMs } = testSettings;
+                assert.ok(mostStarts(runners.values(), loadWindowMs) <= engine.loadsPerS * loadWindowMs / 1_000 * 1.1 + 3);
+                assert.ok(placed > 300, `${placed} placed`);
+            }));
+    }
+
+    it("a wanted model without a copy is loaded, and the least busy makes way", () =>
+        withClock(async () => {
+            const { runners, controller } = await createStage(1, 2);
+            await clock.tickAsync(1_000);
+            const answers = [await controller.place({ service, model: "m9", avoid: [] })];
+            await clock.tickAsync(5_000);
+            answers.push(await controller.place({ service, model: "m9", avoid: [] }));
+            assert.equal(answers[0]!.isComing, true);
+            assert.notEqual(answers[1]!.runner, undefined);
+            assert.ok([...runners.values()].some(({ models }) => models.has("m9")));
+        }));
+
+    it("a model that is asked for too often for one runner gets further copies, on idle runners", () =>
+        withClock(async () => {
+            const { runners, controller } = await createStage(2);
+            for (let step = 0; step < 400; step++) {
+                await clock.tickAsync(stepMs);
+                controller.countWork({ m1: 70 });
+            }
+            const copies = [...runners.values()].filter(({ models }) => models.has("m1")).length;
+            assert.ok(copies >= 3, `${copies} copies for 1.4 runners' work`);
+        }));
+
+    it("an unknown model is refused at once", () =>
+        withClock(async () => {
+            const { controller } = await createStage(3);
+            await clock.tickAsync(500);
+            assert.deepEqual(await controller.place({ service, model: "nobody", avoid: [] }), { readyInMs: 1_000, isComing: false });
+        }));
+});
