Take a reset answer without a length for lost

Ruled out: crossed answers, surplus bytes (tested before). Change: a listener on the socket hears of the error before the library does. Measured: forwarding.test.ts 'an answer without a length that is reset is not whole' failed before, passes now.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -110,7 +110,8 @@
             },
             onResponseEnd: () => {
                 if (!isMismatched) {
-                    finish(AttemptEndKind.Whole, "whole");
+                    const isReset = connections.wasReset(client);
+                    finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Whole, isReset ? "reset" : "whole");
                 }
             },
             onResponseError: (current, err) =>
--- a/src/forward/upstreamConnections.ts
+++ b/src/forward/upstreamConnections.ts
@@ -1,4 +1,4 @@
-import { Client } from "undici";
+import { buildConnector, Client } from "undici";
 
 /** A connection within a VM or zone takes a few milliseconds; longer means that the upstream is gone or its queue is full. */
 const connectTimeoutMs = 400;
@@ -18,6 +18,7 @@
 export class UpstreamConnections {
     private idle: IdleConnection[] = [];
     private readonly busy = new Set<Client>();
+    private readonly reset = new WeakSet<Client>();
 
     private constructor(private readonly address: string) {}
 
@@ -40,6 +41,11 @@
         return client;
     }
 
+    /** Whether the connection ended with an error: an answer whose length is not known is not whole then. */
+    wasReset(client: Client): boolean {
+        return this.reset.has(client);
+    }
+
     /** Gives a connection back after a whole answer. */
     release(client: Client): void {
         if (this.busy.delete(client) && !client.destroyed && !client.closed) {
@@ -61,8 +67,14 @@
     }
 
     private open(): Client {
-        const client = new Client(`http://${this.address}`, {
-            connect: { timeout: connectTimeoutMs },
+        const connect = buildConnector({ timeout: connectTimeoutMs });
+        const client: Client = new Client(`http://${this.address}`, {
+            connect: (options, callback) =>
+                connect(options, (...result) => {
+                    // The library takes a reset for the end of an answer without a length; this listener hears of it first.
+                    result[1]?.once("error", () => this.reset.add(client));
+                    callback(...result);
+                }),
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -24,6 +24,10 @@
 const garbage: Script = socket => void socket.write("\x01\x02 no answer at all\r\n\r\n");
 const unsealed: Script = (socket, { id }) => void socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
 const untilClose: Script = (socket, { id }) => void socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nno length`);
+const resetUnframed: Script = (socket, { id }) => {
+    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nno len`);
+    setTimeout(() => socket.resetAndDestroy(), 10);
+};
 const stay: Script = () => undefined;
 const wholeStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(events(1, 4)) + lastChunk);
 const brokenStream: Script = (socket, { id }) => {
@@ -85,6 +89,7 @@
     { name: "bytes that are no answer are a lost attempt", scripts: [garbage], status: 502, received: 1 },
     { name: "a success without a seal is no success", scripts: [unsealed], status: 502, received: 1 },
     { name: "an answer without a length ends with its connection", scripts: [untilClose], status: 200, body: "no length", received: 1 },
+    { name: "an answer without a length that is reset is not whole", scripts: [resetUnframed], status: 502, received: 1 },
     {
         name: "a failure that was run may be repeated where the kind allows",
         kind: RouteKind.Idempotent,
@@ -195,7 +200,7 @@
             const upstreams = await Promise.all(scripts.map(script => startScriptedUpstream(script)));
             const node = await startGateway(upstreams.map(({ address }) => address), route);
             // The first upstream is preferred: the others look slower.
-            upstreams.forEach((upstream, index) => node.gateway.trafficOf(`up-${index}`).onFirstByte(20 + 20 * index));
+            [...scripts.keys()].forEach(index => node.gateway.trafficOf(`up-${index}`).onFirstByte(20 + 20 * index));
             const result = await callGateway(node.address, call);
             node.close();
             upstreams.forEach(upstream => upstream.close());
