--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -114,7 +114,10 @@
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Whole, isReset ? "reset" : "whole");
                 }
             },
-            onResponseError: (current, err) =>
-                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `${codeOf(err)}${current.aborted ? " after an abort" : ""}`),
+            // The controller is undefined where no connection was made.
+            onResponseError: (current: Dispatcher.DispatchController | undefined, err) => {
+                const reason = `${codeOf(err)}${current?.aborted ? " after an abort" : ""}`;
+                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, reason);
+            },
         });
     });
--- a/test/forwarding.test.ts
+++ b/test/forwarding.test.ts
@@ -2,41 +2,14 @@
 import { after, before, describe, it } from "node:test";
 import { RouteKind } from "../src/types/servingConfig";
 import { setupLogs } from "../src/utils/events";
-import type { CallerRequest, CallerResult, TestGateway } from "./fakes/gatewayHarness";
+import type { CallerRequest, CallerResult } from "./fakes/gatewayHarness";
 import { callGateway, startGateway } from "./fakes/gatewayHarness";
 import type { Script, ScriptedUpstream } from "./fakes/scriptedUpstream";
-import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./fakes/scriptedUpstream";
+import { startScriptedUpstream } from "./fakes/scriptedUpstream";
+import { answer, brokenStream, cross, cutShort, events, fail, garbage, misdirect, refuse, reset, resetUnframed, resumedStream, stay, unsealed, untilClose, wholeStream } from "./fakes/upstreamScripts";
 
 before(() => setupLogs("silent"));
 
-const events = (from: number, to: number): string => [...Array(to - from + 1).keys()].map(at => `id: ${from + at}\ndata: piece ${from + at}\n\n`).join("");
-
-const refuse: Script = socket => void socket.write("HTTP/1.1 503 Busy\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n");
-const misdirect: Script = socket => void socket.write("HTTP/1.1 421 Misdirected\r\nInstance-Id: other\r\nContent-Length: 0\r\n\r\n");
-const answer: Script = (socket, { id }) => void socket.write(answerOf(id, "done"));
-const fail: Script = (socket, { id }) => void socket.write(answerOf(id, "sorry", { status: 500 }));
-const reset: Script = socket => void socket.resetAndDestroy();
-const cutShort: Script = socket => {
-    socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Length: 100\r\n\r\nhalf");
-    setTimeout(() => socket.destroy(), 10);
-};
-const cross: Script = socket => void socket.write(answerOf("another-request", "not yours"));
-const garbage: Script = socket => void socket.write("\x01\x02 no answer at all\r\n\r\n");
-const unsealed: Script = (socket, { id }) => void socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nContent-Length: 2\r\n\r\nok`);
-const untilClose: Script = (socket, { id }) => void socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nno length`);
-const resetUnframed: Script = (socket, { id }) => {
-    socket.write(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nConnection: close\r\n\r\nno len`);
-    setTimeout(() => socket.resetAndDestroy(), 10);
-};
-const stay: Script = () => undefined;
-const wholeStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(events(1, 4)) + lastChunk);
-const brokenStream: Script = (socket, { id }) => {
-    socket.write(streamHeadOf(id) + chunkOf(`${events(1, 2)}id: 3\ndata: ha`));
-    setTimeout(() => socket.destroy(), 10);
-};
-const resumedStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(events(3, 4)) + lastChunk);
-const refuseThenAnswer: Script = (socket, req) => req.index === 0 ? refuse(socket, req) : answer(socket, req);
-
 interface Case {
     readonly name: string;
     readonly kind?: RouteKind;
@@ -215,53 +188,4 @@
     }
 });
 
-describe("connections to upstreams", () => {
-    const withNode = async (
-        script: Script,
-        run: (node: TestGateway, upstream: ScriptedUpstream) => Promise<void>,
-        kind = RouteKind.NonIdempotent,
-    ): Promise<void> => {
-        const upstream = await startScriptedUpstream(script);
-        const node = await startGateway([upstream.address], { kind });
-        await run(node, upstream);
-        node.close();
-        upstream.close();
-    };
-
-    it("a connection is used again after a whole answer", () =>
-        withNode(answer, async (node, upstream) => {
-            await callGateway(node.address);
-            await callGateway(node.address);
-            assert.equal(upstream.closedEarly, 0);
-            assert.equal(upstream.received.length, 2);
-        }));
-
-    it("surplus bytes retire a connection and reach nobody", () =>
-        withNode((socket, { id }) => void socket.write(answerOf(id, "mine") + answerOf("old", "surplus")), async node => {
-            const results = [await callGateway(node.address), await callGateway(node.address)];
-            assert.deepEqual(results.map(({ body }) => body).filter(body => body.includes("surplus")), []);
-        }));
-
-    it("a caller that leaves takes its request along at once", () =>
-        withNode(stay, async (node, upstream) => {
-            await callGateway(node.address, { leaveAfterMs: 60 });
-            await new Promise(resolve => setTimeout(resolve, 150));
-            assert.equal(upstream.closedEarly, 1);
-        }));
-
-    it("a refused request may come back and is served", () =>
-        withNode(refuseThenAnswer, async node => {
-            assert.equal((await callGateway(node.address)).status, 503);
-            assert.equal((await callGateway(node.address)).status, 200);
-        }));
-
-    it("nothing is forwarded to an upstream that drains", () =>
-        withNode(answer, async (node, upstream) => {
-            const before = node.gateway.directory.get("up-0")!;
-            node.gateway.directory.apply({ id: "up-0", version: 9, server: { ...before, state: "draining" as typeof before.state } });
-            assert.equal((await callGateway(node.address)).status, 503);
-            assert.equal(upstream.received.length, 0);
-        }));
-});
-
 after(() => setupLogs("info"));
