Fewer store calls, no holds on leaving models, wait for a new controller; metrics address

Change: as named; the feed of the directory pauses after changes, exchanges with the controller cover it.

--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -14,6 +14,9 @@
 const storeLoadCost = 0.08;
 /** What a copy loses with the prompts that it keeps, for each share of a runner's time that it serves. */
 const droppedCacheCost = 0.3;
+/** An unload waits for the model's requests and holds the runner up meanwhile; this is what that costs just after a request. */
+const busyVictimCost = 0.4;
+const busyVictimHalfLifeMs = 2_500;
 /** Least advantage of a move. */
 const leastAdvantage = 0.06;
 /** Utilisation above which a runner's queue is as long as it is counted. */
@@ -54,8 +57,11 @@
 
 const isUnloading = (book: RunnerBook, model: string): boolean => book.transit?.kind === RunnerOrderKind.Unload && book.transit.model === model;
 
+/** Whether requests may use a model at a runner. */
+export const serves = (book: RunnerBook, model: string): boolean => book.models.has(model) && !isUnloading(book, model);
+
 /** Whether a runner holds a model, or will when its order is done. */
-export const holdsOrLoads = (book: RunnerBook, model: string): boolean => (book.models.has(model) && !isUnloading(book, model)) || book.isLoading(model);
+export const holdsOrLoads = (book: RunnerBook, model: string): boolean => serves(book, model) || book.isLoading(model);
 
 const toStep = (model: ModelSpec, { book, victims, advantage }: Option): CopyStep => {
     const [victim] = victims;
@@ -211,6 +217,7 @@
         for (const victim of victims) {
             const before = this.copies(victim);
             const victimLoad = this.load(victim);
+            lost += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
             lost += droppedCacheCost * victimLoad / Math.max(1, before) + (before <= 1 ? this.missingCost(victim) : 0);
             this.holders.get(victim)?.forEach(holder =>
                 change(holder, holder === book ? -victimLoad / before : victimLoad / (before - 1) - victimLoad / before)
--- a/src/core/residencyView.ts
+++ b/src/core/residencyView.ts
@@ -4,6 +4,9 @@
 /** A runner that said that it lacks a model is believed for this long; then the directory is again. */
 const absenceMs = 1_500;
 
+/** A runner that refused a request is not asked for the same model for this long. */
+const refusalMs = 300;
+
 /** What the node knows of runners' models and adapters beyond the directory, which lags and tells of models only. */
 export class ResidencyView {
     private readonly adapters = new Map<string, Set<string>>();
@@ -57,6 +60,11 @@
         getOrCreate(this.absent, runner, () => new Map<string, number>()).set(model, this.now() + absenceMs);
     }
 
+    /** A runner refused a request for a model: it is full, or lets the model go. */
+    onRefused(runner: string, model: string): void {
+        getOrCreate(this.absent, runner, () => new Map<string, number>()).set(model, this.now() + refusalMs);
+    }
+
     /** The directory has newer word of a runner: it goes first. */
     onDirectoryChange(runner: string): void {
         this.present.delete(runner);
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -6,7 +6,7 @@
 import { sleep } from "../utils/time";
 
 /** Wait of one call to the feed: a connection that has gone silent is noticed soon after it. */
-const feedWaitMs = 2_200;
+export const feedWaitMs = 2_200;
 /** Pause after a failed call, and its jitter: nodes should not return all at once. */
 const retryPauseMs = 150;
 /** Rows that lapsed while the store was away may be back for this long after its return. */
@@ -20,6 +20,18 @@
     onChanges(rows: readonly StoredRow[], version: number, mayBeBack: boolean): void;
 }
 
+/** How a follower reads. */
+export interface FollowRules {
+    /** Pause after changes, so that several come in one call; calls are priced. */
+    readonly pauseMs: number;
+    /** Wait of one call to the feed. */
+    readonly waitMs: () => number;
+    /** Version up to which the table is known from elsewhere. */
+    readonly knownVersion: () => number;
+}
+
+const defaultRules: FollowRules = { pauseMs: 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
+
 /** Keeps in step with one table of the store through its feed. */
 export class TableFollower {
     private version: number | undefined;
@@ -31,11 +43,12 @@
         private readonly table: string,
         private readonly observer: TableObserver,
         private readonly random: Random,
+        private readonly rules: FollowRules,
     ) {}
 
     /** Makes a follower that has not read yet. */
-    static create(store: RowStore, table: string, observer: TableObserver, random: Random): TableFollower {
-        return new TableFollower(store, table, observer, random);
+    static create(store: RowStore, table: string, observer: TableObserver, random: Random, rules: FollowRules = defaultRules): TableFollower {
+        return new TableFollower(store, table, observer, random, rules);
     }
 
     /** Whether the last call was answered. */
@@ -67,7 +80,8 @@
             this.observer.onTable(rows, version, this.mayBeBack);
             return;
         }
-        const reading = await this.store.feed(this.table, this.version, feedWaitMs, signal);
+        this.version = Math.max(this.version, this.rules.knownVersion());
+        const reading = await this.store.feed(this.table, this.version, this.rules.waitMs(), signal);
         this.onAnswer();
         if (reading.kind === FeedKind.HistoryGone) {
             this.version = undefined;
@@ -75,6 +89,9 @@
         }
         this.version = Math.max(this.version, reading.version);
         this.observer.onChanges(reading.rows, reading.version, this.mayBeBack);
+        if (reading.rows.length > 0) {
+            await sleep(this.rules.pauseMs, signal);
+        }
     }
 
     private get mayBeBack(): boolean {
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -25,6 +25,8 @@
     head: AnswerHead | undefined;
     /** When the newest answer's last byte came, on the monotonic clock. */
     lastByteAt = 0;
+    /** When the caller's answer began to come, on the monotonic clock. */
+    firstByteAt = 0;
     private isStreaming = false;
 
     private constructor(private readonly call: Call, private readonly onFirstByte: (head: AnswerHead) => void) {}
@@ -59,6 +61,7 @@
 
     onHead(head: AnswerHead): void {
         this.head = head;
+        this.firstByteAt ||= performance.now();
         this.lastByteAt = performance.now();
         this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.told.isSealed;
         this.onFirstByte(head);
--- a/src/forward/attemptRunner.ts
+++ b/src/forward/attemptRunner.ts
@@ -187,8 +187,12 @@
     /** A runner that answers for another, or lacks the model or adapter, is not asked for it again at once. */
     private noteAbsence(upstream: string): void {
         const { need } = this.call.caller;
-        if (this.relay.head?.told.isMisdirected && need) {
-            this.gateway.residency.onAbsent(upstream, need.model, artifactOf(need.model, need.adapter));
+        const { residency } = this.gateway;
+        if (need && this.relay.head?.told.isMisdirected) {
+            residency.onAbsent(upstream, need.model, artifactOf(need.model, need.adapter));
+        }
+        else if (need) {
+            residency.onRefused(upstream, need.model);
         }
     }
 
--- a/src/forward/findUpstream.ts
+++ b/src/forward/findUpstream.ts
@@ -10,6 +10,8 @@
 const minPauseMs = 20;
 /** Time that a request needs after its model is ready, at least. */
 const serveMs = 300;
+/** Part of a request's time that must be left while it waits for a new controller, which comes within seconds. */
+const uncertainShare = 0.55;
 /** When to come back where nothing is known to be on its way. */
 const unknownRetryMs = 1_000;
 
@@ -33,14 +35,15 @@
         if (!need) {
             return { detail: "no upstream of the service is ready", retryAfterMs: unknownRetryMs };
         }
-        const { runner, readyInMs, isComing } = await gateway.placement.place({
+        const { runner, readyInMs, isComing, isUncertain } = await gateway.placement.place({
             service: call.service,
             model: need.model,
             adapter: need.adapter,
             avoid: [...met],
         });
         const leftMs = call.deadlineAt - performance.now();
-        if (!isComing || readyInMs + serveMs > leftMs) {
+        const mayWait = isUncertain ? leftMs > uncertainShare * (call.deadlineAt - call.startedAt) : isComing && readyInMs + serveMs <= leftMs;
+        if (!mayWait) {
             return {
                 detail: isComing ? `the model is ready in ${Math.round(readyInMs)} ms` : "no runner holds the model",
                 retryAfterMs: readyInMs || unknownRetryMs,
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -132,22 +132,27 @@
         const isPassable = outcome === Outcome.Answered || outcome === Outcome.RanAndFailed;
         if (isPassable && relay.canComplete) {
             relay.complete();
-            const { caller, route } = this.call;
-            const status = relay.head?.status;
-            emit(EventId.RequestAnswered, {
-                request: caller.requestId,
-                route: route.name,
-                upstream: this.upstream,
-                status,
-                sends: this.sends,
-                afterMs: this.elapsedMs(),
-            });
+            this.logAnswered();
             return;
         }
         const isLate = performance.now() >= this.call.deadlineAt;
         this.fail(isLate ? FailureKind.DeadlineExpired : this.runs === 0 ? FailureKind.UpstreamRefused : FailureKind.UpstreamLost, "no upstream answered");
     }
 
+    private logAnswered(): void {
+        const { caller, route, startedAt } = this.call;
+        const { relay } = this.attempts;
+        emit(EventId.RequestAnswered, {
+            request: caller.requestId,
+            route: route.name,
+            upstream: this.upstream,
+            status: relay.head?.status,
+            sends: this.sends,
+            firstByteMs: Math.round(relay.firstByteAt - startedAt),
+            afterMs: this.elapsedMs(),
+        });
+    }
+
     private fail(kind: FailureKind, detail: string, afterMs = refusedRetryAfterMs): void {
         const verdict = this.runs === 0 ? Verdict.NotRun : Verdict.MayHaveRun;
         const retryAfterMs = verdict === Verdict.NotRun ? afterMs * (0.75 + this.gateway.random() / 2) : undefined;
--- a/src/forward/readyServer.ts
+++ b/src/forward/readyServer.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import type { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
 import { listenOn } from "./callerServer";
@@ -27,3 +28,15 @@
     });
     await listenOn(server, address);
 };
+
+/** Serves the metrics as text, under any path. */
+export const serveMetrics = async (metrics: Metrics, address: string): Promise<void> => {
+    const server = createServer((req, res) => {
+        req.resume();
+        void metrics.render().then(({ text, contentType }) => {
+            res.writeHead(200, { "Content-Type": contentType });
+            res.end(text);
+        });
+    });
+    await listenOn(server, address);
+};
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -1,10 +1,10 @@
 import { randomUUID } from "node:crypto";
 import { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
-import { TableFollower } from "../core/tableFollower";
+import { feedWaitMs, TableFollower } from "../core/tableFollower";
 import { CallerServer } from "../forward/callerServer";
 import { Gateway } from "../forward/gateway";
-import { serveReadiness } from "../forward/readyServer";
+import { serveMetrics, serveReadiness } from "../forward/readyServer";
 import { watchConfig, watchDirectory } from "../forward/storeWatch";
 import { Controller } from "../placement/controller";
 import { PeerHub } from "../placement/peerHub";
@@ -12,6 +12,7 @@
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { requestHeaders } from "../platform/requestHeaders";
+import { Metrics } from "../plugins/metrics";
 import { RunnerClient } from "../platform/runnerClient";
 import { StoreClient } from "../platform/storeClient";
 import { platformTables } from "../platform/tables";
@@ -26,6 +27,10 @@
 /** The process is gone this long before the platform would kill it. */
 const exitMarginMs = 600;
 const pollMs = 50;
+/** Wait of one call to the store's feed while the controller tells of changes too. */
+const coveredWaitMs = 6_000;
+/** Pause after changes of the directory; half of the least time in which a leaving upstream must get nothing new. */
+const directoryPauseMs = 900;
 /** Pause between two renewals of the controller's lease. */
 const renewMs = 600;
 /** A controller that was not heard of for this long may be gone: the lease row tells. */
@@ -49,17 +54,33 @@
         const { settings, gateway, server } = this;
         const store = StoreClient.create(settings.storeAddress);
         const configRows = watchConfig(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
-        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random);
-        const directory = TableFollower.create(store, platformTables.directory, watchDirectory(gateway, decodeServer), gateway.random);
-        this.startPlacement(store);
+        const link = this.startPlacement(store);
+        // What the controller tells covers a connection to the store that has gone silent.
+        const waitMs = (): number => performance.now() - link.heardAt < controllerSilenceMs ? coveredWaitMs : feedWaitMs;
+        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0 });
+        const directory = TableFollower.create(store, platformTables.directory, watchDirectory(gateway, decodeServer), gateway.random, {
+            pauseMs: directoryPauseMs,
+            waitMs,
+            knownVersion: () => gateway.directory.version,
+        });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
+        const metrics = Metrics.create();
+        metrics.expose([
+            { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
+            { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
+            { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
+            { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
+            { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
+            { name: "controller_epoch", help: "Epoch under which this node orders runners about, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
+        ]);
+        await serveMetrics(metrics, settings.metricsAddress);
         await Promise.all([serveReadiness(gateway, settings.readyAddress), server.listen(settings.callerAddress)]);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
     }
 
     /** Takes part in placing models: as controller while the lease is held, else by asking the controller. */
-    private startPlacement(store: StoreClient): void {
+    private startPlacement(store: StoreClient): PeerLink {
         const { gateway, settings } = this;
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
@@ -84,6 +105,7 @@
             err => emit(EventId.StewardFailed, { detail: toFailure(err).detail }),
         );
         this.lease = lease;
+        return link;
     }
 
     /** Takes settings that were read again; addresses stay as they were at the start. */
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -1,7 +1,7 @@
 import { chooseAdapterStep } from "../core/adapterPlan";
 import type { ControllerLease } from "../core/controllerLease";
 import type { CopyStep } from "../core/copyPlan";
-import { CopyPlan, holdsOrLoads } from "../core/copyPlan";
+import { CopyPlan, holdsOrLoads, serves } from "../core/copyPlan";
 import { LoadCeiling } from "../core/loadCeiling";
 import { ModelDemand } from "../core/modelDemand";
 import type { RunnerBook } from "../core/runnerBook";
@@ -84,17 +84,17 @@
     async place(req: PlacementRequest): Promise<PlacementAnswer> {
         const engine = this.engineOf(req.service);
         if (!engine?.models.has(req.model) || !this.isActive) {
-            return { readyInMs: askAgainMs, isComing: false };
+            return { readyInMs: askAgainMs, isComing: false, isUncertain: !this.isActive };
         }
         const now = performance.now();
         const books = this.desk.booksOf(req.service);
-        if (!books.some(book => book.models.has(req.model))) {
+        if (!books.some(book => serves(book, req.model))) {
             this.wanted.set(req.model, now);
             this.round();
             return this.comingIn(req.model, engine.models.get(req.model)!, books);
         }
         if (req.adapter === undefined) {
-            const holder = books.find(book => book.models.has(req.model) && !req.avoid.includes(book.server.id));
+            const holder = books.find(book => serves(book, req.model) && !req.avoid.includes(book.server.id));
             return { runner: holder?.server.id, readyInMs: 0, isComing: holder !== undefined };
         }
         return this.placeAdapter(req, engine, books);
@@ -115,7 +115,7 @@
         const adapter = req.adapter!;
         const artifact = artifactOf(req.model, adapter);
         const usable = books.filter(({ server }) => !req.avoid.includes(server.id));
-        const holder = usable.find(book => book.hasAdapter(artifact) && book.models.has(req.model));
+        const holder = usable.find(book => book.hasAdapter(artifact) && serves(book, req.model));
         if (holder) {
             holder.touch(artifact);
             return { runner: holder.server.id, readyInMs: 0, isComing: true };
@@ -136,7 +136,7 @@
                 return { runner: step.book.server.id, readyInMs: adapterReadyMs, isComing: true };
             }
         }
-        return { readyInMs: resendMs, isComing: books.some(book => book.models.has(req.model)) };
+        return { readyInMs: resendMs, isComing: books.some(book => serves(book, req.model)) };
     }
 
     private round(): void {
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -23,6 +23,9 @@
 const peerTimeoutMs = 700;
 const connectTimeoutMs = 300;
 
+/** Another node becomes controller within seconds. */
+const noController: PlacementAnswer = { readyInMs: 0, isComing: false, isUncertain: true };
+
 /** Parts of this node that the line uses. */
 interface LocalParts {
     readonly hub: PeerHub;
@@ -75,14 +78,14 @@
         }
         const address = this.lease.holderAddress;
         if (address === undefined || address === this.gateway.settings.peerAddress) {
-            return { readyInMs: 0, isComing: false };
+            return noController;
         }
         try {
             return await this.clientOf(address).place.mutate({ ...req, avoid: [...req.avoid] });
         }
         catch (err) {
             this.onLost(err);
-            return { readyInMs: 0, isComing: false };
+            return noController;
         }
     }
 
@@ -130,6 +133,9 @@
             this.local.onConfig();
         }
         answer.changes.forEach(change => gateway.directory.apply(change));
+        if (gateway.directory.version > 0) {
+            gateway.directory.version = Math.max(gateway.directory.version, answer.directoryVersion);
+        }
         Object.entries(answer.adapters ?? {}).forEach(([runner, adapters]) => gateway.residency.replaceAdapters(runner, adapters));
         Object.entries(answer.loads ?? {}).forEach(([runner, [prefillMs, inFlight]]) => gateway.trafficOf(runner).onOthers(prefillMs, inFlight));
     }
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -9,6 +9,13 @@
 const secondBuckets = [0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.55, 1, 2.5, 5, 10, 30];
 const tokenBuckets = [0.001, 0.005, 0.01, 0.02, 0.042, 0.08, 0.16, 0.5, 2];
 
+/** A gauge that is read when the metrics are. */
+export interface GaugeSpec {
+    readonly name: string;
+    readonly help: string;
+    readonly read: () => number;
+}
+
 /** Metrics of a node: counters for each refusal and retry reason, each event and each broken invariant; gauges of what it holds. */
 export class Metrics implements NodePlugin {
     readonly name = "metrics";
@@ -66,6 +73,10 @@
             else if (event === EventId.AttemptFailed) {
                 this.retries.inc({ reason: String(fields.kind), verdict: String(fields.verdict) });
             }
+            else if (event === EventId.RequestAnswered) {
+                this.observe(RequestMetric.FirstToken, Number(fields.firstByteMs));
+                this.observe(RequestMetric.Whole, Number(fields.afterMs));
+            }
             else if (isInvariantEvent(event)) {
                 this.invariants.inc({ event });
             }
@@ -86,8 +97,19 @@
     }
 
     start(node: NodeContext): void {
+        this.expose([
+            { name: "config_sequence", help: "Sequence of the configuration in force", read: () => node.config.sequence },
+            { name: "requests_in_progress", help: "Requests in progress", read: () => node.inProgress },
+            { name: "requests_queued", help: "Requests that wait for an upstream", read: () => node.queue.length },
+            { name: "runners_known", help: "Runners on the VM list", read: () => node.fleet.runners().length },
+            { name: "copies_draining", help: "Copies that this node's stewardship takes out of routing", read: () => node.drains.length },
+        ]);
+    }
+
+    /** Adds gauges, and the runtime's own metrics. */
+    expose(gauges: readonly GaugeSpec[]): void {
         collectDefaultMetrics({ register: this.registry });
-        const gauge = (name: string, help: string, read: () => number) =>
+        for (const { name, help, read } of gauges) {
             new Gauge({
                 name: `jackdawtrail_${name}`,
                 help,
@@ -96,11 +118,12 @@
                     this.set(read());
                 },
             });
-        gauge("config_sequence", "Sequence of the configuration in force", () => node.config.sequence);
-        gauge("requests_in_progress", "Requests in progress", () => node.inProgress);
-        gauge("requests_queued", "Requests that wait for an upstream", () => node.queue.length);
-        gauge("runners_known", "Runners on the VM list", () => node.fleet.runners().length);
-        gauge("copies_draining", "Copies that this node's stewardship takes out of routing", () => node.drains.length);
+        }
+    }
+
+    /** The metrics as text, and the type of that text. */
+    async render(): Promise<{ readonly text: string; readonly contentType: string; }> {
+        return { text: await this.registry.metrics(), contentType: this.registry.contentType };
     }
 
     /** The route on which the metrics are read. */
@@ -109,8 +132,8 @@
             path: "/metrics",
             methods: ["GET"],
             handle: async ({ res }) => {
-                const text = await this.registry.metrics();
-                res.writeHead(200, { "content-type": this.registry.contentType });
+                const { text, contentType } = await this.render();
+                res.writeHead(200, { "content-type": contentType });
                 res.end(text);
             },
         };
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -16,6 +16,8 @@
     readonly readyInMs: number;
     /** Whether the controller is at work on it. */
     readonly isComing: boolean;
+    /** Whether no controller could be asked. */
+    readonly isUncertain?: boolean;
 }
 
 /** Prefill that waits at runners, in milliseconds, and requests in progress there. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -163,6 +163,6 @@
         withClock(async () => {
             const { controller } = await createStage(3);
             await clock.tickAsync(500);
-            assert.deepEqual(await controller.place({ service, model: "nobody", avoid: [] }), { readyInMs: 1_000, isComing: false });
+            assert.deepEqual(await controller.place({ service, model: "nobody", avoid: [] }), { readyInMs: 1_000, isComing: false, isUncertain: false });
         }));
 });
