Place what loses most first, keep serving copies, and count no dead runners

Change: needs are sorted by what callers lose; a victim's other copies must serve; a loaded model stays 4 s; a runner that leaves two reports unanswered does not count; unreachable upstreams are paused twice as long each time.

--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -17,6 +17,8 @@
 /** An unload waits for the model's requests and holds the runner up meanwhile; this is what that costs just after a request. */
 const busyVictimCost = 0.4;
 const busyVictimHalfLifeMs = 2_500;
+/** A model that is asked for stays at least this long after its load. */
+const minHeldMs = 4_000;
 /** Least advantage of a move. */
 const leastAdvantage = 0.06;
 /** Utilisation above which a runner's queue is as long as it is counted. */
@@ -57,8 +59,12 @@
 
 const isUnloading = (book: RunnerBook, model: string): boolean => book.transit?.kind === RunnerOrderKind.Unload && book.transit.model === model;
 
+/** Whether a runner stays, as far as is known. */
+const isUsable = (book: RunnerBook): boolean =>
+    book.server.state === UpstreamState.Ready && book.server.remainingMs === undefined && book.isReachable;
+
 /** Whether requests may use a model at a runner. */
-export const serves = (book: RunnerBook, model: string): boolean => book.models.has(model) && !isUnloading(book, model);
+export const serves = (book: RunnerBook, model: string): boolean => book.isReachable && book.models.has(model) && !isUnloading(book, model);
 
 /** Whether a runner holds a model, or will when its order is done. */
 export const holdsOrLoads = (book: RunnerBook, model: string): boolean => serves(book, model) || book.isLoading(model);
@@ -81,7 +87,7 @@
     private readonly usable: readonly RunnerBook[];
 
     private constructor(private readonly inputs: CopyPlanInputs) {
-        this.usable = inputs.books.filter(({ server }) => server.state === UpstreamState.Ready && server.remainingMs === undefined);
+        this.usable = inputs.books.filter(isUsable);
         for (const model of inputs.engine.models.keys()) {
             this.holders.set(model, new Set(this.usable.filter(book => holdsOrLoads(book, model))));
         }
@@ -119,11 +125,11 @@
         return option && toStep(model, option);
     }
 
-    /** Models that are asked for, those without a copy first, then the busiest. */
+    /** Models that are asked for, those whose callers lose most first. */
     private needs(): readonly ModelSpec[] {
         const urgency = (name: string): number => {
             const copies = this.copies(name);
-            return copies === 0 ? 1_000 * this.missingCost(name) : this.load(name) / copies;
+            return copies === 0 ? this.missingCost(name) + queueCost(this.load(name)) : queueCost(this.load(name) / copies);
         };
         return [...this.inputs.engine.models.values()]
             .filter(({ name }) => this.load(name) > 0 || this.inputs.wanted.has(name))
@@ -190,7 +196,7 @@
             return [[]];
         }
         const sizeOf = (name: string): number => this.inputs.engine.models.get(name)?.memoryMb ?? 0;
-        const held = [...book.models];
+        const held = [...book.models].filter(name => book.heldMs(name) > minHeldMs || this.inputs.demand.loadOf(name) === 0);
         const single = held.filter(name => sizeOf(name) >= missingMb).map(name => [name]);
         if (single.length > 0) {
             return single;
@@ -216,9 +222,10 @@
         let lost = 0;
         for (const victim of victims) {
             const before = this.copies(victim);
+            const isLastServing = ![...this.holders.get(victim) ?? []].some(holder => holder !== book && serves(holder, victim));
             const victimLoad = this.load(victim);
             lost += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
-            lost += droppedCacheCost * victimLoad / Math.max(1, before) + (before <= 1 ? this.missingCost(victim) : 0);
+            lost += droppedCacheCost * victimLoad / Math.max(1, before) + (isLastServing ? this.missingCost(victim) + queueCost(victimLoad) : 0);
             this.holders.get(victim)?.forEach(holder =>
                 change(holder, holder === book ? -victimLoad / before : victimLoad / (before - 1) - victimLoad / before)
             );
--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -9,6 +9,9 @@
 /** An order without an answer may be carried out this much later. */
 const orderLatenessMs = 15_000;
 
+/** A runner that has left this many questions unanswered is taken for gone. */
+const maxFailedReports = 2;
+
 /** A model on its way in or out. */
 export interface Transit {
     readonly kind: RunnerOrderKind;
@@ -39,9 +42,10 @@
     isKnown = false;
     /** The order that is on its way at this moment. */
     ordering: RunnerOrder | undefined;
-    queued = 0;
-    active = 0;
-    reportedAt = Number.NEGATIVE_INFINITY;
+    /** Reports that failed since the last one that came. */
+    failedReports = 0;
+    /** When each model was first seen here, on the monotonic clock. */
+    private readonly heldSince = new Map<string, number>();
     private ghosts: Ghost[] = [];
     private bornAt: number;
 
@@ -77,6 +81,16 @@
         return !this.isWarm(model) && !this.server.onDisk.includes(model);
     }
 
+    /** Whether the runner answered when it was last asked. */
+    get isReachable(): boolean {
+        return this.failedReports < maxFailedReports;
+    }
+
+    /** Time for which the runner has held a model. */
+    heldMs(model: string): number {
+        return this.now() - (this.heldSince.get(model) ?? this.now());
+    }
+
     /** Whether the next order may be a new one. */
     get canOrder(): boolean {
         return this.isKnown && !this.isBusy && !this.ordering && !this.unsettled && !this.transit;
@@ -95,9 +109,7 @@
         if (report.bornAt !== this.bornAt) {
             this.onRestart(report.bornAt, engine);
         }
-        this.reportedAt = this.now();
-        this.queued = report.queued;
-        this.active = report.active;
+        this.failedReports = 0;
         this.server = { ...this.server, inMemory: report.inMemory, onDisk: report.onDisk };
         if (report.acceptedOrders < this.acceptedOrders) {
             // Reports lag: this one describes the runner before its last order.
@@ -114,6 +126,8 @@
         this.isKnown = true;
         this.models.clear();
         report.models.forEach(({ name }) => this.models.add(name));
+        [...this.heldSince.keys()].filter(name => !this.models.has(name)).forEach(name => this.heldSince.delete(name));
+        this.models.forEach(name => this.heldSince.set(name, this.heldSince.get(name) ?? this.now()));
         const held = new Set([...report.models.flatMap(({ name, adapters }) => adapters.map(adapter => artifactOf(name, adapter))), ...report.coming]);
         [...this.adapters.keys()].filter(artifact => !held.has(artifact)).forEach(artifact => this.adapters.delete(artifact));
         [...this.leaving].filter(artifact => !held.has(artifact)).forEach(artifact => this.leaving.delete(artifact));
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -6,8 +6,9 @@
 const smoothing = 0.2;
 /** After this time an upstream's word on its load says little. */
 const toldLifetimeMs = 1_500;
-/** Pause after a connection could not be made. */
+/** Pause after a connection could not be made; it doubles with each further failure. */
 const unreachablePauseMs = 1_000;
+const maxUnreachablePauseMs = 8_000;
 
 /** What a node knows of an upstream from its own requests. */
 export class UpstreamTraffic {
@@ -26,6 +27,7 @@
     private failures = 0;
     private failuresAt = 0;
     private unreachableUntil = 0;
+    private unreachableTimes = 0;
 
     private constructor(private readonly now: () => number) {}
 
@@ -83,6 +85,7 @@
     }
 
     onFirstByte(ms: number): void {
+        this.unreachableTimes = 0;
         const average = this.firstByteMs ?? ms;
         this.firstByteMs = average + smoothing * (ms - average);
     }
@@ -99,7 +102,11 @@
     }
 
     onUnreachable(): void {
-        this.unreachableUntil = this.now() + unreachablePauseMs;
+        // Several requests may fail in the same pause: they count once.
+        if (!this.isUnreachable) {
+            this.unreachableTimes++;
+            this.unreachableUntil = this.now() + Math.min(maxUnreachablePauseMs, unreachablePauseMs * 2 ** (this.unreachableTimes - 1));
+        }
         this.onFailure();
     }
 }
--- a/src/placement/runnerDesk.ts
+++ b/src/placement/runnerDesk.ts
@@ -12,6 +12,8 @@
 const reportMs = 1_500;
 /** Pause between two reports of a runner whose load should be done. */
 const dueReportMs = 150;
+/** Questions after a failed report that follow quickly; then the runner is likely gone. */
+const quickReports = 3;
 /** Pause before an order without an answer is sent again. */
 export const resendMs = 400;
 
@@ -85,7 +87,8 @@
     /** Reads a report where one is due, and sends an order without an answer again. */
     private refresh(book: RunnerBook, engine: EngineSpec): void {
         const now = performance.now();
-        const isDue = !book.isKnown || (book.transit !== undefined && now >= book.transit.doneAt) || book.unsettled !== undefined;
+        const isDue = !book.isKnown || (book.transit !== undefined && now >= book.transit.doneAt) || book.unsettled !== undefined
+            || book.leaving.size > 0 || (book.failedReports > 0 && book.failedReports <= quickReports);
         if (now - (this.askedAt.get(book) ?? Number.NEGATIVE_INFINITY) >= (isDue ? dueReportMs : reportMs)) {
             this.askedAt.set(book, now);
             void this.readReport(book, engine);
@@ -109,6 +112,7 @@
             }
         }
         catch (err) {
+            book.failedReports++;
             emit(EventId.ReportFailed, { runner: book.server.id, detail: toFailure(err).detail });
         }
     }
