Bound the cost of a busy runner by the worth of its requests

Change: an overloaded runner loses a share of its requests' worth, never more; a missing model loses all of it. Measured: placement.test.ts 'a busy model that lost its runners' failed before, passes now.

--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -7,8 +7,6 @@
 /** Worth a second of a first copy of a model that callers wait for, and of one that they may ask for at any time. */
 const wantedWorth = 1;
 const offeredWorth = 0.02;
-/** Worth a second that a model without a copy loses for each share of a runner's time that callers ask of it: they wait for a load. */
-const missingWorth = 1;
 /** What a load costs, for each second that it takes, and if it draws on the weight store. */
 const loadCostPerS = 0.03;
 const storeLoadCost = 0.08;
@@ -21,13 +19,15 @@
 const minHeldMs = 4_000;
 /** Least advantage of a move. */
 const leastAdvantage = 0.06;
-/** Utilisation above which a runner's queue is as long as it is counted. */
-const maxUtilisation = 0.95;
+/** Worth a second that the requests earn which take up one runner. */
+const worthPerRunner = 10;
 
-/** Worth a second that is lost at a runner by its utilisation: requests wait for each other's prompts, the more the busier it is. */
+/** Worth a second that is lost at a runner by its utilisation: requests wait for each other's prompts, and miss their target. */
 const queueCost = (utilisation: number): number => {
-    const bounded = Math.min(maxUtilisation, Math.max(0, utilisation));
-    return bounded * bounded / (1 - bounded) + Math.max(0, utilisation - maxUtilisation) / (1 - maxUtilisation);
+    const bounded = Math.max(0, utilisation);
+    // Half of the requests are lost at a utilisation of 1, nearly none at a third, and never more than all.
+    const lostShare = bounded ** 3 / (1 + bounded ** 3);
+    return worthPerRunner * bounded * lostShare;
 };
 
 /** One order that the plan asks for. */
@@ -129,7 +129,7 @@
     private needs(): readonly ModelSpec[] {
         const urgency = (name: string): number => {
             const copies = this.copies(name);
-            return copies === 0 ? this.missingCost(name) + queueCost(this.load(name)) : queueCost(this.load(name) / copies);
+            return copies === 0 ? this.missingCost(name) : copies * queueCost(this.load(name) / copies);
         };
         return [...this.inputs.engine.models.values()]
             .filter(({ name }) => this.load(name) > 0 || this.inputs.wanted.has(name))
@@ -145,7 +145,7 @@
     }
 
     private missingCost(model: string): number {
-        return (this.inputs.wanted.has(model) ? wantedWorth : 0) + offeredWorth + missingWorth * this.load(model);
+        return (this.inputs.wanted.has(model) ? wantedWorth : 0) + offeredWorth + worthPerRunner * this.load(model);
     }
 
     private addLoad(book: RunnerBook, load: number): void {
@@ -225,7 +225,7 @@
             const isLastServing = ![...this.holders.get(victim) ?? []].some(holder => holder !== book && serves(holder, victim));
             const victimLoad = this.load(victim);
             lost += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
-            lost += droppedCacheCost * victimLoad / Math.max(1, before) + (isLastServing ? this.missingCost(victim) + queueCost(victimLoad) : 0);
+            lost += droppedCacheCost * victimLoad / Math.max(1, before) + (isLastServing ? this.missingCost(victim) : 0);
             this.holders.get(victim)?.forEach(holder =>
                 change(holder, holder === book ? -victimLoad / before : victimLoad / (before - 1) - victimLoad / before)
             );
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -159,6 +159,26 @@
             assert.ok(copies >= 3, `${copies} copies for 1.4 runners' work`);
         }));
 
+    it("a busy model that lost its runners is loaded again, though it needs more than one runner", () =>
+        withClock(async () => {
+            const { runners, controller, publish } = await createStage(4);
+            const holders = (): readonly ModelRunner[] => [...runners.values()].filter(({ models }) => models.has("m9"));
+            const ask = async (steps: number): Promise<void> => {
+                for (let step = 0; step < steps; step++) {
+                    await clock.tickAsync(stepMs);
+                    controller.countWork({ m9: 90 });
+                    void controller.place({ service, model: "m9", avoid: [] });
+                }
+            };
+            await ask(300);
+            holders().forEach(runner => {
+                runner.restart();
+                publish(runner);
+            });
+            await ask(120);
+            assert.ok(holders().length >= 1, "no copy 6 s later");
+        }));
+
     it("an unknown model is refused at once", () =>
         withClock(async () => {
             const { controller } = await createStage(3);
