--- a/src/placement/peerHub.ts
+++ b/src/placement/peerHub.ts
@@ -1,5 +1,6 @@
 import { initTRPC } from "@trpc/server";
 import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
+import type { Server } from "node:http";
 import { createServer } from "node:http";
 import { z } from "zod";
 import { listenOn } from "../forward/callerServer";
@@ -28,6 +29,7 @@
 /** Answers this node's peers: what it knows of configuration and directory and, as controller, of runners. */
 export class PeerHub {
     private readonly nodes = new Map<string, KnownNode>();
+    private server: Server | undefined;
 
     private constructor(private readonly gateway: Gateway, private readonly controller: Controller) {}
 
@@ -39,10 +41,16 @@
     /** Answers peers on an address. */
     listen(address: string): Promise<void> {
         const router = createHubRouter(this, this.controller);
-        const server = createServer((req, res) =>
+        this.server = createServer((req, res) =>
             void nodeHTTPRequestHandler({ router, req, res, path: new URL(req.url ?? "/", "http://node").pathname.slice(1), createContext: () => ({}) })
         );
-        return listenOn(server, address);
+        return listenOn(this.server, address);
+    }
+
+    /** Answers no more. */
+    close(): void {
+        this.server?.close();
+        this.server?.closeAllConnections();
     }
 
     /** Takes a node's report and answers with what it lacks. */
--- /dev/null
+++ b/test/peers.test.ts
@@ -0,0 +1,112 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { ControllerLease } from "../src/core/controllerLease";
+import { Gateway } from "../src/forward/gateway";
+import { takeConfig } from "../src/forward/storeWatch";
+import { Controller } from "../src/placement/controller";
+import { PeerHub } from "../src/placement/peerHub";
+import { PeerLink } from "../src/placement/peerLink";
+import { decodeConfig } from "../src/platform/configDecoder";
+import { decodeServer } from "../src/platform/directoryDecoder";
+import { requestHeaders } from "../src/platform/requestHeaders";
+import type { RunnerControl } from "../src/types/runner";
+import { RunnerOrderAnswer } from "../src/types/runner";
+import { setupLogs } from "../src/utils/events";
+import { createRandom } from "../src/utils/random";
+import { sleep } from "../src/utils/time";
+import { findFreePort, testSettings } from "./fakes/gatewayHarness";
+import { MemoryRowStore } from "./fakes/memoryRowStore";
+
+const configBytes = Buffer.from(JSON.stringify({
+    version: 7,
+    routes: [{ name: "r", host: "h", prefix: "/", routeKind: "streaming", timeoutMs: 100, service: "s" }],
+    services: [{
+        name: "s",
+        healthPath: "/h",
+        maxConns: 5,
+        engine: {
+            slots: 8,
+            kvCapacity: 1_000,
+            weightsMb: 100,
+            adapterSlots: 2,
+            loadsPerS: 2,
+            models: [{ name: "m", weightsMb: 50, loadS: 1, adapters: 3, adapterSizeMb: 1 }],
+        },
+    }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+}));
+const serverBytes = Buffer.from(
+    JSON.stringify({ service: "s", addr: "10.0.0.1:1", zone: "a", slots: 8, state: "ready", born: 1, models: [{ name: "m", version: 1, adapters: [] }] }),
+);
+
+/** A runner that holds model m and accepts every order. */
+const createControl = (): RunnerControl => ({
+    report: () =>
+        Promise.resolve({
+            models: [{ name: "m", version: 1, adapters: [] }],
+            inMemory: [],
+            onDisk: [],
+            coming: [],
+            isBusy: false,
+            acceptedOrders: 0,
+            queued: 0,
+            active: 0,
+            bornAt: 1,
+        }),
+    order: () => Promise.resolve(RunnerOrderAnswer.Accepted),
+});
+
+const createNode = async (store: MemoryRowStore, name: string, seeds: readonly string[], signal: AbortSignal) => {
+    const random = createRandom(1);
+    const peerAddress = `127.0.0.1:${await findFreePort()}`;
+    const gateway = Gateway.create({ ...testSettings, nodeId: name, peerAddress, seeds }, requestHeaders, random);
+    const lease = ControllerLease.create(store, { holder: name, boot: name, peerAddress }, testSettings.turnGapMs);
+    const controller = Controller.create(gateway, lease, createControl());
+    const hub = PeerHub.create(gateway, controller);
+    const link = PeerLink.create(gateway, lease, { hub, controller, decodeConfig, onConfig: () => undefined });
+    await hub.listen(peerAddress);
+    return { gateway, lease, hub, link, peerAddress, start: () => [link.start(signal), controller.start(signal)] };
+};
+
+describe("peers", () => {
+    const hubs: PeerHub[] = [];
+    const abort = new AbortController();
+    before(() => setupLogs("silent"));
+    after(() => {
+        abort.abort();
+        hubs.forEach(hub => hub.close());
+        setupLogs("info");
+    });
+
+    it("a node that is cut from the store learns configuration, directory and adapters from a peer, and has models placed", async () => {
+        const store = MemoryRowStore.create(createRandom(2));
+        store.lossShare = 0;
+        const first = await createNode(store, "n1", [], abort.signal);
+        hubs.push(first.hub);
+        takeConfig(first.gateway, configBytes, decodeConfig, "store");
+        first.gateway.directory.apply({ id: "u1", version: 3, server: decodeServer("u1", serverBytes)! });
+        first.gateway.directory.version = 3;
+        await first.lease.tick();
+        const second = await createNode(store, "n2", [first.peerAddress], abort.signal);
+        hubs.push(second.hub);
+        await second.lease.tick();
+        first.start();
+        second.start();
+        await sleep(1_000);
+        assert.equal(second.gateway.config?.version, 7);
+        assert.deepEqual(second.gateway.directory.readyOf("s").map(({ id }) => id), ["u1"]);
+        assert.equal(second.gateway.knownNodes, 2);
+        const answer = await second.link.place({ service: "s", model: "m", adapter: "a1", avoid: [] });
+        assert.equal(answer.runner, "u1");
+        await sleep(700);
+        assert.equal(second.gateway.residency.hasAdapter("u1", "m/a1"), true);
+    });
+
+    it("without a controller a question is answered as uncertain", async () => {
+        const store = MemoryRowStore.create(createRandom(3));
+        const node = await createNode(store, "n3", [], abort.signal);
+        hubs.push(node.hub);
+        takeConfig(node.gateway, configBytes, decodeConfig, "store");
+        assert.deepEqual(await node.link.place({ service: "s", model: "m", avoid: [] }), { readyInMs: 0, isComing: false, isUncertain: true });
+    });
+});
