--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -66,11 +66,6 @@
         return models + adapters + this.ghosts.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
     }
 
-    /** Whether a model fits beside what the runner holds. */
-    fits(engine: EngineSpec, model: ModelSpec): boolean {
-        return this.usedMb(engine) + model.memoryMb <= engine.memoryMb;
-    }
-
     /** Time that a load of a model takes here. */
     loadMs(model: ModelSpec): number {
         return this.isWarm(model.name) ? model.warmLoadMs : this.server.onDisk.includes(model.name) ? model.diskLoadMs : model.loadMs;
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -2,16 +2,19 @@
 import type { ControllerLease } from "../core/controllerLease";
 import type { CopyStep } from "../core/copyPlan";
 import { CopyPlan, holdsOrLoads, serves } from "../core/copyPlan";
+import { toFailure } from "../core/failures";
 import { LoadCeiling } from "../core/loadCeiling";
 import { ModelDemand } from "../core/modelDemand";
 import type { RunnerBook } from "../core/runnerBook";
 import type { Gateway } from "../forward/gateway";
 import type { LeaseYield } from "../types/controllerLease";
+import { EventId } from "../types/eventId";
 import { artifactOf, modelOf } from "../types/modelNeed";
 import type { PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { RunnerControl } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
+import { emit } from "../utils/events";
 import { resendMs, RunnerDesk } from "./runnerDesk";
 
 /** Pause between two rounds. */
@@ -22,11 +25,14 @@
 const intentMs = 8_000;
 /** Time in which an adapter is loaded, with its way there. */
 const adapterReadyMs = 10;
+/** Runners that are tried for an adapter before the node is told to ask again. */
+const maxAdapterTries = 2;
 /** Time that an unload is thought to take: its requests have to end. */
 const unloadMs = 300;
 /** When to ask again where nothing is on its way. */
 const askAgainMs = 1_000;
 
+/** The model that a runner is cleared for. */
 interface Intent {
     readonly model: string;
     readonly until: number;
@@ -125,7 +131,7 @@
             holder.touch(artifact);
             return { runner: holder.server.id, readyInMs: 0, isComing: true };
         }
-        for (let tries = 0; tries < 2; tries++) {
+        for (let tries = 0; tries < maxAdapterTries; tries++) {
             const step = chooseAdapterStep(usable, engine, req.model, adapter, id => this.gateway.trafficOf(id).load);
             if (!step) {
                 break;
@@ -213,7 +219,8 @@
             this.intents.set(step.runner, this.intents.get(step.runner) ?? { model: step.makesRoomFor, until: performance.now() + intentMs });
         }
         const reason = step.makesRoomFor === undefined ? `advantage ${step.advantage.toFixed(2)}` : `makes room for ${step.makesRoomFor}`;
-        void this.desk.order(book, engine, { kind: step.kind, model: step.model }, reason);
+        this.desk.order(book, engine, { kind: step.kind, model: step.model }, reason)
+            .catch((err: unknown) => emit(EventId.StewardFailed, { runner: step.runner, detail: toFailure(err).detail }));
     }
 
     private engineOf(service: string): EngineSpec | undefined {
--- a/src/placement/runnerDesk.ts
+++ b/src/placement/runnerDesk.ts
@@ -95,7 +95,8 @@
         }
         const { unsettled } = book;
         if (unsettled && !book.ordering && now - (this.orderedAt.get(book) ?? Number.NEGATIVE_INFINITY) > resendMs) {
-            void this.send(book, engine, unsettled, "sent again");
+            this.send(book, engine, unsettled, "sent again")
+                .catch((err: unknown) => emit(EventId.StewardFailed, { runner: book.server.id, detail: toFailure(err).detail }));
         }
     }
 
