--- /dev/null
+++ b/test/fakes/platformStore.ts
@@ -0,0 +1,53 @@
+import type { Server } from "node:http";
+import { FeedKind, TransactionKind } from "../../src/types/rowStore";
+import type { StoredRow } from "../../src/types/rowStore";
+import { sleep } from "../../src/utils/time";
+import { serveJson, Status } from "./http";
+import type { MemoryRowStore } from "./memoryRowStore";
+
+/** Pause between two looks at a feed that has nothing new. */
+const pollMs = 20;
+
+const toWire = ({ table, part, key, value, version }: StoredRow) => ({
+    table,
+    part,
+    key,
+    ver: version,
+    ...(value ? { value: value.toString("base64") } : { deleted: true }),
+});
+
+interface WireTransaction {
+    readonly expected: readonly { readonly table: string; readonly part: string; readonly key: string; readonly ver: number; }[];
+    readonly puts: readonly { readonly table: string; readonly part: string; readonly key: string; readonly value: string; }[];
+}
+
+/** Serves a store in memory by the platform's protocol. */
+export const servePlatformStore = (store: MemoryRowStore): Promise<Server> =>
+    serveJson(0, {
+        "GET /api/rows-get": async ({ url }) => {
+            const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
+            const from = url.searchParams.get("from") ?? "";
+            return { rows: rows.filter(({ key }) => key >= from).map(toWire), hasMore: false, ver: version };
+        },
+        "GET /api/rows-feed": async ({ url }) => {
+            const until = performance.now() + Number(url.searchParams.get("waitMs"));
+            for (;;) {
+                const reading = await store.feed(url.searchParams.get("table") ?? "", Number(url.searchParams.get("after")));
+                if (reading.kind === FeedKind.HistoryGone) {
+                    return new Status(410);
+                }
+                if (reading.rows.length > 0 || performance.now() > until) {
+                    return { rows: reading.rows.map(toWire), ver: reading.version };
+                }
+                await sleep(pollMs);
+            }
+        },
+        "POST /api/rows-tx": async ({ body }) => {
+            const { expected, puts } = body as WireTransaction;
+            const result = await store.transact({
+                conditions: expected.map(({ ver, ...name }) => ({ ...name, version: ver })),
+                puts: puts.map(({ value, ...name }) => ({ ...name, value: Buffer.from(value, "base64") })),
+            });
+            return result.kind === TransactionKind.Committed ? { ver: result.version } : new Status(412, { rows: result.rows.map(toWire) });
+        },
+    });
--- /dev/null
+++ b/test/platformProcess.test.ts
@@ -0,0 +1,183 @@
+import assert from "node:assert/strict";
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import type { Server } from "node:http";
+import { get } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, before, describe, it } from "node:test";
+import { ExitCode } from "../src/cli/exitCode";
+import { createRandom } from "../src/utils/random";
+import { sleep } from "../src/utils/time";
+import type { CallerResult } from "./fakes/gatewayHarness";
+import { callGateway, findFreePort } from "./fakes/gatewayHarness";
+import { portOf } from "./fakes/http";
+import { MemoryRowStore } from "./fakes/memoryRowStore";
+import { servePlatformStore } from "./fakes/platformStore";
+import type { ScriptedUpstream } from "./fakes/scriptedUpstream";
+import { answerOf, startScriptedUpstream } from "./fakes/scriptedUpstream";
+
+const program = "build/jackdawtrail.cjs";
+const graceMs = 6_000;
+const workMs = 300;
+const waitMs = 5_000;
+const loadAfterStopMs = 2_000;
+
+const statusOf = (address: string): Promise<number | undefined> =>
+    new Promise(resolve => {
+        get(`http://${address}/`, res => {
+            res.resume();
+            resolve(res.statusCode);
+        }).on("error", () => resolve(undefined));
+    });
+
+const waitFor = async (what: string, check: () => Promise<boolean> | boolean): Promise<void> => {
+    const until = performance.now() + waitMs;
+    while (!await check()) {
+        assert.ok(performance.now() < until, `no ${what} in ${waitMs} ms`);
+        await sleep(50);
+    }
+};
+
+describe("a node on the platform, as a process", () => {
+    const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
+    const file = join(folder, "boot.toml");
+    const store = MemoryRowStore.create(createRandom(1));
+    store.lossShare = 0;
+    let server: Server;
+    let upstream: ScriptedUpstream;
+    let node: ChildProcess;
+    let output = "";
+    let addresses: { readonly front: string; readonly ready: string; readonly control: string; readonly metrics: string; };
+
+    const writeSettings = (budgetSlack: number): void => {
+        const { front, ready, control, metrics } = addresses;
+        const metricsPort = metrics.split(":")[1]!;
+        writeFileSync(
+            file,
+            `nodeName = "n1"
+ip = "127.0.0.1"
+zone = "a"
+portRange = [${metricsPort}, ${metricsPort}]
+seeds = []
+bootstrap = true
+heartbeatMs = 1000
+[listen]
+front = "${front}"
+ready = "${ready}"
+control = "${control}"
+[limits]
+memoryMb = 350
+[bounds]
+contactMs = 3000
+drainMs = 2000
+graceS = ${graceMs / 1_000}
+applyMs = 2000
+budgetRatio = 0.2
+budgetWindowS = 10
+budgetSlack = ${budgetSlack}
+leaseMs = 3000
+fencing = false
+ceilingWindowS = 5
+ceilingOverrun = 1.1
+[platform]
+addr = "127.0.0.1:${portOf(server)}"
+`,
+        );
+    };
+
+    const putConfig = (version: number, prefix: string): void =>
+        store.put(
+            { table: "op", part: "", key: "config" },
+            Buffer.from(JSON.stringify({
+                version,
+                routes: [{ name: "r", host: "shop.example", prefix, routeKind: "non_idempotent", timeoutMs: 3_000, service: "desk", attempts: 1 }],
+                services: [{ name: "desk", healthPath: "/h", maxConns: 50 }],
+                limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+            })),
+        );
+
+    before(async () => {
+        server = await servePlatformStore(store);
+        upstream = await startScriptedUpstream((socket, { id }) => void setTimeout(() => socket.write(answerOf(id, "done")), workMs));
+        const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+        const [front, ready, control, metrics] = ports.map(port => `127.0.0.1:${port}`);
+        addresses = { front: front!, ready: ready!, control: control!, metrics: metrics! };
+        writeSettings(10);
+        node = spawn(process.execPath, [program, "serve-platform"], {
+            env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
+            stdio: ["ignore", "pipe", "inherit"],
+        });
+        node.stdout!.on("data", (chunk: Buffer) => {
+            output += chunk.toString();
+        });
+    });
+    after(() => {
+        node.kill("SIGKILL");
+        upstream.close();
+        server.closeAllConnections();
+        server.close();
+        rmSync(folder, { recursive: true });
+    });
+
+    it("is not ready, and refuses as not run, before it knows a configuration", async () => {
+        await waitFor("answer", async () => await statusOf(addresses.ready) === 503);
+        const { status, headers } = await callGateway(addresses.front);
+        assert.equal(status, 503);
+        assert.ok(Number(headers["retry-after"]) > 0);
+    });
+
+    it("becomes ready and serves once configuration and directory are there", async () => {
+        putConfig(3, "/desk/");
+        store.put(
+            { table: "servers", part: "", key: "u1" },
+            Buffer.from(JSON.stringify({ service: "desk", addr: upstream.address, zone: "a", slots: 8, state: "ready", born: 1 })),
+        );
+        await waitFor("readiness", async () => await statusOf(addresses.ready) === 200);
+        assert.equal((await callGateway(addresses.front)).body, "done");
+    });
+
+    it("follows a newer configuration, keeps the last where one cannot be read, and serves metrics", async () => {
+        putConfig(5, "/new/");
+        await waitFor("new route", async () => (await callGateway(addresses.front, { path: "/new/x" })).status === 200);
+        store.put({ table: "op", part: "", key: "config" }, Buffer.from("{}"));
+        await waitFor("event 203", () => output.includes('"event":203'));
+        assert.equal((await callGateway(addresses.front, { path: "/new/x" })).status, 200);
+        assert.equal((await callGateway(addresses.front)).status, 404);
+        assert.equal(await statusOf(addresses.metrics), 200);
+    });
+
+    it("reads its settings again at SIGHUP, and outlives a faulty file", async () => {
+        writeSettings(20);
+        node.kill("SIGHUP");
+        await waitFor("event 107", () => output.includes('"event":107'));
+        writeFileSync(file, "= =");
+        node.kill("SIGHUP");
+        await waitFor("event 106", () => output.includes('"event":106'));
+        assert.equal((await callGateway(addresses.front, { path: "/new/x" })).status, 200);
+    });
+
+    it("cuts no request off when it is stopped under load, and ends in time", async () => {
+        const results: Promise<CallerResult>[] = [];
+        const ended = new Promise<number | undefined>(resolve => node.once("exit", code => resolve(code ?? undefined)));
+        const call = async (count: number): Promise<void> => {
+            results.push(callGateway(addresses.front, { path: "/new/x", headers: { "attempt-id": `load-${count}` } }));
+            await sleep(50);
+        };
+        for (let count = 0; count < 10; count++) {
+            await call(count);
+        }
+        const stoppedAt = performance.now();
+        node.kill("SIGTERM");
+        // The balancer needs two seconds to send nobody here any more.
+        for (let count = 10; performance.now() - stoppedAt < loadAfterStopMs; count++) {
+            await call(count);
+        }
+        assert.equal(await statusOf(addresses.ready), 503);
+        assert.equal(await ended, ExitCode.Ok);
+        assert.ok(performance.now() - stoppedAt < graceMs);
+        const answers = await Promise.all(results);
+        assert.deepEqual(answers.map(({ status, body, isWhole }) => `${status} ${body} ${isWhole}`).filter(text => text !== "200 done true"), []);
+    });
+});
