--- a/src/core/adapterPlan.ts
+++ b/src/core/adapterPlan.ts
@@ -3,10 +3,10 @@
 import { UpstreamState } from "../types/upstreamServer";
 import type { RunnerBook } from "./runnerBook";
 
-/** An adapter that was used this recently does not make way. */
+/** An adapter that was used this recently is not evicted. */
 const inUseMs = 400;
 
-/** Where an adapter is loaded, and which one makes way for it. */
+/** Where an adapter is loaded, and which one is evicted for it. */
 export interface AdapterStep {
     readonly book: RunnerBook;
     readonly evict?: { readonly model: string; readonly adapter: string; };
@@ -20,7 +20,7 @@
 const oldestAdapter = (book: RunnerBook): readonly [string, number] | undefined =>
     [...book.adapters].filter(([artifact]) => !book.leaving.has(artifact)).sort(([, a], [, b]) => a - b)[0];
 
-/** Chooses a holder of the model for an adapter: one with a free place, else one whose least used adapter makes way; the least busy first. */
+/** Chooses a holder of the model for an adapter: one with a free place, else one whose least recently used adapter is evicted; the least busy first. */
 export const chooseAdapterStep = (
     books: readonly RunnerBook[],
     engine: EngineSpec,
--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -31,7 +31,7 @@
 const decodeRow = (row: StoredRow | undefined): ControllerRow | undefined => row?.value ? JSON.parse(row.value.toString()) as ControllerRow : undefined;
 
 /**
- * The lease of the node that orders runners about. Its epoch is the row's version at the takeover: unique, and rising with
+ * The lease of the node that controls runners. Its epoch is the row's version at the takeover: unique, and rising with
  * each holder. A successor waits until the holder's last order is at least one turn gap old.
  */
 export class ControllerLease {
@@ -42,7 +42,7 @@
     private isEnded = false;
     private openOrders = 0;
     private lastOrderAt = Number.NEGATIVE_INFINITY;
-    /** A holder's word that it has stopped: the row's version, and its last order on this node's monotonic clock. */
+    /** A holder's statement that it has stopped: the row's version, and its last order on this node's monotonic clock. */
     private yielded: { readonly version: number; readonly lastOrderAt: number; } | undefined;
 
     private constructor(
@@ -77,7 +77,7 @@
         return this.openOrders > 0 ? -maxOrderMs : Math.min(performance.now() - this.lastOrderAt, maxAgoMs);
     }
 
-    /** What a holder that could not renew tells its peers: it orders no more under this version of the row. */
+    /** What a holder that could not renew tells its peers: it sends no more orders under this version of the row. */
     get yielding(): LeaseYield | undefined {
         return this.isOwn && this.heldEpoch === undefined && this.epoch !== noEpoch
             ? { version: this.seen!.version, lastOrderAgoMs: this.lastOrderAgoMs }
@@ -94,7 +94,7 @@
         this.heard = { version, at: performance.now() };
     }
 
-    /** Takes the word of a holder that has stopped. */
+    /** Takes a holder's statement that it has stopped. */
     onYield({ version, lastOrderAgoMs }: LeaseYield): void {
         if (this.yielded?.version !== version) {
             this.yielded = { version, lastOrderAt: performance.now() - lastOrderAgoMs };
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -12,7 +12,7 @@
 const storeLoadCost = 0.08;
 /** What a copy loses with the prompts that it keeps, for each share of a runner's time that it serves. */
 const droppedCacheCost = 0.3;
-/** An unload waits for the model's requests and holds the runner up meanwhile; this is what that costs just after a request. */
+/** An unload waits for the model's requests and blocks the runner meanwhile; this is its cost just after a request. */
 const busyVictimCost = 0.4;
 const busyVictimHalfLifeMs = 2_500;
 /** A model that is asked for stays at least this long after its load. */
--- a/src/core/residencyView.ts
+++ b/src/core/residencyView.ts
@@ -1,7 +1,7 @@
 import type { UpstreamServer } from "../types/upstreamServer";
 import { getOrCreate } from "../utils/maps";
 
-/** A runner that said that it lacks a model is believed for this long; then the directory is again. */
+/** After this time the directory is trusted again on a model that a runner said it lacks. */
 const absenceMs = 1_500;
 
 /** A runner that refused a request is not asked for the same model for this long. */
@@ -65,7 +65,7 @@
         getOrCreate(this.absent, runner, () => new Map<string, number>()).set(model, this.now() + refusalMs);
     }
 
-    /** The directory has newer word of a runner: it goes first. */
+    /** The directory has a newer entry of a runner, which takes precedence. */
     onDirectoryChange(runner: string): void {
         this.present.delete(runner);
         this.absent.delete(runner);
--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -21,7 +21,7 @@
 }
 
 /** Memory kept free for an order that a runner may have got before it restarted under the same ID. */
-interface Ghost {
+interface LateReservation {
     readonly memoryMb: number;
     readonly until: number;
 }
@@ -46,7 +46,7 @@
     failedReports = 0;
     /** When each model was first seen here, on the monotonic clock. */
     private readonly heldSince = new Map<string, number>();
-    private ghosts: Ghost[] = [];
+    private lateReservations: LateReservation[] = [];
     private bornAt: number;
 
     private constructor(public server: UpstreamServer, private readonly now: () => number) {
@@ -60,10 +60,10 @@
 
     /** Memory that models and adapters take, with those on their way and those that may yet come. */
     usedMb(engine: EngineSpec): number {
-        this.ghosts = this.ghosts.filter(({ until }) => until > this.now());
+        this.lateReservations = this.lateReservations.filter(({ until }) => until > this.now());
         const models = [...this.withTransit()].reduce((sum, name) => sum + (engine.models.get(name)?.memoryMb ?? 0), 0);
         const adapters = [...this.adapters.keys()].reduce((sum, artifact) => sum + adapterMb(engine, artifact), 0);
-        return models + adapters + this.ghosts.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
+        return models + adapters + this.lateReservations.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
     }
 
     /** Time that a load of a model takes here. */
@@ -91,7 +91,7 @@
         return this.isKnown && !this.isBusy && !this.ordering && !this.unsettled && !this.transit;
     }
 
-    /** Takes the directory's newer word. A restart under the same ID forgets everything but orders that may still come. */
+    /** Takes a newer directory entry. A restart under the same ID clears everything but memory of orders that may still arrive. */
     onServer(server: UpstreamServer, engine: EngineSpec): void {
         this.server = server;
         if (server.bornAt !== this.bornAt) {
@@ -169,7 +169,7 @@
         return this.adapters.has(artifact) && !this.leaving.has(artifact);
     }
 
-    /** Notes that an adapter is used, so that it is not the first to make way. */
+    /** Notes that an adapter is used, so that it is not the first to be evicted. */
     touch(artifact: string): void {
         if (this.adapters.has(artifact)) {
             this.adapters.set(artifact, this.now());
@@ -213,7 +213,7 @@
         if (unsettled?.kind === RunnerOrderKind.Load) {
             const model = engine.models.get(unsettled.model);
             const memoryMb = (unsettled.adapter === undefined ? model?.memoryMb : model?.adapterMemoryMb) ?? 0;
-            this.ghosts.push({ memoryMb, until: this.now() + orderLatenessMs });
+            this.lateReservations.push({ memoryMb, until: this.now() + orderLatenessMs });
         }
         this.bornAt = bornAt;
         this.unsettled = undefined;
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -1,11 +1,11 @@
-import type { ToldLoad } from "../types/requestWire";
+import type { ReportedLoad } from "../types/requestWire";
 
 /** Time in which the memory of a failure fades to a half. */
 const failureHalfLifeMs = 3_000;
 /** Weight of a new sample in the moving average of latencies. */
 const smoothing = 0.2;
-/** After this time an upstream's word on its load says little. */
-const toldLifetimeMs = 1_500;
+/** After this time a reported load is ignored. */
+const reportLifetimeMs = 1_500;
 /** Pause after a connection could not be made; it doubles with each further failure. */
 const unreachablePauseMs = 1_000;
 const maxUnreachablePauseMs = 8_000;
@@ -18,9 +18,9 @@
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer, undefined before the first. */
     firstByteMs: number | undefined;
-    private told: ToldLoad | undefined;
-    private toldAt = Number.NEGATIVE_INFINITY;
-    private inFlightWhenTold = 0;
+    private reported: ReportedLoad | undefined;
+    private reportedAt = Number.NEGATIVE_INFINITY;
+    private inFlightWhenReported = 0;
     private othersPrefillMs = 0;
     private othersInFlight = 0;
     private othersAt = Number.NEGATIVE_INFINITY;
@@ -46,7 +46,7 @@
         return this.failures * 2 ** (-(this.now() - this.failuresAt) / failureHalfLifeMs);
     }
 
-    /** Prefill that waits at the upstream: this node's, and what others told of theirs, which is worked off meanwhile. */
+    /** Prefill that waits at the upstream: this node's, and what other nodes last reported, less the time since. */
     get waitingPrefillMs(): number {
         return this.pendingPrefillMs + Math.max(0, this.othersPrefillMs - (this.now() - this.othersAt));
     }
@@ -58,30 +58,30 @@
         this.othersAt = this.now();
     }
 
-    /** Requests at the upstream: its last word, aged, with what was sent since, or the own count if that is more. */
+    /** Requests at the upstream: its last report, aged, with what was sent since, or the own count if that is more. */
     get load(): number {
-        if (!this.told || this.othersAt > this.toldAt) {
-            return this.inFlight + (this.now() - this.othersAt < toldLifetimeMs ? this.othersInFlight : 0);
+        if (!this.reported || this.othersAt > this.reportedAt) {
+            return this.inFlight + (this.now() - this.othersAt < reportLifetimeMs ? this.othersInFlight : 0);
         }
-        const freshness = Math.max(0, 1 - (this.now() - this.toldAt) / toldLifetimeMs);
-        const others = Math.max(0, this.told.running + this.told.waiting - this.inFlightWhenTold);
+        const freshness = Math.max(0, 1 - (this.now() - this.reportedAt) / reportLifetimeMs);
+        const others = Math.max(0, this.reported.running + this.reported.waiting - this.inFlightWhenReported);
         return this.inFlight + others * freshness;
     }
 
-    /** Requests that waited at the upstream when it last spoke. */
+    /** Requests that waited at the upstream in its last report. */
     get waiting(): number {
-        return this.told && this.now() - this.toldAt < toldLifetimeMs ? this.told.waiting : 0;
+        return this.reported && this.now() - this.reportedAt < reportLifetimeMs ? this.reported.waiting : 0;
     }
 
-    /** Age of the upstream's last word on its load. */
-    get toldAgeMs(): number {
-        return this.now() - this.toldAt;
+    /** Age of the last reported load. */
+    get reportAgeMs(): number {
+        return this.now() - this.reportedAt;
     }
 
-    onLoad(told: ToldLoad): void {
-        this.told = told;
-        this.toldAt = this.now();
-        this.inFlightWhenTold = this.inFlight;
+    onLoad(reported: ReportedLoad): void {
+        this.reported = reported;
+        this.reportedAt = this.now();
+        this.inFlightWhenReported = this.inFlight;
     }
 
     onFirstByte(ms: number): void {
@@ -95,7 +95,7 @@
         this.failuresAt = this.now();
     }
 
-    /** A success takes back half of what failures told. */
+    /** A success halves the count of recent failures. */
     onSuccess(): void {
         this.failures = this.recentFailures / 2;
         this.failuresAt = this.now();
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -63,7 +63,7 @@
         this.head = head;
         this.firstByteAt ||= performance.now();
         this.lastByteAt = performance.now();
-        this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.told.isSealed;
+        this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.decoded.isSealed;
         this.onFirstByte(head);
         const { res } = this.call;
         if (this.isStreaming && !res.headersSent) {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -25,7 +25,7 @@
 export interface AnswerHead {
     readonly status: number;
     readonly headers: HeaderMap;
-    readonly told: AnswerHeaders;
+    readonly decoded: AnswerHeaders;
 }
 
 /** A request as it is sent to an upstream. */
@@ -94,14 +94,14 @@
                 if (status < 200) {
                     return;
                 }
-                const told = wire.decodeAnswer(status, headers);
-                if (told.isSealed && told.requestId !== req.requestId) {
+                const decoded = wire.decodeAnswer(status, headers);
+                if (decoded.isSealed && decoded.requestId !== req.requestId) {
                     isMismatched = true;
                     current.abort(abortReason);
                     finish(AttemptEndKind.Lost, "answer to another request");
                     return;
                 }
-                sink.onHead({ status, headers, told });
+                sink.onHead({ status, headers, decoded });
             },
             onResponseData: (current, chunk) => {
                 if (!isMismatched && !sink.onData(chunk, () => current.resume())) {
--- a/src/forward/attemptRunner.ts
+++ b/src/forward/attemptRunner.ts
@@ -76,7 +76,7 @@
             send,
             predictedMs: Math.round(choice.predictedMs),
             load: Math.round(traffic.load),
-            loadAgeMs: Math.round(traffic.toldAgeMs),
+            loadAgeMs: Math.round(traffic.reportAgeMs),
             configVersion: call.configVersion,
         });
         const connections = gateway.connectionsOf(server.id, server.address);
@@ -97,16 +97,16 @@
 
     private onHead(): void {
         const { choice, call } = this;
-        const told = this.relay.head?.told;
-        if (!choice || !told) {
+        const decoded = this.relay.head?.decoded;
+        if (!choice || !decoded) {
             return;
         }
         const { traffic, server } = choice.candidate;
         this.endWaiting(choice);
-        if (told.load) {
-            traffic.onLoad(told.load);
+        if (decoded.load) {
+            traffic.onLoad(decoded.load);
         }
-        if (!told.isNotExecuted) {
+        if (!decoded.isNotExecuted) {
             traffic.onFirstByte(performance.now() - this.sentAt);
             if (call.caller.need) {
                 this.gateway.cache.note(server.id, call.caller.need);
@@ -166,13 +166,13 @@
         if (end.kind !== AttemptEndKind.Whole || !head) {
             return this.lose(server.id, traffic, end.reason);
         }
-        if (head.told.isNotExecuted) {
+        if (head.decoded.isNotExecuted) {
             this.noteAbsence(server.id);
             traffic.onFailure(refusalWeight);
             this.logFailed(server.id, `refused with ${head.status}`, Verdict.NotRun);
             return Outcome.NotRun;
         }
-        if (!head.told.isSealed) {
+        if (!head.decoded.isSealed) {
             return this.lose(server.id, traffic, "answer without a seal");
         }
         if (head.status < serverError) {
@@ -188,7 +188,7 @@
     private noteAbsence(upstream: string): void {
         const { need } = this.call.caller;
         const { residency } = this.gateway;
-        if (need && this.relay.head?.told.isMisdirected) {
+        if (need && this.relay.head?.decoded.isMisdirected) {
             residency.onAbsent(upstream, need.model, artifactOf(need.model, need.adapter));
         }
         else if (need) {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -72,7 +72,7 @@
             { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
             { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
             { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
-            { name: "controller_epoch", help: "Epoch under which this node orders runners about, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
+            { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
         ]);
         await serveMetrics(metrics, settings.metricsAddress);
         await Promise.all([serveReadiness(gateway, settings.readyAddress), server.listen(settings.callerAddress)]);
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -38,7 +38,7 @@
     readonly until: number;
 }
 
-/** Orders the runners of all engine services about while this node holds the lease. */
+/** Controls the runners of all engine services while this node holds the lease. */
 export class Controller {
     private readonly demand = ModelDemand.create();
     private readonly wanted = new Map<string, number>();
@@ -63,7 +63,7 @@
         signal.addEventListener("abort", () => clearInterval(timer), { once: true });
     }
 
-    /** Whether this node orders the runners about. */
+    /** Whether this node controls the runners. */
     get isActive(): boolean {
         return this.lease.heldEpoch !== undefined;
     }
--- a/src/platform/requestHeaders.ts
+++ b/src/platform/requestHeaders.ts
@@ -1,5 +1,5 @@
 import type { ModelNeed, PromptPart } from "../types/modelNeed";
-import type { HeaderMap, RequestWire, ToldLoad } from "../types/requestWire";
+import type { HeaderMap, ReportedLoad, RequestWire } from "../types/requestWire";
 
 const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
 const kvHeaderPrefix = "kv-";
@@ -45,7 +45,7 @@
 };
 
 /** `RUNNING,WAITING,SLOTS`. */
-const decodeLoad = (text: string | undefined): ToldLoad | undefined => {
+const decodeLoad = (text: string | undefined): ReportedLoad | undefined => {
     const [running, waiting, slots] = (text ?? "").split(",").map(Number);
     return running !== undefined && waiting !== undefined && slots !== undefined && Number.isFinite(running + waiting + slots)
         ? { running, waiting, slots }
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -1,4 +1,4 @@
-/** Row of the one node that orders runners about. */
+/** Lease row of the one node that controls the runners. */
 export interface ControllerRow {
     /** VM of the holder: a restart on the same VM is the same holder. */
     readonly holder: string;
@@ -12,7 +12,7 @@
     readonly lastOrderAgoMs?: number;
 }
 
-/** A holder's word that it sends no more orders under one version of the row. */
+/** A holder's statement that it sends no more orders under one version of the row. */
 export interface LeaseYield {
     readonly version: number;
     readonly lastOrderAgoMs: number;
--- a/src/types/requestWire.ts
+++ b/src/types/requestWire.ts
@@ -20,7 +20,7 @@
 }
 
 /** Load that an upstream tells with an answer. */
-export interface ToldLoad {
+export interface ReportedLoad {
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
@@ -36,7 +36,7 @@
     readonly isNotExecuted: boolean;
     /** Whether another upstream answers at the address. */
     readonly isMisdirected: boolean;
-    readonly load?: ToldLoad;
+    readonly load?: ReportedLoad;
 }
 
 /** Headers by lower-case name. */
