--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -7,7 +7,7 @@
 import { longestSince, takeMoment } from "../utils/stopwatch";
 
 /** Time for which a renewal counts. */
-export const leaseTtlMs = 1_900;
+export const controllerTtlMs = 1_900;
 /** An order that has left arrives, or fails, within this time. */
 export const maxOrderMs = 500;
 /** An order longer ago than this is as good as none. */
@@ -58,7 +58,7 @@
 
     /** The epoch while the lease is surely held, undefined otherwise. */
     get heldEpoch(): number | undefined {
-        return this.renewedAt && longestSince(this.renewedAt) < leaseTtlMs - maxOrderMs ? this.epoch : undefined;
+        return this.renewedAt && longestSince(this.renewedAt) < controllerTtlMs - maxOrderMs ? this.epoch : undefined;
     }
 
     /** Notes that an order leaves now; it may arrive until its end is noted. */
@@ -158,7 +158,7 @@
         if (this.yielded?.version === version) {
             return performance.now() - this.yielded.lastOrderAt > this.turnGapMs;
         }
-        const waitMs = row.isReleased ? this.turnGapMs - (row.lastOrderAgoMs ?? 0) : this.turnGapMs + leaseTtlMs;
+        const waitMs = row.isReleased ? this.turnGapMs - (row.lastOrderAgoMs ?? 0) : this.turnGapMs + controllerTtlMs;
         return performance.now() - since > waitMs;
     }
 
--- a/test/controllerLease.test.ts
+++ b/test/controllerLease.test.ts
@@ -1,7 +1,7 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { ControllerLease, leaseTtlMs, maxOrderMs } from "../src/core/controllerLease";
+import { ControllerLease, controllerTtlMs, maxOrderMs } from "../src/core/controllerLease";
 import { setupLogs } from "../src/utils/events";
 import { createRandom } from "../src/utils/random";
 import { MemoryRowStore } from "./fakes/memoryRowStore";
@@ -117,7 +117,7 @@
         const lease = ControllerLease.create(store, { holder: "a", boot: "a", peerAddress: "a" }, turnGapMs);
         await lease.tick();
         lease.onOrderStart();
-        await clock.tickAsync(leaseTtlMs);
+        await clock.tickAsync(controllerTtlMs);
         assert.equal(lease.heldEpoch, undefined);
         assert.equal(lease.yielding?.lastOrderAgoMs, -maxOrderMs);
         lease.onOrderEnd();
