Bound the processor time of planning

Cause: a round costs 1.4 ms at today's size and 105 ms at 98 runners and 242 models, and each question for a model without a copy began one, on the thread that forwards requests. Change: rounds are at least 30 ms apart and take a tenth of the processor at most; a question that comes between two is answered as coming.

--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -19,6 +19,9 @@
 
 /** Pause between two rounds. */
 const roundMs = 100;
+/** Least pause between two rounds, and share of the processor that rounds may take: requests are forwarded by the same thread. */
+const minRoundGapMs = 30;
+const maxRoundShare = 0.1;
 /** A model is wanted for this long after the last request that waits for it. */
 const wantedMs = 1_500;
 /** An unload makes room for a model that is loaded within this time, or not at all. */
@@ -46,9 +49,11 @@
     private readonly desk: RunnerDesk;
     private ceiling: LoadCeiling;
     private epoch = 0;
+    /** When the next round may begin, on the monotonic clock. */
+    private nextRoundAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, runners: RunnerControl) {
-        this.desk = RunnerDesk.create(gateway, lease, runners, () => this.round());
+        this.desk = RunnerDesk.create(gateway, lease, runners, () => void this.round());
         this.ceiling = LoadCeiling.create(gateway.settings.loadWindowMs);
     }
 
@@ -59,7 +64,7 @@
 
     /** Acts in rounds until the signal aborts. */
     start(signal: AbortSignal): void {
-        const timer = setInterval(() => this.round(), roundMs);
+        const timer = setInterval(() => void this.round(), roundMs);
         signal.addEventListener("abort", () => clearInterval(timer), { once: true });
     }
 
@@ -101,7 +106,9 @@
         const books = this.desk.booksOf(req.service);
         if (!books.some(book => serves(book, req.model))) {
             this.wanted.set(req.model, now);
-            this.round();
+            if (!this.round()) {
+                return { readyInMs: roundMs, isComing: true };
+            }
             return this.comingIn(req.model, engine.models.get(req.model)!, books);
         }
         if (req.adapter === undefined) {
@@ -150,11 +157,13 @@
         return { readyInMs: resendMs, isComing: books.some(book => serves(book, req.model)) };
     }
 
-    private round(): void {
+    /** Plans and sends orders; false where the last round was too short a time ago. */
+    private round(): boolean {
         const epoch = this.lease.heldEpoch;
         const { config } = this.gateway;
-        if (epoch === undefined || !config) {
-            return;
+        const startedAt = performance.now();
+        if (epoch === undefined || !config || startedAt < this.nextRoundAt) {
+            return false;
         }
         if (epoch !== this.epoch) {
             this.takeOver(epoch);
@@ -165,6 +174,9 @@
                 this.planService(name, engine);
             }
         }
+        const endedAt = performance.now();
+        this.nextRoundAt = endedAt + Math.max(minRoundGapMs, (endedAt - startedAt) / maxRoundShare);
+        return true;
     }
 
     /** Starts from what the runners report; a predecessor may have used the weight store up to its rate. */
