Renew the lease in the peers' test

The check was right, the stage was not. Ruled out: the exchange itself (the check of configuration and directory before it held).

--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -13,7 +13,7 @@
 import { RunnerOrderAnswer } from "../src/types/runner";
 import { setupLogs } from "../src/utils/events";
 import { createRandom } from "../src/utils/random";
-import { sleep } from "../src/utils/time";
+import { repeat, sleep } from "../src/utils/time";
 import { findFreePort, testSettings } from "./fakes/gatewayHarness";
 import { MemoryRowStore } from "./fakes/memoryRowStore";
 
@@ -39,6 +39,9 @@
     JSON.stringify({ service: "s", addr: "10.0.0.1:1", zone: "a", slots: 8, state: "ready", born: 1, models: [{ name: "m", version: 1, adapters: [] }] }),
 );
 
+/** Pause between two renewals of the lease, which lasts below two seconds. */
+const renewMs = 300;
+
 /** A runner that holds model m and accepts every order. */
 const createControl = (): RunnerControl => ({
     report: () =>
@@ -65,7 +68,12 @@
     const hub = PeerHub.create(gateway, controller);
     const link = PeerLink.create(gateway, lease, { hub, controller, decodeConfig, onConfig: () => undefined });
     await hub.listen(peerAddress);
-    return { gateway, lease, hub, link, peerAddress, start: () => [link.start(signal), controller.start(signal)] };
+    const start = (): void => {
+        link.start(signal);
+        controller.start(signal);
+        void repeat(() => lease.tick(), () => renewMs, signal, () => undefined);
+    };
+    return { gateway, lease, hub, link, peerAddress, start };
 };
 
 describe("peers", () => {
