--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -1,205 +1,235 @@
 import type { ControllerRow, LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
-import type { RowName, RowStore, StoredRow } from "../types/rowStore";
+import type { RowName, RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
 import { emit } from "../utils/events";
-import type { Moment } from "../utils/stopwatch";
-import { longestSince, takeMoment } from "../utils/stopwatch";
+import { takeMoment } from "../utils/stopwatch";
+import type { LeaseHolder, LeaseRules, TurnAsk } from "./controllerRow";
+import { advanceRow, controllerTtlMs, decodeRow, maxOrderMs } from "./controllerRow";
+import { StoreClock } from "./storeClock";
 
-/** Time for which a renewal counts. */
-export const controllerTtlMs = 1_900;
-/** An order that has left arrives, or fails, within this time. */
-export const maxOrderMs = 500;
-/** An order longer ago than this is as good as none. */
-const maxAgoMs = 3_600_000;
+/** A renewal younger than this is not repeated. */
+const renewalAgeMs = 400;
 
 const noEpoch = 0;
 
 const rowName: RowName = { table: "jackdawtrail", part: "", key: "controller" };
 
-/** Who asks for the lease. */
-export type LeaseHolder = Pick<ControllerRow, "holder" | "boot" | "peerAddress">;
-
-/** What a node knows of the lease row. */
 interface SeenRow {
     readonly row: ControllerRow | undefined;
     readonly version: number;
-    /** When this version was first seen, on the monotonic clock. */
-    readonly since: number;
 }
 
-const decodeRow = (row: StoredRow | undefined): ControllerRow | undefined => row?.value ? JSON.parse(row.value.toString()) as ControllerRow : undefined;
+/** A request for a turn at a runner. */
+interface TurnRequest extends TurnAsk {
+    readonly resolve: (isGranted: boolean) => void;
+}
 
 /**
  * The lease of the node that controls runners. Its epoch is the row's version at the takeover: unique, and rising with
- * each holder. A successor waits until the holder's last order is at least one turn gap old.
+ * each holder. Before an order leaves, the row names the runner and the time until which the order may arrive; a
+ * successor takes over at once and leaves only the runners alone that were named within the last turn gap.
  */
 export class ControllerLease {
+    private readonly clock = StoreClock.create();
     private seen: SeenRow | undefined;
     private epoch = noEpoch;
-    private renewedAt: Moment | undefined;
-    private heard: { readonly version: number; readonly at: number; } | undefined;
     private isEnded = false;
-    private openOrders = 0;
-    private lastOrderAt = Number.NEGATIVE_INFINITY;
-    /** A holder's statement that it has stopped: the row's version, and its last order on this node's monotonic clock. */
-    private yielded: { readonly version: number; readonly lastOrderAt: number; } | undefined;
+    private wasHeld = false;
+    private yieldedVersion: number | undefined;
+    private requests: TurnRequest[] = [];
+    /** The write in progress; each write starts from the version that the one before it left. */
+    private lastWrite: Promise<unknown> = Promise.resolve();
 
-    private constructor(
-        private readonly store: RowStore,
-        private readonly self: LeaseHolder,
-        private readonly turnGapMs: number,
-    ) {}
+    private constructor(private readonly store: RowStore, private readonly self: LeaseHolder, private readonly rules: LeaseRules) {}
 
     /** Makes a lease that is not held. */
-    static create(store: RowStore, self: LeaseHolder, turnGapMs: number): ControllerLease {
-        return new ControllerLease(store, self, turnGapMs);
+    static create(store: RowStore, self: LeaseHolder, rules: LeaseRules): ControllerLease {
+        return new ControllerLease(store, self, rules);
     }
 
     /** The epoch while the lease is surely held, undefined otherwise. */
     get heldEpoch(): number | undefined {
-        return this.renewedAt && longestSince(this.renewedAt) < controllerTtlMs - maxOrderMs ? this.epoch : undefined;
-    }
-
-    /** Notes that an order leaves now; it may arrive until its end is noted. */
-    onOrderStart(): void {
-        this.openOrders++;
+        return !this.isEnded && this.isOwn && this.epoch !== noEpoch && this.clock.latestMs < this.seen!.row!.untilMs ? this.epoch : undefined;
     }
 
-    /** Notes that an order was answered, or given up. */
-    onOrderEnd(): void {
-        this.openOrders--;
-        this.lastOrderAt = performance.now();
+    /** What a holder that could not renew tells its peers. */
+    get yielding(): LeaseYield | undefined {
+        return this.isOwn && this.heldEpoch === undefined && this.epoch !== noEpoch ? { version: this.seen!.version } : undefined;
     }
 
-    /** Age of the last order's arrival; below 0 while one is on its way. */
-    private get lastOrderAgoMs(): number {
-        return this.openOrders > 0 ? -maxOrderMs : Math.min(performance.now() - this.lastOrderAt, maxAgoMs);
+    /** Takes a holder's statement that it has stopped. */
+    onYield({ version }: LeaseYield): void {
+        this.yieldedVersion = version;
     }
 
-    /** What a holder that could not renew tells its peers: it sends no more orders under this version of the row. */
-    get yielding(): LeaseYield | undefined {
-        return this.isOwn && this.heldEpoch === undefined && this.epoch !== noEpoch
-            ? { version: this.seen!.version, lastOrderAgoMs: this.lastOrderAgoMs }
-            : undefined;
+    /** Where peers reach the holder, as last seen. */
+    get holderAddress(): string | undefined {
+        return this.seen?.row?.isReleased === false ? this.seen.row.peerAddress : undefined;
     }
 
-    /** The row's version that this holder wrote last, for peers that wait for the lease. */
-    get ownVersion(): number | undefined {
-        return this.isOwn ? this.seen?.version : undefined;
+    /** Ages of the loads from the weight store that began within the last window, by any holder. */
+    get storeLoadAges(): readonly number[] {
+        const { earliestMs } = this.clock;
+        return (this.seen?.row?.storeLoads ?? []).map(at => Math.max(0, earliestMs - at));
     }
 
-    /** Notes that the holder's row had a version just now, as the holder told. */
-    onHeard(version: number): void {
-        this.heard = { version, at: performance.now() };
+    /** Whether orders to a runner may leave: no other holder's order can have reached it within the turn gap. */
+    mayOrder(runner: string): boolean {
+        const turn = this.seen?.row?.turns[runner];
+        const isFree = !turn || turn.holder === this.self.holder || this.clock.earliestMs >= turn.untilMs + this.rules.turnGapMs;
+        return this.heldEpoch !== undefined && isFree;
     }
 
-    /** Takes a holder's statement that it has stopped. */
-    onYield({ version, lastOrderAgoMs }: LeaseYield): void {
-        if (this.yielded?.version !== version) {
-            this.yielded = { version, lastOrderAt: performance.now() - lastOrderAgoMs };
+    /** Asks for a turn at a runner; true when an order may leave at once. */
+    takeTurn(runner: string, isStoreLoad: boolean): Promise<boolean> {
+        if (!this.mayOrder(runner)) {
+            return Promise.resolve(false);
         }
-    }
-
-    /** Where peers reach the holder, as last seen. */
-    get holderAddress(): string | undefined {
-        return this.seen?.row?.isReleased === false ? this.seen.row.peerAddress : undefined;
+        if (!isStoreLoad && this.hasTurn(runner)) {
+            return Promise.resolve(true);
+        }
+        return new Promise(resolve => {
+            if (this.requests.push({ runner, isStoreLoad, resolve }) === 1) {
+                void this.exclusively(() => this.grantTurns());
+            }
+        });
     }
 
     /** Renews the lease while it is held; otherwise reads the row and takes the lease over where that is allowed. */
-    async tick(): Promise<void> {
-        if (this.isEnded) {
-            return;
-        }
-        if (this.heldEpoch === undefined) {
-            await this.read();
-        }
-        if (this.seen && (this.isOwn || this.mayTakeOver(this.seen))) {
-            const isDone = await this.write(false, this.seen.version);
-            if (!isDone && this.isOwn) {
-                // An earlier write of this process took effect without an answer: the next one starts from it.
-                await this.write(false, this.seen.version);
+    tick(): Promise<void> {
+        return this.exclusively(async () => {
+            if (this.isEnded || this.isFresh) {
+                return;
             }
-        }
+            this.noteLapse();
+            if (this.heldEpoch === undefined) {
+                await this.read();
+            }
+            if (this.seen && (this.isOwn || this.mayTakeOver(this.seen))) {
+                await this.writeAgainIfOwn([]);
+            }
+        });
     }
 
     /** Gives the lease up for good; a successor need not wait until it lapses. */
-    async release(): Promise<void> {
-        this.isEnded = true;
-        if (this.heldEpoch === undefined || !this.seen) {
-            return;
-        }
-        this.renewedAt = undefined;
-        await this.write(true, this.seen.version);
+    release(): Promise<void> {
+        return this.exclusively(async () => {
+            const wasHeld = this.heldEpoch !== undefined;
+            this.isEnded = true;
+            if (wasHeld) {
+                await this.write([], true);
+            }
+        });
     }
 
     private get isOwn(): boolean {
         return this.seen?.row?.boot === this.self.boot && !this.seen.row.isReleased;
     }
 
+    /** Whether the lease was renewed a moment ago. */
+    private get isFresh(): boolean {
+        return this.heldEpoch !== undefined && this.clock.latestMs < this.seen!.row!.untilMs - controllerTtlMs + renewalAgeMs;
+    }
+
+    private hasTurn(runner: string): boolean {
+        const turn = this.seen?.row?.turns[runner];
+        return this.heldEpoch !== undefined && turn?.holder === this.self.holder && this.clock.latestMs + maxOrderMs <= turn.untilMs;
+    }
+
+    private exclusively<T>(step: () => Promise<T>): Promise<T> {
+        const done = this.lastWrite.then(step);
+        this.lastWrite = done.catch(() => undefined);
+        return done;
+    }
+
+    /** Writes all turns that are asked for in one transaction. */
+    private async grantTurns(): Promise<void> {
+        const requests = this.requests;
+        this.requests = [];
+        try {
+            if (this.heldEpoch !== undefined) {
+                await this.writeAgainIfOwn(requests);
+            }
+        }
+        catch (err) {
+            emit(EventId.TurnsUnwritten, { runners: requests.map(({ runner }) => runner), detail: err instanceof Error ? err.message : String(err) });
+        }
+        requests.forEach(({ runner, resolve }) => resolve(this.hasTurn(runner)));
+    }
+
     private async read(): Promise<void> {
-        const stored = await this.store.readRow(rowName);
-        this.see(decodeRow(stored), stored?.version ?? 0);
+        const askedAt = takeMoment();
+        const { row, nowMs } = await this.store.readRow(rowName);
+        this.clock.onAnswer(nowMs, askedAt);
+        this.see(decodeRow(row), row?.version ?? 0);
     }
 
     private see(row: ControllerRow | undefined, version: number): void {
         if (row?.boot !== this.self.boot) {
             this.epoch = noEpoch;
         }
-        if (this.seen?.version !== version) {
-            this.seen = { row, version, since: this.heard?.version === version ? this.heard.at : performance.now() };
-        }
+        this.seen = { row, version };
     }
 
-    private mayTakeOver({ row, since, version }: SeenRow): boolean {
-        if (!row || row.holder === this.self.holder) {
-            return true;
-        }
-        if (this.yielded?.version === version) {
-            return performance.now() - this.yielded.lastOrderAt > this.turnGapMs;
+    private mayTakeOver({ row, version }: SeenRow): boolean {
+        return !row || row.isReleased || row.holder === this.self.holder || this.yieldedVersion === version || this.clock.earliestMs >= row.untilMs;
+    }
+
+    /** Writes the row; once more where an earlier write of this process took effect without an answer. */
+    private async writeAgainIfOwn(requests: readonly TurnRequest[]): Promise<void> {
+        const isDone = await this.write(requests, false);
+        if (!isDone && this.isOwn) {
+            await this.write(requests, false);
         }
-        const waitMs = row.isReleased ? this.turnGapMs - (row.lastOrderAgoMs ?? 0) : this.turnGapMs + controllerTtlMs;
-        return performance.now() - since > waitMs;
     }
 
     /** Writes the row; false where another version was there. */
-    private async write(isReleased: boolean, expected: number): Promise<boolean> {
+    private async write(requests: readonly TurnRequest[], isReleased: boolean): Promise<boolean> {
         const askedAt = takeMoment();
-        const wasHeld = this.heldEpoch !== undefined;
-        const lastOrderAgoMs = isReleased ? this.lastOrderAgoMs : undefined;
-        const row: ControllerRow = { ...this.self, isReleased, lastOrderAgoMs };
+        const expected = this.seen!.version;
+        const row = advanceRow(this.seen!.row, this.self, this.clock, requests, isReleased, this.rules);
         const result = await this.store.transact({
             conditions: [{ ...rowName, version: expected }],
             puts: [{ ...rowName, value: Buffer.from(JSON.stringify(row)) }],
         });
+        if (result.nowMs !== undefined) {
+            this.clock.onAnswer(result.nowMs, askedAt);
+        }
         if (result.kind === TransactionKind.Conflict) {
-            this.onConflict(result.rows[0], wasHeld);
+            const current = result.rows[0];
+            this.see(decodeRow(current), current?.version ?? 0);
+            this.noteLapse();
             return false;
         }
         this.see(row, result.version);
         if (isReleased) {
+            this.wasHeld = false;
             emit(EventId.LeaseLost, { epoch: this.epoch, reason: "released" });
             return true;
         }
         if (this.epoch === noEpoch) {
             this.epoch = result.version;
         }
-        if (!wasHeld) {
+        if (!this.wasHeld) {
             // While the row is this process's own, nobody else can have held the lease: the epoch stays.
-            emit(EventId.LeaseTaken, { epoch: this.epoch, expected, reason: this.epoch === result.version ? "taken over" : "renewed after it lapsed" });
+            const reason = this.epoch === result.version ? "taken over" : "renewed after it lapsed";
+            emit(EventId.LeaseTaken, { epoch: this.epoch, expected, reason, turns: Object.keys(row.turns).length });
         }
-        this.renewedAt = askedAt;
+        this.wasHeld = true;
         return true;
     }
 
-    private onConflict(current: StoredRow | undefined, wasHeld: boolean): void {
-        this.see(decodeRow(current), current?.version ?? 0);
-        if (this.isOwn) {
-            return;
-        }
-        this.renewedAt = undefined;
-        if (wasHeld) {
-            emit(EventId.LeaseLost, { epoch: this.epoch, holder: this.seen?.row?.holder, rowVersion: this.seen?.version });
+    /** Logs that the lease is no longer held. */
+    private noteLapse(): void {
+        if (this.wasHeld && this.heldEpoch === undefined) {
+            this.wasHeld = false;
+            emit(EventId.LeaseLost, {
+                epoch: this.epoch,
+                holder: this.seen?.row?.holder,
+                rowVersion: this.seen?.version,
+                reason: this.isOwn ? "lapsed" : "taken",
+            });
         }
     }
 }
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -1,7 +1,9 @@
-import { RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
-import { UpstreamState } from "../types/upstreamServer";
+import { holdsOrLoads, isUsable, serves } from "./copies";
+import type { CopyOption, CopyStep } from "./copyStep";
+import { toStep } from "./copyStep";
 import type { ModelDemand } from "./modelDemand";
+import { queueCost, worthPerRunner } from "./queueCost";
 import type { RunnerBook } from "./runnerBook";
 
 /** Worth a second of a first copy of a model that callers wait for, and of one that they may ask for at any time. */
@@ -19,26 +21,6 @@
 const minHeldMs = 4_000;
 /** Least advantage of a move. */
 const leastAdvantage = 0.06;
-/** Worth a second that the requests earn which take up one runner. */
-const worthPerRunner = 10;
-
-/** Worth a second that is lost at a runner by its utilisation: requests wait for each other's prompts, and miss their target. */
-const queueCost = (utilisation: number): number => {
-    const bounded = Math.max(0, utilisation);
-    // Half of the requests are lost at a utilisation of 1, nearly none at a third, and never more than all.
-    const lostShare = bounded ** 3 / (1 + bounded ** 3);
-    return worthPerRunner * bounded * lostShare;
-};
-
-/** One order that the plan asks for. */
-export interface CopyStep {
-    readonly kind: RunnerOrderKind;
-    readonly runner: string;
-    readonly model: string;
-    /** The model that an unload makes room for. */
-    readonly makesRoomFor?: string;
-    readonly advantage: number;
-}
 
 /** What the plan is made from. */
 export interface CopyPlanInputs {
@@ -51,31 +33,6 @@
     readonly mayLoadFromStore: boolean;
 }
 
-interface Option {
-    readonly book: RunnerBook;
-    readonly victims: readonly string[];
-    readonly advantage: number;
-}
-
-const isUnloading = (book: RunnerBook, model: string): boolean => book.transit?.kind === RunnerOrderKind.Unload && book.transit.model === model;
-
-/** Whether a runner stays, as far as is known. */
-const isUsable = (book: RunnerBook): boolean => book.server.state === UpstreamState.Ready && book.server.remainingMs === undefined && book.isReachable;
-
-/** Whether requests may use a model at a runner. */
-export const serves = (book: RunnerBook, model: string): boolean => book.isReachable && book.models.has(model) && !isUnloading(book, model);
-
-/** Whether a runner holds a model, or will when its order is done. */
-export const holdsOrLoads = (book: RunnerBook, model: string): boolean => serves(book, model) || book.isLoading(model);
-
-const toStep = (model: ModelSpec, { book, victims, advantage }: Option): CopyStep => {
-    const [victim] = victims;
-    const runner = book.server.id;
-    return victim === undefined
-        ? { kind: RunnerOrderKind.Load, runner, model: model.name, advantage }
-        : { kind: RunnerOrderKind.Unload, runner, model: victim, makesRoomFor: model.name, advantage };
-};
-
 /**
  * Chooses loads and unloads by what they win: first copies of wanted models, and further copies that level the runners'
  * utilisation. Answers shifts of demand between models, and bursts of one.
@@ -83,14 +40,17 @@
 export class CopyPlan {
     private readonly holders = new Map<string, Set<RunnerBook>>();
     private readonly utilisation = new Map<RunnerBook, number>();
+    private readonly usedMb = new Map<RunnerBook, number>();
     private readonly usable: readonly RunnerBook[];
 
     private constructor(private readonly inputs: CopyPlanInputs) {
         this.usable = inputs.books.filter(isUsable);
-        for (const model of inputs.engine.models.keys()) {
-            this.holders.set(model, new Set(this.usable.filter(book => holdsOrLoads(book, model))));
+        [...inputs.engine.models.keys()].forEach(model => this.holders.set(model, new Set()));
+        for (const book of this.usable) {
+            book.modelsAndLoading().filter(model => holdsOrLoads(book, model)).forEach(model => this.holders.get(model)?.add(book));
+            this.utilisation.set(book, 0);
+            this.usedMb.set(book, book.usedMb(inputs.engine));
         }
-        this.usable.forEach(book => this.utilisation.set(book, 0));
         for (const [model, books] of this.holders) {
             books.forEach(book => this.addLoad(book, this.load(model) / books.size));
         }
@@ -107,7 +67,7 @@
         const taken = new Set<RunnerBook>();
         for (const model of this.needs()) {
             const best = this.bestOption(model, taken);
-            if (!best || best.advantage < leastAdvantage) {
+            if (!best) {
                 continue;
             }
             taken.add(best.book);
@@ -161,25 +121,56 @@
         }
     }
 
-    private bestOption(model: ModelSpec, taken: ReadonlySet<RunnerBook>): Option | undefined {
-        let best: Option | undefined;
+    /** The best way to bring a model to any runner, if it is worth a move. */
+    private bestOption(model: ModelSpec, taken: ReadonlySet<RunnerBook>): CopyOption | undefined {
+        const mostWon = this.mostWon(model.name);
+        const added = this.load(model.name) / (this.copies(model.name) + 1);
+        let best: CopyOption | undefined;
+        let bestAdvantage = leastAdvantage;
+        if (mostWon < bestAdvantage) {
+            return undefined;
+        }
         for (const book of this.usable) {
-            const option = taken.has(book) || !book.canOrder ? undefined : this.optionAt(model, book);
-            if (option && option.advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
+            if (taken.has(book) || !book.canOrder || mostWon - this.leastCost(book, added) < bestAdvantage) {
+                continue;
+            }
+            const option = this.optionAt(model, book);
+            if (option && option.advantage > bestAdvantage) {
                 best = option;
+                bestAdvantage = option.advantage;
             }
         }
         return best;
     }
 
+    /** What a further copy of a model can win at most: the load that its other runners are rid of, and the worth of a first copy. */
+    private mostWon(model: string): number {
+        const copies = this.copies(model);
+        if (copies === 0) {
+            return this.missingCost(model);
+        }
+        const relief = this.load(model) / copies - this.load(model) / (copies + 1);
+        let won = 0;
+        this.holders.get(model)!.forEach(book => {
+            const now = this.utilisation.get(book) ?? 0;
+            won += queueCost(now) - queueCost(now - relief);
+        });
+        return won;
+    }
+
+    /** What load that is added at a runner costs at least, whatever else leaves it. */
+    private leastCost(book: RunnerBook, added: number): number {
+        return queueCost(added) - queueCost(this.utilisation.get(book) ?? 0);
+    }
+
     /** The best way to bring a model to a runner, undefined where there is none. */
-    private optionAt(model: ModelSpec, book: RunnerBook): Option | undefined {
+    private optionAt(model: ModelSpec, book: RunnerBook): CopyOption | undefined {
         const { engine, mayLoadFromStore } = this.inputs;
         if (holdsOrLoads(book, model.name) || (book.loadsFromStore(model.name) && !mayLoadFromStore)) {
             return undefined;
         }
-        const missingMb = book.usedMb(engine) + model.memoryMb - engine.memoryMb;
-        let best: Option | undefined;
+        const missingMb = this.usedMb.get(book)! + model.memoryMb - engine.memoryMb;
+        let best: CopyOption | undefined;
         for (const victims of this.victimSets(book, missingMb)) {
             const advantage = this.advantage(model, book, victims);
             if (advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
@@ -211,6 +202,15 @@
         return freedMb >= missingMb ? [victims] : [];
     }
 
+    private isServedBeside(model: string, book: RunnerBook): boolean {
+        for (const holder of this.holders.get(model) ?? []) {
+            if (holder !== book && serves(holder, model)) {
+                return true;
+            }
+        }
+        return false;
+    }
+
     private advantage(model: ModelSpec, book: RunnerBook, victims: readonly string[]): number {
         const changes = new Map<RunnerBook, number>();
         const change = (at: RunnerBook, load: number): void => void changes.set(at, (changes.get(at) ?? 0) + load);
@@ -221,7 +221,7 @@
         let lost = 0;
         for (const victim of victims) {
             const before = this.copies(victim);
-            const isLastServing = ![...this.holders.get(victim) ?? []].some(holder => holder !== book && serves(holder, victim));
+            const isLastServing = !this.isServedBeside(victim, book);
             const victimLoad = this.load(victim);
             lost += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
             lost += droppedCacheCost * victimLoad / Math.max(1, before) + (isLastServing ? this.missingCost(victim) : 0);
--- a/src/core/loadCeiling.ts
+++ b/src/core/loadCeiling.ts
@@ -16,14 +16,8 @@
         return this.starts.length + 1 <= Math.max(1, Math.floor(loadsPerS * this.windowMs / 1_000));
     }
 
-    /** Counts a load that may begin now or has begun. */
-    count(): void {
-        this.starts.push(this.now());
-    }
-
-    /** Allows for what a predecessor may have begun in its last window. */
-    fill(loadsPerS: number, sinceMs: number): void {
-        const at = this.now() - sinceMs;
-        this.starts = Array.from({ length: Math.max(1, Math.floor(loadsPerS * this.windowMs / 1_000)) }, () => at);
+    /** Counts a load that begins now, or began some time ago. */
+    count(ageMs = 0): void {
+        this.starts.push(this.now() - ageMs);
     }
 }
--- a/src/core/runnerBook.ts
+++ b/src/core/runnerBook.ts
@@ -9,7 +9,7 @@
 /** An order without an answer may be carried out this much later. */
 const orderLatenessMs = 15_000;
 
-/** A runner that has left this many questions unanswered is taken for gone. */
+/** A runner that has left this many questions unanswered is taken for gone; a node's failure to reach it counts as one. */
 const maxFailedReports = 2;
 
 /** A model on its way in or out. */
@@ -42,6 +42,10 @@
     isKnown = false;
     /** The order that is on its way at this moment. */
     ordering: RunnerOrder | undefined;
+    /** Whether another holder's last order is long enough ago. */
+    mayOrder = true;
+    /** Whether a node could not reach the runner since its last report. */
+    isSuspected = false;
     /** Reports that failed since the last one that came. */
     failedReports = 0;
     /** When each model was first seen here, on the monotonic clock. */
@@ -78,7 +82,7 @@
 
     /** Whether the runner answered when it was last asked. */
     get isReachable(): boolean {
-        return this.failedReports < maxFailedReports;
+        return this.failedReports + (this.isSuspected ? 1 : 0) < maxFailedReports;
     }
 
     /** Time for which the runner has held a model. */
@@ -88,7 +92,7 @@
 
     /** Whether the next order may be a new one. */
     get canOrder(): boolean {
-        return this.isKnown && !this.isBusy && !this.ordering && !this.unsettled && !this.transit;
+        return this.mayOrder && this.isKnown && !this.isBusy && !this.ordering && !this.unsettled && !this.transit;
     }
 
     /** Takes a newer directory entry. A restart under the same ID clears everything but memory of orders that may still arrive. */
@@ -105,6 +109,7 @@
             this.onRestart(report.bornAt, engine);
         }
         this.failedReports = 0;
+        this.isSuspected = false;
         this.server = { ...this.server, inMemory: report.inMemory, onDisk: report.onDisk };
         if (report.acceptedOrders < this.acceptedOrders) {
             // Reports lag: this one describes the runner before its last order.
@@ -200,6 +205,11 @@
         );
     }
 
+    /** Models that are here, on their way in or out, or may be. */
+    modelsAndLoading(): readonly string[] {
+        return [...this.withTransit()];
+    }
+
     private withTransit(): Set<string> {
         return new Set([
             ...this.models,
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -4,6 +4,7 @@
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { sleep } from "../utils/time";
+import type { StoreCover } from "./storeCover";
 
 /** Wait of one call to the feed: a connection that has gone silent is noticed soon after it. */
 export const feedWaitMs = 2_200;
@@ -20,6 +21,9 @@
     onChanges(rows: readonly StoredRow[], version: number, graceMs: number): void;
 }
 
+/** Pause between two looks whether another node's reading still covers this table. */
+const coverCheckMs = 50;
+
 /** How a follower reads. */
 export interface FollowRules {
     /** Pause after changes, so that several come in one call; calls are priced. */
@@ -28,6 +32,8 @@
     readonly waitMs: () => number;
     /** Version up to which the table is known from elsewhere. */
     readonly knownVersion: () => number;
+    /** Says when the store need not be read, and hears of its answers. */
+    readonly cover?: StoreCover;
 }
 
 const defaultRules: FollowRules = { pauseMs: 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
@@ -80,6 +86,9 @@
             this.observer.onTable(rows, version, this.graceMs);
             return;
         }
+        while (this.rules.cover?.isCovered && !signal.aborted) {
+            await sleep(coverCheckMs, signal);
+        }
         this.version = Math.max(this.version, this.rules.knownVersion());
         const reading = await this.store.feed(this.table, this.version, this.rules.waitMs(), signal);
         this.onAnswer();
@@ -99,6 +108,7 @@
     }
 
     private onAnswer(): void {
+        this.rules.cover?.onConfirmed(this.table);
         if (this.lostAt !== undefined) {
             emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.lostAt) });
             this.lostAt = undefined;
--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -5,13 +5,19 @@
 /** What a directory's change did to an upstream. */
 export type DirectoryObserver = (change: DirectoryChange, before: UpstreamServer | undefined) => void;
 
+/** A dropped row that may come back. */
+interface LapsingEntry {
+    readonly version: number;
+    readonly timer: NodeJS.Timeout;
+}
+
 /** The upstreams that the node knows, from the store or from peers. The higher version of a row wins. */
 export class UpstreamDirectory {
     private readonly entries = new Map<string, DirectoryEntry>();
     /** Versions of dropped rows, so that an older entry from a peer does not bring one back. */
     private readonly dropped = new Map<string, number>();
     private readonly byService = new Map<string, readonly UpstreamServer[]>();
-    private lapsing = new Map<string, NodeJS.Timeout>();
+    private lapsing = new Map<string, LapsingEntry>();
     private observers: DirectoryObserver[] = [];
     /** Newest version of the store up to which the directory is known. */
     version = 0;
@@ -47,6 +53,11 @@
         return [...this.entries.values()].map(({ server }) => server);
     }
 
+    /** Version up to which all changes are applied: a dropped row that may come back is not yet. */
+    get settledVersion(): number {
+        return Math.min(this.version, ...[...this.lapsing.values()].map(({ version }) => version - 1));
+    }
+
     /** Changes after a version, for a peer that lacks them. */
     changesSince(version: number): readonly DirectoryChange[] {
         const changes: DirectoryChange[] = [];
@@ -61,10 +72,10 @@
         if (change.version <= known) {
             return;
         }
-        clearTimeout(this.lapsing.get(change.id));
+        clearTimeout(this.lapsing.get(change.id)?.timer);
         this.lapsing.delete(change.id);
         if (!change.server && graceMs > 0 && this.entries.has(change.id)) {
-            this.lapsing.set(change.id, setTimeout(() => this.apply(change), graceMs).unref());
+            this.lapsing.set(change.id, { version: change.version, timer: setTimeout(() => this.apply(change), graceMs).unref() });
             return;
         }
         const before = this.entries.get(change.id)?.server;
--- a/src/forward/findUpstream.ts
+++ b/src/forward/findUpstream.ts
@@ -40,6 +40,7 @@
             model: need.model,
             adapter: need.adapter,
             avoid: [...met],
+            unreachable: [...met].filter(id => gateway.trafficOf(id).isUnreachable),
         });
         // A stopping node refuses what waits before it ends.
         const leftMs = Math.min(call.deadlineAt, gateway.endsAt - maxPauseMs) - performance.now();
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -2,6 +2,7 @@
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
 import { ServiceBudget } from "../core/serviceBudget";
+import { StoreCover } from "../core/storeCover";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
@@ -25,9 +26,11 @@
     place(req: PlacementRequest): Promise<PlacementAnswer>;
     /** Counts work that a request asks of an artifact's runners, in milliseconds of a runner's time. */
     countWork(artifact: string, workMs: number): void;
+    /** Whether this node is the one that controls the runners. */
+    readonly isController: boolean;
 }
 
-const noPlacement: Placement = { place: () => Promise.resolve({ readyInMs: 0, isComing: false }), countWork: () => {} };
+const noPlacement: Placement = { place: () => Promise.resolve({ readyInMs: 0, isComing: false }), countWork: () => {}, isController: false };
 
 /** Nodes that share a budget until the controller tells how many there are. */
 const assumedNodes = 12;
@@ -46,6 +49,8 @@
     /** The configuration in force as it was published, for peers. */
     configBytes: Buffer | undefined;
     placement: Placement = noPlacement;
+    /** Whether the controller's reading of the store covers this node's. */
+    readonly cover = StoreCover.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     isStopping = false;
     /** When the node was told to stop, and when the process ends at the latest, on the monotonic clock. */
     stoppingAt = Number.POSITIVE_INFINITY;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -27,10 +27,10 @@
 /** The process is gone this long before the platform would kill it. */
 const exitMarginMs = 600;
 const pollMs = 50;
-/** Wait of one call to the store's feed while the controller tells of changes too. */
-const coveredWaitMs = 6_000;
-/** Pause after changes of the directory; half of the least time in which a leaving upstream must get nothing new. */
-const directoryPauseMs = 900;
+/** Wait of the controller's calls to the store's feed: all nodes go by what it knows. */
+const sourceWaitMs = 500;
+/** Pause after changes of the directory, so that several come in one call. */
+const directoryPauseMs = 250;
 /** Pause between two renewals of the controller's lease. */
 const renewMs = 450;
 /** A controller that was not heard of for this long may be gone: the lease row tells. */
@@ -54,14 +54,15 @@
         const { settings, gateway, server } = this;
         const store = StoreClient.create(settings.storeAddress);
         const configRows = watchConfig(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
-        const link = this.startPlacement(store);
-        // What the controller tells covers a connection to the store that has gone silent.
-        const waitMs = (): number => performance.now() - link.heardAt < controllerSilenceMs ? coveredWaitMs : feedWaitMs;
-        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0 });
+        const { link, hub } = this.startPlacement(store);
+        const waitMs = (): number => link.isController ? sourceWaitMs : feedWaitMs;
+        const { cover } = gateway;
+        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0, cover });
         const directory = TableFollower.create(store, platformTables.directory, watchDirectory(gateway, decodeServer), gateway.random, {
             pauseMs: directoryPauseMs,
             waitMs,
             knownVersion: () => gateway.directory.version,
+            cover,
         });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
@@ -75,21 +76,20 @@
             { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
         ]);
         await serveMetrics(metrics, settings.metricsAddress);
-        await Promise.all([serveReadiness(gateway, settings.readyAddress), server.listen(settings.callerAddress)]);
+        await Promise.all([hub.listen(settings.peerAddress), serveReadiness(gateway, settings.readyAddress), server.listen(settings.callerAddress)]);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
     }
 
     /** Takes part in placing models: as controller while the lease is held, else by asking the controller. */
-    private startPlacement(store: StoreClient): PeerLink {
+    private startPlacement(store: StoreClient): { readonly link: PeerLink; readonly hub: PeerHub; } {
         const { gateway, settings } = this;
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
-        const lease = ControllerLease.create(store, self, settings.turnGapMs);
+        const lease = ControllerLease.create(store, self, settings);
         const controller = Controller.create(gateway, lease, RunnerClient.create());
         const hub = PeerHub.create(gateway, controller);
         const link = PeerLink.create(gateway, lease, { hub, controller, decodeConfig, onConfig: () => this.server.applyLimits() });
         gateway.placement = link;
-        void hub.listen(settings.peerAddress);
         link.start(signal);
         controller.start(signal);
         const tick = async (): Promise<void> => {
@@ -105,7 +105,7 @@
             err => emit(EventId.StewardFailed, { detail: toFailure(err).detail }),
         );
         this.lease = lease;
-        return link;
+        return { link, hub };
     }
 
     /** Takes settings that were read again; addresses stay as they were at the start. */
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -1,7 +1,8 @@
 import { chooseAdapterStep } from "../core/adapterPlan";
 import type { ControllerLease } from "../core/controllerLease";
-import type { CopyStep } from "../core/copyPlan";
-import { CopyPlan, holdsOrLoads, serves } from "../core/copyPlan";
+import { holdsOrLoads, serves } from "../core/copies";
+import { CopyPlan } from "../core/copyPlan";
+import type { CopyStep } from "../core/copyStep";
 import { toFailure } from "../core/failures";
 import { LoadCeiling } from "../core/loadCeiling";
 import { ModelDemand } from "../core/modelDemand";
@@ -10,12 +11,12 @@
 import type { LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import { artifactOf, modelOf } from "../types/modelNeed";
-import type { PlacementAnswer, PlacementRequest } from "../types/placement";
+import type { AdapterChanges, AskedWork, PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { RunnerControl } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
-import { resendMs, RunnerDesk } from "./runnerDesk";
+import { dueReportMs, resendMs, RunnerDesk } from "./runnerDesk";
 
 /** Pause between two rounds. */
 const roundMs = 100;
@@ -70,17 +71,17 @@
 
     /** Whether this node controls the runners. */
     get isActive(): boolean {
-        return this.lease.heldEpoch !== undefined;
+        return this.epochHeld !== undefined;
     }
 
-    /** Adapters by runner, as far as requests may use them. */
-    adaptersByRunner(): Readonly<Record<string, readonly string[]>> {
-        return this.desk.adaptersByRunner();
+    /** Epoch under which this node controls the runners, undefined where it does not. */
+    get epochHeld(): number | undefined {
+        return this.lease.heldEpoch;
     }
 
-    /** Version of the lease row while it is this node's. */
-    get leaseVersion(): number | undefined {
-        return this.lease.ownVersion;
+    /** Adapters that requests may use, of the runners where they changed after a revision. */
+    adaptersSince(revision: number): AdapterChanges {
+        return this.desk.adapters.since(revision);
     }
 
     /** What this node tells peers after it could not renew the lease. */
@@ -89,9 +90,9 @@
     }
 
     /** Takes work that callers asked for, by model or adapter. */
-    countWork(work: Readonly<Record<string, number>>): void {
-        for (const [artifact, workMs] of Object.entries(work)) {
-            this.demand.count(modelOf(artifact), workMs);
+    countWork(work: readonly AskedWork[]): void {
+        for (const { artifact, workMs, idleMs } of work) {
+            this.demand.count(modelOf(artifact), workMs, idleMs);
             this.desk.touch(artifact);
         }
     }
@@ -103,6 +104,7 @@
             return { readyInMs: askAgainMs, isComing: false, isUncertain: !this.isActive };
         }
         const now = performance.now();
+        req.unreachable.forEach(id => this.desk.suspect(id));
         const books = this.desk.booksOf(req.service);
         if (!books.some(book => serves(book, req.model))) {
             this.wanted.set(req.model, now);
@@ -113,7 +115,8 @@
         }
         if (req.adapter === undefined) {
             const holder = books.find(book => serves(book, req.model) && !req.avoid.includes(book.server.id));
-            return { runner: holder?.server.id, readyInMs: 0, isComing: holder !== undefined };
+            const isSuspected = books.some(book => book.isSuspected && serves(book, req.model));
+            return { runner: holder?.server.id, readyInMs: holder || !isSuspected ? 0 : dueReportMs, isComing: holder !== undefined || isSuspected };
         }
         return this.placeAdapter(req, engine, books);
     }
@@ -179,17 +182,13 @@
         return true;
     }
 
-    /** Starts from what the runners report; a predecessor may have used the weight store up to its rate. */
+    /** Starts from what the runners report, and from the loads that a predecessor began. */
     private takeOver(epoch: number): void {
-        const isFirst = this.epoch === 0 && this.gateway.settings.isFirstStart;
         this.epoch = epoch;
         this.desk.clear();
         this.intents.clear();
-        const rates = [...this.gateway.config?.services.values() ?? []].map(({ engine }) => engine?.loadsPerS ?? 0);
         this.ceiling = LoadCeiling.create(this.gateway.settings.loadWindowMs);
-        if (!isFirst) {
-            this.ceiling.fill(Math.max(...rates.filter(Number.isFinite), 0), this.gateway.settings.turnGapMs);
-        }
+        this.lease.storeLoadAges.forEach(ageMs => this.ceiling.count(ageMs));
     }
 
     private planService(service: string, engine: EngineSpec): void {
--- a/src/placement/peerHub.ts
+++ b/src/placement/peerHub.ts
@@ -16,10 +16,18 @@
     peerAddress: z.string(),
     configVersion: z.number(),
     directoryVersion: z.number(),
-    work: z.record(z.string(), z.number()),
+    adaptersEpoch: z.number().optional(),
+    adaptersRevision: z.number(),
+    work: z.array(z.object({ artifact: z.string(), workMs: z.number(), idleMs: z.number() })),
     loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
 });
-const placementSchema = z.object({ service: z.string(), model: z.string(), adapter: z.string().optional(), avoid: z.array(z.string()) });
+const placementSchema = z.object({
+    service: z.string(),
+    model: z.string(),
+    adapter: z.string().optional(),
+    avoid: z.array(z.string()),
+    unreachable: z.array(z.string()),
+});
 
 interface KnownNode {
     readonly report: NodeReport;
@@ -71,12 +79,12 @@
             peers: [...this.nodes.values()].map(node => node.report.peerAddress),
             configVersion: config?.version ?? 0,
             config: isNewer ? configBytes?.toString("base64") : undefined,
-            directoryVersion: directory.version,
-            isController: controller.isActive,
-            leaseVersion: controller.leaseVersion,
+            directoryVersion: directory.settledVersion,
+            epoch: controller.epochHeld,
+            confirmedAgoMs: controller.isActive ? gateway.cover.confirmedAgoMs : undefined,
             yielding: controller.yielding,
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
-            adapters: controller.isActive ? controller.adaptersByRunner() : undefined,
+            adapters: controller.isActive ? controller.adaptersSince(report.adaptersEpoch === controller.epochHeld ? report.adaptersRevision : 0) : undefined,
             loads: controller.isActive ? this.loadsWithout(report.node) : undefined,
         };
     }
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -2,6 +2,7 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent, fetch } from "undici";
 import type { ControllerLease } from "../core/controllerLease";
+import { DemandReport } from "../core/demandReport";
 import { toFailure } from "../core/failures";
 import type { Gateway, Placement } from "../forward/gateway";
 import type { ConfigDecoder } from "../forward/storeWatch";
@@ -42,7 +43,10 @@
     private readonly placing = new Map<string, Promise<PlacementAnswer>>();
     private peers: readonly string[];
     private isLost = false;
-    private work: Record<string, number> = {};
+    private readonly demand = DemandReport.create();
+    /** Epoch of the controller that was heard last. */
+    private heardEpoch: number | undefined;
+    private adaptersRevision = 0;
     /** When the controller last answered, on the monotonic clock. */
     heardAt = Number.NEGATIVE_INFINITY;
 
@@ -61,9 +65,13 @@
         void repeat(() => this.exchange(), pause, signal, err => this.onLost(err));
     }
 
+    get isController(): boolean {
+        return this.local.controller.isActive;
+    }
+
     /** Counts work that a request asks of a model's runners. */
     countWork(artifact: string, workMs: number): void {
-        this.work[artifact] = (this.work[artifact] ?? 0) + workMs;
+        this.demand.count(artifact, workMs);
     }
 
     /** Asks the controller for a model or adapter; requests for the same one share the answer. */
@@ -81,7 +89,7 @@
             return noController;
         }
         try {
-            return await this.clientOf(address).place.mutate({ ...req, avoid: [...req.avoid] });
+            return await this.clientOf(address).place.mutate({ ...req, avoid: [...req.avoid], unreachable: [...req.unreachable] });
         }
         catch (err) {
             this.onLost(err);
@@ -90,9 +98,10 @@
     }
 
     private async exchange(): Promise<void> {
+        const askedAt = performance.now();
         const report = this.toReport();
         if (this.local.controller.isActive) {
-            this.take(this.local.hub.exchange(report), this.gateway.settings.peerAddress);
+            this.take(this.local.hub.exchange(report), this.gateway.settings.peerAddress, report.work, askedAt);
             return;
         }
         const { peerAddress } = this.gateway.settings;
@@ -101,36 +110,41 @@
         const isController = controller !== undefined && controller !== peerAddress && !this.isLost;
         const address = isController ? controller : pick(controller === undefined ? others : [...others, controller], this.gateway.random);
         if (address !== undefined) {
-            this.take(await this.clientOf(address).exchange.mutate({ ...report, loads: toMutable(report.loads) }), address);
+            this.take(
+                await this.clientOf(address).exchange.mutate({ ...report, work: [...report.work], loads: toMutable(report.loads) }),
+                address,
+                report.work,
+                askedAt,
+            );
         }
     }
 
     private toReport(): NodeReport {
-        const { gateway, work } = this;
-        this.work = {};
+        const { gateway } = this;
         return {
             node: gateway.settings.nodeId,
             peerAddress: gateway.settings.peerAddress,
             configVersion: gateway.config?.version ?? 0,
             directoryVersion: gateway.directory.version,
-            work,
+            adaptersEpoch: this.heardEpoch,
+            adaptersRevision: this.adaptersRevision,
+            work: this.demand.take(),
             loads: gateway.ownLoads(),
         };
     }
 
-    private take(answer: PeerAnswer, address: string): void {
+    private take(answer: PeerAnswer, address: string, told: NodeReport["work"], askedAt: number): void {
         const { gateway } = this;
-        if (answer.leaseVersion !== undefined && answer.isController) {
-            this.lease.onHeard(answer.leaseVersion);
-        }
         if (answer.yielding) {
             this.lease.onYield(answer.yielding);
         }
-        if (!answer.isController && address === this.lease.holderAddress) {
+        if (answer.epoch === undefined && address === this.lease.holderAddress) {
             // It has given the lease up, or lost it: the row tells.
             this.heardAt = Number.NEGATIVE_INFINITY;
         }
-        if (answer.isController) {
+        if (answer.epoch !== undefined) {
+            this.demand.onTold(answer.epoch, told);
+            this.heardEpoch = answer.epoch;
             this.heardAt = performance.now();
             this.isLost = false;
             this.peers = answer.peers.length > 1 ? answer.peers : this.peers;
@@ -139,11 +153,17 @@
         if (answer.config !== undefined && takeConfig(gateway, Buffer.from(answer.config, "base64"), this.local.decodeConfig, "peer")) {
             this.local.onConfig();
         }
+        if (answer.confirmedAgoMs !== undefined) {
+            gateway.cover.onTold(answer.confirmedAgoMs, askedAt);
+        }
         answer.changes.forEach(change => gateway.directory.apply(change));
         if (gateway.directory.version > 0) {
             gateway.directory.version = Math.max(gateway.directory.version, answer.directoryVersion);
         }
-        Object.entries(answer.adapters ?? {}).forEach(([runner, adapters]) => gateway.residency.replaceAdapters(runner, adapters));
+        if (answer.adapters) {
+            this.adaptersRevision = answer.adapters.revision;
+            Object.entries(answer.adapters.byRunner).forEach(([runner, adapters]) => gateway.residency.replaceAdapters(runner, adapters));
+        }
         Object.entries(answer.loads ?? {}).forEach(([runner, [prefillMs, inFlight]]) => gateway.trafficOf(runner).onOthers(prefillMs, inFlight));
     }
 
--- a/src/placement/runnerDesk.ts
+++ b/src/placement/runnerDesk.ts
@@ -1,3 +1,4 @@
+import { AdapterRevisions } from "../core/adapterRevisions";
 import type { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
 import { RunnerBook } from "../core/runnerBook";
@@ -11,7 +12,7 @@
 /** Pause between two reports of a runner that has nothing on its way; asking is priced. */
 const reportMs = 1_500;
 /** Pause between two reports of a runner whose load should be done. */
-const dueReportMs = 150;
+export const dueReportMs = 150;
 /** Questions after a failed report that follow quickly; then the runner is likely gone. */
 const quickReports = 3;
 /** Pause before an order without an answer is sent again. */
@@ -23,6 +24,8 @@
 /** Keeps the books of the runners by their reports, and sends them orders while the lease is held. */
 export class RunnerDesk {
     private readonly books = new Map<string, RunnerBook>();
+    /** Adapters that requests may use, for nodes that ask what has changed. */
+    adapters = AdapterRevisions.create();
     private readonly askedAt = new WeakMap<RunnerBook, number>();
     private readonly orderedAt = new WeakMap<RunnerBook, number>();
 
@@ -41,6 +44,16 @@
     /** Forgets all books: a new holder starts from the runners' reports. */
     clear(): void {
         this.books.clear();
+        this.adapters = AdapterRevisions.create();
+    }
+
+    /** Notes that a node could not reach a runner: its next report tells whether it is gone. */
+    suspect(id: string): void {
+        const book = this.books.get(id);
+        if (book?.isReachable && !book.isSuspected) {
+            book.isSuspected = true;
+            emit(EventId.RunnerSuspected, { runner: id, failedReports: book.failedReports });
+        }
     }
 
     /** The book of a runner. */
@@ -53,11 +66,6 @@
         return [...this.books.values()].filter(({ server }) => server.service === service);
     }
 
-    /** Adapters by runner, as far as requests may use them. */
-    adaptersByRunner(): Readonly<Record<string, readonly string[]>> {
-        return Object.fromEntries([...this.books].map(([id, book]) => [id, [...book.adapters.keys()].filter(artifact => book.hasAdapter(artifact))]));
-    }
-
     /** Notes that an adapter is used. */
     touch(artifact: string): void {
         this.books.forEach(book => book.touch(artifact));
@@ -70,6 +78,7 @@
         for (const [id, book] of this.books) {
             if (book.server.service === service && !ids.has(id)) {
                 this.books.delete(id);
+                this.adapters.forget(id);
             }
         }
         for (const server of servers) {
@@ -81,20 +90,24 @@
                 this.books.set(server.id, RunnerBook.create(server));
             }
         }
-        this.booksOf(service).forEach(book => this.refresh(book, engine));
+        for (const book of this.booksOf(service)) {
+            book.mayOrder = this.lease.mayOrder(book.server.id);
+            this.adapters.note(book.server.id, [...book.adapters.keys()].filter(artifact => book.hasAdapter(artifact)));
+            this.refresh(book, engine);
+        }
     }
 
     /** Reads a report where one is due, and sends an order without an answer again. */
     private refresh(book: RunnerBook, engine: EngineSpec): void {
         const now = performance.now();
-        const isAwaited = !book.isKnown || book.unsettled !== undefined || book.leaving.size > 0 || book.failedReports > 0;
+        const isAwaited = !book.isKnown || book.isSuspected || book.unsettled !== undefined || book.leaving.size > 0 || book.failedReports > 0;
         const isDue = book.failedReports <= quickReports && (isAwaited || (book.transit !== undefined && now >= book.transit.doneAt));
         if (now - (this.askedAt.get(book) ?? Number.NEGATIVE_INFINITY) >= (isDue ? dueReportMs : reportMs)) {
             this.askedAt.set(book, now);
             void this.readReport(book, engine);
         }
         const { unsettled } = book;
-        if (unsettled && !book.ordering && now - (this.orderedAt.get(book) ?? Number.NEGATIVE_INFINITY) > resendMs) {
+        if (unsettled && book.mayOrder && !book.ordering && now - (this.orderedAt.get(book) ?? Number.NEGATIVE_INFINITY) > resendMs) {
             this.send(book, engine, unsettled, "sent again")
                 .catch((err: unknown) => emit(EventId.StewardFailed, { runner: book.server.id, detail: toFailure(err).detail }));
         }
@@ -139,7 +152,11 @@
         this.orderedAt.set(book, performance.now());
         const { kind, model, adapter, expectedOrders, epoch } = order;
         const fields = { runner: book.server.id, kind, model, adapter, expected: expectedOrders, epoch };
-        this.lease.onOrderStart();
+        const isStoreLoad = book.unsettled === undefined && kind === RunnerOrderKind.Load && adapter === undefined && book.loadsFromStore(model);
+        if (!await this.lease.takeTurn(book.server.id, isStoreLoad)) {
+            book.ordering = undefined;
+            return RunnerOrderAnswer.Conflict;
+        }
         emit(EventId.OrderSent, { ...fields, reason });
         let answer = RunnerOrderAnswer.Unknown;
         try {
@@ -148,7 +165,6 @@
         catch (err) {
             emit(EventId.OrderUnanswered, { ...fields, detail: toFailure(err).detail });
         }
-        this.lease.onOrderEnd();
         book.ordering = undefined;
         book.onAnswer(order, answer, engine);
         if (answer !== RunnerOrderAnswer.Unknown && answer !== RunnerOrderAnswer.Accepted && answer !== RunnerOrderAnswer.Done) {
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -12,8 +12,6 @@
     zone: z.string(),
     portRange: z.tuple([z.number().int(), z.number().int()]),
     seeds: z.array(address).default([]),
-    /** Whether the whole system starts for the first time. */
-    bootstrap: z.boolean().default(false),
     heartbeatMs: z.number().positive(),
     /** `control` is where peers call. */
     listen: z.object({ front: address, ready: address, control: address }),
@@ -54,7 +52,7 @@
     if ("faults" in result) {
         return result;
     }
-    const { nodeName, ip, zone, portRange, seeds, bootstrap, heartbeatMs, listen, bounds, platform } = result.value;
+    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, listen, bounds, platform } = result.value;
     return {
         settings: {
             nodeId: `${nodeName}@${ip}`,
@@ -66,7 +64,6 @@
             metricsAddress: `${ip}:${portRange[0]}`,
             storeAddress: platform.addr,
             seeds,
-            isFirstStart: bootstrap,
             heartbeatMs,
             drainMs: bounds.drainMs,
             applyMs: bounds.applyMs,
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -2,7 +2,7 @@
 import { z } from "zod";
 import { FailureError } from "../core/failures";
 import { FailureKind } from "../types/failureKind";
-import type { FeedReading, RowName, RowsReading, RowStore, StoredRow, TransactionResult } from "../types/rowStore";
+import type { FeedReading, RowName, RowReading, RowsReading, RowStore, StoredRow, TransactionResult } from "../types/rowStore";
 import { FeedKind, TransactionKind } from "../types/rowStore";
 import { Verdict } from "../types/verdict";
 import { codeOf, verdictOfError } from "../utils/transport";
@@ -25,10 +25,10 @@
     ver: z.number(),
     deleted: z.boolean().default(false),
 });
-/** `ver` beside rows is the newest version of the whole store. */
-const rowsSchema = z.object({ rows: z.array(rowSchema), hasMore: z.boolean().default(false), ver: z.number() });
-const committedSchema = z.object({ ver: z.number() });
-const conflictSchema = z.object({ rows: z.array(rowSchema).default([]) });
+/** `ver` beside rows is the newest version of the whole store; `nowMs` is its steady clock, not the time of day. */
+const rowsSchema = z.object({ rows: z.array(rowSchema), hasMore: z.boolean().default(false), ver: z.number(), nowMs: z.number() });
+const committedSchema = z.object({ ver: z.number(), nowMs: z.number().optional() });
+const conflictSchema = z.object({ rows: z.array(rowSchema).default([]), nowMs: z.number().optional() });
 
 interface StoreAnswer {
     readonly status: number;
@@ -87,9 +87,9 @@
         }
     }
 
-    async readRow({ table, part, key }: RowName): Promise<StoredRow | undefined> {
+    async readRow({ table, part, key }: RowName): Promise<RowReading> {
         const page = decode(rowsSchema, await this.call("GET", "rows-get", { table, part, from: key, limit: 1 }));
-        return page.rows.map(toRow).find(row => row.key === key);
+        return { row: page.rows.map(toRow).find(row => row.key === key), nowMs: page.nowMs };
     }
 
     async feed(table: string, after: number, waitMs: number, signal: AbortSignal): Promise<FeedReading> {
@@ -109,9 +109,12 @@
                 remove: [],
             },
         });
-        return answer.status === 412
-            ? { kind: TransactionKind.Conflict, rows: decode(conflictSchema, answer).rows.map(toRow) }
-            : { kind: TransactionKind.Committed, version: decode(committedSchema, answer).ver };
+        if (answer.status === 412) {
+            const { rows, nowMs } = decode(conflictSchema, answer);
+            return { kind: TransactionKind.Conflict, rows: rows.map(toRow), nowMs };
+        }
+        const { ver, nowMs } = decode(committedSchema, answer);
+        return { kind: TransactionKind.Committed, version: ver, nowMs };
     }
 
     private async call(
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -1,4 +1,10 @@
-/** Lease row of the one node that controls the runners. */
+/** A holder's right to order one runner about: its last order arrives before this time of the store's clock. */
+export interface OrderTurn {
+    readonly holder: string;
+    readonly untilMs: number;
+}
+
+/** Lease row of the one node that controls the runners. Times are those of the store's clock. */
 export interface ControllerRow {
     /** VM of the holder: a restart on the same VM is the same holder. */
     readonly holder: string;
@@ -8,12 +14,15 @@
     readonly peerAddress: string;
     /** Whether the holder has given the lease up. */
     readonly isReleased: boolean;
-    /** Age of the holder's last order when it gave the lease up. */
-    readonly lastOrderAgoMs?: number;
+    /** When the lease lapses unless it is renewed. */
+    readonly untilMs: number;
+    /** Newest turn at each runner that was ordered about a short time ago, by any holder. */
+    readonly turns: Readonly<Record<string, OrderTurn>>;
+    /** Starts of the last loads from the weight store, by any holder. */
+    readonly storeLoads: readonly number[];
 }
 
 /** A holder's statement that it sends no more orders under one version of the row. */
 export interface LeaseYield {
     readonly version: number;
-    readonly lastOrderAgoMs: number;
 }
--- a/src/types/nodeSettings.ts
+++ b/src/types/nodeSettings.ts
@@ -11,8 +11,6 @@
     readonly storeAddress: string;
     /** Peer addresses to begin with; they may be stale. */
     readonly seeds: readonly string[];
-    /** Whether the whole system starts for the first time. */
-    readonly isFirstStart: boolean;
     /** Interval at which upstreams write to the directory. */
     readonly heartbeatMs: number;
     /** Time after which a leaving upstream must get no new requests. */
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -8,6 +8,8 @@
     readonly adapter?: string;
     /** Runners that the request met already. */
     readonly avoid: readonly string[];
+    /** Runners that could not be reached from the asking node. */
+    readonly unreachable: readonly string[];
 }
 
 /** Where and when a model or adapter can be used; without a runner, when to ask again. */
@@ -20,17 +22,35 @@
     readonly isUncertain?: boolean;
 }
 
+/** Work that callers asked of a model's or adapter's runners. */
+export interface AskedWork {
+    readonly artifact: string;
+    /** Milliseconds of a runner's time. */
+    readonly workMs: number;
+    /** Time since the last request. */
+    readonly idleMs: number;
+}
+
 /** Prefill that waits at runners, in milliseconds, and requests in progress there. */
 export type RunnerLoads = Readonly<Record<string, readonly [number, number]>>;
 
+/** Adapters by runner, as far as they changed after an earlier revision. */
+export interface AdapterChanges {
+    readonly revision: number;
+    readonly byRunner: Readonly<Record<string, readonly string[]>>;
+}
+
 /** What a node tells the controller. */
 export interface NodeReport {
     readonly node: string;
     readonly peerAddress: string;
     readonly configVersion: number;
     readonly directoryVersion: number;
-    /** Work asked for since the last report, by model, in milliseconds of a runner's time. */
-    readonly work: Readonly<Record<string, number>>;
+    /** Up to which revision of which controller the adapters at runners are known. */
+    readonly adaptersEpoch?: number;
+    readonly adaptersRevision: number;
+    /** What was asked for since the last report, or all that a new controller must know. */
+    readonly work: readonly AskedWork[];
     readonly loads: RunnerLoads;
 }
 
@@ -42,16 +62,16 @@
     /** The configuration as it was published, base64, where the asker's is older. */
     readonly config?: string;
     readonly directoryVersion: number;
-    /** Whether the peer is the controller. */
-    readonly isController: boolean;
-    /** Version of the controller's lease row. */
-    readonly leaseVersion?: number;
+    /** Epoch of the peer's lease where it is the controller. */
+    readonly epoch?: number;
+    /** Age of what the controller knows of configuration and directory, as the store confirmed it; from the controller only. */
+    readonly confirmedAgoMs?: number;
     /** From a peer that was the controller and could not renew its lease. */
     readonly yielding?: LeaseYield;
     /** Changes of the directory that the asker lacks. */
     readonly changes: readonly DirectoryChange[];
-    /** Adapters by runner, from the controller only. */
-    readonly adapters?: Readonly<Record<string, readonly string[]>>;
+    /** Adapters that requests may use, of the runners where they changed; from the controller only. */
+    readonly adapters?: AdapterChanges;
     /** Load that other nodes put on runners, from the controller only. */
     readonly loads?: RunnerLoads;
 }
--- a/src/types/rowStore.ts
+++ b/src/types/rowStore.ts
@@ -34,10 +34,16 @@
     Conflict = "conflict",
 }
 
-/** A known outcome; an unknown one is thrown as a failure with its verdict. */
+/** A known outcome; an unknown one is thrown as a failure with its verdict. The store's steady clock is told where its answer carries it. */
 export type TransactionResult =
-    | { readonly kind: TransactionKind.Committed; readonly version: number; }
-    | { readonly kind: TransactionKind.Conflict; readonly rows: readonly StoredRow[]; };
+    | { readonly kind: TransactionKind.Committed; readonly version: number; readonly nowMs?: number; }
+    | { readonly kind: TransactionKind.Conflict; readonly rows: readonly StoredRow[]; readonly nowMs?: number; };
+
+/** A row, undefined where there is none, and the store's steady clock at the moment of reading. */
+export interface RowReading {
+    readonly row: StoredRow | undefined;
+    readonly nowMs: number;
+}
 
 /** Rows of one table at one moment. */
 export interface RowsReading {
@@ -61,7 +67,7 @@
 /** The platform's metadata store. Each call throws a failure with its verdict when it has no known outcome. */
 export interface RowStore {
     readTable(table: string): Promise<RowsReading>;
-    readRow(name: RowName): Promise<StoredRow | undefined>;
+    readRow(name: RowName): Promise<RowReading>;
     /** Waits up to `waitMs` for a change after the version. */
     feed(table: string, after: number, waitMs: number, signal: AbortSignal): Promise<FeedReading>;
     transact(transaction: RowTransaction): Promise<TransactionResult>;
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -21,6 +21,8 @@
     EventId.ReportFailed,
     EventId.MemoryLeaked,
     EventId.StewardFailed,
+    EventId.LeaseRowUnreadable,
+    EventId.TurnsUnwritten,
 ]);
 const firstInvariant = 900;
 
