Hold long prompts back from runners that cannot read them in time

Ruled out: Request-Priority alone (it orders admission, not the reading of prompts). Change: a prompt of more than 40 ms waits at its node while the runner has 450 ms to read, or its streams' pauses exceed 0.3 of what the route allows; those that can meet their objective go first. What cannot be answered in time any more is refused at once.

--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -39,6 +39,29 @@
 /** Time in which a runner reads a prompt. */
 export const prefillTime = (tokens: number, pace: number): number => tokens * pace / prefillTokensPerMs;
 
+/** A prompt that is read this fast delays nobody. */
+const lightPrefillMs = 40;
+/** Prefill that may wait at a runner: with its own prompt, a request still gets its first token within a second. */
+const maxBacklogMs = 450;
+/** Share of the allowed pause between events above which a runner reads prompts nearly all the time. */
+const stalledShare = 0.3;
+/** Tokens in one event of a stream, and the pause between two events of a runner that is not busy. */
+const eventTokens = 4;
+const usualEventGapMs = 35;
+/** Share of its most tokens that a generation makes on average. */
+const usualOutputShare = 0.5;
+
+/** Whether a runner should get no further prompt of this size now: its streams would stall, and the prompt would wait. */
+export const isSaturated = ({ candidate: { traffic }, prefillMs }: Choice, gapTargetMs: number | undefined): boolean =>
+    prefillMs >= lightPrefillMs &&
+    (traffic.waitingPrefillMs > maxBacklogMs || (gapTargetMs !== undefined && (traffic.eventGapMs ?? 0) > stalledShare * gapTargetMs));
+
+/** Time until a generation's last token, where others go before it. */
+export const completionMs = ({ candidate: { traffic }, predictedMs, prefillMs }: Choice, { maxOutputTokens }: ModelNeed, before: number): number => {
+    const streamMs = usualOutputShare * maxOutputTokens / eventTokens * (traffic.eventGapMs ?? usualEventGapMs);
+    return predictedMs + before * prefillMs + streamMs;
+};
+
 /** Share of a prompt that is not kept at its runner, on average. */
 const unkeptShare = 0.6;
 /** What one generated token takes of a runner's time when its batch is well filled. */
@@ -53,7 +76,7 @@
         const latency = traffic.firstByteMs ?? assumedLatencyMs;
         return away + latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) + latency * 0.1 * traffic.load / Math.max(1, server.slots);
     }
-    const steps = firstEventSteps * (stepMs + stepMsPerRequest * traffic.load) * pace;
+    const steps = Math.max(firstEventSteps * (stepMs + stepMsPerRequest * traffic.load) * pace, traffic.eventGapMs ?? 0);
     return away + traffic.waitingPrefillMs + prefillTime(prefillTokens, pace) + steps + waitingMs * traffic.waiting;
 };
 
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -4,6 +4,8 @@
 const failureHalfLifeMs = 3_000;
 /** Weight of a new sample in the moving average of latencies. */
 const smoothing = 0.2;
+/** After this time without an event the pace of an upstream's streams is not known. */
+const eventGapLifetimeMs = 1_000;
 /** After this time a reported load is ignored. */
 const reportLifetimeMs = 1_500;
 /** Pause after a connection could not be made; it doubles with each further failure. */
@@ -18,6 +20,8 @@
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer, undefined before the first. */
     firstByteMs: number | undefined;
+    private eventGap: number | undefined;
+    private eventGapAt = Number.NEGATIVE_INFINITY;
     private reported: ReportedLoad | undefined;
     private reportedAt = Number.NEGATIVE_INFINITY;
     private inFlightWhenReported = 0;
@@ -90,6 +94,18 @@
         this.firstByteMs = average + smoothing * (ms - average);
     }
 
+    /** Moving average of the pauses between events of this node's streams, undefined where none came lately. */
+    get eventGapMs(): number | undefined {
+        return this.now() - this.eventGapAt < eventGapLifetimeMs ? this.eventGap : undefined;
+    }
+
+    /** Counts the pause between two events of a stream. */
+    onEventGap(ms: number): void {
+        const average = this.eventGapMs ?? ms;
+        this.eventGap = average + smoothing * (ms - average);
+        this.eventGapAt = this.now();
+    }
+
     onFailure(weight = 1): void {
         this.failures = this.recentFailures + weight;
         this.failuresAt = this.now();
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -17,6 +17,14 @@
 
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
+/** Hears of answers as they come. */
+export interface AnswerObserver {
+    /** The head of each attempt's answer. */
+    onHead(head: AnswerHead): void;
+    /** A pause between two pieces of a stream. */
+    onPause(ms: number): void;
+}
+
 /** Passes the answer of a request on: streams event by event, everything else once it is whole. */
 export class AnswerRelay implements AnswerSink {
     private readonly splitter = EventSplitter.create();
@@ -28,12 +36,14 @@
     /** When the caller's answer began to come, on the monotonic clock. */
     firstByteAt = 0;
     private isStreaming = false;
+    /** Whether a piece of the newest attempt's stream has come. */
+    private hasPieces = false;
 
-    private constructor(private readonly call: Call, private readonly onFirstByte: (head: AnswerHead) => void) {}
+    private constructor(private readonly call: Call, private readonly observer: AnswerObserver) {}
 
-    /** Makes the relay of one request; the observer hears of each answer's head. */
-    static create(call: Call, onFirstByte: (head: AnswerHead) => void): AnswerRelay {
-        return new AnswerRelay(call, onFirstByte);
+    /** Makes the relay of one request. */
+    static create(call: Call, observer: AnswerObserver): AnswerRelay {
+        return new AnswerRelay(call, observer);
     }
 
     /** Whether part of a stream has reached the caller. */
@@ -56,6 +66,7 @@
         this.head = undefined;
         this.chunks = [];
         this.isStreaming = false;
+        this.hasPieces = false;
         this.splitter.drop();
     }
 
@@ -64,7 +75,7 @@
         this.firstByteAt ||= performance.now();
         this.lastByteAt = performance.now();
         this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.decoded.isSealed;
-        this.onFirstByte(head);
+        this.observer.onHead(head);
         const { res } = this.call;
         if (this.isStreaming && !res.headersSent) {
             passHeaders(res, head.headers, true);
@@ -74,11 +85,16 @@
     }
 
     onData(chunk: Buffer, resume: () => void): boolean {
+        const pauseMs = performance.now() - this.lastByteAt;
         this.lastByteAt = performance.now();
         if (!this.isStreaming) {
             this.chunks.push(chunk);
             return true;
         }
+        if (this.hasPieces) {
+            this.observer.onPause(pauseMs);
+        }
+        this.hasPieces = true;
         const events = this.splitter.push(chunk);
         if (events.length === 0 || this.call.res.write(events)) {
             return true;
--- a/src/forward/attemptRunner.ts
+++ b/src/forward/attemptRunner.ts
@@ -49,7 +49,7 @@
     private isWaiting = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
-        this.relay = AnswerRelay.create(call, () => this.onHead());
+        this.relay = AnswerRelay.create(call, { onHead: () => this.onHead(), onPause: ms => this.choice?.candidate.traffic.onEventGap(ms) });
     }
 
     /** Makes the runner of a request's attempts. */
--- a/src/forward/findUpstream.ts
+++ b/src/forward/findUpstream.ts
@@ -1,4 +1,6 @@
 import type { Choice } from "../core/chooseUpstream";
+import { completionMs, isSaturated } from "../core/chooseUpstream";
+import type { ModelNeed } from "../types/modelNeed";
 import { artifactOf } from "../types/modelNeed";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
@@ -15,6 +17,14 @@
 /** When to come back where nothing is known to be on its way. */
 const unknownRetryMs = 1_000;
 
+/** Pause between two looks whether a runner has room. */
+const roomCheckMs = 25;
+/** Least time after which a refused caller finds more room. */
+const minRoomRetryMs = 500;
+
+/** Time until the final answer; a stopping node refuses what waits before it ends. */
+const timeLeft = (gateway: Gateway, call: Call): number => Math.min(call.deadlineAt, gateway.endsAt - maxPauseMs) - performance.now();
+
 /** Why a request is not sent; it has not run. */
 export interface Refusal {
     readonly detail: string;
@@ -24,11 +34,42 @@
 /** Whether the search ended without an upstream. */
 export const isRefusal = (found: Choice | Refusal): found is Refusal => "detail" in found;
 
-/** Finds an upstream for a request; waits for its model or adapter while that promises an answer in time. */
+/** Waits until a chosen runner has room, in the order of the waiting room; a request that cannot be answered in time is refused at once. */
+const awaitRoom = async (gateway: Gateway, call: Call, need: ModelNeed, met: ReadonlySet<string>): Promise<Choice | Refusal | undefined> => {
+    const waiter = { targetAt: call.startedAt + call.route.targetMs, priority: call.route.priority };
+    try {
+        while (!call.signal.aborted) {
+            const choice = selectUpstream(gateway, call, met);
+            if (!choice) {
+                return undefined;
+            }
+            const before = gateway.waiting.countBefore(need.model, waiter);
+            const leftMs = timeLeft(gateway, call);
+            const neededMs = completionMs(choice, need, before);
+            if (neededMs > leftMs && choice.predictedMs > call.route.targetMs) {
+                return {
+                    detail: `an answer takes ${Math.round(neededMs)} ms`,
+                    retryAfterMs: Math.max(minRoomRetryMs, choice.predictedMs - call.route.targetMs),
+                };
+            }
+            if (before === 0 && !isSaturated(choice, call.route.gapTargetMs)) {
+                return choice;
+            }
+            gateway.waiting.enter(need.model, waiter);
+            await sleep(roomCheckMs, call.signal);
+        }
+        return undefined;
+    }
+    finally {
+        gateway.waiting.leave(need.model, waiter);
+    }
+};
+
+/** Finds an upstream for a request; waits for its model or adapter, and for room there, while that promises an answer in time. */
 export const findUpstream = async (gateway: Gateway, call: Call, met: ReadonlySet<string>): Promise<Choice | Refusal> => {
     const { need } = call.caller;
     while (!call.signal.aborted) {
-        const choice = selectUpstream(gateway, call, met);
+        const choice = need ? await awaitRoom(gateway, call, need, met) : selectUpstream(gateway, call, met);
         if (choice) {
             return choice;
         }
@@ -42,8 +83,7 @@
             avoid: [...met],
             unreachable: [...met].filter(id => gateway.trafficOf(id).isUnreachable),
         });
-        // A stopping node refuses what waits before it ends.
-        const leftMs = Math.min(call.deadlineAt, gateway.endsAt - maxPauseMs) - performance.now();
+        const leftMs = timeLeft(gateway, call);
         const mayWait = isUncertain ? leftMs > uncertainShare * (call.deadlineAt - call.startedAt) : isComing && readyInMs + serveMs <= leftMs;
         if (!mayWait) {
             return {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -5,6 +5,7 @@
 import { StoreCover } from "../core/storeCover";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
+import { WaitingRoom } from "../core/waitingRoom";
 import { EventId } from "../types/eventId";
 import type { NodeSettings } from "../types/nodeSettings";
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
@@ -40,6 +41,7 @@
     readonly directory = UpstreamDirectory.create();
     readonly cache = PromptCache.create();
     readonly residency = ResidencyView.create();
+    readonly waiting = WaitingRoom.create();
     private inForce: ConfigInForce | undefined;
     private readonly traffics = new Map<string, UpstreamTraffic>();
     private readonly pools = new Map<string, UpstreamConnections>();
--- a/src/types/servingConfig.ts
+++ b/src/types/servingConfig.ts
@@ -22,6 +22,8 @@
     readonly timeoutMs: number;
     /** Latency objective. */
     readonly targetMs: number;
+    /** Longest pause between the events of a stream that is on time, undefined for other routes. */
+    readonly gapTargetMs?: number;
     /** Rank of the route's requests; 0 comes first. */
     readonly priority: number;
     readonly targets: readonly RouteTarget[];
