Soak of nodes as processes, with faults from outside

Change: three nodes, stand-ins of the store, of engines and of plain instances behind loopback proxies; signals, links that are slow, reset, one way or silent, a store that is down, loses answers or its history, upstreams that crash, leave, lose answers, refuse or take orders late. Checked from what callers and upstreams see: at most once, refused means not run, whole answers, turns and epochs of orders, memory and adapter places, final answers in time, recovery.

--- a/test/platformProcess.test.ts
+++ b/test/platformProcess.test.ts
@@ -10,6 +10,7 @@
 import { ExitCode } from "../src/cli/exitCode";
 import { createRandom } from "../src/utils/random";
 import { sleep } from "../src/utils/time";
+import { renderBootFile } from "./fakes/bootFile";
 import type { CallerResult } from "./fakes/gatewayHarness";
 import { callGateway, findFreePort } from "./fakes/gatewayHarness";
 import { portOf } from "./fakes/http";
@@ -53,37 +54,20 @@
 
     const writeSettings = (budgetSlack: number): void => {
         const { front, ready, control, metrics } = addresses;
-        const metricsPort = metrics.split(":")[1]!;
         writeFileSync(
             file,
-            `nodeName = "n1"
-ip = "127.0.0.1"
-zone = "a"
-portRange = [${metricsPort}, ${metricsPort}]
-seeds = []
-bootstrap = true
-heartbeatMs = 1000
-[listen]
-front = "${front}"
-ready = "${ready}"
-control = "${control}"
-[limits]
-memoryMb = 350
-[bounds]
-contactMs = 3000
-drainMs = 2000
-graceS = ${graceMs / 1_000}
-applyMs = 2000
-budgetRatio = 0.2
-budgetWindowS = 10
-budgetSlack = ${budgetSlack}
-leaseMs = 3000
-fencing = false
-ceilingWindowS = 5
-ceilingOverrun = 1.1
-[platform]
-addr = "127.0.0.1:${portOf(server)}"
-`,
+            renderBootFile({
+                name: "n1",
+                zone: "a",
+                front,
+                ready,
+                control,
+                metricsPort: Number(metrics.split(":")[1]),
+                seeds: [],
+                storeAddress: `127.0.0.1:${portOf(server)}`,
+                graceS: graceMs / 1_000,
+                budgetSlack,
+            }),
         );
     };
 
--- /dev/null
+++ b/test/processSoak.test.ts
@@ -0,0 +1,18 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import { runSoak } from "./processSoak/soakRun";
+
+const seconds = 8;
+
+/** Seeds of CI: one for each session, and each seed that failed once, with its cause. */
+const seeds: readonly { readonly seed: number; readonly cause?: string; }[] = [{ seed: 1 }];
+
+describe("nodes as processes, with faults from outside", () => {
+    for (const { seed, cause } of seeds) {
+        it(`keep their promises (seed ${seed}${cause === undefined ? "" : `, once broken: ${cause}`})`, async () => {
+            const { broken, asked } = await runSoak(seed, seconds);
+            assert.deepEqual(broken, []);
+            assert.ok(asked > 100, `${asked} requests`);
+        });
+    }
+});
--- /dev/null
+++ b/test/processSoak/soakNode.ts
@@ -0,0 +1,104 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { createWriteStream, writeFileSync } from "node:fs";
+import { get } from "node:http";
+import { join } from "node:path";
+import { renderBootFile } from "../fakes/bootFile";
+import { findFreePort } from "../fakes/gatewayHarness";
+import { FaultProxy } from "./faultProxy";
+
+const program = "build/jackdawtrail.cjs";
+/** Time between SIGTERM and SIGKILL, s. */
+const graceS = 6;
+const probeTimeoutMs = 400;
+
+/** A node as a process of its own, with a proxy between it and the store. */
+export class SoakNode {
+    isReady = false;
+    /** Until when what happens here is excused: signals, and faults of its line to the store. */
+    excusedUntil = Number.NEGATIVE_INFINITY;
+    isStopped = false;
+    private child: ChildProcess | undefined;
+    /** Ends that nobody asked for. */
+    readonly ends: string[] = [];
+
+    private constructor(
+        readonly name: string,
+        readonly front: string,
+        private readonly ready: string,
+        readonly control: string,
+        private readonly metricsPort: number,
+        readonly store: FaultProxy,
+        private readonly folder: string,
+    ) {}
+
+    static async create(name: string, storePort: number, folder: string): Promise<SoakNode> {
+        const [front, ready, control, metrics] = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+        const store = await FaultProxy.create(storePort);
+        return new SoakNode(name, `127.0.0.1:${front}`, `127.0.0.1:${ready}`, `127.0.0.1:${control}`, metrics, store, folder);
+    }
+
+    /** Name under which it gives orders. */
+    get holder(): string {
+        return `${this.name}@127.0.0.1`;
+    }
+
+    get isRunning(): boolean {
+        return this.child !== undefined;
+    }
+
+    start(seeds: readonly string[]): void {
+        const file = join(this.folder, `${this.name}.toml`);
+        const { name, front, ready, control, metricsPort, store } = this;
+        writeFileSync(
+            file,
+            renderBootFile({ name, zone: "a", front, ready, control, metricsPort, seeds, storeAddress: store.address, graceS, budgetSlack: 50 }),
+        );
+        const child = spawn(process.execPath, [program, "serve-platform"], {
+            env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
+            stdio: ["ignore", "pipe", "pipe"],
+        });
+        const log = createWriteStream(join(this.folder, `${this.name}.log`), { flags: "a" });
+        child.stdout.pipe(log);
+        child.stderr.pipe(log);
+        this.child = child;
+        this.isStopped = false;
+        child.once("exit", (code, signal) => {
+            if (this.child === child) {
+                this.child = undefined;
+                this.isReady = false;
+                if (!this.isStopped) {
+                    this.ends.push(`${this.name} ended by itself with ${code ?? signal}`);
+                }
+            }
+        });
+    }
+
+    signal(signal: NodeJS.Signals): void {
+        this.isStopped ||= signal === "SIGTERM" || signal === "SIGKILL";
+        this.child?.kill(signal);
+    }
+
+    /** Asks whether callers should be sent here. */
+    async probe(): Promise<void> {
+        this.isReady = await new Promise(resolve => {
+            const req = get(`http://${this.ready}/`, { timeout: probeTimeoutMs }, res => {
+                res.resume();
+                resolve(res.statusCode === 200);
+            });
+            req.on("error", () => resolve(false));
+            req.on("timeout", () => req.destroy());
+        });
+    }
+
+    async end(): Promise<void> {
+        const { child } = this;
+        this.isStopped = true;
+        if (child) {
+            const ended = new Promise(resolve => child.once("exit", resolve));
+            child.kill("SIGKILL");
+            await ended;
+        }
+        this.store.close();
+    }
+}
--- /dev/null
+++ b/test/processSoak/soakRunner.ts
@@ -0,0 +1,154 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { text } from "node:stream/consumers";
+import { z } from "zod";
+import type { RunnerOrder } from "../../src/types/runner";
+import { RunnerOrderAnswer, RunnerOrderKind } from "../../src/types/runner";
+import type { EngineSpec } from "../../src/types/servingConfig";
+import type { Random } from "../../src/utils/random";
+import { sleep } from "../../src/utils/time";
+import { portOf } from "../fakes/http";
+import { ModelRunner } from "../fakes/modelRunner";
+import { FaultProxy } from "./faultProxy";
+import type { Witness } from "./witness";
+import { streamBody, streamEvents } from "./witness";
+
+const workMs = 40;
+const eventMs = 60;
+
+const statusOf: Readonly<Record<RunnerOrderAnswer, number>> = {
+    [RunnerOrderAnswer.Accepted]: 202,
+    [RunnerOrderAnswer.Done]: 200,
+    [RunnerOrderAnswer.Conflict]: 409,
+    [RunnerOrderAnswer.StaleEpoch]: 412,
+    [RunnerOrderAnswer.Invalid]: 400,
+    [RunnerOrderAnswer.WrongInstance]: 421,
+    [RunnerOrderAnswer.Unknown]: 500,
+};
+
+const orderSchema = z.object({
+    op: z.string(),
+    model: z.string(),
+    adapter: z.string().optional(),
+    expected: z.number(),
+    holder: z.string(),
+    fence: z.number(),
+});
+
+/** What a runner does wrong, as shares of its requests or orders. */
+export interface RunnerFaults {
+    lostAnswers: number;
+    refusals: number;
+    lateOrders: number;
+}
+
+/** A runner of an engine service, or an instance of a plain one, behind a proxy. */
+export class SoakRunner {
+    readonly faults: RunnerFaults = { lostAnswers: 0, refusals: 0, lateOrders: 0 };
+    /** When the directory said that it leaves, on the monotonic clock. */
+    leavingSince: number | undefined;
+    isGone = false;
+
+    private constructor(
+        readonly id: string,
+        readonly service: string,
+        readonly proxy: FaultProxy,
+        readonly books: ModelRunner | undefined,
+        private readonly server: Server,
+        private readonly witness: Witness,
+        private readonly random: Random,
+    ) {}
+
+    static async create(id: string, service: string, engine: EngineSpec | undefined, witness: Witness, random: Random): Promise<SoakRunner> {
+        const server = createServer((req, res) => void runner.handle(req, res).catch(() => res.destroy()));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const held = engine && [...engine.models.keys()].filter(() => random() < 0.3).slice(0, 2);
+        const books = engine && ModelRunner.create(id, engine, random, held!);
+        const runner: SoakRunner = new SoakRunner(id, service, await FaultProxy.create(portOf(server)), books, server, witness, random);
+        return runner;
+    }
+
+    /** Its row in the directory. */
+    get row(): object {
+        return {
+            service: this.service,
+            addr: this.proxy.address,
+            zone: "a",
+            slots: 16,
+            state: this.leavingSince === undefined ? "ready" : "draining",
+            models: this.books?.report().models ?? [],
+            born: 1,
+        };
+    }
+
+    /** Ends at once; requests in progress are cut. */
+    crash(): void {
+        this.isGone = true;
+        this.proxy.close();
+        this.server.closeAllConnections();
+        this.server.close();
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const body = await text(req);
+        const expected = req.headers["expect-instance"];
+        if (expected !== undefined && expected !== this.id) {
+            res.writeHead(421, { "Instance-Id": this.id }).end();
+            return;
+        }
+        if (req.url === "/api/report") {
+            const { isBusy, acceptedOrders, queued, active, models, inMemory, onDisk, coming } = this.books!.report();
+            res.end(JSON.stringify({ models, atHand: { inMemory, onDisk }, coming, busy: isBusy, seq: acceptedOrders, queued, active, born: 1 }));
+            return;
+        }
+        if (req.url === "/api/order") {
+            this.takeOrder(body, res);
+            return;
+        }
+        await this.run(req, res);
+    }
+
+    private takeOrder(body: string, res: ServerResponse): void {
+        const { op, model, adapter, expected, holder, fence } = orderSchema.parse(JSON.parse(body));
+        const kind = op === "load_model" ? RunnerOrderKind.Load : RunnerOrderKind.Unload;
+        const order: RunnerOrder = { kind, model, adapter, expectedOrders: expected, holder, epoch: fence };
+        this.witness.onOrder(this.id, order);
+        if (this.random() < this.faults.lateOrders) {
+            setTimeout(() => this.isGone || this.books!.take(order), 500 + this.random() * 4_000);
+            return;
+        }
+        res.writeHead(statusOf[this.books!.take(order)]).end();
+    }
+
+    private async run(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const id = String(req.headers["attempt-id"]);
+        const [model, adapter] = String(req.headers.model ?? "").split("/");
+        const held = this.books?.models.get(model!);
+        if (this.books && (!held || (adapter !== undefined && !held.adapters.has(adapter)))) {
+            res.writeHead(421, { "Instance-Id": this.id }).end();
+            return;
+        }
+        if (this.random() < this.faults.refusals) {
+            res.writeHead(503, { "Not-Executed": "1" }).end();
+            return;
+        }
+        this.witness.onRun(id, this.id);
+        const isLost = this.random() < this.faults.lostAnswers;
+        await sleep(workMs);
+        if (isLost) {
+            req.socket.resetAndDestroy();
+            return;
+        }
+        const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16" };
+        if (!this.books) {
+            res.writeHead(200, headers).end(`${id} done`);
+            return;
+        }
+        res.writeHead(200, headers);
+        for (let event = Number(req.headers["last-event-id"] ?? 0) + 1; event <= streamEvents && !res.destroyed; event++) {
+            res.write(streamBody(id, event).split("\n\n", 1)[0]! + "\n\n");
+            await sleep(eventMs);
+        }
+        res.end();
+    }
+}
