--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -8,7 +8,7 @@
 
 /** Worth a second of a first copy of a model that callers wait for, and of one that they may ask for at any time. */
 const wantedWorth = 1;
-const offeredWorth = 0.02;
+const offeredWorth = 0.15;
 /** What a load costs, for each second that it takes, and if it draws on the weight store. */
 const loadCostPerS = 0.03;
 const storeLoadCost = 0.08;
--- a/test/fakes/platformStore.ts
+++ b/test/fakes/platformStore.ts
@@ -1,8 +1,11 @@
 import type { Server } from "node:http";
+import { toFailure } from "../../src/core/failures";
 import { FeedKind, TransactionKind } from "../../src/types/rowStore";
 import type { StoredRow } from "../../src/types/rowStore";
+import { Verdict } from "../../src/types/verdict";
 import { sleep } from "../../src/utils/time";
-import { serveJson, Status } from "./http";
+import type { Handler } from "./http";
+import { answered, serveJson, Status } from "./http";
 import type { MemoryRowStore } from "./memoryRowStore";
 
 /** Pause between two looks at a feed that has nothing new. */
@@ -21,35 +24,55 @@
     readonly puts: readonly { readonly table: string; readonly part: string; readonly key: string; readonly value: string; }[];
 }
 
+/** Answers a failure of the store as the platform does: 503 proves that nothing was done, a lost answer proves nothing. */
+const answering = (handlers: Readonly<Record<string, Handler>>): Readonly<Record<string, Handler>> =>
+    Object.fromEntries(
+        Object.entries(handlers).map(([call, handler]): [string, Handler] => [call, async received => {
+            try {
+                return await handler(received);
+            }
+            catch (err) {
+                if (toFailure(err).verdict === Verdict.NotRun) {
+                    return new Status(503);
+                }
+                received.res.destroy();
+                return answered;
+            }
+        }]),
+    );
+
 /** Serves a store in memory by the platform's protocol. */
 export const servePlatformStore = (store: MemoryRowStore): Promise<Server> =>
-    serveJson(0, {
-        "GET /api/rows-get": async ({ url }) => {
-            const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
-            const from = url.searchParams.get("from") ?? "";
-            return { rows: rows.filter(({ key }) => key >= from).map(toWire), hasMore: false, ver: version, nowMs: store.nowMs };
-        },
-        "GET /api/rows-feed": async ({ url }) => {
-            const until = performance.now() + Number(url.searchParams.get("waitMs"));
-            for (;;) {
-                const reading = await store.feed(url.searchParams.get("table") ?? "", Number(url.searchParams.get("after")));
-                if (reading.kind === FeedKind.HistoryGone) {
-                    return new Status(410);
-                }
-                if (reading.rows.length > 0 || performance.now() > until) {
-                    return { rows: reading.rows.map(toWire), ver: reading.version, nowMs: store.nowMs };
+    serveJson(
+        0,
+        answering({
+            "GET /api/rows-get": async ({ url }) => {
+                const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
+                const from = url.searchParams.get("from") ?? "";
+                return { rows: rows.filter(({ key }) => key >= from).map(toWire), hasMore: false, ver: version, nowMs: store.nowMs };
+            },
+            "GET /api/rows-feed": async ({ url }) => {
+                const until = performance.now() + Number(url.searchParams.get("waitMs"));
+                for (;;) {
+                    const reading = await store.feed(url.searchParams.get("table") ?? "", Number(url.searchParams.get("after")));
+                    if (reading.kind === FeedKind.HistoryGone) {
+                        return new Status(410);
+                    }
+                    if (reading.rows.length > 0 || performance.now() > until) {
+                        return { rows: reading.rows.map(toWire), ver: reading.version, nowMs: store.nowMs };
+                    }
+                    await sleep(pollMs);
                 }
-                await sleep(pollMs);
-            }
-        },
-        "POST /api/rows-tx": async ({ body }) => {
-            const { expected, puts } = body as WireTransaction;
-            const result = await store.transact({
-                conditions: expected.map(({ ver, ...name }) => ({ ...name, version: ver })),
-                puts: puts.map(({ value, ...name }) => ({ ...name, value: Buffer.from(value, "base64") })),
-            });
-            return result.kind === TransactionKind.Committed
-                ? { ver: result.version, nowMs: store.nowMs }
-                : new Status(412, { rows: result.rows.map(toWire), nowMs: store.nowMs });
-        },
-    });
+            },
+            "POST /api/rows-tx": async ({ body }) => {
+                const { expected, puts } = body as WireTransaction;
+                const result = await store.transact({
+                    conditions: expected.map(({ ver, ...name }) => ({ ...name, version: ver })),
+                    puts: puts.map(({ value, ...name }) => ({ ...name, value: Buffer.from(value, "base64") })),
+                });
+                return result.kind === TransactionKind.Committed
+                    ? { ver: result.version, nowMs: store.nowMs }
+                    : new Status(412, { rows: result.rows.map(toWire), nowMs: store.nowMs });
+            },
+        }),
+    );
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -44,7 +44,7 @@
     readonly publish: (runner: ModelRunner) => void;
 }
 
-const createStage = async (seed: number, count = 6): Promise<Stage> => {
+const createStage = async (seed: number, count = 6, heldBy = (at: number): readonly string[] => [`m${at}`]): Promise<Stage> => {
     const random = createRandom(seed);
     const gateway = Gateway.create(testSettings, requestHeaders, random);
     gateway.applyConfig({
@@ -53,7 +53,7 @@
         services: new Map([[service, { name: service, healthPath: "/h", maxConnections: 10, engine }]]),
         limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
     }, Buffer.from(""));
-    const runners = new Map([...Array(count).keys()].map(at => [`r${at}`, ModelRunner.create(`r${at}`, engine, random, [`m${at}`])]));
+    const runners = new Map([...Array(count).keys()].map(at => [`r${at}`, ModelRunner.create(`r${at}`, engine, random, heldBy(at))]));
     let version = 0;
     const publish = (runner: ModelRunner): void =>
         gateway.directory.apply({
@@ -179,6 +179,17 @@
             assert.ok(holders().length >= 1, "no copy 6 s later");
         }));
 
+    it("the last copy of a model that is not asked for is not given up for a small gain", () =>
+        withClock(async () => {
+            const held = [["m1", "m2"], ["m3", "m5"]];
+            const { runners, controller } = await createStage(6, 2, at => held[at]!);
+            for (let step = 0; step < 200; step++) {
+                await clock.tickAsync(stepMs);
+                controller.countWork([{ artifact: "m1", workMs: 27, idleMs: 0 }]);
+            }
+            assert.deepEqual([...runners.values()].map(({ models }) => [...models.keys()].sort()), held);
+        }));
+
     it("a model whose only runner a node cannot reach is asked for again, and is loaded elsewhere", () =>
         withClock(async () => {
             const { runners, controller, control } = await createStage(5);
--- a/test/processSoak/faultProxy.ts
+++ b/test/processSoak/faultProxy.ts
@@ -1,6 +1,7 @@
 import type { Server, Socket } from "node:net";
 import { connect, createServer } from "node:net";
 import type { Random } from "../../src/utils/random";
+import { sleep } from "../../src/utils/time";
 import { portOf } from "../fakes/http";
 
 /** How a proxy treats the connections through it. */
@@ -22,6 +23,8 @@
 export class FaultProxy {
     fault = LinkFault.None;
     private readonly sockets = new Set<Socket>();
+    /** Sockets to which bytes were lost. */
+    private readonly muted = new WeakSet<Socket>();
 
     private constructor(private readonly server: Server) {}
 
@@ -63,8 +66,13 @@
         for (const [from, to, isAnswer] of [[near, far, false], [far, near, true]] as const) {
             this.sockets.add(from);
             from.setNoDelay(true);
-            from.on("data", chunk => this.pass(chunk, to, isAnswer));
-            from.on("end", () => to.end());
+            // Bytes stay in order, also where the fault changes between them.
+            let last = Promise.resolve();
+            const inTurn = (step: () => void, ms: number): void => {
+                last = last.then(() => sleep(ms)).then(step);
+            };
+            from.on("data", chunk => this.pass(chunk, to, isAnswer, inTurn));
+            from.on("end", () => inTurn(() => void to.end(), 0));
             from.on("error", () => to.destroy());
             from.on("close", () => {
                 this.sockets.delete(from);
@@ -73,17 +81,14 @@
         }
     }
 
-    private pass(chunk: Buffer, to: Socket, isAnswer: boolean): void {
+    private pass(chunk: Buffer, to: Socket, isAnswer: boolean, inTurn: (step: () => void, ms: number) => void): void {
         if (this.fault === LinkFault.Silent || (this.fault === LinkFault.OneWay && isAnswer)) {
             // A connection that lost bytes carries nothing further.
-            to.removeAllListeners("drain");
             to.pause();
-            return;
+            this.muted.add(to);
         }
-        if (this.fault === LinkFault.Delay) {
-            setTimeout(() => to.writable && to.write(chunk), delayMs);
-            return;
+        if (!this.muted.has(to)) {
+            inTurn(() => void (to.writable && to.write(chunk)), this.fault === LinkFault.Delay ? delayMs : 0);
         }
-        to.write(chunk);
     }
 }
