Announce a new controller, read the store less while it is heard, and bound what a runner reads at a time

Change: knowledge covers 0.75 of the time allowed for a change; exchanges vary less; a new controller announces itself to the nodes that it knows of, and peers pass that on; with more than 8 nodes each reads the row less often. A prompt waits while its runner would read for longer than 0.8 of the route's allowed pause (before: while 450 ms waited).

--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 import { Builtins, Cli } from "clipanion";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
+import { CheckSettingsCommand, ExplainRequestCommand } from "./platformTools";
 import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
 import { ReplayCommand } from "./replay";
 import { ServeCommand } from "./serve";
@@ -21,6 +22,8 @@
     ExplainCommand,
     ReplayCommand,
     EventsCommand,
+    CheckSettingsCommand,
+    ExplainRequestCommand,
 ].forEach(command => cli.register(command));
 
 // Idle connections would keep the process alive.
--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -41,10 +41,12 @@
 
 /** A prompt that is read this fast delays nobody. */
 const lightPrefillMs = 40;
-/** Prefill that may wait at a runner: with its own prompt, a request still gets its first token within a second. */
-const maxBacklogMs = 450;
+/** Prompts that are read one after the other for longer than this share of the allowed pause between events make a runner's streams late. */
+const backlogShare = 0.8;
 /** Share of the allowed pause between events above which a runner reads prompts nearly all the time. */
 const stalledShare = 0.3;
+/** Pause that is taken for allowed where a route names none. */
+const usualGapTargetMs = 600;
 /** Tokens in one event of a stream, and the pause between two events of a runner that is not busy. */
 const eventTokens = 4;
 const usualEventGapMs = 35;
@@ -52,9 +54,11 @@
 const usualOutputShare = 0.5;
 
 /** Whether a runner should get no further prompt of this size now: its streams would stall, and the prompt would wait. */
-export const isSaturated = ({ candidate: { traffic }, prefillMs }: Choice, gapTargetMs: number | undefined): boolean =>
-    prefillMs >= lightPrefillMs &&
-    (traffic.waitingPrefillMs > maxBacklogMs || (gapTargetMs !== undefined && (traffic.eventGapMs ?? 0) > stalledShare * gapTargetMs));
+export const isSaturated = ({ candidate: { traffic }, prefillMs }: Choice, gapTargetMs = usualGapTargetMs): boolean => {
+    const { waitingPrefillMs, eventGapMs = 0 } = traffic;
+    const isBacklogged = waitingPrefillMs > lightPrefillMs && waitingPrefillMs + prefillMs > backlogShare * gapTargetMs;
+    return prefillMs >= lightPrefillMs && (isBacklogged || eventGapMs > stalledShare * gapTargetMs);
+};
 
 /** Time until a generation's last token, where others go before it. */
 export const completionMs = ({ candidate: { traffic }, predictedMs, prefillMs }: Choice, { maxOutputTokens }: ModelNeed, before: number): number => {
--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -68,6 +68,11 @@
         return this.seen?.row?.isReleased === false ? this.seen.row.peerAddress : undefined;
     }
 
+    /** Version of the row as last seen. */
+    get seenVersion(): number | undefined {
+        return this.seen?.version;
+    }
+
     /** Ages of the loads from the weight store that began within the last window, by any holder. */
     get storeLoadAges(): readonly number[] {
         const { earliestMs } = this.clock;
--- a/src/core/storeCover.ts
+++ b/src/core/storeCover.ts
@@ -1,5 +1,5 @@
 /** Part of the time allowed for taking a change that may pass before this node reads the store itself. */
-const coverShare = 0.6;
+const coverShare = 0.75;
 
 /**
  * Spares reading the store: the controller reads it and tells all nodes of changes, and how long ago the store confirmed
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -33,6 +33,8 @@
 const directoryPauseMs = 250;
 /** Pause between two renewals of the controller's lease. */
 const renewMs = 450;
+/** With more nodes than this each looks at the lease row less often; one of them still sees soon that it has lapsed. */
+const crowdNodes = 8;
 /** A controller that was not heard of for this long may be gone: the lease row tells. */
 const controllerSilenceMs = 1_000;
 
@@ -100,7 +102,7 @@
         };
         void repeat(
             tick,
-            () => renewMs * (lease.heldEpoch === undefined ? 0.5 + gateway.random() : 1),
+            () => lease.heldEpoch === undefined ? renewMs * Math.max(1, gateway.knownNodes / crowdNodes) * (0.5 + gateway.random()) : renewMs,
             signal,
             err => emit(EventId.StewardFailed, { detail: toFailure(err).detail }),
         );
--- a/src/placement/peerHub.ts
+++ b/src/placement/peerHub.ts
@@ -5,7 +5,7 @@
 import { z } from "zod";
 import { listenOn } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
-import type { NodeReport, PeerAnswer, RunnerLoads } from "../types/placement";
+import type { Announcement, NodeReport, PeerAnswer, RunnerLoads } from "../types/placement";
 import type { Controller } from "./controller";
 
 /** A node that has not called for this long is no longer counted. */
@@ -34,11 +34,18 @@
     readonly at: number;
 }
 
+const announcementSchema = z.object({ peerAddress: z.string(), epoch: z.number() });
+
 /** Answers this node's peers: what it knows of configuration and directory and, as controller, of runners. */
 export class PeerHub {
     private readonly nodes = new Map<string, KnownNode>();
     private server: Server | undefined;
 
+    /** The newest controller that is known to have announced itself. */
+    announced: Announcement | undefined;
+    /** Called when a newer controller is known. */
+    onAnnounced: () => void = () => undefined;
+
     private constructor(private readonly gateway: Gateway, private readonly controller: Controller) {}
 
     /** Makes a hub that knows no peers. */
@@ -46,6 +53,14 @@
         return new PeerHub(gateway, controller);
     }
 
+    /** Notes that a node has become controller, as it said itself or a peer passed on. */
+    noteAnnounced(announcement: Announcement): void {
+        if (announcement.epoch > (this.announced?.epoch ?? 0)) {
+            this.announced = announcement;
+            this.onAnnounced();
+        }
+    }
+
     /** Answers peers on an address. */
     listen(address: string): Promise<void> {
         const router = createHubRouter(this, this.controller);
@@ -81,6 +96,7 @@
             config: isNewer ? configBytes?.toString("base64") : undefined,
             directoryVersion: directory.settledVersion,
             epoch: controller.epochHeld,
+            announced: this.announced,
             confirmedAgoMs: controller.isActive ? gateway.cover.confirmedAgoMs : undefined,
             yielding: controller.yielding,
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
@@ -111,6 +127,8 @@
     t.router({
         /** Takes a node's report and answers with what it lacks. */
         exchange: t.procedure.input(reportSchema).mutation(({ input }): PeerAnswer => hub.exchange(input)),
+        /** Hears that another node has become controller. */
+        announce: t.procedure.input(announcementSchema).mutation(({ input }) => hub.noteAnnounced(input)),
         /** Says where a model or adapter can be used. */
         place: t.procedure.input(placementSchema).mutation(({ input }) => controller.place(input)),
     });
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -56,12 +56,14 @@
 
     /** Makes a line that has not been used yet. */
     static create(gateway: Gateway, lease: ControllerLease, local: LocalParts): PeerLink {
-        return new PeerLink(gateway, lease, local);
+        const link = new PeerLink(gateway, lease, local);
+        local.hub.onAnnounced = () => link.isLost = false;
+        return link;
     }
 
     /** Exchanges until the signal aborts. */
     start(signal: AbortSignal): void {
-        const pause = (): number => Math.max(exchangeMs, exchangeMsPerNode * this.gateway.knownNodes) * (0.75 + this.gateway.random() / 2);
+        const pause = (): number => Math.max(exchangeMs, exchangeMsPerNode * this.gateway.knownNodes) * (0.85 + 0.3 * this.gateway.random());
         void repeat(() => this.exchange(), pause, signal, err => this.onLost(err));
     }
 
@@ -84,7 +86,7 @@
         if (this.local.controller.isActive) {
             return this.local.controller.place(req);
         }
-        const address = this.lease.holderAddress;
+        const address = this.controllerAddress;
         if (address === undefined || address === this.gateway.settings.peerAddress) {
             return noController;
         }
@@ -101,11 +103,12 @@
         const askedAt = performance.now();
         const report = this.toReport();
         if (this.local.controller.isActive) {
+            this.announce();
             this.take(this.local.hub.exchange(report), this.gateway.settings.peerAddress, report.work, askedAt);
             return;
         }
         const { peerAddress } = this.gateway.settings;
-        const controller = this.lease.holderAddress;
+        const controller = this.controllerAddress;
         const others = this.peers.filter(address => address !== peerAddress);
         const isController = controller !== undefined && controller !== peerAddress && !this.isLost;
         const address = isController ? controller : pick(controller === undefined ? others : [...others, controller], this.gateway.random);
@@ -119,6 +122,27 @@
         }
     }
 
+    /** Where the controller is reached, from its announcement or from the lease row. */
+    private get controllerAddress(): string | undefined {
+        const { announced } = this.local.hub;
+        return announced && announced.epoch > (this.lease.seenVersion ?? 0) ? announced.peerAddress : this.lease.holderAddress;
+    }
+
+    /** Tells all known nodes once that this one has become controller, so that they need not read the lease row. */
+    private announce(): void {
+        const epoch = this.lease.heldEpoch;
+        const { peerAddress } = this.gateway.settings;
+        if (epoch === undefined || epoch === this.local.hub.announced?.epoch) {
+            return;
+        }
+        const announcement = { peerAddress, epoch };
+        this.local.hub.noteAnnounced(announcement);
+        for (const address of this.peers.filter(other => other !== peerAddress)) {
+            this.clientOf(address).announce.mutate(announcement)
+                .catch((err: unknown) => emit(EventId.PeerExchangeFailed, { controller: peerAddress, peer: address, detail: toFailure(err).detail }));
+        }
+    }
+
     private toReport(): NodeReport {
         const { gateway } = this;
         return {
@@ -138,10 +162,13 @@
         if (answer.yielding) {
             this.lease.onYield(answer.yielding);
         }
-        if (answer.epoch === undefined && address === this.lease.holderAddress) {
+        if (answer.epoch === undefined && address === this.controllerAddress) {
             // It has given the lease up, or lost it: the row tells.
             this.heardAt = Number.NEGATIVE_INFINITY;
         }
+        if (answer.announced) {
+            this.local.hub.noteAnnounced(answer.announced);
+        }
         if (answer.epoch !== undefined) {
             this.demand.onTold(answer.epoch, told);
             this.heardEpoch = answer.epoch;
@@ -169,7 +196,7 @@
 
     private onLost(err: unknown): void {
         if (!this.isLost) {
-            emit(EventId.PeerExchangeFailed, { controller: this.lease.holderAddress, detail: toFailure(err).detail });
+            emit(EventId.PeerExchangeFailed, { controller: this.controllerAddress, detail: toFailure(err).detail });
         }
         this.isLost = true;
     }
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -54,6 +54,12 @@
     readonly loads: RunnerLoads;
 }
 
+/** What a new controller tells the nodes that it knows of. */
+export interface Announcement {
+    readonly peerAddress: string;
+    readonly epoch: number;
+}
+
 /** What the controller, or another peer, answers. */
 export interface PeerAnswer {
     /** Peer addresses of the nodes that are known. */
@@ -64,6 +70,8 @@
     readonly directoryVersion: number;
     /** Epoch of the peer's lease where it is the controller. */
     readonly epoch?: number;
+    /** The newest controller that the peer knows to have announced itself. */
+    readonly announced?: Announcement;
     /** Age of what the controller knows of configuration and directory, as the store confirmed it; from the controller only. */
     readonly confirmedAgoMs?: number;
     /** From a peer that was the controller and could not renew its lease. */
--- a/test/cli.test.ts
+++ b/test/cli.test.ts
@@ -7,6 +7,8 @@
 import { checkRecord, readRecord } from "../src/core/schemas";
 import { formatTraceLine } from "../src/core/trace";
 import { settingTable } from "../src/node/settings";
+import { EventId } from "../src/types/eventId";
+import { renderBootFile } from "./fakes/bootFile";
 import { sampleRecords } from "./fakes/fleet";
 import { Processes } from "./fakes/processes";
 
@@ -41,6 +43,48 @@
         assert.ok(["records.0.memoryMiB", "records.0.deployment", "records.1.name"].every(path => paths.includes(path)), paths.join());
     });
 
+    it("checks a settings file of the platform and names every fault", async () => {
+        const fields = {
+            name: "n1",
+            zone: "a",
+            front: "127.0.0.1:1",
+            ready: "127.0.0.1:2",
+            control: "127.0.0.1:3",
+            metricsPort: 4,
+            seeds: [],
+            storeAddress: "127.0.0.1:5",
+            graceS: 6,
+            budgetSlack: 7,
+        };
+        assert.equal((await run("check-settings", fileOf("good.toml", renderBootFile(fields)))).code, 0);
+        const bad = renderBootFile({ ...fields, front: "nowhere" }).replace("leaseMs = 3000", 'leaseMs = "long"');
+        const { code, stdout } = await run("check-settings", fileOf("bad.toml", bad));
+        assert.equal(code, 2);
+        assert.deepEqual(stdout.trim().split("\n").map(line => line.split(":", 1)[0]), ["listen.front", "bounds.leaseMs"]);
+    });
+
+    it("explains a request by the lines of several nodes", async () => {
+        const line = (time: string, event: number, fields: object): string =>
+            JSON.stringify({ time: `2026-12-04T08:00:${time}Z`, level: "info", event, name: EventId[event], ...fields });
+        const first = [
+            line("05.000", EventId.RequestSent, { request: "r1", upstream: "u1" }),
+            line("05.400", EventId.RequestRefused, { request: "r1", model: "m1" }),
+            "a warning of the runtime",
+        ];
+        const second = [
+            line("04.000", EventId.OrderSent, { runner: "u2", model: "m1" }),
+            line("04.500", EventId.OrderSent, { runner: "u2", model: "m2" }),
+            line("04.700", EventId.RunnerSuspected, { runner: "u1" }),
+            line("20.000", EventId.OrderSent, { runner: "u2", model: "m1" }),
+        ];
+        const files = [fileOf("n1.log", first.join("\n")), fileOf("n2.log", second.join("\n"))];
+        const { code, stdout } = await run("explain-request", "r1", ...files);
+        assert.equal(code, 0);
+        const told = stdout.trim().split("\n").map(text => /"event":(\d+)/.exec(text)![1]);
+        assert.deepEqual(told.map(Number), [EventId.OrderSent, EventId.RunnerSuspected, EventId.RequestSent, EventId.RequestRefused]);
+        assert.equal((await run("explain-request", "r2", ...files)).code, 1);
+    });
+
     it("replays a trace and prints the first difference with exit code 4", async () => {
         const lines: string[] = [];
         recordDecisions((decision, input, outcome) => void lines.push(formatTraceLine({ decision, input, outcome })));
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -140,6 +140,25 @@
         assert.ok(sum > 200 && sum < 500, `${sum} ms of work told to the second controller`);
     });
 
+    it("a node that cannot read the lease row finds a new controller by its announcement, also at second hand", async () => {
+        const store = MemoryRowStore.create(createRandom(5));
+        store.lossShare = 0;
+        const second = await createNode(store, "n2", [], abort.signal);
+        const first = await createNode(store, "n1", [second.peerAddress], abort.signal);
+        const cut = MemoryRowStore.create(createRandom(6));
+        cut.isDown = true;
+        const third = await createNode(cut, "n3", [second.peerAddress], abort.signal);
+        hubs.push(first.hub, second.hub, third.hub);
+        await first.lease.tick();
+        first.start();
+        await sleep(600);
+        third.link.start(abort.signal);
+        await sleep(1_500);
+        assert.equal(second.hub.announced?.peerAddress, first.peerAddress, "announced at first hand");
+        assert.equal(third.hub.announced?.peerAddress, first.peerAddress, "announced at second hand");
+        assert.ok(third.link.heardAt > 0);
+    });
+
     it("without a controller a question is answered as uncertain", async () => {
         const store = MemoryRowStore.create(createRandom(3));
         const node = await createNode(store, "n3", [], abort.signal);
