--- a/test/processSoak/soakNode.ts
+++ b/test/processSoak/soakNode.ts
@@ -11,11 +11,12 @@
 /** Time between SIGTERM and SIGKILL, s. */
 const graceS = 6;
 const probeTimeoutMs = 400;
-/** Ports below those that the system gives to outgoing connections. */
+/** Ports below those that the system gives to outgoing connections; soaks that run at the same time use blocks of their own. */
 const firstPort = 12_000;
-const portSpread = 15_000;
+const blockPorts = 400;
+const blocks = 50;
 
-let nextPort = firstPort + process.pid % portSpread;
+let nextPort = firstPort + process.pid % blocks * blockPorts;
 
 /** A free port that no outgoing connection can take while its node is down. */
 const findLowPort = async (): Promise<number> => {
