Tell no age of the store before it has confirmed every table; use the field's names

Cause: reading the change as a newcomer: a controller that had no answer for its tables told an age that JSON turned into null, which followers took for 0; 'waiting room', 'cover' and 'story' stood for a queue, freshness and an explanation. Change: no age before each followed table was confirmed; names only elsewhere.

--- a/src/cli/platformTools.ts
+++ b/src/cli/platformTools.ts
@@ -1,7 +1,7 @@
 import { Command, Option } from "clipanion";
 import { readFile } from "node:fs/promises";
 import { basename } from "node:path";
-import { tellRequest } from "../core/requestStory";
+import { explainRequest } from "../core/explainRequest";
 import { readSettingsFile } from "../platform/settingsFile";
 import { ExitCode } from "./exitCode";
 
@@ -39,7 +39,7 @@
 
     override async execute(): Promise<number> {
         const logs = new Map(await Promise.all(this.files.map(async file => [basename(file), await readFile(file, "utf8")] as const)));
-        const lines = tellRequest(this.requestId, logs);
+        const lines = explainRequest(this.requestId, logs);
         lines.forEach(line => this.context.stdout.write(`${line}\n`));
         return lines.length === 0 ? ExitCode.Failed : ExitCode.Ok;
     }
--- a/src/core/requestStory.ts
+++ b/src/core/explainRequest.ts
@@ -47,7 +47,7 @@
  * What the logs of all nodes tell of one request: its own lines, and those on its model, its upstreams, the lease and the
  * store shortly before and meanwhile. In the order of time; empty where no line has the request's ID.
  */
-export const tellRequest = (requestId: string, logs: ReadonlyMap<string, string>): readonly string[] => {
+export const explainRequest = (requestId: string, logs: ReadonlyMap<string, string>): readonly string[] => {
     const lines = [...logs].flatMap(([node, text]) => text.split("\n").map(line => parseLine(node, line))).filter(line => line !== undefined)
         .sort((a, b) => a.time < b.time ? -1 : 1);
     const own = lines.filter(({ fields }) => fields.request === requestId);
--- a/src/core/waitingRoom.ts
+++ b/src/core/requestQueue.ts
@@ -25,14 +25,14 @@
  * The requests of one node that wait for runners, by model. Answers floods at a model that has just been loaded, or that
  * has too few copies: requests that are late already do not delay those that can still be on time.
  */
-export class WaitingRoom {
+export class RequestQueue {
     private readonly byModel = new Map<string, Set<Waiter>>();
 
     private constructor(private readonly now: () => number) {}
 
-    /** Makes an empty room. */
-    static create(now: () => number = () => performance.now()): WaitingRoom {
-        return new WaitingRoom(now);
+    /** Makes an empty queue. */
+    static create(now: () => number = () => performance.now()): RequestQueue {
+        return new RequestQueue(now);
     }
 
     /** Lets a request wait for a model. */
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -4,7 +4,7 @@
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { sleep } from "../utils/time";
-import type { StoreCover } from "./storeCover";
+import type { StoreFreshness } from "./storeFreshness";
 
 /** Wait of one call to the feed: a connection that has gone silent is noticed soon after it. */
 export const feedWaitMs = 2_200;
@@ -22,7 +22,7 @@
 }
 
 /** Pause between two looks whether another node's reading still covers this table. */
-const coverCheckMs = 50;
+const freshCheckMs = 50;
 
 /** How a follower reads. */
 export interface FollowRules {
@@ -33,7 +33,7 @@
     /** Version up to which the table is known from elsewhere. */
     readonly knownVersion: () => number;
     /** Says when the store need not be read, and hears of its answers. */
-    readonly cover?: StoreCover;
+    readonly freshness?: StoreFreshness;
 }
 
 const defaultRules: FollowRules = { pauseMs: 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
@@ -54,6 +54,7 @@
 
     /** Makes a follower that has not read yet. */
     static create(store: RowStore, table: string, observer: TableObserver, random: Random, rules: FollowRules = defaultRules): TableFollower {
+        rules.freshness?.follow(table);
         return new TableFollower(store, table, observer, random, rules);
     }
 
@@ -86,8 +87,8 @@
             this.observer.onTable(rows, version, this.graceMs);
             return;
         }
-        while (this.rules.cover?.isCovered && !signal.aborted) {
-            await sleep(coverCheckMs, signal);
+        while (this.rules.freshness?.isFresh && !signal.aborted) {
+            await sleep(freshCheckMs, signal);
         }
         this.version = Math.max(this.version, this.rules.knownVersion());
         const reading = await this.store.feed(this.table, this.version, this.rules.waitMs(), signal);
@@ -108,7 +109,7 @@
     }
 
     private onAnswer(): void {
-        this.rules.cover?.onConfirmed(this.table);
+        this.rules.freshness?.onConfirmed(this.table);
         if (this.lostAt !== undefined) {
             emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.lostAt) });
             this.lostAt = undefined;
--- a/src/forward/findUpstream.ts
+++ b/src/forward/findUpstream.ts
@@ -34,7 +34,7 @@
 /** Whether the search ended without an upstream. */
 export const isRefusal = (found: Choice | Refusal): found is Refusal => "detail" in found;
 
-/** Waits until a chosen runner has room, in the order of the waiting room; a request that cannot be answered in time is refused at once. */
+/** Waits until a chosen runner has room, in the order of the queue of requests; a request that cannot be answered in time is refused at once. */
 const awaitRoom = async (gateway: Gateway, call: Call, need: ModelNeed, met: ReadonlySet<string>): Promise<Choice | Refusal | undefined> => {
     const waiter = { targetAt: call.startedAt + call.route.targetMs, priority: call.route.priority };
     try {
@@ -43,7 +43,7 @@
             if (!choice) {
                 return undefined;
             }
-            const before = gateway.waiting.countBefore(need.model, waiter);
+            const before = gateway.queue.countBefore(need.model, waiter);
             const leftMs = timeLeft(gateway, call);
             const neededMs = completionMs(choice, need, before);
             if (neededMs > leftMs && choice.predictedMs > call.route.targetMs) {
@@ -55,13 +55,13 @@
             if (before === 0 && !isSaturated(choice, call.route.gapTargetMs)) {
                 return choice;
             }
-            gateway.waiting.enter(need.model, waiter);
+            gateway.queue.enter(need.model, waiter);
             await sleep(roomCheckMs, call.signal);
         }
         return undefined;
     }
     finally {
-        gateway.waiting.leave(need.model, waiter);
+        gateway.queue.leave(need.model, waiter);
     }
 };
 
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,11 +1,11 @@
 import { PromptCache } from "../core/promptCache";
+import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
 import { ServiceBudget } from "../core/serviceBudget";
-import { StoreCover } from "../core/storeCover";
+import { StoreFreshness } from "../core/storeFreshness";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
-import { WaitingRoom } from "../core/waitingRoom";
 import { EventId } from "../types/eventId";
 import type { NodeSettings } from "../types/nodeSettings";
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
@@ -41,7 +41,7 @@
     readonly directory = UpstreamDirectory.create();
     readonly cache = PromptCache.create();
     readonly residency = ResidencyView.create();
-    readonly waiting = WaitingRoom.create();
+    readonly queue = RequestQueue.create();
     private inForce: ConfigInForce | undefined;
     private readonly traffics = new Map<string, UpstreamTraffic>();
     private readonly pools = new Map<string, UpstreamConnections>();
@@ -52,7 +52,7 @@
     configBytes: Buffer | undefined;
     placement: Placement = noPlacement;
     /** Whether the controller's reading of the store covers this node's. */
-    readonly cover = StoreCover.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
+    readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     isStopping = false;
     /** When the node was told to stop, and when the process ends at the latest, on the monotonic clock. */
     stoppingAt = Number.POSITIVE_INFINITY;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -58,13 +58,13 @@
         const configRows = watchConfig(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { link, hub } = this.startPlacement(store);
         const waitMs = (): number => link.isController ? sourceWaitMs : feedWaitMs;
-        const { cover } = gateway;
-        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0, cover });
+        const { freshness } = gateway;
+        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0, freshness });
         const directory = TableFollower.create(store, platformTables.directory, watchDirectory(gateway, decodeServer), gateway.random, {
             pauseMs: directoryPauseMs,
             waitMs,
             knownVersion: () => gateway.directory.version,
-            cover,
+            freshness,
         });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
--- a/src/placement/peerHub.ts
+++ b/src/placement/peerHub.ts
@@ -97,7 +97,7 @@
             directoryVersion: directory.settledVersion,
             epoch: controller.epochHeld,
             announced: this.announced,
-            confirmedAgoMs: controller.isActive ? gateway.cover.confirmedAgoMs : undefined,
+            confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : undefined,
             yielding: controller.yielding,
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
             adapters: controller.isActive ? controller.adaptersSince(report.adaptersEpoch === controller.epochHeld ? report.adaptersRevision : 0) : undefined,
--- a/src/placement/peerLink.ts
+++ b/src/placement/peerLink.ts
@@ -20,6 +20,8 @@
 /** Pause between two exchanges with the controller; with many nodes it grows, so that the controller keeps up. */
 const exchangeMs = 400;
 const exchangeMsPerNode = 12;
+/** Spread of that pause, so that nodes do not call all at once. */
+const exchangeJitter = 0.3;
 /** Peers answer within a few milliseconds. */
 const peerTimeoutMs = 700;
 const connectTimeoutMs = 300;
@@ -63,7 +65,7 @@
 
     /** Exchanges until the signal aborts. */
     start(signal: AbortSignal): void {
-        const pause = (): number => Math.max(exchangeMs, exchangeMsPerNode * this.gateway.knownNodes) * (0.85 + 0.3 * this.gateway.random());
+        const pause = (): number => Math.max(exchangeMs, exchangeMsPerNode * this.gateway.knownNodes) * (1 + exchangeJitter * (this.gateway.random() - 0.5));
         void repeat(() => this.exchange(), pause, signal, err => this.onLost(err));
     }
 
@@ -181,7 +183,7 @@
             this.local.onConfig();
         }
         if (answer.confirmedAgoMs !== undefined) {
-            gateway.cover.onTold(answer.confirmedAgoMs, askedAt);
+            gateway.freshness.onTold(answer.confirmedAgoMs, askedAt);
         }
         answer.changes.forEach(change => gateway.directory.apply(change));
         if (gateway.directory.version > 0) {
--- a/test/waitingRoom.test.ts
+++ b/test/requestQueue.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import type { Waiter } from "../src/core/waitingRoom";
-import { WaitingRoom } from "../src/core/waitingRoom";
+import type { Waiter } from "../src/core/requestQueue";
+import { RequestQueue } from "../src/core/requestQueue";
 import { RouteKind } from "../src/types/servingConfig";
 import { setupLogs } from "../src/utils/events";
 import type { CallerResult, TestGateway } from "./fakes/gatewayHarness";
@@ -12,7 +12,7 @@
 const now = 10_000;
 const waiter = (targetInMs: number, priority = 1): Waiter => ({ targetAt: now + targetInMs, priority });
 
-describe("the waiting room", () => {
+describe("the queue of requests", () => {
     const cases: readonly { readonly name: string; readonly others: readonly Waiter[]; readonly self: Waiter; readonly before: number; }[] = [
         { name: "nobody waits", others: [], self: waiter(500), before: 0 },
         { name: "the nearest objective goes first", others: [waiter(100), waiter(900)], self: waiter(500), before: 1 },
@@ -27,12 +27,12 @@
     ];
     for (const { name, others, self, before: expected } of cases) {
         it(name, () => {
-            const room = WaitingRoom.create(() => now);
-            [...others, self].forEach(entry => room.enter("m", entry));
-            room.enter("n", waiter(1));
-            assert.equal(room.countBefore("m", self), expected);
-            others.forEach(entry => room.leave("m", entry));
-            assert.equal(room.countBefore("m", self), 0);
+            const queue = RequestQueue.create(() => now);
+            [...others, self].forEach(entry => queue.enter("m", entry));
+            queue.enter("n", waiter(1));
+            assert.equal(queue.countBefore("m", self), expected);
+            others.forEach(entry => queue.leave("m", entry));
+            assert.equal(queue.countBefore("m", self), 0);
         });
     }
 });
