Refuse what comes in the last moment of a stopping node

The process ends 100 ms after its last answer; connections that were opened before and have carried no request are not idle to the runtime and stay open, and a request on one of them was forwarded meanwhile. Ruled out: the grace period (8 s), the upstream (its answer was cut by the node's end), the new lease. Change: once the last request is answered, what comes is refused as not run.

--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -27,6 +27,8 @@
 /** The process is gone this long before the platform would kill it. */
 const exitMarginMs = 600;
 const pollMs = 50;
+/** Time in which the last bytes of answers and log lines leave. */
+const flushMs = 100;
 /** Wait of the controller's calls to the store's feed: all nodes go by what it knows. */
 const sourceWaitMs = 500;
 /** Pause after changes of the directory, so that several come in one call. */
@@ -132,9 +134,12 @@
         while (gateway.inProgress > 0 && performance.now() < gateway.endsAt) {
             await sleep(pollMs);
         }
+        const { inProgress } = gateway;
+        // What comes now, on a connection that was opened before, is refused as not run while the last bytes leave.
+        gateway.endsAt = performance.now();
         this.stopped.abort();
-        emit(gateway.inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress: gateway.inProgress });
-        await sleep(pollMs * 2);
-        return gateway.inProgress;
+        emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress });
+        await sleep(flushMs);
+        return inProgress;
     }
 }
--- a/test/platformProcess.test.ts
+++ b/test/platformProcess.test.ts
@@ -4,6 +4,7 @@
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import type { Server } from "node:http";
 import { get } from "node:http";
+import { connect } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, before, describe, it } from "node:test";
@@ -24,6 +25,10 @@
 const workMs = 300;
 const waitMs = 5_000;
 const loadAfterStopMs = 2_000;
+/** Requests on connections that have been open since before the stop: their number, the first one's time and the pause between two. */
+const lateCount = 8;
+const lateFromMs = 2_630;
+const lateStepMs = 6;
 
 const statusOf = (address: string): Promise<number | undefined> =>
     new Promise(resolve => {
@@ -33,6 +38,22 @@
         }).on("error", () => resolve(undefined));
     });
 
+/** Opens a connection; `ask` sends a request on it and gives the bytes that came back until its end. */
+const openLate = (address: string, id: string): Promise<{ readonly ask: () => Promise<string>; }> =>
+    new Promise(resolve => {
+        const [host, port] = address.split(":");
+        const socket = connect(Number(port), host, () => resolve({ ask }));
+        let answer = "";
+        socket.on("data", chunk => answer += chunk.toString());
+        socket.on("error", () => undefined);
+        const ended = new Promise<void>(done => socket.once("close", () => done()));
+        const ask = async (): Promise<string> => {
+            socket.write(`POST /new/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: 3000\r\nContent-Length: 0\r\n\r\n`);
+            await ended;
+            return answer;
+        };
+    });
+
 const waitFor = async (what: string, check: () => Promise<boolean> | boolean): Promise<void> => {
     const until = performance.now() + waitMs;
     while (!await check()) {
@@ -152,8 +173,14 @@
         for (let count = 0; count < 10; count++) {
             await call(count);
         }
+        const late = await Promise.all([...Array(lateCount).keys()].map(count => openLate(addresses.front, `late-${count}`)));
         const stoppedAt = performance.now();
         node.kill("SIGTERM");
+        // Requests on connections that were opened before meet each moment of the end.
+        const lateAnswers = late.map(async ({ ask }, count) => {
+            await sleep(lateFromMs + count * lateStepMs);
+            return ask();
+        });
         // The balancer needs two seconds to send nobody here any more.
         for (let count = 10; performance.now() - stoppedAt < loadAfterStopMs; count++) {
             await call(count);
@@ -161,6 +188,9 @@
         assert.equal(await statusOf(addresses.ready), 503);
         assert.equal(await ended, ExitCode.Ok);
         assert.ok(performance.now() - stoppedAt < graceMs);
+        const passedOn = new Set(upstream.received.map(({ id }) => id));
+        const cut = (await Promise.all(lateAnswers)).flatMap((answer, count) => answer === "" && passedOn.has(`late-${count}`) ? [count] : []);
+        assert.deepEqual(cut, [], "passed on and cut");
         const answers = await Promise.all(results);
         assert.deepEqual(answers.map(({ status, body, isWhole }) => `${status} ${body} ${isWhole}`).filter(text => text !== "200 done true"), []);
     });
