Reserve the ports of test servers across processes

Cause: the test harness closed a port that the system had chosen and used it later; until then any outgoing connection or another test process could take it. Ports are now below the range of outgoing connections, and a guard socket on another loopback address keeps them reserved until the process ends.

--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -3,7 +3,8 @@
 import { RouteKind } from "../src/types/servingConfig";
 import { setupLogs } from "../src/utils/events";
 import type { TestGateway } from "./fakes/gatewayHarness";
-import { callGateway, findFreePort, startGateway } from "./fakes/gatewayHarness";
+import { callGateway, startGateway } from "./fakes/gatewayHarness";
+import { reservePort } from "./fakes/ports";
 import type { Script, ScriptedUpstream } from "./fakes/scriptedUpstream";
 import { answerOf, startScriptedUpstream } from "./fakes/scriptedUpstream";
 import { answer, neverAnswer, refuseThenAnswer } from "./fakes/upstreamScripts";
@@ -52,7 +53,7 @@
 
     it("skips an unreachable upstream without using a retry", async () => {
         const upstream = await startScriptedUpstream(answer);
-        const node = await startGateway([`127.0.0.1:${await findFreePort()}`, upstream.address]);
+        const node = await startGateway([`127.0.0.1:${await reservePort()}`, upstream.address]);
         node.gateway.trafficOf("up-0").onFirstByte(1);
         const result = await callGateway(node.address);
         node.close();
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -1,6 +1,4 @@
 import { request } from "node:http";
-import type { AddressInfo } from "node:net";
-import { createServer } from "node:net";
 import { CallerServer } from "../../src/forward/callerServer";
 import { Gateway } from "../../src/forward/gateway";
 import { requestHeaderCodec } from "../../src/platform/requestHeaderCodec";
@@ -9,6 +7,7 @@
 import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
 import { createRandom } from "../../src/utils/random";
+import { reservePort } from "./ports";
 
 /** Settings of a platform node on loopback. */
 export const platformTestSettings: PlatformNodeSettings = {
@@ -52,16 +51,6 @@
     close(): void;
 }
 
-/** Finds a port that is free at the time of the call. */
-export const findFreePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer();
-        server.listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as AddressInfo;
-            server.close(() => resolve(port));
-        });
-    });
-
 /** Starts a gateway in this process. */
 export const startGateway = async (upstreams: readonly string[], route: Partial<ServiceRoute> = {}): Promise<TestGateway> => {
     const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, createRandom(1));
@@ -91,10 +80,10 @@
         })
     );
     const server = CallerServer.create(gateway);
-    const address = `127.0.0.1:${await findFreePort()}`;
+    const address = `127.0.0.1:${await reservePort()}`;
     await server.listen(address);
     server.applyLimits();
-    return { gateway, address, close: () => server.close() };
+    return { gateway, address, close: () => void server.close(0) };
 };
 
 /** Result of a caller's request. */
--- a/test/fakes/processes.ts
+++ b/test/fakes/processes.ts
@@ -1,6 +1,5 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
-import { createServer } from "node:net";
 import { createInterface } from "node:readline";
 
 const startTimeoutMs = 15_000;
@@ -68,15 +67,6 @@
     }
 }
 
-/** Finds a free port on loopback. */
-export const freePort = (): Promise<number> =>
-    new Promise(resolve => {
-        const server = createServer().listen(0, "127.0.0.1", () => {
-            const { port } = server.address() as { port: number; };
-            server.close(() => resolve(port));
-        });
-    });
-
 /** Waits until a condition is true; a condition that throws counts as false. */
 export const waitFor = async (description: string, condition: () => Promise<boolean>, timeoutMs = startTimeoutMs): Promise<void> => {
     const deadlineAt = Date.now() + timeoutMs;
--- a/test/fakes/standaloneFleet.ts
+++ b/test/fakes/standaloneFleet.ts
@@ -1,7 +1,8 @@
 import { createHash } from "node:crypto";
 import type { Vm } from "../../src/types/vm";
 import { VmKind, VmState } from "../../src/types/vm";
-import { freePort, Processes, waitFor } from "./processes";
+import { reservePort } from "./ports";
+import { Processes, waitFor } from "./processes";
 
 /** Nodes and runners to start as processes on loopback, with their availability zones. */
 export interface StandaloneFleetSetup {
@@ -110,7 +111,7 @@
 
     /** Starts a node, or restarts it under the same name and address. */
     async startNode(id: string, zone: string): Promise<void> {
-        const url = this.nodeUrls.get(id) ?? `http://127.0.0.1:${await freePort()}`;
+        const url = this.nodeUrls.get(id) ?? `http://127.0.0.1:${await reservePort()}`;
         this.nodeUrls.set(id, url);
         this.processes.startNode(id, {
             ...shortIntervalsEnv,
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -14,8 +14,9 @@
 import { setupLogs } from "../src/utils/events";
 import { createRandom } from "../src/utils/random";
 import { repeat, sleep } from "../src/utils/time";
-import { findFreePort, platformTestSettings } from "./fakes/gatewayHarness";
+import { platformTestSettings } from "./fakes/gatewayHarness";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
+import { reservePort } from "./fakes/ports";
 
 const configBytes = Buffer.from(JSON.stringify({
     version: 7,
@@ -61,7 +62,7 @@
 
 const createNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal) => {
     const random = createRandom(1);
-    const peerAddress = `127.0.0.1:${await findFreePort()}`;
+    const peerAddress = `127.0.0.1:${await reservePort()}`;
     const gateway = Gateway.create({ ...platformTestSettings, nodeId: name, peerAddress, seeds }, requestHeaderCodec, random);
     const lease = ControllerLease.create(store, { holder: name, boot: name, peerAddress }, platformTestSettings);
     const controller = Controller.create(gateway, lease, createControl());
--- a/test/platformProcess.test.ts
+++ b/test/platformProcess.test.ts
@@ -12,11 +12,12 @@
 import { createRandom } from "../src/utils/random";
 import { sleep } from "../src/utils/time";
 import type { CallerResult } from "./fakes/gatewayHarness";
-import { callGateway, findFreePort } from "./fakes/gatewayHarness";
+import { callGateway } from "./fakes/gatewayHarness";
 import { portOf } from "./fakes/jsonServer";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
 import { renderSettingsFile } from "./fakes/platformSettingsFile";
 import { servePlatformStore } from "./fakes/platformStoreServer";
+import { reservePort } from "./fakes/ports";
 import type { ScriptedUpstream } from "./fakes/scriptedUpstream";
 import { answerOf, startScriptedUpstream } from "./fakes/scriptedUpstream";
 
@@ -106,7 +107,7 @@
     before(async () => {
         server = await servePlatformStore(store);
         upstream = await startScriptedUpstream((socket, { id }) => void setTimeout(() => socket.write(answerOf(id, "done")), upstreamDelayMs));
-        const ports = await Promise.all([findFreePort(), findFreePort(), findFreePort(), findFreePort()]);
+        const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
         const [front, ready, control, metrics] = ports.map(port => `127.0.0.1:${port}`);
         addresses = { front: front!, ready: ready!, control: control!, metrics: metrics! };
         writeSettings(10);
--- a/test/processSoak/faultProxy.ts
+++ b/test/processSoak/faultProxy.ts
@@ -3,6 +3,7 @@
 import type { Random } from "../../src/utils/random";
 import { sleep } from "../../src/utils/time";
 import { portOf } from "../fakes/jsonServer";
+import { reservePort } from "../fakes/ports";
 
 /** Faults of the connections through a proxy. */
 export enum LinkFault {
@@ -33,7 +34,8 @@
         const server = createServer();
         const proxy = new FaultProxy(server);
         server.on("connection", socket => proxy.connectThrough(socket, targetPort));
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const port = await reservePort();
+        await new Promise<void>(resolve => server.listen(port, "127.0.0.1", () => resolve()));
         return proxy;
     }
 
--- a/test/processSoak/soakNode.ts
+++ b/test/processSoak/soakNode.ts
@@ -2,39 +2,15 @@
 import { spawn } from "node:child_process";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { get } from "node:http";
-import { createServer } from "node:net";
 import { join } from "node:path";
 import { renderSettingsFile } from "../fakes/platformSettingsFile";
+import { reservePort } from "../fakes/ports";
 import { FaultProxy } from "./faultProxy";
 
 const programPath = "build/jackdawtrail.cjs";
 /** Time between SIGTERM and SIGKILL, s. */
 const graceS = 6;
 const probeTimeoutMs = 400;
-/**
- * Ports below the range that the system assigns to outgoing connections, in blocks: the process ID selects the block, so that soaks that
- * run at the same time rarely share one.
- */
-const firstPort = 12_000;
-const portsPerBlock = 400;
-const blockCount = 50;
-
-let nextPort = firstPort + process.pid % blockCount * portsPerBlock;
-
-/** Finds a free port that no outgoing connection can take while its node is down. */
-const findPortBelowEphemeralRange = async (): Promise<number> => {
-    for (;;) {
-        const port = nextPort++;
-        const isFree = await new Promise<boolean>(resolve => {
-            const server = createServer().once("error", () => resolve(false));
-            server.listen(port, "127.0.0.1", () => server.close(() => resolve(true)));
-        });
-        if (isFree) {
-            return port;
-        }
-    }
-};
-
 /** A platform node as a process, with a proxy between it and the store. */
 export class SoakNode {
     isReady = false;
@@ -56,12 +32,7 @@
     ) {}
 
     static async create(name: string, storePort: number, logFolder: string): Promise<SoakNode> {
-        const callerPort = await findPortBelowEphemeralRange();
-        const [readyPort, peerPort, metricsPort] = [
-            await findPortBelowEphemeralRange(),
-            await findPortBelowEphemeralRange(),
-            await findPortBelowEphemeralRange(),
-        ];
+        const [callerPort, readyPort, peerPort, metricsPort] = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
         const storeProxy = await FaultProxy.create(storePort);
         return new SoakNode(name, `127.0.0.1:${callerPort}`, `127.0.0.1:${readyPort}`, `127.0.0.1:${peerPort}`, metricsPort, storeProxy, logFolder);
     }
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -8,6 +8,7 @@
 import type { Random } from "../../src/utils/random";
 import { sleep } from "../../src/utils/time";
 import { portOf } from "../fakes/jsonServer";
+import { reservePort } from "../fakes/ports";
 import { SimulatedPlatformRunner } from "../fakes/simulatedPlatformRunner";
 import { FaultProxy } from "./faultProxy";
 import type { InvariantChecker } from "./invariantChecker";
@@ -61,7 +62,8 @@
 
     static async create(id: string, service: string, engine: EngineSpec | undefined, checker: InvariantChecker, random: Random): Promise<SoakUpstream> {
         const server = createServer((req, res) => void upstream.handle(req, res).catch(() => res.destroy()));
-        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const port = await reservePort();
+        await new Promise<void>(resolve => server.listen(port, "127.0.0.1", () => resolve()));
         const initialModels = engine && [...engine.models.keys()].filter(() => random() < 0.3).slice(0, 2);
         const simulatedRunner = engine && SimulatedPlatformRunner.create(id, engine, random, initialModels!);
         const upstream: SoakUpstream = new SoakUpstream(id, service, await FaultProxy.create(portOf(server)), simulatedRunner, server, checker, random);
