Close a stopping server without resetting connections that callers have just opened

Cause (KNOWN-RED, 'stops gracefully under load'): libuv accepts one connection per turn of the event loop, so of 20 connections opened at once some still wait in the listen backlog when the listener closes; the system resets those. Connections accepted but without a request were reset by the final close of all connections. Ruled out: requests in progress, which the stop always waited for.

--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -7,6 +7,7 @@
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import { GracefulClose } from "../utils/gracefulClose";
 import { errorCodeOf, readBody } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
 import type { Call } from "./call";
@@ -64,6 +65,7 @@
 /** Accepts callers' requests and forwards them. */
 export class CallerServer {
     private readonly server: Server;
+    private readonly gracefulClose: GracefulClose;
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -74,6 +76,7 @@
             connectionsCheckingInterval: checkIntervalMs,
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
+        this.gracefulClose = GracefulClose.create(this.server);
     }
 
     /** Creates a server that is not listening yet. */
@@ -94,10 +97,10 @@
         }
     }
 
-    /** Stops accepting connections and closes idle ones. */
-    close(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+    /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
+    async close(deadlineAt: number): Promise<void> {
+        await this.gracefulClose.stopListening();
+        await this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -26,7 +26,6 @@
 const stopNoticeMs = 2_600;
 /** The process exits this long before the platform would kill it. */
 const exitMarginMs = 600;
-const stopPollMs = 50;
 /** Time for flushing the last bytes of answers and log lines. */
 const flushMs = 100;
 /** Long-poll wait of the controller's reads of the change feed; shorter than other nodes', which rely on what the controller has read. */
@@ -80,7 +79,10 @@
             { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
         ]);
         await serveMetrics(metrics, settings.metricsAddress);
-        await Promise.all([peerServer.listen(settings.peerAddress), serveReadiness(gateway, settings.readyAddress), server.listen(settings.callerAddress)]);
+        await peerServer.listen(settings.peerAddress);
+        // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
+        await server.listen(settings.callerAddress);
+        await serveReadiness(gateway, settings.readyAddress);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
     }
 
@@ -131,10 +133,7 @@
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
         await sleep(stopNoticeMs);
         await released;
-        server.close();
-        while (gateway.inProgress > 0 && performance.now() < gateway.exitDeadlineAt) {
-            await sleep(stopPollMs);
-        }
+        await server.close(gateway.exitDeadlineAt);
         const { inProgress } = gateway;
         // Requests that still arrive on open connections are refused as not run while the last bytes are flushed.
         gateway.exitDeadlineAt = performance.now();
--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -17,8 +17,6 @@
 /** External services and sources that a node depends on. */
 export type NodeDependencies = Pick<NodeContext, "table" | "objects" | "vmList" | "engines" | "random">;
 
-const stopPollMs = 20;
-
 /** A standalone node, which uses the product's own interface: the state that its components share, startup and graceful shutdown. */
 export class StandaloneNode {
     private readonly plugins: NodePlugin[] = [];
@@ -81,11 +79,7 @@
         const deadlineAt = performance.now() + context.cfg.stopGraceMs;
         await Promise.all(this.plugins.map(plugin => plugin.stop?.()));
         await sleep(context.cfg.stopNoticeMs);
-        this.server?.close();
-        while (context.inProgress > 0 && performance.now() < deadlineAt) {
-            await sleep(stopPollMs);
-            this.server?.close();
-        }
+        await this.server?.close(deadlineAt);
         return this.terminate();
     }
 
--- a/src/plugins/standaloneNodeServer.ts
+++ b/src/plugins/standaloneNodeServer.ts
@@ -8,6 +8,7 @@
 import { NodeStage } from "../node/context";
 import { FailureKind } from "../types/failureKind";
 import type { HttpExchange, HttpRoute } from "../types/httpExchange";
+import { GracefulClose } from "../utils/gracefulClose";
 import { sendFailure } from "../utils/problems";
 
 const headersTimeoutMs = 10_000;
@@ -21,6 +22,7 @@
 export class StandaloneNodeServer {
     private readonly routes: HttpRoute[] = [];
     private readonly server: Server;
+    private readonly gracefulClose: GracefulClose;
 
     private constructor(private readonly node: NodeContext) {
         const listener = (req: IncomingMessage, res: ServerResponse) => void this.handle(req, res);
@@ -29,6 +31,7 @@
         this.server = tlsKeyFile !== undefined && tlsCertificateFile !== undefined
             ? createTlsServer({ ...options, key: readFileSync(tlsKeyFile), cert: readFileSync(tlsCertificateFile) }, listener)
             : createServer(options, listener);
+        this.gracefulClose = GracefulClose.create(this.server);
     }
 
     /** Creates a server that does not listen yet. */
@@ -52,10 +55,10 @@
         });
     }
 
-    /** Stops accepting connections and closes idle ones. */
-    close(): void {
-        this.server.close();
-        this.server.closeIdleConnections();
+    /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
+    async close(deadlineAt: number): Promise<void> {
+        await this.gracefulClose.stopListening();
+        await this.gracefulClose.finishRequests(() => this.node.inProgress, deadlineAt);
     }
 
     /** Destroys every connection. */
