--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,3 +1,4 @@
+import "./reloadSignal";
 import { Builtins, Cli } from "clipanion";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
 import { CheckSettingsCommand, ExplainRequestCommand } from "./platformTools";
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
 import { ExitCode } from "./exitCode";
+import { onReloadSignal } from "./reloadSignal";
 
 /** Poll interval for the settings file, which may change without a signal. */
 const settingsPollMs = 2_000;
@@ -78,7 +79,7 @@
                 emit(EventId.SettingsRefused, { file, faults: [errorCodeOf(err)] });
             }
         };
-        process.on("SIGHUP", rereadSafely);
+        onReloadSignal(rereadSafely);
         setInterval(rereadSafely, settingsPollMs).unref();
     }
 }
--- /dev/null
+++ b/test/platformStart.test.ts
@@ -0,0 +1,131 @@
+import assert from "node:assert/strict";
+import type { ChildProcess } from "node:child_process";
+import { execFileSync, spawn } from "node:child_process";
+import { closeSync, constants, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import { connect, createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { ExitCode } from "../src/cli/exitCode";
+import { sleep } from "../src/utils/time";
+import { renderSettingsFile } from "./fakes/platformSettingsFile";
+import { reservePort } from "./fakes/ports";
+
+const program = "build/jackdawtrail.cjs";
+const pollMs = 5;
+const startTimeoutMs = 10_000;
+
+interface NodeAddresses {
+    readonly front: string;
+    readonly ready: string;
+    readonly control: string;
+    readonly metrics: string;
+}
+
+const reserveAddresses = async (): Promise<NodeAddresses> => {
+    const [front, ready, control, metrics] = (await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()])).map(port => `127.0.0.1:${port}`);
+    return { front: front!, ready: ready!, control: control!, metrics: metrics! };
+};
+
+const portOfAddress = (address: string): number => Number(address.split(":")[1]);
+
+const settingsOf = ({ front, ready, control, metrics }: NodeAddresses): string =>
+    renderSettingsFile({
+        name: "n1",
+        zone: "a",
+        front,
+        ready,
+        control,
+        metricsPort: portOfAddress(metrics),
+        seeds: [],
+        storeAddress: "127.0.0.1:9",
+        graceS: 6,
+        budgetSlack: 10,
+    });
+
+const isListening = (address: string): Promise<boolean> =>
+    new Promise(resolve => {
+        const socket = connect(portOfAddress(address), "127.0.0.1", () => {
+            socket.destroy();
+            resolve(true);
+        });
+        socket.on("error", () => resolve(false));
+    });
+
+/** Opens a named pipe for writing; undefined while no process reads it. */
+const openForWriting = (pipe: string): number | undefined => {
+    try {
+        return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
+    }
+    catch (err) {
+        assert.equal((err as NodeJS.ErrnoException).code, "ENXIO");
+        return undefined;
+    }
+};
+
+const waitFor = async (description: string, check: () => boolean | Promise<boolean>): Promise<void> => {
+    const deadlineAt = performance.now() + startTimeoutMs;
+    while (!await check()) {
+        assert.ok(performance.now() < deadlineAt, `no ${description} in ${startTimeoutMs} ms`);
+        await sleep(pollMs);
+    }
+};
+
+describe("the start of a node on the platform", () => {
+    const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-start-"));
+    const children: ChildProcess[] = [];
+    const startNode = (file: string): { readonly child: ChildProcess; readonly ended: Promise<number | string | undefined>; } => {
+        const child = spawn(process.execPath, [program, "serve-platform"], {
+            env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
+            stdio: ["ignore", "ignore", "inherit"],
+        });
+        children.push(child);
+        return { child, ended: new Promise(resolve => child.once("exit", (code, signal) => resolve(code ?? signal ?? undefined))) };
+    };
+    after(() => {
+        children.forEach(child => child.kill("SIGKILL"));
+        rmSync(folder, { recursive: true });
+    });
+
+    const ports: readonly (keyof NodeAddresses)[] = ["front", "ready", "control", "metrics"];
+    for (const taken of ports) {
+        it(`ends without answering the load balancer if the ${taken} port is taken`, async () => {
+            const addresses = await reserveAddresses();
+            const other = createServer();
+            await new Promise<void>(resolve => other.listen(portOfAddress(addresses[taken]), "127.0.0.1", () => resolve()));
+            const file = join(folder, `${taken}.toml`);
+            writeFileSync(file, settingsOf(addresses));
+            const { ended } = startNode(file);
+            let hasAnswered = false;
+            let hasEnded = false;
+            void ended.then(() => hasEnded = true);
+            await waitFor("exit", async () => {
+                hasAnswered ||= taken !== "ready" && await isListening(addresses.ready);
+                return hasEnded;
+            });
+            other.close();
+            assert.equal(await ended, ExitCode.Failed);
+            assert.equal(hasAnswered, false);
+        });
+    }
+
+    it("survives SIGHUP before it has read its settings", async () => {
+        const addresses = await reserveAddresses();
+        const file = join(folder, "late.toml");
+        execFileSync("mkfifo", [file]);
+        const { child, ended } = startNode(file);
+        let pipe: number | undefined;
+        await waitFor("reader of the settings", () => {
+            pipe = openForWriting(file);
+            return pipe !== undefined;
+        });
+        child.kill("SIGHUP");
+        await sleep(50);
+        rmSync(file);
+        writeFileSync(file, settingsOf(addresses));
+        writeSync(pipe!, settingsOf(addresses));
+        closeSync(pipe!);
+        const outcome = await Promise.race([ended, waitFor("readiness endpoint", () => isListening(addresses.ready)).then(() => "started")]);
+        assert.equal(outcome, "started");
+    });
+});
