--- a/scripts/docs.ts
+++ b/scripts/docs.ts
@@ -1,6 +1,7 @@
 // Generates docs/CONFIGURATION.md and docs/EVENTS.md. With `--check` it writes nothing and exits with code 1 if a page is out of date.
 import { readFileSync, writeFileSync } from "node:fs";
 import { settingDefinitions } from "../src/node/standaloneNodeSettings";
+import { transportLimitDefinitions } from "../src/node/transportLimitSettings";
 import { EventId } from "../src/types/eventId";
 import { eventMeanings } from "../src/utils/eventMeanings";
 
@@ -17,6 +18,16 @@
         `| \`${flag}\` | \`${env}\` | ${unit} | ${defaultValue ?? ""} | ${allowed} | ${description} |`
     ),
     "",
+    "## On the users' platform",
+    "",
+    "`jackdawtrail serve-platform` takes the platform's settings file, and these settings of its own as flags or variables:",
+    "",
+    "| flag | variable | unit | default | allowed | meaning |",
+    "| --- | --- | --- | --- | --- | --- |",
+    ...Object.values(transportLimitDefinitions).map(({ flag, env, unit, defaultValue, allowed, description }) =>
+        `| \`${flag}\` | \`${env}\` | ${unit} | ${defaultValue ?? ""} | ${allowed} | ${description} |`
+    ),
+    "",
 ];
 const events = [
     "# Events",
--- a/src/cli/platformTools.ts
+++ b/src/cli/platformTools.ts
@@ -2,6 +2,7 @@
 import { readFile } from "node:fs/promises";
 import { basename } from "node:path";
 import { explainRequest } from "../core/explainRequest";
+import { defaultTransportLimits } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
 import { ExitCode } from "./exitCode";
 
@@ -16,7 +17,7 @@
     readonly file = Option.String({ name: "file" });
 
     override async execute(): Promise<number> {
-        const result = parseSettingsFile(await readFile(this.file, "utf8"));
+        const result = parseSettingsFile(await readFile(this.file, "utf8"), defaultTransportLimits);
         if ("faults" in result) {
             result.faults.forEach(fault => this.context.stdout.write(`${fault}\n`));
             return ExitCode.Usage;
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,12 +1,11 @@
-import { Command, Option } from "clipanion";
-import type { SettingName } from "../node/standaloneNodeSettings";
+import { Command } from "clipanion";
 import { readSettings, settingDefinitions } from "../node/standaloneNodeSettings";
 import { startStandaloneNode } from "../node/startStandaloneNode";
 import { EventId } from "../types/eventId";
 import { emit, setupLogs } from "../utils/events";
 import { ExitCode } from "./exitCode";
-
-const settingNames = Object.keys(settingDefinitions) as SettingName[];
+import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
+import { surviveUnexpectedErrors } from "./unexpectedErrors";
 
 /** `jackdawtrail serve`: runs a node until SIGTERM or SIGINT. */
 export class ServeCommand extends Command {
@@ -23,25 +22,19 @@
 
     constructor() {
         super();
-        for (const name of settingNames) {
-            const { flag, env, description, unit, defaultValue } = settingDefinitions[name];
-            const help = `${description}${unit && ` [${unit}]`}${defaultValue === undefined ? "" : ` (default ${defaultValue})`}`;
-            Object.assign(this, { [name]: Option.String(flag, { env, description: help }) });
-        }
+        addSettingOptions(this, settingDefinitions);
     }
 
     override async execute(): Promise<number> {
-        const optionValues = this as unknown as Readonly<Partial<Record<SettingName, string>>>;
-        const result = readSettings(Object.fromEntries(settingNames.map(name => [name, optionValues[name]])));
+        const result = readSettings(settingValuesOf(this, settingDefinitions));
         if (!result.ok) {
             setupLogs("info");
             emit(EventId.SettingsRefused, { faults: result.faults });
-            result.faults.forEach(({ name, value, allowed }) =>
-                this.context.stderr.write(`${name}: ${value === undefined ? "missing" : JSON.stringify(value)}; allowed: ${allowed}\n`)
-            );
+            result.faults.forEach(fault => this.context.stderr.write(`${describeFault(fault)}\n`));
             return ExitCode.Usage;
         }
         setupLogs(result.settings.logLevel);
+        surviveUnexpectedErrors();
         const node = await startStandaloneNode(result.settings);
         return new Promise(resolve => {
             let signalCount = 0;
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -1,13 +1,17 @@
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
 import { PlatformNode } from "../node/platformNode";
+import { readTransportLimits, transportLimitDefinitions } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
 import { EventId } from "../types/eventId";
+import type { TransportLimits } from "../types/transportLimits";
 import { emit, setupLogs } from "../utils/events";
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
 import { ExitCode } from "./exitCode";
 import { onReloadSignal } from "./reloadSignal";
+import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
+import { surviveUnexpectedErrors } from "./unexpectedErrors";
 
 /** Poll interval for the settings file, which may change without a signal. */
 const settingsPollMs = 2_000;
@@ -26,20 +30,33 @@
 
     settingsFile = Option.String("--settings-file", { env: "JACKDAWTRAIL_NODE_FILE", description: "settings file that the platform writes" });
 
+    constructor() {
+        super();
+        addSettingOptions(this, transportLimitDefinitions);
+    }
+
     override async execute(): Promise<number> {
         setupLogs("info", process.stdout);
+        surviveUnexpectedErrors();
         if (this.settingsFile === undefined) {
             this.context.stderr.write("--settings-file (JACKDAWTRAIL_NODE_FILE): missing; allowed: a file path\n");
             return ExitCode.Usage;
         }
-        const result = parseSettingsFile(readFileSync(this.settingsFile, "utf8"));
+        const transport = readTransportLimits(settingValuesOf(this, transportLimitDefinitions));
+        if ("faults" in transport) {
+            emit(EventId.SettingsRefused, { faults: transport.faults });
+            transport.faults.forEach(fault => this.context.stderr.write(`${describeFault(fault)}\n`));
+            return ExitCode.Usage;
+        }
+        const { limits } = transport;
+        const result = parseSettingsFile(readFileSync(this.settingsFile, "utf8"), limits);
         if ("faults" in result) {
             emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
             result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
             return ExitCode.Usage;
         }
         const node = PlatformNode.create(result.settings);
-        this.watchSettings(this.settingsFile, node);
+        this.watchSettings(this.settingsFile, node, limits);
         try {
             await node.start();
         }
@@ -56,7 +73,7 @@
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, node: PlatformNode): void {
+    private watchSettings(file: string, node: PlatformNode, limits: TransportLimits): void {
         let lastText = readFileSync(file, "utf8");
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
@@ -64,7 +81,7 @@
                 return;
             }
             lastText = text;
-            const result = parseSettingsFile(text);
+            const result = parseSettingsFile(text, limits);
             if ("faults" in result) {
                 emit(EventId.SettingsRefused, { file, faults: result.faults });
                 return;
--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -19,6 +19,8 @@
     private readonly readyByService = new Map<string, readonly UpstreamServer[]>();
     private pendingRemovals = new Map<string, PendingRemoval>();
     private observers: DirectoryObserver[] = [];
+    /** Version of the last read of the whole table, which holds everything up to it. */
+    private snapshotVersion = 0;
     /** Version of the store up to which the directory has been received. */
     version = 0;
 
@@ -71,6 +73,13 @@
      * arrives before.
      */
     apply(change: DirectoryChange, graceMs = 0): void {
+        // A peer may still report an entry that was deleted before this node's first read of the table.
+        if (change.version > this.snapshotVersion) {
+            this.applyChange(change, graceMs);
+        }
+    }
+
+    private applyChange(change: DirectoryChange, graceMs = 0): void {
         const knownVersion = Math.max(this.entries.get(change.id)?.version ?? 0, this.deletedVersions.get(change.id) ?? 0);
         if (change.version <= knownVersion) {
             return;
@@ -78,7 +87,7 @@
         clearTimeout(this.pendingRemovals.get(change.id)?.timer);
         this.pendingRemovals.delete(change.id);
         if (!change.server && graceMs > 0 && this.entries.has(change.id)) {
-            this.pendingRemovals.set(change.id, { version: change.version, timer: setTimeout(() => this.apply(change), graceMs).unref() });
+            this.pendingRemovals.set(change.id, { version: change.version, timer: setTimeout(() => this.applyChange(change), graceMs).unref() });
             return;
         }
         const before = this.entries.get(change.id)?.server;
@@ -97,12 +106,13 @@
     /** Applies a read of the whole table: entries that are not in it were deleted. */
     replace(changes: readonly DirectoryChange[], version: number, graceMs: number): void {
         const present = new Set(changes.map(({ id }) => id));
-        changes.forEach(change => this.apply(change));
+        changes.forEach(change => this.applyChange(change));
         for (const [id, entry] of this.entries) {
             if (!present.has(id) && entry.version <= version) {
-                this.apply({ id, version }, graceMs);
+                this.applyChange({ id, version }, graceMs);
             }
         }
+        this.snapshotVersion = version;
         this.version = Math.max(this.version, version);
     }
 }
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,8 +1,10 @@
 import type { ServerResponse } from "node:http";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
+import type { TransportLimits } from "../types/transportLimits";
 import { SseSplitter } from "../utils/sseSplitter";
 import type { AnswerHead, AnswerSink } from "./attempt";
+import { SinkState } from "./attempt";
 import type { Call } from "./call";
 
 const connectionHeaders: ReadonlySet<string> = new Set(["connection", "keep-alive", "transfer-encoding", "upgrade", "proxy-connection", "te", "trailer"]);
@@ -31,19 +33,20 @@
     private chunks: Buffer[] = [];
     /** Head of the latest attempt's answer. */
     head: AnswerHead | undefined;
-    /** When the last byte of the latest answer arrived, on the monotonic clock. */
-    lastByteAt = 0;
+    /** When the head, a part of a plain answer or a complete event of the latest answer last arrived, on the monotonic clock. */
+    lastProgressAt = 0;
     /** When the first head of an answer arrived, on the monotonic clock. */
     firstByteAt = 0;
     private isStreaming = false;
-    /** Whether a chunk of the latest attempt's stream has arrived. */
-    private hasReceivedChunk = false;
+    /** Whether an event of the latest attempt's stream has arrived. */
+    private hasReceivedEvent = false;
+    private bufferedBytes = 0;
 
-    private constructor(private readonly call: Call, private readonly observer: AnswerObserver) {}
+    private constructor(private readonly call: Call, private readonly limits: TransportLimits, private readonly observer: AnswerObserver) {}
 
     /** Creates the relay of one request. */
-    static create(call: Call, observer: AnswerObserver): AnswerRelay {
-        return new AnswerRelay(call, observer);
+    static create(call: Call, limits: TransportLimits, observer: AnswerObserver): AnswerRelay {
+        return new AnswerRelay(call, limits, observer);
     }
 
     /** Whether part of an answer has been sent to the caller. */
@@ -66,14 +69,15 @@
         this.head = undefined;
         this.chunks = [];
         this.isStreaming = false;
-        this.hasReceivedChunk = false;
+        this.bufferedBytes = 0;
+        this.hasReceivedEvent = false;
         this.splitter.dropPartialEvent();
     }
 
     onHead(head: AnswerHead): void {
         this.head = head;
         this.firstByteAt ||= performance.now();
-        this.lastByteAt = performance.now();
+        this.lastProgressAt = performance.now();
         this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.decoded.isSigned;
         this.observer.onHead(head);
         const { res } = this.call;
@@ -84,23 +88,29 @@
         }
     }
 
-    onData(chunk: Buffer, resume: () => void): boolean {
-        const gapMs = performance.now() - this.lastByteAt;
-        this.lastByteAt = performance.now();
+    onData(chunk: Buffer, resume: () => void): SinkState {
         if (!this.isStreaming) {
+            this.lastProgressAt = performance.now();
             this.chunks.push(chunk);
-            return true;
+            this.bufferedBytes += chunk.length;
+            return this.bufferedBytes > this.limits.maxAnswerBytes ? SinkState.TooLarge : SinkState.Ready;
         }
-        if (this.hasReceivedChunk) {
-            this.observer.onEventGap(gapMs);
-        }
-        this.hasReceivedChunk = true;
         const events = this.splitter.push(chunk);
-        if (events.length === 0 || this.call.res.write(events)) {
-            return true;
+        if (events.length === 0) {
+            // A few bytes of an event now and then are no progress.
+            return this.splitter.partialEvent.length > this.limits.maxEventBytes ? SinkState.TooLarge : SinkState.Ready;
+        }
+        const now = performance.now();
+        if (this.hasReceivedEvent) {
+            this.observer.onEventGap(now - this.lastProgressAt);
+        }
+        this.hasReceivedEvent = true;
+        this.lastProgressAt = now;
+        if (this.call.res.write(events)) {
+            return SinkState.Ready;
         }
         this.call.res.once("drain", resume);
-        return false;
+        return SinkState.Full;
     }
 
     /** Completes the caller's answer after the upstream's answer has arrived in full. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -39,11 +39,19 @@
     readonly mayRepeat: boolean;
 }
 
+/** What a sink makes of a part of an answer. */
+export enum SinkState {
+    Ready = "ready",
+    /** The upstream is paused until the sink calls `resume`. */
+    Full = "full",
+    /** The answer exceeds a limit: the connection is closed. */
+    TooLarge = "too-large",
+}
+
 /** Consumes an answer as it arrives. */
 export interface AnswerSink {
     onHead(head: AnswerHead): void;
-    /** Returns false to pause the upstream until `resume` is called. */
-    onData(chunk: Buffer, resume: () => void): boolean;
+    onData(chunk: Buffer, resume: () => void): SinkState;
 }
 
 const abortReason = new Error("attempt aborted by the node");
@@ -59,7 +67,8 @@
     new Promise(resolve => {
         const client = pool.acquire(req.mayRepeat);
         let isSent = false;
-        let isMismatched = false;
+        /** Whether the rest of the answer is ignored. */
+        let isDropped = false;
         let controller: Dispatcher.DispatchController | undefined;
         const finish = (kind: AttemptEndKind, reason: string): void => {
             signal.removeEventListener("abort", onAbort);
@@ -95,8 +104,9 @@
                     return;
                 }
                 const decoded = wire.decodeAnswer(status, headers);
-                if (decoded.isSigned && decoded.requestId !== req.requestId) {
-                    isMismatched = true;
+                const isOther = decoded.requestId === undefined ? decoded.isSigned : decoded.requestId !== req.requestId;
+                if (isOther) {
+                    isDropped = true;
                     current.abort(abortReason);
                     finish(AttemptEndKind.Lost, "answer to another request");
                     return;
@@ -104,12 +114,21 @@
                 sink.onHead({ status, headers, decoded });
             },
             onResponseData: (current, chunk) => {
-                if (!isMismatched && !sink.onData(chunk, () => current.resume())) {
+                if (isDropped) {
+                    return;
+                }
+                const state = sink.onData(chunk, () => current.resume());
+                if (state === SinkState.TooLarge) {
+                    isDropped = true;
+                    current.abort(abortReason);
+                    finish(AttemptEndKind.Lost, "answer too large");
+                }
+                else if (state === SinkState.Full) {
                     current.pause();
                 }
             },
             onResponseEnd: () => {
-                if (!isMismatched) {
+                if (!isDropped) {
                     const isReset = pool.wasReset(client);
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
                 }
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -50,7 +50,10 @@
     private isAwaitingFirstByte = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
-        this.relay = AnswerRelay.create(call, { onHead: () => this.onHead(), onEventGap: ms => this.choice?.candidate.traffic.onEventGap(ms) });
+        this.relay = AnswerRelay.create(call, gateway.settings.limits, {
+            onHead: () => this.onHead(),
+            onEventGap: ms => this.choice?.candidate.traffic.onEventGap(ms),
+        });
     }
 
     /** Creates the executor of a request's attempts. */
@@ -123,7 +126,7 @@
             const typicalMs = Math.max(choice.predictedMs, choice.candidate.traffic.firstByteMs ?? 0);
             const firstByteTimeoutMs = Math.max(call.caller.modelRequest ? maxSilenceMs : minFirstByteTimeoutMs, firstByteTimeoutFactor * typicalMs);
             const check = (): void => {
-                const isSilent = relay.head ? performance.now() - relay.lastByteAt > maxSilenceMs : performance.now() - this.sentAt > firstByteTimeoutMs;
+                const isSilent = relay.head ? performance.now() - relay.lastProgressAt > maxSilenceMs : performance.now() - this.sentAt > firstByteTimeoutMs;
                 if (isSilent) {
                     abort.abort();
                 }
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -33,6 +33,8 @@
 /** Limit of the HTTP parser, above what a configuration may allow; the configured limit is checked on each request. */
 const maxHeaderBytes = 262_144;
 const defaultHeaderTimeoutMs = 10_000;
+/** Limit on request bodies while the node has no configuration. */
+const defaultMaxBodyBytes = 1_048_576;
 const defaultIdleTimeoutMs = 15_000;
 /** Interval at which connections are checked for senders that are too slow. */
 const checkIntervalMs = 1_000;
@@ -142,7 +144,10 @@
             answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version });
             return undefined;
         };
-        const bodyResult = await readBody(req, limits?.maxBodyBytes ?? Number.MAX_SAFE_INTEGER, caller.deadlineMs ?? defaultHeaderTimeoutMs);
+        const bodyResult = await readBody(req, {
+            maxBytes: limits?.maxBodyBytes ?? defaultMaxBodyBytes,
+            timeoutMs: caller.deadlineMs ?? defaultHeaderTimeoutMs,
+        });
         if (bodyResult.kind === "lost") {
             return undefined;
         }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -104,7 +104,7 @@
     }
 
     connectionPoolOf(id: string, address: string): UpstreamConnectionPool {
-        return getOrCreate(this.poolByUpstream, id, () => UpstreamConnectionPool.create(address));
+        return getOrCreate(this.poolByUpstream, id, () => UpstreamConnectionPool.create(address, this.settings.limits.maxAnswerHeadBytes));
     }
 
     budgetOf(service: string): SharedRetryBudget {
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -1,4 +1,5 @@
 import { createServer } from "node:http";
+import { toFailure } from "../core/failures";
 import type { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
@@ -33,9 +34,12 @@
 export const serveMetrics = async (metrics: Metrics, address: string): Promise<void> => {
     const server = createServer((req, res) => {
         req.resume();
-        void metrics.render().then(({ text, contentType }) => {
+        metrics.render().then(({ text, contentType }) => {
             res.writeHead(200, { "Content-Type": contentType });
             res.end(text);
+        }).catch((err: unknown) => {
+            emit(EventId.UnexpectedError, { origin: "metrics", detail: toFailure(err).detail });
+            res.destroy();
         });
     });
     await listenOn(server, address);
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -21,11 +21,11 @@
     private readonly inUse = new Set<Client>();
     private readonly resetClients = new WeakSet<Client>();
 
-    private constructor(private readonly address: string) {}
+    private constructor(private readonly address: string, private readonly maxHeadBytes: number) {}
 
     /** Creates an empty pool of connections to an address. */
-    static create(address: string): UpstreamConnectionPool {
-        return new UpstreamConnectionPool(address);
+    static create(address: string, maxHeadBytes: number): UpstreamConnectionPool {
+        return new UpstreamConnectionPool(address, maxHeadBytes);
     }
 
     /** Number of connections that are open or being opened. */
@@ -78,6 +78,7 @@
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
+            maxHeaderSize: this.maxHeadBytes,
             keepAliveTimeout: defaultIdleTimeoutMs,
             keepAliveTimeoutThreshold: closeMarginMs,
         });
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -55,7 +55,7 @@
     /** Starts following the store and accepting requests. */
     async start(): Promise<void> {
         const { settings, gateway, server } = this;
-        const store = StoreClient.create(settings.storeAddress);
+        const store = StoreClient.create(settings.storeAddress, settings.limits);
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { controllerClient, peerServer } = this.startPlacement(store);
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
@@ -92,7 +92,7 @@
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
         const lease = ControllerLease.create(store, self, settings);
-        const controller = Controller.create(gateway, lease, RunnerClient.create());
+        const controller = Controller.create(gateway, lease, RunnerClient.create(settings.limits));
         const peerServer = PeerServer.create(gateway, controller);
         const controllerClient = ControllerClient.create(gateway, lease, { peerServer, controller, decodeConfig, onConfig: () => this.server.applyLimits() });
         gateway.placement = controllerClient;
--- a/src/node/standaloneNodeSettings.ts
+++ b/src/node/standaloneNodeSettings.ts
@@ -1,19 +1,7 @@
 import { z } from "zod";
+import type { SettingDefinition, SettingFault } from "./settingSpecs";
+import { defineSettings, integerSpec, settingSpec, validateSettings } from "./settingSpecs";
 
-/** Describes one setting: a flag and the environment variable of the same name. */
-export interface SettingDefinition {
-    readonly flag: string;
-    readonly env: string;
-    readonly unit: string;
-    readonly defaultValue: string | undefined;
-    readonly description: string;
-    readonly allowed: string;
-    readonly schema: z.ZodType;
-    /** Whether the value must not appear in messages. */
-    readonly secret: boolean;
-}
-
-const envPrefix = "JACKDAWTRAIL_";
 const isUrl = (text: string): boolean => {
     try {
         return ["http:", "https:"].includes(new URL(text).protocol);
@@ -25,46 +13,41 @@
 const text = z.string().min(1);
 const url = z.string().refine(isUrl).transform(value => value.replace(/\/+$/, ""));
 const address = z.string().regex(/^(\[[0-9a-fA-F:]+\]|[0-9.]+):\d{1,5}$/).refine(value => Number(value.slice(value.lastIndexOf(":") + 1)) <= 65_535);
-const integer = (min: number, max: number) => z.coerce.number().int().min(min).max(max);
 const secretText = z.string().min(16);
 
-interface Spec<T extends z.ZodType> {
-    readonly schema: T;
-    readonly allowed: string;
-    readonly description: string;
-    readonly unit?: string;
-    readonly defaultValue?: string;
-    readonly secret?: boolean;
-}
-const spec = <T extends z.ZodType>(value: Spec<T>): Spec<T> => value;
-const integerSpec = (min: number, max: number, defaultValue: number, unit: string, description: string) =>
-    spec({ schema: integer(min, max), allowed: `an integer from ${min} to ${max}`, unit, defaultValue: String(defaultValue), description });
-
 const specs = {
-    listen: spec({ schema: address, allowed: "IP:port, for example 10.0.0.5:8080", description: "address on which the node listens" }),
-    nodeId: spec({ schema: text, allowed: "a non-empty string", description: "name of the VM, as in the platform's VM list" }),
-    availabilityZone: spec({ schema: text, allowed: "a non-empty string", description: "availability zone of the VM" }),
-    advertiseUrl: spec({ schema: url, allowed: "an http or https URL", description: "URL at which peers and callers reach the node" }),
-    tableUrl: spec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's table service" }),
-    objectStoreUrl: spec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's object store" }),
-    vmListUrl: spec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's VM list" }),
-    peerSecret: spec({
+    listen: settingSpec({ schema: address, allowed: "IP:port, for example 10.0.0.5:8080", description: "address on which the node listens" }),
+    nodeId: settingSpec({ schema: text, allowed: "a non-empty string", description: "name of the VM, as in the platform's VM list" }),
+    availabilityZone: settingSpec({ schema: text, allowed: "a non-empty string", description: "availability zone of the VM" }),
+    advertiseUrl: settingSpec({ schema: url, allowed: "an http or https URL", description: "URL at which peers and callers reach the node" }),
+    tableUrl: settingSpec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's table service" }),
+    objectStoreUrl: settingSpec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's object store" }),
+    vmListUrl: settingSpec({ schema: url, allowed: "an http or https URL", description: "URL of the platform's VM list" }),
+    peerSecret: settingSpec({
         schema: secretText,
         allowed: "at least 16 characters",
         secret: true,
         description: "secret that the nodes share to authenticate each other",
     }),
-    operatorToken: spec({ schema: secretText, allowed: "at least 16 characters", secret: true, description: "bearer token of the operators" }),
-    tlsKeyFile: spec({ schema: text.optional(), allowed: "a file path", description: "private key in PEM; together with a certificate it enables TLS" }),
-    tlsCertificateFile: spec({ schema: text.optional(), allowed: "a file path", description: "certificate in PEM" }),
-    tlsCaFile: spec({ schema: text.optional(), allowed: "a file path", description: "CA certificate in PEM that peers' certificates are verified against" }),
-    logLevel: spec({
+    operatorToken: settingSpec({ schema: secretText, allowed: "at least 16 characters", secret: true, description: "bearer token of the operators" }),
+    tlsKeyFile: settingSpec({ schema: text.optional(), allowed: "a file path", description: "private key in PEM; together with a certificate it enables TLS" }),
+    tlsCertificateFile: settingSpec({ schema: text.optional(), allowed: "a file path", description: "certificate in PEM" }),
+    tlsCaFile: settingSpec({
+        schema: text.optional(),
+        allowed: "a file path",
+        description: "CA certificate in PEM that peers' certificates are verified against",
+    }),
+    logLevel: settingSpec({
         schema: z.enum(["debug", "info", "warn", "error"]),
         allowed: "debug, info, warn or error",
         defaultValue: "info",
         description: "lowest severity that is logged",
     }),
-    traceFile: spec({ schema: text.optional(), allowed: "a file path", description: "file to which every decision is appended as a JSON line, for replay" }),
+    traceFile: settingSpec({
+        schema: text.optional(),
+        allowed: "a file path",
+        description: "file to which every decision is appended as a JSON line, for replay",
+    }),
     maxBodyBytes: integerSpec(1_024, 1_073_741_824, 4_194_304, "bytes", "maximum body size of a caller's request"),
     bodyTimeoutMs: integerSpec(100, 600_000, 10_000, "ms", "timeout for receiving the body of a caller's request"),
     defaultDeadlineMs: integerSpec(100, 3_600_000, 120_000, "ms", "deadline of a request that does not specify one"),
@@ -78,14 +61,14 @@
     drainDelayMs: integerSpec(0, 600_000, 8_000, "ms", "time for which a copy is excluded from routing before it may be unloaded"),
     orderLatenessMs: integerSpec(0, 3_600_000, 10_000, "ms", "maximum delay with which an order can still reach an engine"),
     loadsAtOnce: integerSpec(1, 10_000, 4, "loads", "model loads that may be in progress at once in an availability zone"),
-    copyRate: spec({
+    copyRate: settingSpec({
         schema: z.coerce.number().positive().max(1e6),
         allowed: "a number above 0",
         unit: "requests/s",
         defaultValue: "1",
         description: "requests per second that one copy serves within its SLO",
     }),
-    moveCost: spec({
+    moveCost: settingSpec({
         schema: z.coerce.number().min(0).max(1e6),
         allowed: "a number of at least 0",
         unit: "requests/s",
@@ -102,28 +85,8 @@
 /** Key of a setting; flag and environment variable are derived from it. */
 export type SettingName = keyof Specs;
 
-const kebab = (name: string): string => name.replace(/[A-Z]/g, letter => `-${letter.toLowerCase()}`);
-
 /** All settings by name. */
-export const settingDefinitions: Readonly<Record<SettingName, SettingDefinition>> = Object.fromEntries(
-    Object.entries(specs as Record<string, Spec<z.ZodType>>).map(([name, { schema, allowed, description, unit, defaultValue, secret }]) => [name, {
-        flag: `--${kebab(name)}`,
-        env: `${envPrefix}${kebab(name).replaceAll("-", "_").toUpperCase()}`,
-        unit: unit ?? "",
-        defaultValue,
-        description,
-        allowed,
-        schema,
-        secret: secret ?? false,
-    }]),
-) as Record<SettingName, SettingDefinition>;
-
-/** A missing or invalid setting. */
-export interface SettingFault {
-    readonly name: string;
-    readonly value: string | undefined;
-    readonly allowed: string;
-}
+export const settingDefinitions: Readonly<Record<SettingName, SettingDefinition>> = defineSettings<SettingName>(specs);
 
 /** Outcome of validating all settings. */
 export type StandaloneNodeSettingsResult = { readonly ok: true; readonly settings: StandaloneNodeSettings; } | {
@@ -133,19 +96,8 @@
 
 /** Validates all settings and reports every fault at once. */
 export const readSettings = (values: Readonly<Partial<Record<SettingName, string>>>): StandaloneNodeSettingsResult => {
-    const faults: SettingFault[] = [];
-    const settings: Record<string, unknown> = {};
-    for (const [name, setting] of Object.entries(settingDefinitions)) {
-        const value = values[name as SettingName] ?? setting.defaultValue;
-        const result = setting.schema.safeParse(value);
-        if (result.success) {
-            settings[name] = result.data;
-        }
-        else {
-            const displayedValue = setting.secret && value !== undefined ? `${value.length} characters` : value;
-            faults.push({ name: `${setting.flag} (${setting.env})`, value: displayedValue, allowed: setting.allowed });
-        }
-    }
+    const { settings, faults: settingFaults } = validateSettings(settingDefinitions, values);
+    const faults = [...settingFaults];
     if ((values.tlsKeyFile === undefined) !== (values.tlsCertificateFile === undefined)) {
         faults.push({
             name: settingDefinitions.tlsKeyFile.flag,
@@ -153,5 +105,5 @@
             allowed: `only together with ${settingDefinitions.tlsCertificateFile.flag}`,
         });
     }
-    return faults.length > 0 ? { ok: false, faults } : { ok: true, settings: settings as StandaloneNodeSettings };
+    return faults.length > 0 ? { ok: false, faults } : { ok: true, settings: settings as unknown as StandaloneNodeSettings };
 };
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -1,6 +1,6 @@
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { Agent, fetch } from "undici";
+import { Agent } from "undici";
 import type { ControllerLease } from "../core/controllerLease";
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
@@ -10,6 +10,7 @@
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
+import { createBoundedFetch } from "../utils/boundedFetch";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { pick } from "../utils/random";
@@ -41,7 +42,7 @@
 /** This node's client of the controller, and of other peers while the controller is unknown or unreachable. */
 export class ControllerClient implements Placement {
     private readonly clients = new Map<string, TRPCClient<PeerServerRouter>>();
-    private readonly dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 });
+    private readonly fetch: typeof globalThis.fetch;
     private readonly pendingPlacements = new Map<string, Promise<PlacementAnswer>>();
     private peers: readonly string[];
     private isControllerLost = false;
@@ -54,6 +55,8 @@
 
     private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, private readonly local: LocalComponents) {
         this.peers = gateway.settings.seeds;
+        const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 });
+        this.fetch = createBoundedFetch(dispatcher, { maxBytes: gateway.settings.limits.maxAnswerBytes, timeoutMs: peerTimeoutMs });
     }
 
     /** Creates a client that has not been used yet. */
@@ -205,14 +208,10 @@
     }
 
     private clientOf(address: string): TRPCClient<PeerServerRouter> {
-        // tRPC is typed for the global fetch; the fetch of undici accepts the dispatcher.
-        const fetchWithTimeout =
-            ((input: string, init: object) =>
-                fetch(input, { ...init, dispatcher: this.dispatcher, signal: AbortSignal.timeout(peerTimeoutMs) })) as unknown as typeof globalThis.fetch;
         return getOrCreate(
             this.clients,
             address,
-            () => createTRPCClient<PeerServerRouter>({ links: [httpLink({ url: `http://${address}`, fetch: fetchWithTimeout })] }),
+            () => createTRPCClient<PeerServerRouter>({ links: [httpLink({ url: `http://${address}`, fetch: this.fetch })] }),
         );
     }
 }
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -3,13 +3,19 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
 import { z } from "zod";
+import { toFailure } from "../core/failures";
 import { listenOn } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
+import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer, RunnerLoads } from "../types/placement";
+import { emit } from "../utils/events";
 import type { Controller } from "./controller";
 
 /** Time after which a node that has not sent a report is no longer counted. */
 const nodeTtlMs = 5_000;
+/** Limits on a peer's request. */
+const maxReportBytes = 4_194_304;
+const peerRequestTimeoutMs = 5_000;
 
 const reportSchema = z.object({
     node: z.string(),
@@ -64,9 +70,15 @@
     /** Starts to serve peers on an address. */
     listen(address: string): Promise<void> {
         const router = createPeerServerRouter(this, this.controller);
-        this.httpServer = createServer((req, res) =>
-            void nodeHTTPRequestHandler({ router, req, res, path: new URL(req.url ?? "/", "http://node").pathname.slice(1), createContext: () => ({}) })
-        );
+        this.httpServer = createServer((req, res) => {
+            const path = (req.url ?? "/").split("?", 1)[0]!.slice(1);
+            nodeHTTPRequestHandler({ router, req, res, path, createContext: () => ({}), maxBodySize: maxReportBytes }).catch((err: unknown) => {
+                emit(EventId.PeerExchangeFailed, { peer: req.socket.remoteAddress, detail: toFailure(err).detail });
+                res.destroy();
+            });
+        });
+        this.httpServer.headersTimeout = peerRequestTimeoutMs;
+        this.httpServer.requestTimeout = peerRequestTimeoutMs;
         return listenOn(this.httpServer, address);
     }
 
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -4,8 +4,9 @@
 import { FailureKind } from "../types/failureKind";
 import type { RunnerAddress, RunnerControl, RunnerOrder, RunnerReport } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
+import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
-import { errorCodeOf, verdictOfError } from "../utils/transport";
+import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
 
 const connectTimeoutMs = 300;
@@ -40,13 +41,21 @@
 
 /** HTTP client of the controller for runners. */
 export class RunnerClient implements RunnerControl {
-    private readonly agent = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 1_000, keepAliveTimeoutThreshold: 200, pipelining: 1 });
+    private readonly agent: Agent;
 
-    private constructor() {}
+    private constructor(private readonly limits: TransportLimits) {
+        this.agent = new Agent({
+            connect: { timeout: connectTimeoutMs },
+            keepAliveTimeout: 1_000,
+            keepAliveTimeoutThreshold: 200,
+            maxHeaderSize: limits.maxAnswerHeadBytes,
+            pipelining: 1,
+        });
+    }
 
     /** Creates a client; connections are opened on first use. */
-    static create(): RunnerClient {
-        return new RunnerClient();
+    static create(limits: TransportLimits): RunnerClient {
+        return new RunnerClient(limits);
     }
 
     async fetchReport({ id, address }: RunnerAddress): Promise<RunnerReport> {
@@ -56,7 +65,10 @@
                 headers: { "expect-instance": id },
                 signal: AbortSignal.timeout(answerTimeoutMs),
             });
-            const result = parseWith(reportSchema, parseJson(await res.body.text()));
+            const result = parseWith(
+                reportSchema,
+                parseJson(await readAnswerText(res.body, { maxBytes: this.limits.maxAnswerBytes, timeoutMs: answerTimeoutMs })),
+            );
             if (res.statusCode !== 200 || "faults" in result) {
                 throw FailureError.create({ kind: FailureKind.UpstreamFailed, verdict: Verdict.Ran, detail: `no usable report: status ${res.statusCode}` });
             }
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -1,6 +1,7 @@
 import { parse } from "smol-toml";
 import { z } from "zod";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
+import type { TransportLimits } from "../types/transportLimits";
 import { parseWith } from "./schemas";
 
 const address = z.string().regex(/^[^:]+:\d+$/, "must be IP:PORT");
@@ -39,8 +40,8 @@
 
 const msPerS = 1_000;
 
-/** Parses the platform's settings file into the settings of a node; reports all faults at once. */
-export const parseSettingsFile = (text: string): SettingsFileResult => {
+/** Parses the platform's settings file into the settings of a node, together with its own limits; reports all faults at once. */
+export const parseSettingsFile = (text: string, limits: TransportLimits): SettingsFileResult => {
     let document: unknown;
     try {
         document = parse(text);
@@ -71,6 +72,7 @@
             retryRatio: bounds.budgetRatio,
             retryWindowMs: bounds.budgetWindowS * msPerS,
             retrySlack: bounds.budgetSlack,
+            limits,
             turnGapMs: bounds.leaseMs,
             loadWindowMs: bounds.ceilingWindowS * msPerS,
         },
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -4,14 +4,13 @@
 import { FailureKind } from "../types/failureKind";
 import type { FeedResult, RowName, RowResult, RowStore, StoredRow, TransactionResult, VersionedRows } from "../types/rowStore";
 import { FeedKind, TransactionKind } from "../types/rowStore";
+import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
-import { errorCodeOf, verdictOfError } from "../utils/transport";
+import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 import { parseJson, parseWith } from "./schemas";
 
 /** A local store answers within milliseconds; a connection attempt that takes longer is abandoned. */
 const connectTimeoutMs = 500;
-/** Timeout of a call in addition to the wait that it requests; a transaction takes 4 ms, the rest allows for a slow store. */
-const answerTimeoutMs = 600;
 /** One connection for each of the two change feeds, one for the lease, and one spare. */
 const maxConnections = 4;
 /** Rows per page; the platform's limit. */
@@ -55,19 +54,22 @@
 /** HTTP client of the platform's metadata store. */
 export class StoreClient implements RowStore {
     /** A call that times out closes its connection, which may no longer deliver anything. */
-    private readonly agent = new Agent({
-        connect: { timeout: connectTimeoutMs },
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        connections: maxConnections,
-        pipelining: 1,
-    });
+    private readonly agent: Agent;
 
-    private constructor(private readonly address: string) {}
+    private constructor(private readonly address: string, private readonly limits: TransportLimits) {
+        this.agent = new Agent({
+            connect: { timeout: connectTimeoutMs },
+            headersTimeout: 0,
+            bodyTimeout: 0,
+            maxHeaderSize: limits.maxAnswerHeadBytes,
+            connections: maxConnections,
+            pipelining: 1,
+        });
+    }
 
     /** Creates a client; connections are opened on first use. */
-    static create(address: string): StoreClient {
-        return new StoreClient(address);
+    static create(address: string, limits: TransportLimits): StoreClient {
+        return new StoreClient(address, limits);
     }
 
     async readTable(table: string): Promise<VersionedRows> {
@@ -123,7 +125,9 @@
         query: Readonly<Record<string, string | number>>,
         { waitMs = 0, signal, body }: { readonly waitMs?: number; readonly signal?: AbortSignal; readonly body?: unknown; } = {},
     ): Promise<StoreAnswer> {
-        const timeout = AbortSignal.timeout(waitMs + answerTimeoutMs);
+        const headTimeoutMs = waitMs + this.limits.answerSilenceMs;
+        const headTimeout = new AbortController();
+        const headTimer = setTimeout(() => headTimeout.abort(), headTimeoutMs);
         try {
             const search = new URLSearchParams(Object.entries(query).map(([name, value]): [string, string] => [name, String(value)]));
             const res = await request(`http://${this.address}/api/${path}?${search.toString()}`, {
@@ -131,9 +135,11 @@
                 dispatcher: this.agent,
                 headers: body === undefined ? {} : { "content-type": "application/json" },
                 body: body === undefined ? undefined : JSON.stringify(body),
-                signal: signal ? AbortSignal.any([signal, timeout]) : timeout,
+                signal: signal ? AbortSignal.any([signal, headTimeout.signal]) : headTimeout.signal,
             });
-            const text = await res.body.text();
+            clearTimeout(headTimer);
+            const { maxAnswerBytes, answerTimeoutMs, answerSilenceMs } = this.limits;
+            const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs, silenceMs: answerSilenceMs });
             if (res.statusCode === 503 || res.statusCode === 429) {
                 return throwStoreFailure(Verdict.NotRun, `refused with status ${res.statusCode}`);
             }
@@ -146,7 +152,10 @@
             if (err instanceof FailureError) {
                 throw err;
             }
-            return throwStoreFailure(verdictOfError(err), timeout.aborted ? `no answer within ${waitMs + answerTimeoutMs} ms` : errorCodeOf(err));
+            return throwStoreFailure(verdictOfError(err), headTimeout.signal.aborted ? `no answer within ${headTimeoutMs} ms` : errorCodeOf(err));
+        }
+        finally {
+            clearTimeout(headTimer);
         }
     }
 }
--- a/src/plugins/callerRequest.ts
+++ b/src/plugins/callerRequest.ts
@@ -47,7 +47,7 @@
 /** Reads the whole body within the node's size limit and timeout. */
 export const readWholeBody = async (node: NodeContext, { req }: HttpExchange): Promise<Buffer> => {
     const { maxBodyBytes, bodyTimeoutMs } = node.cfg;
-    const result = await readBody(req, maxBodyBytes, bodyTimeoutMs);
+    const result = await readBody(req, { maxBytes: maxBodyBytes, timeoutMs: bodyTimeoutMs });
     switch (result.kind) {
         case "whole":
             return result.body;
--- a/src/plugins/httpEngines.ts
+++ b/src/plugins/httpEngines.ts
@@ -9,7 +9,8 @@
 import { OrderAnswer } from "../types/order";
 import type { EngineReport } from "../types/report";
 import { Verdict } from "../types/verdict";
-import { errorCodeOf, verdictOfError } from "../utils/transport";
+import { abortAfter } from "../utils/time";
+import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 
 const connectTimeoutMs = 500;
 const reportTimeoutMs = 1_000;
@@ -17,6 +18,10 @@
 /** A stream without data for this long is treated as truncated. */
 const streamIdleTimeoutMs = 10_000;
 const doneData = "[DONE]";
+/** Maximum sizes of an engine's report, of the body that explains a failure, and of one event of a stream. */
+const maxReportBytes = 4_194_304;
+const maxProblemBytes = 65_536;
+const maxEventBytes = 1_048_576;
 
 /** Statuses by which an engine states that it did not run the request. */
 const refusalStatuses: ReadonlySet<number> = new Set([404, 409, 429, 503]);
@@ -55,9 +60,14 @@
         },
     });
     const decoder = new TextDecoder();
+    let bytesSinceEvent = 0;
     try {
         for await (const bytes of body) {
             parser.feed(decoder.decode(bytes as Buffer, { stream: true }));
+            bytesSinceEvent = pending.length > 0 || end !== undefined ? 0 : bytesSinceEvent + (bytes as Buffer).length;
+            if (bytesSinceEvent > maxEventBytes) {
+                return StreamEnd.Truncated;
+            }
             for (const chunk of pending.splice(0)) {
                 await onChunk(chunk);
             }
@@ -84,9 +94,9 @@
             dispatcher: agent,
             headers: { "content-type": "application/json", "x-request-id": req.attemptId },
             body: JSON.stringify({ ...body, stream: true }),
-            headersTimeout: req.timeoutMs,
             bodyTimeout: Math.min(req.timeoutMs, streamIdleTimeoutMs),
-            signal: req.signal,
+            // Bounds the whole answer: bytes that are no answer may arrive without end.
+            signal: AbortSignal.any([req.signal, abortAfter(req.timeoutMs)]),
         });
     }
     catch (err) {
@@ -96,7 +106,7 @@
         return raise(FailureKind.UpstreamLost, errorCodeOf(err), verdictOfError(err));
     }
     if (res.statusCode !== 200) {
-        const text = await res.body.text().catch(() => "");
+        const text = await readAnswerText(res.body, { maxBytes: maxProblemBytes, timeoutMs: reportTimeoutMs }).catch(errorCodeOf);
         const refused = refusalStatuses.has(res.statusCode);
         return raise(
             refused ? FailureKind.UpstreamRefused : FailureKind.UpstreamFailed,
@@ -122,8 +132,7 @@
             dispatcher: agent,
             headers: { "content-type": "application/json" },
             body: JSON.stringify(order),
-            headersTimeout: orderTimeoutMs,
-            bodyTimeout: orderTimeoutMs,
+            signal: AbortSignal.timeout(orderTimeoutMs),
         });
         await res.body.dump();
         return orderAnswers[res.statusCode] ?? (res.statusCode < 500 ? OrderAnswer.Refused : OrderAnswer.Unknown);
@@ -134,8 +143,8 @@
 };
 
 const readReport = async (agent: Dispatcher, url: string): Promise<EngineReport> => {
-    const res = await request(`${url}/engine/report`, { dispatcher: agent, headersTimeout: reportTimeoutMs, bodyTimeout: reportTimeoutMs });
-    return await res.body.json() as EngineReport;
+    const res = await request(`${url}/engine/report`, { dispatcher: agent, signal: AbortSignal.timeout(reportTimeoutMs) });
+    return JSON.parse(await readAnswerText(res.body, { maxBytes: maxReportBytes, timeoutMs: reportTimeoutMs })) as EngineReport;
 };
 
 /** Creates a lookup of HTTP engine clients, which share one connection pool. */
--- a/src/plugins/httpServiceClient.ts
+++ b/src/plugins/httpServiceClient.ts
@@ -1,10 +1,11 @@
 import type { Dispatcher } from "undici";
 import { Agent, request } from "undici";
-import { raise } from "../core/failures";
+import { FailureError, raise } from "../core/failures";
 import { FailureKind } from "../types/failureKind";
 import type { ServiceClient, ServiceRequest } from "../types/service";
 import { Verdict } from "../types/verdict";
-import { errorCodeOf, verdictOfError } from "../utils/transport";
+import { abortAfter } from "../utils/time";
+import { errorCodeOf, readBody, verdictOfError } from "../utils/transport";
 
 const connectTimeoutMs = 500;
 const maxAnswerBytes = 8_388_608;
@@ -20,8 +21,8 @@
             dispatcher: agent,
             headers: { ...req.headers, "x-request-id": req.attemptId },
             body: req.body.length > 0 ? req.body : undefined,
-            headersTimeout: req.timeoutMs,
-            bodyTimeout: req.timeoutMs,
+            // Bounds the whole answer: bytes that are no answer may arrive without end.
+            signal: abortAfter(req.timeoutMs),
         });
     }
     catch (err) {
@@ -41,14 +42,21 @@
         return raise(FailureKind.UpstreamRefused, `status ${res.statusCode}`);
     }
     try {
-        const body = Buffer.from(await res.body.arrayBuffer());
-        if (body.length > maxAnswerBytes) {
-            return raise(FailureKind.UpstreamFailed, "the answer exceeds the maximum size", Verdict.Ran);
+        const result = await readBody(res.body, { maxBytes: maxAnswerBytes, timeoutMs: req.timeoutMs });
+        if (result.kind !== "whole") {
+            res.body.on("error", () => undefined).destroy();
+            return result.kind === "too-large"
+                ? raise(FailureKind.UpstreamFailed, "the answer exceeds the maximum size", Verdict.Ran)
+                : raise(FailureKind.AnswerTruncated, `the answer was ${result.kind}`, Verdict.MayHaveRun);
         }
+        const { body } = result;
         const headers = Object.fromEntries(forwardedHeaders.filter(name => res.headers[name] !== undefined).map(name => [name, String(res.headers[name])]));
         return { status: res.statusCode, headers, body: body.toString("base64") };
     }
     catch (err) {
+        if (err instanceof FailureError) {
+            throw err;
+        }
         return raise(FailureKind.AnswerTruncated, errorCodeOf(err), Verdict.MayHaveRun);
     }
 };
--- a/src/plugins/infrastructureClients.ts
+++ b/src/plugins/infrastructureClients.ts
@@ -6,10 +6,12 @@
 import type { CommitResult, Table, TableCommit, TableRow } from "../types/table";
 import { Verdict } from "../types/verdict";
 import type { Vm, VmList } from "../types/vm";
-import { errorCodeOf, verdictOfError } from "../utils/transport";
+import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 
 const connectTimeoutMs = 1_000;
 const answerTimeoutMs = 3_000;
+/** Maximum size of an answer; the largest are configuration snapshots. */
+const maxAnswerBytes = 67_108_864;
 
 const raiseUnavailable = (service: string, verdict: Verdict, cause: string): never => {
     throw FailureError.create({ kind: FailureKind.TableUnavailable, verdict, detail: `${service}: ${cause}`, retryAfterMs: 2_000 });
@@ -49,7 +51,7 @@
                 // Bounds the whole request: a connection may be established without any answer arriving.
                 signal: AbortSignal.timeout(connectTimeoutMs + answerTimeoutMs),
             });
-            const text = await res.body.text();
+            const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs });
             if (res.statusCode >= 500) {
                 // With status 503 the service itself refused the request, which had no effect; after any other failure the effect is unknown.
                 const refused = res.statusCode === 503;
--- a/src/plugins/standaloneNodeServer.ts
+++ b/src/plugins/standaloneNodeServer.ts
@@ -18,6 +18,9 @@
 const findRoute = (routes: readonly HttpRoute[], path: string): HttpRoute | undefined =>
     routes.find(route => route.path.endsWith("/") ? path.startsWith(route.path) : path === route.path);
 
+/** URL of a request. Its target is appended to the origin: resolved against it, a target such as `//` would be no valid URL. */
+const urlOf = (req: IncomingMessage): URL => new URL(`http://node${req.url?.startsWith("/") ? req.url : "/"}`);
+
 /** The HTTP server of a standalone node: routes each request and sends failures as problem documents. */
 export class StandaloneNodeServer {
     private readonly routes: HttpRoute[] = [];
@@ -72,7 +75,7 @@
             requestId: randomUUID(),
             req,
             res,
-            url: new URL(req.url ?? "/", "http://node"),
+            url: urlOf(req),
             startedAt: performance.now(),
             signal: callerAbort.signal,
         };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -13,6 +13,7 @@
     ReadinessChanged = 108,
     LinesDropped = 109,
     NodeStartFailed = 110,
+    UnexpectedError = 111,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/types/platformNodeSettings.ts
+++ b/src/types/platformNodeSettings.ts
@@ -1,3 +1,5 @@
+import type { TransportLimits } from "./transportLimits";
+
 /** Settings of a node that runs on the platform. Addresses are IP:PORT. */
 export interface PlatformNodeSettings {
     /** Identifies the VM; a VM that replaces it has another ID. */
@@ -25,6 +27,7 @@
     readonly retrySlack: number;
     /** Minimum time between the orders of two holders to one runner. */
     readonly turnGapMs: number;
+    readonly limits: TransportLimits;
     /** Window over which model loads from the weight store are counted. */
     readonly loadWindowMs: number;
 }
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -4,6 +4,7 @@
 /** Events logged as warnings; invariant events are errors, all others are informational. */
 const warningEvents: ReadonlySet<EventId> = new Set([
     EventId.NodeStartFailed,
+    EventId.UnexpectedError,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.RequestFailed,
--- a/src/utils/time.ts
+++ b/src/utils/time.ts
@@ -14,6 +14,9 @@
         signal?.addEventListener("abort", finish);
     });
 
+/** A signal that aborts after a time, which may be fractional. */
+export const abortAfter = (ms: number): AbortSignal => AbortSignal.timeout(Math.max(1, Math.ceil(ms)));
+
 /** Runs a step repeatedly, with a pause after each run, until the signal aborts. */
 export const repeat = async (step: () => Promise<void>, pauseMs: () => number, signal: AbortSignal, onError: (err: unknown) => void): Promise<void> => {
     while (!signal.aborted) {
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -27,18 +27,30 @@
     | { readonly kind: "slow"; }
     | { readonly kind: "lost"; };
 
+/** Limits on reading a body. */
+export interface BodyLimits {
+    readonly maxBytes: number;
+    /** Time for the whole body. */
+    readonly timeoutMs: number;
+    /** Maximum time without a byte; unlimited if undefined. */
+    readonly silenceMs?: number;
+}
+
 /** Reads a body with limits on size and time. */
-export const readBody = (stream: Readable, maxBytes: number, timeoutMs: number): Promise<BodyReadResult> =>
+export const readBody = (stream: Readable, { maxBytes, timeoutMs, silenceMs }: BodyLimits): Promise<BodyReadResult> =>
     new Promise(resolve => {
         const chunks: Buffer[] = [];
         let bytes = 0;
         const finish = (result: BodyReadResult) => {
             clearTimeout(timer);
+            clearTimeout(silenceTimer);
             stream.removeAllListeners("data");
             resolve(result);
         };
         const timer = setTimeout(() => finish({ kind: "slow" }), timeoutMs);
+        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(() => finish({ kind: "slow" }), silenceMs);
         stream.on("data", (chunk: Buffer) => {
+            silenceTimer?.refresh();
             bytes += chunk.length;
             if (bytes > maxBytes) {
                 stream.pause();
@@ -51,3 +63,29 @@
         stream.on("error", () => finish({ kind: "lost" }));
         stream.on("close", () => finish({ kind: "lost" }));
     });
+
+/** An answer that was abandoned because it exceeded a limit. */
+export class AnswerLimitError extends Error {
+    private constructor(readonly code: string) {
+        super(code);
+    }
+
+    /** Creates the error; the code states the limit. */
+    static create(code: "ANSWER_TOO_LARGE" | "ANSWER_TOO_SLOW" | "ANSWER_CUT"): AnswerLimitError {
+        return new AnswerLimitError(code);
+    }
+}
+
+const limitCodes = { "too-large": "ANSWER_TOO_LARGE", slow: "ANSWER_TOO_SLOW", lost: "ANSWER_CUT" } as const;
+
+/** Reads an answer's body as text. Beyond a limit it closes the connection and throws. */
+export const readAnswerText = async (body: Readable, limits: BodyLimits): Promise<string> => {
+    const result = await readBody(body, limits);
+    if (result.kind === "whole") {
+        return result.body.toString("utf8");
+    }
+    // Destroying a body that is still being received closes its connection and reports an error, which is already known.
+    body.on("error", () => undefined);
+    body.destroy();
+    throw AnswerLimitError.create(limitCodes[result.kind]);
+};
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -38,6 +38,17 @@
             assert.deepEqual(results.map(({ body }) => body).filter(body => body.includes("surplus")), []);
         }));
 
+    it("does not take a late copy of a refusal of another request for the answer to this one", () =>
+        withNode((socket, { id, index }) => {
+            const refusalOf = (refused: string): string => `HTTP/1.1 503 Busy\r\nAttempt-Id: ${refused}\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n`;
+            socket.write(index === 0 ? refusalOf(id) : refusalOf("first") + answerOf(id, "ran"));
+        }, async (node, upstream) => {
+            assert.equal((await callGateway(node.address, { headers: { "attempt-id": "first" } })).status, 503);
+            const { status, body } = await callGateway(node.address, { headers: { "attempt-id": "second" } });
+            assert.equal(upstream.received.length, 2);
+            assert.equal(status, 502, `"not run" would be false: ${body}`);
+        }));
+
     it("closes the upstream connection as soon as the caller disconnects", () =>
         withNode(neverAnswer, async (node, upstream) => {
             await callGateway(node.address, { abortAfterMs: 60 });
--- a/test/directory.test.ts
+++ b/test/directory.test.ts
@@ -115,4 +115,15 @@
         assert.deepEqual(directory.readyOf("desk"), []);
         assert.deepEqual(directory.changesSince(3).map(({ version }) => version), [5]);
     });
+
+    it("does not restore an upstream that was deleted before a restarted node's first read of the table", () => {
+        const directory = UpstreamDirectory.create();
+        const server = decodeServer("u1", rowOf("ready"))!;
+        directory.replace([{ id: "u2", version: 4, server: { ...server, id: "u2" } }], 9, 0);
+        // The answer of a peer that is behind, to a report sent before the read.
+        directory.apply({ id: "u1", version: 3, server });
+        assert.deepEqual(directory.readyOf("desk").map(({ id }) => id), ["u2"]);
+        directory.apply({ id: "u1", version: 12, server });
+        assert.deepEqual(directory.readyOf("desk").map(({ id }) => id), ["u2", "u1"]);
+    });
 });
--- a/test/failures.test.ts
+++ b/test/failures.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { expectedTokens } from "./fakes/engineServer";
+import { malformedMessages, sendRaw } from "./fakes/malformedMessages";
 import { waitFor } from "./fakes/processes";
 import { callerKey, operatorToken, sampleRecords, StandaloneFleet } from "./fakes/standaloneFleet";
 
@@ -43,6 +44,13 @@
         }
     });
 
+    it("survive malformed messages", async () => {
+        const port = Number(new URL(nodeUrl("node-a")).port);
+        await Promise.all(Object.values(malformedMessages).map(message => sendRaw(port, message)));
+        assert.equal(fleet.processes.children.get("node-a")!.exitCode ?? undefined, undefined);
+        assert.equal((await generate("node-a")).choices?.[0]?.message.content, expected);
+    });
+
     it("sends no new requests to a leaving runner, from any node", async () => {
         const url = fleet.engineUrls.get("runner-c")!;
         const received = async () => (await fleet.fetchJson(`${url}/witness`, "") as { received: number; }).received;
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -1,6 +1,7 @@
 import { request } from "node:http";
 import { CallerServer } from "../../src/forward/callerServer";
 import { Gateway } from "../../src/forward/gateway";
+import { defaultTransportLimits } from "../../src/node/transportLimitSettings";
 import { requestHeaderCodec } from "../../src/platform/requestHeaderCodec";
 import type { PlatformNodeSettings } from "../../src/types/platformNodeSettings";
 import type { ServiceRoute } from "../../src/types/servingConfig";
@@ -27,6 +28,7 @@
     retryRatio: 0.2,
     retryWindowMs: 10_000,
     retrySlack: 100,
+    limits: defaultTransportLimits,
     turnGapMs: 3_000,
     loadWindowMs: 5_000,
 };
--- a/test/platformDecoders.test.ts
+++ b/test/platformDecoders.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RouteTable } from "../src/core/routeTable";
+import { defaultTransportLimits } from "../src/node/transportLimitSettings";
 import { decodeConfig } from "../src/platform/configDecoder";
 import { decodeServer } from "../src/platform/directoryDecoder";
 import { requestHeaderCodec } from "../src/platform/requestHeaderCodec";
@@ -40,7 +41,7 @@
 
 describe("settings file parser", () => {
     it("converts values to the node's units and ignores unknown fields", () => {
-        const reading = parseSettingsFile(settingsText);
+        const reading = parseSettingsFile(settingsText, defaultTransportLimits);
         assert.ok("settings" in reading);
         assert.equal(reading.settings.graceMs, 8_000);
         assert.equal(reading.settings.nodeId, "n1@10.1.0.38");
@@ -58,7 +59,7 @@
     ];
     for (const { name, text, faults } of invalidFiles) {
         it(name, () => {
-            const reading = parseSettingsFile(text);
+            const reading = parseSettingsFile(text, defaultTransportLimits);
             assert.ok("faults" in reading);
             assert.equal(reading.faults.length, faults.length);
             faults.forEach((fault, index) => assert.ok(reading.faults[index]!.startsWith(fault), reading.faults[index]));
--- a/test/platformProcess.test.ts
+++ b/test/platformProcess.test.ts
@@ -14,6 +14,7 @@
 import type { CallerResult } from "./fakes/gatewayHarness";
 import { callGateway } from "./fakes/gatewayHarness";
 import { portOf } from "./fakes/jsonServer";
+import { malformedMessages, sendRaw } from "./fakes/malformedMessages";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
 import { renderSettingsFile } from "./fakes/platformSettingsFile";
 import { servePlatformStore } from "./fakes/platformStoreServer";
@@ -154,6 +155,16 @@
         assert.equal(await statusOf(addresses.metrics), 200);
     });
 
+    it("survives malformed messages on every port", async () => {
+        const ports = Object.values(addresses).map(address => Number(address.split(":")[1]));
+        const messages = Object.values(malformedMessages);
+        await Promise.all(ports.flatMap(port => messages.map(message => sendRaw(port, message))));
+        assert.equal(node.exitCode ?? node.signalCode ?? undefined, undefined);
+        assert.equal((await callGateway(addresses.front, { path: "/new/x" })).status, 200);
+        assert.equal(await statusOf(addresses.metrics), 200);
+        assert.equal(output.includes('"event":111'), false, "an error that no handler caught");
+    });
+
     it("reloads its settings on SIGHUP and keeps running when the file is invalid", async () => {
         writeSettings(20);
         node.kill("SIGHUP");
--- a/test/storeClient.test.ts
+++ b/test/storeClient.test.ts
@@ -2,6 +2,7 @@
 import type { Server } from "node:http";
 import { after, before, describe, it } from "node:test";
 import { toFailure } from "../src/core/failures";
+import { defaultTransportLimits } from "../src/node/transportLimitSettings";
 import { StoreClient } from "../src/platform/storeClient";
 import { FeedKind, TransactionKind } from "../src/types/rowStore";
 import { Verdict } from "../src/types/verdict";
@@ -24,7 +25,7 @@
             "GET /api/rows-feed": route("feed"),
             "POST /api/rows-tx": route("tx"),
         });
-        client = StoreClient.create(`127.0.0.1:${portOf(server)}`);
+        client = StoreClient.create(`127.0.0.1:${portOf(server)}`, defaultTransportLimits);
     });
     after(() => {
         server.closeAllConnections();
