Give a silent attempt up only if another upstream can take the request, and its runner does not respond

The runners were alive: their queues were longer than 1.5 s. Now a silent runner is probed (/api/report needs no slot); one that answers is waited for up to half of the request's time, and an attempt is aborted only once another upstream that is not saturated and a retry of the budget are reserved. Ruled out: lost answers (srv_crash, answer_lost) as the main cause: the aborts go on at seconds 10 to 32.

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -10,15 +10,10 @@
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import type { Gateway } from "./gateway";
+import { SilenceWatch } from "./silenceWatch";
 
 /** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
 const returnMarginMs = 8;
-/** An attempt that may fail over is aborted after this time without data once its answer has begun; callers disconnect after 2 s. */
-const maxSilenceMs = 1_500;
-/** Minimum timeout for the first byte of an attempt that may fail over; for a model request it is `maxSilenceMs`. */
-const minFirstByteTimeoutMs = 400;
-/** The timeout for the first byte is at least this multiple of the upstream's usual latency. */
-const firstByteTimeoutFactor = 6;
 /** Interval at which upstreams are checked for silence. */
 const silenceCheckIntervalMs = 100;
 /** Request-Priority of the most and the least urgent routes; requests without a priority have 5. */
@@ -61,8 +56,11 @@
         return new AttemptExecutor(gateway, call);
     }
 
-    /** Sends the request to an upstream. `mayFailOver`: whether an attempt on a silent upstream is aborted in favor of another one. */
-    async run(choice: UpstreamChoice, send: number, mayFailOver: boolean): Promise<AttemptOutcome> {
+    /**
+     * Sends the request to an upstream. `failOver` is called if the upstream is silent; the attempt is aborted if it returns true, which means
+     * that another upstream has been chosen. It is undefined if the request must not run again.
+     */
+    async run(choice: UpstreamChoice, send: number, failOver: (() => boolean) | undefined): Promise<AttemptOutcome> {
         const { call, gateway } = this;
         const { server, traffic } = choice.candidate;
         this.choice = choice;
@@ -71,7 +69,7 @@
         traffic.inFlight++;
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
-        const timers = this.startTimers(choice, abort, mayFailOver);
+        const timers = this.startTimers(choice, abort, failOver);
         const onCallerAbort = (): void => abort.abort();
         call.signal.addEventListener("abort", onCallerAbort, { once: true });
         emit(EventId.RequestSent, {
@@ -118,20 +116,13 @@
         }
     }
 
-    /** Aborts the attempt at the deadline, and earlier if the upstream is silent and the request may fail over. */
-    private startTimers(choice: UpstreamChoice, abort: AbortController, mayFailOver: boolean): NodeJS.Timeout[] {
-        const { call, relay } = this;
+    /** Aborts the attempt at the deadline, and earlier if the upstream is silent and another one can take the request. */
+    private startTimers(choice: UpstreamChoice, abort: AbortController, failOver: (() => boolean) | undefined): NodeJS.Timeout[] {
+        const { call } = this;
         const timers = [setTimeout(() => abort.abort(), Math.max(0, call.deadlineAt - performance.now()))];
-        if (mayFailOver) {
-            const typicalMs = Math.max(choice.predictedMs, choice.candidate.traffic.firstByteMs ?? 0);
-            const firstByteTimeoutMs = Math.max(call.caller.modelRequest ? maxSilenceMs : minFirstByteTimeoutMs, firstByteTimeoutFactor * typicalMs);
-            const check = (): void => {
-                const isSilent = relay.head ? performance.now() - relay.lastProgressAt > maxSilenceMs : performance.now() - this.sentAt > firstByteTimeoutMs;
-                if (isSilent) {
-                    abort.abort();
-                }
-            };
-            timers.push(setInterval(check, silenceCheckIntervalMs));
+        if (failOver) {
+            const watch = SilenceWatch.create(this.gateway, call, choice, this.relay);
+            timers.push(setInterval(() => watch.isExhausted() && failOver() && abort.abort(), silenceCheckIntervalMs));
         }
         return timers;
     }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,5 +1,5 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { estimateWorkMs } from "../core/chooseUpstream";
+import { estimateWorkMs, isSaturated, predictCompletionMs } from "../core/chooseUpstream";
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
@@ -11,6 +11,7 @@
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import type { Gateway } from "./gateway";
+import { selectUpstream } from "./selectUpstream";
 import { isRefusal, waitForUpstream } from "./waitForUpstream";
 
 /** Maximum sends of one request, including those that were refused without running. */
@@ -46,6 +47,8 @@
     private sends = 0;
     private possibleRuns = 0;
     private upstream: string | undefined;
+    /** Upstream that was chosen while the latest attempt was still in progress. */
+    private alternative: UpstreamChoice | undefined;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
         this.attempts = AttemptExecutor.create(gateway, call);
@@ -100,7 +103,8 @@
         this.upstream = choice.candidate.server.id;
         this.tried.add(this.upstream);
         this.sends++;
-        const outcome = await this.attempts.run(choice, this.sends, mayRepeat(route) && this.possibleRuns + 1 < route.maxAttempts);
+        const mayRunAgain = mayRepeat(route) && this.possibleRuns + 1 < route.maxAttempts && this.sends < maxSends;
+        const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? () => this.reserveAlternative() : undefined);
         if (outcome === AttemptOutcome.Unsent) {
             this.sends--;
         }
@@ -123,9 +127,29 @@
         return outcome === AttemptOutcome.NotRun || outcome === AttemptOutcome.Unsent || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
     }
 
+    /** Reserves an upstream that can take the request now, with a retry of the budget; returns whether there is one. */
+    private reserveAlternative(): boolean {
+        const { gateway, call } = this;
+        const { modelRequest } = call.caller;
+        const choice = selectUpstream(gateway, call, this.tried);
+        if (!choice || isSaturated(choice, call.route.eventGapObjectiveMs)) {
+            return false;
+        }
+        const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
+        if (neededMs > call.deadlineAt - performance.now() || !gateway.budgetOf(call.service).withdraw()) {
+            return false;
+        }
+        this.alternative = choice;
+        return true;
+    }
+
     /** Another upstream, if one is available and the service's retry budget allows it. */
     private async chooseNextUpstream(): Promise<UpstreamChoice | undefined> {
-        const { gateway, call } = this;
+        const { gateway, call, alternative } = this;
+        this.alternative = undefined;
+        if (alternative) {
+            return alternative;
+        }
         const choice = await waitForUpstream(gateway, call, this.tried);
         if (isRefusal(choice)) {
             return undefined;
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -15,6 +15,7 @@
 import { getOrCreate } from "../utils/maps";
 import type { Random } from "../utils/random";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
+import type { UpstreamProber } from "./upstreamProber";
 
 /** The active configuration and its route table. */
 interface ActiveConfig {
@@ -51,6 +52,8 @@
     /** The active configuration as it was published, for peers. */
     configBytes: Buffer | undefined;
     placement: Placement = disabledPlacement;
+    /** Probes silent runners; without it, silence alone counts. */
+    prober: UpstreamProber | undefined;
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     isStopping = false;
--- /dev/null
+++ b/src/forward/silenceWatch.ts
@@ -0,0 +1,73 @@
+import type { UpstreamChoice } from "../core/chooseUpstream";
+import { decideOnSilence, SilenceAction } from "../core/failOver";
+import type { AnswerRelay } from "./answerRelay";
+import type { Call } from "./call";
+import type { Gateway } from "./gateway";
+
+/** Silence of a model request or of a begun answer after which its upstream is probed; callers disconnect after 2 s at the earliest. */
+const maxSilenceMs = 1_500;
+/** Minimum timeout for the first byte of a plain request. */
+const minFirstByteTimeoutMs = 400;
+/** The timeout for the first byte is at least this multiple of the upstream's usual latency. */
+const firstByteTimeoutFactor = 6;
+
+/** Watches one attempt for silence, and probes its runner before the attempt is given up. */
+export class SilenceWatch {
+    private readonly sentAt = performance.now();
+    private readonly firstByteTimeoutMs: number;
+    private readonly isProbed: boolean;
+    private silentSince = this.sentAt;
+    private isAlive: boolean | undefined;
+    private isProbing = false;
+
+    private constructor(
+        private readonly gateway: Gateway,
+        private readonly call: Call,
+        private readonly choice: UpstreamChoice,
+        private readonly relay: AnswerRelay,
+    ) {
+        const { candidate: { traffic }, predictedMs } = choice;
+        const { modelRequest } = call.caller;
+        const typicalMs = Math.max(predictedMs, traffic.firstByteMs ?? 0);
+        this.firstByteTimeoutMs = Math.max(modelRequest ? maxSilenceMs : minFirstByteTimeoutMs, firstByteTimeoutFactor * typicalMs);
+        this.isProbed = modelRequest !== undefined && gateway.prober !== undefined;
+        this.isAlive = this.isProbed ? undefined : false;
+    }
+
+    /** Creates the watch of an attempt that is being sent. */
+    static create(gateway: Gateway, call: Call, choice: UpstreamChoice, relay: AnswerRelay): SilenceWatch {
+        return new SilenceWatch(gateway, call, choice, relay);
+    }
+
+    /** Whether the attempt should be moved to another upstream; called repeatedly. */
+    isExhausted(): boolean {
+        const { relay, call, sentAt } = this;
+        const lastProgressAt = relay.head ? relay.lastProgressAt : sentAt;
+        if (lastProgressAt !== this.silentSince) {
+            this.silentSince = lastProgressAt;
+            this.isAlive = this.isProbed ? undefined : false;
+        }
+        const action = decideOnSilence({
+            silentMs: performance.now() - this.silentSince,
+            maxSilenceMs: relay.head ? maxSilenceMs : this.firstByteTimeoutMs,
+            allowedMs: call.deadlineAt - sentAt,
+            isAlive: this.isAlive,
+        });
+        if (action === SilenceAction.Probe) {
+            this.probe();
+        }
+        return action === SilenceAction.FailOver;
+    }
+
+    private probe(): void {
+        const { prober } = this.gateway;
+        if (!prober || this.isProbing) {
+            return;
+        }
+        this.isProbing = true;
+        void prober.isAlive(this.choice.candidate.server).then(isAlive => {
+            this.isAlive = isAlive;
+            this.isProbing = false;
+        });
+    }
+}
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -6,6 +6,7 @@
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
+import { UpstreamProber } from "../forward/upstreamProber";
 import { Controller } from "../placement/controller";
 import { ControllerClient } from "../placement/controllerClient";
 import { PeerServer } from "../placement/peerServer";
@@ -92,7 +93,9 @@
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
         const lease = ControllerLease.create(store, self, settings);
-        const controller = Controller.create(gateway, lease, RunnerClient.create(settings.limits));
+        const runners = RunnerClient.create(settings.limits);
+        gateway.prober = UpstreamProber.create(runners);
+        const controller = Controller.create(gateway, lease, runners);
         const peerServer = PeerServer.create(gateway, controller);
         const controllerClient = ControllerClient.create(gateway, lease, { peerServer, controller, decodeConfig, onConfig: () => this.server.applyLimits() });
         gateway.placement = controllerClient;
