--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -37,6 +37,10 @@
     lastProgressAt = 0;
     /** When the first head of an answer arrived, on the monotonic clock. */
     firstByteAt = 0;
+    /** When the first event of a stream arrived, on the monotonic clock; 0 before it. */
+    firstEventAt = 0;
+    /** Longest time between two events of the stream. */
+    maxEventGapMs = 0;
     private isStreaming = false;
     /** Whether an event of the latest attempt's stream has arrived. */
     private hasReceivedEvent = false;
@@ -102,9 +106,12 @@
         }
         const now = performance.now();
         if (this.hasReceivedEvent) {
-            this.observer.onEventGap(now - this.lastProgressAt);
+            const gapMs = now - this.lastProgressAt;
+            this.maxEventGapMs = Math.max(this.maxEventGapMs, gapMs);
+            this.observer.onEventGap(gapMs);
         }
         this.hasReceivedEvent = true;
+        this.firstEventAt ||= now;
         this.lastProgressAt = now;
         if (this.call.res.write(events)) {
             return SinkState.Ready;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -191,6 +191,9 @@
             status: relay.head?.status,
             sends: this.sends,
             firstByteMs: Math.round(relay.firstByteAt - startedAt),
+            firstEventMs: relay.firstEventAt > 0 ? Math.round(relay.firstEventAt - startedAt) : undefined,
+            maxEventGapMs: relay.firstEventAt > 0 ? Math.round(relay.maxEventGapMs) : undefined,
+            model: caller.modelRequest?.model,
             afterMs: this.elapsedMs(),
         });
     }
