Leave a vacant controller lease to larger nodes, and read the store less often while there is no controller

The successor was whichever node read the row first; at 0.324 cores it cannot answer 83 reports a second. A node now leaves a vacant lease up to 1 s to larger ones (limits.cpuShare x cores), and a node that reads for itself pauses 0.3 of the time allowed for a change (0.25 s before). Ruled out: the exchange's age in calm (0.33 s at the median).

--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -6,6 +6,7 @@
 import { emit } from "../utils/events";
 import type { LeaseCandidate, LeaseRules, RunnerLeaseRequest } from "./controllerRow";
 import { controllerLeaseTtlMs, decodeControllerRow, maxOrderDeliveryMs, nextControllerRow } from "./controllerRow";
+import { LeaseVacancy } from "./leaseVacancy";
 import { StoreClock } from "./storeClock";
 
 /** A tick renews the lease only if the last renewal is at least this old. */
@@ -42,10 +43,15 @@
     /** The newest queued operation; operations run one by one, each from the row version that the one before it left. */
     private lastOperation: Promise<unknown> = Promise.resolve();
 
-    private constructor(private readonly store: RowStore, private readonly self: LeaseCandidate, private readonly rules: LeaseRules) {}
+    private constructor(
+        private readonly store: RowStore,
+        private readonly self: LeaseCandidate,
+        private readonly rules: LeaseRules,
+        private readonly vacancy: LeaseVacancy,
+    ) {}
 
-    static create(store: RowStore, self: LeaseCandidate, rules: LeaseRules): ControllerLease {
-        return new ControllerLease(store, self, rules);
+    static create(store: RowStore, self: LeaseCandidate, rules: LeaseRules, vacancy = LeaseVacancy.create(() => 0)): ControllerLease {
+        return new ControllerLease(store, self, rules, vacancy);
     }
 
     /** The epoch while the lease is certainly held by this process, undefined otherwise. */
@@ -111,7 +117,8 @@
             if (this.heldEpoch === undefined) {
                 await this.read();
             }
-            if (this.seen && (this.isOwn || this.mayTakeOver(this.seen))) {
+            this.vacancy.update(this.seen !== undefined && !this.isOwn && this.isVacant(this.seen));
+            if (this.isOwn || this.vacancy.takeoverInMs === 0) {
                 await this.writeWithRetry([]);
             }
         });
@@ -177,7 +184,7 @@
         this.seen = { row, version };
     }
 
-    private mayTakeOver({ row, version }: SeenRow): boolean {
+    private isVacant({ row, version }: SeenRow): boolean {
         return !row || row.isReleased || row.holder === this.self.holder || this.yieldedVersion === version || this.clock.earliestMs >= row.untilMs;
     }
 
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -27,7 +27,7 @@
 /** Options of a table follower. */
 export interface FollowerOptions {
     /** Pause after changes, so that several arrive in one call; the store charges for each call. */
-    readonly pauseMs: number;
+    readonly pauseMs: () => number;
     /** Long-poll wait of one call to the change feed. */
     readonly waitMs: () => number;
     /** Version up to which this node has received the table from another source. */
@@ -36,7 +36,7 @@
     readonly freshness?: StoreFreshness;
 }
 
-const defaultOptions: FollowerOptions = { pauseMs: 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
+const defaultOptions: FollowerOptions = { pauseMs: () => 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
 
 /** Follows one table of the store through its change feed. */
 export class TableFollower {
@@ -100,7 +100,7 @@
         this.version = Math.max(this.version, result.version);
         this.observer.onChanges(result.rows, result.version, this.graceMs);
         if (result.rows.length > 0) {
-            await sleep(this.options.pauseMs, signal);
+            await sleep(this.options.pauseMs(), signal);
         }
     }
 
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -1,7 +1,9 @@
 import { randomUUID } from "node:crypto";
 import { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
+import { LeaseVacancy } from "../core/leaseVacancy";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
+import { takeoverDelayMs } from "../core/takeoverDelay";
 import { CallerServer } from "../forward/callerServer";
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
@@ -33,10 +35,14 @@
 const controllerFeedWaitMs = 500;
 /** Pause after a change of the directory, so that one call returns several changes. */
 const directoryPauseMs = 250;
+/** Pause of a node that reads the store for itself, as a share of the time allowed for a change: all nodes do so while there is no controller. */
+const ownReadPauseShare = 0.3;
 /** Interval between renewals of the controller's lease. */
 const leaseRenewalMs = 450;
 /** With more nodes than this, each reads the lease row less often; one of them still notices an expired lease soon. */
 const maxFullRateNodes = 8;
+/** Minimum pause between two attempts to take a vacant lease. */
+const minTakeoverPauseMs = 200;
 /** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
 const controllerTimeoutMs = 1_000;
 
@@ -61,9 +67,14 @@
         const { controllerClient, peerServer } = this.startPlacement(store);
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
         const { freshness } = gateway;
-        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, { pauseMs: 0, waitMs, knownVersion: () => 0, freshness });
+        const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, {
+            pauseMs: () => 0,
+            waitMs,
+            knownVersion: () => 0,
+            freshness,
+        });
         const directory = TableFollower.create(store, platformTables.directory, createDirectoryObserver(gateway, decodeServer), gateway.random, {
-            pauseMs: directoryPauseMs,
+            pauseMs: () => controllerClient.isController ? directoryPauseMs : ownReadPauseShare * Math.min(settings.drainMs, settings.applyMs),
             waitMs,
             knownVersion: () => gateway.directory.version,
             freshness,
@@ -92,25 +103,37 @@
         const { gateway, settings } = this;
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
-        const lease = ControllerLease.create(store, self, settings);
+        const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
+        const lease = ControllerLease.create(store, self, settings, vacancy);
         const runners = RunnerClient.create(settings.limits);
         gateway.prober = UpstreamProber.create(runners);
         const controller = Controller.create(gateway, lease, runners);
         const peerServer = PeerServer.create(gateway, controller);
-        const controllerClient = ControllerClient.create(gateway, lease, { peerServer, controller, decodeConfig, onConfig: () => this.server.applyLimits() });
+        const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, {
+            peerServer,
+            controller,
+            decodeConfig,
+            onConfig: () => this.server.applyLimits(),
+        });
         gateway.placement = controllerClient;
         controllerClient.start(signal);
         controller.start(signal);
+        const isControllerResponding = (): boolean => performance.now() - controllerClient.lastAnswerAt < controllerTimeoutMs;
         const tick = async (): Promise<void> => {
-            const isControllerResponding = performance.now() - controllerClient.lastAnswerAt < controllerTimeoutMs;
-            if (lease.heldEpoch !== undefined || !isControllerResponding) {
+            if (lease.heldEpoch !== undefined || !isControllerResponding()) {
                 await lease.tick();
             }
         };
+        const pauseMs = (): number => {
+            if (lease.heldEpoch !== undefined) {
+                return leaseRenewalMs;
+            }
+            const readPauseMs = leaseRenewalMs * Math.max(1, gateway.knownNodes / maxFullRateNodes) * (0.5 + gateway.random());
+            return vacancy.takeoverInMs === undefined || isControllerResponding() ? readPauseMs : Math.max(minTakeoverPauseMs, vacancy.takeoverInMs);
+        };
         void repeat(
             tick,
-            () =>
-                lease.heldEpoch === undefined ? leaseRenewalMs * Math.max(1, gateway.knownNodes / maxFullRateNodes) * (0.5 + gateway.random()) : leaseRenewalMs,
+            pauseMs,
             signal,
             err => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }),
         );
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -50,6 +50,8 @@
     /** Epoch of the controller that answered last. */
     private lastEpoch: number | undefined;
     private adaptersRevision = 0;
+    /** Processor capacity of the largest node that the controller knows. */
+    largestKnownCores: number | undefined;
     /** When the controller last answered, on the monotonic clock. */
     lastAnswerAt = Number.NEGATIVE_INFINITY;
 
@@ -154,6 +156,7 @@
         return {
             node: gateway.settings.nodeId,
             peerAddress: gateway.settings.peerAddress,
+            cores: gateway.settings.cores,
             configVersion: gateway.config?.version ?? 0,
             directoryVersion: gateway.directory.version,
             adaptersEpoch: this.lastEpoch,
@@ -182,6 +185,7 @@
             this.isControllerLost = false;
             this.peers = answer.peers.length > 1 ? answer.peers : this.peers;
             gateway.knownNodes = Math.max(1, answer.peers.length);
+            this.largestKnownCores = answer.largestCores;
         }
         if (answer.config !== undefined && decodeAndApplyConfig(gateway, Buffer.from(answer.config, "base64"), this.local.decodeConfig, "peer")) {
             this.local.onConfig();
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -20,6 +20,7 @@
 const reportSchema = z.object({
     node: z.string(),
     peerAddress: z.string(),
+    cores: z.number(),
     configVersion: z.number(),
     directoryVersion: z.number(),
     adaptersEpoch: z.number().optional(),
@@ -104,6 +105,7 @@
         }
         return {
             peers: [...this.nodes.values()].map(node => node.report.peerAddress),
+            largestCores: Math.max(...[...this.nodes.values()].map(node => node.report.cores)),
             configVersion: config?.version ?? 0,
             config: isNewer ? configBytes?.toString("base64") : undefined,
             directoryVersion: directory.appliedVersion,
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -16,7 +16,8 @@
     heartbeatMs: z.number().positive(),
     /** `control` is the address for calls from peers. */
     listen: z.object({ front: address, ready: address, control: address }),
-    limits: z.object({ memoryMb: z.number().positive() }),
+    /** `cpuShare` is the share of one core's time, of a core that is `cores` times as fast. */
+    limits: z.object({ memoryMb: z.number().positive(), cpuShare: z.number().positive().default(1), cores: z.number().positive().default(1) }),
     bounds: z.object({
         contactMs: z.number(),
         drainMs: z.number(),
@@ -53,7 +54,7 @@
     if ("faults" in result) {
         return result;
     }
-    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, listen, bounds, platform } = result.value;
+    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, listen, bounds, platform, limits: vm } = result.value;
     return {
         settings: {
             nodeId: `${nodeName}@${ip}`,
@@ -66,6 +67,7 @@
             storeAddress: platform.addr,
             seeds,
             heartbeatMs,
+            cores: vm.cpuShare * vm.cores,
             drainMs: bounds.drainMs,
             applyMs: bounds.applyMs,
             graceMs: bounds.graceS * msPerS,
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -44,6 +44,8 @@
 export interface NodeReport {
     readonly node: string;
     readonly peerAddress: string;
+    /** Processor capacity of the node's VM, in cores. */
+    readonly cores: number;
     readonly configVersion: number;
     readonly directoryVersion: number;
     /** Epoch of the controller, and its revision, up to which the adapters at runners are known. */
@@ -64,6 +66,8 @@
 export interface PeerAnswer {
     /** Peer addresses of all known nodes. */
     readonly peers: readonly string[];
+    /** Processor capacity of the largest known node, in cores. */
+    readonly largestCores: number;
     readonly configVersion: number;
     /** The published configuration in base64, if the reporting node's is older. */
     readonly config?: string;
--- a/src/types/platformNodeSettings.ts
+++ b/src/types/platformNodeSettings.ts
@@ -13,6 +13,8 @@
     readonly storeAddress: string;
     /** Initial peer addresses; they may be stale. */
     readonly seeds: readonly string[];
+    /** Processor capacity of the VM, in cores. */
+    readonly cores: number;
     /** Interval at which upstreams write their heartbeat to the directory. */
     readonly heartbeatMs: number;
     /** Time after which a leaving upstream must get no new requests. */
--- a/test/controllerLease.test.ts
+++ b/test/controllerLease.test.ts
@@ -4,6 +4,8 @@
 import { ControllerLease } from "../src/core/controllerLease";
 import type { LeaseRules } from "../src/core/controllerRow";
 import { controllerLeaseTtlMs, maxOrderDeliveryMs } from "../src/core/controllerRow";
+import { LeaseVacancy } from "../src/core/leaseVacancy";
+import { takeoverDelayMs } from "../src/core/takeoverDelay";
 import { setupLogs } from "../src/utils/events";
 import { createRandom, pick } from "../src/utils/random";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
@@ -151,6 +153,26 @@
         assert.ok(store.nowMs > 0);
     });
 
+    it("leaves a vacant lease to a larger node for a while, and takes it if there is none", async () => {
+        const store = MemoryPlatformStore.create(createRandom(1));
+        store.lossShare = 0;
+        const create = (name: string, cores: number): ControllerLease =>
+            ControllerLease.create(store, { holder: name, boot: name, peerAddress: name }, rules, LeaseVacancy.create(() => takeoverDelayMs(cores, 1.35)));
+        const [small, large] = [create("small", 0.324), create("large", 1.35)];
+        await small.tick();
+        assert.equal(small.heldEpoch, undefined, "small node at once");
+        await large.tick();
+        assert.notEqual(large.heldEpoch, undefined, "large node at once");
+        await large.release();
+        await small.tick();
+        await clock.tickAsync(takeoverDelayMs(0.324, 1.35) - stepMs);
+        await small.tick();
+        assert.equal(small.heldEpoch, undefined, "small node before its delay has passed");
+        await clock.tickAsync(2 * stepMs);
+        await small.tick();
+        assert.notEqual(small.heldEpoch, undefined, "small node after its delay has passed");
+    });
+
     it("does not grant a runner lease that the store did not record", async () => {
         const [store, first] = createPair();
         await first.tick();
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -21,6 +21,7 @@
     metricsAddress: "127.0.0.1:0",
     storeAddress: "127.0.0.1:0",
     seeds: [],
+    cores: 1,
     heartbeatMs: 1_000,
     drainMs: 2_000,
     applyMs: 2_000,
