Plan several copies of a model at a time

Loads that wait for memory now count as copies in the plan, so that it can add up to four more of a model in a round, and a plan whose advantage is gone when memory is free is dropped (one was carried out at -2.16). Test: 10 full runners, demand of four runners for one model: 2 copies after 7 s before, 4 or more after.

--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -5,6 +5,7 @@
 import type { ModelDemand } from "./modelDemand";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
+import { victimSets } from "./victimSets";
 
 /** Value per second of the first copy of a model: the part for a model that requests are waiting for, and the part for any model that callers may request. */
 const awaitedModelValue = 1;
@@ -17,8 +18,8 @@
 /** An unload waits for the model's requests in flight and blocks the runner meanwhile; this is its cost just after a request. */
 const busyVictimCost = 0.4;
 const busyVictimHalfLifeMs = 2_500;
-/** A model with demand is not unloaded before this much time has passed since its load. */
-const minResidencyMs = 4_000;
+/** Maximum number of copies of one model that a round adds. */
+const maxCopiesAtOnce = 4;
 /** Minimum advantage of a load over its costs. */
 const minAdvantage = 0.06;
 
@@ -30,6 +31,8 @@
     readonly awaitedModels: ReadonlySet<string>;
     /** Whether the rate limit admits a load from the weight store. */
     readonly mayLoadFromWeightStore: boolean;
+    /** Models that will be loaded once memory has been freed for them, by runner ID. */
+    readonly plannedLoads: ReadonlyMap<string, string>;
 }
 
 /**
@@ -41,6 +44,8 @@
     private readonly utilisation = new Map<RunnerTracker, number>();
     private readonly usedMb = new Map<RunnerTracker, number>();
     private readonly usable: readonly RunnerTracker[];
+    /** Runners with a planned load. */
+    private readonly plannedTrackers = new Set<RunnerTracker>();
 
     private constructor(private readonly inputs: CopyPlanInputs) {
         this.usable = inputs.trackers.filter(isUsable);
@@ -50,6 +55,13 @@
             this.utilisation.set(tracker, 0);
             this.usedMb.set(tracker, tracker.usedMb(inputs.engine));
         }
+        for (const [runner, model] of inputs.plannedLoads) {
+            const tracker = this.usable.find(({ server }) => server.id === runner);
+            if (tracker) {
+                this.plannedTrackers.add(tracker);
+                this.trackersByModel.get(model)?.add(tracker);
+            }
+        }
         for (const [model, trackers] of this.trackersByModel) {
             trackers.forEach(tracker => this.addLoad(tracker, this.loadOf(model) / trackers.size));
         }
@@ -63,23 +75,27 @@
     /** Orders to send now, at most one to each runner. */
     steps(): readonly CopyStep[] {
         const steps: CopyStep[] = [];
-        const chosen = new Set<RunnerTracker>();
+        const chosen = new Set<RunnerTracker>(this.plannedTrackers);
         for (const model of this.modelsByUrgency()) {
-            const best = this.bestOption(model, chosen);
-            if (!best) {
-                continue;
+            for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
+                const best = this.bestOption(model, chosen);
+                if (!best) {
+                    break;
+                }
+                chosen.add(best.tracker);
+                steps.push(toStep(model, best));
+                best.victims.forEach(victim => this.changeRunners(victim, trackers => trackers.delete(best.tracker)));
+                this.changeRunners(model.name, trackers => trackers.add(best.tracker));
             }
-            chosen.add(best.tracker);
-            steps.push(toStep(model, best));
-            best.victims.forEach(victim => this.changeRunners(victim, tracker => tracker.delete(best.tracker)));
-            this.changeRunners(model.name, trackers => trackers.add(best.tracker));
         }
         return steps;
     }
 
     /** The next order for a model on a runner that an earlier plan chose for it. */
     stepFor(model: ModelSpec, tracker: RunnerTracker): CopyStep | undefined {
+        this.changeRunners(model.name, trackers => trackers.delete(tracker));
         const option = this.optionAt(model, tracker);
+        this.changeRunners(model.name, trackers => trackers.add(tracker));
         return option && toStep(model, option);
     }
 
@@ -170,7 +186,7 @@
         }
         const missingMb = this.usedMb.get(tracker)! + model.memoryMb - engine.memoryMb;
         let best: CopyOption | undefined;
-        for (const victims of this.victimSets(tracker, missingMb)) {
+        for (const victims of victimSets(tracker, missingMb, engine, name => this.loadOf(name))) {
             const advantage = this.advantage(model, tracker, victims);
             if (advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
                 best = { tracker, victims, advantage };
@@ -179,28 +195,6 @@
         return best;
     }
 
-    /** Sets of models whose unload frees enough memory: the empty set, each single model, or several with the least load. */
-    private victimSets(tracker: RunnerTracker, missingMb: number): readonly (readonly string[])[] {
-        if (missingMb <= 0) {
-            return [[]];
-        }
-        const sizeOf = (name: string): number => this.inputs.engine.models.get(name)?.memoryMb ?? 0;
-        const candidates = [...tracker.models].filter(name => tracker.heldMs(name) > minResidencyMs || this.inputs.demand.loadOf(name) === 0);
-        const single = candidates.filter(name => sizeOf(name) >= missingMb).map(name => [name]);
-        if (single.length > 0) {
-            return single;
-        }
-        const victims: string[] = [];
-        let freedMb = 0;
-        for (const name of candidates.sort((a, b) => this.loadOf(a) - this.loadOf(b))) {
-            if (freedMb < missingMb) {
-                victims.push(name);
-                freedMb += sizeOf(name);
-            }
-        }
-        return freedMb >= missingMb ? [victims] : [];
-    }
-
     private isServedElsewhere(model: string, tracker: RunnerTracker): boolean {
         for (const other of this.trackersByModel.get(model) ?? []) {
             if (other !== tracker && serves(other, model)) {
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -1,6 +1,6 @@
 import { chooseAdapterPlacement } from "../core/chooseAdapterPlacement";
 import type { ControllerLease } from "../core/controllerLease";
-import { holdsOrLoads, serves } from "../core/copies";
+import { serves } from "../core/copies";
 import { CopyPlan } from "../core/copyPlan";
 import type { CopyStep } from "../core/copyStep";
 import { toFailure } from "../core/failures";
@@ -16,6 +16,7 @@
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
+import { PlannedLoads } from "./plannedLoads";
 import { dueReportIntervalMs, orderResendMs, RunnerManager } from "./runnerManager";
 
 /** Interval between two planning rounds. */
@@ -25,8 +26,6 @@
 const maxRoundCpuShare = 0.1;
 /** Time for which a model counts as awaited after the last request to place it. */
 const awaitedModelTtlMs = 1_500;
-/** A planned load is removed if it has not started within this time after the first unload that frees memory for it. */
-const plannedLoadTtlMs = 8_000;
 /** Estimated time until an adapter is loaded, including delivery of the order. */
 const estimatedAdapterLoadMs = 10;
 /** Maximum attempts to load an adapter before the node has to retry its request. */
@@ -36,17 +35,11 @@
 /** Retry delay for a model that is neither loading nor planned. */
 const placementRetryMs = 1_000;
 
-/** A model that is to be loaded on a runner once other models are unloaded from it. */
-interface PlannedLoad {
-    readonly model: string;
-    readonly expiresAt: number;
-}
-
 /** Controls the runners of all engine services while this node holds the controller lease. */
 export class Controller {
     private readonly demand = ModelDemand.create();
     private readonly awaitedModels = new Map<string, number>();
-    private readonly plannedLoads = new Map<string, PlannedLoad>();
+    private readonly plannedLoads = PlannedLoads.create();
     private readonly manager: RunnerManager;
     private storeLimiter: WeightStoreLimiter;
     private activeEpoch = 0;
@@ -128,7 +121,7 @@
             const doneAt = loading.transition?.doneAt ?? performance.now() + loading.loadMs(spec);
             return { runner: loading.server.id, readyInMs: Math.max(0, doneAt - performance.now()), isComing: true };
         }
-        const isPlanned = [...this.plannedLoads.values()].some(planned => planned.model === model);
+        const isPlanned = [...this.plannedLoads.models.values()].includes(model);
         return { readyInMs: isPlanned ? estimatedUnloadMs + spec.diskLoadMs : placementRetryMs, isComing: isPlanned };
     }
 
@@ -194,6 +187,7 @@
     private planService(service: string, engine: EngineSpec): void {
         const now = performance.now();
         const trackers = this.manager.trackersOf(service);
+        this.plannedLoads.removeEnded(id => this.manager.get(id));
         const awaitedModels = new Set([...this.awaitedModels].filter(([, at]) => now - at < awaitedModelTtlMs).map(([model]) => model));
         const plan = CopyPlan.create({
             engine,
@@ -201,25 +195,24 @@
             demand: this.demand,
             awaitedModels,
             mayLoadFromWeightStore: this.storeLimiter.mayStartLoad(engine.loadsPerS),
+            plannedLoads: this.plannedLoads.models,
         });
-        for (const [id, planned] of this.plannedLoads) {
+        for (const [id, planned] of this.plannedLoads.models) {
             const tracker = this.manager.get(id);
-            const model = engine.models.get(planned.model);
-            if (!tracker || !model || now > planned.expiresAt || holdsOrLoads(tracker, planned.model)) {
-                this.plannedLoads.delete(id);
-            }
-            else if (tracker.canOrder && tracker.server.service === service) {
+            const model = engine.models.get(planned);
+            if (tracker && model && tracker.canOrder && tracker.server.service === service) {
                 const step = plan.stepFor(model, tracker);
-                if (step) {
+                if (step && step.advantage > 0) {
                     this.execute(tracker, engine, step);
                 }
+                else {
+                    this.plannedLoads.remove(id);
+                }
             }
         }
-        const plannedModels = new Set([...this.plannedLoads.values()].map(({ model }) => model));
         for (const step of plan.steps()) {
-            const target = step.freesMemoryFor ?? step.model;
             const tracker = this.manager.get(step.runner);
-            if (tracker?.canOrder && !this.plannedLoads.has(step.runner) && !plannedModels.has(target)) {
+            if (tracker?.canOrder) {
                 this.execute(tracker, engine, step);
             }
         }
@@ -233,10 +226,7 @@
             this.storeLimiter.count();
         }
         if (step.freesMemoryFor !== undefined) {
-            this.plannedLoads.set(
-                step.runner,
-                this.plannedLoads.get(step.runner) ?? { model: step.freesMemoryFor, expiresAt: performance.now() + plannedLoadTtlMs },
-            );
+            this.plannedLoads.add(step.runner, step.freesMemoryFor);
         }
         const reason = step.freesMemoryFor === undefined ? `advantage ${step.advantage.toFixed(2)}` : `frees memory for ${step.freesMemoryFor}`;
         this.manager.sendOrder(tracker, engine, { kind: step.kind, model: step.model }, reason)
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -159,6 +159,20 @@
             assert.ok(copies >= 3, `${copies} copies for 1.4 runners' work`);
         }));
 
+    it("follows a shift of demand to a model with several copies at a time, although memory has to be freed for each", () =>
+        withClock(async () => {
+            // Every runner is full; m1 has one copy and suddenly four runners' work.
+            const large = ["m1", "m2", "m3", "m5", "m6", "m7", "m9", "m10", "m11", "m13"];
+            const { runners, controller } = await createFixture(2, 10, index => [large[index]!, large[(index + 3) % 10 === 0 ? 4 : (index + 3) % 10]!]);
+            await clock.tickAsync(1_000);
+            for (let step = 0; step < 7_000 / stepMs; step++) {
+                await clock.tickAsync(stepMs);
+                controller.countWork([{ artifact: "m1", workMs: 4 * stepMs, idleMs: 0 }]);
+            }
+            const copies = [...runners.values()].filter(({ models }) => models.has("m1")).length;
+            assert.ok(copies >= 4, `${copies} copies after 7 s`);
+        }));
+
     it("reloads a model that lost all runners, although its demand exceeds one runner", () =>
         withClock(async () => {
             const { runners, controller, publish } = await createFixture(4);
