--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -8,6 +8,7 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
+import { nextTurn } from "../utils/time";
 import { errorCodeOf, readBody } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
 import type { Call } from "./call";
@@ -109,7 +110,10 @@
         const startedAt = performance.now();
         const callerAbort = new AbortController();
         this.gateway.inProgress++;
+        const onEnd = (): void => callerAbort.abort();
+        req.socket.once("end", onEnd);
         res.on("close", () => {
+            req.socket.off("end", onEnd);
             this.gateway.inProgress--;
             if (!res.writableFinished) {
                 callerAbort.abort();
@@ -120,7 +124,12 @@
         }
         try {
             const call = await this.toCall(req, res, startedAt, callerAbort.signal);
-            if (call) {
+            // A busy node reads a request together with its caller's close, but learns of the close only in the next turn.
+            await nextTurn();
+            if (callerAbort.signal.aborted) {
+                emit(EventId.CallerLeft, { request: call?.caller.requestId, afterMs: Math.round(performance.now() - startedAt) });
+            }
+            else if (call) {
                 await Forwarder.create(this.gateway, call).run();
             }
         }
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage, Server } from "node:http";
 import type { Socket } from "node:net";
 import { Server as TlsServer } from "node:tls";
-import { sleep } from "./time";
+import { nextTurn, sleep } from "./time";
 
 /** A connection that is open for this long without a request is idle; a caller that has just connected sends its request sooner. */
 const newConnectionMs = 500;
@@ -10,8 +10,6 @@
 const quietTurns = 3;
 const maxTurns = 2_000;
 
-const nextTurn = (): Promise<void> => new Promise(resolve => setImmediate(resolve));
-
 /** Closes an HTTP server without resetting connections that callers have just opened, or whose request has arrived but was not read yet. */
 export class GracefulClose {
     /** Connections that have not sent a request yet, with the time at which they were accepted, on the monotonic clock. */
@@ -50,7 +48,6 @@
         for (;;) {
             // Requests that have arrived are read first, so that their connections do not count as idle.
             await nextTurn();
-            await nextTurn();
             this.server.closeIdleConnections();
             if (performance.now() >= deadlineAt || (inProgress() === 0 && !this.hasNewConnection)) {
                 return;
--- a/src/utils/time.ts
+++ b/src/utils/time.ts
@@ -14,6 +14,12 @@
         signal?.addEventListener("abort", finish);
     });
 
+/** Waits until the event loop has read what had arrived before this call: the check phase of the present turn, then the whole next turn. */
+export const nextTurn = async (): Promise<void> => {
+    await new Promise(resolve => setImmediate(resolve));
+    await new Promise(resolve => setImmediate(resolve));
+};
+
 /** A signal that aborts after a time, which may be fractional. */
 export const abortAfter = (ms: number): AbortSignal => AbortSignal.timeout(Math.max(1, Math.ceil(ms)));
 
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { connect } from "node:net";
 import { after, before, describe, it } from "node:test";
 import { RouteKind } from "../src/types/servingConfig";
 import { setupLogs } from "../src/utils/events";
@@ -56,6 +57,29 @@
             assert.equal(upstream.closedConnections, 1);
         }));
 
+    it("forwards nothing for a caller that has left by the time its request is read", () =>
+        withNode(answer, async (node, upstream) => {
+            await callGateway(node.address);
+            const left = [...Array(30).keys()].map(() =>
+                new Promise<void>(resolve => {
+                    const socket = connect(Number(node.address.split(":")[1]), "127.0.0.1", () => {
+                        socket.end("POST /desk/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: left\r\nContent-Length: 0\r\n\r\n", () => {
+                            // The node is busy while the requests and the ends of their connections arrive.
+                            const busyUntil = performance.now() + 5;
+                            while (performance.now() < busyUntil) {
+                                // Blocks the event loop.
+                            }
+                            resolve();
+                        });
+                    });
+                    socket.on("error", () => undefined);
+                })
+            );
+            await Promise.all(left);
+            await new Promise(resolve => setTimeout(resolve, 200));
+            assert.equal(upstream.received.filter(({ id }) => id === "left").length, 0);
+        }));
+
     it("serves a request that the caller retries after a refusal", () =>
         withNode(refuseThenAnswer, async node => {
             assert.equal((await callGateway(node.address)).status, 503);
