Report through relays in large fleets, and let nodes keep each other fresh while there is no controller

Now the largest nodes of each availability zone (one for 16) are relays: they pass on reports, loads, adapters and the age of the controller's confirmation; every node reports each 400 ms, a relay or the controller has at most 16 to 30 to answer. Every peer's answer says when the store confirmed what it knows, so that one node's read serves the others. Failed reads back off to half of the time allowed for a change. Up to 24 nodes report to the controller itself, as before; a node relays only while the controller itself answers it, so that reports do not circle. Also: loads that the others no longer have are set to none with each answer (they stayed for 1.5 s). Tests: 40 nodes in a process, 6 or fewer report to the controller, work counted once, own load not returned; relays by number of nodes.

--- a/src/core/storeFreshness.ts
+++ b/src/core/storeFreshness.ts
@@ -33,12 +33,20 @@
         return Number.isFinite(oldest) ? this.now() - oldest : undefined;
     }
 
-    /** Records the controller's answer to a request sent at `requestedAt`, on the monotonic clock. */
-    onControllerConfirmed(confirmedAgoMs: number, requestedAt: number): void {
+    /** Time since the store confirmed what this node knows, read by itself or by the peers that told it; undefined if it never did. */
+    get knownAgoMs(): number | undefined {
+        const byPeersMs = this.now() - this.controllerConfirmedAt;
+        const ownMs = this.confirmedAgoMs ?? Number.POSITIVE_INFINITY;
+        const agoMs = Math.min(byPeersMs, ownMs);
+        return Number.isFinite(agoMs) ? agoMs : undefined;
+    }
+
+    /** Records the answer of a peer to a request sent at `requestedAt`, on the monotonic clock. */
+    onPeerConfirmed(confirmedAgoMs: number, requestedAt: number): void {
         this.controllerConfirmedAt = Math.max(this.controllerConfirmedAt, requestedAt - confirmedAgoMs);
     }
 
-    /** Whether the controller's last confirmation spares this node a read of the store. */
+    /** Whether the last confirmation by way of a peer spares this node a read of the store. */
     get isFresh(): boolean {
         return !this.isController() && this.now() - this.controllerConfirmedAt < maxAgeShare * this.maxAgeMs();
     }
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -8,8 +8,8 @@
 
 /** Long-poll wait of one call to the change feed; a dead connection is noticed soon after it. */
 export const feedWaitMs = 2_200;
-/** Base of the jittered delay after a failed call; jitter keeps the nodes from reconnecting all at once. */
-const retryDelayMs = 150;
+/** Base of the jittered delay after the first failed call; jitter keeps the nodes from reconnecting all at once. */
+const minRetryDelayMs = 150;
 /** Rows that expired while the store was unavailable may reappear for this long after it has recovered. */
 const recoveryGraceMs = 2_000;
 
@@ -30,19 +30,23 @@
     readonly pauseMs: () => number;
     /** Long-poll wait of one call to the change feed. */
     readonly waitMs: () => number;
+    /** Upper bound of the delay after failed calls, which doubles from call to call. */
+    readonly maxRetryDelayMs: () => number;
     /** Version up to which this node has received the table from another source. */
     readonly knownVersion: () => number;
     /** Decides when the store need not be read; it is notified of the store's answers. */
     readonly freshness?: StoreFreshness;
 }
 
-const defaultOptions: FollowerOptions = { pauseMs: () => 0, waitMs: () => feedWaitMs, knownVersion: () => 0 };
+const defaultOptions: FollowerOptions = { pauseMs: () => 0, waitMs: () => feedWaitMs, maxRetryDelayMs: () => minRetryDelayMs, knownVersion: () => 0 };
 
 /** Follows one table of the store through its change feed. */
 export class TableFollower {
     private version: number | undefined;
     private unavailableSince: number | undefined;
     private recoveredAt = Number.NEGATIVE_INFINITY;
+    /** Calls that have failed since the last success. */
+    private failedCalls = 0;
 
     private constructor(
         private readonly store: RowStore,
@@ -74,7 +78,8 @@
                     return;
                 }
                 this.onFailure(err);
-                await sleep(retryDelayMs * (0.5 + this.random()), signal);
+                const delayMs = Math.min(minRetryDelayMs * 2 ** this.failedCalls++, Math.max(minRetryDelayMs, this.options.maxRetryDelayMs()));
+                await sleep(delayMs * (0.5 + this.random()), signal);
             }
         }
     }
@@ -109,6 +114,7 @@
     }
 
     private onSuccess(): void {
+        this.failedCalls = 0;
         this.options.freshness?.onConfirmed(this.table);
         if (this.unavailableSince !== undefined) {
             emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.unavailableSince) });
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -34,6 +34,7 @@
 
 const disabledPlacement: Placement = { place: () => Promise.resolve({ readyInMs: 0, isComing: false }), countWork: () => {}, isController: false };
 
+const noLoad: RunnerLoads[string] = [0, 0];
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
 
@@ -125,6 +126,12 @@
         return loads;
     }
 
+    /** Records the load that other nodes put on upstreams; those that are not listed have none. */
+    applyPeerLoads(loads: RunnerLoads): void {
+        this.trafficByUpstream.forEach((traffic, id) => traffic.onPeerLoad(...(loads[id] ?? noLoad)));
+        Object.entries(loads).filter(([id]) => !this.trafficByUpstream.has(id)).forEach(([id, load]) => this.trafficOf(id).onPeerLoad(...load));
+    }
+
     private removeUpstream(id: string): void {
         this.poolByUpstream.get(id)?.close();
         this.poolByUpstream.delete(id);
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -11,6 +11,7 @@
 import { UpstreamProber } from "../forward/upstreamProber";
 import { Controller } from "../placement/controller";
 import { ControllerClient } from "../placement/controllerClient";
+import { ControllerLink } from "../placement/controllerLink";
 import { PeerServer } from "../placement/peerServer";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
@@ -37,6 +38,9 @@
 const directoryPauseMs = 250;
 /** Pause of a node that reads the store for itself, as a share of the time allowed for a change: all nodes do so while there is no controller. */
 const ownReadPauseShare = 0.3;
+/** Upper bound of the delay after failed reads of the store: a share of the time allowed for a change, less in small fleets. */
+const maxRetryDelayShare = 0.5;
+const retryDelayPerNodeMs = 25;
 /** Interval between renewals of the controller's lease. */
 const leaseRenewalMs = 450;
 /** With more nodes than this, each reads the lease row less often; one of them still notices an expired lease soon. */
@@ -44,7 +48,7 @@
 /** Minimum pause between two attempts to take a vacant lease. */
 const minTakeoverPauseMs = 200;
 /** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
-const controllerTimeoutMs = 1_000;
+const controllerTimeoutMs = 1_500;
 
 /** A node on the platform: forwards callers' requests and takes part in model placement. */
 export class PlatformNode {
@@ -66,16 +70,21 @@
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { controllerClient, peerServer } = this.startPlacement(store);
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
+        // While the store is away all nodes try it, and one that reaches it tells the others.
+        const maxRetryDelayMs = (): number =>
+            Math.min(maxRetryDelayShare * Math.min(settings.drainMs, settings.applyMs), retryDelayPerNodeMs * gateway.knownNodes);
         const { freshness } = gateway;
         const config = TableFollower.create(store, platformTables.config, configRows, gateway.random, {
             pauseMs: () => 0,
             waitMs,
+            maxRetryDelayMs,
             knownVersion: () => 0,
             freshness,
         });
         const directory = TableFollower.create(store, platformTables.directory, createDirectoryObserver(gateway, decodeServer), gateway.random, {
             pauseMs: () => controllerClient.isController ? directoryPauseMs : ownReadPauseShare * Math.min(settings.drainMs, settings.applyMs),
             waitMs,
+            maxRetryDelayMs,
             knownVersion: () => gateway.directory.version,
             freshness,
         });
@@ -107,9 +116,10 @@
         const lease = ControllerLease.create(store, self, settings, vacancy);
         const runners = RunnerClient.create(settings.limits);
         gateway.prober = UpstreamProber.create(runners);
+        const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners);
-        const peerServer = PeerServer.create(gateway, controller);
-        const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, {
+        const peerServer = PeerServer.create(gateway, controller, link);
+        const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, link, {
             peerServer,
             controller,
             decodeConfig,
@@ -118,7 +128,7 @@
         gateway.placement = controllerClient;
         controllerClient.start(signal);
         controller.start(signal);
-        const isControllerResponding = (): boolean => performance.now() - controllerClient.lastAnswerAt < controllerTimeoutMs;
+        const isControllerResponding = (): boolean => link.ageMs < controllerTimeoutMs;
         const tick = async (): Promise<void> => {
             if (lease.heldEpoch !== undefined || !isControllerResponding()) {
                 await lease.tick();
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -1,6 +1,3 @@
-import type { TRPCClient } from "@trpc/client";
-import { createTRPCClient, httpLink } from "@trpc/client";
-import { Agent } from "undici";
 import type { ControllerLease } from "../core/controllerLease";
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
@@ -9,24 +6,22 @@
 import { decodeAndApplyConfig } from "../forward/storeObservers";
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
+import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
-import { createBoundedFetch } from "../utils/boundedFetch";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
-import { pick } from "../utils/random";
 import { repeat } from "../utils/time";
 import type { Controller } from "./controller";
-import type { PeerServer, PeerServerRouter } from "./peerServer";
+import type { ControllerLink } from "./controllerLink";
+import { PeerClients } from "./peerClients";
+import { PeerDirectory } from "./peerDirectory";
+import type { PeerServer } from "./peerServer";
+import { addLoads } from "./reportedNodes";
 
-/** Interval between two exchanges with the controller: a minimum, and the time per node that bounds the controller's load in large fleets. */
+/** Interval between two reports; relays bound the number of nodes that report to one. */
 const exchangeIntervalMs = 400;
-const exchangeIntervalPerNodeMs = 12;
 /** Jitter of that interval, as a share of it, so that nodes do not send at the same time. */
 const exchangeJitter = 0.3;
-/** Peers normally answer within a few milliseconds. */
-const peerTimeoutMs = 700;
-const connectTimeoutMs = 300;
-
 /** Answer while no controller can be reached; another node takes over within seconds. */
 const noControllerAnswer: PlacementAnswer = { readyInMs: 0, isComing: false, isUncertain: true };
 
@@ -41,37 +36,36 @@
 
 /** This node's client of the controller, and of other peers while the controller is unknown or unreachable. */
 export class ControllerClient implements Placement {
-    private readonly clients = new Map<string, TRPCClient<PeerServerRouter>>();
-    private readonly fetch: typeof globalThis.fetch;
+    private readonly clients: PeerClients;
     private readonly pendingPlacements = new Map<string, Promise<PlacementAnswer>>();
-    private peers: readonly string[];
+    private readonly peers: PeerDirectory;
     private isControllerLost = false;
     private readonly demandReporter = DemandReporter.create();
-    /** Epoch of the controller that answered last. */
-    private lastEpoch: number | undefined;
+    /** Peer that answered last as the controller or a relay, and its versions of what changes rarely. */
+    private source: string | undefined;
     private adaptersRevision = 0;
-    /** Processor capacity of the largest node that the controller knows. */
-    largestKnownCores: number | undefined;
-    /** When the controller last answered, on the monotonic clock. */
-    lastAnswerAt = Number.NEGATIVE_INFINITY;
-
-    private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, private readonly local: LocalComponents) {
-        this.peers = gateway.settings.seeds;
-        const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 });
-        this.fetch = createBoundedFetch(dispatcher, { maxBytes: gateway.settings.limits.maxAnswerBytes, timeoutMs: peerTimeoutMs });
+    private peersVersion = 0;
+
+    private constructor(
+        private readonly gateway: Gateway,
+        private readonly lease: ControllerLease,
+        private readonly link: ControllerLink,
+        private readonly local: LocalComponents,
+    ) {
+        this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
+        this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
     }
 
     /** Creates a client that has not been used yet. */
-    static create(gateway: Gateway, lease: ControllerLease, local: LocalComponents): ControllerClient {
-        const client = new ControllerClient(gateway, lease, local);
+    static create(gateway: Gateway, lease: ControllerLease, link: ControllerLink, local: LocalComponents): ControllerClient {
+        const client = new ControllerClient(gateway, lease, link, local);
         local.peerServer.onNewController = () => client.isControllerLost = false;
         return client;
     }
 
     /** Exchanges reports until the signal aborts. */
     start(signal: AbortSignal): void {
-        const intervalMs = (): number =>
-            Math.max(exchangeIntervalMs, exchangeIntervalPerNodeMs * this.gateway.knownNodes) * (1 + exchangeJitter * (this.gateway.random() - 0.5));
+        const intervalMs = (): number => exchangeIntervalMs * (1 + exchangeJitter * (this.gateway.random() - 0.5));
         void repeat(() => this.exchange(), intervalMs, signal, err => this.onExchangeFailed(err));
     }
 
@@ -99,7 +93,7 @@
             return noControllerAnswer;
         }
         try {
-            return await this.clientOf(address).place.mutate({ ...req, avoid: [...req.avoid], unreachable: [...req.unreachable] });
+            return await this.clients.get(address).place.mutate({ ...req, avoid: [...req.avoid], unreachable: [...req.unreachable] });
         }
         catch (err) {
             this.onExchangeFailed(err);
@@ -107,6 +101,16 @@
         }
     }
 
+    /** Processor capacity of the largest known node. */
+    get largestKnownCores(): number | undefined {
+        return this.peers.largestCores;
+    }
+
+    private get self(): PeerNode {
+        const { peerAddress, availabilityZone, cores } = this.gateway.settings;
+        return { address: peerAddress, zone: availabilityZone, cores };
+    }
+
     private async exchange(): Promise<void> {
         const requestedAt = performance.now();
         const report = this.toReport();
@@ -115,19 +119,34 @@
             this.applyAnswer(this.local.peerServer.exchange(report), this.gateway.settings.peerAddress, report.work, requestedAt);
             return;
         }
-        const { peerAddress } = this.gateway.settings;
-        const controller = this.controllerAddress;
-        const others = this.peers.filter(address => address !== peerAddress);
-        const isController = controller !== undefined && controller !== peerAddress && !this.isControllerLost;
-        const address = isController ? controller : pick(controller === undefined ? others : [...others, controller], this.gateway.random);
-        if (address !== undefined) {
-            this.applyAnswer(
-                await this.clientOf(address).exchange.mutate({ ...report, work: [...report.work], loads: toMutable(report.loads) }),
-                address,
-                report.work,
-                requestedAt,
-            );
+        const address = this.chooseTarget();
+        if (address === undefined) {
+            return;
+        }
+        try {
+            const answer = await this.clients.get(address).exchange.mutate({
+                ...report,
+                members: [...report.members],
+                work: [...report.work],
+                loads: toMutable(report.loads),
+            });
+            if (answer.epoch === undefined) {
+                this.peers.onFailed(address);
+            }
+            this.applyAnswer(answer, address, report.work, requestedAt);
         }
+        catch (err) {
+            this.peers.onFailed(address);
+            throw err;
+        }
+    }
+
+    /** The peer to report to: a relay, the controller, or any peer while neither is known to answer. */
+    private chooseTarget(): string | undefined {
+        const { peerAddress } = this.gateway.settings;
+        const { controllerAddress } = this;
+        const isControllerKnown = controllerAddress !== undefined && controllerAddress !== peerAddress && !this.isControllerLost;
+        return this.peers.relayFor(controllerAddress) ?? (isControllerKnown ? controllerAddress : this.peers.pickAny());
     }
 
     /** Address of the controller, from its announcement or from the lease row, whichever is newer. */
@@ -145,24 +164,31 @@
         }
         const announcement = { peerAddress, epoch };
         this.local.peerServer.recordAnnouncement(announcement);
-        for (const address of this.peers.filter(other => other !== peerAddress)) {
-            this.clientOf(address).announce.mutate(announcement)
+        for (const address of this.peers.addresses) {
+            this.clients.get(address).announce.mutate(announcement)
                 .catch((err: unknown) => emit(EventId.PeerExchangeFailed, { controller: peerAddress, peer: address, detail: toFailure(err).detail }));
         }
     }
 
     private toReport(): NodeReport {
-        const { gateway } = this;
+        const { gateway, link, local } = this;
+        const isRelaying = link.isRelaying && !local.controller.isActive;
+        const loads: Record<string, [number, number]> = isRelaying ? local.peerServer.nodes.loadsExcluding() : {};
+        addLoads(loads, gateway.ownLoads());
         return {
             node: gateway.settings.nodeId,
             peerAddress: gateway.settings.peerAddress,
+            zone: gateway.settings.availabilityZone,
             cores: gateway.settings.cores,
+            members: isRelaying ? local.peerServer.nodes.members.filter(({ address }) => address !== gateway.settings.peerAddress) : [],
+            source: this.source,
+            peersVersion: this.peersVersion,
             configVersion: gateway.config?.version ?? 0,
             directoryVersion: gateway.directory.version,
-            adaptersEpoch: this.lastEpoch,
+            adaptersEpoch: link.epoch,
             adaptersRevision: this.adaptersRevision,
-            work: this.demandReporter.take(),
-            loads: gateway.ownLoads(),
+            work: [...this.demandReporter.take(), ...link.takeMemberWork()],
+            loads,
         };
     }
 
@@ -173,35 +199,42 @@
         }
         if (answer.epoch === undefined && address === this.controllerAddress) {
             // The node has released or lost the lease: the next holder is found in the lease row.
-            this.lastAnswerAt = Number.NEGATIVE_INFINITY;
+            this.link.reset();
         }
         if (answer.announced) {
             this.local.peerServer.recordAnnouncement(answer.announced);
         }
         if (answer.epoch !== undefined) {
-            this.demandReporter.onDelivered(answer.epoch, reportedWork);
-            this.lastEpoch = answer.epoch;
-            this.lastAnswerAt = performance.now();
-            this.isControllerLost = false;
-            this.peers = answer.peers.length > 1 ? answer.peers : this.peers;
-            gateway.knownNodes = Math.max(1, answer.peers.length);
-            this.largestKnownCores = answer.largestCores;
+            this.applyControllerPart(answer, answer.epoch, address, reportedWork, requestedAt);
         }
         if (answer.config !== undefined && decodeAndApplyConfig(gateway, Buffer.from(answer.config, "base64"), this.local.decodeConfig, "peer")) {
             this.local.onConfig();
         }
         if (answer.confirmedAgoMs !== undefined) {
-            gateway.freshness.onControllerConfirmed(answer.confirmedAgoMs, requestedAt);
+            gateway.freshness.onPeerConfirmed(answer.confirmedAgoMs, requestedAt);
         }
         answer.changes.forEach(change => gateway.directory.apply(change));
         if (gateway.directory.version > 0) {
             gateway.directory.version = Math.max(gateway.directory.version, answer.directoryVersion);
         }
+    }
+
+    private applyControllerPart(answer: PeerAnswer, epoch: number, address: string, reportedWork: NodeReport["work"], requestedAt: number): void {
+        const { gateway, link } = this;
+        this.demandReporter.onDelivered(epoch, reportedWork);
+        link.apply(answer, requestedAt, answer.controllerAgoMs === 0);
+        this.source = address;
+        this.isControllerLost = false;
+        gateway.knownNodes = Math.max(1, answer.nodeCount);
+        if (answer.peers) {
+            this.peers.setPeers(answer.peers);
+        }
+        this.peersVersion = answer.peersVersion;
         if (answer.adapters) {
             this.adaptersRevision = answer.adapters.revision;
             Object.entries(answer.adapters.byRunner).forEach(([runner, adapters]) => gateway.residency.replaceAdapters(runner, adapters));
         }
-        Object.entries(answer.loads ?? {}).forEach(([runner, [prefillMs, inFlight]]) => gateway.trafficOf(runner).onPeerLoad(prefillMs, inFlight));
+        gateway.applyPeerLoads(answer.loads ?? {});
     }
 
     private onExchangeFailed(err: unknown): void {
@@ -210,14 +243,6 @@
         }
         this.isControllerLost = true;
     }
-
-    private clientOf(address: string): TRPCClient<PeerServerRouter> {
-        return getOrCreate(
-            this.clients,
-            address,
-            () => createTRPCClient<PeerServerRouter>({ links: [httpLink({ url: `http://${address}`, fetch: this.fetch })] }),
-        );
-    }
 }
 
 const toMutable = (loads: NodeReport["loads"]): Record<string, [number, number]> =>
--- /dev/null
+++ b/src/placement/peerClients.ts
@@ -0,0 +1,34 @@
+import type { TRPCClient } from "@trpc/client";
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { Agent } from "undici";
+import { createBoundedFetch } from "../utils/boundedFetch";
+import { getOrCreate } from "../utils/maps";
+import type { PeerServerRouter } from "./peerServer";
+
+/** Peers normally answer within a few milliseconds. */
+const peerTimeoutMs = 700;
+const connectTimeoutMs = 300;
+
+/** Clients of peers by address; they share one pool of connections. */
+export class PeerClients {
+    private readonly clients = new Map<string, TRPCClient<PeerServerRouter>>();
+    private readonly fetch: typeof globalThis.fetch;
+
+    private constructor(maxAnswerBytes: number) {
+        const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 });
+        this.fetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs: peerTimeoutMs });
+    }
+
+    static create(maxAnswerBytes: number): PeerClients {
+        return new PeerClients(maxAnswerBytes);
+    }
+
+    /** The client of the peer at an address. */
+    get(address: string): TRPCClient<PeerServerRouter> {
+        return getOrCreate(
+            this.clients,
+            address,
+            () => createTRPCClient<PeerServerRouter>({ links: [httpLink({ url: `http://${address}`, fetch: this.fetch })] }),
+        );
+    }
+}
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -7,20 +7,26 @@
 import { listenOn } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
 import { EventId } from "../types/eventId";
-import type { ControllerAnnouncement, NodeReport, PeerAnswer, RunnerLoads } from "../types/placement";
+import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
 import { emit } from "../utils/events";
 import type { Controller } from "./controller";
+import type { ControllerLink } from "./controllerLink";
+import { addLoads, ReportedNodes } from "./reportedNodes";
+import { VersionedPeers } from "./versionedPeers";
 
-/** Time after which a node that has not sent a report is no longer counted. */
-const nodeTtlMs = 5_000;
 /** Limits on a peer's request. */
 const maxReportBytes = 4_194_304;
 const peerRequestTimeoutMs = 5_000;
 
+const peerNodeSchema = z.object({ address: z.string(), zone: z.string(), cores: z.number() });
 const reportSchema = z.object({
     node: z.string(),
     peerAddress: z.string(),
+    zone: z.string(),
     cores: z.number(),
+    members: z.array(peerNodeSchema),
+    source: z.string().optional(),
+    peersVersion: z.number(),
     configVersion: z.number(),
     directoryVersion: z.number(),
     adaptersEpoch: z.number().optional(),
@@ -36,16 +42,13 @@
     unreachable: z.array(z.string()),
 });
 
-interface KnownNode {
-    readonly report: NodeReport;
-    readonly receivedAt: number;
-}
-
 const announcementSchema = z.object({ peerAddress: z.string(), epoch: z.number() });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
 export class PeerServer {
-    private readonly nodes = new Map<string, KnownNode>();
+    /** The nodes that report to this one, as the controller or a relay. */
+    readonly nodes = ReportedNodes.create();
+    private readonly peerList = VersionedPeers.create();
     private httpServer: Server | undefined;
 
     /** Announcement of the controller with the highest known epoch. */
@@ -53,11 +56,11 @@
     /** Called when a controller with a higher epoch becomes known. */
     onNewController: () => void = () => undefined;
 
-    private constructor(private readonly gateway: Gateway, private readonly controller: Controller) {}
+    private constructor(private readonly gateway: Gateway, private readonly controller: Controller, private readonly link: ControllerLink) {}
 
     /** Creates a server that has received no reports yet. */
-    static create(gateway: Gateway, controller: Controller): PeerServer {
-        return new PeerServer(gateway, controller);
+    static create(gateway: Gateway, controller: Controller, link: ControllerLink): PeerServer {
+        return new PeerServer(gateway, controller, link);
     }
 
     /** Records that a node has become controller, as announced by itself or relayed by a peer. */
@@ -89,49 +92,57 @@
         this.httpServer?.closeAllConnections();
     }
 
-    /** Records a node's report and returns the changes that the node has not seen. */
+    /** Records a node's report and returns what the node has not seen. */
     exchange(report: NodeReport): PeerAnswer {
         const { gateway, controller } = this;
-        this.nodes.set(report.node, { report, receivedAt: performance.now() });
-        for (const [id, { receivedAt }] of this.nodes) {
-            if (performance.now() - receivedAt > nodeTtlMs) {
-                this.nodes.delete(id);
-            }
-        }
+        this.nodes.add(report);
         const { config, configBytes, directory } = gateway;
         const isNewer = config !== undefined && config.version > report.configVersion;
-        if (controller.isActive) {
-            controller.countWork(report.work);
-        }
         return {
-            peers: [...this.nodes.values()].map(node => node.report.peerAddress),
-            largestCores: Math.max(...[...this.nodes.values()].map(node => node.report.cores)),
             configVersion: config?.version ?? 0,
             config: isNewer ? configBytes?.toString("base64") : undefined,
             directoryVersion: directory.appliedVersion,
-            epoch: controller.heldEpoch,
             announced: this.latestAnnouncement,
-            confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : undefined,
+            confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : gateway.freshness.knownAgoMs,
             yielding: controller.yielding,
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
-            adapters: controller.isActive ? controller.adaptersSince(report.adaptersEpoch === controller.heldEpoch ? report.adaptersRevision : 0) : undefined,
-            loads: controller.isActive ? this.loadsExcluding(report.node) : undefined,
+            ...this.controllerPart(report),
         };
     }
 
-    private loadsExcluding(node: string): RunnerLoads {
-        const sums: Record<string, [number, number]> = {};
-        for (const { report } of this.nodes.values()) {
-            if (report.node === node) {
-                continue;
-            }
-            for (const [runner, [prefillMs, inFlight]] of Object.entries(report.loads)) {
-                const sum = sums[runner] ??= [0, 0];
-                sum[0] += prefillMs;
-                sum[1] += inFlight;
-            }
+    /** What the controller says: this node itself, or the controller that it reports to. */
+    private controllerPart(report: NodeReport): Pick<PeerAnswer, "epoch" | "controllerAgoMs" | "peers" | "peersVersion" | "nodeCount" | "adapters" | "loads"> {
+        const { controller, link, gateway } = this;
+        const isActive = controller.isActive;
+        if (!isActive && !link.isRelaying) {
+            return { peersVersion: 0, nodeCount: link.nodeCount };
         }
-        return sums;
+        const epoch = isActive ? controller.heldEpoch : link.epoch;
+        const isKnownSource = report.source === gateway.settings.peerAddress && report.adaptersEpoch === epoch;
+        const adaptersRevision = isKnownSource ? report.adaptersRevision : 0;
+        if (isActive) {
+            controller.countWork(report.work);
+            this.peerList.update(this.nodes.members);
+        }
+        else {
+            link.addMemberWork(report.work);
+            this.peerList.update(link.peers);
+        }
+        const { peers, version } = this.peerList;
+        const loads = this.nodes.loadsExcluding(report.node);
+        if (!isActive) {
+            addLoads(loads, link.loads);
+            addLoads(loads, gateway.ownLoads());
+        }
+        return {
+            epoch,
+            controllerAgoMs: isActive ? 0 : link.ageMs,
+            peers: isKnownSource && report.peersVersion === version ? undefined : peers,
+            peersVersion: version,
+            nodeCount: peers.length,
+            adapters: isActive ? controller.adaptersSince(adaptersRevision) : link.adapters.since(adaptersRevision),
+            loads,
+        };
     }
 }
 
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -1,4 +1,5 @@
 import type { LeaseYield } from "./controllerLease";
+import type { PeerNode } from "./peerNode";
 import type { DirectoryChange } from "./upstreamServer";
 
 /** A node's request to the controller for a runner that can serve a model or adapter. */
@@ -44,10 +45,17 @@
 export interface NodeReport {
     readonly node: string;
     readonly peerAddress: string;
+    readonly zone: string;
     /** Processor capacity of the node's VM, in cores. */
     readonly cores: number;
+    /** Nodes that this one reports for, as their relay; their work and loads are part of its own. */
+    readonly members: readonly PeerNode[];
+    /** Version of the list of peers that the node knows, from `source`. */
+    readonly peersVersion: number;
     readonly configVersion: number;
     readonly directoryVersion: number;
+    /** Peer that sent the revision of the adapters and the version of the list of peers that the node knows. */
+    readonly source?: string;
     /** Epoch of the controller, and its revision, up to which the adapters at runners are known. */
     readonly adaptersEpoch?: number;
     readonly adaptersRevision: number;
@@ -64,26 +72,28 @@
 
 /** Answer of the controller, or of another peer, to a node's report. */
 export interface PeerAnswer {
-    /** Peer addresses of all known nodes. */
-    readonly peers: readonly string[];
-    /** Processor capacity of the largest known node, in cores. */
-    readonly largestCores: number;
+    /** All known nodes, if the reporting node has an older list; from the controller or a relay only. */
+    readonly peers?: readonly PeerNode[];
+    readonly peersVersion: number;
+    readonly nodeCount: number;
     readonly configVersion: number;
     /** The published configuration in base64, if the reporting node's is older. */
     readonly config?: string;
     readonly directoryVersion: number;
-    /** Epoch of the peer's controller lease, if it holds it. */
+    /** Epoch of the controller: the peer itself, or the one that answered it lately. */
     readonly epoch?: number;
+    /** Time since the controller answered the peer; 0 from the controller itself. */
+    readonly controllerAgoMs?: number;
     /** The newest announcement of a controller that the peer has made or received. */
     readonly announced?: ControllerAnnouncement;
-    /** Time since the store confirmed the controller's configuration and directory; from the controller only. */
+    /** Time since the store confirmed the configuration and directory that the peer knows. */
     readonly confirmedAgoMs?: number;
     /** From a peer that was the controller and could not renew its lease in time. */
     readonly yielding?: LeaseYield;
     /** Directory changes after the version that the node reported. */
     readonly changes: readonly DirectoryChange[];
-    /** Adapters that requests may use, for runners where they changed; from the controller only. */
+    /** Adapters that requests may use, for runners where they changed; from the controller or a relay only. */
     readonly adapters?: AdapterChanges;
-    /** Load that other nodes cause at runners; from the controller only. */
+    /** Load that other nodes cause at runners; from the controller or a relay only. */
     readonly loads?: RunnerLoads;
 }
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -5,6 +5,7 @@
 import { decodeAndApplyConfig } from "../src/forward/storeObservers";
 import { Controller } from "../src/placement/controller";
 import { ControllerClient } from "../src/placement/controllerClient";
+import { ControllerLink } from "../src/placement/controllerLink";
 import { PeerServer } from "../src/placement/peerServer";
 import { decodeConfig } from "../src/platform/configDecoder";
 import { decodeServer } from "../src/platform/directoryDecoder";
@@ -60,21 +61,22 @@
     order: () => Promise.resolve(RunnerOrderAnswer.Accepted),
 });
 
-const createNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal) => {
+const createNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal, zone = "a") => {
     const random = createRandom(1);
     const peerAddress = `127.0.0.1:${await reservePort()}`;
-    const gateway = Gateway.create({ ...platformTestSettings, nodeId: name, peerAddress, seeds }, requestHeaderCodec, random);
+    const gateway = Gateway.create({ ...platformTestSettings, nodeId: name, peerAddress, seeds, availabilityZone: zone }, requestHeaderCodec, random);
     const lease = ControllerLease.create(store, { holder: name, boot: name, peerAddress }, platformTestSettings);
+    const link = ControllerLink.create();
     const controller = Controller.create(gateway, lease, createControl());
-    const peerServer = PeerServer.create(gateway, controller);
-    const client = ControllerClient.create(gateway, lease, { peerServer, controller, decodeConfig, onConfig: () => undefined });
+    const peerServer = PeerServer.create(gateway, controller, link);
+    const client = ControllerClient.create(gateway, lease, link, { peerServer, controller, decodeConfig, onConfig: () => undefined });
     await peerServer.listen(peerAddress);
     const start = (): void => {
         client.start(signal);
         controller.start(signal);
         void repeat(() => lease.tick(), () => renewIntervalMs, signal, () => undefined);
     };
-    return { gateway, lease, peerServer, client, peerAddress, start };
+    return { gateway, lease, link, peerServer, client, peerAddress, start };
 };
 
 describe("peers", () => {
@@ -157,7 +159,61 @@
         await sleep(1_500);
         assert.equal(second.peerServer.latestAnnouncement?.peerAddress, first.peerAddress, "announcement received directly");
         assert.equal(third.peerServer.latestAnnouncement?.peerAddress, first.peerAddress, "announcement received through a peer");
-        assert.ok(third.client.lastAnswerAt > 0);
+        assert.ok(Number.isFinite(third.link.ageMs));
+    });
+
+    it("report through relays in a large fleet, so that the controller hears of all nodes from a few", async () => {
+        const store = MemoryPlatformStore.create(createRandom(7));
+        store.lossShare = 0;
+        const fleetAbort = new AbortController();
+        const first = await createNode(store, "c", [], fleetAbort.signal);
+        await first.lease.tick();
+        const others = await Promise.all(
+            [...Array(39).keys()].map(index => createNode(store, `n${index}`, [first.peerAddress], fleetAbort.signal, index % 2 === 0 ? "a" : "b")),
+        );
+        const nodes = [first, ...others];
+        peerServers.push(...nodes.map(({ peerServer }) => peerServer));
+        await Promise.all(others.map(({ lease }) => lease.tick()));
+        const reporters = new Set<string>();
+        const reportedWork: number[] = [];
+        const exchange = first.peerServer.exchange.bind(first.peerServer);
+        first.peerServer.exchange = report => {
+            reporters.add(report.node);
+            reportedWork.push(...report.work.filter(({ artifact }) => artifact === "m").map(({ workMs }) => workMs));
+            return exchange(report);
+        };
+        nodes.forEach(({ client }) => client.start(fleetAbort.signal));
+        void repeat(() => first.lease.tick(), () => renewIntervalMs, fleetAbort.signal, () => undefined);
+        await sleep(3_000);
+        assert.deepEqual(nodes.map(({ gateway }) => gateway.knownNodes).filter(count => count !== 40), [], "nodes known to each node");
+        reporters.clear();
+        others.forEach(({ client }) => client.countWork("m", 10));
+        const [busy, idle] = [others[5]!, others[8]!];
+        const traffic = busy.gateway.trafficOf("u1");
+        traffic.inFlight = 3;
+        traffic.pendingPrefillMs = 700;
+        await sleep(1_800);
+        assert.ok(reporters.size <= 6, `${reporters.size} nodes reported to the controller itself`);
+        assert.equal(Math.round(reportedWork.reduce((sum, work) => sum + work, 0)), 390, "work reported once");
+        assert.equal(idle.gateway.trafficOf("u1").load, 3);
+        assert.ok(idle.gateway.trafficOf("u1").waitingPrefillMs > 0);
+        assert.equal(traffic.load, 3, "a node's own load does not come back to it");
+        fleetAbort.abort();
+    });
+
+    it("keep what they know fresh through each other while there is no controller, but not for longer than a peer read it", async () => {
+        const store = MemoryPlatformStore.create(createRandom(8));
+        store.isDown = true;
+        const first = await createNode(store, "g1", [], abort.signal);
+        const second = await createNode(store, "g2", [first.peerAddress], abort.signal);
+        peerServers.push(first.peerServer, second.peerServer);
+        first.gateway.freshness.follow("op");
+        first.gateway.freshness.onConfirmed("op");
+        second.client.start(abort.signal);
+        await sleep(900);
+        assert.equal(second.gateway.freshness.isFresh, true);
+        await sleep(1_200);
+        assert.equal(second.gateway.freshness.isFresh, false, "the first node has not read the store since");
     });
 
     it("answer a placement request with an uncertain answer while there is no controller", async () => {
--- a/test/storeFreshness.test.ts
+++ b/test/storeFreshness.test.ts
@@ -41,7 +41,7 @@
             now = 10_000;
             const freshness = create(isController);
             if (agoMs !== undefined) {
-                freshness.onControllerConfirmed(agoMs, now);
+                freshness.onPeerConfirmed(agoMs, now);
             }
             now += afterMs;
             assert.equal(freshness.isFresh, isFresh);
