Predict completion and work from the engine's tokens per event and slots

The work of a generation, by which copies are planned, counted 0.06 ms a token, which fits 48 to 64 slots; at 24 slots it is 0.115, at 12 0.23. Both now come from the configuration (stride, slots).

--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -13,8 +13,6 @@
 /** Time of one decoding step of a batch, and the time that each further request in the batch adds to it. */
 const stepMs = 5.5;
 const stepMsPerRequest = 0.05;
-/** Decoding steps before the first event of a stream is sent. */
-const firstEventSteps = 5;
 /** Estimated delay for each request that is queued at the runner. */
 const queuedRequestMs = 40;
 
@@ -24,6 +22,8 @@
     readonly traffic: UpstreamTraffic;
     /** Prompt tokens that it would have to prefill; 0 for plain services. */
     readonly prefillTokens: number;
+    /** Tokens in one event of its streams: it sends an event after as many decoding steps. */
+    readonly tokensPerEvent: number;
     /** Factor on the prefill and step times, for the model's speed; 1 for plain services. */
     readonly timeFactor: number;
 }
@@ -47,9 +47,8 @@
 const saturatedGapShare = 0.3;
 /** Allowed gap between events for a route that sets none. */
 const defaultEventGapObjectiveMs = 600;
-/** Tokens in one event of a stream, and the gap between two events of a runner that is not busy. */
-const tokensPerEvent = 4;
-const defaultEventGapMs = 35;
+/** Assumed gap between two events of a runner whose load is not known, relative to that of an idle one: prompts are read between the steps. */
+const idleGapFactor = 1.6;
 /** Average output of a generation as a share of its maximum output tokens. */
 const averageOutputShare = 0.5;
 
@@ -61,31 +60,30 @@
 
 /** Predicted time until a generation's last token, with `ahead` requests served before it. */
 export const predictCompletionMs = (
-    { candidate: { traffic }, predictedMs, prefillMs }: UpstreamChoice,
+    { candidate: { traffic, tokensPerEvent }, predictedMs, prefillMs }: UpstreamChoice,
     { maxOutputTokens }: ModelRequest,
     ahead: number,
 ): number => {
-    const streamMs = averageOutputShare * maxOutputTokens / tokensPerEvent * (traffic.eventGapMs ?? defaultEventGapMs);
+    const eventGapMs = traffic.eventGapMs ?? idleGapFactor * tokensPerEvent * stepMs;
+    const streamMs = averageOutputShare * maxOutputTokens / tokensPerEvent * eventGapMs;
     return predictedMs + ahead * prefillMs + streamMs;
 };
 
 /** Average share of a prompt that is not in its runner's prefix cache and has to be prefilled. */
 const uncachedShare = 0.6;
-/** Runner time for one generated token when the batch is well filled. */
-const outputTokenMs = 0.06;
 
-/** Estimated runner time that a generation uses. */
-export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest): number =>
-    estimatePrefillMs(promptTokens * uncachedShare, 1) + maxOutputTokens * outputTokenMs;
+/** Estimated runner time that a generation uses: its prefill, and its slot's share of the decoding steps. */
+export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest, slots: number): number =>
+    estimatePrefillMs(promptTokens * uncachedShare, 1) + averageOutputShare * maxOutputTokens * stepMs / slots;
 
-const predictFirstByteMs = ({ server, traffic, prefillTokens, timeFactor }: UpstreamCandidate, zone: string): UpstreamChoice["predictedMs"] => {
+const predictFirstByteMs = ({ server, traffic, prefillTokens, tokensPerEvent, timeFactor }: UpstreamCandidate, zone: string): UpstreamChoice["predictedMs"] => {
     const crossZoneDelayMs = server.availabilityZone === zone ? 0 : crossZoneMs;
     if (prefillTokens === 0) {
         const latency = traffic.firstByteMs ?? defaultLatencyMs;
         return crossZoneDelayMs + latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) +
             latency * 0.1 * traffic.load / Math.max(1, server.slots);
     }
-    const firstEventMs = Math.max(firstEventSteps * (stepMs + stepMsPerRequest * traffic.load) * timeFactor, traffic.eventGapMs ?? 0);
+    const firstEventMs = Math.max(tokensPerEvent * (stepMs + stepMsPerRequest * traffic.load) * timeFactor, traffic.eventGapMs ?? 0);
     return crossZoneDelayMs + traffic.waitingPrefillMs + estimatePrefillMs(prefillTokens, timeFactor) + firstEventMs + queuedRequestMs * traffic.waiting;
 };
 
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -10,7 +10,7 @@
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
-import type { ServingConfig } from "../types/servingConfig";
+import type { EngineSpec, ServingConfig } from "../types/servingConfig";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import type { Random } from "../utils/random";
@@ -103,6 +103,11 @@
         return true;
     }
 
+    /** The engines of a service in the active configuration; undefined for a plain service. */
+    engineOf(service: string): EngineSpec | undefined {
+        return this.config?.services.get(service)?.engine;
+    }
+
     trafficOf(id: string): UpstreamTraffic {
         return getOrCreate(this.trafficByUpstream, id, () => UpstreamTraffic.create());
     }
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -20,12 +20,13 @@
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
     if (!modelRequest) {
-        return { server, traffic, prefillTokens: 0, timeFactor: 1 };
+        return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1 };
     }
+    const tokensPerEvent = gateway.engineOf(call.service)?.tokensPerEvent ?? 1;
     const sharedTokens = modelRequest.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const assumedTokens = server.id === preferred ? preferredCachedShare * sharedTokens : 0;
     const cached = Math.max(gateway.cache.cachedTokens(server.id, modelRequest), assumedTokens);
-    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), timeFactor: 1 };
+    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1 };
 };
 
 /** Upstreams that can run the request now, excluding those already tried. */
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -92,7 +92,7 @@
 
     /** Returns where a model or adapter can be used, and starts loading it if necessary. */
     async place(req: PlacementRequest): Promise<PlacementAnswer> {
-        const engine = this.engineOf(req.service);
+        const engine = this.gateway.engineOf(req.service);
         if (!engine?.models.has(req.model) || !this.isActive) {
             return { readyInMs: placementRetryMs, isComing: false, isUncertain: !this.isActive };
         }
@@ -232,8 +232,4 @@
         this.manager.sendOrder(tracker, engine, { kind: step.kind, model: step.model }, reason)
             .catch((err: unknown) => emit(EventId.ControllerRoundFailed, { runner: step.runner, detail: toFailure(err).detail }));
     }
-
-    private engineOf(service: string): EngineSpec | undefined {
-        return this.gateway.config?.services.get(service)?.engine;
-    }
 }
--- a/src/platform/configDecoder.ts
+++ b/src/platform/configDecoder.ts
@@ -37,6 +37,8 @@
 const engineSchema = z.object({
     slots: z.number(),
     kvCapacity: z.number(),
+    /** Tokens in one event of a stream. */
+    stride: z.number().positive().default(1),
     /** Memory of a runner for the weights of models and adapters together. */
     weightsMb: z.number().default(Number.POSITIVE_INFINITY),
     adapterSlots: z.number().int().default(0),
@@ -71,6 +73,7 @@
 const toEngine = (engine: z.infer<typeof engineSchema>): EngineSpec => ({
     slots: engine.slots,
     kvTokens: engine.kvCapacity,
+    tokensPerEvent: engine.stride,
     memoryMb: engine.weightsMb,
     adapterSlots: engine.adapterSlots,
     loadsPerS: engine.loadsPerS,
--- a/src/types/servingConfig.ts
+++ b/src/types/servingConfig.ts
@@ -50,6 +50,8 @@
     /** Maximum requests in one batch. */
     readonly slots: number;
     readonly kvTokens: number;
+    /** Tokens in one event of a stream. */
+    readonly tokensPerEvent: number;
     readonly memoryMb: number;
     readonly adapterSlots: number;
     /** Loads per second that the weight store allows for all runners together. */
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -29,6 +29,7 @@
 const engine: EngineSpec = {
     slots: 32,
     kvTokens: 100_000,
+    tokensPerEvent: 4,
     memoryMb: 200_000,
     adapterSlots: 4,
     loadsPerS: 2,
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -24,6 +24,7 @@
 const engineSpec: EngineSpec = {
     slots: 16,
     kvTokens: 100_000,
+    tokensPerEvent: 4,
     memoryMb: 200_000,
     adapterSlots: 3,
     loadsPerS: 5,
--- a/test/runnerTracker.test.ts
+++ b/test/runnerTracker.test.ts
@@ -9,6 +9,7 @@
 const engine: EngineSpec = {
     slots: 8,
     kvTokens: 1_000,
+    tokensPerEvent: 4,
     memoryMb: 100,
     adapterSlots: 2,
     loadsPerS: 1,
