--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -9,6 +9,9 @@
 /** Share of a prompt's shared parts that their preferred runner is assumed to have cached, even if this node has not sent them there. */
 const preferredCachedShare = 0.7;
 
+/** Tokens in an event of a stream, assumed for a service whose engine the configuration does not describe. */
+const defaultTokensPerEvent = 4;
+
 /** Ready runners of a service that have a model loaded. */
 export const serversWithModel = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
     gateway.directory.readyOf(service).filter(server => gateway.residency.hasModel(server, model));
@@ -22,7 +25,7 @@
     if (!modelRequest) {
         return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1 };
     }
-    const tokensPerEvent = gateway.engineOf(call.service)?.tokensPerEvent ?? 1;
+    const tokensPerEvent = gateway.engineOf(call.service)?.tokensPerEvent ?? defaultTokensPerEvent;
     const sharedTokens = modelRequest.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const assumedTokens = server.id === preferred ? preferredCachedShare * sharedTokens : 0;
     const cached = Math.max(gateway.cache.cachedTokens(server.id, modelRequest), assumedTokens);
