Hold prompts back by what their route allows, and while a runner's slots are taken

The thresholds are now shares of the route's allowed gap and objective (the same values as before for 600 ms and 1,000 ms).

--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -11,7 +11,7 @@
 /** Prompt tokens that a runner prefills in a millisecond, assumed while its own speed is not known. */
 const prefillTokensPerMs = 38;
 /** Time of one decoding step of a batch, and the time that each further request in the batch adds to it. */
-const stepMs = 5.5;
+export const stepMs = 5.5;
 const stepMsPerRequest = 0.05;
 /** Estimated delay for each request that is queued at the runner. */
 const queuedRequestMs = 40;
@@ -39,25 +39,11 @@
 /** Estimated time in which a runner prefills a prompt. */
 export const estimatePrefillMs = (tokens: number, timeFactor: number): number => tokens * timeFactor / prefillTokensPerMs;
 
-/** A prompt whose prefill is shorter than this does not delay other requests noticeably. */
-const minDelayingPrefillMs = 40;
-/** Prefill backlog allowed at a runner: behind it, a request still gets its first token within a second, its own prefill included. */
-const maxPrefillBacklogMs = 450;
-/** Share of the allowed gap between events above which a runner spends nearly all of its time on prefill. */
-const saturatedGapShare = 0.3;
-/** Allowed gap between events for a route that sets none. */
-const defaultEventGapObjectiveMs = 600;
 /** Assumed gap between two events of a runner whose load is not known, relative to that of an idle one: prompts are read between the steps. */
 const idleGapFactor = 1.6;
 /** Average output of a generation as a share of its maximum output tokens. */
 const averageOutputShare = 0.5;
 
-/** Whether a runner should get no further prompt of this size now, because its streams would stall and the prompt would be queued. */
-export const isSaturated = ({ candidate: { traffic }, prefillMs }: UpstreamChoice, eventGapObjectiveMs = defaultEventGapObjectiveMs): boolean => {
-    const { waitingPrefillMs, eventGapMs = 0 } = traffic;
-    return prefillMs >= minDelayingPrefillMs && (waitingPrefillMs > maxPrefillBacklogMs || eventGapMs > saturatedGapShare * eventGapObjectiveMs);
-};
-
 /** Predicted time until a generation's last token, with `ahead` requests served before it. */
 export const predictCompletionMs = (
     { candidate: { traffic, tokensPerEvent }, predictedMs, prefillMs }: UpstreamChoice,
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,5 +1,6 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { estimateWorkMs, isSaturated, predictCompletionMs } from "../core/chooseUpstream";
+import { estimateWorkMs, predictCompletionMs } from "../core/chooseUpstream";
+import { isSaturated } from "../core/saturation";
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
@@ -135,7 +136,7 @@
         const { gateway, call } = this;
         const { modelRequest } = call.caller;
         const choice = selectUpstream(gateway, call, this.tried);
-        if (!choice || isSaturated(choice, call.route.eventGapObjectiveMs)) {
+        if (!choice || (modelRequest && isSaturated(choice, call.route))) {
             return false;
         }
         const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -1,5 +1,6 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { isSaturated, predictCompletionMs } from "../core/chooseUpstream";
+import { predictCompletionMs } from "../core/chooseUpstream";
+import { isSaturated } from "../core/saturation";
 import type { ModelRequest } from "../types/modelRequest";
 import { artifactKey } from "../types/modelRequest";
 import { sleep } from "../utils/time";
@@ -57,7 +58,7 @@
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
                 };
             }
-            if (ahead === 0 && !isSaturated(choice, call.route.eventGapObjectiveMs)) {
+            if (ahead === 0 && !isSaturated(choice, call.route)) {
                 return choice;
             }
             gateway.queue.add(modelRequest.model, queuedRequest);
