Keep adapter slots and memory free for every load whose answer was lost before a restart

Only an order that was pending at the restart was reserved for, and only its memory. Now every load without an answer in the last 15 s, resolved or not, keeps its memory and its adapter slot free after a restart.

--- a/src/core/chooseAdapterPlacement.ts
+++ b/src/core/chooseAdapterPlacement.ts
@@ -39,7 +39,7 @@
         ) {
             continue;
         }
-        const isFull = tracker.adapters.size >= engine.adapterSlots || tracker.usedMb(engine) + sizeMb > engine.memoryMb;
+        const isFull = tracker.usedAdapterSlots >= engine.adapterSlots || tracker.usedMb(engine) + sizeMb > engine.memoryMb;
         const victim = isFull ? leastRecentlyUsed(tracker) : undefined;
         if (isFull && (!victim || now - victim[1] < minIdleMs)) {
             continue;
--- a/src/core/runnerTracker.ts
+++ b/src/core/runnerTracker.ts
@@ -5,9 +5,8 @@
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { assertInvariant } from "../utils/invariants";
-
-/** An order whose answer was lost may still be executed this much later. */
-const orderLatenessMs = 15_000;
+import { adapterMb } from "./artifacts";
+import { LateReservations } from "./lateReservations";
 
 /** A runner counts as unreachable after this many failed report requests; a node's failure to reach it counts as one. */
 const maxFailedReports = 2;
@@ -20,12 +19,6 @@
     readonly doneAt: number;
 }
 
-/** Memory kept free for a load that was pending when the runner restarted under the same ID: it may still be executed. */
-interface LateReservation {
-    readonly memoryMb: number;
-    readonly until: number;
-}
-
 /** The controller's view of one runner: its models and adapters, the load or unload in progress, and the pending order. */
 export class RunnerTracker {
     readonly models = new Set<string>();
@@ -50,11 +43,12 @@
     failedReports = 0;
     /** When each model was first reported, on the monotonic clock. */
     private readonly heldSince = new Map<string, number>();
-    private lateReservations: LateReservation[] = [];
+    private readonly lateReservations: LateReservations;
     private bornAt: number;
 
     private constructor(public server: UpstreamServer, private readonly now: () => number) {
         this.bornAt = server.bornAt;
+        this.lateReservations = LateReservations.create(now);
     }
 
     /** Creates a tracker without state; no order is sent before the first report. */
@@ -64,10 +58,14 @@
 
     /** Memory of all models and adapters that the runner holds, is loading or unloading, or may still load. */
     usedMb(engine: EngineSpec): number {
-        this.lateReservations = this.lateReservations.filter(({ until }) => until > this.now());
         const models = [...this.possibleModelSet()].reduce((sum, name) => sum + (engine.models.get(name)?.memoryMb ?? 0), 0);
         const adapters = [...this.adapters.keys()].reduce((sum, artifact) => sum + adapterMb(engine, artifact), 0);
-        return models + adapters + this.lateReservations.reduce((sum, { memoryMb }) => sum + memoryMb, 0);
+        return models + adapters + this.lateReservations.total.memoryMb;
+    }
+
+    /** Adapter slots that are taken, or may be by a load that is still to be executed. */
+    get usedAdapterSlots(): number {
+        return this.adapters.size + this.lateReservations.total.adapterSlots;
     }
 
     /** Estimated time of a load of a model on this runner. */
@@ -149,13 +147,14 @@
             EventId.InvariantMemory,
             () => `${this.server.id}: a load of ${order.model} exceeds the memory`,
         );
-        const adapterCount = this.adapters.size + (order.adapter === undefined ? 0 : 1);
+        const adapterCount = this.usedAdapterSlots + (order.adapter === undefined ? 0 : 1);
         assertInvariant(adapterCount <= engine.adapterSlots, EventId.InvariantMemory, () => `${this.server.id}: ${adapterCount} adapters exceed the slots`);
     }
 
     /** Applies the answer to an order. */
     onAnswer(order: RunnerOrder, answer: RunnerOrderAnswer, engine: EngineSpec): void {
         if (answer === RunnerOrderAnswer.Unknown) {
+            this.recordUnanswered(order, engine);
             // A report received in the meantime may have counted the order already.
             this.pendingOrder = this.acceptedOrders > order.expectedAcceptedOrders ? undefined : order;
             return;
@@ -189,6 +188,15 @@
         }
     }
 
+    private recordUnanswered({ kind, model, adapter, expectedAcceptedOrders }: RunnerOrder, engine: EngineSpec): void {
+        if (kind === RunnerOrderKind.Load) {
+            const spec = engine.models.get(model);
+            const memoryMb = (adapter === undefined ? spec?.memoryMb : spec?.adapterMemoryMb) ?? 0;
+            const size = { memoryMb, adapterSlots: adapter === undefined ? 0 : 1 };
+            this.lateReservations.onUnanswered(`${expectedAcceptedOrders} ${artifactKey(model, adapter)}`, size);
+        }
+    }
+
     private onAdapterAnswer(kind: RunnerOrderKind, artifact: string, answer: RunnerOrderAnswer): void {
         if (kind === RunnerOrderKind.Load) {
             this.adapters.set(artifact, this.now());
@@ -227,12 +235,10 @@
     }
 
     private onRestart(bornAt: number, engine: EngineSpec): void {
-        const { pendingOrder } = this;
-        if (pendingOrder?.kind === RunnerOrderKind.Load) {
-            const model = engine.models.get(pendingOrder.model);
-            const memoryMb = (pendingOrder.adapter === undefined ? model?.memoryMb : model?.adapterMemoryMb) ?? 0;
-            this.lateReservations.push({ memoryMb, until: this.now() + orderLatenessMs });
+        if (this.inFlightOrder) {
+            this.recordUnanswered(this.inFlightOrder, engine);
         }
+        this.lateReservations.onRestart();
         this.bornAt = bornAt;
         this.pendingOrder = undefined;
         this.transition = undefined;
@@ -244,5 +250,3 @@
         this.unloadingAdapters.clear();
     }
 }
-
-const adapterMb = (engine: EngineSpec, artifact: string): number => engine.models.get(artifact.slice(0, artifact.indexOf("/")))?.adapterMemoryMb ?? 0;
