--- a/src/core/modelDemand.ts
+++ b/src/core/modelDemand.ts
@@ -3,19 +3,13 @@
 
 /** Half-life of old demand's weight; short, since demand shifts within seconds. */
 const halfLifeMs = 4_000;
-/** Half-life of the estimate that detects a surge, and how far it must exceed the other one to count. */
-const surgeHalfLifeMs = 1_200;
-const minSurgeFactor = 1.6;
 /** Demand below this many milliseconds of a runner's time per second counts as none. */
 const minWorkMs = 0.05;
-/** Increase of an average for each millisecond of work. */
+/** Increase of the average for each millisecond of work. */
 const gainPerMs = Math.LN2 / (halfLifeMs / 1_000);
-const surgeGainPerMs = Math.LN2 / (surgeHalfLifeMs / 1_000);
 
 interface DecayingWork {
     work: number;
-    /** The same with the shorter half-life. */
-    surgeWork: number;
     updatedAt: number;
     lastRequestAt: number;
 }
@@ -32,22 +26,16 @@
 
     /** Counts the work of one request, or the sum that another node counted, whose last request came `idleMs` ago. */
     count(model: string, workMs: number, idleMs = 0): void {
-        const entry = getOrCreate(this.entries, model, () => ({ work: 0, surgeWork: 0, updatedAt: this.now(), lastRequestAt: Number.NEGATIVE_INFINITY }));
+        const entry = getOrCreate(this.entries, model, () => ({ work: 0, updatedAt: this.now(), lastRequestAt: Number.NEGATIVE_INFINITY }));
         entry.work = this.decayed(entry) + workMs * gainPerMs;
-        entry.surgeWork = this.decayedSurge(entry) + workMs * surgeGainPerMs;
         entry.updatedAt = this.now();
         entry.lastRequestAt = Math.max(entry.lastRequestAt, this.now() - idleMs);
     }
 
-    /** Load of a model, as a share of one runner's time. A surge counts before the slower average has followed it. */
+    /** Load of a model, as a share of one runner's time. */
     loadOf(model: string): number {
         const entry = this.entries.get(model);
-        if (!entry) {
-            return 0;
-        }
-        const average = this.decayed(entry);
-        const surge = this.decayedSurge(entry);
-        const work = surge > minSurgeFactor * average ? surge : average;
+        const work = entry ? this.decayed(entry) : 0;
         return work < minWorkMs ? 0 : work / 1_000;
     }
 
@@ -66,10 +54,6 @@
         })).filter(({ workMs }) => workMs >= minWorkMs);
     }
 
-    private decayedSurge({ surgeWork, updatedAt }: DecayingWork): number {
-        return surgeWork * 2 ** (-(this.now() - updatedAt) / surgeHalfLifeMs);
-    }
-
     private decayed(entry: DecayingWork): number {
         return entry.work * 2 ** (-(this.now() - entry.updatedAt) / halfLifeMs);
     }
