Test the reservations for late copies of orders directly

Five cases of a restart with an order pending, resolved, in flight, repeated or answered. Sizes of loads have one function (loadSizeOf).

--- a/src/core/artifacts.ts
+++ b/src/core/artifacts.ts
@@ -1,4 +1,3 @@
-import type { EngineSpec } from "../types/servingConfig";
 import type { AdapterRecord, ModelRecord } from "./recordSchemas";
 
 /** Artifact name of a model version, as used in memory reservations, orders and reports. */
@@ -9,6 +8,3 @@
 export const isAdapter = (artifact: string): boolean => artifact.startsWith("adapter:");
 /** The artifact name without its version. */
 export const unversioned = (artifact: string): string => artifact.slice(0, artifact.lastIndexOf("@"));
-
-/** Memory of an adapter, given as `model/adapter`, in MB. */
-export const adapterMb = (engine: EngineSpec, artifact: string): number => engine.models.get(artifact.slice(0, artifact.indexOf("/")))?.adapterMemoryMb ?? 0;
--- a/src/core/lateReservations.ts
+++ b/src/core/lateReservations.ts
@@ -1,12 +1,8 @@
+import type { LoadSize } from "./loadSize";
+
 /** An order whose answer was lost may still be executed this much later. */
 const orderLatenessMs = 15_000;
 
-/** What a load takes up at a runner. */
-export interface LoadSize {
-    readonly memoryMb: number;
-    readonly adapterSlots: number;
-}
-
 interface LateLoad extends LoadSize {
     readonly until: number;
 }
--- a/src/core/runnerTracker.ts
+++ b/src/core/runnerTracker.ts
@@ -5,8 +5,8 @@
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { assertInvariant } from "../utils/invariants";
-import { adapterMb } from "./artifacts";
 import { LateReservations } from "./lateReservations";
+import { adapterMb, loadSizeOf } from "./loadSize";
 
 /** A runner counts as unreachable after this many failed report requests; a node's failure to reach it counts as one. */
 const maxFailedReports = 2;
@@ -140,14 +140,13 @@
         if (order.kind !== RunnerOrderKind.Load) {
             return;
         }
-        const model = engine.models.get(order.model);
-        const added = order.adapter === undefined ? model?.memoryMb ?? 0 : model?.adapterMemoryMb ?? 0;
+        const added = loadSizeOf(order, engine);
         assertInvariant(
-            this.usedMb(engine) + added <= engine.memoryMb,
+            this.usedMb(engine) + added.memoryMb <= engine.memoryMb,
             EventId.InvariantMemory,
             () => `${this.server.id}: a load of ${order.model} exceeds the memory`,
         );
-        const adapterCount = this.usedAdapterSlots + (order.adapter === undefined ? 0 : 1);
+        const adapterCount = this.usedAdapterSlots + added.adapterSlots;
         assertInvariant(adapterCount <= engine.adapterSlots, EventId.InvariantMemory, () => `${this.server.id}: ${adapterCount} adapters exceed the slots`);
     }
 
@@ -188,12 +187,9 @@
         }
     }
 
-    private recordUnanswered({ kind, model, adapter, expectedAcceptedOrders }: RunnerOrder, engine: EngineSpec): void {
-        if (kind === RunnerOrderKind.Load) {
-            const spec = engine.models.get(model);
-            const memoryMb = (adapter === undefined ? spec?.memoryMb : spec?.adapterMemoryMb) ?? 0;
-            const size = { memoryMb, adapterSlots: adapter === undefined ? 0 : 1 };
-            this.lateReservations.onUnanswered(`${expectedAcceptedOrders} ${artifactKey(model, adapter)}`, size);
+    private recordUnanswered(order: RunnerOrder, engine: EngineSpec): void {
+        if (order.kind === RunnerOrderKind.Load) {
+            this.lateReservations.onUnanswered(`${order.expectedAcceptedOrders} ${artifactKey(order.model, order.adapter)}`, loadSizeOf(order, engine));
         }
     }
 
--- a/test/runnerTracker.test.ts
+++ b/test/runnerTracker.test.ts
@@ -85,4 +85,46 @@
             assert.deepEqual([tracker.canOrder, tracker.pendingOrder !== undefined], [canOrder, isPending]);
         });
     }
+
+    interface RestartCase {
+        readonly name: string;
+        readonly steps: readonly Step[];
+        readonly usedAdapterSlots: number;
+    }
+    const restart: Step = tracker => tracker.onReport({ ...reportOf(0), bornAt: 2 }, engine);
+    const restartCases: readonly RestartCase[] = [
+        { name: "of an order that is pending", steps: [send, finish(RunnerOrderAnswer.Unknown), restart], usedAdapterSlots: 1 },
+        {
+            name: "of an order whose other copy has been executed",
+            steps: [send, finish(RunnerOrderAnswer.Unknown), report(4), restart],
+            usedAdapterSlots: 1,
+        },
+        { name: "of an order that is in flight", steps: [send, restart], usedAdapterSlots: 1 },
+        {
+            name: "once for several copies",
+            steps: [send, finish(RunnerOrderAnswer.Unknown), send, finish(RunnerOrderAnswer.Unknown), restart],
+            usedAdapterSlots: 1,
+        },
+        { name: "but not of one that was answered", steps: [send, finish(RunnerOrderAnswer.Accepted), restart], usedAdapterSlots: 0 },
+    ];
+    for (const { name, steps, usedAdapterSlots } of restartCases) {
+        it(`keeps an adapter slot free after a restart for a late copy ${name}`, () => {
+            const server = {
+                id: "r",
+                service: "s",
+                address: "a",
+                availabilityZone: "z",
+                slots: 8,
+                state: UpstreamState.Ready,
+                models: [],
+                inMemory: [],
+                onDisk: [],
+                bornAt: 1,
+            };
+            const tracker = RunnerTracker.create(server, () => 0);
+            tracker.onReport(reportOf(3), engine);
+            steps.forEach(step => step(tracker));
+            assert.equal(tracker.usedAdapterSlots, usedAdapterSlots);
+        });
+    }
 });
