--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -58,9 +58,12 @@
 /** Average share of a prompt that is not in its runner's prefix cache and has to be prefilled. */
 const uncachedShare = 0.6;
 
-/** Estimated runner time that a generation uses: its prefill, and its slot's share of the decoding steps. */
-export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest, slots: number): number =>
-    estimatePrefillMs(promptTokens * uncachedShare, 1) + averageOutputShare * maxOutputTokens * stepMs / slots;
+/** Runner time for one generated token when the batch is well filled. */
+const outputTokenMs = 0.06;
+
+/** Estimated runner time that a generation uses. */
+export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest): number =>
+    estimatePrefillMs(promptTokens * uncachedShare, 1) + maxOutputTokens * outputTokenMs;
 
 const predictFirstByteMs = ({ server, traffic, prefillTokens, tokensPerEvent, timeFactor }: UpstreamCandidate, zone: string): UpstreamChoice["predictedMs"] => {
     const crossZoneDelayMs = server.availabilityZone === zone ? 0 : crossZoneMs;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -26,8 +26,6 @@
 /** Time that a stopping node reserves for a plain request; a generation needs this and the time per output token. */
 const plainRequestMs = 1_200;
 const outputTokenMs = 8;
-/** Slots of a runner, assumed for a service whose engine the configuration does not describe. */
-const defaultSlots = 32;
 /** Average share of its maximum output tokens that a generation produces. */
 const averageOutputShare = 0.5;
 /** Callers that arrive within this time after the stop request have no other node yet; later, generations are refused so that they go to one. */
@@ -97,8 +95,7 @@
         const { modelRequest } = call.caller;
         gateway.budgetOf(call.service).countRequest();
         if (modelRequest) {
-            const slots = gateway.engineOf(call.service)?.slots ?? defaultSlots;
-            gateway.placement.countWork(artifactKey(modelRequest.model, modelRequest.adapter), estimateWorkMs(modelRequest, slots));
+            gateway.placement.countWork(artifactKey(modelRequest.model, modelRequest.adapter), estimateWorkMs(modelRequest));
         }
     }
 
