Take a framed answer as complete, whatever happens to its connection after it

'reset' means that undici reported a complete answer whose connection was marked as reset. Only an answer that ends with its connection can be incomplete then; the check now is for those alone. Not proved: whether that answer was framed is not in the log.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -67,6 +67,8 @@
     new Promise(resolve => {
         const client = pool.acquire(req.mayRepeat);
         let isSent = false;
+        /** Whether the end of the answer is the end of its connection. */
+        let endsWithConnection = false;
         /** Whether the rest of the answer is ignored. */
         let isDropped = false;
         let controller: Dispatcher.DispatchController | undefined;
@@ -111,6 +113,7 @@
                     finish(AttemptEndKind.Lost, "answer to another request");
                     return;
                 }
+                endsWithConnection = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
                 sink.onHead({ status, headers, decoded });
             },
             onResponseData: (current, chunk) => {
@@ -129,7 +132,8 @@
             },
             onResponseEnd: () => {
                 if (!isDropped) {
-                    const isReset = pool.wasReset(client);
+                    // A framed answer is complete, whatever happens to its connection afterwards.
+                    const isReset = endsWithConnection && pool.wasReset(client);
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
                 }
             },
--- a/test/fakes/upstreamScripts.ts
+++ b/test/fakes/upstreamScripts.ts
@@ -29,6 +29,10 @@
 };
 export const neverAnswer: Script = () => undefined;
 export const completeStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(sseEvents(1, 4)) + lastChunk);
+export const completeStreamThenReset: Script = (socket, { id }) => {
+    socket.write(streamHeadOf(id) + chunkOf(sseEvents(1, 4)) + lastChunk, () => void socket.resetAndDestroy());
+};
+export const answerThenReset: Script = (socket, { id }) => void socket.write(answerOf(id, "done"), () => void socket.resetAndDestroy());
 export const brokenStream: Script = (socket, { id }) => {
     socket.write(streamHeadOf(id) + chunkOf(`${sseEvents(1, 2)}id: 3\ndata: ha`));
     setTimeout(() => socket.destroy(), 10);
