--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -22,7 +22,7 @@
 }
 
 /** Interval between two checks whether the controller's reads still keep this table fresh. */
-const freshnessPollMs = 50;
+const freshnessPollMs = 150;
 
 /** Options of a table follower. */
 export interface FollowerOptions {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -11,6 +11,7 @@
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
+import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import type { Random } from "../utils/random";
@@ -38,6 +39,10 @@
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
 
+/** What a log line says of an upstream. */
+const summaryOf = (server: UpstreamServer | undefined): string | undefined =>
+    server && [server.service, server.state, server.bornAt, server.remainingMs, ...server.models.map(({ name }) => name)].join(" ");
+
 /** Shared state of the components of a node that forwards requests. */
 export class Gateway {
     readonly directory = UpstreamDirectory.create();
@@ -66,13 +71,16 @@
 
     private constructor(public settings: PlatformNodeSettings, readonly wire: RequestHeaderCodec, readonly random: Random) {
         this.directory.observe(({ id, server, version }, previous) => {
-            emit(EventId.UpstreamChanged, {
-                upstream: id,
-                rowVersion: version,
-                service: (server ?? previous)?.service,
-                state: server?.state ?? "gone",
-                models: server?.models.map(({ name }) => name),
-            });
+            // Rows also change with each adapter: such changes are not logged, as every node would log each.
+            if (summaryOf(server) !== summaryOf(previous)) {
+                emit(EventId.UpstreamChanged, {
+                    upstream: id,
+                    rowVersion: version,
+                    service: (server ?? previous)?.service,
+                    state: server?.state ?? "gone",
+                    models: server?.models.map(({ name }) => name),
+                });
+            }
             this.residency.onDirectoryChange(id);
             if (!server || (previous && previous.bornAt !== server.bornAt)) {
                 this.removeUpstream(id);
