--- a/src/core/saturation.ts
+++ b/src/core/saturation.ts
@@ -26,12 +26,9 @@
  * prompts for a model with few copies; what is held back is served from the node's queue in the order of what callers lose.
  */
 export const isSaturated = (
-    { candidate: { traffic, server, tokensPerEvent }, prefillMs }: UpstreamChoice,
+    { candidate: { traffic, tokensPerEvent }, prefillMs }: UpstreamChoice,
     { latencyObjectiveMs, eventGapObjectiveMs = defaultEventGapObjectiveMs }: StreamObjectives,
 ): boolean => {
-    if (traffic.load >= server.slots) {
-        return true;
-    }
     const { waitingPrefillMs, eventGapMs = 0 } = traffic;
     const maxGapMs = Math.max(maxGapShare * eventGapObjectiveMs, maxGapFactor * tokensPerEvent * stepMs);
     return prefillMs >= minDelayingShare * eventGapObjectiveMs &&
