Learn how soon an upstream drops idle connections

A request that must not be repeated is then lost, since nothing proves that it has not run. After one such reset a connection to that upstream is reused only within half of the idle time that it had, for 20 s. Test: six requests that must not be repeated, 150 ms apart, to an upstream that drops after 100 ms: before, each reused connection is lost; after, one.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -67,6 +67,7 @@
     new Promise(resolve => {
         const client = pool.acquire(req.mayRepeat);
         let isSent = false;
+        let hasHead = false;
         /** Whether the end of the answer is the end of its connection. */
         let endsWithConnection = false;
         /** Whether the rest of the answer is ignored. */
@@ -113,6 +114,7 @@
                     finish(AttemptEndKind.Lost, "answer to another request");
                     return;
                 }
+                hasHead = true;
                 endsWithConnection = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
                 sink.onHead({ status, headers, decoded });
             },
@@ -139,6 +141,9 @@
             },
             // The controller is undefined if no connection was established.
             onResponseError: (current: Dispatcher.DispatchController | undefined, err) => {
+                if (isSent && !hasHead && !current?.aborted) {
+                    pool.onEndedUnanswered(client);
+                }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
                 finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, reason);
             },
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -9,6 +9,10 @@
 const closeMarginMs = 500;
 /** Connections idle for longer than this may be closed by the upstream at any time. */
 const maxSafeIdleMs = 250;
+/** Share of the idle time after which an upstream dropped a connection that counts as safe from then on. */
+const safeIdleShare = 0.5;
+/** Time after which a limit that was learned from a dropped connection no longer applies. */
+const learnedLimitLifetimeMs = 20_000;
 
 interface IdleConnection {
     readonly client: Client;
@@ -20,6 +24,10 @@
     private idle: IdleConnection[] = [];
     private readonly inUse = new Set<Client>();
     private readonly resetClients = new WeakSet<Client>();
+    /** How long a reused connection had been idle. */
+    private readonly idleBeforeUse = new WeakMap<Client, number>();
+    private learnedIdleMs = Number.POSITIVE_INFINITY;
+    private learnedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly address: string, private readonly maxHeadBytes: number) {}
 
@@ -36,8 +44,12 @@
     /** Returns a connection for one request: the most recently used one, or a new one. A request that must not be repeated never gets one that may be closing. */
     acquire(mayRepeat: boolean): Client {
         const last = this.idle.at(-1);
-        const isUsable = last && (mayRepeat || performance.now() - last.idleSince < maxSafeIdleMs);
+        const idleMs = last ? performance.now() - last.idleSince : 0;
+        const isUsable = last && idleMs < this.idleLimitMs && (mayRepeat || idleMs < maxSafeIdleMs);
         const client = isUsable ? this.idle.pop()!.client : this.open();
+        if (isUsable) {
+            this.idleBeforeUse.set(client, idleMs);
+        }
         this.inUse.add(client);
         return client;
     }
@@ -47,6 +59,19 @@
         return this.resetClients.has(client);
     }
 
+    /** Records that a connection ended before any byte of an answer: if it had been idle, the upstream drops idle connections that early. */
+    onEndedUnanswered(client: Client): void {
+        const idleMs = this.idleBeforeUse.get(client);
+        if (idleMs !== undefined) {
+            this.learnedIdleMs = Math.min(this.idleLimitMs, safeIdleShare * idleMs);
+            this.learnedAt = performance.now();
+        }
+    }
+
+    private get idleLimitMs(): number {
+        return performance.now() - this.learnedAt < learnedLimitLifetimeMs ? this.learnedIdleMs : Number.POSITIVE_INFINITY;
+    }
+
     /** Returns a connection to the pool after a complete answer. */
     release(client: Client): void {
         if (this.inUse.delete(client) && !client.destroyed && !client.closed) {
--- a/test/connections.test.ts
+++ b/test/connections.test.ts
@@ -97,6 +97,28 @@
         assert.equal(upstream.received.length, 1);
     });
 
+    it("learns how soon an upstream drops idle connections without notice", async () => {
+        const idleAtServer = new WeakMap<object, number>();
+        const upstream = await startScriptedUpstream((socket, { id }) => {
+            const idleSince = idleAtServer.get(socket);
+            if (idleSince !== undefined && performance.now() - idleSince > 100) {
+                // The connection was dropped; whatever is sent on it is reset.
+                socket.resetAndDestroy();
+                return;
+            }
+            socket.write(answerOf(id, "done"), () => idleAtServer.set(socket, performance.now()));
+        });
+        const node = await startGateway([upstream.address], { kind: RouteKind.NonIdempotent });
+        const statuses: (number | undefined)[] = [];
+        for (let call = 0; call < 6; call++) {
+            statuses.push((await callGateway(node.address)).status);
+            await new Promise(resolve => setTimeout(resolve, 150));
+        }
+        node.close();
+        upstream.close();
+        assert.deepEqual(statuses, [200, 502, 200, 200, 200, 200]);
+    });
+
     it("forwards nothing to a draining upstream", () =>
         withNode(answer, async (node, upstream) => {
             const before = node.gateway.directory.get("up-0")!;
