Report to another relay or the controller when a relay does not answer

Read in the diff: a relay that failed was taken for a lost controller, so that its members asked random peers until something answered. Only a failure of the controller itself counts as its loss now. Test: the directory of peers names another relay, then none.

--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -137,7 +137,11 @@
         }
         catch (err) {
             this.peers.onFailed(address);
-            throw err;
+            if (address === this.controllerAddress) {
+                throw err;
+            }
+            // A relay that does not answer says nothing of the controller: the next report goes to another one.
+            emit(EventId.PeerExchangeFailed, { controller: this.controllerAddress, peer: address, detail: toFailure(err).detail });
         }
     }
 
--- a/test/relays.test.ts
+++ b/test/relays.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { relaysFor, relaysOf } from "../src/core/relays";
+import { PeerDirectory } from "../src/placement/peerDirectory";
 import type { PeerNode } from "../src/types/peerNode";
+import { createRandom } from "../src/utils/random";
 
 const createPeers = (count: number, zones: number): readonly PeerNode[] =>
     [...Array(count).keys()].map(index => ({ address: `10.0.${index % zones}.${index}:1`, zone: `z${index % zones}`, cores: index % 5 === 0 ? 1.35 : 0.324 }));
@@ -31,4 +33,17 @@
         assert.ok(relays.length > 0);
         assert.ok(peers.filter(({ address }) => relays.includes(address)).every(({ cores, zone }) => cores === 1.35 && zone === "z0"));
     });
+
+    it("are replaced by another one while they do not answer, and by the controller if none does", () => {
+        const peers = createPeers(100, 4);
+        const self = peers.find(peer => relaysFor(peer, peers).length > 0)!;
+        const directory = PeerDirectory.create(() => self, () => [], createRandom(1));
+        directory.setPeers(peers);
+        const first = directory.relayFor(undefined)!;
+        directory.onFailed(first);
+        const second = directory.relayFor(undefined)!;
+        assert.notEqual(second, first);
+        directory.onFailed(second);
+        assert.equal(directory.relayFor(undefined), undefined);
+    });
 });
