--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -13,7 +13,7 @@
 import { repeat } from "../utils/time";
 import type { Controller } from "./controller";
 import type { ControllerLink } from "./controllerLink";
-import { PeerClients } from "./peerClients";
+import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
 import type { PeerServer } from "./peerServer";
 import { addLoads } from "./reportedNodes";
@@ -124,12 +124,7 @@
             return;
         }
         try {
-            const answer = await this.clients.get(address).exchange.mutate({
-                ...report,
-                members: [...report.members],
-                work: [...report.work],
-                loads: toMutable(report.loads),
-            });
+            const answer = await this.clients.get(address).exchange.mutate(toMutableReport(report));
             if (answer.epoch === undefined) {
                 this.peers.onFailed(address);
             }
@@ -248,6 +243,3 @@
         this.isControllerLost = true;
     }
 }
-
-const toMutable = (loads: NodeReport["loads"]): Record<string, [number, number]> =>
-    Object.fromEntries(Object.entries(loads).map(([runner, [prefillMs, inFlight]]) => [runner, [prefillMs, inFlight]]));
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -1,6 +1,7 @@
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent } from "undici";
+import type { NodeReport } from "../types/placement";
 import { createBoundedFetch } from "../utils/boundedFetch";
 import { getOrCreate } from "../utils/maps";
 import type { PeerServerRouter } from "./peerServer";
@@ -32,3 +33,13 @@
         );
     }
 }
+
+/** Copies a report, as tRPC takes mutable input only. */
+export const toMutableReport = (report: NodeReport) => ({
+    ...report,
+    members: [...report.members],
+    work: [...report.work],
+    loads: Object.fromEntries(
+        Object.entries(report.loads).map(([runner, [prefillMs, inFlight]]): [string, [number, number]] => [runner, [prefillMs, inFlight]]),
+    ),
+});
