--- a/test/fakes/processes.ts
+++ b/test/fakes/processes.ts
@@ -1,6 +1,7 @@
 import type { ChildProcess } from "node:child_process";
 import { spawn } from "node:child_process";
 import { createInterface } from "node:readline";
+import { sleep } from "../../src/utils/time";
 
 const startTimeoutMs = 15_000;
 
@@ -67,13 +68,22 @@
     }
 }
 
+/** Interval between two checks of a condition. */
+const defaultPollMs = 50;
+
 /** Waits until a condition is true; a condition that throws counts as false. */
-export const waitFor = async (description: string, condition: () => Promise<boolean>, timeoutMs = startTimeoutMs): Promise<void> => {
-    const deadlineAt = Date.now() + timeoutMs;
-    while (!await condition().catch(() => false)) {
-        if (Date.now() > deadlineAt) {
+export const waitFor = async (
+    description: string,
+    condition: () => boolean | Promise<boolean>,
+    timeoutMs = startTimeoutMs,
+    pollMs = defaultPollMs,
+): Promise<void> => {
+    const deadlineAt = performance.now() + timeoutMs;
+    const check = async (): Promise<boolean> => condition();
+    while (!await check().catch(() => false)) {
+        if (performance.now() > deadlineAt) {
             throw new Error(`${description} did not happen within ${timeoutMs} ms`);
         }
-        await new Promise(resolve => setTimeout(resolve, 50));
+        await sleep(pollMs);
     }
 };
--- a/test/platformProcess.test.ts
+++ b/test/platformProcess.test.ts
@@ -19,6 +19,7 @@
 import { renderSettingsFile } from "./fakes/platformSettingsFile";
 import { servePlatformStore } from "./fakes/platformStoreServer";
 import { reservePort } from "./fakes/ports";
+import { waitFor } from "./fakes/processes";
 import type { ScriptedUpstream } from "./fakes/scriptedUpstream";
 import { answerOf, startScriptedUpstream } from "./fakes/scriptedUpstream";
 
@@ -56,14 +57,6 @@
         };
     });
 
-const waitFor = async (description: string, check: () => Promise<boolean> | boolean): Promise<void> => {
-    const deadlineAt = performance.now() + waitTimeoutMs;
-    while (!await check()) {
-        assert.ok(performance.now() < deadlineAt, `no ${description} in ${waitTimeoutMs} ms`);
-        await sleep(50);
-    }
-};
-
 describe("a node on the platform, as a process", () => {
     const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
     const file = join(folder, "boot.toml");
@@ -129,7 +122,7 @@
     });
 
     it("reports not ready and refuses requests as not run until it has a configuration", async () => {
-        await waitFor("answer", async () => await statusOf(addresses.ready) === 503);
+        await waitFor("answer", async () => await statusOf(addresses.ready) === 503, waitTimeoutMs);
         const { status, headers } = await callGateway(addresses.front);
         assert.equal(status, 503);
         assert.ok(Number(headers["retry-after"]) > 0);
@@ -141,15 +134,15 @@
             { table: "servers", part: "", key: "u1" },
             Buffer.from(JSON.stringify({ service: "desk", addr: upstream.address, zone: "a", slots: 8, state: "ready", born: 1 })),
         );
-        await waitFor("readiness", async () => await statusOf(addresses.ready) === 200);
+        await waitFor("readiness", async () => await statusOf(addresses.ready) === 200, waitTimeoutMs);
         assert.equal((await callGateway(addresses.front)).body, "done");
     });
 
     it("applies a newer configuration, keeps the last one when a new one cannot be read, and serves metrics", async () => {
         putConfig(5, "/new/");
-        await waitFor("new route", async () => (await callGateway(addresses.front, { path: "/new/x" })).status === 200);
+        await waitFor("new route", async () => (await callGateway(addresses.front, { path: "/new/x" })).status === 200, waitTimeoutMs);
         store.put({ table: "op", part: "", key: "config" }, Buffer.from("{}"));
-        await waitFor("event 203", () => output.includes('"event":203'));
+        await waitFor("event 203", () => output.includes('"event":203'), waitTimeoutMs);
         assert.equal((await callGateway(addresses.front, { path: "/new/x" })).status, 200);
         assert.equal((await callGateway(addresses.front)).status, 404);
         assert.equal(await statusOf(addresses.metrics), 200);
@@ -168,10 +161,10 @@
     it("reloads its settings on SIGHUP and keeps running when the file is invalid", async () => {
         writeSettings(20);
         node.kill("SIGHUP");
-        await waitFor("event 107", () => output.includes('"event":107'));
+        await waitFor("event 107", () => output.includes('"event":107'), waitTimeoutMs);
         writeFileSync(file, "= =");
         node.kill("SIGHUP");
-        await waitFor("event 106", () => output.includes('"event":106'));
+        await waitFor("event 106", () => output.includes('"event":106'), waitTimeoutMs);
         assert.equal((await callGateway(addresses.front, { path: "/new/x" })).status, 200);
     });
 
--- a/test/platformStart.test.ts
+++ b/test/platformStart.test.ts
@@ -10,6 +10,7 @@
 import { sleep } from "../src/utils/time";
 import { renderSettingsFile } from "./fakes/platformSettingsFile";
 import { reservePort } from "./fakes/ports";
+import { waitFor } from "./fakes/processes";
 
 const program = "build/jackdawtrail.cjs";
 const pollMs = 5;
@@ -63,14 +64,6 @@
     }
 };
 
-const waitFor = async (description: string, check: () => boolean | Promise<boolean>): Promise<void> => {
-    const deadlineAt = performance.now() + startTimeoutMs;
-    while (!await check()) {
-        assert.ok(performance.now() < deadlineAt, `no ${description} in ${startTimeoutMs} ms`);
-        await sleep(pollMs);
-    }
-};
-
 describe("the start of a node on the platform", () => {
     const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-start-"));
     const children: ChildProcess[] = [];
@@ -99,10 +92,11 @@
             let hasAnswered = false;
             let hasEnded = false;
             void ended.then(() => hasEnded = true);
-            await waitFor("exit", async () => {
+            const check = async (): Promise<boolean> => {
                 hasAnswered ||= taken !== "ready" && await isListening(addresses.ready);
                 return hasEnded;
-            });
+            };
+            await waitFor("exit", check, startTimeoutMs, pollMs);
             other.close();
             assert.equal(await ended, ExitCode.Failed);
             assert.equal(hasAnswered, false);
@@ -115,10 +109,11 @@
         execFileSync("mkfifo", [file]);
         const { child, ended } = startNode(file);
         let pipe: number | undefined;
-        await waitFor("reader of the settings", () => {
+        const check = (): boolean => {
             pipe = openForWriting(file);
             return pipe !== undefined;
-        });
+        };
+        await waitFor("reader of the settings", check, startTimeoutMs, pollMs);
         child.kill("SIGHUP");
         await sleep(50);
         rmSync(file);
