Identify the process whose versions of adapters and peers a node knows

Read in the diff: a node named the address from which it had its versions. A relay that restarts at that address counts anew, so that its members would have missed adapters until its count had passed theirs. The source is now an ID of the process. Test: a report with versions of another process is answered in full.

--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -41,7 +41,7 @@
     private readonly peers: PeerDirectory;
     private isControllerLost = false;
     private readonly demandReporter = DemandReporter.create();
-    /** Peer that answered last as the controller or a relay, and its versions of what changes rarely. */
+    /** Process that answered last as the controller or a relay, and its versions of what changes rarely. */
     private source: string | undefined;
     private adaptersRevision = 0;
     private peersVersion = 0;
@@ -204,7 +204,7 @@
             this.local.peerServer.recordAnnouncement(answer.announced);
         }
         if (answer.epoch !== undefined) {
-            this.applyControllerPart(answer, answer.epoch, address, reportedWork, requestedAt);
+            this.applyControllerPart(answer, answer.epoch, reportedWork, requestedAt);
         }
         if (answer.config !== undefined && decodeAndApplyConfig(gateway, Buffer.from(answer.config, "base64"), this.local.decodeConfig, "peer")) {
             this.local.onConfig();
@@ -218,11 +218,11 @@
         }
     }
 
-    private applyControllerPart(answer: PeerAnswer, epoch: number, address: string, reportedWork: NodeReport["work"], requestedAt: number): void {
+    private applyControllerPart(answer: PeerAnswer, epoch: number, reportedWork: NodeReport["work"], requestedAt: number): void {
         const { gateway, link } = this;
         this.demandReporter.onDelivered(epoch, reportedWork);
         link.apply(answer, requestedAt, answer.controllerAgoMs === 0);
-        this.source = address;
+        this.source = answer.source;
         this.isControllerLost = false;
         gateway.knownNodes = Math.max(1, answer.nodeCount);
         if (answer.peers) {
--- a/src/placement/controllerLink.ts
+++ b/src/placement/controllerLink.ts
@@ -13,7 +13,6 @@
     /** Whether the controller itself answered last; only then does this node act as a relay, so that no two nodes pass reports on to each other. */
     isDirect = false;
     peers: readonly PeerNode[] = [];
-    peersVersion = 0;
     nodeCount = 1;
     readonly adapters = AdapterRevisions.create();
     /** Loads of all nodes but this one and those that it reports for. */
@@ -44,10 +43,7 @@
         this.isDirect = isDirect;
         this.nodeCount = answer.nodeCount;
         this.loads = answer.loads ?? {};
-        if (answer.peers) {
-            this.peers = answer.peers;
-            this.peersVersion++;
-        }
+        this.peers = answer.peers ?? this.peers;
         Object.entries(answer.adapters?.byRunner ?? {}).forEach(([runner, adapters]) => this.adapters.update(runner, adapters));
     }
 
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -1,5 +1,6 @@
 import { initTRPC } from "@trpc/server";
 import { nodeHTTPRequestHandler } from "@trpc/server/adapters/node-http";
+import { randomUUID } from "node:crypto";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
 import { z } from "zod";
@@ -50,6 +51,8 @@
     readonly nodes = ReportedNodes.create();
     private readonly peerList = VersionedPeers.create();
     private httpServer: Server | undefined;
+    /** Identifies this process as the source of revisions, which start anew with it. */
+    private readonly source = randomUUID();
 
     /** Announcement of the controller with the highest known epoch. */
     latestAnnouncement: ControllerAnnouncement | undefined;
@@ -111,14 +114,16 @@
     }
 
     /** What the controller says: this node itself, or the controller that it reports to. */
-    private controllerPart(report: NodeReport): Pick<PeerAnswer, "epoch" | "controllerAgoMs" | "peers" | "peersVersion" | "nodeCount" | "adapters" | "loads"> {
+    private controllerPart(
+        report: NodeReport,
+    ): Pick<PeerAnswer, "source" | "epoch" | "controllerAgoMs" | "peers" | "peersVersion" | "nodeCount" | "adapters" | "loads"> {
         const { controller, link, gateway } = this;
         const isActive = controller.isActive;
         if (!isActive && !link.isRelaying) {
             return { peersVersion: 0, nodeCount: link.nodeCount };
         }
         const epoch = isActive ? controller.heldEpoch : link.epoch;
-        const isKnownSource = report.source === gateway.settings.peerAddress && report.adaptersEpoch === epoch;
+        const isKnownSource = report.source === this.source && report.adaptersEpoch === epoch;
         const adaptersRevision = isKnownSource ? report.adaptersRevision : 0;
         if (isActive) {
             controller.countWork(report.work);
@@ -135,6 +140,7 @@
             addLoads(loads, gateway.ownLoads());
         }
         return {
+            source: this.source,
             epoch,
             controllerAgoMs: isActive ? 0 : link.ageMs,
             peers: isKnownSource && report.peersVersion === version ? undefined : peers,
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -54,7 +54,7 @@
     readonly peersVersion: number;
     readonly configVersion: number;
     readonly directoryVersion: number;
-    /** Peer that sent the revision of the adapters and the version of the list of peers that the node knows. */
+    /** Process that sent the revision of the adapters and the version of the list of peers that the node knows. */
     readonly source?: string;
     /** Epoch of the controller, and its revision, up to which the adapters at runners are known. */
     readonly adaptersEpoch?: number;
@@ -75,6 +75,8 @@
     /** All known nodes, if the reporting node has an older list; from the controller or a relay only. */
     readonly peers?: readonly PeerNode[];
     readonly peersVersion: number;
+    /** Identifies the process whose versions these are; from the controller or a relay only. */
+    readonly source?: string;
     readonly nodeCount: number;
     readonly configVersion: number;
     /** The published configuration in base64, if the reporting node's is older. */
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -201,6 +201,32 @@
         fleetAbort.abort();
     });
 
+    it("send everything to a node whose versions are those of another process, such as a relay before its restart", async () => {
+        const store = MemoryPlatformStore.create(createRandom(9));
+        store.lossShare = 0;
+        const node = await createNode(store, "s1", [], abort.signal);
+        peerServers.push(node.peerServer);
+        await node.lease.tick();
+        const report = {
+            node: "other",
+            peerAddress: "127.0.0.1:1",
+            zone: "a",
+            cores: 1,
+            members: [],
+            configVersion: 0,
+            directoryVersion: 0,
+            adaptersRevision: 0,
+            peersVersion: 0,
+            work: [],
+            loads: {},
+        };
+        const first = node.peerServer.exchange(report);
+        assert.deepEqual(first.peers?.map(({ address }) => address), ["127.0.0.1:1"]);
+        const known = { ...report, adaptersEpoch: first.epoch, peersVersion: first.peersVersion, source: first.source };
+        assert.equal(node.peerServer.exchange(known).peers, undefined, "nothing new");
+        assert.equal(node.peerServer.exchange({ ...known, source: "another process" }).peers?.length, 1);
+    });
+
     it("keep what they know fresh through each other while there is no controller, but not for longer than a peer read it", async () => {
         const store = MemoryPlatformStore.create(createRandom(8));
         store.isDown = true;
