--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -1,23 +1,14 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { ControllerLease } from "../src/core/controllerLease";
-import { Gateway } from "../src/forward/gateway";
 import { decodeAndApplyConfig } from "../src/forward/storeObservers";
-import { Controller } from "../src/placement/controller";
-import { ControllerClient } from "../src/placement/controllerClient";
-import { ControllerLink } from "../src/placement/controllerLink";
-import { PeerServer } from "../src/placement/peerServer";
+import type { PeerServer } from "../src/placement/peerServer";
 import { decodeConfig } from "../src/platform/configDecoder";
 import { decodeServer } from "../src/platform/directoryDecoder";
-import { requestHeaderCodec } from "../src/platform/requestHeaderCodec";
-import type { RunnerControl } from "../src/types/runner";
-import { RunnerOrderAnswer } from "../src/types/runner";
 import { setupLogs } from "../src/utils/events";
 import { createRandom } from "../src/utils/random";
 import { repeat, sleep } from "../src/utils/time";
-import { platformTestSettings } from "./fakes/gatewayHarness";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
-import { reservePort } from "./fakes/ports";
+import { createNode, renewIntervalMs } from "./fakes/peerNodes";
 
 const configBytes = Buffer.from(JSON.stringify({
     version: 7,
@@ -41,44 +32,6 @@
     JSON.stringify({ service: "s", addr: "10.0.0.1:1", zone: "a", slots: 8, state: "ready", born: 1, models: [{ name: "m", version: 1, adapters: [] }] }),
 );
 
-/** Interval between two renewals of the lease, which expires after less than two seconds. */
-const renewIntervalMs = 300;
-
-/** A runner that has model m loaded and accepts every order. */
-const createControl = (): RunnerControl => ({
-    fetchReport: () =>
-        Promise.resolve({
-            models: [{ name: "m", version: 1, adapters: [] }],
-            inMemory: [],
-            onDisk: [],
-            loadingAdapters: [],
-            isBusy: false,
-            acceptedOrders: 0,
-            queued: 0,
-            active: 0,
-            bornAt: 1,
-        }),
-    order: () => Promise.resolve(RunnerOrderAnswer.Accepted),
-});
-
-const createNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal, zone = "a") => {
-    const random = createRandom(1);
-    const peerAddress = `127.0.0.1:${await reservePort()}`;
-    const gateway = Gateway.create({ ...platformTestSettings, nodeId: name, peerAddress, seeds, availabilityZone: zone }, requestHeaderCodec, random);
-    const lease = ControllerLease.create(store, { holder: name, boot: name, peerAddress }, platformTestSettings);
-    const link = ControllerLink.create();
-    const controller = Controller.create(gateway, lease, createControl());
-    const peerServer = PeerServer.create(gateway, controller, link);
-    const client = ControllerClient.create(gateway, lease, link, { peerServer, controller, decodeConfig, onConfig: () => undefined });
-    await peerServer.listen(peerAddress);
-    const start = (): void => {
-        client.start(signal);
-        controller.start(signal);
-        void repeat(() => lease.tick(), () => renewIntervalMs, signal, () => undefined);
-    };
-    return { gateway, lease, link, peerServer, client, peerAddress, start };
-};
-
 describe("peers", () => {
     const peerServers: PeerServer[] = [];
     const abort = new AbortController();
