Log the shared prompt parts of failed attempts and whether they had answered

Cause: event 402 did not say what the requests under which runners ended had in common, so the hypotheses of docs/incidents/crashing-prompt-part.md could not be told apart. It now names the prompt's shared parts and whether an event of this attempt had arrived.

--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -43,7 +43,7 @@
     maxEventGapMs = 0;
     private isStreaming = false;
     /** Whether an event of the latest attempt's stream has arrived. */
-    private hasReceivedEvent = false;
+    hasReceivedEvent = false;
     private bufferedBytes = 0;
 
     private constructor(private readonly call: Call, private readonly limits: TransportLimits, private readonly observer: AnswerObserver) {}
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,7 +1,7 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
-import { artifactKey } from "../types/modelRequest";
+import { artifactKey, sharedPartIds } from "../types/modelRequest";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { AnswerRelay } from "./answerRelay";
@@ -199,7 +199,17 @@
 
     private logFailed(upstream: string, reason: string, verdict: Verdict): void {
         const afterMs = Math.round(performance.now() - this.sentAt);
-        emit(EventId.AttemptFailed, { request: this.call.caller.requestId, upstream, kind: reason, verdict, afterMs, lastEvent: this.relay.lastEventId });
+        const { requestId, modelRequest } = this.call.caller;
+        emit(EventId.AttemptFailed, {
+            request: requestId,
+            upstream,
+            kind: reason,
+            verdict,
+            afterMs,
+            lastEvent: this.relay.lastEventId,
+            hasAnswered: this.relay.hasReceivedEvent,
+            sharedParts: modelRequest && sharedPartIds(modelRequest),
+        });
     }
 }
 
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -1,6 +1,6 @@
 import type { UpstreamCandidate, UpstreamChoice } from "../core/chooseUpstream";
 import { chooseUpstream } from "../core/chooseUpstream";
-import { artifactKey } from "../types/modelRequest";
+import { artifactKey, sharedPartIds } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { rankByHashCached } from "../utils/hash";
 import type { Call } from "./call";
@@ -16,9 +16,6 @@
 export const serversWithModel = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
     gateway.directory.readyOf(service).filter(server => gateway.residency.hasModel(server, model));
 
-/** ID of the last shared part of the prompt: the very last part belongs to the request or its session. */
-const lastSharedPartId = (call: Call): string | undefined => call.caller.modelRequest?.parts.at(-2)?.id;
-
 const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
@@ -43,7 +40,8 @@
 /** Chooses one of the upstreams that can run the request now. */
 export const selectUpstream = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): UpstreamChoice | undefined => {
     const servers = candidatesFor(gateway, call, tried);
-    const sharedPartId = lastSharedPartId(call);
+    const { modelRequest } = call.caller;
+    const sharedPartId = modelRequest && sharedPartIds(modelRequest).at(-1);
     const preferred = sharedPartId === undefined ? undefined : rankByHashCached(sharedPartId, servers.map(({ id }) => id).sort())[0];
     return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), gateway.settings.availabilityZone);
 };
--- a/src/types/modelRequest.ts
+++ b/src/types/modelRequest.ts
@@ -19,3 +19,6 @@
 
 /** The model of an artifact key. */
 export const modelOfArtifactKey = (artifact: string): string => artifact.split("/", 1)[0]!;
+
+/** IDs of the prompt's parts that other requests may contain as well; the last part belongs to the request or its session. */
+export const sharedPartIds = ({ parts }: ModelRequest): readonly string[] => parts.slice(0, -1).map(({ id }) => id);
