Failing test: requests with one part in their prompts crash runner after runner

What callers saw: streams cut in the middle and refusals for want of runners, as new requests with the same part crash each runner that has come back.

--- /dev/null
+++ b/test/fakes/crashingRunner.ts
@@ -0,0 +1,134 @@
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { createServer } from "node:http";
+import { text } from "node:stream/consumers";
+import type { UpstreamServer } from "../../src/types/upstreamServer";
+import { UpstreamState } from "../../src/types/upstreamServer";
+import { sleep } from "../../src/utils/time";
+import { reservePort } from "./ports";
+import { sseEvents } from "./upstreamScripts";
+
+const prefillMs = 20;
+const eventIntervalMs = 15;
+const eventCount = 4;
+/** Time from the head of an answer on a crashing part to the crash. */
+const crashDelayMs = 5;
+
+/** A generation that reached a runner. */
+export interface RunnerRequest {
+    readonly at: number;
+    readonly id: string;
+    readonly parts: readonly string[];
+}
+
+/** Options of a runner. */
+export interface CrashingRunnerOptions {
+    /** Parts of a prompt that crash the runner when it begins to write an answer on one. */
+    readonly crashParts: ReadonlySet<string>;
+    /** How long the runner stays away after a crash. */
+    readonly restartMs: number;
+    /** Called when the runner has started again, with a new ID at the same address. */
+    readonly onRestart: (previousId: string, runner: CrashingRunner) => void;
+}
+
+/** A runner that crashes in the middle of an event on certain parts of a prompt; its streams have no length and end with their connections. */
+export class CrashingRunner {
+    readonly received: RunnerRequest[] = [];
+    /** Times of its crashes with the part that caused each. */
+    readonly crashes: { readonly at: number; readonly part: string; }[] = [];
+    private server: Server | undefined;
+    private starts = 0;
+    private isClosed = false;
+
+    private constructor(private readonly name: string, private readonly port: number, private readonly options: CrashingRunnerOptions) {}
+
+    /** Starts a runner. */
+    static async create(name: string, options: CrashingRunnerOptions): Promise<CrashingRunner> {
+        const runner = new CrashingRunner(name, await reservePort(), options);
+        await runner.start();
+        return runner;
+    }
+
+    get id(): string {
+        return `${this.name}-${this.starts}`;
+    }
+
+    /** Its entry in the directory. */
+    get entry(): UpstreamServer {
+        return {
+            id: this.id,
+            service: "desk",
+            address: `127.0.0.1:${this.port}`,
+            availabilityZone: "a",
+            slots: 16,
+            state: UpstreamState.Ready,
+            models: [{ name: "m", version: 1, adapters: [] }],
+            inMemory: [],
+            onDisk: [],
+            bornAt: this.starts,
+        };
+    }
+
+    /** Ends all its connections and refuses new ones until it has started again. */
+    crash(part: string): void {
+        const { server } = this;
+        if (!server) {
+            return;
+        }
+        this.server = undefined;
+        this.crashes.push({ at: performance.now(), part });
+        server.close();
+        server.closeAllConnections();
+        const previousId = this.id;
+        setTimeout(() => {
+            if (!this.isClosed) {
+                void this.start().then(() => this.options.onRestart(previousId, this));
+            }
+        }, this.options.restartMs);
+    }
+
+    close(): void {
+        this.isClosed = true;
+        this.server?.close();
+        this.server?.closeAllConnections();
+    }
+
+    private async start(): Promise<void> {
+        this.starts++;
+        const server = createServer((req, res) => void this.handle(req, res).catch(() => res.destroy()));
+        await new Promise<void>(resolve => server.listen(this.port, "127.0.0.1", () => resolve()));
+        this.server = server;
+    }
+
+    private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        await text(req);
+        if (req.headers["expect-instance"] !== this.id) {
+            res.writeHead(421, { "Instance-Id": this.id }).end();
+            return;
+        }
+        if (req.url === "/api/report") {
+            const models = [{ name: "m", version: 1, adapters: [] }];
+            const report = { models, atHand: { inMemory: [], onDisk: [] }, busy: false, seq: 0, queued: 0, active: 0, born: this.starts };
+            res.end(JSON.stringify(report));
+            return;
+        }
+        const id = String(req.headers["attempt-id"]);
+        const parts = String(req.headers["prompt-prefix"]).split(",").map(part => part.split(":")[0]!);
+        this.received.push({ at: performance.now(), id, parts });
+        await sleep(prefillMs);
+        res.useChunkedEncodingByDefault = false;
+        res.writeHead(200, { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Content-Type": "text/event-stream", Connection: "close" });
+        const crashPart = parts.slice(0, -1).find(part => this.options.crashParts.has(part));
+        if (crashPart !== undefined) {
+            res.write("id: 1\ndata: pie");
+            await sleep(crashDelayMs);
+            this.crash(crashPart);
+            return;
+        }
+        const from = Number(req.headers["last-event-id"] ?? 0) + 1;
+        for (let event = from; event <= eventCount; event++) {
+            res.write(sseEvents(event, event));
+            await sleep(eventIntervalMs);
+        }
+        res.end();
+    }
+}
