Quarantine prompt parts that crash runners, on all nodes

What callers saw: streams cut off, and refusals while runners were away, for as long as requests with one part in their prompts kept coming; each crashed one or two runners. Cause: nothing related the crashes of runners to what the requests under them had in common, and nodes shared nothing about it. Class of fault: a decision that rests on one node's own requests, and on one request at a time. Now a node that loses an attempt before its runner has written for half a second probes the runner; if its process has ended, the crash and the shared parts of the requests in progress are passed to all nodes with the periodic reports, at once upwards. Parts that are answered without a crash at about that time or later are cleared. A part that is left in three crashes explains them (core/findCrashingParts.ts), its requests are refused as not run, and what it explains no longer counts against other parts. While parts always come together, only requests with all of them are refused. Why it works: a crash at any node counts at all, so the third crash decides, and news takes two reports (four with relays), less than contactMs. Ruled out: overload and overfilled runners (docs/incidents).

--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -20,6 +20,8 @@
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer; undefined before the first answer. */
     firstByteMs: number | undefined;
+    /** When the head of an answer last arrived. */
+    lastHeadAt = Number.NEGATIVE_INFINITY;
     private averageEventGapMs: number | undefined;
     private eventGapAt = Number.NEGATIVE_INFINITY;
     private reported: ReportedLoad | undefined;
@@ -92,6 +94,7 @@
     }
 
     onFirstByte(ms: number): void {
+        this.lastHeadAt = this.now();
         this.unreachableCount = 0;
         const average = this.firstByteMs ?? ms;
         this.firstByteMs = average + smoothingFactor * (ms - average);
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -37,13 +37,13 @@
     lastProgressAt = 0;
     /** When the first head of an answer arrived, on the monotonic clock. */
     firstByteAt = 0;
+    /** When the first event of the latest attempt's stream arrived, on the monotonic clock; undefined before it. */
+    attemptEventAt: number | undefined;
     /** When the first event of a stream arrived, on the monotonic clock; 0 before it. */
     firstEventAt = 0;
     /** Longest time between two events of the stream. */
     maxEventGapMs = 0;
     private isStreaming = false;
-    /** Whether an event of the latest attempt's stream has arrived. */
-    hasReceivedEvent = false;
     private bufferedBytes = 0;
 
     private constructor(private readonly call: Call, private readonly limits: TransportLimits, private readonly observer: AnswerObserver) {}
@@ -66,7 +66,7 @@
     /** Whether the latest attempt's stream ended before it was complete: inside an event, or without one at the end of its connection. */
     isBrokenOff(endsWithConnection: boolean): boolean {
         const { partialEvent } = this.splitter;
-        return this.isStreaming && (partialEvent.length > 0 || (endsWithConnection && !this.hasReceivedEvent));
+        return this.isStreaming && (partialEvent.length > 0 || (endsWithConnection && this.attemptEventAt === undefined));
     }
 
     /** ID of the last event that the caller has received. */
@@ -80,7 +80,7 @@
         this.chunks = [];
         this.isStreaming = false;
         this.bufferedBytes = 0;
-        this.hasReceivedEvent = false;
+        this.attemptEventAt = undefined;
         this.splitter.dropPartialEvent();
     }
 
@@ -111,12 +111,12 @@
             return this.splitter.partialEvent.length > this.limits.maxEventBytes ? SinkState.TooLarge : SinkState.Ready;
         }
         const now = performance.now();
-        if (this.hasReceivedEvent) {
+        if (this.attemptEventAt !== undefined) {
             const gapMs = now - this.lastProgressAt;
             this.maxEventGapMs = Math.max(this.maxEventGapMs, gapMs);
             this.observer.onEventGap(gapMs);
         }
-        this.hasReceivedEvent = true;
+        this.attemptEventAt ??= now;
         this.firstEventAt ||= now;
         this.lastProgressAt = now;
         if (this.call.res.write(events)) {
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,7 +1,7 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
-import { artifactKey, sharedPartIds } from "../types/modelRequest";
+import { artifactKey } from "../types/modelRequest";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { AnswerRelay } from "./answerRelay";
@@ -10,6 +10,7 @@
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import type { Gateway } from "./gateway";
+import { PromptObserver } from "./promptObserver";
 import { SilenceWatch } from "./silenceWatch";
 
 /** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
@@ -41,14 +42,19 @@
     readonly relay: AnswerRelay;
     private choice: UpstreamChoice | undefined;
     private sentAt = 0;
+    private readonly prompt: PromptObserver;
     /** Whether the latest attempt has not received its first byte yet. */
     private isAwaitingFirstByte = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
         this.relay = AnswerRelay.create(call, gateway.settings.limits, {
             onHead: () => this.onHead(),
-            onEventGap: ms => this.choice?.candidate.traffic.onEventGap(ms),
+            onEventGap: ms => {
+                this.choice?.candidate.traffic.onEventGap(ms);
+                this.prompt.onEvent();
+            },
         });
+        this.prompt = PromptObserver.create(gateway, call, this.relay);
     }
 
     /** Creates the executor of a request's attempts. */
@@ -159,9 +165,13 @@
             return AttemptOutcome.Unsent;
         }
         if (end.kind !== AttemptEndKind.Complete || !head) {
+            if (end.kind === AttemptEndKind.Lost) {
+                this.prompt.onLost(server);
+            }
             return this.recordLost(server.id, traffic, end.reason);
         }
         if (relay.isBrokenOff(end.endsWithConnection)) {
+            this.prompt.onLost(server);
             return this.recordLost(server.id, traffic, "stream broken off");
         }
         if (head.decoded.isNotExecuted) {
@@ -175,6 +185,7 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
+            this.prompt.onAnswered(traffic, end.endsWithConnection);
             return AttemptOutcome.Answered;
         }
         traffic.onFailure(failedRunWeight);
@@ -210,8 +221,8 @@
             verdict,
             afterMs,
             lastEvent: this.relay.lastEventId,
-            hasAnswered: this.relay.hasReceivedEvent,
-            sharedParts: modelRequest && sharedPartIds(modelRequest),
+            hasAnswered: this.relay.attemptEventAt !== undefined,
+            sharedParts: modelRequest && this.prompt.sharedParts,
         });
     }
 }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,7 +1,9 @@
+import { CrashLog } from "../core/crashLog";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
+import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
@@ -15,6 +17,7 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import type { Random } from "../utils/random";
+import { CrashWatch } from "./crashWatch";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -58,8 +61,13 @@
     /** The active configuration as it was published, for peers. */
     configBytes: Buffer | undefined;
     placement: Placement = disabledPlacement;
-    /** Probes silent runners; without it, silence alone counts. */
+    /** Probes silent runners; without it, silence alone counts, and no crash is recorded. */
     prober: UpstreamProber | undefined;
+    /** Counts the changes of what this node shares with the others. */
+    readonly factCounter: RevisionCounter = { value: 0 };
+    /** Crashes of runners, and the prompt parts that are in quarantine for them. */
+    readonly crashLog = CrashLog.create(this.factCounter);
+    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     isStopping = false;
--- /dev/null
+++ b/src/forward/promptObserver.ts
@@ -0,0 +1,62 @@
+import type { UpstreamTraffic } from "../core/upstreamTraffic";
+import { sharedPartIds } from "../types/modelRequest";
+import type { UpstreamServer } from "../types/upstreamServer";
+import type { AnswerRelay } from "./answerRelay";
+import type { Call } from "./call";
+import type { Gateway } from "./gateway";
+
+/** A runner that crashes on a prompt does so this soon after the first event of its answer at the latest. */
+const crashNoticeMs = 500;
+/** Time after which a runner that has answered nothing more may have ended with an answer that ended with its connection. */
+const aliveCheckDelayMs = 1_000;
+
+/** Observes the attempts of one request for whether its prompt crashes runners. */
+export class PromptObserver {
+    readonly sharedParts: readonly string[];
+    private isCleared = false;
+
+    private constructor(private readonly gateway: Gateway, call: Call, private readonly relay: AnswerRelay) {
+        const { modelRequest } = call.caller;
+        this.sharedParts = modelRequest ? sharedPartIds(modelRequest) : [];
+    }
+
+    /** Creates the observer of a request without attempts. */
+    static create(gateway: Gateway, call: Call, relay: AnswerRelay): PromptObserver {
+        return new PromptObserver(gateway, call, relay);
+    }
+
+    /** Records that the runner is writing: once it has written for a while, it does not crash on the prompt. */
+    onEvent(): void {
+        const { attemptEventAt } = this.relay;
+        if (!this.isCleared && attemptEventAt !== undefined && performance.now() - attemptEventAt > crashNoticeMs) {
+            this.clear(attemptEventAt);
+        }
+    }
+
+    /** Records a lost attempt: unless the runner had written for long enough, it may have crashed on the prompt. */
+    onLost(server: UpstreamServer): void {
+        const { attemptEventAt } = this.relay;
+        if (attemptEventAt === undefined || performance.now() - attemptEventAt < crashNoticeMs) {
+            this.gateway.crashWatch.onLost(server, this.sharedParts);
+        }
+    }
+
+    /** Records a complete answer; one that ended with its connection clears the prompt only if the runner has answered something later. */
+    onAnswered(traffic: UpstreamTraffic, endsWithConnection: boolean): void {
+        if (this.isCleared || this.sharedParts.length === 0) {
+            return;
+        }
+        const endedAt = performance.now();
+        const beganAt = this.relay.attemptEventAt ?? endedAt;
+        if (!endsWithConnection) {
+            this.clear(beganAt);
+            return;
+        }
+        setTimeout(() => traffic.lastHeadAt > endedAt && this.clear(beganAt), aliveCheckDelayMs).unref();
+    }
+
+    private clear(beganAt: number): void {
+        this.isCleared = true;
+        this.gateway.crashLog.onAnswered(this.sharedParts, beganAt);
+    }
+}
--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -1,15 +1,35 @@
 import { toFailure } from "../core/failures";
 import { EventId } from "../types/eventId";
+import { FailureKind } from "../types/failureKind";
 import type { RunnerAddress, RunnerControl } from "../types/runner";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
+import { sleep } from "../utils/time";
 
 /** Time for which the result of a probe is used for other requests to the same runner. */
 const resultLifetimeMs = 300;
 
-/** Asks silent runners whether they are alive. */
+/** Probes, and the pause between them, while it is not known whether a runner has ended. */
+const maxEndProbes = 3;
+const endProbePauseMs = 250;
+
+/** What a probe says of a runner. */
+enum ProbeResult {
+    Alive = "alive",
+    /** Nothing answered in time, or not with a report. */
+    Unknown = "unknown",
+    /** No process or another one answers at its address. */
+    Ended = "ended",
+}
+
+/** A runner's process, as the directory describes it. */
+export interface RunnerProcess extends RunnerAddress {
+    readonly bornAt: number;
+}
+
+/** Asks runners whether they are alive. */
 export class UpstreamProber {
-    private readonly probes = new Map<string, Promise<boolean>>();
+    private readonly probes = new Map<string, Promise<ProbeResult>>();
 
     private constructor(private readonly runners: RunnerControl) {}
 
@@ -19,21 +39,35 @@
     }
 
     /** Whether a runner answers; requests that ask at about the same time share one probe. */
-    isAlive(runner: RunnerAddress): Promise<boolean> {
-        return getOrCreate(this.probes, runner.id, () => this.probe(runner));
+    async isAlive(runner: RunnerProcess): Promise<boolean> {
+        return await this.startProbe(runner) === ProbeResult.Alive;
     }
 
-    private async probe(runner: RunnerAddress): Promise<boolean> {
+    /** Whether a runner's process has certainly ended. Always probes anew: an earlier result may be from before the end. */
+    async hasEnded(runner: RunnerProcess): Promise<boolean> {
+        for (let attempt = 1;; attempt++) {
+            const result = await this.probe(runner);
+            if (result !== ProbeResult.Unknown || attempt === maxEndProbes) {
+                return result === ProbeResult.Ended;
+            }
+            await sleep(endProbePauseMs);
+        }
+    }
+
+    private startProbe(runner: RunnerProcess): Promise<ProbeResult> {
+        const probe = (): Promise<ProbeResult> => this.probe(runner).finally(() => setTimeout(() => this.probes.delete(runner.id), resultLifetimeMs).unref());
+        return getOrCreate(this.probes, runner.id, probe);
+    }
+
+    private async probe(runner: RunnerProcess): Promise<ProbeResult> {
         try {
-            await this.runners.fetchReport(runner);
-            return true;
+            const { bornAt } = await this.runners.fetchReport(runner);
+            return bornAt > runner.bornAt ? ProbeResult.Ended : ProbeResult.Alive;
         }
         catch (err) {
-            emit(EventId.ReportFailed, { runner: runner.id, detail: toFailure(err).detail });
-            return false;
-        }
-        finally {
-            setTimeout(() => this.probes.delete(runner.id), resultLifetimeMs).unref();
+            const { kind, detail } = toFailure(err);
+            emit(EventId.ReportFailed, { runner: runner.id, detail });
+            return kind === FailureKind.UpstreamEnded ? ProbeResult.Ended : ProbeResult.Unknown;
         }
     }
 }
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -1,11 +1,13 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
 import { isSaturated } from "../core/saturation";
+import { FailureKind } from "../types/failureKind";
 import type { ModelRequest } from "../types/modelRequest";
 import { artifactKey } from "../types/modelRequest";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import type { PromptGate } from "./promptGate";
 import { selectUpstream } from "./selectUpstream";
 
 /** Bounds of the interval between two requests to the controller. */
@@ -22,12 +24,16 @@
 const capacityPollIntervalMs = 25;
 /** Minimum retry delay given to callers that are refused for lack of capacity. */
 const minCapacityRetryAfterMs = 500;
+/** Minimum retry delay given to callers whose prompt is in quarantine. */
+const minQuarantineRetryAfterMs = 10_000;
 
 /** Time until the final answer is due; a stopping node refuses waiting requests before it exits. */
 const remainingMsOf = (gateway: Gateway, call: Call): number => Math.min(call.deadlineAt, gateway.exitDeadlineAt - maxPollIntervalMs) - performance.now();
 
 /** Why a request is not sent to any upstream; it has not run. */
 export interface Refusal {
+    /** Why, if not for want of an upstream. */
+    readonly kind?: FailureKind;
     readonly detail: string;
     readonly retryAfterMs: number;
 }
@@ -35,19 +41,31 @@
 /** Whether no upstream was found. */
 export const isRefusal = (result: UpstreamChoice | Refusal): result is Refusal => "detail" in result;
 
+/** Refuses a request whose prompt is in quarantine; undefined if it may be sent. */
+export const refuseQuarantined = (gateway: Gateway, gate: PromptGate): Refusal | undefined => {
+    const { blocking } = gate;
+    return blocking && {
+        kind: FailureKind.PromptQuarantined,
+        detail: `${blocking.crashes.length} runners crashed on prompts with the parts ${blocking.parts.join(", ")}`,
+        retryAfterMs: Math.max(minQuarantineRetryAfterMs, gateway.crashLog.trialInMs(blocking)),
+    };
+};
+
 /** Waits in the request queue until the selected runner has free capacity; a request that cannot be answered in time is refused immediately. */
 const waitForCapacity = async (
     gateway: Gateway,
     call: Call,
     modelRequest: ModelRequest,
     tried: ReadonlySet<string>,
+    gate: PromptGate,
 ): Promise<UpstreamChoice | Refusal | undefined> => {
     const queuedRequest = { firstTokenDueAt: call.startedAt + call.route.latencyObjectiveMs, priority: call.route.priority };
     try {
         while (!call.signal.aborted) {
-            const choice = selectUpstream(gateway, call, tried);
+            const refusal = refuseQuarantined(gateway, gate);
+            const choice = refusal ? undefined : selectUpstream(gateway, call, tried);
             if (!choice) {
-                return undefined;
+                return refusal;
             }
             const ahead = gateway.queue.countAhead(modelRequest.model, queuedRequest);
             const remainingMs = remainingMsOf(gateway, call);
@@ -72,10 +90,15 @@
 };
 
 /** Selects an upstream for a request; waits for its model or adapter, and for free capacity, as long as an answer in time is likely. */
-export const waitForUpstream = async (gateway: Gateway, call: Call, tried: ReadonlySet<string>): Promise<UpstreamChoice | Refusal> => {
+export const waitForUpstream = async (
+    gateway: Gateway,
+    call: Call,
+    tried: ReadonlySet<string>,
+    gate: PromptGate,
+): Promise<UpstreamChoice | Refusal> => {
     const { modelRequest } = call.caller;
     while (!call.signal.aborted) {
-        const choice = modelRequest ? await waitForCapacity(gateway, call, modelRequest, tried) : selectUpstream(gateway, call, tried);
+        const choice = modelRequest ? await waitForCapacity(gateway, call, modelRequest, tried, gate) : selectUpstream(gateway, call, tried);
         if (choice) {
             return choice;
         }
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -9,9 +9,11 @@
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
 import { emit } from "../utils/events";
+import { ownerOf } from "../utils/hash";
 import { getOrCreate } from "../utils/maps";
-import { repeat } from "../utils/time";
+import { coalesce, repeat } from "../utils/time";
 import type { Controller } from "./controller";
+import { ControllerAnnouncer } from "./controllerAnnouncer";
 import type { ControllerLink } from "./controllerLink";
 import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
@@ -20,6 +22,8 @@
 
 /** Interval between two reports; relays bound the number of nodes that report to one. */
 const exchangeIntervalMs = 400;
+/** Delay of a report with news for the other nodes, so that one report carries several. */
+const newsDelayMs = 30;
 /** Jitter of that interval, as a share of it, so that nodes do not send at the same time. */
 const exchangeJitter = 0.3;
 /** Answer while no controller can be reached; another node takes over within seconds. */
@@ -37,6 +41,7 @@
 /** This node's client of the controller, and of other peers while the controller is unknown or unreachable. */
 export class ControllerClient implements Placement {
     private readonly clients: PeerClients;
+    private readonly announcer: ControllerAnnouncer;
     private readonly pendingPlacements = new Map<string, Promise<PlacementAnswer>>();
     private readonly peers: PeerDirectory;
     private isControllerLost = false;
@@ -54,6 +59,7 @@
     ) {
         this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
         this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
+        this.announcer = ControllerAnnouncer.create(gateway, local.peerServer, this.clients);
     }
 
     /** Creates a client that has not been used yet. */
@@ -67,6 +73,10 @@
     start(signal: AbortSignal): void {
         const intervalMs = (): number => exchangeIntervalMs * (1 + exchangeJitter * (this.gateway.random() - 0.5));
         void repeat(() => this.exchange(), intervalMs, signal, err => this.onExchangeFailed(err));
+        const { crashLog, settings } = this.gateway;
+        crashLog.onOutgoing = coalesce(() => this.exchange(), newsDelayMs, signal, err => this.onExchangeFailed(err));
+        crashLog.isTrialNode = part =>
+            this.link.epoch !== undefined && ownerOf(part, [settings.peerAddress, ...this.peers.addresses].sort()) === settings.peerAddress;
     }
 
     get isController(): boolean {
@@ -115,7 +125,7 @@
         const requestedAt = performance.now();
         const report = this.toReport();
         if (this.local.controller.isActive) {
-            this.announce();
+            this.announcer.announce(this.lease.heldEpoch, this.peers.addresses);
             this.applyAnswer(this.local.peerServer.exchange(report), this.gateway.settings.peerAddress, report.work, requestedAt);
             return;
         }
@@ -123,11 +133,16 @@
         if (address === undefined) {
             return;
         }
+        const { facts } = this.local.peerServer;
+        const prepared = facts.prepare(address);
         try {
-            const answer = await this.clients.get(address).exchange.mutate(toMutableReport(report));
+            const answer = await this.clients.get(address).exchange.mutate(toMutableReport({ ...report, facts: prepared.report }));
             if (answer.epoch === undefined) {
                 this.peers.onFailed(address);
             }
+            if (answer.facts) {
+                facts.onAnswer(prepared, answer.facts);
+            }
             this.applyAnswer(answer, address, report.work, requestedAt);
         }
         catch (err) {
@@ -154,21 +169,6 @@
         return latestAnnouncement && latestAnnouncement.epoch > (this.lease.seenVersion ?? 0) ? latestAnnouncement.peerAddress : this.lease.holderAddress;
     }
 
-    /** Announces once per epoch to all known nodes that this one has become controller, so that they need not read the lease row. */
-    private announce(): void {
-        const epoch = this.lease.heldEpoch;
-        const { peerAddress } = this.gateway.settings;
-        if (epoch === undefined || epoch === this.local.peerServer.latestAnnouncement?.epoch) {
-            return;
-        }
-        const announcement = { peerAddress, epoch };
-        this.local.peerServer.recordAnnouncement(announcement);
-        for (const address of this.peers.addresses) {
-            this.clients.get(address).announce.mutate(announcement)
-                .catch((err: unknown) => emit(EventId.PeerExchangeFailed, { controller: peerAddress, peer: address, detail: toFailure(err).detail }));
-        }
-    }
-
     private toReport(): NodeReport {
         const { gateway, link, local } = this;
         const isRelaying = link.isRelaying && !local.controller.isActive;
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -2,6 +2,7 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent } from "undici";
 import type { NodeReport } from "../types/placement";
+import type { FactReport } from "../types/sharedFacts";
 import { createBoundedFetch } from "../utils/boundedFetch";
 import { getOrCreate } from "../utils/maps";
 import type { PeerServerRouter } from "./peerServer";
@@ -34,11 +35,20 @@
     }
 }
 
+const toMutableFacts = ({ source, knownRevision, facts: { crashes } }: FactReport) => ({
+    source,
+    knownRevision,
+    facts: {
+        crashes: crashes.map(({ id, ageMs, suspects, cleared }) => ({ id, ageMs, suspects: suspects.map(parts => [...parts]), cleared: [...cleared] })),
+    },
+});
+
 /** Copies a report, as tRPC takes mutable input only. */
 export const toMutableReport = (report: NodeReport) => ({
     ...report,
     members: [...report.members],
     work: [...report.work],
+    facts: report.facts && toMutableFacts(report.facts),
     loads: Object.fromEntries(
         Object.entries(report.loads).map(([runner, [prefillMs, inFlight]]): [string, [number, number]] => [runner, [prefillMs, inFlight]]),
     ),
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -12,6 +12,7 @@
 import { emit } from "../utils/events";
 import type { Controller } from "./controller";
 import type { ControllerLink } from "./controllerLink";
+import { FactExchange } from "./factExchange";
 import { addLoads, ReportedNodes } from "./reportedNodes";
 import { VersionedPeers } from "./versionedPeers";
 
@@ -19,6 +20,25 @@
 const maxReportBytes = 4_194_304;
 const peerRequestTimeoutMs = 5_000;
 
+/** Limits on the shared facts of one report. */
+const maxReportedCrashes = 1_024;
+const maxSuspects = 1_024;
+const maxParts = 256;
+const maxPartIdLength = 256;
+
+const partsSchema = z.array(z.string().max(maxPartIdLength)).max(maxParts);
+const factReportSchema = z.object({
+    source: z.string().optional(),
+    knownRevision: z.number(),
+    facts: z.object({
+        crashes: z.array(z.object({
+            id: z.string().max(maxPartIdLength),
+            ageMs: z.number(),
+            suspects: z.array(partsSchema).max(maxSuspects),
+            cleared: z.array(z.string().max(maxPartIdLength)),
+        })).max(maxReportedCrashes),
+    }),
+});
 const peerNodeSchema = z.object({ address: z.string(), zone: z.string(), cores: z.number() });
 const reportSchema = z.object({
     node: z.string(),
@@ -34,6 +54,7 @@
     adaptersRevision: z.number(),
     work: z.array(z.object({ artifact: z.string(), workMs: z.number(), idleMs: z.number() })),
     loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
+    facts: factReportSchema.optional(),
 });
 const placementSchema = z.object({
     service: z.string(),
@@ -49,6 +70,7 @@
 export class PeerServer {
     /** The nodes that report to this one, as the controller or a relay. */
     readonly nodes = ReportedNodes.create();
+    readonly facts: FactExchange;
     private readonly peerList = VersionedPeers.create();
     private httpServer: Server | undefined;
     /** Identifies this process as the source of revisions, which start anew with it. */
@@ -59,7 +81,9 @@
     /** Called when a controller with a higher epoch becomes known. */
     onNewController: () => void = () => undefined;
 
-    private constructor(private readonly gateway: Gateway, private readonly controller: Controller, private readonly link: ControllerLink) {}
+    private constructor(private readonly gateway: Gateway, private readonly controller: Controller, private readonly link: ControllerLink) {
+        this.facts = FactExchange.create(gateway.factCounter, gateway.crashLog);
+    }
 
     /** Creates a server that has received no reports yet. */
     static create(gateway: Gateway, controller: Controller, link: ControllerLink): PeerServer {
@@ -108,6 +132,7 @@
             announced: this.latestAnnouncement,
             confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : gateway.freshness.knownAgoMs,
             yielding: controller.yielding,
+            facts: report.facts && this.facts.serve(report.facts),
             changes: directory.version > report.directoryVersion ? directory.changesSince(report.directoryVersion) : [],
             ...this.controllerPart(report),
         };
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -6,10 +6,11 @@
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
-import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
+import { errorCodeOf, readAnswerText, refusedConnectionCode, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
 
 const connectTimeoutMs = 300;
+const misdirectedStatus = 421;
 /** Runners answer orders and report requests within a few milliseconds. */
 const answerTimeoutMs = 400;
 
@@ -65,6 +66,10 @@
                 headers: { "expect-instance": id },
                 signal: AbortSignal.timeout(answerTimeoutMs),
             });
+            if (res.statusCode === misdirectedStatus) {
+                await res.body.dump();
+                throw FailureError.create({ kind: FailureKind.UpstreamEnded, verdict: Verdict.NotRun, detail: "another process answers at the address" });
+            }
             const result = parseWith(
                 reportSchema,
                 parseJson(await readAnswerText(res.body, { maxBytes: this.limits.maxAnswerBytes, timeoutMs: answerTimeoutMs })),
@@ -89,7 +94,9 @@
             if (err instanceof FailureError) {
                 throw err;
             }
-            throw FailureError.create({ kind: FailureKind.UpstreamLost, verdict: verdictOfError(err), detail: errorCodeOf(err) });
+            const detail = errorCodeOf(err);
+            const kind = detail === refusedConnectionCode ? FailureKind.UpstreamEnded : FailureKind.UpstreamLost;
+            throw FailureError.create({ kind, verdict: verdictOfError(err), detail });
         }
     }
 
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -1,5 +1,6 @@
 import type { LeaseYield } from "./controllerLease";
 import type { PeerNode } from "./peerNode";
+import type { FactAnswer, FactReport } from "./sharedFacts";
 import type { DirectoryChange } from "./upstreamServer";
 
 /** A node's request to the controller for a runner that can serve a model or adapter. */
@@ -62,6 +63,8 @@
     /** Work requested since the last report, or the whole demand for a new controller. */
     readonly work: readonly RequestedWork[];
     readonly loads: RunnerLoads;
+    /** Missing from nodes of earlier releases, as in answers. */
+    readonly facts?: FactReport;
 }
 
 /** Sent by a new controller to its known peers. */
@@ -98,4 +101,5 @@
     readonly adapters?: AdapterChanges;
     /** Load that other nodes cause at runners; from the controller or a relay only. */
     readonly loads?: RunnerLoads;
+    readonly facts?: FactAnswer;
 }
--- /dev/null
+++ b/src/types/sharedFacts.ts
@@ -0,0 +1,21 @@
+import type { RunnerCrash } from "./runnerCrash";
+
+/** What nodes observe and tell all others, with the reports and answers that they exchange anyway. */
+export interface SharedFacts {
+    readonly crashes: readonly RunnerCrash[];
+}
+
+/** A node's facts for the peer that it reports to. */
+export interface FactReport {
+    /** Process whose facts the node knows up to `knownRevision`. */
+    readonly source?: string;
+    readonly knownRevision: number;
+    readonly facts: SharedFacts;
+}
+
+/** The facts that the reporting node does not know yet. */
+export interface FactAnswer {
+    readonly source: string;
+    readonly revision: number;
+    readonly facts: SharedFacts;
+}
--- a/src/utils/time.ts
+++ b/src/utils/time.ts
@@ -35,3 +35,20 @@
         await sleep(pauseMs(), signal);
     }
 };
+
+/** Returns a function that runs a step after a delay; calls during the delay share the run. */
+export const coalesce = (step: () => Promise<void>, delayMs: number, signal: AbortSignal, onError: (err: unknown) => void): () => void => {
+    let isScheduled = false;
+    return () => {
+        if (isScheduled) {
+            return;
+        }
+        isScheduled = true;
+        void sleep(delayMs, signal).then(async () => {
+            isScheduled = false;
+            if (!signal.aborted) {
+                await step();
+            }
+        }).catch(onError);
+    };
+};
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,9 +1,12 @@
 import type { Readable } from "node:stream";
 import { Verdict } from "../types/verdict";
 
+/** Error code of a connection that was refused: no process listens at the address. */
+export const refusedConnectionCode = "ECONNREFUSED";
+
 /** Error codes that prove that no byte of the request was sent. */
 const unsentCodes: ReadonlySet<string> = new Set([
-    "ECONNREFUSED",
+    refusedConnectionCode,
     "EHOSTUNREACH",
     "ENETUNREACH",
     "ENOTFOUND",
