--- a/src/placement/factExchange.ts
+++ b/src/placement/factExchange.ts
@@ -35,6 +35,11 @@
         return new FactExchange(counter, crashLog);
     }
 
+    /** Address of the peer that answered the last report. */
+    get uplinkAddress(): string | undefined {
+        return this.uplink?.address;
+    }
+
     /** Prepares the facts of a report: all for a peer that this node has not reported to before, otherwise what is new. */
     prepare(address: string): PreparedFacts {
         const known = this.uplink?.address === address ? this.uplink : undefined;
--- /dev/null
+++ b/test/findCrashingParts.test.ts
@@ -0,0 +1,64 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { CrashRecord } from "../src/core/findCrashingParts";
+import { findCrashingParts } from "../src/core/findCrashingParts";
+
+const crashGapMs = 1_000;
+
+/** Crashes one second apart; each lists the suspected requests as space-separated parts. */
+const crashesOf = (...suspects: readonly (readonly string[])[]): readonly CrashRecord[] =>
+    suspects.map((requests, index) => ({
+        id: `r${index}`,
+        at: index * crashGapMs,
+        suspects: requests.map(parts => parts.split(" ")),
+        cleared: new Set(),
+    }));
+
+interface Case {
+    readonly name: string;
+    readonly crashes: readonly CrashRecord[];
+    /** The parts of each quarantine, space-separated. */
+    readonly quarantines: readonly string[];
+}
+
+const cases: readonly Case[] = [
+    { name: "finds nothing after two crashes", crashes: crashesOf(["a bad"], ["a bad"]), quarantines: [] },
+    {
+        name: "finds the part that all crashes share",
+        crashes: crashesOf(["a bad", "b c"], ["d bad", "a c"], ["e bad", "b f"]),
+        quarantines: ["bad"],
+    },
+    { name: "names parts that always come together", crashes: crashesOf(["a bad"], ["a bad"], ["a bad"]), quarantines: ["bad a"] },
+    {
+        name: "does not name a part that a suspected request lacked",
+        crashes: crashesOf(["a bad"], ["a bad"], ["b bad"]),
+        quarantines: ["bad"],
+    },
+    {
+        name: "does not name a part that was answered",
+        crashes: crashesOf(["a bad"], ["a bad"], ["a bad"]).map(crash => ({ ...crash, cleared: new Set(["a"]) })),
+        quarantines: ["bad"],
+    },
+    {
+        name: "finds two parts, each by its own crashes",
+        crashes: crashesOf(["a bad1"], ["b bad2"], ["c bad1"], ["d bad2"], ["e bad1"], ["f bad2"]),
+        quarantines: ["bad1", "bad2"],
+    },
+    {
+        name: "does not blame a part for crashes that another one explains",
+        crashes: crashesOf(["a bad", "x y"], ["b bad", "x z"], ["c bad", "x w"], ["d bad"]),
+        quarantines: ["bad"],
+    },
+    {
+        name: "counts crashes at the same moment once",
+        crashes: crashesOf(["a hot"], ["b hot"], ["c hot"]).map(crash => ({ ...crash, at: crash.at / 100 })),
+        quarantines: [],
+    },
+    { name: "finds nothing in crashes with different parts", crashes: crashesOf(["a b"], ["c d"], ["e f"], ["g h"]), quarantines: [] },
+];
+
+describe("prompt parts that explain crashes", () => {
+    for (const { name, crashes, quarantines } of cases) {
+        it(name, () => assert.deepEqual(findCrashingParts(crashes).map(({ parts }) => parts.join(" ")), quarantines));
+    }
+});
