Keep quarantines of prompt parts in the controller's row

What callers would see: after all nodes were killed at once, requests with a part that crashes runners crash three more of them. Cause: the crashes were known only to the nodes' memory. The controller's lease row, which is written twice a second anyway and read by each node at its start, now keeps the crashes behind each quarantine (five at most, without what else was in progress), on the store's clock. Rows of earlier releases are read as before.

--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -1,11 +1,11 @@
-import type { ControllerRow, LeaseYield } from "../types/controllerLease";
+import type { ControllerRow, DurableCrashes, LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { RowName, RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
-import type { LeaseCandidate, LeaseRules, RunnerLeaseRequest } from "./controllerRow";
-import { controllerLeaseTtlMs, decodeControllerRow, maxOrderDeliveryMs, nextControllerRow } from "./controllerRow";
+import type { LeaseCandidate, LeaseRules, PendingRunnerLease, SeenRow } from "./controllerRow";
+import { controllerLeaseTtlMs, decodeControllerRow, maxOrderDeliveryMs, nextControllerRow, storedCrashesOf } from "./controllerRow";
 import { LeaseVacancy } from "./leaseVacancy";
 import { StoreClock } from "./storeClock";
 
@@ -13,19 +13,10 @@
 const minRenewalAgeMs = 400;
 
 const noEpoch = 0;
+const noCrashes: DurableCrashes = { durable: [], add: () => undefined };
 
 const rowName: RowName = { table: "jackdawtrail", part: "", key: "controller" };
 
-interface SeenRow {
-    readonly row: ControllerRow | undefined;
-    readonly version: number;
-}
-
-/** A runner lease request that waits for the row to be written. */
-interface PendingRunnerLease extends RunnerLeaseRequest {
-    readonly resolve: (isGranted: boolean) => void;
-}
-
 /**
  * The lease of the node that controls the runners. Its epoch is the row's version at the takeover: unique, and increasing
  * with each holder. Before an order is sent, the row records a runner lease: the runner, and the time until which the order
@@ -48,10 +39,17 @@
         private readonly self: LeaseCandidate,
         private readonly rules: LeaseRules,
         private readonly vacancy: LeaseVacancy,
+        private readonly crashes: DurableCrashes,
     ) {}
 
-    static create(store: RowStore, self: LeaseCandidate, rules: LeaseRules, vacancy = LeaseVacancy.create(() => 0)): ControllerLease {
-        return new ControllerLease(store, self, rules, vacancy);
+    static create(
+        store: RowStore,
+        self: LeaseCandidate,
+        rules: LeaseRules,
+        vacancy = LeaseVacancy.create(() => 0),
+        crashes: DurableCrashes = noCrashes,
+    ): ControllerLease {
+        return new ControllerLease(store, self, rules, vacancy, crashes);
     }
 
     /** The epoch while the lease is certainly held by this process, undefined otherwise. */
@@ -182,6 +180,8 @@
             this.epoch = noEpoch;
         }
         this.seen = { row, version };
+        // All nodes that knew these crashes may have been restarted.
+        storedCrashesOf(row, this.clock).forEach(crash => this.crashes.add(crash));
     }
 
     private isVacant({ row, version }: SeenRow): boolean {
@@ -200,7 +200,7 @@
     private async write(requests: readonly PendingRunnerLease[], isReleased: boolean): Promise<boolean> {
         const requestedAt = readClocks();
         const expected = this.seen!.version;
-        const row = nextControllerRow(this.seen!.row, this.self, this.clock, requests, isReleased, this.rules);
+        const row = nextControllerRow(this.seen!.row, this.self, this.clock, requests, isReleased, this.crashes.durable, this.rules);
         const result = await this.store.transact({
             conditions: [{ ...rowName, version: expected }],
             puts: [{ ...rowName, value: Buffer.from(JSON.stringify(row)) }],
--- a/src/core/controllerRow.ts
+++ b/src/core/controllerRow.ts
@@ -2,6 +2,7 @@
 import type { ControllerRow, RunnerLease } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { StoredRow } from "../types/rowStore";
+import type { RunnerCrash } from "../types/runnerCrash";
 import { emit } from "../utils/events";
 import type { StoreClock } from "./storeClock";
 
@@ -20,6 +21,8 @@
     untilMs: z.number(),
     turns: z.record(z.string(), z.object({ holder: z.string(), untilMs: z.number() })),
     storeLoads: z.array(z.number()),
+    // Missing from rows of earlier releases.
+    crashes: z.array(z.object({ id: z.string(), atMs: z.number(), parts: z.array(z.string()) })).default([]),
 });
 
 /** Identity of a process that may take the controller lease. */
@@ -39,6 +42,17 @@
     readonly isWeightStoreLoad: boolean;
 }
 
+/** A runner lease request that waits for the row to be written. */
+export interface PendingRunnerLease extends RunnerLeaseRequest {
+    readonly resolve: (isGranted: boolean) => void;
+}
+
+/** The row as last read or written; undefined if it did not exist. */
+export interface SeenRow {
+    readonly row: ControllerRow | undefined;
+    readonly version: number;
+}
+
 /** Decodes the lease row; undefined if it is missing or unreadable. */
 export const decodeControllerRow = (stored: StoredRow | undefined): ControllerRow | undefined => {
     if (!stored?.value) {
@@ -61,6 +75,7 @@
     { earliestMs, latestMs }: StoreClock,
     requests: readonly RunnerLeaseRequest[],
     isReleased: boolean,
+    crashes: readonly RunnerCrash[],
     { turnGapMs, loadWindowMs }: LeaseRules,
 ): ControllerRow => {
     const runnerLease: RunnerLease = { holder: self.holder, untilMs: latestMs + maxSendDelayMs + maxOrderDeliveryMs };
@@ -72,5 +87,10 @@
         untilMs: latestMs + controllerLeaseTtlMs,
         turns: Object.fromEntries([...activeLeases, ...requests.map(({ runner }) => [runner, runnerLease] as const)]),
         storeLoads: [...storeLoads, ...requests.filter(({ isWeightStoreLoad }) => isWeightStoreLoad).map(() => latestMs)],
+        crashes: crashes.map(({ id, ageMs, suspects }) => ({ id, atMs: Math.round(latestMs - ageMs), parts: suspects.flat() })),
     };
 };
+
+/** The crashes that a row keeps. */
+export const storedCrashesOf = (row: ControllerRow | undefined, { earliestMs }: StoreClock): readonly RunnerCrash[] =>
+    (row?.crashes ?? []).map(({ id, atMs, parts }) => ({ id, ageMs: Math.max(0, earliestMs - atMs), suspects: [parts], cleared: [] }));
--- a/src/core/crashLog.ts
+++ b/src/core/crashLog.ts
@@ -1,3 +1,4 @@
+import type { DurableCrashes } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { PromptQuarantine } from "../types/promptQuarantine";
 import type { RunnerCrash } from "../types/runnerCrash";
@@ -24,7 +25,7 @@
 const maxStoredCrashes = 5;
 
 /** Crashes of runners, merged from all nodes, and the prompt parts that explain them. */
-export class CrashLog {
+export class CrashLog implements DurableCrashes {
     private readonly crashes: SharedLog<CrashRecord>;
     private readonly answered = AnsweredParts.create();
     /** Suspected parts that no answer has cleared. */
@@ -117,7 +118,7 @@
     }
 
     /** What has to outlive the nodes: the crashes behind the quarantines, with nothing else that was in progress. */
-    durableCrashes(): readonly RunnerCrash[] {
+    get durable(): readonly RunnerCrash[] {
         return this.quarantined.slice(0, maxStoredQuarantines).flatMap(({ parts, crashes }) =>
             crashes.slice(-maxStoredCrashes).map(({ id, at }) => ({ id, ageMs: performance.now() - at, suspects: [parts], cleared: [] }))
         );
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -113,7 +113,7 @@
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
         const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
-        const lease = ControllerLease.create(store, self, settings, vacancy);
+        const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog);
         const runners = RunnerClient.create(settings.limits);
         gateway.prober = UpstreamProber.create(runners);
         const link = ControllerLink.create();
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -1,3 +1,5 @@
+import type { RunnerCrash } from "./runnerCrash";
+
 /** A holder's right to send orders to one runner. Its last order arrives before `untilMs` on the store's clock. */
 export interface RunnerLease {
     readonly holder: string;
@@ -20,6 +22,22 @@
     readonly turns: Readonly<Record<string, RunnerLease>>;
     /** Start times of the last loads from the weight store, by any holder. */
     readonly storeLoads: readonly number[];
+    /** Crashes of runners behind the quarantines of prompt parts, which outlive the nodes. */
+    readonly crashes: readonly StoredCrash[];
+}
+
+/** A crash that one of the prompt parts caused. */
+export interface StoredCrash {
+    /** Identifies the runner's process. */
+    readonly id: string;
+    readonly atMs: number;
+    readonly parts: readonly string[];
+}
+
+/** Crashes that nodes know and the controller's row keeps. */
+export interface DurableCrashes {
+    readonly durable: readonly RunnerCrash[];
+    add(crash: RunnerCrash): void;
 }
 
 /** A holder's statement that it sends no more orders under the given version of the row. */
