Blame the specific prompt part, and keep its crashes when another part is in progress too

Cause: a common first part is in progress at each crash too, and was preferred as it came with more requests; and one crash with two crashing parts in progress counted for one of them only, so that the other fell below the limit again. Now a part is preferred whose requests are a strict subset of the other's, and a part is in quarantine with three crashes of which two are not explained by another part.

--- a/src/core/findCrashingParts.ts
+++ b/src/core/findCrashingParts.ts
@@ -3,6 +3,8 @@
 
 /** Crashes with a part among the suspects, and no answer on it since, after which the part counts as their cause. */
 export const minCrashesOfQuarantine = 3;
+/** At least so many of these must not be explained by another part: two parts that crash runners may be in progress at the same one. */
+const minUnexplainedCrashes = 2;
 /** Crashes closer together than this count once: many runners may lose power at the same moment. */
 const minCrashGapMs = 150;
 
@@ -52,28 +54,39 @@
     });
 };
 
-const compare = (a: Suspicion, b: Suspicion): number =>
-    separateCrashes(b.crashes).length - separateCrashes(a.crashes).length || b.requests.length - a.requests.length || b.depth - a.depth ||
-    (a.part < b.part ? -1 : 1);
+const compare = (a: Suspicion, b: Suspicion): number => b.requests.length - a.requests.length || b.depth - a.depth || (a.part < b.part ? -1 : 1);
+
+/** Whether each suspected request with one part also contained another one, but not the other way round. */
+const isMoreSpecific = (one: Suspicion, other: Suspicion): boolean =>
+    one.requests.length < other.requests.length && one.requests.every(request => request.includes(other.part));
+
+/** The suspicion that explains most crashes. Among equals a part is preferred that came with fewer requests: a common part is in progress at any crash. */
+const findWorst = (suspicions: readonly Suspicion[], explained: ReadonlySet<CrashRecord>): Suspicion | undefined => {
+    const countUnexplained = ({ crashes }: Suspicion): number => separateCrashes(crashes.filter(crash => !explained.has(crash))).length;
+    const counts = new Map(suspicions.map(suspicion => [suspicion, countUnexplained(suspicion)]));
+    const most = Math.max(...counts.values());
+    const equals = suspicions.filter(suspicion => counts.get(suspicion) === most);
+    const [worst] = equals.filter(suspicion => !equals.some(other => isMoreSpecific(other, suspicion))).sort(compare);
+    return most >= minUnexplainedCrashes ? worst : undefined;
+};
 
 /** Other parts that every suspected request with the part contained: which of them is the cause is not known yet. */
 const companionsOf = ({ part, requests, crashes }: Suspicion): readonly string[] =>
     requests[0]!.filter(other => other !== part && requests.every(request => request.includes(other)) && !crashes.some(({ cleared }) => cleared.has(other)));
 
 /**
- * Finds the parts of prompts that explain crashes of runners, the one that explains most first. What it explains no longer counts against other
- * parts that happened to be in progress at the same runners.
+ * Finds the parts of prompts that explain crashes of runners, the one that explains most first. What it explains counts less against other parts
+ * that happened to be in progress at the same runners.
  */
 export const findCrashingParts = (records: readonly CrashRecord[]): readonly PromptQuarantine[] => {
     const quarantines: PromptQuarantine[] = [];
-    let unexplained = [...records].sort((a, b) => a.at - b.at);
-    for (;;) {
-        const [worst] = [...suspicionsOf(unexplained)].sort(compare);
-        const crashes = worst ? separateCrashes(worst.crashes) : [];
-        if (!worst || crashes.length < minCrashesOfQuarantine) {
-            return quarantines;
-        }
-        quarantines.push({ parts: [worst.part, ...companionsOf(worst)], crashes: crashes.map(({ id, at }) => ({ id, at })) });
-        unexplained = unexplained.filter(crash => !worst.crashes.includes(crash));
+    const explained = new Set<CrashRecord>();
+    let suspicions = suspicionsOf([...records].sort((a, b) => a.at - b.at)).filter(({ crashes }) => separateCrashes(crashes).length >= minCrashesOfQuarantine);
+    for (let worst = findWorst(suspicions, explained); worst; worst = findWorst(suspicions, explained)) {
+        quarantines.push({ parts: [worst.part, ...companionsOf(worst)], crashes: separateCrashes(worst.crashes).map(({ id, at }) => ({ id, at })) });
+        worst.crashes.forEach(crash => explained.add(crash));
+        const { part } = worst;
+        suspicions = suspicions.filter(suspicion => suspicion.part !== part);
     }
+    return quarantines;
 };
--- a/test/findCrashingParts.test.ts
+++ b/test/findCrashingParts.test.ts
@@ -44,6 +44,11 @@
         crashes: crashesOf(["a bad1"], ["b bad2"], ["c bad1"], ["d bad2"], ["e bad1"], ["f bad2"]),
         quarantines: ["bad1", "bad2"],
     },
+    {
+        name: "finds both of two parts that were in progress at the same runner when it crashed",
+        crashes: crashesOf(["a bad1"], ["b bad2"], ["c bad1"], ["d bad2"], ["e bad1", "f bad2"], ["g bad2"]),
+        quarantines: ["bad2", "bad1"],
+    },
     {
         name: "does not blame a part for crashes that another one explains",
         crashes: crashesOf(["a bad", "x y"], ["b bad", "x z"], ["c bad", "x w"], ["d bad"]),
@@ -54,6 +59,16 @@
         crashes: crashesOf(["a hot"], ["b hot"], ["c hot"]).map(crash => ({ ...crash, at: crash.at / 100 })),
         quarantines: [],
     },
+    {
+        name: "blames the specific part, not a common one that is in progress at any crash",
+        crashes: crashesOf(["a bad", "a c0", "a c1"], ["a c2", "a bad"], ["a c3", "a bad"]),
+        quarantines: ["bad a"],
+    },
+    {
+        name: "blames a common part once its requests crash runners without the other parts",
+        crashes: crashesOf(["bad x"], ["bad x"], ["bad x"], ["bad y"], ["bad z"], ["bad w"]),
+        quarantines: ["bad"],
+    },
     { name: "finds nothing in crashes with different parts", crashes: crashesOf(["a b"], ["c d"], ["e f"], ["g h"]), quarantines: [] },
 ];
 
