Look again whether a runner has ended a little after its connections did

Cause: the probe was sent as soon as an answer was broken off. It is now sent 100 ms later and, if the runner answers, once more after 300 ms; runners are away for seconds.

--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -9,9 +9,8 @@
 /** Time for which the result of a probe is used for other requests to the same runner. */
 const resultLifetimeMs = 300;
 
-/** Probes, and the pause between them, while it is not known whether a runner has ended. */
-const maxEndProbes = 3;
-const endProbePauseMs = 250;
+/** Pauses before the probes for whether a runner has ended: its connections may end a little earlier than it does. */
+const endProbePausesMs = [100, 300];
 
 /** What a probe says of a runner. */
 enum ProbeResult {
@@ -45,13 +44,13 @@
 
     /** Whether a runner's process has certainly ended. Always probes anew: an earlier result may be from before the end. */
     async hasEnded(runner: RunnerProcess): Promise<boolean> {
-        for (let attempt = 1;; attempt++) {
-            const result = await this.probe(runner);
-            if (result !== ProbeResult.Unknown || attempt === maxEndProbes) {
-                return result === ProbeResult.Ended;
+        for (const pauseMs of endProbePausesMs) {
+            await sleep(pauseMs);
+            if (await this.probe(runner) === ProbeResult.Ended) {
+                return true;
             }
-            await sleep(endProbePauseMs);
         }
+        return false;
     }
 
     private startProbe(runner: RunnerProcess): Promise<ProbeResult> {
