Clear prompts of answers that end with their connection as soon as the runner sends anything else

Cause of the first fault's severity: with such answers only, prompts were cleared a second later at the earliest, and only if the runner had begun another answer. Now any event of the runner within 300 ms counts; without one the runner is probed, but only if a part is suspected. A quarantine is tried after a minute, four times as long with each further crash, so that a wrong one does not last.

--- a/src/core/crashLog.ts
+++ b/src/core/crashLog.ts
@@ -16,8 +16,9 @@
 const maxSuspects = 256;
 /** An answer that began up to this long before a crash clears its parts: what one runner answered does not crash the next. */
 const clearingLeadMs = 2_000;
-/** Time after the last crash until one request may be sent to find out whether a quarantine is still needed; doubles with each crash that counts. */
-const initialTrialDelayMs = 300_000;
+/** Time after the last crash until one request may be sent to find out whether a quarantine is still needed, and its growth with each crash that counts. */
+const initialTrialDelayMs = 60_000;
+const trialDelayGrowth = 4;
 /** Minimum time between two trials of a quarantine. */
 const minTrialPauseMs = 30_000;
 /** Number of quarantines, and of their latest crashes, that outlive the nodes. */
@@ -73,7 +74,7 @@
 
     /** Time until a quarantine may be tried again. */
     trialInMs({ crashes }: PromptQuarantine): number {
-        return Math.max(0, crashes.at(-1)!.at + initialTrialDelayMs * 2 ** (crashes.length - minCrashesOfQuarantine) - performance.now());
+        return Math.max(0, crashes.at(-1)!.at + initialTrialDelayMs * trialDelayGrowth ** (crashes.length - minCrashesOfQuarantine) - performance.now());
     }
 
     /** Merges a crash with what is known of it. */
@@ -95,10 +96,15 @@
         }
     }
 
+    /** Whether a crash may have come from one of the parts. */
+    isSuspected(parts: readonly string[]): boolean {
+        return parts.some(part => this.openParts.has(part));
+    }
+
     /** Records that a runner answered a request without crashing; the answer began at a time on the monotonic clock. */
     onAnswered(parts: readonly string[], beganAt: number): void {
         this.answered.record(parts, beganAt);
-        if (!parts.some(part => this.openParts.has(part))) {
+        if (!this.isSuspected(parts)) {
             return;
         }
         for (const crash of this.crashes.values()) {
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -20,8 +20,8 @@
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer; undefined before the first answer. */
     firstByteMs: number | undefined;
-    /** When the head of an answer last arrived. */
-    lastHeadAt = Number.NEGATIVE_INFINITY;
+    /** When the head of an answer, or an event of a stream, last arrived. */
+    lastAnswerAt = Number.NEGATIVE_INFINITY;
     private averageEventGapMs: number | undefined;
     private eventGapAt = Number.NEGATIVE_INFINITY;
     private reported: ReportedLoad | undefined;
@@ -94,7 +94,7 @@
     }
 
     onFirstByte(ms: number): void {
-        this.lastHeadAt = this.now();
+        this.lastAnswerAt = this.now();
         this.unreachableCount = 0;
         const average = this.firstByteMs ?? ms;
         this.firstByteMs = average + smoothingFactor * (ms - average);
@@ -107,6 +107,7 @@
 
     /** Records the gap between two events of a stream. */
     onEventGap(ms: number): void {
+        this.lastAnswerAt = this.now();
         const average = this.eventGapMs ?? ms;
         this.averageEventGapMs = average + smoothingFactor * (ms - average);
         this.eventGapAt = this.now();
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -156,8 +156,9 @@
         };
     }
 
-    private classify({ candidate: { server, traffic } }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
+    private classify({ candidate }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
         const { relay } = this;
+        const { server, traffic } = candidate;
         const { head } = relay;
         if (end.kind === AttemptEndKind.Unsent) {
             traffic.onUnreachable();
@@ -185,7 +186,7 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
-            this.prompt.onAnswered(traffic, end.endsWithConnection);
+            this.prompt.onAnswered(candidate, end.endsWithConnection);
             return AttemptOutcome.Answered;
         }
         traffic.onFailure(failedRunWeight);
--- a/src/forward/promptObserver.ts
+++ b/src/forward/promptObserver.ts
@@ -1,4 +1,4 @@
-import type { UpstreamTraffic } from "../core/upstreamTraffic";
+import type { UpstreamCandidate } from "../core/chooseUpstream";
 import { sharedPartIds } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
 import type { AnswerRelay } from "./answerRelay";
@@ -7,8 +7,8 @@
 
 /** A runner that crashes on a prompt does so this soon after the first event of its answer at the latest. */
 const crashNoticeMs = 500;
-/** Time after which a runner that has answered nothing more may have ended with an answer that ended with its connection. */
-const aliveCheckDelayMs = 1_000;
+/** Time after which a runner that has sent nothing more may have ended together with an answer that ended with its connection. */
+const aliveCheckDelayMs = 300;
 
 /** Observes the attempts of one request for whether its prompt crashes runners. */
 export class PromptObserver {
@@ -41,8 +41,8 @@
         }
     }
 
-    /** Records a complete answer; one that ended with its connection clears the prompt only if the runner has answered something later. */
-    onAnswered(traffic: UpstreamTraffic, endsWithConnection: boolean): void {
+    /** Records a complete answer; one that ended with its connection clears the prompt only if the runner lives on. */
+    onAnswered({ server, traffic }: UpstreamCandidate, endsWithConnection: boolean): void {
         if (this.isCleared || this.sharedParts.length === 0) {
             return;
         }
@@ -52,7 +52,21 @@
             this.clear(beganAt);
             return;
         }
-        setTimeout(() => traffic.lastHeadAt > endedAt && this.clear(beganAt), aliveCheckDelayMs).unref();
+        setTimeout(() => {
+            if (traffic.lastAnswerAt > endedAt) {
+                this.clear(beganAt);
+                return;
+            }
+            void this.clearIfAlive(server, beganAt);
+        }, aliveCheckDelayMs).unref();
+    }
+
+    /** Probes the runner, but only if it matters: if a crash has been suspected to come from one of the parts. */
+    private async clearIfAlive(server: UpstreamServer, beganAt: number): Promise<void> {
+        const { crashLog, prober } = this.gateway;
+        if (crashLog.isSuspected(this.sharedParts) && await prober?.isAlive(server)) {
+            this.clear(beganAt);
+        }
     }
 
     private clear(beganAt: number): void {
