Soak: prompts that crash runners, and answers that end with their connection

Two parts crash the runners from a random moment until the end of each run; a generator of their own leaves the faults that a seed draws as they were. One answer in three has neither a length nor chunks; the proxies now reset such connections where bytes were lost, and keep the order of bytes and end otherwise.

--- a/test/processSoak/faultProxy.ts
+++ b/test/processSoak/faultProxy.ts
@@ -20,6 +20,15 @@
 
 const injectedDelayMs = 120;
 
+/** Resets a connection; one that is still being opened, or was ended already, cannot be reset and would stay open. */
+const reset = (socket: Socket): void => {
+    if (socket.connecting || socket.writableEnded) {
+        socket.destroy();
+        return;
+    }
+    socket.resetAndDestroy();
+};
+
 /** A loopback proxy in front of one address, with faults injected on demand. */
 export class FaultProxy {
     fault = LinkFault.None;
@@ -49,22 +58,22 @@
      */
     setFault(fault: LinkFault, random: Random): void {
         if (fault === LinkFault.Reset) {
-            this.sockets.forEach(socket => socket.resetAndDestroy());
+            this.sockets.forEach(reset);
         }
         if (this.fault === LinkFault.Silent && random() < 0.5) {
-            this.sockets.forEach(socket => socket.destroy());
+            this.sockets.forEach(reset);
         }
         this.fault = fault;
     }
 
     close(): void {
         this.server.close();
-        this.sockets.forEach(socket => socket.destroy());
+        this.sockets.forEach(reset);
     }
 
     private connectThrough(clientSocket: Socket, targetPort: number): void {
         if (this.fault === LinkFault.Reset) {
-            clientSocket.resetAndDestroy();
+            reset(clientSocket);
             return;
         }
         const targetSocket = connect(targetPort, "127.0.0.1");
@@ -77,11 +86,12 @@
                 previousStep = previousStep.then(() => sleep(ms)).then(step);
             };
             from.on("data", chunk => this.forwardChunk(chunk, to, isAnswer, enqueueStep));
-            from.on("end", () => enqueueStep(() => void to.end(), 0));
-            from.on("error", () => to.destroy());
+            // An end without a reset would make an answer without a length look complete, so it follows all bytes, and none of them may be lost.
+            from.on("end", () => enqueueStep(() => void (this.lossySockets.has(to) || to.end()), 0));
+            from.on("error", () => reset(to));
             from.on("close", () => {
                 this.sockets.delete(from);
-                to.destroy();
+                enqueueStep(() => this.lossySockets.has(to) ? reset(to) : to.destroy(), 0);
             });
         }
     }
--- a/test/processSoak/invariantChecker.ts
+++ b/test/processSoak/invariantChecker.ts
@@ -41,6 +41,11 @@
         this.requestCount++;
     }
 
+    /** Records a request that need not be served, as runners crash on it. */
+    onUncountedRequest(req: SoakRequest): void {
+        this.requests.set(req.id, req);
+    }
+
     onRun(id: string, runner: string): void {
         this.runnersByRequest.set(id, [...this.runnersByRequest.get(id) ?? [], runner]);
         if (!this.requests.has(id)) {
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -21,6 +21,9 @@
 /** Minimum share of the requests that must be served after recovery, over `measureMs`. */
 const minServedShare = 0.9;
 const measureMs = 3_000;
+const crashingParts = ["bad1", "bad2"];
+const crashingPromptSalt = 0x5eed;
+const maxPromptDelayMs = 3_000;
 
 /** Result of a run. */
 export interface SoakResult {
@@ -32,6 +35,21 @@
     readonly logFolder: string;
 }
 
+/** Two parts of prompts, one after the other, crash runners until the end of the run. A generator of its own leaves the other faults of a seed unchanged. */
+const sendCrashingPrompts = (
+    seed: number,
+    { prompts, models }: SoakFleet,
+    nodes: readonly SoakNode[],
+    checker: InvariantChecker,
+    signal: AbortSignal,
+): readonly Promise<void>[] => {
+    const random = createRandom(seed ^ crashingPromptSalt);
+    return crashingParts.map(async (part, index) => {
+        await sleep((index + random()) * maxPromptDelayMs, signal);
+        await prompts.send(part, nodes, models, checker, random, signal);
+    });
+};
+
 /** Runs nodes as processes while faults that the seed draws are injected for some seconds, and checks the guarantees to callers and runners. */
 export const runSoak = async (seed: number, seconds: number): Promise<SoakResult> => {
     const random = createRandom(seed);
@@ -50,6 +68,7 @@
     const callerRuns = callers.map(caller => caller.run(abort.signal));
     await sleep(startUpMs);
 
+    const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
     const injectedFaults: string[] = [];
     const faultsEndAt = performance.now() + seconds * 1_000;
     const context = { nodes, fleet, store, checker, random, seeds };
@@ -70,13 +89,18 @@
         checker.violations.push(`${checker.servedCount - servedBefore} of ${checker.requestCount - requestsBefore} requests served after the faults`);
     }
     abort.abort();
-    await Promise.all(callerRuns);
+    await Promise.all([...callerRuns, ...crashingRuns]);
     clearInterval(probeTimer);
     await Promise.all(nodes.map(node => node.terminate()));
     fleet.terminate();
     storeServer.closeAllConnections();
     storeServer.close();
-    const violations = [...checker.checkAtEnd(), ...fleet.overcommitViolations(), ...nodes.flatMap(({ unexpectedExits }) => unexpectedExits)];
+    const violations = [
+        ...checker.checkAtEnd(),
+        ...fleet.overcommitViolations(),
+        ...fleet.prompts.violations(),
+        ...nodes.flatMap(({ unexpectedExits }) => unexpectedExits),
+    ];
     if (violations.length === 0) {
         rmSync(logFolder, { recursive: true });
     }
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -1,7 +1,9 @@
 import type { EngineSpec, ModelSpec } from "../../src/types/servingConfig";
 import type { Random } from "../../src/utils/random";
 import { pick } from "../../src/utils/random";
+import { sleep } from "../../src/utils/time";
 import type { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
+import { CrashingPrompts } from "./crashingPrompts";
 import type { InvariantChecker } from "./invariantChecker";
 import { SoakUpstream } from "./soakUpstream";
 
@@ -9,6 +11,8 @@
 const runnerCount = 4;
 const serviceInstanceCount = 2;
 const directoryUpdateMs = 400;
+/** The row of a runner that crashed on a prompt is removed after this time. */
+const crashedRowMs = 1_000;
 const configRowName = { table: "op", part: "", key: "config" };
 
 const createModel = (name: string): ModelSpec => ({
@@ -63,8 +67,12 @@
     private readonly timer: NodeJS.Timeout;
     private configVersion = 0;
     private createdCount = 0;
+    private isTerminated = false;
 
-    private constructor(private readonly store: MemoryPlatformStore, private readonly checker: InvariantChecker, private readonly random: Random) {
+    /** Prompt parts that crash the runners. */
+    readonly prompts = CrashingPrompts.create(runner => this.replaceCrashed(runner));
+
+    private constructor(private readonly store: MemoryPlatformStore, readonly checker: InvariantChecker, readonly random: Random) {
         this.timer = setInterval(() => this.writeEngineRows(), directoryUpdateMs);
     }
 
@@ -104,8 +112,7 @@
             `u${++this.createdCount}`,
             service,
             service === "engines" ? engineSpec : undefined,
-            this.checker,
-            this.random,
+            this,
         );
 
         this.upstreams.push(upstream);
@@ -124,6 +131,18 @@
         this.store.put({ table: "servers", part: "", key: upstream.id }, undefined);
     }
 
+    /** Stops a runner that crashed; another one takes its place after its row has expired. */
+    private async replaceCrashed(runner: SoakUpstream): Promise<void> {
+        if (!runner.isGone) {
+            runner.crash();
+            await sleep(crashedRowMs);
+            this.remove(runner);
+            if (!this.isTerminated) {
+                await this.add(runner.service);
+            }
+        }
+    }
+
     /** Violations by orders that overcommitted a runner. */
     overcommitViolations(): readonly string[] {
         return [
@@ -133,6 +152,7 @@
     }
 
     terminate(): void {
+        this.isTerminated = true;
         clearInterval(this.timer);
         this.upstreams.forEach(upstream => upstream.crash());
     }
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -1,3 +1,4 @@
+import { once } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { text } from "node:stream/consumers";
@@ -10,6 +11,7 @@
 import { portOf } from "../fakes/jsonServer";
 import { reservePort } from "../fakes/ports";
 import { SimulatedPlatformRunner } from "../fakes/simulatedPlatformRunner";
+import type { CrashingPrompts } from "./crashingPrompts";
 import { FaultProxy } from "./faultProxy";
 import type { InvariantChecker } from "./invariantChecker";
 import { streamBody, streamEventCount } from "./invariantChecker";
@@ -43,6 +45,16 @@
     lateOrders: number;
 }
 
+/** What upstreams share. */
+interface SoakUpstreamContext {
+    readonly checker: InvariantChecker;
+    readonly random: Random;
+    readonly prompts: CrashingPrompts;
+}
+
+/** Whether the answer to a request has neither a length nor chunks and ends with its connection; one in three does. */
+const isAnswerUnframed = (id: string): boolean => Number(id.split("-").at(-1)) % 3 === 0;
+
 /** An upstream of the platform behind a proxy: a runner of an engine service, or an instance of a plain service. */
 export class SoakUpstream {
     readonly faults: UpstreamFaults = { lostAnswers: 0, refusals: 0, lateOrders: 0 };
@@ -58,15 +70,22 @@
         private readonly server: Server,
         private readonly checker: InvariantChecker,
         private readonly random: Random,
+        private readonly prompts: CrashingPrompts,
     ) {}
 
-    static async create(id: string, service: string, engine: EngineSpec | undefined, checker: InvariantChecker, random: Random): Promise<SoakUpstream> {
+    static async create(
+        id: string,
+        service: string,
+        engine: EngineSpec | undefined,
+        { checker, random, prompts }: SoakUpstreamContext,
+    ): Promise<SoakUpstream> {
         const server = createServer((req, res) => void upstream.handle(req, res).catch(() => res.destroy()));
         const port = await reservePort();
         await new Promise<void>(resolve => server.listen(port, "127.0.0.1", () => resolve()));
         const initialModels = engine && [...engine.models.keys()].filter(() => random() < 0.3).slice(0, 2);
         const simulatedRunner = engine && SimulatedPlatformRunner.create(id, engine, random, initialModels!);
-        const upstream: SoakUpstream = new SoakUpstream(id, service, await FaultProxy.create(portOf(server)), simulatedRunner, server, checker, random);
+        const proxy = await FaultProxy.create(portOf(server));
+        const upstream: SoakUpstream = new SoakUpstream(id, service, proxy, simulatedRunner, server, checker, random, prompts);
         return upstream;
     }
 
@@ -141,12 +160,22 @@
             req.socket.resetAndDestroy();
             return;
         }
-        const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16" };
+        const isUnframed = isAnswerUnframed(id);
+        res.useChunkedEncodingByDefault = !isUnframed;
+        const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16", ...(isUnframed ? { Connection: "close" } : {}) };
         if (!this.simulatedRunner) {
-            res.writeHead(200, headers).end(`${id} done`);
+            res.writeHead(200, headers);
+            res.write(`${id} done`);
+            res.end();
             return;
         }
         res.writeHead(200, headers);
+        if (this.prompts.onRun(id, String(req.headers["prompt-prefix"]))) {
+            res.end("id: 1\ndata: pie");
+            await once(res, "finish");
+            setTimeout(() => void this.prompts.crash(this), 10);
+            return;
+        }
         for (let event = Number(req.headers["last-event-id"] ?? 0) + 1; event <= streamEventCount && !res.destroyed; event++) {
             res.write(streamBody(id, event).split("\n\n", 1)[0]! + "\n\n");
             await sleep(eventIntervalMs);
