--- a/test/fakes/servingFleet.ts
+++ b/test/fakes/servingFleet.ts
@@ -4,13 +4,13 @@
 import { RunnerClient } from "../../src/platform/runnerClient";
 import { RouteKind } from "../../src/types/servingConfig";
 import { createRandom } from "../../src/utils/random";
-import type { CrashingRunnerOptions } from "./crashingRunner";
-import { CrashingRunner } from "./crashingRunner";
 import type { CallerResult } from "./gatewayHarness";
 import { callGateway } from "./gatewayHarness";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
 import { reservePort } from "./ports";
+import type { TroubledRunnerOptions } from "./troubledRunner";
+import { TroubledRunner } from "./troubledRunner";
 
 const route = {
     name: "r",
@@ -50,7 +50,7 @@
 /** Nodes with callers' servers and peers in this process, in front of runners that crash on parts of a prompt. */
 export class ServingFleet {
     readonly nodes: ServingNode[] = [];
-    readonly runners: CrashingRunner[] = [];
+    readonly runners: TroubledRunner[] = [];
     private readonly abort = new AbortController();
     private readonly store = MemoryPlatformStore.create(createRandom(1));
     private rowVersion = 0;
@@ -59,15 +59,15 @@
     private constructor() {}
 
     /** Starts nodes and runners; the first node is the controller. */
-    static async create(nodeCount: number, runnerCount: number, options: Omit<CrashingRunnerOptions, "onRestart">): Promise<ServingFleet> {
+    static async create(nodeCount: number, runnerCount: number, options: Omit<TroubledRunnerOptions, "onRestart">): Promise<ServingFleet> {
         const fleet = new ServingFleet();
         fleet.store.lossShare = 0;
         for (let index = 0; index < nodeCount; index++) {
             await fleet.addNode(`n${index}`);
         }
         for (let index = 0; index < runnerCount; index++) {
-            const onRestart = (previousId: string, runner: CrashingRunner): void => fleet.applyRow(runner, previousId);
-            const runner = await CrashingRunner.create(`u${index}`, { ...options, onRestart });
+            const onRestart = (previousId: string, runner: TroubledRunner): void => fleet.applyRow(runner, previousId);
+            const runner = await TroubledRunner.create(`u${index}`, { ...options, onRestart });
             fleet.runners.push(runner);
             fleet.applyRow(runner);
         }
@@ -108,7 +108,7 @@
         this.runners.forEach(runner => runner.close());
     }
 
-    private applyRow(runner: CrashingRunner, previousId?: string): void {
+    private applyRow(runner: TroubledRunner, previousId?: string): void {
         for (const { gateway: { directory } } of this.nodes) {
             if (previousId !== undefined) {
                 directory.apply({ id: previousId, version: ++this.rowVersion, server: undefined });
--- a/test/fakes/crashingRunner.ts
+++ b/test/fakes/troubledRunner.ts
@@ -21,29 +21,34 @@
 }
 
 /** Options of a runner. */
-export interface CrashingRunnerOptions {
+export interface TroubledRunnerOptions {
     /** Parts of a prompt that crash the runner when it begins to write an answer on one. */
     readonly crashParts: ReadonlySet<string>;
     /** How long the runner stays away after a crash. */
     readonly restartMs: number;
     /** Called when the runner has started again, with a new ID at the same address. */
-    readonly onRestart: (previousId: string, runner: CrashingRunner) => void;
+    readonly onRestart: (previousId: string, runner: TroubledRunner) => void;
 }
 
-/** A runner that crashes in the middle of an event on certain parts of a prompt; its streams have no length and end with their connections. */
-export class CrashingRunner {
+/**
+ * A runner that crashes in the middle of an event on certain parts of a prompt, and names a limit on its requests if told to. Its streams have no
+ * length and end with their connections.
+ */
+export class TroubledRunner {
     readonly received: RunnerRequest[] = [];
     /** Times of its crashes with the part that caused each. */
     readonly crashes: { readonly at: number; readonly part: string; }[] = [];
+    /** The limit that it names in its answers, requests per second; undefined if it names none. */
+    limitPerS: number | undefined;
     private server: Server | undefined;
     private starts = 0;
     private isClosed = false;
 
-    private constructor(private readonly name: string, private readonly port: number, private readonly options: CrashingRunnerOptions) {}
+    private constructor(private readonly name: string, private readonly port: number, private readonly options: TroubledRunnerOptions) {}
 
     /** Starts a runner. */
-    static async create(name: string, options: CrashingRunnerOptions): Promise<CrashingRunner> {
-        const runner = new CrashingRunner(name, await reservePort(), options);
+    static async create(name: string, options: TroubledRunnerOptions): Promise<TroubledRunner> {
+        const runner = new TroubledRunner(name, await reservePort(), options);
         await runner.start();
         return runner;
     }
@@ -116,7 +121,8 @@
         this.received.push({ at: performance.now(), id, parts });
         await sleep(prefillMs);
         res.useChunkedEncodingByDefault = false;
-        res.writeHead(200, { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Content-Type": "text/event-stream", Connection: "close" });
+        const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
+        res.writeHead(200, { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Content-Type": "text/event-stream", Connection: "close", ...limit });
         const crashPart = parts.slice(0, -1).find(part => this.options.crashParts.has(part));
         if (crashPart !== undefined) {
             res.write("id: 1\ndata: pie");
