Keep the limits that runners name, by turns that one node gives for each runner

Cause: nothing read Server-Limit. Class of fault: a bound on all nodes together that each node would have to keep from its own requests. A share for each node would not do: with a limit of one a second, 7 nodes have a request every 7 s each, 195 nodes one in more than three minutes. Now a limit that an answer names is passed to all nodes with the shared facts (core/runnerLimits.ts). Before a request is sent to such a runner, its node asks for a turn at the one node that paces the runner, found by rendezvous hashing (placement/permitClient.ts, core/requestPacer.ts); turns are evenly spaced and given ahead, so that a request knows when it is due, and is refused at once if that is too late. Runners without a limit are preferred. Limits expire after 60 s without an answer that names them, and end with the first answer to a later request that names none.

--- /dev/null
+++ b/src/core/requestPacer.ts
@@ -0,0 +1,39 @@
+import type { Permit, PermitRequest } from "../types/sendPermit";
+
+/** Runners whose next turn is remembered; beyond this, those with the earliest turns are forgotten. */
+const maxRunners = 4_096;
+const msPerSecond = 1_000;
+
+/** Gives turns at runners that have named a limit, evenly spaced. One node does so for each runner, so that the limit holds for all nodes together. */
+export class RequestPacer {
+    private readonly nextTurnAt = new Map<string, number>();
+
+    private constructor() {}
+
+    static create(): RequestPacer {
+        return new RequestPacer();
+    }
+
+    /** Gives the next turn, unless it would be too late for the request. */
+    reserve({ runner, perSecond, maxWaitMs }: PermitRequest): Permit {
+        const now = performance.now();
+        const turnAt = Math.max(now, this.nextTurnAt.get(runner) ?? now);
+        const waitMs = turnAt - now;
+        if (perSecond <= 0 || waitMs > maxWaitMs) {
+            return { isGranted: false, waitMs };
+        }
+        this.nextTurnAt.delete(runner);
+        this.nextTurnAt.set(runner, turnAt + msPerSecond / perSecond);
+        this.removePast(now);
+        return { isGranted: true, waitMs };
+    }
+
+    private removePast(now: number): void {
+        for (const [runner, turnAt] of this.nextTurnAt) {
+            if (turnAt > now && this.nextTurnAt.size <= maxRunners) {
+                break;
+            }
+            this.nextTurnAt.delete(runner);
+        }
+    }
+}
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -2,6 +2,7 @@
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
+import { processKey } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { AnswerRelay } from "./answerRelay";
@@ -114,6 +115,9 @@
         if (decoded.load) {
             traffic.onReportedLoad(decoded.load);
         }
+        if (decoded.isSigned || decoded.limitPerS !== undefined) {
+            this.gateway.runnerLimits.onAnswer(processKey(server), decoded.limitPerS, this.sentAt);
+        }
         if (!decoded.isNotExecuted) {
             traffic.onFirstByte(performance.now() - this.sentAt);
             if (call.caller.modelRequest) {
--- a/src/forward/crashWatch.ts
+++ b/src/forward/crashWatch.ts
@@ -1,7 +1,7 @@
 import type { CrashLog } from "../core/crashLog";
 import { EventId } from "../types/eventId";
 import type { UpstreamServer } from "../types/upstreamServer";
-import { UpstreamState } from "../types/upstreamServer";
+import { processKey, UpstreamState } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -28,7 +28,7 @@
         if (!prober || sharedParts.length === 0 || server.state !== UpstreamState.Ready) {
             return;
         }
-        const id = processOf(server);
+        const id = processKey(server);
         const pending = this.pending.get(id);
         if (pending) {
             pending.suspects.push(sharedParts);
@@ -47,6 +47,3 @@
         }
     }
 }
-
-/** Identifies a runner's process: it may start again under the same ID. */
-const processOf = ({ id, bornAt }: UpstreamServer): string => `${id}@${bornAt ?? 0}`;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -11,9 +11,11 @@
 import { AttemptExecutor, AttemptOutcome } from "./attemptExecutor";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
+import { canFinishBeforeExit } from "./canFinishBeforeExit";
 import type { Gateway } from "./gateway";
 import { PromptGate } from "./promptGate";
 import { selectUpstream } from "./selectUpstream";
+import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
 import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
 
@@ -25,23 +27,6 @@
 const refusedRetryAfterMs = 700;
 /** Retry delay given by a stopping node: another node can accept the request immediately. */
 const stoppingRetryAfterMs = 50;
-/** Time that a stopping node reserves for a plain request; a generation needs this and the time per output token. */
-const plainRequestMs = 1_200;
-const outputTokenMs = 8;
-/** Average share of its maximum output tokens that a generation produces. */
-const averageOutputShare = 0.5;
-/** Callers that arrive within this time after the stop request have no other node yet; later, generations are refused so that they go to one. */
-const noOtherNodeMs = 2_900;
-
-/** Whether a request that arrives now can likely be answered before the process exits. */
-const canFinishBeforeExit = ({ exitDeadlineAt, stopRequestedAt }: Gateway, { caller }: Call): boolean => {
-    const now = performance.now();
-    if (now - stopRequestedAt > noOtherNodeMs && caller.modelRequest) {
-        return false;
-    }
-    return now + plainRequestMs + averageOutputShare * (caller.modelRequest?.maxOutputTokens ?? 0) * outputTokenMs < exitDeadlineAt;
-};
-
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
     private readonly tried = new Set<string>();
@@ -80,13 +65,14 @@
             return;
         }
         let next: UpstreamChoice | undefined = first;
+        let outcome: AttemptOutcome | undefined;
         while (next) {
-            const refusal = refuseQuarantined(gateway, this.gate);
-            if (refusal) {
-                this.refuse(refusal);
+            const ready = await this.waitForTurn(next);
+            if (isRefusal(ready)) {
+                this.finishRefused(outcome, ready);
                 return;
             }
-            const outcome = await this.attempt(next);
+            outcome = await this.attempt(ready);
             if (call.signal.aborted) {
                 emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: this.elapsedMs() });
                 return;
@@ -101,6 +87,32 @@
         }
     }
 
+    /** Waits until a request may be sent to the chosen upstream, or to another one that takes it sooner. */
+    private async waitForTurn(choice: UpstreamChoice): Promise<UpstreamChoice | Refusal> {
+        const { gateway, call } = this;
+        for (let next: UpstreamChoice | Refusal = choice;;) {
+            const denied = await waitForTurn(gateway, call, next);
+            if (!denied) {
+                return refuseQuarantined(gateway, this.gate) ?? next;
+            }
+            this.tried.add(next.candidate.server.id);
+            next = await waitForUpstream(gateway, call, this.tried, this.gate);
+            if (isRefusal(next)) {
+                return next.kind === undefined ? denied : next;
+            }
+        }
+    }
+
+    /** Answers a request that is not sent (again): with the refusal, or with what the attempt before gave. */
+    private finishRefused(outcome: AttemptOutcome | undefined, refusal: Refusal): void {
+        if (outcome === undefined) {
+            this.refuse(refusal);
+        }
+        else {
+            this.finish(outcome);
+        }
+    }
+
     private refuse({ kind = FailureKind.NoUpstream, detail, retryAfterMs }: Refusal): void {
         this.fail(kind, detail, retryAfterMs);
     }
@@ -137,10 +149,8 @@
 
     private mayTryAgain(outcome: AttemptOutcome): boolean {
         const { route } = this.call;
-        if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends) {
-            return false;
-        }
-        if (this.gate.isTrial && this.possibleRuns > 0) {
+        const isTrialOver = this.gate.isTrial && this.possibleRuns > 0;
+        if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isTrialOver) {
             return false;
         }
         return outcome === AttemptOutcome.NotRun || outcome === AttemptOutcome.Unsent || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
@@ -151,7 +161,7 @@
         const { gateway, call } = this;
         const { modelRequest } = call.caller;
         const choice = selectUpstream(gateway, call, this.tried);
-        if (!choice || (modelRequest && isSaturated(choice, call.route))) {
+        if (!choice || choice.candidate.turnDelayMs !== undefined || (modelRequest && isSaturated(choice, call.route))) {
             return false;
         }
         const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,8 +1,10 @@
 import { CrashLog } from "../core/crashLog";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
+import { RequestPacer } from "../core/requestPacer";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
+import { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
@@ -12,6 +14,7 @@
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+import type { Permit, PermitRequest } from "../types/sendPermit";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
@@ -32,11 +35,19 @@
     place(req: PlacementRequest): Promise<PlacementAnswer>;
     /** Adds a request's estimated work to the demand for an artifact, in milliseconds of a runner's time. */
     countWork(artifact: string, workMs: number): void;
+    /** Requests a turn at a runner that has named a limit. */
+    acquirePermit(req: PermitRequest): Promise<Permit>;
     /** Whether this node is the controller. */
     readonly isController: boolean;
 }
 
-const disabledPlacement: Placement = { place: () => Promise.resolve({ readyInMs: 0, isComing: false }), countWork: () => {}, isController: false };
+const ownPacer = RequestPacer.create();
+const disabledPlacement: Placement = {
+    place: () => Promise.resolve({ readyInMs: 0, isComing: false }),
+    countWork: () => {},
+    acquirePermit: req => Promise.resolve(ownPacer.reserve(req)),
+    isController: false,
+};
 
 const noLoad: RunnerLoads[string] = [0, 0];
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
@@ -67,6 +78,8 @@
     readonly factCounter: RevisionCounter = { value: 0 };
     /** Crashes of runners, and the prompt parts that are in quarantine for them. */
     readonly crashLog = CrashLog.create(this.factCounter);
+    /** Limits that runners name in their answers. */
+    readonly runnerLimits = RunnerLimits.create(this.factCounter);
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -2,6 +2,7 @@
 import { chooseUpstream } from "../core/chooseUpstream";
 import { artifactKey, sharedPartIds } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
+import { processKey } from "../types/upstreamServer";
 import { rankByHashCached } from "../utils/hash";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
@@ -19,14 +20,17 @@
 const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
+    const { runnerLimits } = gateway;
+    const runner = processKey(server);
+    const turnDelayMs = runnerLimits.limitOf(runner) === undefined ? undefined : runnerLimits.expectedWaitMs(runner);
     if (!modelRequest) {
-        return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1 };
+        return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1, turnDelayMs };
     }
     const tokensPerEvent = gateway.engineOf(call.service)?.tokensPerEvent ?? defaultTokensPerEvent;
     const sharedTokens = modelRequest.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const assumedTokens = server.id === preferred ? preferredCachedShare * sharedTokens : 0;
     const cached = Math.max(gateway.cache.cachedTokens(server.id, modelRequest), assumedTokens);
-    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1 };
+    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1, turnDelayMs };
 };
 
 /** Upstreams that can run the request now, excluding those already tried. */
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -5,12 +5,11 @@
 import type { ConfigDecoder } from "../forward/storeObservers";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
 import { EventId } from "../types/eventId";
-import { artifactKey } from "../types/modelRequest";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
+import type { Permit, PermitRequest } from "../types/sendPermit";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
-import { getOrCreate } from "../utils/maps";
 import { coalesce, repeat } from "../utils/time";
 import type { Controller } from "./controller";
 import { ControllerAnnouncer } from "./controllerAnnouncer";
@@ -18,6 +17,9 @@
 import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
 import type { PeerServer } from "./peerServer";
+import type { PacerNodes } from "./permitClient";
+import { PermitClient } from "./permitClient";
+import { PlacementClient } from "./placementClient";
 import { addLoads } from "./reportedNodes";
 
 /** Interval between two reports; relays bound the number of nodes that report to one. */
@@ -26,9 +28,6 @@
 const newsDelayMs = 30;
 /** Jitter of that interval, as a share of it, so that nodes do not send at the same time. */
 const exchangeJitter = 0.3;
-/** Answer while no controller can be reached; another node takes over within seconds. */
-const noControllerAnswer: PlacementAnswer = { readyInMs: 0, isComing: false, isUncertain: true };
-
 /** Components of this node that the client uses. */
 interface LocalComponents {
     readonly peerServer: PeerServer;
@@ -41,8 +40,9 @@
 /** This node's client of the controller, and of other peers while the controller is unknown or unreachable. */
 export class ControllerClient implements Placement {
     private readonly clients: PeerClients;
+    private readonly permits: PermitClient;
     private readonly announcer: ControllerAnnouncer;
-    private readonly pendingPlacements = new Map<string, Promise<PlacementAnswer>>();
+    private readonly placements: PlacementClient;
     private readonly peers: PeerDirectory;
     private isControllerLost = false;
     private readonly demandReporter = DemandReporter.create();
@@ -59,6 +59,13 @@
     ) {
         this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
         this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
+        this.placements = PlacementClient.create(
+            local.controller,
+            this.clients,
+            () => this.controllerAddress === gateway.settings.peerAddress ? undefined : this.controllerAddress,
+            err => this.onExchangeFailed(err),
+        );
+        this.permits = PermitClient.create(this.clients, local.peerServer.pacer, () => this.pacerNodes);
         this.announcer = ControllerAnnouncer.create(gateway, local.peerServer, this.clients);
     }
 
@@ -73,10 +80,11 @@
     start(signal: AbortSignal): void {
         const intervalMs = (): number => exchangeIntervalMs * (1 + exchangeJitter * (this.gateway.random() - 0.5));
         void repeat(() => this.exchange(), intervalMs, signal, err => this.onExchangeFailed(err));
-        const { crashLog, settings } = this.gateway;
-        crashLog.onOutgoing = coalesce(() => this.exchange(), newsDelayMs, signal, err => this.onExchangeFailed(err));
-        crashLog.isTrialNode = part =>
-            this.link.epoch !== undefined && ownerOf(part, [settings.peerAddress, ...this.peers.addresses].sort()) === settings.peerAddress;
+        const { crashLog, runnerLimits } = this.gateway;
+        const exchangeSoon = coalesce(() => this.exchange(), newsDelayMs, signal, err => this.onExchangeFailed(err));
+        crashLog.onOutgoing = exchangeSoon;
+        runnerLimits.onOutgoing = exchangeSoon;
+        crashLog.isTrialNode = part => this.link.epoch !== undefined && ownerOf(part, this.pacerNodes.addresses) === this.pacerNodes.self;
     }
 
     get isController(): boolean {
@@ -88,27 +96,14 @@
         this.demandReporter.count(artifact, workMs);
     }
 
-    /** Requests a model or adapter from the controller; concurrent requests for the same one share the answer. */
-    place(req: PlacementRequest): Promise<PlacementAnswer> {
-        const key = `${req.service} ${artifactKey(req.model, req.adapter)} ${req.avoid.join(" ")}`;
-        return getOrCreate(this.pendingPlacements, key, () => this.requestPlacement(req).finally(() => this.pendingPlacements.delete(key)));
+    /** Requests a turn at a runner that has named a limit. */
+    acquirePermit(req: PermitRequest): Promise<Permit> {
+        return this.permits.acquire(req);
     }
 
-    private async requestPlacement(req: PlacementRequest): Promise<PlacementAnswer> {
-        if (this.local.controller.isActive) {
-            return this.local.controller.place(req);
-        }
-        const address = this.controllerAddress;
-        if (address === undefined || address === this.gateway.settings.peerAddress) {
-            return noControllerAnswer;
-        }
-        try {
-            return await this.clients.get(address).place.mutate({ ...req, avoid: [...req.avoid], unreachable: [...req.unreachable] });
-        }
-        catch (err) {
-            this.onExchangeFailed(err);
-            return noControllerAnswer;
-        }
+    /** Requests a model or adapter from the controller. */
+    place(req: PlacementRequest): Promise<PlacementAnswer> {
+        return this.placements.place(req);
     }
 
     /** Processor capacity of the largest known node. */
@@ -116,6 +111,13 @@
         return this.peers.largestCores;
     }
 
+    /** The nodes that share per-runner duties: all known ones, or the seeds before any are known. */
+    private get pacerNodes(): PacerNodes {
+        const { peerAddress, seeds } = this.gateway.settings;
+        const isFleetKnown = this.link.epoch !== undefined;
+        return { self: peerAddress, addresses: [...new Set(isFleetKnown ? [peerAddress, ...this.peers.addresses] : seeds)].sort() };
+    }
+
     private get self(): PeerNode {
         const { peerAddress, availabilityZone, cores } = this.gateway.settings;
         return { address: peerAddress, zone: availabilityZone, cores };
--- a/src/placement/factExchange.ts
+++ b/src/placement/factExchange.ts
@@ -1,5 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { CrashLog } from "../core/crashLog";
+import type { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { ChangeOrigin } from "../core/sharedLog";
 import type { FactAnswer, FactReport, SharedFacts } from "../types/sharedFacts";
@@ -28,11 +29,11 @@
     private readonly source = randomUUID();
     private uplink: Uplink | undefined;
 
-    private constructor(private readonly counter: RevisionCounter, private readonly crashLog: CrashLog) {}
+    private constructor(private readonly counter: RevisionCounter, private readonly crashLog: CrashLog, private readonly limits: RunnerLimits) {}
 
     /** Creates the exchange of a node that has not reported to any peer; the counter is that of the logs. */
-    static create(counter: RevisionCounter, crashLog: CrashLog): FactExchange {
-        return new FactExchange(counter, crashLog);
+    static create(counter: RevisionCounter, crashLog: CrashLog, limits: RunnerLimits): FactExchange {
+        return new FactExchange(counter, crashLog, limits);
     }
 
     /** Address of the peer that answered the last report. */
@@ -62,11 +63,12 @@
         return { source: this.source, revision: this.counter.value, facts: this.factsSince(source === this.source ? knownRevision : 0, false) };
     }
 
-    private apply({ crashes }: SharedFacts, origin: ChangeOrigin): void {
+    private apply({ crashes, limits }: SharedFacts, origin: ChangeOrigin): void {
         crashes.forEach(crash => this.crashLog.add(crash, origin));
+        limits.forEach(limit => this.limits.add(limit, origin));
     }
 
     private factsSince(revision: number, isOutgoing: boolean): SharedFacts {
-        return { crashes: this.crashLog.changesSince(revision, isOutgoing) };
+        return { crashes: this.crashLog.changesSince(revision, isOutgoing), limits: this.limits.changesSince(revision, isOutgoing) };
     }
 }
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -35,11 +35,12 @@
     }
 }
 
-const toMutableFacts = ({ source, knownRevision, facts: { crashes } }: FactReport) => ({
+const toMutableFacts = ({ source, knownRevision, facts: { crashes, limits } }: FactReport) => ({
     source,
     knownRevision,
     facts: {
         crashes: crashes.map(({ id, ageMs, suspects, cleared }) => ({ id, ageMs, suspects: suspects.map(parts => [...parts]), cleared: [...cleared] })),
+        limits: [...limits],
     },
 });
 
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -5,6 +5,7 @@
 import { createServer } from "node:http";
 import { z } from "zod";
 import { toFailure } from "../core/failures";
+import { RequestPacer } from "../core/requestPacer";
 import { listenOn } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
 import { EventId } from "../types/eventId";
@@ -37,6 +38,7 @@
             suspects: z.array(partsSchema).max(maxSuspects),
             cleared: z.array(z.string().max(maxPartIdLength)),
         })).max(maxReportedCrashes),
+        limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: z.number().optional(), ageMs: z.number() })),
     }),
 });
 const peerNodeSchema = z.object({ address: z.string(), zone: z.string(), cores: z.number() });
@@ -64,6 +66,7 @@
     unreachable: z.array(z.string()),
 });
 
+const permitSchema = z.object({ runner: z.string().max(maxPartIdLength), perSecond: z.number(), maxWaitMs: z.number() });
 const announcementSchema = z.object({ peerAddress: z.string(), epoch: z.number() });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
@@ -71,6 +74,8 @@
     /** The nodes that report to this one, as the controller or a relay. */
     readonly nodes = ReportedNodes.create();
     readonly facts: FactExchange;
+    /** Gives the turns at the runners that this node paces. */
+    readonly pacer = RequestPacer.create();
     private readonly peerList = VersionedPeers.create();
     private httpServer: Server | undefined;
     /** Identifies this process as the source of revisions, which start anew with it. */
@@ -82,7 +87,7 @@
     onNewController: () => void = () => undefined;
 
     private constructor(private readonly gateway: Gateway, private readonly controller: Controller, private readonly link: ControllerLink) {
-        this.facts = FactExchange.create(gateway.factCounter, gateway.crashLog);
+        this.facts = FactExchange.create(gateway.factCounter, gateway.crashLog, gateway.runnerLimits);
     }
 
     /** Creates a server that has received no reports yet. */
@@ -185,6 +190,8 @@
         exchange: t.procedure.input(reportSchema).mutation(({ input }): PeerAnswer => peerServer.exchange(input)),
         /** Receives the announcement that another node has become controller. */
         announce: t.procedure.input(announcementSchema).mutation(({ input }) => peerServer.recordAnnouncement(input)),
+        /** Returns the next turn at a runner that has named a limit and that this node paces. */
+        permit: t.procedure.input(permitSchema).mutation(({ input }) => peerServer.pacer.reserve(input)),
         /** Returns where a model or adapter can be used. */
         place: t.procedure.input(placementSchema).mutation(({ input }) => controller.place(input)),
     });
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -52,6 +52,12 @@
         : undefined;
 };
 
+/** Decodes a decimal number; undefined if it is missing or invalid. */
+const decodeLimit = (text: string | undefined): number | undefined => {
+    const perSecond = Number(text);
+    return text !== undefined && text.trim() !== "" && Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+};
+
 const misdirectedStatus = 421;
 
 /** Decodes and encodes the headers of requests and answers on the platform's wire. */
@@ -82,5 +88,6 @@
         isNotExecuted: headers["not-executed"] !== undefined || status === misdirectedStatus,
         isMisdirected: status === misdirectedStatus,
         load: decodeLoad(firstValueOf(headers, "server-load")),
+        limitPerS: decodeLimit(firstValueOf(headers, "server-limit")),
     }),
 };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -42,6 +42,8 @@
     PromptQuarantined = 411,
     PromptQuarantineEnded = 412,
     PromptTried = 413,
+    RunnerLimitChanged = 414,
+    PermitDenied = 415,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -37,6 +37,8 @@
     /** Whether the address now belongs to another upstream. */
     readonly isMisdirected: boolean;
     readonly load?: ReportedLoad;
+    /** Requests per second that the upstream takes from all nodes together; undefined if it names no limit. */
+    readonly limitPerS?: number;
 }
 
 /** Headers by lower-case name. */
--- a/src/types/sharedFacts.ts
+++ b/src/types/sharedFacts.ts
@@ -1,8 +1,10 @@
 import type { RunnerCrash } from "./runnerCrash";
+import type { RunnerLimit } from "./runnerLimit";
 
 /** What nodes observe and tell all others, with the reports and answers that they exchange anyway. */
 export interface SharedFacts {
     readonly crashes: readonly RunnerCrash[];
+    readonly limits: readonly RunnerLimit[];
 }
 
 /** A node's facts for the peer that it reports to. */
--- a/src/types/upstreamServer.ts
+++ b/src/types/upstreamServer.ts
@@ -43,3 +43,6 @@
     readonly version: number;
     readonly server?: UpstreamServer;
 }
+
+/** Identifies an upstream's process: it may start again under the same ID. */
+export const processKey = ({ id, bornAt }: UpstreamServer): string => `${id}@${bornAt}`;
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -42,6 +42,8 @@
     [EventId.PromptQuarantined]: "crashes of runners, at this node or others, are explained by parts of prompts; requests with all of these are refused",
     [EventId.PromptQuarantineEnded]: "a quarantine of prompt parts ended: answered elsewhere without a crash, expired, or replaced by a more precise one",
     [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether its parts still crash runners",
+    [EventId.RunnerLimitChanged]: "a runner named another limit on its requests, or none any more, to this node or another one",
+    [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/factNetwork.ts
+++ b/test/fakes/factNetwork.ts
@@ -1,5 +1,6 @@
 import { CrashLog } from "../../src/core/crashLog";
 import { relaysFor } from "../../src/core/relays";
+import { RunnerLimits } from "../../src/core/runnerLimits";
 import { FactExchange } from "../../src/placement/factExchange";
 import type { PeerNode } from "../../src/types/peerNode";
 import type { Random } from "../../src/utils/random";
@@ -100,5 +101,5 @@
 const createFacts = (): { readonly crashLog: CrashLog; readonly exchange: FactExchange; } => {
     const counter = { value: 0 };
     const crashLog = CrashLog.create(counter);
-    return { crashLog, exchange: FactExchange.create(counter, crashLog) };
+    return { crashLog, exchange: FactExchange.create(counter, crashLog, RunnerLimits.create(counter)) };
 };
