--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -8,8 +8,6 @@
 const defaultLatencyMs = 60;
 /** Added to the predicted time for each recent failure. */
 const failurePenaltyMs = 400;
-/** Added to the predicted time of an upstream that has named a limit: it is in need, and others are preferred. */
-const limitPenaltyMs = 300;
 /** Prompt tokens that a runner prefills in a millisecond, assumed while its own speed is not known. */
 const prefillTokensPerMs = 38;
 /** Time of one decoding step of a batch, and the time that each further request in the batch adds to it. */
@@ -28,7 +26,7 @@
     readonly tokensPerEvent: number;
     /** Factor on the prefill and step times, for the model's speed; 1 for plain services. */
     readonly timeFactor: number;
-    /** Time until the upstream takes a further request, if it has named a limit. */
+    /** Added for a limit that the upstream has named; undefined without one. */
     readonly turnDelayMs?: number;
 }
 
@@ -88,7 +86,7 @@
         const predictedMs = predictFirstByteMs(candidate, zone);
         const { traffic } = candidate;
         const cost = predictedMs + failurePenaltyMs * traffic.recentFailures + (traffic.isUnreachable ? 10 * failurePenaltyMs : 0) +
-            (candidate.turnDelayMs === undefined ? 0 : limitPenaltyMs + candidate.turnDelayMs);
+            (candidate.turnDelayMs ?? 0);
         if (cost < bestCost) {
             bestCost = cost;
             best = { candidate, predictedMs, prefillMs: estimatePrefillMs(candidate.prefillTokens, candidate.timeFactor) };
--- a/src/core/requestPacer.ts
+++ b/src/core/requestPacer.ts
@@ -3,6 +3,8 @@
 /** Runners whose next turn is remembered; beyond this, those with the earliest turns are forgotten. */
 const maxRunners = 4_096;
 const msPerSecond = 1_000;
+/** Turns at a runner that takes no requests, so that its answer tells when it does again. */
+const recheckPerS = 0.1;
 
 /** Gives turns at runners that have named a limit, evenly spaced. One node does so for each runner, so that the limit holds for all nodes together. */
 export class RequestPacer {
@@ -14,16 +16,21 @@
         return new RequestPacer();
     }
 
+    /** Number of runners whose next turn is remembered. */
+    get size(): number {
+        return this.nextTurnAt.size;
+    }
+
     /** Gives the next turn, unless it would be too late for the request. */
     reserve({ runner, perSecond, maxWaitMs }: PermitRequest): Permit {
         const now = performance.now();
         const turnAt = Math.max(now, this.nextTurnAt.get(runner) ?? now);
         const waitMs = turnAt - now;
-        if (perSecond <= 0 || waitMs > maxWaitMs) {
+        if (waitMs > maxWaitMs) {
             return { isGranted: false, waitMs };
         }
         this.nextTurnAt.delete(runner);
-        this.nextTurnAt.set(runner, turnAt + msPerSecond / perSecond);
+        this.nextTurnAt.set(runner, turnAt + msPerSecond / (perSecond > 0 ? perSecond : recheckPerS));
         this.removePast(now);
         return { isGranted: true, waitMs };
     }
--- a/src/core/runnerLimits.ts
+++ b/src/core/runnerLimits.ts
@@ -5,7 +5,11 @@
 import { ChangeOrigin, SharedLog } from "./sharedLog";
 
 /** A limit that no answer has confirmed for this long is forgotten. */
-const limitLifetimeMs = 60_000;
+const limitLifetimeMs = 600_000;
+/** Added to the predicted time of a runner that has named a limit: it is in need, and others are preferred. */
+const limitPenaltyMs = 300;
+/** Without a confirmation for this long the runner is no longer avoided, so that the answer to a paced request tells whether the limit still holds. */
+const penaltyLifetimeMs = 20_000;
 /** A limit that is named again is told to other nodes at this interval, so that it does not expire there. */
 const confirmIntervalMs = 10_000;
 const maxLimits = 2_048;
@@ -71,6 +75,15 @@
         this.nextTurnAt.set(runner, performance.now() + waitMs);
     }
 
+    /** What the limit adds to the predicted time of a request at a runner; undefined without a limit. */
+    delayOf(runner: string): number | undefined {
+        if (this.limitOf(runner) === undefined) {
+            return undefined;
+        }
+        const isConfirmed = performance.now() - this.limits.get(runner)!.at < penaltyLifetimeMs;
+        return this.expectedWaitMs(runner) + (isConfirmed ? limitPenaltyMs : 0);
+    }
+
     /** Estimated time until the next turn at a runner. */
     expectedWaitMs(runner: string): number {
         return Math.max(0, (this.nextTurnAt.get(runner) ?? 0) - performance.now());
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -20,9 +20,7 @@
 const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
-    const { runnerLimits } = gateway;
-    const runner = processKey(server);
-    const turnDelayMs = runnerLimits.limitOf(runner) === undefined ? undefined : runnerLimits.expectedWaitMs(runner);
+    const turnDelayMs = gateway.runnerLimits.delayOf(processKey(server));
     if (!modelRequest) {
         return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1, turnDelayMs };
     }
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -8,10 +8,6 @@
 import type { Gateway } from "./gateway";
 import type { Refusal } from "./waitForUpstream";
 
-/** Retry delay given to callers whose upstream takes no requests at all. */
-const noTurnRetryAfterMs = 1_000;
-const msPerSecond = 1_000;
-
 /** Waits for a turn at an upstream if it has named a limit. Refuses at once if the turn would come too late for an answer. */
 export const waitForTurn = async (gateway: Gateway, call: Call, choice: UpstreamChoice): Promise<Refusal | undefined> => {
     const { runnerLimits, placement } = gateway;
@@ -34,10 +30,10 @@
         emit(EventId.PermitDenied, { request: call.caller.requestId, upstream: server.id, perSecond, waitMs: Math.round(permit.waitMs) });
         return {
             detail: `the upstream takes ${perSecond} requests a second, the next one in ${Math.round(permit.waitMs)} ms`,
-            retryAfterMs: permit.waitMs || noTurnRetryAfterMs,
+            retryAfterMs: permit.waitMs,
         };
     }
-    runnerLimits.onPermit(runner, permit.waitMs + msPerSecond / perSecond);
+    runnerLimits.onPermit(runner, permit.waitMs);
     await sleep(permit.waitMs, call.signal);
     return undefined;
 };
