Soak: runners that name a limit

Up to two runners at a time name 0.5, 1 or 3 requests a second until the faults end; nodes in contact keep 1.5 times that + 5 in each 4 s, from 3 s after the first answer that named it, and all requests must be served again once the limits have ended.

--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -23,6 +23,7 @@
 const measureMs = 3_000;
 const crashingParts = ["bad1", "bad2"];
 const crashingPromptSalt = 0x5eed;
+const limitSalt = 0x11317;
 const maxPromptDelayMs = 3_000;
 
 /** Result of a run. */
@@ -64,10 +65,11 @@
     const seeds = nodes.map(({ peerAddress }) => peerAddress);
     nodes.forEach(node => node.start(seeds));
     const probeTimer = setInterval(() => nodes.forEach(node => void node.probe()), readinessProbeMs);
-    const callers = [...Array(callerCount).keys()].map(index => SoakCaller.create(`c${index}`, nodes, fleet.models, checker, random));
+    const callers = [...Array(callerCount).keys()].map(index => SoakCaller.create(`c${index}`, nodes, fleet, random));
     const callerRuns = callers.map(caller => caller.run(abort.signal));
     await sleep(startUpMs);
 
+    const limitRun = fleet.limits.run(() => fleet.all(), createRandom(seed ^ limitSalt));
     const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
     const injectedFaults: string[] = [];
     const faultsEndAt = performance.now() + seconds * 1_000;
@@ -80,6 +82,7 @@
         await sleep(200 + 700 * random());
     }
     await Promise.all(activeFaults);
+    fleet.limits.end();
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
 
@@ -89,7 +92,7 @@
         checker.violations.push(`${checker.servedCount - servedBefore} of ${checker.requestCount - requestsBefore} requests served after the faults`);
     }
     abort.abort();
-    await Promise.all([...callerRuns, ...crashingRuns]);
+    await Promise.all([...callerRuns, ...crashingRuns, limitRun]);
     clearInterval(probeTimer);
     await Promise.all(nodes.map(node => node.terminate()));
     fleet.terminate();
@@ -99,6 +102,7 @@
         ...checker.checkAtEnd(),
         ...fleet.overcommitViolations(),
         ...fleet.prompts.violations(),
+        ...fleet.limits.violations(),
         ...nodes.flatMap(({ unexpectedExits }) => unexpectedExits),
     ];
     if (violations.length === 0) {
--- a/test/processSoak/soakCaller.ts
+++ b/test/processSoak/soakCaller.ts
@@ -3,6 +3,8 @@
 import { pick } from "../../src/utils/random";
 import { sleep } from "../../src/utils/time";
 import type { InvariantChecker, SoakRequest } from "./invariantChecker";
+import type { NamedLimits } from "./namedLimits";
+import type { SoakFleet } from "./soakFleet";
 import type { SoakNode } from "./soakNode";
 
 /** Deadline of a request, and by how much the end of its answer may exceed it. */
@@ -37,11 +39,17 @@
         private readonly nodes: readonly SoakNode[],
         private readonly models: readonly string[],
         private readonly checker: InvariantChecker,
+        private readonly limits: NamedLimits,
         private readonly random: Random,
     ) {}
 
-    static create(name: string, nodes: readonly SoakNode[], models: readonly string[], checker: InvariantChecker, random: Random): SoakCaller {
-        return new SoakCaller(name, nodes, models, checker, random);
+    static create(
+        name: string,
+        nodes: readonly SoakNode[],
+        { models, checker, limits }: Pick<SoakFleet, "models" | "checker" | "limits">,
+        random: Random,
+    ): SoakCaller {
+        return new SoakCaller(name, nodes, models, checker, limits, random);
     }
 
     async run(signal: AbortSignal): Promise<void> {
@@ -58,6 +66,7 @@
     private async sendAndCheck(node: SoakNode): Promise<void> {
         const req: SoakRequest = { ...pick(routes, this.random)!, id: `${this.name}-${++this.requestCount}` };
         this.checker.onRequest(req);
+        this.limits.onRequest(req.id, node);
         const startedAt = performance.now();
         const isAborted = this.random() < abortShare;
         const { status, body, isComplete } = await this.send(node, req, isAborted);
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -5,6 +5,7 @@
 import type { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
 import { CrashingPrompts } from "./crashingPrompts";
 import type { InvariantChecker } from "./invariantChecker";
+import { NamedLimits } from "./namedLimits";
 import { SoakUpstream } from "./soakUpstream";
 
 const modelCount = 6;
@@ -70,6 +71,7 @@
     private isTerminated = false;
 
     /** Prompt parts that crash the runners. */
+    readonly limits = NamedLimits.create();
     readonly prompts = CrashingPrompts.create(runner => this.replaceCrashed(runner));
 
     private constructor(private readonly store: MemoryPlatformStore, readonly checker: InvariantChecker, readonly random: Random) {
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -15,6 +15,7 @@
 import { FaultProxy } from "./faultProxy";
 import type { InvariantChecker } from "./invariantChecker";
 import { streamBody, streamEventCount } from "./invariantChecker";
+import type { NamedLimits } from "./namedLimits";
 
 const processingMs = 40;
 const eventIntervalMs = 60;
@@ -50,6 +51,7 @@
     readonly checker: InvariantChecker;
     readonly random: Random;
     readonly prompts: CrashingPrompts;
+    readonly limits: NamedLimits;
 }
 
 /** Whether the answer to a request has neither a length nor chunks and ends with its connection; one in three does. */
@@ -71,13 +73,14 @@
         private readonly checker: InvariantChecker,
         private readonly random: Random,
         private readonly prompts: CrashingPrompts,
+        private readonly limits: NamedLimits,
     ) {}
 
     static async create(
         id: string,
         service: string,
         engine: EngineSpec | undefined,
-        { checker, random, prompts }: SoakUpstreamContext,
+        { checker, random, prompts, limits }: SoakUpstreamContext,
     ): Promise<SoakUpstream> {
         const server = createServer((req, res) => void upstream.handle(req, res).catch(() => res.destroy()));
         const port = await reservePort();
@@ -85,7 +88,7 @@
         const initialModels = engine && [...engine.models.keys()].filter(() => random() < 0.3).slice(0, 2);
         const simulatedRunner = engine && SimulatedPlatformRunner.create(id, engine, random, initialModels!);
         const proxy = await FaultProxy.create(portOf(server));
-        const upstream: SoakUpstream = new SoakUpstream(id, service, proxy, simulatedRunner, server, checker, random, prompts);
+        const upstream: SoakUpstream = new SoakUpstream(id, service, proxy, simulatedRunner, server, checker, random, prompts, limits);
         return upstream;
     }
 
@@ -160,9 +163,12 @@
             req.socket.resetAndDestroy();
             return;
         }
+        const limitPerS = this.limits.onArrival(this.id, id);
+        const limit = limitPerS === undefined ? {} : { "Server-Limit": String(limitPerS) };
         const isUnframed = isAnswerUnframed(id);
         res.useChunkedEncodingByDefault = !isUnframed;
-        const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16", ...(isUnframed ? { Connection: "close" } : {}) };
+        const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16", ...limit, ...(isUnframed ? { Connection: "close" } : {}) };
+        this.limits.onNamed(this.id);
         if (!this.simulatedRunner) {
             res.writeHead(200, headers);
             res.write(`${id} done`);
