Do not blame a common prompt part for the crashes of others

Cause: two parts crashed runners; their common first part was in progress at the crashes of both and so explained more than either. Nothing lifted the quarantine, as it left no request that could be answered. Now a part is preferred to a more common one as long as it explains enough itself; and a part on which runners have answered before needs five crashes, not three, of which those count half or not at all where a new, more specific part was in progress. A case of crashLog.test.ts now crashes five times instead of three, for the reason above. Also: a retry that gets no turn is answered with that turn's Retry-After if nothing has run.

--- a/src/core/crashLog.ts
+++ b/src/core/crashLog.ts
@@ -145,7 +145,7 @@
         this.openParts = new Set(crashes.flatMap(({ suspects, cleared }) => suspects.flat().filter(part => !cleared.has(part))));
         this.nextExpiryAt = Math.min(...crashes.map(({ at }) => at + crashLifetimeMs));
         const before = this.quarantines;
-        this.quarantines = findCrashingParts(crashes);
+        this.quarantines = findCrashingParts(crashes, part => this.answered.lastAt(part) > Number.NEGATIVE_INFINITY);
         const keysBefore = new Set(before.map(keyOf));
         const keys = new Set(this.quarantines.map(keyOf));
         for (const quarantine of this.quarantines.filter(entry => !keysBefore.has(keyOf(entry)))) {
--- a/src/core/findCrashingParts.ts
+++ b/src/core/findCrashingParts.ts
@@ -3,8 +3,12 @@
 
 /** Crashes with a part among the suspects, and no answer on it since, after which the part counts as their cause. */
 export const minCrashesOfQuarantine = 3;
+/** The same for a part on which runners have answered before. */
+const minCrashesOfAnswered = 5;
 /** At least so many of these must not be explained by another part: two parts that crash runners may be in progress at the same one. */
 const minUnexplainedCrashes = 2;
+/** Weight of a crash at which a more specific part, seen at no other crash, may have been the cause. */
+const ambiguousWeight = 0.5;
 /** Crashes closer together than this count once: many runners may lose power at the same moment. */
 const minCrashGapMs = 150;
 
@@ -60,14 +64,27 @@
 const isMoreSpecific = (one: Suspicion, other: Suspicion): boolean =>
     one.requests.length < other.requests.length && one.requests.every(request => request.includes(other.part));
 
-/** The suspicion that explains most crashes. Among equals a part is preferred that came with fewer requests: a common part is in progress at any crash. */
+/**
+ * How much the crashes speak for a part on which runners have answered before. A crash counts less if a request there contained a more specific new part as well, and not at all if
+ * that one was there at another crash too: a common part is in progress at any crash.
+ */
+const weigh = ({ crashes }: Suspicion, alternatives: readonly Suspicion[]): number => {
+    const weightOf = (crash: CrashRecord): number => {
+        const strikes = alternatives.filter(other => other.crashes.includes(crash)).map(other => separateCrashes(other.crashes).length);
+        if (strikes.length === 0) {
+            return 1;
+        }
+        return Math.max(...strikes) > 1 ? 0 : ambiguousWeight;
+    };
+    return separateCrashes(crashes).reduce((sum, crash) => sum + weightOf(crash), 0);
+};
+
+/** The suspicion that explains most crashes; undefined if none is left that explains enough. */
 const findWorst = (suspicions: readonly Suspicion[], explained: ReadonlySet<CrashRecord>): Suspicion | undefined => {
     const countUnexplained = ({ crashes }: Suspicion): number => separateCrashes(crashes.filter(crash => !explained.has(crash))).length;
-    const counts = new Map(suspicions.map(suspicion => [suspicion, countUnexplained(suspicion)]));
-    const most = Math.max(...counts.values());
-    const equals = suspicions.filter(suspicion => counts.get(suspicion) === most);
-    const [worst] = equals.filter(suspicion => !equals.some(other => isMoreSpecific(other, suspicion))).sort(compare);
-    return most >= minUnexplainedCrashes ? worst : undefined;
+    const possible = suspicions.filter(suspicion => countUnexplained(suspicion) >= minUnexplainedCrashes);
+    return possible.filter(suspicion => !possible.some(other => isMoreSpecific(other, suspicion)))
+        .sort((a, b) => countUnexplained(b) - countUnexplained(a) || compare(a, b))[0];
 };
 
 /** Other parts that every suspected request with the part contained: which of them is the cause is not known yet. */
@@ -75,13 +92,21 @@
     requests[0]!.filter(other => other !== part && requests.every(request => request.includes(other)) && !crashes.some(({ cleared }) => cleared.has(other)));
 
 /**
- * Finds the parts of prompts that explain crashes of runners, the one that explains most first. What it explains counts less against other parts
+ * Finds the parts of prompts that explain crashes of runners, the more specific ones and those that explain most first. What it explains counts less against other parts
  * that happened to be in progress at the same runners.
  */
-export const findCrashingParts = (records: readonly CrashRecord[]): readonly PromptQuarantine[] => {
+export const findCrashingParts = (
+    records: readonly CrashRecord[],
+    wasAnswered: (part: string) => boolean = () => false,
+): readonly PromptQuarantine[] => {
     const quarantines: PromptQuarantine[] = [];
     const explained = new Set<CrashRecord>();
-    let suspicions = suspicionsOf([...records].sort((a, b) => a.at - b.at)).filter(({ crashes }) => separateCrashes(crashes).length >= minCrashesOfQuarantine);
+    const all = suspicionsOf([...records].sort((a, b) => a.at - b.at));
+    const isSufficient = (suspicion: Suspicion): boolean =>
+        separateCrashes(suspicion.crashes).length >= minCrashesOfQuarantine &&
+        (!wasAnswered(suspicion.part) ||
+            weigh(suspicion, all.filter(other => !wasAnswered(other.part) && isMoreSpecific(other, suspicion))) >= minCrashesOfAnswered);
+    let suspicions = all.filter(isSufficient);
     for (let worst = findWorst(suspicions, explained); worst; worst = findWorst(suspicions, explained)) {
         quarantines.push({ parts: [worst.part, ...companionsOf(worst)], crashes: separateCrashes(worst.crashes).map(({ id, at }) => ({ id, at })) });
         worst.crashes.forEach(crash => explained.add(crash));
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -105,7 +105,7 @@
 
     /** Answers a request that is not sent (again): with the refusal, or with what the attempt before gave. */
     private finishRefused(outcome: AttemptOutcome | undefined, refusal: Refusal): void {
-        if (outcome === undefined) {
+        if (outcome === undefined || this.possibleRuns === 0) {
             this.refuse(refusal);
         }
         else {
