Log the era that the store names in its answers

Without it, no line tells a row of the restored copy from one that was written since, nor whether a node has seen the restore at all.

--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -1,11 +1,13 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { FailureError } from "../core/failures";
+import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
 import type { FeedResult, RowName, RowResult, RowStore, StoredRow, TransactionResult, VersionedRows } from "../types/rowStore";
 import { FeedKind, TransactionKind } from "../types/rowStore";
 import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
+import { emit } from "../utils/events";
 import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 import { parseJson, parseWith } from "./schemas";
 
@@ -13,6 +15,8 @@
 const connectTimeoutMs = 500;
 /** One connection for each of the two change feeds, one for the lease, and one spare. */
 const maxConnections = 4;
+/** Rises by one each time the store is restored from an older copy; answers of stores that are never restored may lack it. */
+const eraHeader = "store-era";
 /** Rows per page; the platform's limit. */
 const pageRows = 500;
 
@@ -55,6 +59,8 @@
 export class StoreClient implements RowStore {
     /** A call that times out closes its connection, which may no longer deliver anything. */
     private readonly agent: Agent;
+    /** Era of the newest answer. */
+    private era: number | undefined;
 
     private constructor(private readonly address: string, private readonly limits: TransportLimits) {
         this.agent = new Agent({
@@ -140,6 +146,7 @@
             clearTimeout(headTimer);
             const { maxAnswerBytes, answerTimeoutMs, answerSilenceMs } = this.limits;
             const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs, silenceMs: answerSilenceMs });
+            this.onEra(Number(res.headers[eraHeader] ?? 0));
             if (res.statusCode === 503 || res.statusCode === 429) {
                 return throwStoreFailure(Verdict.NotRun, `refused with status ${res.statusCode}`);
             }
@@ -158,4 +165,11 @@
             clearTimeout(headTimer);
         }
     }
+
+    private onEra(era: number): void {
+        if (era !== this.era) {
+            emit(EventId.StoreEraChanged, { era, before: this.era });
+            this.era = era;
+        }
+    }
 }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -29,6 +29,7 @@
     UpstreamChanged = 307,
     UpstreamRowIgnored = 308,
     DirectoryRead = 309,
+    StoreEraChanged = 310,
     RequestRefused = 401,
     AttemptFailed = 402,
     StreamResumed = 403,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -29,6 +29,7 @@
     [EventId.UpstreamChanged]: "an upstream was added to the directory, changed or removed from it",
     [EventId.UpstreamRowIgnored]: "a directory row was ignored because it does not describe a usable upstream",
     [EventId.DirectoryRead]: "the whole directory was read",
+    [EventId.StoreEraChanged]: "the store answered for the first time, or for the first time since it was restored from an older copy",
     [EventId.RequestRefused]: "a request was answered with a failure",
     [EventId.AttemptFailed]: "an attempt on an upstream failed; the request may be retried",
     [EventId.StreamResumed]: "a stream was resumed after the last event that the caller received, on the same or another runner",
