Failing tests: what a restored store numbers again, and the leases of its lost rows

The stand-in of the store can be restored from a copy: its era rises, and a feed from a version that it lacks is answered with 410.

The simulation of leases moves to test/fakes/leaseSimulation.ts; its cases without restores are unchanged.

--- a/test/controllerLease.test.ts
+++ b/test/controllerLease.test.ts
@@ -2,101 +2,14 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { ControllerLease } from "../src/core/controllerLease";
-import type { LeaseRules } from "../src/core/controllerRow";
 import { controllerLeaseTtlMs, maxOrderDeliveryMs } from "../src/core/controllerRow";
 import { LeaseVacancy } from "../src/core/leaseVacancy";
 import { takeoverDelayMs } from "../src/core/takeoverDelay";
 import { setupLogs } from "../src/utils/events";
-import { createRandom, pick } from "../src/utils/random";
+import { createRandom } from "../src/utils/random";
+import { leaseTestRules as rules, leaseTestRunners as runners, simulateLeases, stepMs, violationsOf } from "./fakes/leaseSimulation";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
 
-const rules: LeaseRules = { turnGapMs: 3_000, loadWindowMs: 5_000 };
-const stepMs = 100;
-const runners = ["r1", "r2", "r3", "r4"];
-
-interface Order {
-    /** Arrival at the runner. */
-    readonly at: number;
-    readonly runner: string;
-    readonly holder: string;
-    readonly epoch: number;
-}
-
-/** A simulated process with its own lease object; it may be suspended or cut off from the store. */
-interface SimulatedNode {
-    lease: ControllerLease;
-    suspendedUntil: number;
-    cutUntil: number;
-}
-
-/** Rules that are overridden, to show that the simulation detects their violation. */
-type RuleOverrides = Partial<LeaseRules>;
-
-/** Simulates nodes that are suspended, lose the store or its answers, and restart; returns the orders that were sent. */
-const simulate = async (seed: number, clock: ReturnType<typeof install>, overrides: RuleOverrides = {}): Promise<readonly Order[]> => {
-    const random = createRandom(seed);
-    const store = MemoryPlatformStore.create(random);
-    const names = ["n1", "n2", "n3"];
-    const createLease = (name: string, boot: number): ControllerLease =>
-        ControllerLease.create(store, { holder: name, boot: `${name}-${boot}`, peerAddress: name }, { ...rules, ...overrides });
-    const nodes = new Map<string, SimulatedNode>(names.map(name => [name, { lease: createLease(name, 0), suspendedUntil: 0, cutUntil: 0 }]));
-    const orders: Order[] = [];
-    for (let step = 0; step < 1_200; step++) {
-        await clock.tickAsync(stepMs);
-        const now = performance.now();
-        for (const [name, node] of nodes) {
-            const chance = random();
-            if (chance < 0.004) {
-                node.suspendedUntil = now + random() * 8_000;
-            }
-            else if (chance < 0.008) {
-                node.cutUntil = now + random() * 8_000;
-            }
-            else if (chance < 0.01) {
-                node.lease = createLease(name, step);
-            }
-            if (now < node.suspendedUntil) {
-                continue;
-            }
-            if (random() < 0.2) {
-                store.isDown = now < node.cutUntil;
-                await node.lease.tick().catch(() => undefined);
-                store.isDown = false;
-            }
-            const epoch = node.lease.heldEpoch;
-            const runner = pick(runners, random)!;
-            store.isDown = now < node.cutUntil;
-            if (epoch !== undefined && await node.lease.acquireRunnerLease(runner, false)) {
-                orders.push({ at: now + random() * maxOrderDeliveryMs, runner, holder: name, epoch });
-            }
-            store.isDown = false;
-        }
-        for (const from of nodes.values()) {
-            const { yielding } = from.lease;
-            if (yielding && now >= from.suspendedUntil) {
-                nodes.forEach(({ lease }) => lease !== from.lease && lease.onYield(yielding));
-            }
-        }
-    }
-    return orders;
-};
-
-/** Consecutive orders of different holders to one runner that come within the gap or without a higher epoch. */
-const violationsOf = (orders: readonly Order[]): readonly string[] =>
-    runners.flatMap(runner => {
-        const own = orders.filter(order => order.runner === runner).sort((a, b) => a.at - b.at);
-        return own.slice(1).flatMap((order, index) => {
-            const previous = own[index]!;
-            if (order.holder === previous.holder) {
-                return [];
-            }
-            const isRising = order.epoch > previous.epoch;
-            return isRising && order.at - previous.at >= rules.turnGapMs
-                ? []
-                : [`${runner}: ${previous.holder} ${previous.epoch} then ${order.holder} ${order.epoch} after ${order.at - previous.at} ms`];
-        });
-    });
-
 const createPair = (): readonly [MemoryPlatformStore, ControllerLease, ControllerLease] => {
     const store = MemoryPlatformStore.create(createRandom(1));
     store.lossShare = 0;
@@ -117,16 +30,24 @@
 
     for (const seed of [1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12, 13, 14, 15, 16]) {
         it(`keeps the gap between orders of two holders to one runner, with increasing epochs (seed ${seed})`, async () => {
-            const orders = await simulate(seed, clock);
+            const orders = await simulateLeases(seed, clock);
             assert.ok(orders.length > 300, `${orders.length} orders`);
             assert.deepEqual(violationsOf(orders), []);
         });
     }
 
+    for (const seed of [21, 22, 23, 24, 25, 26, 27, 28, 29, 30, 31, 32, 33, 34, 35, 36]) {
+        it(`keeps the gap and increasing epochs while the store is restored from older copies (seed ${seed})`, async () => {
+            const orders = await simulateLeases(seed, clock, {}, true);
+            assert.ok(orders.length > 100, `${orders.length} orders`);
+            assert.deepEqual(violationsOf(orders), []);
+        });
+    }
+
     it("fails the simulation if the gap is set to 0", async () => {
         const violations: string[] = [];
         for (const seed of [1, 2, 3]) {
-            violations.push(...violationsOf(await simulate(seed, clock, { turnGapMs: 0 })));
+            violations.push(...violationsOf(await simulateLeases(seed, clock, { turnGapMs: 0 })));
         }
         assert.notEqual(violations.length, 0);
     });
--- a/test/directory.test.ts
+++ b/test/directory.test.ts
@@ -31,10 +31,15 @@
             return store.feed(name, from);
         },
     };
-    const follower = TableFollower.create(delayedStore, table, createDirectoryObserver(gateway, decodeServer), random);
+    const follower = TableFollower.create(delayedStore, table, createDirectoryObserver(gateway, decodeServer), random, {
+        pauseMs: () => 0,
+        waitMs: () => 50,
+        maxRetryDelayMs: () => 150,
+        knownVersion: () => gateway.directory.version,
+    });
     const abort = new AbortController();
     const name = (key: string) => ({ table, part: "", key });
-    return { store, gateway, follower, abort, name, ready: () => gateway.directory.readyOf("desk").map(({ id }) => id) };
+    return { store, gateway, follower, abort, name, copies: [store.copy()], ready: () => gateway.directory.readyOf("desk").map(({ id }) => id) };
 };
 
 describe("upstream directory", () => {
@@ -57,6 +62,8 @@
     const setDown = (isDown: boolean) => ({ store }: ReturnType<typeof createFixture>) => {
         store.isDown = isDown;
     };
+    const copy = ({ store, copies }: ReturnType<typeof createFixture>) => void copies.push(store.copy());
+    const restore = ({ store, copies }: ReturnType<typeof createFixture>) => store.restore(copies.at(-1)!);
     const cases: readonly Case[] = [
         { name: "offers a ready upstream for requests", steps: [put("u1", rowOf("ready"))], ready: ["u1"] },
         { name: "excludes a draining upstream from new requests", steps: [put("u1", rowOf("ready")), put("u1", rowOf("draining"))], ready: [] },
@@ -93,7 +100,85 @@
             ready: ["u2"],
         },
     ];
-    for (const { name, steps, pauseMs = 400, ready } of cases) {
+    const restoreCases: readonly Case[] = [
+        {
+            name: "applies a change that a restored store numbers below what the node knew",
+            steps: [
+                put("u1", rowOf("ready")),
+                put("u2", rowOf("ready")),
+                copy,
+                put("u1", rowOf("ready", { slots: 5 })),
+                put("u1", rowOf("ready", { slots: 6 })),
+                put("u1", rowOf("ready", { slots: 7 })),
+                restore,
+                put("u1", rowOf("draining")),
+            ],
+            ready: ["u2"],
+        },
+        {
+            name: "applies a removal that a restored store numbers below what the node knew",
+            steps: [
+                put("u1", rowOf("ready")),
+                put("u2", rowOf("ready")),
+                copy,
+                put("u1", rowOf("ready", { slots: 5 })),
+                put("u1", rowOf("ready", { slots: 6 })),
+                put("u1", rowOf("ready", { slots: 7 })),
+                restore,
+                () => undefined,
+                put("u1", undefined),
+            ],
+            pauseMs: 1_200,
+            ready: ["u2"],
+        },
+        {
+            name: "does not use a draining upstream again that a restored store has as ready",
+            steps: [put("u1", rowOf("ready")), put("u2", rowOf("ready")), copy, put("u1", rowOf("draining")), restore],
+            ready: ["u2"],
+        },
+        {
+            name: "does not use a removed upstream again that a restored store has as ready",
+            steps: [put("u1", rowOf("ready")), put("u2", rowOf("ready")), copy, put("u1", undefined), restore],
+            ready: ["u2"],
+        },
+        {
+            name: "uses a removed upstream again once it has written its row to the restored store",
+            steps: [put("u1", rowOf("ready")), put("u2", rowOf("ready")), copy, put("u1", undefined), restore, put("u1", rowOf("ready", { slots: 5 }))],
+            ready: ["u2", "u1"],
+        },
+        {
+            name: "uses the next process of an upstream that was removed before the restore",
+            steps: [put("u1", rowOf("ready")), copy, put("u1", undefined), restore, put("u1", rowOf("ready", { born: 6 }))],
+            ready: ["u1"],
+        },
+        {
+            name: "keeps an upstream whose row a restored store has lost for a grace period",
+            steps: [put("u1", rowOf("ready")), copy, put("u2", rowOf("ready")), restore],
+            ready: ["u1", "u2"],
+        },
+        {
+            name: "removes an upstream that has not written its row to a restored store within the grace period",
+            steps: [put("u1", rowOf("ready")), copy, put("u2", rowOf("ready")), restore, () => undefined],
+            pauseMs: 1_500,
+            ready: ["u1"],
+        },
+        {
+            name: "follows a store that is restored twice",
+            steps: [
+                put("u1", rowOf("ready")),
+                put("u2", rowOf("ready")),
+                copy,
+                put("u1", rowOf("ready", { slots: 5 })),
+                put("u1", rowOf("ready", { slots: 6 })),
+                restore,
+                put("u1", rowOf("ready", { slots: 7 })),
+                restore,
+                put("u1", rowOf("draining")),
+            ],
+            ready: ["u2"],
+        },
+    ];
+    for (const { name, steps, pauseMs = 400, ready } of [...cases, ...restoreCases]) {
         it(name, async () => {
             const fixture = createFixture();
             void fixture.follower.run(fixture.abort.signal);
@@ -106,6 +191,20 @@
         });
     }
 
+    it("reads the whole table once after a restore", async () => {
+        const fixture = createFixture();
+        const { store, copies } = fixture;
+        void fixture.follower.run(fixture.abort.signal);
+        await clock.tickAsync(400);
+        put("u1", rowOf("ready"))(fixture);
+        await clock.tickAsync(400);
+        const readsBefore = store.tableReads;
+        store.restore(copies[0]!);
+        await clock.tickAsync(3_000);
+        fixture.abort.abort();
+        assert.equal(store.tableReads - readsBefore, 1);
+    });
+
     it("does not restore a deleted upstream from an older entry of a peer", () => {
         const directory = UpstreamDirectory.create();
         const server = decodeServer("u1", rowOf("ready"))!;
--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -12,6 +12,12 @@
 
 const clockOffsetMs = 5_000_000;
 
+/** The contents of a store at one time, from which it can be restored. */
+export interface StoreCopy {
+    readonly version: number;
+    readonly rows: ReadonlyMap<string, StoredRow>;
+}
+
 /**
  * The platform's store, in memory. Answers to writes may be lost; such a write is applied at once or late, in both cases only
  * if its conditions hold then.
@@ -24,8 +30,12 @@
     isCompacted = false;
     /** Number of transactions requested, including those that failed. */
     writes = 0;
+    /** Reads of whole tables. */
+    tableReads = 0;
+    /** Rises with each restore. */
+    era = 1;
     private version = 0;
-    private readonly rows = new Map<string, StoredRow>();
+    private rows = new Map<string, StoredRow>();
 
     private constructor(private readonly random: Random) {}
 
@@ -43,8 +53,21 @@
         this.rows.set(rowKey(name), { ...name, value, version: ++this.version });
     }
 
+    /** Copies the contents. */
+    copy(): StoreCopy {
+        return { version: this.version, rows: new Map(this.rows) };
+    }
+
+    /** Replaces the contents by a copy: all later writes are lost, and their versions are used again. */
+    restore({ version, rows }: StoreCopy): void {
+        this.version = version;
+        this.rows = new Map(rows);
+        this.era++;
+    }
+
     readTable(table: string): Promise<VersionedRows> {
         this.throwIfDown();
+        this.tableReads++;
         return Promise.resolve({ rows: [...this.rows.values()].filter(row => row.table === table && row.value), version: this.version });
     }
 
@@ -55,7 +78,7 @@
 
     feed(table: string, after: number): Promise<FeedResult> {
         this.throwIfDown();
-        if (this.isCompacted) {
+        if (this.isCompacted || after > this.version) {
             this.isCompacted = false;
             return Promise.resolve({ kind: FeedKind.HistoryGone });
         }
--- a/test/fakes/platformStoreServer.ts
+++ b/test/fakes/platformStoreServer.ts
@@ -25,11 +25,13 @@
 }
 
 /** Answers failures as the platform's store does: 503 if nothing was applied, a destroyed connection if the outcome is unknown. */
-const withFailureResponses = (handlers: Readonly<Record<string, Handler>>): Readonly<Record<string, Handler>> =>
+const withFailureResponses = (store: MemoryPlatformStore, handlers: Readonly<Record<string, Handler>>): Readonly<Record<string, Handler>> =>
     Object.fromEntries(
         Object.entries(handlers).map(([route, handler]): [string, Handler] => [route, async input => {
             try {
-                return await handler(input);
+                const answer = await handler(input);
+                input.res.setHeader("store-era", store.era);
+                return answer;
             }
             catch (err) {
                 if (toFailure(err).verdict === Verdict.NotRun) {
@@ -45,7 +47,7 @@
 export const servePlatformStore = (store: MemoryPlatformStore): Promise<Server> =>
     serveJson(
         0,
-        withFailureResponses({
+        withFailureResponses(store, {
             "GET /api/rows-get": async ({ url }) => {
                 const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
                 const from = url.searchParams.get("from") ?? "";
