Order what the store says by its era first, then by its versions

Cause: a restored store gives its versions out again, and every place that keeps one compared the numbers alone: rows 101 to 135 of the restored store counted as older than the 136 that nodes knew. Their feeds continued from 136, were refused with 410, read the whole table, and started again from 136: 321 reads of a whole table.

A version now holds the era of the store (header Store-Era) in its higher digits (types/storeVersion.ts). The client composes and decomposes it; all other code goes on comparing numbers. Changes of another era than the one asked from count as lost history; a wait in an era that has ended is ended; an answer of an earlier era than one before it is discarded; conditions of an earlier era are not sent. A read that found the history lost no longer confirms what the node knows to its peers.

--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -2,6 +2,7 @@
 import { EventId } from "../types/eventId";
 import type { RowName, RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
+import { absentVersionIn } from "../types/storeVersion";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import type { LeaseCandidate, LeaseRules, PendingRunnerLease, SeenRow } from "./controllerRow";
@@ -170,9 +171,9 @@
 
     private async read(): Promise<void> {
         const requestedAt = readClocks();
-        const { row, nowMs } = await this.store.readRow(rowName);
+        const { row, version, nowMs } = await this.store.readRow(rowName);
         this.clock.onAnswer(nowMs, requestedAt);
-        this.setSeenRow(decodeControllerRow(row), row?.version ?? 0);
+        this.setSeenRow(decodeControllerRow(row), row?.version ?? absentVersionIn(version));
     }
 
     private setSeenRow(row: ControllerRow | undefined, version: number): void {
@@ -205,12 +206,16 @@
             conditions: [{ ...rowName, version: expected }],
             puts: [{ ...rowName, value: Buffer.from(JSON.stringify(row)) }],
         });
+        if (result.kind === TransactionKind.Outdated) {
+            await this.read();
+            return false;
+        }
         if (result.nowMs !== undefined) {
             this.clock.onAnswer(result.nowMs, requestedAt);
         }
         if (result.kind === TransactionKind.Conflict) {
             const current = result.rows[0];
-            this.setSeenRow(decodeControllerRow(current), current?.version ?? 0);
+            this.setSeenRow(decodeControllerRow(current), current?.version ?? absentVersionIn(result.version));
             this.logLoss();
             return false;
         }
@@ -236,12 +241,8 @@
     private logLoss(): void {
         if (this.wasHeld && this.heldEpoch === undefined) {
             this.wasHeld = false;
-            emit(EventId.LeaseLost, {
-                epoch: this.epoch,
-                holder: this.seen?.row?.holder,
-                rowVersion: this.seen?.version,
-                reason: this.isOwn ? "expired" : "taken",
-            });
+            const reason = this.isOwn ? "expired" : "taken";
+            emit(EventId.LeaseLost, { epoch: this.epoch, holder: this.seen?.row?.holder, rowVersion: this.seen?.version, reason });
         }
     }
 }
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -1,6 +1,8 @@
 import { EventId } from "../types/eventId";
 import type { RowStore, StoredRow } from "../types/rowStore";
 import { FeedKind } from "../types/rowStore";
+import type { StoreVersion } from "../types/storeVersion";
+import { eraOf } from "../types/storeVersion";
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { sleep } from "../utils/time";
@@ -11,14 +13,14 @@
 /** Base of the jittered delay after the first failed call; jitter keeps the nodes from reconnecting all at once. */
 const minRetryDelayMs = 150;
 /** Rows that expired while the store was unavailable may reappear for this long after it has recovered. */
-const recoveryGraceMs = 2_000;
+export const recoveryGraceMs = 2_000;
 
 /** Receives the contents of a followed table. */
 export interface TableObserver {
     /** A snapshot of the whole table. Rows that are missing may reappear within `graceMs`, since the store was unavailable. */
-    onSnapshot(rows: readonly StoredRow[], version: number, graceMs: number): void;
+    onSnapshot(rows: readonly StoredRow[], version: StoreVersion, graceMs: number): void;
     /** Changed rows; a row without a value was deleted. */
-    onChanges(rows: readonly StoredRow[], version: number, graceMs: number): void;
+    onChanges(rows: readonly StoredRow[], version: StoreVersion, graceMs: number): void;
 }
 
 /** Interval between two checks whether the controller's reads still keep this table fresh. */
@@ -33,7 +35,7 @@
     /** Upper bound of the delay after failed calls, which doubles from call to call. */
     readonly maxRetryDelayMs: () => number;
     /** Version up to which this node has received the table from another source. */
-    readonly knownVersion: () => number;
+    readonly knownVersion: () => StoreVersion;
     /** Decides when the store need not be read; it is notified of the store's answers. */
     readonly freshness?: StoreFreshness;
 }
@@ -42,7 +44,7 @@
 
 /** Follows one table of the store through its change feed. */
 export class TableFollower {
-    private version: number | undefined;
+    private version: StoreVersion | undefined;
     private unavailableSince: number | undefined;
     private recoveredAt = Number.NEGATIVE_INFINITY;
     /** Calls that have failed since the last success. */
@@ -90,12 +92,18 @@
             this.onSuccess();
             this.version = version;
             this.observer.onSnapshot(rows, version, this.graceMs);
+            this.options.freshness?.onConfirmed(this.table);
             return;
         }
         while (this.options.freshness?.isFresh && !signal.aborted) {
             await sleep(freshnessPollMs, signal);
         }
-        this.version = Math.max(this.version, this.options.knownVersion());
+        const knownVersion = this.options.knownVersion();
+        if (eraOf(knownVersion) > eraOf(this.version)) {
+            this.version = undefined;
+            return;
+        }
+        this.version = Math.max(this.version, knownVersion);
         const result = await this.store.feed(this.table, this.version, this.options.waitMs(), signal);
         this.onSuccess();
         if (result.kind === FeedKind.HistoryGone) {
@@ -104,6 +112,7 @@
         }
         this.version = Math.max(this.version, result.version);
         this.observer.onChanges(result.rows, result.version, this.graceMs);
+        this.options.freshness?.onConfirmed(this.table);
         if (result.rows.length > 0) {
             await sleep(this.options.pauseMs(), signal);
         }
@@ -115,7 +124,6 @@
 
     private onSuccess(): void {
         this.failedCalls = 0;
-        this.options.freshness?.onConfirmed(this.table);
         if (this.unavailableSince !== undefined) {
             emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.unavailableSince) });
             this.unavailableSince = undefined;
--- a/src/platform/directoryDecoder.ts
+++ b/src/platform/directoryDecoder.ts
@@ -12,6 +12,8 @@
     models: z.array(residentModelSchema).default([]),
     atHand: localCopiesSchema,
     born: z.number().int().optional(),
+    /** The count of accepted orders, not a position in a sequence of rows. */
+    seq: z.number().default(0),
     remainingMs: z.number().optional(),
 });
 
@@ -21,7 +23,7 @@
     if ("faults" in result) {
         return undefined;
     }
-    const { service, addr, zone, slots, state, models, atHand: copies, born, remainingMs } = result.value;
+    const { service, addr, zone, slots, state, models, atHand: copies, born, seq, remainingMs } = result.value;
     return {
         id,
         service,
@@ -33,6 +35,7 @@
         inMemory: copies.inMemory,
         onDisk: copies.onDisk,
         bornAt: born ?? 0,
+        acceptedOrders: seq,
         remainingMs,
     };
 };
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -5,6 +5,8 @@
 import { FailureKind } from "../types/failureKind";
 import type { FeedResult, RowName, RowResult, RowStore, StoredRow, TransactionResult, VersionedRows } from "../types/rowStore";
 import { FeedKind, TransactionKind } from "../types/rowStore";
+import type { StoreVersion } from "../types/storeVersion";
+import { counterOf, createStoreVersion, eraOf, maxStoreCounter, maxStoreEra } from "../types/storeVersion";
 import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
@@ -20,32 +22,37 @@
 /** Rows per page; the platform's limit. */
 const pageRows = 500;
 
+const counterSchema = z.number().int().min(0).max(maxStoreCounter);
+const eraSchema = z.coerce.number().int().min(0).max(maxStoreEra);
 const rowSchema = z.object({
     table: z.string().default(""),
     part: z.string().default(""),
     key: z.string(),
     value: z.string().optional(),
-    ver: z.number(),
+    ver: counterSchema,
     deleted: z.boolean().default(false),
 });
 /** `ver` beside `rows` is the newest version of the whole store; `nowMs` is the store's monotonic clock, not wall-clock time. */
-const rowsSchema = z.object({ rows: z.array(rowSchema), hasMore: z.boolean().default(false), ver: z.number(), nowMs: z.number() });
-const committedSchema = z.object({ ver: z.number(), nowMs: z.number().optional() });
-const conflictSchema = z.object({ rows: z.array(rowSchema).default([]), nowMs: z.number().optional() });
+const rowsSchema = z.object({ rows: z.array(rowSchema), hasMore: z.boolean().default(false), ver: counterSchema, nowMs: z.number() });
+const committedSchema = z.object({ ver: counterSchema, nowMs: z.number().optional() });
+const conflictSchema = z.object({ rows: z.array(rowSchema).default([]), ver: counterSchema.default(0), nowMs: z.number().optional() });
 
 interface StoreAnswer {
     readonly status: number;
+    readonly era: number;
     readonly value: unknown;
 }
 
-const toRow = (row: z.infer<typeof rowSchema>): StoredRow => ({
+const toRow = (row: z.infer<typeof rowSchema>, era: number): StoredRow => ({
     table: row.table,
     part: row.part,
     key: row.key,
     value: row.deleted || row.value === undefined ? undefined : Buffer.from(row.value, "base64"),
-    version: row.ver,
+    version: createStoreVersion(era, row.ver),
 });
 
+const toRows = ({ era }: StoreAnswer, rows: readonly z.infer<typeof rowSchema>[]): readonly StoredRow[] => rows.map(row => toRow(row, era));
+
 const throwStoreFailure = (verdict: Verdict, detail: string): never => {
     throw FailureError.create({ kind: FailureKind.TableUnavailable, verdict, detail });
 };
@@ -59,8 +66,10 @@
 export class StoreClient implements RowStore {
     /** A call that times out closes its connection, which may no longer deliver anything. */
     private readonly agent: Agent;
-    /** Era of the newest answer. */
+    /** Newest era that an answer has named. */
     private era: number | undefined;
+    /** Ends the calls that wait for changes after a version of an earlier era. */
+    private eraEnd = new AbortController();
 
     private constructor(private readonly address: string, private readonly limits: TransportLimits) {
         this.agent = new Agent({
@@ -84,9 +93,13 @@
         // The feed continues from the version of the first page, so that it delivers changes made while later pages are read.
         let version: number | undefined;
         for (;;) {
-            const page = decode(rowsSchema, await this.call("GET", "rows-get", { table, part: "", from, limit: pageRows }));
-            rows.push(...page.rows.map(toRow));
-            version ??= page.ver;
+            const answer = await this.call("GET", "rows-get", { table, part: "", from, limit: pageRows });
+            const page = decode(rowsSchema, answer);
+            rows.push(...toRows(answer, page.rows));
+            version ??= createStoreVersion(answer.era, page.ver);
+            if (eraOf(version) !== answer.era) {
+                return throwStoreFailure(Verdict.NotRun, "the store was restored between two pages of a table");
+            }
             const last = page.rows.at(-1);
             if (!page.hasMore || !last) {
                 return { rows, version };
@@ -96,40 +109,59 @@
     }
 
     async readRow({ table, part, key }: RowName): Promise<RowResult> {
-        const page = decode(rowsSchema, await this.call("GET", "rows-get", { table, part, from: key, limit: 1 }));
-        return { row: page.rows.map(toRow).find(row => row.key === key), nowMs: page.nowMs };
+        const answer = await this.call("GET", "rows-get", { table, part, from: key, limit: 1 });
+        const page = decode(rowsSchema, answer);
+        return { row: toRows(answer, page.rows).find(row => row.key === key), version: createStoreVersion(answer.era, page.ver), nowMs: page.nowMs };
     }
 
-    async feed(table: string, after: number, waitMs: number, signal: AbortSignal): Promise<FeedResult> {
-        const answer = await this.call("GET", "rows-feed", { table, after, waitMs }, { waitMs, signal });
-        if (answer.status === 410) {
-            return { kind: FeedKind.HistoryGone };
+    async feed(table: string, after: StoreVersion, waitMs: number, signal: AbortSignal): Promise<FeedResult> {
+        const era = eraOf(after);
+        try {
+            const query = { table, after: counterOf(after), waitMs };
+            const answer = this.hasEnded(era) ? undefined : await this.call("GET", "rows-feed", query, { waitMs, signal, endsWithEra: true });
+            if (answer?.era !== era || answer.status === 410) {
+                return { kind: FeedKind.HistoryGone };
+            }
+            const page = decode(rowsSchema, answer);
+            return { kind: FeedKind.Changes, rows: toRows(answer, page.rows), version: createStoreVersion(era, page.ver) };
+        }
+        catch (err) {
+            if (this.hasEnded(era)) {
+                return { kind: FeedKind.HistoryGone };
+            }
+            throw err;
         }
-        const page = decode(rowsSchema, answer);
-        return { kind: FeedKind.Changes, rows: page.rows.map(toRow), version: page.ver };
     }
 
     async transact({ conditions, puts }: Parameters<RowStore["transact"]>[0]): Promise<TransactionResult> {
+        if (conditions.some(({ version }) => this.hasEnded(eraOf(version)))) {
+            return { kind: TransactionKind.Outdated };
+        }
         const answer = await this.call("POST", "rows-tx", {}, {
             body: {
-                expected: conditions.map(({ table, part, key, version }) => ({ table, part, key, ver: version })),
+                expected: conditions.map(({ table, part, key, version }) => ({ table, part, key, ver: counterOf(version) })),
                 puts: puts.map(({ table, part, key, value }) => ({ table, part, key, value: value.toString("base64") })),
                 remove: [],
             },
         });
         if (answer.status === 412) {
-            const { rows, nowMs } = decode(conflictSchema, answer);
-            return { kind: TransactionKind.Conflict, rows: rows.map(toRow), nowMs };
+            const { rows, ver, nowMs } = decode(conflictSchema, answer);
+            return { kind: TransactionKind.Conflict, rows: toRows(answer, rows), version: createStoreVersion(answer.era, ver), nowMs };
         }
         const { ver, nowMs } = decode(committedSchema, answer);
-        return { kind: TransactionKind.Committed, version: ver, nowMs };
+        return { kind: TransactionKind.Committed, version: createStoreVersion(answer.era, ver), nowMs };
     }
 
     private async call(
         method: "GET" | "POST",
         path: string,
         query: Readonly<Record<string, string | number>>,
-        { waitMs = 0, signal, body }: { readonly waitMs?: number; readonly signal?: AbortSignal; readonly body?: unknown; } = {},
+        { waitMs = 0, signal, body, endsWithEra = false }: {
+            readonly waitMs?: number;
+            readonly signal?: AbortSignal;
+            readonly body?: unknown;
+            readonly endsWithEra?: boolean;
+        } = {},
     ): Promise<StoreAnswer> {
         const headTimeoutMs = waitMs + this.limits.answerSilenceMs;
         const headTimeout = new AbortController();
@@ -141,19 +173,23 @@
                 dispatcher: this.agent,
                 headers: body === undefined ? {} : { "content-type": "application/json" },
                 body: body === undefined ? undefined : JSON.stringify(body),
-                signal: signal ? AbortSignal.any([signal, headTimeout.signal]) : headTimeout.signal,
+                signal: AbortSignal.any([headTimeout.signal, ...signal ? [signal] : [], ...endsWithEra ? [this.eraEnd.signal] : []]),
             });
             clearTimeout(headTimer);
             const { maxAnswerBytes, answerTimeoutMs, answerSilenceMs } = this.limits;
             const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs, silenceMs: answerSilenceMs });
-            this.onEra(Number(res.headers[eraHeader] ?? 0));
+            const era = eraSchema.safeParse(res.headers[eraHeader] ?? 0).data;
+            this.onEra(era ?? 0);
             if (res.statusCode === 503 || res.statusCode === 429) {
                 return throwStoreFailure(Verdict.NotRun, `refused with status ${res.statusCode}`);
             }
             if (![200, 410, 412].includes(res.statusCode)) {
                 return throwStoreFailure(Verdict.MayHaveRun, `unexpected status ${res.statusCode}`);
             }
-            return { status: res.statusCode, value: parseJson(text) };
+            if (era === undefined || this.hasEnded(era)) {
+                return throwStoreFailure(Verdict.MayHaveRun, `answer of era ${String(res.headers[eraHeader])} after one of era ${this.era}`);
+            }
+            return { status: res.statusCode, era, value: parseJson(text) };
         }
         catch (err) {
             if (err instanceof FailureError) {
@@ -166,10 +202,17 @@
         }
     }
 
+    /** Whether the store has been restored since an era. */
+    private hasEnded(era: number): boolean {
+        return this.era !== undefined && era < this.era;
+    }
+
     private onEra(era: number): void {
-        if (era !== this.era) {
+        if (this.era === undefined || era > this.era) {
             emit(EventId.StoreEraChanged, { era, before: this.era });
             this.era = era;
+            this.eraEnd.abort();
+            this.eraEnd = new AbortController();
         }
     }
 }
--- a/src/types/rowStore.ts
+++ b/src/types/rowStore.ts
@@ -1,3 +1,5 @@
+import type { StoreVersion } from "./storeVersion";
+
 /** Name of a row. */
 export interface RowName {
     readonly table: string;
@@ -8,13 +10,15 @@
 /** A row as it was read; an undefined value means that it was deleted. */
 export interface StoredRow extends RowName {
     readonly value: Buffer | undefined;
-    /** From one counter for the whole store; never reused. */
-    readonly version: number;
+    readonly version: StoreVersion;
 }
 
-/** Condition that a row is at this version; 0 means that it is absent. */
+/**
+ * Condition that a row is at this version; 0 as the store's counter means that it is absent. The store does not check the era: after a restore, the condition
+ * may hold for other content. The era of the commit shows that.
+ */
 export interface RowCondition extends RowName {
-    readonly version: number;
+    readonly version: StoreVersion;
 }
 
 /** A row to write. */
@@ -32,16 +36,21 @@
 export enum TransactionKind {
     Committed = "committed",
     Conflict = "conflict",
+    /** Not sent, as the store has been restored since its conditions were read. */
+    Outdated = "outdated",
 }
 
 /** A known outcome; an unknown one is thrown as a failure with its verdict. `nowMs` is the store's monotonic clock, if its answer carries it. */
 export type TransactionResult =
-    | { readonly kind: TransactionKind.Committed; readonly version: number; readonly nowMs?: number; }
-    | { readonly kind: TransactionKind.Conflict; readonly rows: readonly StoredRow[]; readonly nowMs?: number; };
+    | { readonly kind: TransactionKind.Committed; readonly version: StoreVersion; readonly nowMs?: number; }
+    | { readonly kind: TransactionKind.Conflict; readonly rows: readonly StoredRow[]; readonly version: StoreVersion; readonly nowMs?: number; }
+    | { readonly kind: TransactionKind.Outdated; };
 
 /** A row, undefined if there is none, and the store's monotonic clock at the time of the read. */
 export interface RowResult {
     readonly row: StoredRow | undefined;
+    /** Newest version in the store at that time. */
+    readonly version: StoreVersion;
     readonly nowMs: number;
 }
 
@@ -49,13 +58,13 @@
 export interface VersionedRows {
     readonly rows: readonly StoredRow[];
     /** Newest version in the store at that time. */
-    readonly version: number;
+    readonly version: StoreVersion;
 }
 
 /** Kind of result of a change feed. */
 export enum FeedKind {
     Changes = "changes",
-    /** The requested history is no longer available: the whole table must be read. */
+    /** The requested history is no longer available, or was lost in a restore: the whole table must be read. */
     HistoryGone = "history-gone",
 }
 
@@ -69,6 +78,6 @@
     readTable(table: string): Promise<VersionedRows>;
     readRow(name: RowName): Promise<RowResult>;
     /** Waits up to `waitMs` for a change after the version. */
-    feed(table: string, after: number, waitMs: number, signal: AbortSignal): Promise<FeedResult>;
+    feed(table: string, after: StoreVersion, waitMs: number, signal: AbortSignal): Promise<FeedResult>;
     transact(transaction: RowTransaction): Promise<TransactionResult>;
 }
--- a/src/types/upstreamServer.ts
+++ b/src/types/upstreamServer.ts
@@ -1,3 +1,5 @@
+import type { StoreVersion } from "./storeVersion";
+
 /** Whether an upstream accepts new requests. */
 export enum UpstreamState {
     Ready = "ready",
@@ -27,6 +29,8 @@
     readonly onDisk: readonly string[];
     /** Epoch milliseconds of its start. */
     readonly bornAt: number;
+    /** Orders that it has accepted since its start. */
+    readonly acceptedOrders: number;
     /** Time left, for an upstream that will be removed at short notice. */
     readonly remainingMs?: number;
 }
@@ -34,13 +38,13 @@
 /** An upstream with the version of its directory row. */
 export interface DirectoryEntry {
     readonly server: UpstreamServer;
-    readonly version: number;
+    readonly version: StoreVersion;
 }
 
 /** A change of one directory row; `server` is undefined if the row was deleted. */
 export interface DirectoryChange {
     readonly id: string;
-    readonly version: number;
+    readonly version: StoreVersion;
     readonly server?: UpstreamServer;
 }
 
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -79,6 +79,7 @@
                 inMemory: [],
                 onDisk: [],
                 bornAt: 1,
+                acceptedOrders: 0,
             },
         })
     );
--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -2,6 +2,8 @@
 import { FailureKind } from "../../src/types/failureKind";
 import type { FeedResult, RowName, RowResult, RowStore, RowTransaction, StoredRow, TransactionResult, VersionedRows } from "../../src/types/rowStore";
 import { FeedKind, TransactionKind } from "../../src/types/rowStore";
+import type { StoreVersion } from "../../src/types/storeVersion";
+import { counterOf, createStoreVersion, eraOf } from "../../src/types/storeVersion";
 import { Verdict } from "../../src/types/verdict";
 import type { Random } from "../../src/utils/random";
 
@@ -12,7 +14,7 @@
 
 const clockOffsetMs = 5_000_000;
 
-/** The contents of a store at one time, from which it can be restored. */
+/** The contents of a store at one time, from which it can be restored. The rows have numbers of the store's counter, not versions. */
 export interface StoreCopy {
     readonly version: number;
     readonly rows: ReadonlyMap<string, StoredRow>;
@@ -65,25 +67,36 @@
         this.era++;
     }
 
+    /** Number of the last write, as the store's counter gives it. */
+    private get newest(): StoreVersion {
+        return createStoreVersion(this.era, this.version);
+    }
+
+    private toAnswer(row: StoredRow): StoredRow {
+        return { ...row, version: createStoreVersion(this.era, row.version) };
+    }
+
     readTable(table: string): Promise<VersionedRows> {
         this.throwIfDown();
         this.tableReads++;
-        return Promise.resolve({ rows: [...this.rows.values()].filter(row => row.table === table && row.value), version: this.version });
+        const rows = [...this.rows.values()].filter(row => row.table === table && row.value);
+        return Promise.resolve({ rows: rows.map(row => this.toAnswer(row)), version: this.newest });
     }
 
     readRow(name: RowName): Promise<RowResult> {
         this.throwIfDown();
-        return Promise.resolve({ row: this.rows.get(rowKey(name)), nowMs: this.nowMs });
+        const row = this.rows.get(rowKey(name));
+        return Promise.resolve({ row: row && this.toAnswer(row), version: this.newest, nowMs: this.nowMs });
     }
 
-    feed(table: string, after: number): Promise<FeedResult> {
+    feed(table: string, after: StoreVersion): Promise<FeedResult> {
         this.throwIfDown();
-        if (this.isCompacted || after > this.version) {
+        if (this.isCompacted || eraOf(after) !== this.era || after > this.newest) {
             this.isCompacted = false;
             return Promise.resolve({ kind: FeedKind.HistoryGone });
         }
-        const rows = [...this.rows.values()].filter(row => row.table === table && row.version > after);
-        return Promise.resolve({ kind: FeedKind.Changes, rows, version: this.version });
+        const rows = [...this.rows.values()].filter(row => row.table === table && row.version > counterOf(after));
+        return Promise.resolve({ kind: FeedKind.Changes, rows: rows.map(row => this.toAnswer(row)), version: this.newest });
     }
 
     transact(transaction: RowTransaction): Promise<TransactionResult> {
@@ -103,12 +116,13 @@
 
     private apply({ conditions, puts }: RowTransaction): TransactionResult {
         const current = conditions.map(condition => this.rows.get(rowKey(condition)));
-        if (conditions.some(({ version }, index) => (current[index]?.version ?? 0) !== version)) {
-            return { kind: TransactionKind.Conflict, rows: current.filter(row => row !== undefined), nowMs: this.nowMs };
+        if (conditions.some(({ version }, index) => (current[index]?.version ?? 0) !== counterOf(version))) {
+            const rows = current.filter(row => row !== undefined).map(row => this.toAnswer(row));
+            return { kind: TransactionKind.Conflict, rows, version: this.newest, nowMs: this.nowMs };
         }
         const version = ++this.version;
         puts.forEach(put => this.rows.set(rowKey(put), { ...put, version }));
-        return { kind: TransactionKind.Committed, version, nowMs: this.nowMs };
+        return { kind: TransactionKind.Committed, version: this.newest, nowMs: this.nowMs };
     }
 
     private throwIfDown(): void {
--- a/test/fakes/platformStoreServer.ts
+++ b/test/fakes/platformStoreServer.ts
@@ -2,6 +2,7 @@
 import { toFailure } from "../../src/core/failures";
 import { FeedKind, TransactionKind } from "../../src/types/rowStore";
 import type { StoredRow } from "../../src/types/rowStore";
+import { counterOf, createStoreVersion } from "../../src/types/storeVersion";
 import { Verdict } from "../../src/types/verdict";
 import { sleep } from "../../src/utils/time";
 import type { Handler } from "./jsonServer";
@@ -15,7 +16,7 @@
     table,
     part,
     key,
-    ver: version,
+    ver: counterOf(version),
     ...(value ? { value: value.toString("base64") } : { deleted: true }),
 });
 
@@ -51,17 +52,17 @@
             "GET /api/rows-get": async ({ url }) => {
                 const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
                 const from = url.searchParams.get("from") ?? "";
-                return { rows: rows.filter(({ key }) => key >= from).map(toWire), hasMore: false, ver: version, nowMs: store.nowMs };
+                return { rows: rows.filter(({ key }) => key >= from).map(toWire), hasMore: false, ver: counterOf(version), nowMs: store.nowMs };
             },
             "GET /api/rows-feed": async ({ url }) => {
                 const deadlineAt = performance.now() + Number(url.searchParams.get("waitMs"));
                 for (;;) {
-                    const result = await store.feed(url.searchParams.get("table") ?? "", Number(url.searchParams.get("after")));
+                    const result = await store.feed(url.searchParams.get("table") ?? "", createStoreVersion(store.era, Number(url.searchParams.get("after"))));
                     if (result.kind === FeedKind.HistoryGone) {
                         return new StatusResponse(410);
                     }
                     if (result.rows.length > 0 || performance.now() > deadlineAt) {
-                        return { rows: result.rows.map(toWire), ver: result.version, nowMs: store.nowMs };
+                        return { rows: result.rows.map(toWire), ver: counterOf(result.version), nowMs: store.nowMs };
                     }
                     await sleep(feedPollMs);
                 }
@@ -69,12 +70,13 @@
             "POST /api/rows-tx": async ({ body }) => {
                 const { expected, puts } = body as WireTransaction;
                 const result = await store.transact({
-                    conditions: expected.map(({ ver, ...name }) => ({ ...name, version: ver })),
+                    conditions: expected.map(({ ver, ...name }) => ({ ...name, version: createStoreVersion(store.era, ver) })),
                     puts: puts.map(({ value, ...name }) => ({ ...name, value: Buffer.from(value, "base64") })),
                 });
-                return result.kind === TransactionKind.Committed
-                    ? { ver: result.version, nowMs: store.nowMs }
-                    : new StatusResponse(412, { rows: result.rows.map(toWire), nowMs: store.nowMs });
+                if (result.kind === TransactionKind.Committed) {
+                    return { ver: counterOf(result.version), nowMs: store.nowMs };
+                }
+                return new StatusResponse(412, { rows: result.kind === TransactionKind.Conflict ? result.rows.map(toWire) : [], nowMs: store.nowMs });
             },
         }),
     );
--- a/test/fakes/troubledRunner.ts
+++ b/test/fakes/troubledRunner.ts
@@ -70,6 +70,7 @@
             inMemory: [],
             onDisk: [],
             bornAt: this.starts,
+            acceptedOrders: 0,
         };
     }
 
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -71,6 +71,7 @@
                 inMemory: [],
                 onDisk: [],
                 bornAt: runner.bornAt,
+                acceptedOrders: 0,
             },
         });
     runners.forEach(publish);
--- a/test/runnerTracker.test.ts
+++ b/test/runnerTracker.test.ts
@@ -80,6 +80,7 @@
                 inMemory: [],
                 onDisk: [],
                 bornAt: 1,
+                acceptedOrders: 0,
             }, () => 0);
             [report(3), ...steps].forEach(step => step(tracker));
             assert.deepEqual([tracker.canOrder, tracker.pendingOrder !== undefined], [canOrder, isPending]);
@@ -120,6 +121,7 @@
                 inMemory: [],
                 onDisk: [],
                 bornAt: 1,
+                acceptedOrders: 0,
             };
             const tracker = RunnerTracker.create(server, () => 0);
             tracker.onReport(reportOf(3), engine);
--- a/test/storeClient.test.ts
+++ b/test/storeClient.test.ts
@@ -1,10 +1,11 @@
 import assert from "node:assert/strict";
 import type { Server } from "node:http";
-import { after, before, describe, it } from "node:test";
+import { after, before, beforeEach, describe, it } from "node:test";
 import { toFailure } from "../src/core/failures";
 import { defaultTransportLimits } from "../src/node/transportLimitSettings";
 import { StoreClient } from "../src/platform/storeClient";
 import { FeedKind, TransactionKind } from "../src/types/rowStore";
+import { createStoreVersion } from "../src/types/storeVersion";
 import { Verdict } from "../src/types/verdict";
 import type { Handler } from "./fakes/jsonServer";
 import { alreadyAnswered, portOf, serveJson, StatusResponse } from "./fakes/jsonServer";
@@ -70,6 +71,73 @@
         assert.equal(conflict.rows[0]!.version, 4);
     });
 
+    describe("after a restore", () => {
+        let restored: StoreClient;
+        beforeEach(() => restored = StoreClient.create(`127.0.0.1:${portOf(server)}`, defaultTransportLimits));
+        const answerOf = (era: number, value: unknown): Handler => ({ res }) => {
+            res.setHeader("store-era", era);
+            return value;
+        };
+        const { signal } = new AbortController();
+        const put = { conditions: [{ ...rowName, version: createStoreVersion(1, 4) }], puts: [] };
+
+        it("names the era in all versions", async () => {
+            handlers.get = answerOf(2, { rows: [row], hasMore: false, ver: 9, nowMs: 70 });
+            handlers.tx = answerOf(2, { ver: 10 });
+            const [{ rows, version }, reading] = [await restored.readTable("t"), await restored.readRow(rowName)];
+            assert.deepEqual([rows[0]!.version, version, reading.version], [createStoreVersion(2, 4), createStoreVersion(2, 9), createStoreVersion(2, 9)]);
+            const committed = await restored.transact({ conditions: [], puts: [] });
+            assert.ok(committed.kind === TransactionKind.Committed);
+            assert.equal(committed.version, createStoreVersion(2, 10));
+        });
+
+        it("does not take the changes of another era for those after a version", async () => {
+            handlers.feed = answerOf(2, { rows: [row], ver: 6, nowMs: 90 });
+            assert.deepEqual(await restored.feed("t", createStoreVersion(1, 3), 100, signal), { kind: FeedKind.HistoryGone });
+        });
+
+        it("ends a wait for changes of the era before as soon as another answer names the new one", async () => {
+            handlers.get = answerOf(1, { rows: [], hasMore: false, ver: 9, nowMs: 70 });
+            await restored.readTable("t");
+            handlers.feed = () => new Promise(() => undefined);
+            const waiting = restored.feed("t", createStoreVersion(1, 9), 5_000, signal);
+            handlers.get = answerOf(2, { rows: [], hasMore: false, ver: 3, nowMs: 70 });
+            await restored.readTable("t");
+            assert.deepEqual(await waiting, { kind: FeedKind.HistoryGone });
+        });
+
+        it("does not send conditions of the era before", async () => {
+            handlers.get = answerOf(2, { rows: [], hasMore: false, ver: 3, nowMs: 70 });
+            await restored.readTable("t");
+            handlers.tx = () => assert.fail("sent");
+            assert.deepEqual(await restored.transact(put), { kind: TransactionKind.Outdated });
+        });
+
+        it("shows by the era of a commit that its condition held for other content", async () => {
+            handlers.get = answerOf(1, { rows: [], hasMore: false, ver: 3, nowMs: 70 });
+            await restored.readTable("t");
+            handlers.tx = answerOf(2, { ver: 10 });
+            const committed = await restored.transact(put);
+            assert.ok(committed.kind === TransactionKind.Committed);
+            assert.equal(committed.version, createStoreVersion(2, 10));
+        });
+
+        it("discards an answer of an era before that of an earlier answer", async () => {
+            handlers.get = answerOf(2, { rows: [], hasMore: false, ver: 3, nowMs: 70 });
+            await restored.readTable("t");
+            handlers.get = answerOf(1, { rows: [row], hasMore: false, ver: 9, nowMs: 60 });
+            await assert.rejects(restored.readTable("t"), (err: unknown) => toFailure(err).verdict === Verdict.MayHaveRun);
+        });
+
+        it("does not join pages of two eras", async () => {
+            handlers.get = input =>
+                input.url.searchParams.get("from") === ""
+                    ? answerOf(1, { rows: [row], hasMore: true, ver: 9, nowMs: 70 })(input)
+                    : answerOf(2, { rows: [], hasMore: false, ver: 3, nowMs: 80 })(input);
+            await assert.rejects(restored.readTable("t"));
+        });
+    });
+
     const failures: readonly { readonly name: string; readonly handler: Handler; readonly verdict: Verdict; }[] = [
         { name: "takes status 503 as proof that the transaction did not run", handler: () => new StatusResponse(503), verdict: Verdict.NotRun },
         { name: "takes status 429 as proof that the transaction did not run", handler: () => new StatusResponse(429), verdict: Verdict.NotRun },
