Take the lease row of a restored store for what it is: a copy that lacks the last seconds

Cause: the epoch was the row's number, which goes back; and a restore loses the runner leases of the last seconds, so that the next holder orders runners at once that the last one ordered a moment ago.

The row names the era in which it was written. One of another era counts as vacant, and the next holder waits until every order has arrived that a holder from before the restore can have sent (1.5 s lease, 0.4 s to send, 0.5 s to arrive) and the gap has passed; the row passes that on to successors (unrecordedUntilMs). A holder whose lease is in force when it sees the restore goes on at once: no other can have sent orders. Each era starts another epoch. A commit in another era than its condition, which held by coincidence or for the copied row, is written again. Loads from the weight store that a node has seen are kept. What a process knows of the row moves to core/leaseView.ts; ControllerLease reads and writes it.

Weighed and not built: no wait for the node that held the lease last, as it cannot know whether another held it while it was cut off from the store.

--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -2,35 +2,28 @@
 import { EventId } from "../types/eventId";
 import type { RowName, RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
-import { absentVersionIn } from "../types/storeVersion";
+import type { StoreVersion } from "../types/storeVersion";
+import { eraOf } from "../types/storeVersion";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
-import type { LeaseCandidate, LeaseRules, PendingRunnerLease, SeenRow } from "./controllerRow";
-import { controllerLeaseTtlMs, decodeControllerRow, maxOrderDeliveryMs, nextControllerRow, storedCrashesOf } from "./controllerRow";
+import type { LeaseCandidate, LeaseRules, PendingRunnerLease } from "./controllerRow";
+import { nextControllerRow, storedCrashesOf } from "./controllerRow";
 import { LeaseVacancy } from "./leaseVacancy";
-import { StoreClock } from "./storeClock";
+import { LeaseView, noEpoch } from "./leaseView";
 
-/** A tick renews the lease only if the last renewal is at least this old. */
-const minRenewalAgeMs = 400;
-
-const noEpoch = 0;
 const noCrashes: DurableCrashes = { durable: [], add: () => undefined };
 
 const rowName: RowName = { table: "jackdawtrail", part: "", key: "controller" };
 
 /**
  * The lease of the node that controls the runners. Its epoch is the row's version at the takeover: unique, and increasing
- * with each holder. Before an order is sent, the row records a runner lease: the runner, and the time until which the order
+ * with each holder and era of the store. Before an order is sent, the row records a runner lease: the runner, and the time until which the order
  * may arrive. A successor takes over at once and waits only for runners whose runner lease is in force or ended less than
  * `turnGapMs` ago.
  */
 export class ControllerLease {
-    private readonly clock = StoreClock.create();
-    private seen: SeenRow | undefined;
-    private epoch = noEpoch;
-    private isEnded = false;
+    private readonly view: LeaseView;
     private wasHeld = false;
-    private yieldedVersion: number | undefined;
     private requests: PendingRunnerLease[] = [];
     /** The newest queued operation; operations run one by one, each from the row version that the one before it left. */
     private lastOperation: Promise<unknown> = Promise.resolve();
@@ -41,7 +34,9 @@
         private readonly rules: LeaseRules,
         private readonly vacancy: LeaseVacancy,
         private readonly crashes: DurableCrashes,
-    ) {}
+    ) {
+        this.view = LeaseView.create(self, rules);
+    }
 
     static create(
         store: RowStore,
@@ -55,40 +50,39 @@
 
     /** The epoch while the lease is certainly held by this process, undefined otherwise. */
     get heldEpoch(): number | undefined {
-        return !this.isEnded && this.isOwn && this.epoch !== noEpoch && this.clock.latestMs < this.seen!.row!.untilMs ? this.epoch : undefined;
+        return this.view.heldEpoch;
     }
 
     /** Sent to peers by a holder whose lease expired because it could not renew it, so that a successor need not wait. */
     get yielding(): LeaseYield | undefined {
-        return this.isOwn && this.heldEpoch === undefined && this.epoch !== noEpoch ? { version: this.seen!.version } : undefined;
+        const { isOwn, epoch, seen } = this.view;
+        return isOwn && this.heldEpoch === undefined && epoch !== noEpoch ? { version: seen!.version } : undefined;
     }
 
     /** Records a holder's statement that it sends no more orders. */
-    onYield({ version }: LeaseYield): void {
-        this.yieldedVersion = version;
+    onYield(statement: LeaseYield): void {
+        this.view.onYield(statement);
     }
 
     /** Address at which peers reach the holder, as last seen. */
     get holderAddress(): string | undefined {
-        return this.seen?.row?.isReleased === false ? this.seen.row.peerAddress : undefined;
+        return this.view.seen?.row?.isReleased === false ? this.view.seen.row.peerAddress : undefined;
     }
 
     /** Version of the row as last seen. */
-    get seenVersion(): number | undefined {
-        return this.seen?.version;
+    get seenVersion(): StoreVersion | undefined {
+        return this.view.seen?.version;
     }
 
     /** Ages of the loads from the weight store that started within the last `loadWindowMs`, by any holder. */
     get weightStoreLoadAges(): readonly number[] {
-        const { earliestMs } = this.clock;
-        return (this.seen?.row?.storeLoads ?? []).map(startedAt => Math.max(0, earliestMs - startedAt));
+        const { earliestMs } = this.view.clock;
+        return (this.view.seen?.row?.storeLoads ?? []).map(startedAt => Math.max(0, earliestMs - startedAt));
     }
 
     /** Whether orders may be sent to a runner: the lease is held, and no other holder's order can have reached the runner within the last `turnGapMs`. */
     mayOrder(runner: string): boolean {
-        const runnerLease = this.seen?.row?.turns[runner];
-        const isAvailable = !runnerLease || runnerLease.holder === this.self.holder || this.clock.earliestMs >= runnerLease.untilMs + this.rules.turnGapMs;
-        return this.heldEpoch !== undefined && isAvailable;
+        return this.view.mayOrder(runner);
     }
 
     /** Requests a runner lease; true when an order may be sent at once. */
@@ -96,7 +90,7 @@
         if (!this.mayOrder(runner)) {
             return Promise.resolve(false);
         }
-        if (!isWeightStoreLoad && this.hasRunnerLease(runner)) {
+        if (!isWeightStoreLoad && this.view.hasRunnerLease(runner)) {
             return Promise.resolve(true);
         }
         return new Promise(resolve => {
@@ -109,15 +103,15 @@
     /** Renews the lease while it is held; otherwise reads the row, and takes the lease over if that is allowed. */
     tick(): Promise<void> {
         return this.runExclusively(async () => {
-            if (this.isEnded || this.isRecentlyRenewed) {
+            if (this.view.isReleased || this.view.isRecentlyRenewed) {
                 return;
             }
             this.logLoss();
             if (this.heldEpoch === undefined) {
                 await this.read();
             }
-            this.vacancy.update(this.seen !== undefined && !this.isOwn && this.isVacant(this.seen));
-            if (this.isOwn || this.vacancy.takeoverInMs === 0) {
+            this.vacancy.update(this.view.isVacant);
+            if (this.view.isOwn || this.vacancy.takeoverInMs === 0) {
                 await this.writeWithRetry([]);
             }
         });
@@ -127,27 +121,13 @@
     release(): Promise<void> {
         return this.runExclusively(async () => {
             const wasHeld = this.heldEpoch !== undefined;
-            this.isEnded = true;
+            this.view.isReleased = true;
             if (wasHeld) {
                 await this.write([], true);
             }
         });
     }
 
-    private get isOwn(): boolean {
-        return this.seen?.row?.boot === this.self.boot && !this.seen.row.isReleased;
-    }
-
-    /** Whether the lease was renewed less than `minRenewalAgeMs` ago. */
-    private get isRecentlyRenewed(): boolean {
-        return this.heldEpoch !== undefined && this.clock.latestMs < this.seen!.row!.untilMs - controllerLeaseTtlMs + minRenewalAgeMs;
-    }
-
-    private hasRunnerLease(runner: string): boolean {
-        const runnerLease = this.seen?.row?.turns[runner];
-        return this.heldEpoch !== undefined && runnerLease?.holder === this.self.holder && this.clock.latestMs + maxOrderDeliveryMs <= runnerLease.untilMs;
-    }
-
     private runExclusively<T>(operation: () => Promise<T>): Promise<T> {
         const done = this.lastOperation.then(operation);
         this.lastOperation = done.catch(() => undefined);
@@ -166,33 +146,26 @@
         catch (err) {
             emit(EventId.RunnerLeasesUnwritten, { runners: requests.map(({ runner }) => runner), detail: err instanceof Error ? err.message : String(err) });
         }
-        requests.forEach(({ runner, resolve }) => resolve(this.hasRunnerLease(runner)));
+        requests.forEach(({ runner, resolve }) => resolve(this.view.hasRunnerLease(runner)));
     }
 
     private async read(): Promise<void> {
         const requestedAt = readClocks();
         const { row, version, nowMs } = await this.store.readRow(rowName);
-        this.clock.onAnswer(nowMs, requestedAt);
-        this.setSeenRow(decodeControllerRow(row), row?.version ?? absentVersionIn(version));
-    }
-
-    private setSeenRow(row: ControllerRow | undefined, version: number): void {
-        if (row?.boot !== this.self.boot) {
-            this.epoch = noEpoch;
-        }
-        this.seen = { row, version };
-        // All nodes that knew these crashes may have been restarted.
-        storedCrashesOf(row, this.clock).forEach(crash => this.crashes.add(crash));
+        this.view.clock.onAnswer(nowMs, requestedAt);
+        this.view.onRead(row, version);
+        this.addStoredCrashes(this.view.seen?.row);
     }
 
-    private isVacant({ row, version }: SeenRow): boolean {
-        return !row || row.isReleased || row.holder === this.self.holder || this.yieldedVersion === version || this.clock.earliestMs >= row.untilMs;
+    /** Shares the crashes that a row keeps: all nodes that knew them may have been restarted. */
+    private addStoredCrashes(row: ControllerRow | undefined): void {
+        storedCrashesOf(row, this.view.clock).forEach(crash => this.crashes.add(crash));
     }
 
     /** Writes the row, and once more if an earlier write of this process took effect although its answer was lost. */
     private async writeWithRetry(requests: readonly PendingRunnerLease[]): Promise<void> {
         const isWritten = await this.write(requests, false);
-        if (!isWritten && this.isOwn) {
+        if (!isWritten && this.view.isOwn) {
             await this.write(requests, false);
         }
     }
@@ -200,8 +173,8 @@
     /** Writes the row; false if its version was not the expected one. */
     private async write(requests: readonly PendingRunnerLease[], isReleased: boolean): Promise<boolean> {
         const requestedAt = readClocks();
-        const expected = this.seen!.version;
-        const row = nextControllerRow(this.seen!.row, this.self, this.clock, requests, isReleased, this.crashes.durable, this.rules);
+        const expected = this.view.seen!.version;
+        const row = nextControllerRow(this.view.seen!, this.self, this.view.clock, requests, isReleased, this.crashes.durable, this.rules);
         const result = await this.store.transact({
             conditions: [{ ...rowName, version: expected }],
             puts: [{ ...rowName, value: Buffer.from(JSON.stringify(row)) }],
@@ -211,27 +184,31 @@
             return false;
         }
         if (result.nowMs !== undefined) {
-            this.clock.onAnswer(result.nowMs, requestedAt);
+            this.view.clock.onAnswer(result.nowMs, requestedAt);
         }
         if (result.kind === TransactionKind.Conflict) {
-            const current = result.rows[0];
-            this.setSeenRow(decodeControllerRow(current), current?.version ?? absentVersionIn(result.version));
+            this.view.onRead(result.rows[0], result.version);
+            this.addStoredCrashes(this.view.seen?.row);
             this.logLoss();
             return false;
         }
-        this.setSeenRow(row, result.version);
+        this.view.onRow(row, result.version);
+        if (eraOf(result.version) !== eraOf(expected)) {
+            // The store was restored in between: the condition held for the row of the copy, or for another one by coincidence.
+            return false;
+        }
         if (isReleased) {
             this.wasHeld = false;
-            emit(EventId.LeaseLost, { epoch: this.epoch, reason: "released" });
+            emit(EventId.LeaseLost, { epoch: this.view.epoch, reason: "released" });
             return true;
         }
-        if (this.epoch === noEpoch) {
-            this.epoch = result.version;
+        if (this.view.epoch === noEpoch) {
+            this.view.epoch = result.version;
         }
         if (!this.wasHeld) {
             // While the row is this process's own, no other process can have held the lease: the epoch stays.
-            const reason = this.epoch === result.version ? "taken over" : "renewed after it expired";
-            emit(EventId.LeaseTaken, { epoch: this.epoch, expected, reason, turns: Object.keys(row.turns).length });
+            const reason = this.view.epoch === result.version ? "taken over" : "renewed after it expired";
+            emit(EventId.LeaseTaken, { epoch: this.view.epoch, expected, reason, turns: Object.keys(row.turns).length });
         }
         this.wasHeld = true;
         return true;
@@ -241,8 +218,8 @@
     private logLoss(): void {
         if (this.wasHeld && this.heldEpoch === undefined) {
             this.wasHeld = false;
-            const reason = this.isOwn ? "expired" : "taken";
-            emit(EventId.LeaseLost, { epoch: this.epoch, holder: this.seen?.row?.holder, rowVersion: this.seen?.version, reason });
+            const reason = this.view.isOwn ? "expired" : "taken";
+            emit(EventId.LeaseLost, { epoch: this.view.epoch, holder: this.view.seen?.row?.holder, rowVersion: this.view.seen?.version, reason });
         }
     }
 }
--- a/src/core/controllerRow.ts
+++ b/src/core/controllerRow.ts
@@ -3,6 +3,8 @@
 import { EventId } from "../types/eventId";
 import type { StoredRow } from "../types/rowStore";
 import type { RunnerCrash } from "../types/runnerCrash";
+import type { StoreVersion } from "../types/storeVersion";
+import { eraOf } from "../types/storeVersion";
 import { emit } from "../utils/events";
 import type { StoreClock } from "./storeClock";
 
@@ -11,7 +13,7 @@
 /** A sent order reaches its runner, or fails, within this time. */
 export const maxOrderDeliveryMs = 500;
 /** Allowance from the request for a runner lease until the order is sent; the store answers in between. */
-const maxSendDelayMs = 400;
+export const maxSendDelayMs = 400;
 
 const rowSchema: z.ZodType<ControllerRow> = z.object({
     holder: z.string(),
@@ -19,9 +21,11 @@
     peerAddress: z.string(),
     isReleased: z.boolean(),
     untilMs: z.number(),
+    // Missing from rows of earlier releases, like the crashes; those are taken for rows from before a restore.
+    era: z.number().default(0),
+    unrecordedUntilMs: z.number().default(0),
     turns: z.record(z.string(), z.object({ holder: z.string(), untilMs: z.number() })),
     storeLoads: z.array(z.number()),
-    // Missing from rows of earlier releases.
     crashes: z.array(z.object({ id: z.string(), atMs: z.number(), parts: z.array(z.string()) })).default([]),
 });
 
@@ -50,7 +54,7 @@
 /** The row as last read or written; undefined if it did not exist. */
 export interface SeenRow {
     readonly row: ControllerRow | undefined;
-    readonly version: number;
+    readonly version: StoreVersion;
 }
 
 /** Decodes the lease row; undefined if it is missing or unreadable. */
@@ -70,7 +74,7 @@
 
 /** The row that a holder writes next: renewed, with the requested runner leases and the earlier ones that still block another holder. */
 export const nextControllerRow = (
-    row: ControllerRow | undefined,
+    { row, version }: SeenRow,
     self: LeaseCandidate,
     { earliestMs, latestMs }: StoreClock,
     requests: readonly RunnerLeaseRequest[],
@@ -80,17 +84,33 @@
 ): ControllerRow => {
     const runnerLease: RunnerLease = { holder: self.holder, untilMs: latestMs + maxSendDelayMs + maxOrderDeliveryMs };
     const activeLeases = Object.entries(row?.turns ?? {}).filter(([, { untilMs }]) => untilMs + turnGapMs > earliestMs);
+    const unrecordedUntilMs = row?.unrecordedUntilMs ?? 0;
     const storeLoads = (row?.storeLoads ?? []).filter(startedAt => startedAt + loadWindowMs > earliestMs);
     return {
         ...self,
         isReleased,
         untilMs: latestMs + controllerLeaseTtlMs,
+        era: eraOf(version),
+        unrecordedUntilMs: unrecordedUntilMs + turnGapMs > earliestMs ? unrecordedUntilMs : 0,
         turns: Object.fromEntries([...activeLeases, ...requests.map(({ runner }) => [runner, runnerLease] as const)]),
         storeLoads: [...storeLoads, ...requests.filter(({ isWeightStoreLoad }) => isWeightStoreLoad).map(() => latestMs)],
         crashes: crashes.map(({ id, ageMs, suspects }) => ({ id, atMs: Math.round(latestMs - ageMs), parts: suspects.flat() })),
     };
 };
 
+/** Whether a holder may order a runner: no order of another holder can have reached the runner within the gap. */
+export const isGapOver = (
+    { turns, unrecordedUntilMs }: ControllerRow,
+    runner: string,
+    holder: string,
+    { earliestMs }: StoreClock,
+    { turnGapMs }: LeaseRules,
+): boolean => {
+    const runnerLease = turns[runner];
+    const lastOrderMs = Math.max(unrecordedUntilMs, runnerLease && runnerLease.holder !== holder ? runnerLease.untilMs : 0);
+    return lastOrderMs === 0 || earliestMs >= lastOrderMs + turnGapMs;
+};
+
 /** The crashes that a row keeps. */
 export const storedCrashesOf = (row: ControllerRow | undefined, { earliestMs }: StoreClock): readonly RunnerCrash[] =>
     (row?.crashes ?? []).map(({ id, atMs, parts }) => ({ id, ageMs: Math.max(0, earliestMs - atMs), suspects: [parts], cleared: [] }));
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -1,4 +1,5 @@
 import type { RunnerCrash } from "./runnerCrash";
+import type { StoreVersion } from "./storeVersion";
 
 /** A holder's right to send orders to one runner. Its last order arrives before `untilMs` on the store's clock. */
 export interface RunnerLease {
@@ -18,6 +19,10 @@
     readonly isReleased: boolean;
     /** Expiry of the lease unless it is renewed. */
     readonly untilMs: number;
+    /** Era of the store in which the row was written. */
+    readonly era: number;
+    /** Until when orders may arrive without a runner lease in this row, because a restore of the store has lost it; 0 if none may. */
+    readonly unrecordedUntilMs: number;
     /** Runner leases: the newest of each runner that recently received orders, of any holder. */
     readonly turns: Readonly<Record<string, RunnerLease>>;
     /** Start times of the last loads from the weight store, by any holder. */
@@ -42,5 +47,5 @@
 
 /** A holder's statement that it sends no more orders under the given version of the row. */
 export interface LeaseYield {
-    readonly version: number;
+    readonly version: StoreVersion;
 }
