--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -60,6 +60,11 @@
         return { version: this.version, rows: new Map(this.rows) };
     }
 
+    /** Keys of the rows of a table. */
+    keysOf(table: string): readonly string[] {
+        return [...this.rows.values()].filter(row => row.table === table && row.value).map(({ key }) => key);
+    }
+
     /** Replaces the contents by a copy: all later writes are lost, and their versions are used again. */
     restore({ version, rows }: StoreCopy): void {
         this.version = version;
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -11,6 +11,7 @@
 import { soakFaults } from "./soakFaults";
 import { SoakFleet } from "./soakFleet";
 import { SoakNode } from "./soakNode";
+import { restoreStore } from "./storeRestores";
 
 const nodeCount = 3;
 const callerCount = 8;
@@ -71,6 +72,7 @@
 
     const limitRun = fleet.limits.run(() => fleet.all(), createRandom(seed ^ limitSalt));
     const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
+    const restores = restoreStore(seed, store, fleet, nodes, abort.signal);
     const injectedFaults: string[] = [];
     const faultsEndAt = performance.now() + seconds * 1_000;
     const context = { nodes, fleet, store, checker, random, seeds };
@@ -81,7 +83,7 @@
         activeFaults.push(fault(context));
         await sleep(200 + 700 * random());
     }
-    await Promise.all(activeFaults);
+    await Promise.all([...activeFaults, restores]);
     fleet.limits.end();
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
--- a/test/processSoak/soakFaults.ts
+++ b/test/processSoak/soakFaults.ts
@@ -30,7 +30,8 @@
 
 const drawDurationMs = (random: Random): number => 400 + random() * 3_500;
 
-const suspendChecks = (node: SoakNode, ms: number): void => {
+/** Suspends the guarantees of a node that have time bounds until it has recovered from a fault. */
+export const suspendChecks = (node: SoakNode, ms: number): void => {
     node.checksSuspendedUntil = Math.max(node.checksSuspendedUntil, performance.now() + ms + recoveryMs);
 };
 
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -67,6 +67,7 @@
     private readonly removedUpstreamViolations: string[] = [];
     private readonly timer: NodeJS.Timeout;
     private configVersion = 0;
+    private configBytes: Buffer | undefined;
     private createdCount = 0;
     private isTerminated = false;
 
@@ -95,7 +96,17 @@
             services: [{ name: "desk", healthPath: "/h", maxConns: 100 }, { name: "engines", healthPath: "/h", maxConns: 100, engine: engineOnWire }],
             limits: { maxHeaderBytes: 8_192, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
         };
-        this.store.put(configRowName, Buffer.from(JSON.stringify(config)));
+        this.configBytes = Buffer.from(JSON.stringify(config));
+        this.store.put(configRowName, this.configBytes);
+    }
+
+    /** Writes again what a restored store may lack, not all at one time; the rows of upstreams that have left expire. */
+    writeAgain(withinMs: number, random: Random): void {
+        setTimeout(() => this.store.put(configRowName, this.configBytes), withinMs * random());
+        this.upstreams.forEach(upstream => setTimeout(() => !upstream.isGone && this.writeRow(upstream), withinMs * random()));
+        for (const key of this.store.keysOf("servers").filter(id => !this.upstreams.some(upstream => upstream.id === id))) {
+            setTimeout(() => this.store.put({ table: "servers", part: "", key }, undefined), withinMs);
+        }
     }
 
     /** Picks a ready upstream that is not the last ready one of its service. */
