Log what relates a failed attempt to the same request elsewhere, and failing tests of requests that crash runners

Event 402 names two keys of the request: by method, host, path, credentials and body, and by all that a runner sees.

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,4 +1,5 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
+import { requestKeysOf } from "../core/requestKeys";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
@@ -210,6 +211,13 @@
         }
     }
 
+    /** What relates this request to the same one at other times and nodes. */
+    private get requestKeys(): readonly string[] {
+        const { req, body, caller } = this.call;
+        const { method = "", url = "", headers: { host = "", authorization: credentials } } = req;
+        return requestKeysOf({ method, host, url, credentials, body, modelRequest: caller.modelRequest });
+    }
+
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
         traffic.onFailure();
         this.logFailed(upstream, reason, Verdict.MayHaveRun);
@@ -228,6 +236,7 @@
             lastEvent: this.relay.lastEventId,
             hasAnswered: this.relay.attemptEventAt !== undefined,
             sharedParts: modelRequest && this.prompt.sharedParts,
+            requestKeys: this.requestKeys,
         });
     }
 }
--- a/test/fakes/servingFleet.ts
+++ b/test/fakes/servingFleet.ts
@@ -9,7 +9,7 @@
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
 import { reservePort } from "./ports";
-import type { TroubledRunnerOptions } from "./troubledRunner";
+import type { RunnerRequest, TroubledRunnerOptions } from "./troubledRunner";
 import { TroubledRunner } from "./troubledRunner";
 
 const route = {
@@ -25,13 +25,23 @@
     isResumable: true,
 };
 
+const counterRoute = {
+    ...route,
+    name: "c",
+    prefix: "/counter/",
+    kind: RouteKind.Idempotent,
+    targets: [{ service: "counter", weight: 1 }],
+    isResumable: false,
+};
+const bookingRoute = { ...counterRoute, name: "b", prefix: "/booking/", kind: RouteKind.NonIdempotent };
+
 const startNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal) => {
     const node = await createNode(store, name, seeds, signal);
     node.gateway.prober = UpstreamProber.create(RunnerClient.create(defaultTransportLimits));
     node.gateway.applyConfig({
         version: 1,
-        routes: [route],
-        services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
+        routes: [route, counterRoute, bookingRoute],
+        services: new Map(["desk", "counter"].map(service => [service, { name: service, healthPath: "/healthz", maxConnections: 100 }])),
         limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
     }, Buffer.from(""));
     const server = CallerServer.create(node.gateway);
@@ -85,21 +95,27 @@
     }
 
     /** Sends a request with the given shared parts and a last part of its own to a node. */
-    call(node: ServingNode, sharedParts: readonly string[]): Promise<CallerResult> {
+    call(node: ServingNode, sharedParts: readonly string[], body = ""): Promise<CallerResult> {
         const id = `id-${++this.sequence}`;
         const prefix = [...sharedParts, `own${this.sequence}`].map(part => `${part}:50`).join(",");
         const headers = { "attempt-id": id, model: "m", "token-count": "150,40", "prompt-prefix": prefix };
-        return callGateway(node.address, { headers });
+        return callGateway(node.address, { headers, body });
+    }
+
+    /** Sends a request without a model to a node. */
+    callPlain(node: ServingNode, path: string, body: string): Promise<CallerResult> {
+        return callGateway(node.address, { path, body, headers: { "attempt-id": `id-${++this.sequence}` } });
     }
 
-    /** Times of all crashes caused by a part, in order. */
+    /** Times of all crashes caused by a part or a body, in order. */
     crashTimes(part: string): readonly number[] {
         return this.runners.flatMap(({ crashes }) => crashes.filter(crash => crash.part === part).map(({ at }) => at)).sort((a, b) => a - b);
     }
 
-    /** Requests with a part that reached runners after a time. */
-    receivedAfter(part: string, at: number): number {
-        return this.runners.flatMap(({ received }) => received).filter(req => req.at > at && req.parts.includes(part)).length;
+    /** Requests with a part or a body that reached runners after a time. */
+    receivedAfter(partOrBody: string, at: number): number {
+        const isMeant = ({ parts, body }: RunnerRequest): boolean => parts.includes(partOrBody) || body === partOrBody;
+        return this.runners.flatMap(({ received }) => received).filter(req => req.at > at && isMeant(req)).length;
     }
 
     close(): void {
--- a/test/fakes/troubledRunner.ts
+++ b/test/fakes/troubledRunner.ts
@@ -18,12 +18,17 @@
     readonly at: number;
     readonly id: string;
     readonly parts: readonly string[];
+    readonly body: string;
 }
 
 /** Options of a runner. */
 export interface TroubledRunnerOptions {
     /** Parts of a prompt that crash the runner when it begins to write an answer on one. */
     readonly crashParts: ReadonlySet<string>;
+    /** Bodies of requests that crash the runner before it answers. */
+    readonly crashBodies?: ReadonlySet<string>;
+    /** Its service: "desk" has models and streams, any other one gives plain answers. */
+    readonly service?: string;
     /** How long the runner stays away after a crash. */
     readonly restartMs: number;
     /** Called when the runner has started again, with a new ID at the same address. */
@@ -61,7 +66,7 @@
     get entry(): UpstreamServer {
         return {
             id: this.id,
-            service: "desk",
+            service: this.options.service ?? "desk",
             address: `127.0.0.1:${this.port}`,
             availabilityZone: "a",
             slots: 16,
@@ -106,11 +111,16 @@
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        await text(req);
+        const body = await text(req);
         if (req.headers["expect-instance"] !== this.id) {
             res.writeHead(421, { "Instance-Id": this.id }).end();
             return;
         }
+        const isPlain = this.entry.service !== "desk";
+        if (req.url === "/api/report" && isPlain) {
+            res.writeHead(404).end();
+            return;
+        }
         if (req.url === "/api/report") {
             const models = [{ name: "m", version: 1, adapters: [] }];
             const report = { models, atHand: { inMemory: [], onDisk: [] }, busy: false, seq: 0, queued: 0, active: 0, born: this.starts };
@@ -119,8 +129,16 @@
         }
         const id = String(req.headers["attempt-id"]);
         const parts = String(req.headers["prompt-prefix"]).split(",").map(part => part.split(":")[0]!);
-        this.received.push({ at: performance.now(), id, parts });
+        this.received.push({ at: performance.now(), id, parts, body });
         await sleep(prefillMs);
+        if (this.options.crashBodies?.has(body)) {
+            this.crash(body);
+            return;
+        }
+        if (isPlain) {
+            res.writeHead(200, { "Attempt-Id": id, "Server-Seal": `seal-${id}` }).end("done");
+            return;
+        }
         res.useChunkedEncodingByDefault = false;
         const limit = this.limitPerS === undefined ? {} : { "Server-Limit": String(this.limitPerS) };
         res.writeHead(200, { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Content-Type": "text/event-stream", Connection: "close", ...limit });
