Quarantine whole requests that crash runners, by the same log as prompt parts

Cause: only shared prompt parts related the crashes of requests; a request without them left no trace, so each arrival, at any node, cost as many runners as its route allows attempts.

Each request now has two keys beside its shared parts: of method, host, path, credentials and body, and of all that a runner sees. They go through the same log, exchange, quarantine, trial and lease row as prompt parts. A request under which a runner has crashed, and which none has answered since, is not sent to a second runner, so that the crashes between the first and the quarantine are few. Answers with a failure of the runner's own clear a request, too: it did not crash. Answers to requests are remembered apart from those to prompt parts, which a flood of requests would displace. A key does not exclude that a part which several such requests share is the cause, and explains crashes in place of a common part only if its request was in progress at two or more.

Ruled out: overload (a runner ended 37 ms after the only request there arrived); the caller's address as a part of the key, as such requests came to nodes of all zones.

--- a/src/core/crashLog.ts
+++ b/src/core/crashLog.ts
@@ -6,6 +6,7 @@
 import { AnsweredParts } from "./answeredParts";
 import type { CrashRecord } from "./findCrashingParts";
 import { findCrashingParts, minCrashesOfQuarantine } from "./findCrashingParts";
+import { isRequestKey } from "./requestKeys";
 import type { RevisionCounter } from "./sharedLog";
 import { ChangeOrigin, SharedLog } from "./sharedLog";
 
@@ -28,7 +29,9 @@
 /** Crashes of runners, merged from all nodes, and the prompt parts that explain them. */
 export class CrashLog implements DurableCrashes {
     private readonly crashes: SharedLog<CrashRecord>;
-    private readonly answered = AnsweredParts.create();
+    private readonly answeredPrompts = AnsweredParts.create();
+    /** Kept apart: each request has keys of its own, which would displace the prompt parts. */
+    private readonly answeredRequests = AnsweredParts.create();
     /** Suspected parts that no answer has cleared. */
     private openParts: ReadonlySet<string> = new Set();
     private quarantines: readonly PromptQuarantine[] = [];
@@ -87,7 +90,7 @@
         const at = Math.min(known?.at ?? Number.POSITIVE_INFINITY, performance.now() - ageMs);
         const merged = new Map([...known?.suspects ?? [], ...suspects].slice(0, maxSuspects).map(parts => [parts.join(" "), parts]));
         const told = new Set([...known?.cleared ?? [], ...crash.cleared]);
-        const cleared = new Set([...told, ...[...merged.values()].flat().filter(part => this.answered.lastAt(part) > at - clearingLeadMs)]);
+        const cleared = new Set([...told, ...[...merged.values()].flat().filter(part => this.lastAnsweredAt(part) > at - clearingLeadMs)]);
         const isUnchanged = known && merged.size === known.suspects.length && cleared.size === known.cleared.size;
         if (!isUnchanged) {
             // Answers of this node that clear parts are news to the uplink, too.
@@ -103,7 +106,8 @@
 
     /** Records that a runner answered a request without crashing; the answer began at a time on the monotonic clock. */
     onAnswered(parts: readonly string[], beganAt: number): void {
-        this.answered.record(parts, beganAt);
+        this.answeredPrompts.record(parts.filter(part => !isRequestKey(part)), beganAt);
+        this.answeredRequests.record(parts.filter(isRequestKey), beganAt);
         if (!this.isSuspected(parts)) {
             return;
         }
@@ -130,6 +134,10 @@
         );
     }
 
+    private lastAnsweredAt(part: string): number {
+        return (isRequestKey(part) ? this.answeredRequests : this.answeredPrompts).lastAt(part);
+    }
+
     private replace(crash: CrashRecord, origin: ChangeOrigin): void {
         this.crashes.set(crash.id, crash, origin);
         this.removeSurplus();
@@ -145,7 +153,7 @@
         this.openParts = new Set(crashes.flatMap(({ suspects, cleared }) => suspects.flat().filter(part => !cleared.has(part))));
         this.nextExpiryAt = Math.min(...crashes.map(({ at }) => at + crashLifetimeMs));
         const before = this.quarantines;
-        this.quarantines = findCrashingParts(crashes, part => this.answered.lastAt(part) > Number.NEGATIVE_INFINITY);
+        this.quarantines = findCrashingParts(crashes, part => this.lastAnsweredAt(part) > Number.NEGATIVE_INFINITY);
         const keysBefore = new Set(before.map(keyOf));
         const keys = new Set(this.quarantines.map(keyOf));
         for (const quarantine of this.quarantines.filter(entry => !keysBefore.has(keyOf(entry)))) {
--- a/src/core/findCrashingParts.ts
+++ b/src/core/findCrashingParts.ts
@@ -1,5 +1,6 @@
 import type { PromptQuarantine } from "../types/promptQuarantine";
 import { getOrCreate } from "../utils/maps";
+import { isRequestKey } from "./requestKeys";
 
 /** Crashes with a part among the suspects, and no answer on it since, after which the part counts as their cause. */
 export const minCrashesOfQuarantine = 3;
@@ -83,10 +84,14 @@
 const findWorst = (suspicions: readonly Suspicion[], explained: ReadonlySet<CrashRecord>): Suspicion | undefined => {
     const countUnexplained = ({ crashes }: Suspicion): number => separateCrashes(crashes.filter(crash => !explained.has(crash))).length;
     const possible = suspicions.filter(suspicion => countUnexplained(suspicion) >= minUnexplainedCrashes);
-    return possible.filter(suspicion => !possible.some(other => isMoreSpecific(other, suspicion)))
+    // A request that came several times does not exclude that a part which it shares with other such requests is the cause.
+    return possible.filter(suspicion => !possible.some(other => !isRequestKey(other.part) && isMoreSpecific(other, suspicion)))
         .sort((a, b) => countUnexplained(b) - countUnexplained(a) || compare(a, b))[0];
 };
 
+/** Whether a new suspicion may be the cause in place of a common one: the key of a request only if the request was in progress at several crashes. */
+const mayExplain = ({ part, crashes }: Suspicion): boolean => !isRequestKey(part) || separateCrashes(crashes).length > 1;
+
 /** Other parts that every suspected request with the part contained: which of them is the cause is not known yet. */
 const companionsOf = ({ part, requests, crashes }: Suspicion): readonly string[] =>
     requests[0]!.filter(other => other !== part && requests.every(request => request.includes(other)) && !crashes.some(({ cleared }) => cleared.has(other)));
@@ -105,7 +110,7 @@
     const isSufficient = (suspicion: Suspicion): boolean =>
         separateCrashes(suspicion.crashes).length >= minCrashesOfQuarantine &&
         (!wasAnswered(suspicion.part) ||
-            weigh(suspicion, all.filter(other => !wasAnswered(other.part) && isMoreSpecific(other, suspicion))) >= minCrashesOfAnswered);
+            weigh(suspicion, all.filter(other => !wasAnswered(other.part) && mayExplain(other) && isMoreSpecific(other, suspicion))) >= minCrashesOfAnswered);
     let suspicions = all.filter(isSufficient);
     for (let worst = findWorst(suspicions, explained); worst; worst = findWorst(suspicions, explained)) {
         quarantines.push({ parts: [worst.part, ...companionsOf(worst)], crashes: separateCrashes(worst.crashes).map(({ id, at }) => ({ id, at })) });
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,5 +1,4 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { requestKeysOf } from "../core/requestKeys";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
@@ -194,6 +193,7 @@
             this.prompt.onAnswered(candidate, end.endsWithConnection);
             return AttemptOutcome.Answered;
         }
+        this.prompt.onAnswered(candidate, end.endsWithConnection);
         traffic.onFailure(failedRunWeight);
         this.logFailed(server.id, `failed with ${head.status}`, Verdict.Ran);
         return AttemptOutcome.RanAndFailed;
@@ -211,13 +211,6 @@
         }
     }
 
-    /** What relates this request to the same one at other times and nodes. */
-    private get requestKeys(): readonly string[] {
-        const { req, body, caller } = this.call;
-        const { method = "", url = "", headers: { host = "", authorization: credentials } } = req;
-        return requestKeysOf({ method, host, url, credentials, body, modelRequest: caller.modelRequest });
-    }
-
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
         traffic.onFailure();
         this.logFailed(upstream, reason, Verdict.MayHaveRun);
@@ -226,7 +219,7 @@
 
     private logFailed(upstream: string, reason: string, verdict: Verdict): void {
         const afterMs = Math.round(performance.now() - this.sentAt);
-        const { requestId, modelRequest } = this.call.caller;
+        const { caller: { requestId }, suspectParts } = this.call;
         emit(EventId.AttemptFailed, {
             request: requestId,
             upstream,
@@ -235,8 +228,7 @@
             afterMs,
             lastEvent: this.relay.lastEventId,
             hasAnswered: this.relay.attemptEventAt !== undefined,
-            sharedParts: modelRequest && this.prompt.sharedParts,
-            requestKeys: this.requestKeys,
+            suspectParts,
         });
     }
 }
--- a/src/forward/call.ts
+++ b/src/forward/call.ts
@@ -14,6 +14,8 @@
     /** Headers to forward, names and values alternating. */
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** What this request has in common with others and a crash of its runner may come from, the more common first: prompt parts and request keys. */
+    readonly suspectParts: readonly string[];
     readonly startedAt: number;
     /** When the final answer is due: the caller's deadline or the route's timeout, whichever is sooner. */
     readonly deadlineAt: number;
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -14,6 +14,7 @@
 import type { Call } from "./call";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
+import { suspectPartsOf } from "./suspectParts";
 
 /** Hop-by-hop headers, which are not forwarded. */
 const connectionHeaders: ReadonlySet<string> = new Set([
@@ -187,6 +188,7 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
+            suspectParts: suspectPartsOf(req, bodyResult.body, caller.modelRequest),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
             signal,
--- a/src/forward/crashWatch.ts
+++ b/src/forward/crashWatch.ts
@@ -23,18 +23,18 @@
     }
 
     /** Records that the connection of a request ended before its runner had written much of an answer. */
-    onLost(server: UpstreamServer, sharedParts: readonly string[]): void {
+    onLost(server: UpstreamServer, suspectParts: readonly string[]): void {
         const prober = this.prober();
-        if (!prober || sharedParts.length === 0 || server.state !== UpstreamState.Ready) {
+        if (!prober || server.state !== UpstreamState.Ready) {
             return;
         }
         const id = processKey(server);
         const pending = this.pending.get(id);
         if (pending) {
-            pending.suspects.push(sharedParts);
+            pending.suspects.push(suspectParts);
             return;
         }
-        this.pending.set(id, { at: performance.now(), suspects: [sharedParts] });
+        this.pending.set(id, { at: performance.now(), suspects: [suspectParts] });
         void prober.hasEnded(server).then(hasEnded => this.finish(id, server, hasEnded));
     }
 
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -4,7 +4,7 @@
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
-import { artifactKey, sharedPartIds } from "../types/modelRequest";
+import { artifactKey } from "../types/modelRequest";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { answerFailure } from "./answerFailure";
@@ -40,9 +40,8 @@
     private alternative: UpstreamChoice | undefined;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
-        const { modelRequest } = call.caller;
         this.attempts = AttemptExecutor.create(gateway, call);
-        this.gate = PromptGate.create(gateway.crashLog, modelRequest ? sharedPartIds(modelRequest) : []);
+        this.gate = PromptGate.create(gateway.crashLog, call.suspectParts);
     }
 
     /** Creates the forwarder of a request. */
@@ -131,7 +130,8 @@
         this.upstream = choice.candidate.server.id;
         this.tried.add(this.upstream);
         this.sends++;
-        const mayRunAgain = mayRepeat(route) && !this.gate.isTrial && this.possibleRuns + 1 < route.maxAttempts && this.sends < maxSends;
+        const mayRunAgain = mayRepeat(route) && !this.gate.isTrial && !this.gate.hasCrashedBefore && this.possibleRuns + 1 < route.maxAttempts &&
+            this.sends < maxSends;
         const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? () => this.reserveAlternative() : undefined);
         if (outcome === AttemptOutcome.Unsent) {
             this.sends--;
@@ -149,8 +149,8 @@
 
     private mayTryAgain(outcome: AttemptOutcome): boolean {
         const { route } = this.call;
-        const isTrialOver = this.gate.isTrial && this.possibleRuns > 0;
-        if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isTrialOver) {
+        const isLastRun = this.possibleRuns > 0 && (this.gate.isTrial || this.gate.hasCrashedBefore);
+        if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isLastRun) {
             return false;
         }
         return outcome === AttemptOutcome.NotRun || outcome === AttemptOutcome.Unsent || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
--- a/src/forward/promptGate.ts
+++ b/src/forward/promptGate.ts
@@ -1,21 +1,27 @@
 import type { CrashLog } from "../core/crashLog";
+import { isRequestKey } from "../core/requestKeys";
 import type { PromptQuarantine } from "../types/promptQuarantine";
 
-/** Decides for one request whether its prompt may be sent to a runner. */
+/** Decides for one request whether it may be sent to a runner, as crashes may come from it or from parts of its prompt. */
 export class PromptGate {
     /** Whether the request is sent in spite of a quarantine; it is then sent once at most. */
     isTrial = false;
 
-    private constructor(private readonly log: CrashLog, private readonly sharedParts: readonly string[]) {}
+    private constructor(private readonly log: CrashLog, private readonly suspectParts: readonly string[]) {}
 
-    /** Creates the gate of a request with these shared prompt parts. */
-    static create(log: CrashLog, sharedParts: readonly string[]): PromptGate {
-        return new PromptGate(log, sharedParts);
+    /** Creates the gate of a request with these prompt parts and keys. */
+    static create(log: CrashLog, suspectParts: readonly string[]): PromptGate {
+        return new PromptGate(log, suspectParts);
     }
 
     /** The quarantine that forbids the request now. */
     get blocking(): PromptQuarantine | undefined {
-        return this.isTrial || this.sharedParts.length === 0 ? undefined : this.log.findBlocking(this.sharedParts);
+        return this.isTrial ? undefined : this.log.findBlocking(this.suspectParts);
+    }
+
+    /** Whether a runner has crashed while the same request was in progress there, and none has answered it since. */
+    get hasCrashedBefore(): boolean {
+        return this.log.isSuspected(this.suspectParts.filter(isRequestKey));
     }
 
     /** Makes the request the trial of a quarantine, if one is due at this node. */
--- a/src/forward/promptObserver.ts
+++ b/src/forward/promptObserver.ts
@@ -1,5 +1,4 @@
 import type { UpstreamCandidate } from "../core/chooseUpstream";
-import { sharedPartIds } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
 import type { AnswerRelay } from "./answerRelay";
 import type { Call } from "./call";
@@ -12,13 +11,9 @@
 
 /** Observes the attempts of one request for whether its prompt crashes runners. */
 export class PromptObserver {
-    readonly sharedParts: readonly string[];
     private isCleared = false;
 
-    private constructor(private readonly gateway: Gateway, call: Call, private readonly relay: AnswerRelay) {
-        const { modelRequest } = call.caller;
-        this.sharedParts = modelRequest ? sharedPartIds(modelRequest) : [];
-    }
+    private constructor(private readonly gateway: Gateway, private readonly call: Call, private readonly relay: AnswerRelay) {}
 
     /** Creates the observer of a request without attempts. */
     static create(gateway: Gateway, call: Call, relay: AnswerRelay): PromptObserver {
@@ -37,13 +32,13 @@
     onLost(server: UpstreamServer): void {
         const { attemptEventAt } = this.relay;
         if (attemptEventAt === undefined || performance.now() - attemptEventAt < crashNoticeMs) {
-            this.gateway.crashWatch.onLost(server, this.sharedParts);
+            this.gateway.crashWatch.onLost(server, this.call.suspectParts);
         }
     }
 
     /** Records a complete answer; one that ended with its connection clears the prompt only if the runner lives on. */
     onAnswered({ server, traffic }: UpstreamCandidate, endsWithConnection: boolean): void {
-        if (this.isCleared || this.sharedParts.length === 0) {
+        if (this.isCleared) {
             return;
         }
         const endedAt = performance.now();
@@ -64,13 +59,13 @@
     /** Probes the runner, but only if it matters: if a crash has been suspected to come from one of the parts. */
     private async clearIfAlive(server: UpstreamServer, beganAt: number): Promise<void> {
         const { crashLog, prober } = this.gateway;
-        if (crashLog.isSuspected(this.sharedParts) && await prober?.isAlive(server)) {
+        if (crashLog.isSuspected(this.call.suspectParts) && await prober?.isAlive(server)) {
             this.clear(beganAt);
         }
     }
 
     private clear(beganAt: number): void {
         this.isCleared = true;
-        this.gateway.crashLog.onAnswered(this.sharedParts, beganAt);
+        this.gateway.crashLog.onAnswered(this.call.suspectParts, beganAt);
     }
 }
--- a/test/crashLog.test.ts
+++ b/test/crashLog.test.ts
@@ -141,4 +141,24 @@
         assert.equal(restored.findBlocking(["hot"]), undefined);
         assert.ok(JSON.stringify(log.durable).length < 1_000);
     });
+
+    it("remembers answers on prompt parts while other requests come in any number", () => {
+        log.onAnswered(["bad"], performance.now());
+        clock.tick(10_000);
+        for (let index = 0; index < 20_000; index++) {
+            log.onAnswered([`request:${index}`], performance.now());
+        }
+        crash(["bad"], 3);
+        assert.equal(log.findBlocking(["bad"]), undefined);
+    });
+
+    it("knows what crashes runners while other requests are lost in any number", () => {
+        crash(["request:x"], 3);
+        for (let index = 0; index < 1_000; index++) {
+            log.add(crashOf(100 + index, [[`request:${index}`]]));
+            clock.tick(200);
+        }
+        assert.notEqual(log.findBlocking(["request:x"]), undefined);
+        assert.ok(log.changesSince(0).length <= 256);
+    });
 });
--- a/test/factExchange.test.ts
+++ b/test/factExchange.test.ts
@@ -98,6 +98,18 @@
         });
     }
 
+    for (const nodeCount of [7, 195]) {
+        it(`reach all within contactMs of the third crash under one request (${nodeCount} nodes)`, () => {
+            const network = FactNetwork.create(nodeCount);
+            clock.tick(2_000);
+            for (let index = 0; index < 3; index++) {
+                network.nodes.at(-1 - 5 * index % nodeCount)!.crashLog.add({ id: `r${index}`, ageMs: 0, suspects: [["request:x"]], cleared: [] });
+                clock.tick(index < 2 ? crashGapMs : contactMs);
+            }
+            assert.equal(network.unaware("request:x"), 0);
+        });
+    }
+
     it("reach all within contactMs when another node's answer clears a part", () => {
         const network = FactNetwork.create(195);
         clock.tick(2_000);
--- a/test/findCrashingParts.test.ts
+++ b/test/findCrashingParts.test.ts
@@ -100,6 +100,28 @@
         crashes: crashesOf(["bad x"], ["bad x"], ["bad x"], ["bad"], ["bad"], ["bad"]),
         quarantines: ["x bad", "bad"],
     },
+    {
+        name: "blames a request that comes again, not the common part that it shares with sound ones",
+        crashes: crashesOf(["a request:x", "a request:1"], ["a request:x", "a request:2"], ["a request:x", "a request:3"]),
+        answered: ["a"],
+        quarantines: ["request:x a"],
+    },
+    {
+        name: "blames a part although each request with it came several times",
+        crashes: crashesOf(["bad request:1"], ["bad request:1"], ["bad request:1"], ["bad request:2"], ["bad request:2"], ["bad request:2"]),
+        quarantines: ["bad"],
+    },
+    {
+        name: "blames an answered part as soon as ever, although each request has a key of its own",
+        crashes: crashesOf(["bad request:1"], ["bad request:2"], ["bad request:3"], ["bad request:4"], ["bad request:5"]),
+        answered: ["bad"],
+        quarantines: ["bad"],
+    },
+    {
+        name: "blames the path and body of a request that comes with other queries",
+        crashes: crashesOf(["request:x request:1"], ["request:x request:2"], ["request:x request:3"]),
+        quarantines: ["request:x"],
+    },
     { name: "finds nothing in crashes with different parts", crashes: crashesOf(["a b"], ["c d"], ["e f"], ["g h"]), quarantines: [] },
 ];
 
