--- a/src/core/crashLog.ts
+++ b/src/core/crashLog.ts
@@ -1,6 +1,6 @@
 import type { DurableCrashes } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
-import type { PromptQuarantine } from "../types/promptQuarantine";
+import type { Quarantine } from "../types/quarantine";
 import type { RunnerCrash } from "../types/runnerCrash";
 import { emit } from "../utils/events";
 import { AnsweredParts } from "./answeredParts";
@@ -34,7 +34,7 @@
     private readonly answeredRequests = AnsweredParts.create();
     /** Suspected parts that no answer has cleared. */
     private openParts: ReadonlySet<string> = new Set();
-    private quarantines: readonly PromptQuarantine[] = [];
+    private quarantines: readonly Quarantine[] = [];
     private nextExpiryAt = Number.POSITIVE_INFINITY;
     private readonly lastTrialAt = new Map<string, number>();
     /** Whether this node may send the trial request of a quarantine; one node does. */
@@ -52,18 +52,18 @@
     }
 
     /** The parts that are in quarantine now. */
-    get quarantined(): readonly PromptQuarantine[] {
+    get quarantined(): readonly Quarantine[] {
         this.removeExpired();
         return this.quarantines;
     }
 
     /** The quarantine that forbids a request with these parts. */
-    findBlocking(parts: readonly string[]): PromptQuarantine | undefined {
+    findBlocking(parts: readonly string[]): Quarantine | undefined {
         return this.quarantined.find(quarantine => quarantine.parts.every(part => parts.includes(part)));
     }
 
     /** Whether a request may be sent in spite of a quarantine, to find out whether it is still needed. */
-    startTrial(quarantine: PromptQuarantine): boolean {
+    startTrial(quarantine: Quarantine): boolean {
         const part = quarantine.parts[0]!;
         const now = performance.now();
         const isDue = this.trialInMs(quarantine) === 0 && now - (this.lastTrialAt.get(part) ?? Number.NEGATIVE_INFINITY) > minTrialPauseMs;
@@ -76,7 +76,7 @@
     }
 
     /** Time until a quarantine may be tried again. */
-    trialInMs({ crashes }: PromptQuarantine): number {
+    trialInMs({ crashes }: Quarantine): number {
         return Math.max(0, crashes.at(-1)!.at + initialTrialDelayMs * trialDelayGrowth ** (crashes.length - minCrashesOfQuarantine) - performance.now());
     }
 
@@ -189,6 +189,6 @@
     }
 }
 
-const keyOf = ({ parts }: PromptQuarantine): string => parts.join(" ");
+const keyOf = ({ parts }: Quarantine): string => parts.join(" ");
 
 const toRunnerCrash = ({ id, at, suspects, cleared }: CrashRecord): RunnerCrash => ({ id, ageMs: performance.now() - at, suspects, cleared: [...cleared] });
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -34,7 +34,7 @@
     [FailureKind.UpstreamFailed]: { status: 502, title: "the upstream failed" },
     [FailureKind.AnswerMismatch]: { status: 502, title: "the upstream sent the answer to another request" },
     [FailureKind.AnswerTruncated]: { status: 502, title: "the answer was cut short" },
-    [FailureKind.PromptQuarantined]: { status: 503, title: "runners crash on a part of the prompt" },
+    [FailureKind.PromptQuarantined]: { status: 503, title: "runners crash on the request or a part of its prompt" },
     [FailureKind.RetryBudgetSpent]: { status: 503, title: "the retry budget is spent" },
     [FailureKind.CallerGone]: { status: 499, title: "the caller closed the connection" },
     [FailureKind.ClaimUnavailable]: { status: 503, title: "the claim could not be written" },
--- a/src/core/findCrashingParts.ts
+++ b/src/core/findCrashingParts.ts
@@ -1,4 +1,4 @@
-import type { PromptQuarantine } from "../types/promptQuarantine";
+import type { Quarantine } from "../types/quarantine";
 import { getOrCreate } from "../utils/maps";
 import { isRequestKey } from "./requestKeys";
 
@@ -103,8 +103,8 @@
 export const findCrashingParts = (
     records: readonly CrashRecord[],
     wasAnswered: (part: string) => boolean = () => false,
-): readonly PromptQuarantine[] => {
-    const quarantines: PromptQuarantine[] = [];
+): readonly Quarantine[] => {
+    const quarantines: Quarantine[] = [];
     const explained = new Set<CrashRecord>();
     const all = suspicionsOf([...records].sort((a, b) => a.at - b.at));
     const isSufficient = (suspicion: Suspicion): boolean =>
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -10,8 +10,8 @@
 import { AttemptEndKind, sendAttempt } from "./attempt";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
+import { CrashObserver } from "./crashObserver";
 import type { Gateway } from "./gateway";
-import { PromptObserver } from "./promptObserver";
 import { SilenceWatch } from "./silenceWatch";
 
 /** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
@@ -43,7 +43,7 @@
     readonly relay: AnswerRelay;
     private choice: UpstreamChoice | undefined;
     private sentAt = 0;
-    private readonly prompt: PromptObserver;
+    private readonly crashObserver: CrashObserver;
     /** Whether the latest attempt has not received its first byte yet. */
     private isAwaitingFirstByte = false;
 
@@ -52,10 +52,10 @@
             onHead: () => this.onHead(),
             onEventGap: ms => {
                 this.choice?.candidate.traffic.onEventGap(ms);
-                this.prompt.onEvent();
+                this.crashObserver.onEvent();
             },
         });
-        this.prompt = PromptObserver.create(gateway, call, this.relay);
+        this.crashObserver = CrashObserver.create(gateway, call, this.relay);
     }
 
     /** Creates the executor of a request's attempts. */
@@ -171,12 +171,12 @@
         }
         if (end.kind !== AttemptEndKind.Complete || !head) {
             if (end.kind === AttemptEndKind.Lost) {
-                this.prompt.onLost(server);
+                this.crashObserver.onLost(server);
             }
             return this.recordLost(server.id, traffic, end.reason);
         }
         if (relay.isBrokenOff(end.endsWithConnection)) {
-            this.prompt.onLost(server);
+            this.crashObserver.onLost(server);
             return this.recordLost(server.id, traffic, "stream broken off");
         }
         if (head.decoded.isNotExecuted) {
@@ -190,10 +190,10 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
-            this.prompt.onAnswered(candidate, end.endsWithConnection);
+            this.crashObserver.onAnswered(candidate, end.endsWithConnection);
             return AttemptOutcome.Answered;
         }
-        this.prompt.onAnswered(candidate, end.endsWithConnection);
+        this.crashObserver.onAnswered(candidate, end.endsWithConnection);
         traffic.onFailure(failedRunWeight);
         this.logFailed(server.id, `failed with ${head.status}`, Verdict.Ran);
         return AttemptOutcome.RanAndFailed;
--- a/src/forward/promptObserver.ts
+++ b/src/forward/crashObserver.ts
@@ -4,23 +4,23 @@
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 
-/** A runner that crashes on a prompt does so this soon after the first event of its answer at the latest. */
+/** A runner that crashes on a request does so this soon after the first event of its answer at the latest. */
 const crashNoticeMs = 500;
 /** Time after which a runner that has sent nothing more may have ended together with an answer that ended with its connection. */
 const aliveCheckDelayMs = 300;
 
-/** Observes the attempts of one request for whether its prompt crashes runners. */
-export class PromptObserver {
+/** Observes the attempts of one request for whether the request, or a part of its prompt, crashes runners. */
+export class CrashObserver {
     private isCleared = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call, private readonly relay: AnswerRelay) {}
 
     /** Creates the observer of a request without attempts. */
-    static create(gateway: Gateway, call: Call, relay: AnswerRelay): PromptObserver {
-        return new PromptObserver(gateway, call, relay);
+    static create(gateway: Gateway, call: Call, relay: AnswerRelay): CrashObserver {
+        return new CrashObserver(gateway, call, relay);
     }
 
-    /** Records that the runner is writing: once it has written for a while, it does not crash on the prompt. */
+    /** Records that the runner is writing: once it has written for a while, it does not crash on the request. */
     onEvent(): void {
         const { attemptEventAt } = this.relay;
         if (!this.isCleared && attemptEventAt !== undefined && performance.now() - attemptEventAt > crashNoticeMs) {
@@ -28,7 +28,7 @@
         }
     }
 
-    /** Records a lost attempt: unless the runner had written for long enough, it may have crashed on the prompt. */
+    /** Records a lost attempt: unless the runner had written for long enough, it may have crashed on the request. */
     onLost(server: UpstreamServer): void {
         const { attemptEventAt } = this.relay;
         if (attemptEventAt === undefined || performance.now() - attemptEventAt < crashNoticeMs) {
@@ -36,7 +36,7 @@
         }
     }
 
-    /** Records a complete answer; one that ended with its connection clears the prompt only if the runner lives on. */
+    /** Records a complete answer, also one of a failure; one that ended with its connection clears the request only if the runner lives on. */
     onAnswered({ server, traffic }: UpstreamCandidate, endsWithConnection: boolean): void {
         if (this.isCleared) {
             return;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -13,7 +13,7 @@
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit } from "./canFinishBeforeExit";
 import type { Gateway } from "./gateway";
-import { PromptGate } from "./promptGate";
+import { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
 import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
@@ -31,7 +31,7 @@
 export class Forwarder {
     private readonly tried = new Set<string>();
     private readonly attempts: AttemptExecutor;
-    private readonly gate: PromptGate;
+    private readonly gate: QuarantineGate;
     /** Attempts that were sent, and those of them that may have run. */
     private sends = 0;
     private possibleRuns = 0;
@@ -41,7 +41,7 @@
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
         this.attempts = AttemptExecutor.create(gateway, call);
-        this.gate = PromptGate.create(gateway.crashLog, call.suspectParts);
+        this.gate = QuarantineGate.create(gateway.crashLog, call.suspectParts);
     }
 
     /** Creates the forwarder of a request. */
--- a/src/forward/promptGate.ts
+++ b/src/forward/quarantineGate.ts
@@ -1,21 +1,21 @@
 import type { CrashLog } from "../core/crashLog";
 import { isRequestKey } from "../core/requestKeys";
-import type { PromptQuarantine } from "../types/promptQuarantine";
+import type { Quarantine } from "../types/quarantine";
 
 /** Decides for one request whether it may be sent to a runner, as crashes may come from it or from parts of its prompt. */
-export class PromptGate {
+export class QuarantineGate {
     /** Whether the request is sent in spite of a quarantine; it is then sent once at most. */
     isTrial = false;
 
     private constructor(private readonly log: CrashLog, private readonly suspectParts: readonly string[]) {}
 
     /** Creates the gate of a request with these prompt parts and keys. */
-    static create(log: CrashLog, suspectParts: readonly string[]): PromptGate {
-        return new PromptGate(log, suspectParts);
+    static create(log: CrashLog, suspectParts: readonly string[]): QuarantineGate {
+        return new QuarantineGate(log, suspectParts);
     }
 
     /** The quarantine that forbids the request now. */
-    get blocking(): PromptQuarantine | undefined {
+    get blocking(): Quarantine | undefined {
         return this.isTrial ? undefined : this.log.findBlocking(this.suspectParts);
     }
 
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -7,7 +7,7 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
-import type { PromptGate } from "./promptGate";
+import type { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
 
 /** Bounds of the interval between two requests to the controller. */
@@ -24,7 +24,7 @@
 const capacityPollIntervalMs = 25;
 /** Minimum retry delay given to callers that are refused for lack of capacity. */
 const minCapacityRetryAfterMs = 500;
-/** Minimum retry delay given to callers whose prompt is in quarantine. */
+/** Minimum retry delay given to callers whose request is in quarantine. */
 const minQuarantineRetryAfterMs = 10_000;
 
 /** Time until the final answer is due; a stopping node refuses waiting requests before it exits. */
@@ -41,12 +41,12 @@
 /** Whether no upstream was found. */
 export const isRefusal = (result: UpstreamChoice | Refusal): result is Refusal => "detail" in result;
 
-/** Refuses a request whose prompt is in quarantine; undefined if it may be sent. */
-export const refuseQuarantined = (gateway: Gateway, gate: PromptGate): Refusal | undefined => {
+/** Refuses a request that is in quarantine, itself or by parts of its prompt; undefined if it may be sent. */
+export const refuseQuarantined = (gateway: Gateway, gate: QuarantineGate): Refusal | undefined => {
     const { blocking } = gate;
     return blocking && {
         kind: FailureKind.PromptQuarantined,
-        detail: `${blocking.crashes.length} runners crashed on prompts with the parts ${blocking.parts.join(", ")}`,
+        detail: `${blocking.crashes.length} runners crashed on requests with ${blocking.parts.join(", ")}`,
         retryAfterMs: Math.max(minQuarantineRetryAfterMs, gateway.crashLog.trialInMs(blocking)),
     };
 };
@@ -57,7 +57,7 @@
     call: Call,
     modelRequest: ModelRequest,
     tried: ReadonlySet<string>,
-    gate: PromptGate,
+    gate: QuarantineGate,
 ): Promise<UpstreamChoice | Refusal | undefined> => {
     const queuedRequest = { firstTokenDueAt: call.startedAt + call.route.latencyObjectiveMs, priority: call.route.priority };
     try {
@@ -94,7 +94,7 @@
     gateway: Gateway,
     call: Call,
     tried: ReadonlySet<string>,
-    gate: PromptGate,
+    gate: QuarantineGate,
 ): Promise<UpstreamChoice | Refusal> => {
     const { modelRequest } = call.caller;
     while (!call.signal.aborted) {
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -40,9 +40,11 @@
     [EventId.RequestAnswered]: "a request was answered with an upstream's answer",
     [EventId.RequestFailed]: "a request failed because of an internal error",
     [EventId.CallerLeft]: "the caller closed the connection; the attempt on the upstream was aborted",
-    [EventId.PromptQuarantined]: "crashes of runners, at this node or others, are explained by parts of prompts; requests with all of these are refused",
-    [EventId.PromptQuarantineEnded]: "a quarantine of prompt parts ended: answered elsewhere without a crash, expired, or replaced by a more precise one",
-    [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether its parts still crash runners",
+    [EventId.PromptQuarantined]:
+        "crashes of runners, at this node or others, are explained by parts of prompts or by a request; requests with all of the parts or keys are refused",
+    [EventId.PromptQuarantineEnded]:
+        "a quarantine of prompt parts or of a request ended: answered elsewhere without a crash, expired, or replaced by a more precise one",
+    [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether runners still crash on it",
     [EventId.RunnerLimitChanged]: "a runner named another limit on its requests, or none any more, to this node or another one",
     [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -24,6 +24,7 @@
 const measureMs = 3_000;
 const crashingParts = ["bad1", "bad2"];
 const crashingPromptSalt = 0x5eed;
+const crashingRequestSalt = 0xb0d7;
 const limitSalt = 0x11317;
 const maxPromptDelayMs = 3_000;
 
@@ -37,7 +38,7 @@
     readonly logFolder: string;
 }
 
-/** Two parts of prompts, one after the other, crash runners until the end of the run. A generator of its own leaves the other faults of a seed unchanged. */
+/** A request, and two parts of prompts one after the other, crash runners until the end of the run. A generator of its own leaves the other faults of a seed unchanged. */
 const sendCrashingPrompts = (
     seed: number,
     { prompts, models }: SoakFleet,
@@ -46,10 +47,11 @@
     signal: AbortSignal,
 ): readonly Promise<void>[] => {
     const random = createRandom(seed ^ crashingPromptSalt);
-    return crashingParts.map(async (part, index) => {
+    const requests = crashingParts.map(async (part, index) => {
         await sleep((index + random()) * maxPromptDelayMs, signal);
         await prompts.send(part, nodes, models, checker, random, signal);
     });
+    return [...requests, prompts.sendSame(nodes, checker, createRandom(seed ^ crashingRequestSalt), signal)];
 };
 
 /** Runs nodes as processes while faults that the seed draws are injected for some seconds, and checks the guarantees to callers and runners. */
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -169,6 +169,11 @@
         res.useChunkedEncodingByDefault = !isUnframed;
         const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16", ...limit, ...(isUnframed ? { Connection: "close" } : {}) };
         this.limits.onNamed(this.id);
+        if (!this.simulatedRunner && this.prompts.onRun(id)) {
+            req.socket.destroy();
+            await this.prompts.crash(this);
+            return;
+        }
         if (!this.simulatedRunner) {
             res.writeHead(200, headers);
             res.write(`${id} done`);
@@ -176,7 +181,7 @@
             return;
         }
         res.writeHead(200, headers);
-        if (this.prompts.onRun(id, String(req.headers["prompt-prefix"]))) {
+        if (this.prompts.onRun(id)) {
             res.end("id: 1\ndata: pie");
             await once(res, "finish");
             setTimeout(() => void this.prompts.crash(this), 10);
