Give no grace to entries of peers that a first read of the directory lacks

The grace after a restore also applied to a node's first read, as its version was 0 then: an upstream that a lagging peer still knew stayed for two seconds. A grace by the era of each entry was tried instead and dropped: passed on through relays it began anew with each report, so that an upstream which had ended stayed in use (restoredDirectory.test.ts, 195 nodes, failed).

--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -105,7 +105,8 @@
 
     /** Applies a read of the whole table: entries that are not in it were deleted. */
     replace(changes: readonly DirectoryChange[], version: StoreVersion, graceMs: number): void {
-        const isRestored = eraOf(version) > eraOf(this.version);
+        // Before the first read, missing entries are those of a peer that is behind.
+        const isRestored = this.version > 0 && eraOf(version) > eraOf(this.version);
         const present = new Set(changes.map(({ id }) => id));
         changes.forEach(change => this.applyChange(change));
         for (const [id, entry] of this.entries) {
