Forget the adapters of runners that have left, on relays too

A node now removes them with the runner's entry in the directory. The test failed before. The entry leaves the list.

--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -74,6 +74,11 @@
     static create(gateway: Gateway, lease: ControllerLease, link: ControllerLink, local: LocalComponents): ControllerClient {
         const client = new ControllerClient(gateway, lease, link, local);
         local.peerServer.onNewController = () => client.isControllerLost = false;
+        gateway.directory.observe(({ id, server }) => {
+            if (!server) {
+                link.adapters.remove(id);
+            }
+        });
         return client;
     }
 
--- a/test/peers.test.ts
+++ b/test/peers.test.ts
@@ -66,6 +66,17 @@
         assert.equal(second.gateway.residency.hasAdapter("u1", "m/a1"), true);
     });
 
+    it("forget the adapters of runners that have left the directory", async () => {
+        const { gateway, link, peerServer } = await createNode(MemoryPlatformStore.create(createRandom(3)), "n1", [], abort.signal);
+        peerServers.push(peerServer);
+        ["u1", "u2"].forEach((id, index) => {
+            gateway.directory.apply({ id, version: index + 1, server: decodeServer(id, serverBytes)! });
+            link.adapters.update(id, ["m/a1"]);
+        });
+        gateway.directory.apply({ id: "u1", version: 3 });
+        assert.deepEqual(Object.keys(link.adapters.since(0).byRunner), ["u2"]);
+    });
+
     it("report all demand to a new controller, not only new demand", async () => {
         const store = MemoryPlatformStore.create(createRandom(4));
         store.lossShare = 0;
