One grace for rows that are written again, and one question for a second run

recoveryGraceMs serves restores too; QuarantineGate.mayRunTwice replaces two conditions that stood twice in the forwarder. No behaviour changes.

--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -12,7 +12,7 @@
 export const feedWaitMs = 2_200;
 /** Base of the jittered delay after the first failed call; jitter keeps the nodes from reconnecting all at once. */
 const minRetryDelayMs = 150;
-/** Rows that expired while the store was unavailable may reappear for this long after it has recovered. */
+/** Rows that expired while the store was unavailable, or that it lost in a restore, may reappear for this long after it has recovered. */
 export const recoveryGraceMs = 2_000;
 
 /** Receives the contents of a followed table. */
--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -4,12 +4,11 @@
 import { UpstreamState } from "../types/upstreamServer";
 import { getOrCreate } from "../utils/maps";
 import { isLaterState } from "./laterState";
+import { recoveryGraceMs } from "./tableFollower";
 
 /** Called after a change of the directory with the upstream's entry from before it. */
 export type DirectoryObserver = (change: DirectoryChange, before: UpstreamServer | undefined) => void;
 
-/** Rows that a restored store has lost may be written again for this long. */
-const restoreGraceMs = 2_000;
 /** A restored row of an upstream that had been removed expires within this time, unless the upstream lives. */
 const restoredRowExpiryMs = 6_000;
 /** Removed upstreams that are remembered; a peer that lacks older removals is sent the whole directory. */
@@ -111,7 +110,7 @@
         changes.forEach(change => this.applyChange(change));
         for (const [id, entry] of this.entries) {
             if (!present.has(id) && entry.version <= version) {
-                this.applyChange({ id, version }, isRestored ? Math.max(graceMs, restoreGraceMs) : graceMs);
+                this.applyChange({ id, version }, isRestored ? Math.max(graceMs, recoveryGraceMs) : graceMs);
             }
         }
         // What is written from now on is no remainder of the restored copy.
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -130,7 +130,7 @@
         this.upstream = choice.candidate.server.id;
         this.tried.add(this.upstream);
         this.sends++;
-        const mayRunAgain = mayRepeat(route) && !this.gate.isTrial && !this.gate.hasCrashedBefore && this.possibleRuns + 1 < route.maxAttempts &&
+        const mayRunAgain = mayRepeat(route) && this.gate.mayRunTwice && this.possibleRuns + 1 < route.maxAttempts &&
             this.sends < maxSends;
         const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? () => this.reserveAlternative() : undefined);
         if (outcome === AttemptOutcome.Unsent) {
@@ -149,7 +149,7 @@
 
     private mayTryAgain(outcome: AttemptOutcome): boolean {
         const { route } = this.call;
-        const isLastRun = this.possibleRuns > 0 && (this.gate.isTrial || this.gate.hasCrashedBefore);
+        const isLastRun = this.possibleRuns > 0 && !this.gate.mayRunTwice;
         if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isLastRun) {
             return false;
         }
--- a/src/forward/quarantineGate.ts
+++ b/src/forward/quarantineGate.ts
@@ -4,7 +4,7 @@
 
 /** Decides for one request whether it may be sent to a runner, as crashes may come from it or from parts of its prompt. */
 export class QuarantineGate {
-    /** Whether the request is sent in spite of a quarantine; it is then sent once at most. */
+    /** Whether the request is sent in spite of a quarantine; it then runs once at most. */
     isTrial = false;
 
     private constructor(private readonly log: CrashLog, private readonly suspectParts: readonly string[]) {}
@@ -19,9 +19,9 @@
         return this.isTrial ? undefined : this.log.findBlocking(this.suspectParts);
     }
 
-    /** Whether a runner has crashed while the same request was in progress there, and none has answered it since. */
-    get hasCrashedBefore(): boolean {
-        return this.log.isSuspected(this.suspectParts.filter(isRequestKey));
+    /** Whether the request may run at a second runner: not as a trial, nor if a runner crashed while the same request was in progress and none has answered it since. */
+    get mayRunTwice(): boolean {
+        return !this.isTrial && !this.log.isSuspected(this.suspectParts.filter(isRequestKey));
     }
 
     /** Makes the request the trial of a quarantine, if one is due at this node. */
