--- a/test/directory.test.ts
+++ b/test/directory.test.ts
@@ -11,6 +11,7 @@
 import { createStoreVersion } from "../src/types/storeVersion";
 import { setupLogs } from "../src/utils/events";
 import { createRandom } from "../src/utils/random";
+import { delayFeed } from "./fakes/delayFeed";
 import { platformTestSettings } from "./fakes/gatewayHarness";
 import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
 
@@ -24,16 +25,7 @@
     const store = MemoryPlatformStore.create(random);
     store.lossShare = 0;
     const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
-    const delayedStore = {
-        readTable: store.readTable.bind(store),
-        readRow: store.readRow.bind(store),
-        transact: store.transact.bind(store),
-        feed: async (name: string, from: number) => {
-            await new Promise(resolve => setTimeout(resolve, 50));
-            return store.feed(name, from);
-        },
-    };
-    const follower = TableFollower.create(delayedStore, table, createDirectoryObserver(gateway, decodeServer), random, {
+    const follower = TableFollower.create(delayFeed(store, 50), table, createDirectoryObserver(gateway, decodeServer), random, {
         pauseMs: () => 0,
         waitMs: () => 50,
         maxRetryDelayMs: () => 150,
--- a/test/fakes/directoryNetwork.ts
+++ b/test/fakes/directoryNetwork.ts
@@ -7,6 +7,7 @@
 import type { PeerNode } from "../../src/types/peerNode";
 import type { Random } from "../../src/utils/random";
 import { createRandom } from "../../src/utils/random";
+import { delayFeed } from "./delayFeed";
 import { platformTestSettings } from "./gatewayHarness";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { reportTargetOf } from "./reportTarget";
@@ -70,18 +71,9 @@
     /** Lets a node read the store from now on. */
     follow(node: DirectoryNode): void {
         const { store } = this;
-        const delayedStore = {
-            readTable: store.readTable.bind(store),
-            readRow: store.readRow.bind(store),
-            transact: store.transact.bind(store),
-            feed: async (name: string, after: number) => {
-                await new Promise(resolve => setTimeout(resolve, feedDelayMs));
-                return store.feed(name, after);
-            },
-        };
         node.follower = new AbortController();
         const { gateway } = node;
-        void TableFollower.create(delayedStore, table, createDirectoryObserver(gateway, decodeServer), this.random, {
+        void TableFollower.create(delayFeed(store, feedDelayMs), table, createDirectoryObserver(gateway, decodeServer), this.random, {
             pauseMs: () => 0,
             waitMs: () => feedDelayMs,
             maxRetryDelayMs: () => 150,
