--- /dev/null
+++ b/src/forward/answerFraming.ts
@@ -0,0 +1,17 @@
+import type { HeaderMap } from "../types/requestHeaderCodec";
+
+/** What marks the end of an answer's body. */
+export enum AnswerFraming {
+    Length = "length",
+    Chunks = "chunks",
+    /** Neither a length nor chunks: the body ends with its connection. */
+    Connection = "connection",
+}
+
+/** How the body of an answer with these headers is framed. */
+export const framingOf = (headers: HeaderMap): AnswerFraming => {
+    if (headers["transfer-encoding"] !== undefined) {
+        return AnswerFraming.Chunks;
+    }
+    return headers["content-length"] === undefined ? AnswerFraming.Connection : AnswerFraming.Length;
+};
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,7 @@
 import type { Dispatcher } from "undici";
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { errorCodeOf } from "../utils/transport";
+import { AnswerFraming, framingOf } from "./answerFraming";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** How an attempt ended. */
@@ -19,8 +20,8 @@
 export interface AttemptEnd {
     readonly kind: AttemptEndKind;
     readonly reason: string;
-    /** Whether the answer had neither a length nor chunks, so that only the end of its connection ended it. */
-    readonly endsWithConnection: boolean;
+    /** What marks the end of the answer; undefined if no head arrived. */
+    readonly framing: AnswerFraming | undefined;
 }
 
 /** Status and headers of an answer. */
@@ -70,8 +71,7 @@
         const client = pool.acquire(req.mayRepeat);
         let isSent = false;
         let hasHead = false;
-        /** Whether the end of the answer is the end of its connection. */
-        let endsWithConnection = false;
+        let framing: AnswerFraming | undefined;
         /** Whether the rest of the answer is ignored. */
         let isDropped = false;
         let controller: Dispatcher.DispatchController | undefined;
@@ -83,7 +83,7 @@
             else {
                 pool.discard(client);
             }
-            resolve({ kind, reason, endsWithConnection });
+            resolve({ kind, reason, framing });
         };
         const onAbort = (): void => {
             controller?.abort(abortReason);
@@ -117,7 +117,7 @@
                     return;
                 }
                 hasHead = true;
-                endsWithConnection = headers["content-length"] === undefined && headers["transfer-encoding"] === undefined;
+                framing = framingOf(headers);
                 sink.onHead({ status, headers, decoded });
             },
             onResponseData: (current, chunk) => {
@@ -137,7 +137,7 @@
             onResponseEnd: () => {
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
-                    const isReset = endsWithConnection && pool.wasReset(client);
+                    const isReset = framing === AnswerFraming.Connection && pool.wasReset(client);
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
                 }
             },
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -5,6 +5,7 @@
 import { processKey } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
 import type { AttemptEnd, OutgoingRequest } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
@@ -43,6 +44,8 @@
     readonly relay: AnswerRelay;
     private choice: UpstreamChoice | undefined;
     private sentAt = 0;
+    /** How the latest attempt's answer was framed; undefined if no head arrived. */
+    framing: AnswerFraming | undefined;
     private readonly crashObserver: CrashObserver;
     /** Whether the latest attempt has not received its first byte yet. */
     private isAwaitingFirstByte = false;
@@ -90,6 +93,7 @@
         });
         const pool = gateway.connectionPoolOf(server.id, server.address);
         const end = await sendAttempt(pool, this.toOutgoing(server.id), gateway.wire, this.relay, abort.signal);
+        this.framing = end.framing;
         timers.forEach(clearInterval);
         call.signal.removeEventListener("abort", onCallerAbort);
         traffic.inFlight--;
@@ -175,7 +179,8 @@
             }
             return this.recordLost(server.id, traffic, end.reason);
         }
-        if (relay.isBrokenOff(end.endsWithConnection)) {
+        const endsWithConnection = end.framing === AnswerFraming.Connection;
+        if (relay.isBrokenOff(endsWithConnection)) {
             this.crashObserver.onLost(server);
             return this.recordLost(server.id, traffic, "stream broken off");
         }
@@ -190,10 +195,10 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
-            this.crashObserver.onAnswered(candidate, end.endsWithConnection);
+            this.crashObserver.onAnswered(candidate, endsWithConnection);
             return AttemptOutcome.Answered;
         }
-        this.crashObserver.onAnswered(candidate, end.endsWithConnection);
+        this.crashObserver.onAnswered(candidate, endsWithConnection);
         traffic.onFailure(failedRunWeight);
         this.logFailed(server.id, `failed with ${head.status}`, Verdict.Ran);
         return AttemptOutcome.RanAndFailed;
@@ -226,6 +231,7 @@
             kind: reason,
             verdict,
             afterMs,
+            framing: this.framing,
             lastEvent: this.relay.lastEventId,
             hasAnswered: this.relay.attemptEventAt !== undefined,
             suspectParts,
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -13,6 +13,7 @@
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit } from "./canFinishBeforeExit";
 import type { Gateway } from "./gateway";
+import { logAnswered } from "./logAnswered";
 import { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
 import { waitForTurn } from "./waitForTurn";
@@ -201,7 +202,7 @@
         const isRelayable = outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.RanAndFailed;
         if (isRelayable && relay.canComplete) {
             relay.complete();
-            this.logAnswered();
+            logAnswered(this.call, this.attempts, this.upstream, this.sends);
             return;
         }
         this.fail(
@@ -210,23 +211,6 @@
         );
     }
 
-    private logAnswered(): void {
-        const { caller, route, startedAt } = this.call;
-        const { relay } = this.attempts;
-        emit(EventId.RequestAnswered, {
-            request: caller.requestId,
-            route: route.name,
-            upstream: this.upstream,
-            status: relay.head?.status,
-            sends: this.sends,
-            firstByteMs: Math.round(relay.firstByteAt - startedAt),
-            firstEventMs: relay.firstEventAt > 0 ? Math.round(relay.firstEventAt - startedAt) : undefined,
-            maxEventGapMs: relay.firstEventAt > 0 ? Math.round(relay.maxEventGapMs) : undefined,
-            model: caller.modelRequest?.model,
-            afterMs: this.elapsedMs(),
-        });
-    }
-
     private fail(kind: FailureKind, detail: string, retryDelayMs = refusedRetryAfterMs): void {
         const verdict = this.possibleRuns === 0 ? Verdict.NotRun : Verdict.MayHaveRun;
         const retryAfterMs = verdict === Verdict.NotRun ? retryDelayMs * (0.75 + this.gateway.random() / 2) : undefined;
