--- a/test/fakes/scriptedUpstream.ts
+++ b/test/fakes/scriptedUpstream.ts
@@ -11,7 +11,7 @@
 }
 
 /** Answers a request, with raw bytes or not at all. */
-export type Script = (socket: Socket, req: ReceivedRequest) => void;
+export type Script = (socket: Socket, req: ReceivedRequest, upstream: ScriptedUpstream) => void;
 
 /** An upstream of the platform that answers with raw bytes, so that it can violate the protocol. */
 export interface ScriptedUpstream {
@@ -19,6 +19,8 @@
     readonly received: ReceivedRequest[];
     /** Number of connections that were closed. */
     closedConnections: number;
+    /** Refuses new connections, as if its process had ended. */
+    stopListening(): void;
     close(): void;
 }
 
@@ -42,7 +44,7 @@
                 const req = { head, body: buffered.slice(end + 4, end + 4 + length), index: received.length, id: headerValue(head, "attempt-id") };
                 buffered = buffered.slice(end + 4 + length);
                 received.push(req);
-                script(socket, req);
+                script(socket, req, upstream);
             }
         });
         socket.on("error", () => undefined);
@@ -56,6 +58,7 @@
         address: `127.0.0.1:${(server.address() as AddressInfo).port}`,
         received,
         closedConnections: 0,
+        stopListening: () => void server.close(),
         close: () => {
             server.close();
             sockets.forEach(socket => socket.destroy());
--- a/test/fakes/upstreamScripts.ts
+++ b/test/fakes/upstreamScripts.ts
@@ -40,9 +40,25 @@
 /** A stream with neither a length nor chunks, which ends with its connection. */
 const streamUntilClose = (events: string): Script => (socket, { id }) =>
     void socket.end(`HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n${events}`);
+/** Runs a script and ends the upstream's process some time afterwards. */
+export const thenEnd = (script: Script, afterMs = 0): Script => (socket, req, upstream) => {
+    script(socket, req, upstream);
+    if (afterMs === 0) {
+        upstream.stopListening();
+    }
+    else {
+        setTimeout(() => upstream.stopListening(), afterMs);
+    }
+};
+export const streamClosedBetweenEvents = streamUntilClose(sseEvents(1, 2));
+export const resetIdentityAnswer: Script = (socket, { id }) => {
+    const head = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\nTransfer-Encoding: identity\r\nConnection: close\r\n\r\n`;
+    socket.write(`${head}no len`);
+    setTimeout(() => socket.resetAndDestroy(), 10);
+};
 export const completeStreamUntilClose = streamUntilClose(sseEvents(1, 4));
 export const resumedStreamUntilClose = streamUntilClose(sseEvents(3, 4));
 export const streamClosedInsideEvent = streamUntilClose(`${sseEvents(1, 2)}id: 3\ndata: ha`);
 export const streamClosedBeforeFirstEvent = streamUntilClose("");
 export const resumedStream: Script = (socket, { id }) => void socket.write(streamHeadOf(id) + chunkOf(sseEvents(3, 4)) + lastChunk);
-export const refuseThenAnswer: Script = (socket, req) => req.index === 0 ? refuse(socket, req) : answer(socket, req);
+export const refuseThenAnswer: Script = (socket, req, upstream) => (req.index === 0 ? refuse : answer)(socket, req, upstream);
