--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -7,21 +7,16 @@
 import { emit } from "../utils/events";
 import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
-import type { AttemptEnd, OutgoingRequest } from "./attempt";
+import type { AttemptEnd } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
 import type { Call } from "./call";
-import { mayRepeat } from "./call";
 import { CrashObserver } from "./crashObserver";
 import type { Gateway } from "./gateway";
+import { toOutgoingRequest } from "./outgoingRequest";
 import { SilenceWatch } from "./silenceWatch";
 
-/** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
-const returnMarginMs = 8;
 /** Interval at which upstreams are checked for silence. */
 const silenceCheckIntervalMs = 100;
-/** Request-Priority of the most and the least urgent routes; requests without a priority have 5. */
-const mostUrgentPriority = 3;
-const leastUrgentPriority = 9;
 /** Weight of a refusal and of a failed run in an upstream's count of recent failures; a lost answer counts 1. */
 const refusalWeight = 0.3;
 const failedRunWeight = 0.5;
@@ -92,7 +87,7 @@
             configVersion: call.configVersion,
         });
         const pool = gateway.connectionPoolOf(server.id, server.address);
-        const end = await sendAttempt(pool, this.toOutgoing(server.id), gateway.wire, this.relay, abort.signal);
+        const end = await sendAttempt(pool, toOutgoingRequest(gateway, call, this.relay, server.id), gateway.wire, this.relay, abort.signal);
         this.framing = end.framing;
         timers.forEach(clearInterval);
         call.signal.removeEventListener("abort", onCallerAbort);
@@ -141,29 +136,6 @@
         return timers;
     }
 
-    private toOutgoing(upstreamId: string): OutgoingRequest {
-        const { call, gateway, relay } = this;
-        const { req, route, caller } = call;
-        const isResumed = relay.lastEventId !== undefined && relay.lastEventId !== caller.lastEventId;
-        const forwarded = isResumed ? dropHeader(call.headers, "last-event-id") : call.headers;
-        return {
-            requestId: caller.requestId,
-            method: req.method ?? "GET",
-            path: req.url ?? "/",
-            headers: [
-                ...forwarded,
-                ...gateway.wire.encodeAttempt({
-                    upstreamId,
-                    remainingMs: call.deadlineAt - performance.now() - returnMarginMs,
-                    priority: caller.modelRequest ? Math.min(leastUrgentPriority, mostUrgentPriority + route.priority) : undefined,
-                    lastEventId: isResumed ? relay.lastEventId : undefined,
-                }),
-            ],
-            body: call.body,
-            mayRepeat: mayRepeat(route),
-        };
-    }
-
     private classify({ candidate }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
         const { relay } = this;
         const { server, traffic } = candidate;
@@ -238,13 +210,3 @@
         });
     }
 }
-
-const dropHeader = (headers: readonly string[], name: string): string[] => {
-    const kept: string[] = [];
-    for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index]!.toLowerCase() !== name) {
-            kept.push(headers[index]!, headers[index + 1]!);
-        }
-    }
-    return kept;
-};
--- /dev/null
+++ b/src/forward/outgoingRequest.ts
@@ -0,0 +1,44 @@
+import type { AnswerRelay } from "./answerRelay";
+import type { OutgoingRequest } from "./attempt";
+import type { Call } from "./call";
+import { mayRepeat } from "./call";
+import type { Gateway } from "./gateway";
+
+/** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
+const returnMarginMs = 8;
+/** Request-Priority of the most and the least urgent routes; requests without a priority have 5. */
+const mostUrgentPriority = 3;
+const leastUrgentPriority = 9;
+
+const dropHeader = (headers: readonly string[], name: string): string[] => {
+    const kept: string[] = [];
+    for (let index = 0; index < headers.length; index += 2) {
+        if (headers[index]!.toLowerCase() !== name) {
+            kept.push(headers[index]!, headers[index + 1]!);
+        }
+    }
+    return kept;
+};
+
+/** The request as it is sent to an upstream: a stream that has begun goes on after the last event that the caller has received. */
+export const toOutgoingRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string): OutgoingRequest => {
+    const { req, route, caller } = call;
+    const isResumed = relay.lastEventId !== undefined && relay.lastEventId !== caller.lastEventId;
+    const forwarded = isResumed ? dropHeader(call.headers, "last-event-id") : call.headers;
+    return {
+        requestId: caller.requestId,
+        method: req.method ?? "GET",
+        path: req.url ?? "/",
+        headers: [
+            ...forwarded,
+            ...gateway.wire.encodeAttempt({
+                upstreamId,
+                remainingMs: call.deadlineAt - performance.now() - returnMarginMs,
+                priority: caller.modelRequest ? Math.min(leastUrgentPriority, mostUrgentPriority + route.priority) : undefined,
+                lastEventId: isResumed ? relay.lastEventId : undefined,
+            }),
+        ],
+        body: call.body,
+        mayRepeat: mayRepeat(route),
+    };
+};
