Complete an answer that ends with its connection only if its upstream lives

What callers saw: a stream without a length or chunks whose runner ended between two events was completed with the events that had arrived; a plain answer was relayed with the part that had arrived. Cause: the kernel closes the connections of a process that ends like those of one that has finished, and the code took the close for the end of the answer unless it came inside an event. Class of fault: the end of a transport taken for the end of a message. Why it works: a process that has ended no longer listens, so its host refuses a connection; if it accepts one, the process was alive after the end. Ruled out: the directory (it lags by up to three heartbeats), later answers on other connections (a slow node reads old bytes late).

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -2,6 +2,7 @@
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
+import type { UpstreamServer } from "../types/upstreamServer";
 import { processKey } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
@@ -11,6 +12,7 @@
 import { AttemptEndKind, sendAttempt } from "./attempt";
 import type { Call } from "./call";
 import { CrashObserver } from "./crashObserver";
+import { isCutOffWithUpstream } from "./endCheck";
 import type { Gateway } from "./gateway";
 import { toOutgoingRequest } from "./outgoingRequest";
 import { SilenceWatch } from "./silenceWatch";
@@ -93,6 +95,10 @@
         call.signal.removeEventListener("abort", onCallerAbort);
         traffic.inFlight--;
         this.removePendingPrefill(choice);
+        if (await this.isCutOff(server, end)) {
+            this.crashObserver.onLost(server);
+            return this.recordLost(server.id, traffic, "the upstream ended with its answer");
+        }
         return this.classify(choice, end);
     }
 
@@ -136,6 +142,13 @@
         return timers;
     }
 
+    /** Whether an answer that is complete by all that arrived was cut off by the end of its upstream. */
+    private async isCutOff(server: UpstreamServer, { kind, framing }: AttemptEnd): Promise<boolean> {
+        const { call, relay } = this;
+        const mayBeCut = kind === AttemptEndKind.Complete && framing === AnswerFraming.Connection && !relay.isBrokenOff(true);
+        return mayBeCut && relay.head?.decoded.isSigned === true && await isCutOffWithUpstream(call, server);
+    }
+
     private classify({ candidate }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
         const { relay } = this;
         const { server, traffic } = candidate;
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -45,6 +45,7 @@
     PromptTried = 413,
     RunnerLimitChanged = 414,
     PermitDenied = 415,
+    AnswerEndChecked = 416,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -47,6 +47,8 @@
     [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether runners still crash on it",
     [EventId.RunnerLimitChanged]: "a runner named another limit on its requests, or none any more, to this node or another one",
     [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
+    [EventId.AnswerEndChecked]:
+        "an answer without a length or chunks ended with its connection, and its upstream was asked for a connection: if it has ended, the answer was cut off",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
