Take only chunks for the end of a body in a transfer encoding

What callers saw: an answer with 'Transfer-Encoding: identity' that was reset was relayed as complete (status 200). Cause: any Transfer-Encoding header counted as framing. Such a body ends with its connection, so a reset and the end of the upstream now count. Evidence: 'treats an answer in identity encoding as incomplete if its connection is reset' failed before and passes now.

--- a/src/forward/answerFraming.ts
+++ b/src/forward/answerFraming.ts
@@ -10,8 +10,10 @@
 
 /** How the body of an answer with these headers is framed. */
 export const framingOf = (headers: HeaderMap): AnswerFraming => {
-    if (headers["transfer-encoding"] !== undefined) {
-        return AnswerFraming.Chunks;
+    const encodings = headers["transfer-encoding"];
+    if (encodings !== undefined) {
+        // Only chunks mark the end of a body; they are the last encoding.
+        return /(^|[\s,])chunked\s*$/i.test(String(encodings)) ? AnswerFraming.Chunks : AnswerFraming.Connection;
     }
     return headers["content-length"] === undefined ? AnswerFraming.Connection : AnswerFraming.Length;
 };
