Reset the connection of a caller that knows no chunks when its stream is cut

What callers saw: a caller of HTTP/1.0 gets a stream without chunks; when it was cut, its connection was closed as after a complete stream. Cause: the response was destroyed, which closes the connection; only the missing last chunk says that the stream was cut, and there are no chunks for HTTP/1.0. Evidence: 'resets the connection of an HTTP/1.0 caller whose stream is cut' failed before and passes now. The bytes that its caller has not read yet may be lost with the reset: that is what tells it. The end after an unexpected error goes the same way.

--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -31,7 +31,17 @@
     return kind === FailureKind.DeadlineExpired ? gatewayTimeout : badGateway;
 };
 
-/** Answers a request that failed without an answer from an upstream. A stream that has begun is destroyed: it must not look complete. */
+/** Ends an answer that has begun so that its caller sees that it is incomplete: without a last chunk, or by a reset for a caller that knows no chunks. */
+export const cutAnswer = (res: ServerResponse): void => {
+    if (res.chunkedEncoding) {
+        res.destroy();
+    }
+    else {
+        res.socket?.resetAndDestroy();
+    }
+};
+
+/** Answers a request that failed without an answer from an upstream. A stream that has begun is cut: it must not look complete. */
 export const answerFailure = (res: ServerResponse, requestId: string, failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): void => {
     const status = statusOf(failure);
     emit(EventId.RequestRefused, {
@@ -44,7 +54,7 @@
         ...logFields,
     });
     if (res.headersSent) {
-        res.destroy();
+        cutAnswer(res);
         return;
     }
     if (failure.retryAfterMs !== undefined && status === unavailable) {
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -10,7 +10,7 @@
 import { GracefulClose } from "../utils/gracefulClose";
 import { nextTurn } from "../utils/time";
 import { errorCodeOf, readBody } from "../utils/transport";
-import { answerFailure } from "./answerFailure";
+import { answerFailure, cutAnswer } from "./answerFailure";
 import type { Call } from "./call";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
@@ -137,7 +137,7 @@
         catch (err) {
             const requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
             emit(EventId.RequestFailed, { request: requestId, detail: err instanceof Error ? err.stack : errorCodeOf(err) });
-            res.destroy();
+            cutAnswer(res);
         }
     }
 
