Log the software version of runners, and what stream a request takes up

With them the log of a request tells a take-up at another version from a resumption within an answer.

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -82,6 +82,8 @@
         emit(EventId.RequestSent, {
             request: call.caller.requestId,
             upstream: server.id,
+            softwareVersion: server.softwareVersion,
+            resumes: call.caller.resumedRequestId,
             send,
             predictedMs: Math.round(choice.predictedMs),
             load: Math.round(traffic.load),
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -99,6 +99,7 @@
                     rowVersion: version,
                     service: (server ?? previous)?.service,
                     state: server?.state ?? "gone",
+                    softwareVersion: (server ?? previous)?.softwareVersion,
                     models: server?.models.map(({ name }) => name),
                 });
             }
--- a/src/platform/directoryDecoder.ts
+++ b/src/platform/directoryDecoder.ts
@@ -7,6 +7,8 @@
     service: z.string(),
     addr: z.string().regex(/^[^:\s]+:\d+$/),
     zone: z.string(),
+    /** The version of the runner's software, not of the row or of weights. */
+    version: z.string().optional(),
     slots: z.number(),
     state: z.enum(["ready", "draining"]),
     models: z.array(residentModelSchema).default([]),
@@ -23,12 +25,13 @@
     if ("faults" in result) {
         return undefined;
     }
-    const { service, addr, zone, slots, state, models, atHand: copies, born, seq, remainingMs } = result.value;
+    const { service, addr, zone, version, slots, state, models, atHand: copies, born, seq, remainingMs } = result.value;
     return {
         id,
         service,
         address: addr,
         availabilityZone: zone,
+        softwareVersion: version,
         slots,
         state: state === "ready" ? UpstreamState.Ready : UpstreamState.Draining,
         models,
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -8,6 +8,7 @@
     "host",
     "attempt-id",
     "last-event-id",
+    "resumes",
     "model",
     "token-count",
     "prompt-prefix",
@@ -69,6 +70,7 @@
             requestId: firstValueOf(headers, "attempt-id") ?? "",
             deadlineMs: deadline !== undefined && Number.isFinite(deadlineMs) ? deadlineMs : undefined,
             lastEventId: firstValueOf(headers, "last-event-id"),
+            resumedRequestId: firstValueOf(headers, "resumes"),
             modelRequest: decodeModelRequest(headers),
         };
     },
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -6,6 +6,8 @@
     /** Time that the caller allows for the answer. */
     readonly deadlineMs?: number;
     readonly lastEventId?: string;
+    /** ID of the request that brought the first event of the stream which this request resumes. */
+    readonly resumedRequestId?: string;
     readonly modelRequest?: ModelRequest;
 }
 
--- a/src/types/upstreamServer.ts
+++ b/src/types/upstreamServer.ts
@@ -21,6 +21,8 @@
     /** IP address and port. */
     readonly address: string;
     readonly availabilityZone: string;
+    /** Version of its software, which may differ within a service; undefined if it states none. */
+    readonly softwareVersion?: string;
     readonly slots: number;
     readonly state: UpstreamState;
     readonly models: readonly ResidentModel[];
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -36,7 +36,7 @@
     [EventId.AnswerDropped]: "an answer that belongs to another request was discarded",
     [EventId.ClaimReleaseFailed]: "a claim could not be released; retries are answered that the call may have run",
     [EventId.ClaimOutcomeLost]: "the outcome of a call could not be stored; retries are answered that the call may have run",
-    [EventId.RequestSent]: "a request was sent to an upstream",
+    [EventId.RequestSent]: "a request was sent to an upstream; `resumes` names the request that began the stream which a caller resumes",
     [EventId.RequestAnswered]: "a request was answered with an upstream's answer; `framing` says what marked its end",
     [EventId.RequestFailed]: "a request failed because of an internal error",
     [EventId.CallerLeft]: "the caller closed the connection; the attempt on the upstream was aborted",
