--- a/test/fakes/forwardingCase.ts
+++ b/test/fakes/forwardingCase.ts
@@ -15,6 +15,8 @@
     readonly timeoutMs?: number;
     /** One script for each upstream; the request is sent to the first upstream first. */
     readonly scripts: readonly Script[];
+    /** Software version of each upstream. */
+    readonly softwareVersions?: readonly string[];
     readonly call?: CallerRequest;
     readonly status: number | undefined;
     readonly body?: string;
@@ -26,11 +28,11 @@
 
 /** Defines the test of a case. */
 export const testForwarding = (
-    { name, scripts, call, status, body, isComplete = status !== undefined, received, check, ...route }: ForwardingCase,
+    { name, scripts, softwareVersions, call, status, body, isComplete = status !== undefined, received, check, ...route }: ForwardingCase,
 ): void => {
     it(name, async () => {
         const upstreams = await Promise.all(scripts.map(script => startScriptedUpstream(script)));
-        const node = await startGateway(upstreams.map(({ address }) => address), route);
+        const node = await startGateway(upstreams.map(({ address }) => address), route, softwareVersions);
         // The first upstream is preferred because the others have higher latencies.
         [...scripts.keys()].forEach(index => node.gateway.trafficOf(`up-${index}`).onFirstByte(20 + 20 * index));
         const result = await callGateway(node.address, call);
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -54,8 +54,12 @@
     close(): void;
 }
 
-/** Starts a gateway in this process. */
-export const startGateway = async (upstreams: readonly string[], route: Partial<ServiceRoute> = {}): Promise<TestGateway> => {
+/** Starts a gateway in this process; the upstreams have the software versions given, or none. */
+export const startGateway = async (
+    upstreams: readonly string[],
+    route: Partial<ServiceRoute> = {},
+    softwareVersions: readonly string[] = [],
+): Promise<TestGateway> => {
     const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, createRandom(1));
     const limits = { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
     gateway.applyConfig({
@@ -73,6 +77,7 @@
                 service: "desk",
                 address,
                 availabilityZone: "a",
+                softwareVersion: softwareVersions[index],
                 slots: 8,
                 state: UpstreamState.Ready,
                 models: [{ name: "m", version: 1, adapters: [] }],
@@ -109,12 +114,14 @@
     readonly body?: string;
     /** The caller aborts the request after this time. */
     readonly abortAfterMs?: number;
+    /** Whether the part of an answer that arrived counts if the connection ends early. */
+    readonly keepsPart?: boolean;
 }
 
 /** Sends a request as a caller does and waits until it completes, fails or is aborted. */
 export const callGateway = (
     address: string,
-    { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", abortAfterMs }: CallerRequest = {},
+    { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", abortAfterMs, keepsPart = false }: CallerRequest = {},
 ): Promise<CallerResult> =>
     new Promise(resolve => {
         const startedAt = performance.now();
@@ -136,7 +143,7 @@
                 res.on("error", () => finish(toResult(false)));
             },
         );
-        req.on("error", () => finish({ headers: {}, body: "", isComplete: false }));
+        req.on("error", () => finish({ headers: {}, body: keepsPart ? Buffer.concat(chunks).toString() : "", isComplete: false }));
         req.end(body);
         if (abortAfterMs !== undefined) {
             setTimeout(() => req.destroy(), abortAfterMs);
