Resume a stream within its answer only at the software version that began it

What callers saw: one stream with events of two software versions, when its first runner broke off and the node resumed it at another. Cause: nothing knew the version of a runner's software. The first event that is relayed now pins the request to its runner's version; the choice of the next upstream, alternatives that are reserved while an attempt is silent, and the question for a runner that has or loads the model all keep to it. If no runner of the version is left, the stream is cut, and its caller may take it up.

--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -23,6 +23,8 @@
 export interface AnswerObserver {
     /** Called with the head of each attempt's answer. */
     onHead(head: AnswerHead): void;
+    /** Called when the caller is about to receive the first event of its stream. */
+    onFirstEvent(): void;
     /** Called with the time between two chunks of a stream. */
     onEventGap(ms: number): void;
 }
@@ -117,7 +119,10 @@
             this.observer.onEventGap(gapMs);
         }
         this.attemptEventAt ??= now;
-        this.firstEventAt ||= now;
+        if (this.firstEventAt === 0) {
+            this.firstEventAt = now;
+            this.observer.onFirstEvent();
+        }
         this.lastProgressAt = now;
         if (this.call.res.write(events)) {
             return SinkState.Ready;
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -3,7 +3,7 @@
 import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
-import { processKey } from "../types/upstreamServer";
+import { processKey, softwareVersionOf } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { AnswerFraming } from "./answerFraming";
@@ -50,6 +50,9 @@
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
         this.relay = AnswerRelay.create(call, gateway.settings.limits, {
             onHead: () => this.onHead(),
+            onFirstEvent: () => {
+                call.versionPin.version ??= this.choice && softwareVersionOf(this.choice.candidate.server);
+            },
             onEventGap: ms => {
                 this.choice?.candidate.traffic.onEventGap(ms);
                 this.crashObserver.onEvent();
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -191,6 +191,7 @@
             suspectParts: suspectPartsOf(req, bodyResult.body, caller.modelRequest),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
+            versionPin: { version: undefined },
             signal,
         };
     }
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -6,6 +6,7 @@
 import { rankByHashCached } from "../utils/hash";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { allowsUpstream } from "./versionPin";
 
 /** Share of a prompt's shared parts that their preferred runner is assumed to have cached, even if this node has not sent them there. */
 const preferredCachedShare = 0.7;
@@ -36,7 +37,9 @@
     const { modelRequest } = call.caller;
     const servers = modelRequest ? serversWithModel(gateway, call.service, modelRequest.model) : gateway.directory.readyOf(call.service);
     const artifact = modelRequest?.adapter === undefined ? undefined : artifactKey(modelRequest.model, modelRequest.adapter);
-    return servers.filter(({ id }) => !tried.has(id) && (artifact === undefined || gateway.residency.hasAdapter(id, artifact)));
+    return servers.filter(server =>
+        !tried.has(server.id) && allowsUpstream(call.versionPin, server) && (artifact === undefined || gateway.residency.hasAdapter(server.id, artifact))
+    );
 };
 
 /** Chooses one of the upstreams that can run the request now. */
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -9,6 +9,7 @@
 import type { Gateway } from "./gateway";
 import type { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
+import { allowsUpstream } from "./versionPin";
 
 /** Bounds of the interval between two requests to the controller. */
 const maxPollIntervalMs = 250;
@@ -89,6 +90,10 @@
     }
 };
 
+/** Upstreams at which the request's stream may not go on. */
+const excludedByVersion = (gateway: Gateway, call: Call): readonly string[] =>
+    gateway.directory.readyOf(call.service).filter(server => !allowsUpstream(call.versionPin, server)).map(({ id }) => id);
+
 /** Selects an upstream for a request; waits for its model or adapter, and for free capacity, as long as an answer in time is likely. */
 export const waitForUpstream = async (
     gateway: Gateway,
@@ -109,7 +114,7 @@
             service: call.service,
             model: modelRequest.model,
             adapter: modelRequest.adapter,
-            avoid: [...tried],
+            avoid: [...tried, ...excludedByVersion(gateway, call)],
             unreachable: [...tried].filter(id => gateway.trafficOf(id).isUnreachable),
         });
         const remainingMs = remainingMsOf(gateway, call);
--- a/src/types/upstreamServer.ts
+++ b/src/types/upstreamServer.ts
@@ -50,5 +50,8 @@
     readonly server?: UpstreamServer;
 }
 
+/** An upstream's software version; those that state none count as one version. */
+export const softwareVersionOf = ({ softwareVersion = "" }: UpstreamServer): string => softwareVersion;
+
 /** Identifies an upstream's process: it may start again under the same ID. */
 export const processKey = ({ id, bornAt }: UpstreamServer): string => `${id}@${bornAt}`;
