Take streams up at the software version that began them

Cause: the node that gets a take-up had no way to know the version that began the stream, least after a restart of all nodes. Now a service has a base version in the store, written when a second version appears: the one that served alone before. A stream that is to begin at any other version is recorded in its node's row before it is sent; records of one node that come together are written together, on the condition that the base version is still the same. A take-up reads the records: recorded, or else begun by the base version. If that version has no ready runner, or it cannot be known, the take-up is refused at once as not run. While a service has one version, nothing is written. The base version is replaced once it has been gone for twice the time for which streams may be taken up; until then all other streams are recorded, so that no stream changes its answer. Ruled out: one write for each stream (the base version needs none); peers that remember (all may be killed at once); a share by hash (copies of a model are few: a stream would have to begin where no copy is, or be recorded anyway).

--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -15,6 +15,7 @@
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
 import { suspectPartsOf } from "./suspectParts";
+import { createVersionPin } from "./versionPin";
 
 /** Hop-by-hop headers, which are not forwarded. */
 const connectionHeaders: ReadonlySet<string> = new Set([
@@ -191,7 +192,7 @@
             suspectParts: suspectPartsOf(req, bodyResult.body, caller.modelRequest),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
-            versionPin: { version: undefined },
+            versionPin: createVersionPin(),
             signal,
         };
     }
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -16,6 +16,7 @@
 import { logAnswered } from "./logAnswered";
 import { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
+import { mayBeginAt, pinTakenUpStream } from "./versionPin";
 import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
 import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
@@ -59,7 +60,7 @@
             return;
         }
         this.gate.startTrial();
-        const first = await waitForUpstream(gateway, call, this.tried, this.gate);
+        const first = await pinTakenUpStream(gateway, call) ?? await waitForUpstream(gateway, call, this.tried, this.gate);
         if (isRefusal(first)) {
             this.refuse(first);
             return;
@@ -92,13 +93,15 @@
         const { gateway, call } = this;
         for (let next: UpstreamChoice | Refusal = choice;;) {
             const denied = await waitForTurn(gateway, call, next);
-            if (!denied) {
+            if (!denied && await mayBeginAt(gateway, call, next)) {
                 return refuseQuarantined(gateway, this.gate) ?? next;
             }
-            this.tried.add(next.candidate.server.id);
+            if (denied) {
+                this.tried.add(next.candidate.server.id);
+            }
             next = await waitForUpstream(gateway, call, this.tried, this.gate);
             if (isRefusal(next)) {
-                return next.kind === undefined ? denied : next;
+                return denied && next.kind === undefined ? denied : next;
             }
         }
     }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -8,12 +8,14 @@
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
+import { StreamVersions } from "../core/streamVersions";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+import type { RowStore } from "../types/rowStore";
 import type { Permit, PermitRequest } from "../types/sendPermit";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
@@ -49,6 +51,9 @@
     isController: false,
 };
 
+/** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
+const streamLifetimeFactor = 2;
+const minStreamLifetimeMs = 20_000;
 const noLoad: RunnerLoads[string] = [0, 0];
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
@@ -90,7 +95,11 @@
     /** Requests that have been received and not answered yet. */
     inProgress = 0;
 
-    private constructor(public settings: PlatformNodeSettings, readonly wire: RequestHeaderCodec, readonly random: Random) {
+    /** The software versions that began streams. */
+    readonly streamVersions: StreamVersions;
+
+    private constructor(public settings: PlatformNodeSettings, readonly wire: RequestHeaderCodec, readonly random: Random, store: RowStore | undefined) {
+        this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store);
         this.directory.observe(({ id, server, version }, previous) => {
             // Rows also change with each adapter: such changes are not logged, as every node would log each.
             if (summaryOf(server) !== summaryOf(previous)) {
@@ -111,8 +120,14 @@
     }
 
     /** Creates the shared state of a node without a configuration or upstreams. */
-    static create(settings: PlatformNodeSettings, wire: RequestHeaderCodec, random: Random): Gateway {
-        return new Gateway(settings, wire, random);
+    static create(settings: PlatformNodeSettings, wire: RequestHeaderCodec, random: Random, store?: RowStore): Gateway {
+        return new Gateway(settings, wire, random, store);
+    }
+
+    /** Time for which callers may take a stream up. */
+    private get streamLifetimeMs(): number {
+        const timeouts = this.config?.routes.filter(({ isResumable }) => isResumable).map(({ timeoutMs }) => timeoutMs) ?? [];
+        return Math.max(minStreamLifetimeMs, streamLifetimeFactor * Math.max(0, ...timeouts));
     }
 
     get config(): ServingConfig | undefined {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -47,6 +47,9 @@
 const maxFullRateNodes = 8;
 /** Minimum pause between two attempts to take a vacant lease. */
 const minTakeoverPauseMs = 200;
+/** Interval between two reads of the records of streams until one succeeds, and at which the controller maintains them. */
+const streamReadRetryMs = 400;
+const streamMaintenanceIntervalMs = 5_000;
 /** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
 const controllerTimeoutMs = 1_500;
 
@@ -55,18 +58,23 @@
     private lease: ControllerLease | undefined;
     private readonly stopped = new AbortController();
 
-    private constructor(private readonly settings: PlatformNodeSettings, private readonly gateway: Gateway, private readonly server: CallerServer) {}
+    private constructor(
+        private readonly settings: PlatformNodeSettings,
+        private readonly store: StoreClient,
+        private readonly gateway: Gateway,
+        private readonly server: CallerServer,
+    ) {}
 
     /** Creates a node that does not listen yet. */
     static create(settings: PlatformNodeSettings): PlatformNode {
-        const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid));
-        return new PlatformNode(settings, gateway, CallerServer.create(gateway));
+        const store = StoreClient.create(settings.storeAddress, settings.limits);
+        const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid), store);
+        return new PlatformNode(settings, store, gateway, CallerServer.create(gateway));
     }
 
     /** Starts following the store and accepting requests. */
     async start(): Promise<void> {
-        const { settings, gateway, server } = this;
-        const store = StoreClient.create(settings.storeAddress, settings.limits);
+        const { settings, gateway, server, store } = this;
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { controllerClient, peerServer } = this.startPlacement(store);
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
@@ -90,6 +98,7 @@
         });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
+        this.followStreamVersions();
         const metrics = Metrics.create();
         metrics.registerGauges([
             { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
@@ -107,6 +116,25 @@
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
     }
 
+    /** Reads the records of streams once, and maintains them on the controller. */
+    private followStreamVersions(): void {
+        const { streamVersions, placement, random } = this.gateway;
+        const step = async (): Promise<void> => {
+            if (!streamVersions.table) {
+                await streamVersions.readTable();
+            }
+            else if (placement.isController) {
+                await streamVersions.maintain();
+            }
+        };
+        void repeat(
+            step,
+            () => streamVersions.table ? streamMaintenanceIntervalMs : streamReadRetryMs * (0.5 + random()),
+            this.stopped.signal,
+            err => emit(EventId.StreamRecordsUnread, { detail: toFailure(err).detail }),
+        );
+    }
+
     /** Starts model placement: as the controller while this node holds the lease, otherwise by requests to the controller. */
     private startPlacement(store: StoreClient): { readonly controllerClient: ControllerClient; readonly peerServer: PeerServer; } {
         const { gateway, settings } = this;
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -133,7 +133,7 @@
         }
     }
 
-    async transact({ conditions, puts }: Parameters<RowStore["transact"]>[0]): Promise<TransactionResult> {
+    async transact({ conditions, puts, removes = [] }: Parameters<RowStore["transact"]>[0]): Promise<TransactionResult> {
         if (conditions.some(({ version }) => this.hasEnded(eraOf(version)))) {
             return { kind: TransactionKind.Outdated };
         }
@@ -141,7 +141,7 @@
             body: {
                 expected: conditions.map(({ table, part, key, version }) => ({ table, part, key, ver: counterOf(version) })),
                 puts: puts.map(({ table, part, key, value }) => ({ table, part, key, value: value.toString("base64") })),
-                remove: [],
+                remove: removes.map(({ table, part, key }) => ({ table, part, key })),
             },
         });
         if (answer.status === 412) {
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -25,6 +25,8 @@
     AnswerMismatch = "answer-mismatch",
     AnswerTruncated = "answer-truncated",
     PromptQuarantined = "prompt-quarantined",
+    StreamVersionGone = "stream-version-gone",
+    StreamVersionUnknown = "stream-version-unknown",
     RetryBudgetSpent = "retry-budget-spent",
     CallerGone = "caller-gone",
     ClaimUnavailable = "claim-unavailable",
--- a/src/types/rowStore.ts
+++ b/src/types/rowStore.ts
@@ -30,6 +30,7 @@
 export interface RowTransaction {
     readonly conditions: readonly RowCondition[];
     readonly puts: readonly RowPut[];
+    readonly removes?: readonly RowName[];
 }
 
 /** Outcome of a transaction. */
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -49,6 +49,12 @@
     [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
     [EventId.AnswerEndChecked]:
         "an answer without a length or chunks ended with its connection, and its upstream was asked for a connection: if it has ended, the answer was cut off",
+    [EventId.StreamTakenUp]:
+        "a caller takes a stream up: the software version that began it, how that is known and the age of the records, or why it cannot be known",
+    [EventId.StreamRecordFailed]: "the software version of streams could not be recorded; they begin at the base version of their service or are refused",
+    [EventId.BaseVersionChanged]: "this node wrote the base version of a service: streams without a record were begun by it",
+    [EventId.BaseVersionUnknown]: "several versions of a service serve and the store cannot say which is the base version; the one named is assumed",
+    [EventId.StreamRecordsUnread]: "the records of streams could not be read or maintained; that is tried again",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -119,7 +119,7 @@
         return this.rejectWithLostAnswer(Verdict.MayHaveRun);
     }
 
-    private apply({ conditions, puts }: RowTransaction): TransactionResult {
+    private apply({ conditions, puts, removes = [] }: RowTransaction): TransactionResult {
         const current = conditions.map(condition => this.rows.get(rowKey(condition)));
         if (conditions.some(({ version }, index) => (current[index]?.version ?? 0) !== counterOf(version))) {
             const rows = current.filter(row => row !== undefined).map(row => this.toAnswer(row));
@@ -127,6 +127,7 @@
         }
         const version = ++this.version;
         puts.forEach(put => this.rows.set(rowKey(put), { ...put, version }));
+        removes.forEach(name => this.rows.set(rowKey(name), { ...name, value: undefined, version }));
         return { kind: TransactionKind.Committed, version: this.newest, nowMs: this.nowMs };
     }
 
--- a/test/fakes/versionFleet.ts
+++ b/test/fakes/versionFleet.ts
@@ -157,7 +157,7 @@
     }
 
     private async startNode(name: string): Promise<FleetNode> {
-        const gateway = Gateway.create({ ...platformTestSettings, nodeId: name }, requestHeaderCodec, createRandom(1));
+        const gateway = Gateway.create({ ...platformTestSettings, nodeId: name }, requestHeaderCodec, createRandom(1), this.store);
         gateway.applyConfig({
             version: 1,
             routes: [route],
