Do not take a refusal without an ID on a used connection for the present request's

What callers saw elsewhere: 'not run' for a request that a runner was running (REFUSED), or a second run (TWICE), after a faulty runner had written an earlier refusal once more on a kept connection. Cause here: an answer without an Attempt-Id was taken for another request's only if it was sealed; a refusal is not, so one that was repeated where the answer to the next request was due counted as that request's. Only on the first request of a connection can it be no other's. Evidence: 'does not prove that the next request has not run: without an ID' failed before (a request that must not be repeated was sent to a second upstream and answered 200 while the first ran it) and passes now (502). With the ID of the earlier request it held before.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -109,7 +109,9 @@
                     return;
                 }
                 const decoded = wire.decodeAnswer(status, headers);
-                const isOther = decoded.requestId === undefined ? decoded.isSigned : decoded.requestId !== req.requestId;
+                // On a connection that has carried requests before, an answer without an ID may be an earlier one once more.
+                const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && pool.isReused(client));
+                const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
                 if (isOther) {
                     isDropped = true;
                     current.abort(abortReason);
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -54,6 +54,11 @@
         return client;
     }
 
+    /** Whether the connection has carried a request before its present one. */
+    isReused(client: Client): boolean {
+        return this.idleBeforeUse.has(client);
+    }
+
     /** Whether the connection was reset: an answer without a length is incomplete in that case. */
     wasReset(client: Client): boolean {
         return this.resetClients.has(client);
