Go on with a begun stream only by events that follow

Cause: neither the type of the next answer nor the IDs of its events were looked at. Now an answer goes on with a stream only if it has the type of the first one, its first event has an ID, and IDs increase from the last one that was relayed; otherwise the attempt counts as lost, and another runner may go on. An answer of the right type without further events ends the stream: the runner was asked for what follows, and a stream may break off after its last event.

--- /dev/null
+++ b/src/core/eventOrder.ts
@@ -0,0 +1,28 @@
+/** Blank line that ends an event. */
+const eventEnd = /\r?\n\r?\n/;
+const idLine = /^id: ?(.*?)\r?$/gm;
+
+const idsIn = (events: string): string[] => [...events.matchAll(idLine)].map(match => match[1]!);
+
+const follows = (id: string, previous: string): boolean => {
+    const [number, previousNumber] = [Number(id), Number(previous)];
+    return Number.isNaN(number) || Number.isNaN(previousNumber) ? id !== previous : number > previousNumber;
+};
+
+/**
+ * Whether events go on after the event with an ID: their IDs increase from there. The first event of a resumed stream must have one, as text
+ * that is no event has none.
+ */
+export const goOnAfter = (events: string, lastEventId: string | undefined, isResumption: boolean): boolean => {
+    if (isResumption && idsIn(`${events.split(eventEnd, 1)[0]}\n`).length === 0) {
+        return false;
+    }
+    let previous = lastEventId;
+    for (const id of idsIn(events)) {
+        if (previous !== undefined && !follows(id, previous)) {
+            return false;
+        }
+        previous = id;
+    }
+    return true;
+};
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import { goOnAfter } from "../core/eventOrder";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
@@ -17,6 +18,8 @@
     }
 };
 
+const mediaTypeOf = (contentType: unknown): string => String(contentType ?? "").split(";", 1)[0]!.trim().toLowerCase();
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** Receives notifications while answers arrive. */
@@ -90,9 +93,10 @@
         this.head = head;
         this.firstByteAt ||= performance.now();
         this.lastProgressAt = performance.now();
-        this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.decoded.isSigned;
-        this.observer.onHead(head);
         const { res } = this.call;
+        const goesOn = !res.headersSent || mediaTypeOf(head.headers["content-type"]) === mediaTypeOf(res.getHeader("content-type"));
+        this.isStreaming = this.call.route.kind === RouteKind.Streaming && isSuccess(head.status) && head.decoded.isSigned && goesOn;
+        this.observer.onHead(head);
         if (this.isStreaming && !res.headersSent) {
             copyHeaders(res, head.headers, true);
             res.writeHead(head.status);
@@ -107,11 +111,17 @@
             this.bufferedBytes += chunk.length;
             return this.bufferedBytes > this.limits.maxAnswerBytes ? SinkState.TooLarge : SinkState.Ready;
         }
+        const { lastEventId } = this;
         const events = this.splitter.push(chunk);
         if (events.length === 0) {
             // A few bytes of an event now and then are no progress.
             return this.splitter.partialEvent.length > this.limits.maxEventBytes ? SinkState.TooLarge : SinkState.Ready;
         }
+        const isResumption = lastEventId !== undefined && this.attemptEventAt === undefined;
+        if (!goOnAfter(events.toString("latin1"), lastEventId, isResumption)) {
+            this.splitter.lastEventId = lastEventId;
+            return SinkState.OutOfOrder;
+        }
         const now = performance.now();
         if (this.attemptEventAt !== undefined) {
             const gapMs = now - this.lastProgressAt;
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -49,8 +49,16 @@
     Full = "full",
     /** The answer exceeds a limit: the connection is closed. */
     TooLarge = "too-large",
+    /** The events do not go on from those that the caller has received: the connection is closed. */
+    OutOfOrder = "out-of-order",
 }
 
+/** Why an answer is given up, by what the sink makes of it. */
+const rejectionReasons: Readonly<Partial<Record<SinkState, string>>> = {
+    [SinkState.TooLarge]: "answer too large",
+    [SinkState.OutOfOrder]: "events out of order",
+};
+
 /** Consumes an answer as it arrives. */
 export interface AnswerSink {
     onHead(head: AnswerHead): void;
@@ -127,10 +135,11 @@
                     return;
                 }
                 const state = sink.onData(chunk, () => current.resume());
-                if (state === SinkState.TooLarge) {
+                const rejection = rejectionReasons[state];
+                if (rejection !== undefined) {
                     isDropped = true;
                     current.abort(abortReason);
-                    finish(AttemptEndKind.Lost, "answer too large");
+                    finish(AttemptEndKind.Lost, rejection);
                 }
                 else if (state === SinkState.Full) {
                     current.pause();
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -183,6 +183,9 @@
         if (!head.decoded.isSigned) {
             return this.recordLost(server.id, traffic, "answer without a seal");
         }
+        if (head.status < minServerErrorStatus && !relay.canComplete) {
+            return this.recordLost(server.id, traffic, "not a continuation of the stream");
+        }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
             this.crashObserver.onAnswered(candidate, endsWithConnection);
