Store the base version of a service while its upstreams serve, and retire it once it is gone

Cause: the base version was stored when a stream began amid several versions. If the version that served alone left before that, and nodes restarted, its streams were taken up at the next version. Now the first upstream that a node sees leads to one write for the service, within a second, by the controller or whichever node comes first. Streams that began without a record, as their base version was gone and the store away, are recorded as soon as it is back. The controller replaces a base version that has been gone for twice the time for which streams may be taken up, and removes rows of nodes that have recorded nothing for ten minutes (tests of both). What the property test leaves out: a version that comes or goes while the store is away, with a restart of all nodes before it is back.

--- a/src/core/serviceVersions.ts
+++ b/src/core/serviceVersions.ts
@@ -13,7 +13,8 @@
 /** The software versions of each service's upstreams, as the directory shows them. */
 export class ServiceVersions {
     private readonly sightings = new Map<string, Map<string, Sighting>>();
-    private readonly onlyVersions = new Map<string, string>();
+    /** The version that each service had alone when this node first saw it so. */
+    private readonly firstVersions = new Map<string, string>();
 
     private constructor(private readonly directory: UpstreamDirectory) {}
 
@@ -35,10 +36,15 @@
         return [...this.sightings.get(service) ?? []].filter(([, { isPresent }]) => isPresent).map(([version]) => version);
     }
 
+    /** Whether this node has seen upstreams of one version only, or none. */
+    isUniform(service: string): boolean {
+        return (this.sightings.get(service)?.size ?? 0) <= 1;
+    }
+
     /** The version that served alone before others came, if this node has seen that; otherwise that of the upstream that has run the longest. */
     firstOf(service: string): string | undefined {
         const oldest = this.directory.all().filter(server => server.service === service).sort((one, other) => one.bornAt - other.bornAt)[0];
-        return this.onlyVersions.get(service) ?? (oldest && softwareVersionOf(oldest));
+        return this.firstVersions.get(service) ?? (oldest && softwareVersionOf(oldest));
     }
 
     /** Time for which this node has known that a version has no upstream; 0 while it has one. */
@@ -74,8 +80,8 @@
             }
         }
         const [onlyVersion, ...others] = present;
-        if (onlyVersion !== undefined && others.length === 0) {
-            this.onlyVersions.set(service, onlyVersion);
+        if (onlyVersion !== undefined && others.length === 0 && sightings.size === 1) {
+            this.firstVersions.set(service, onlyVersion);
         }
     }
 }
--- a/src/core/streamRecorder.ts
+++ b/src/core/streamRecorder.ts
@@ -38,6 +38,8 @@
     private readonly records: StreamRecords;
     private pending: PendingWrite[] = [];
     private isWriting = false;
+    /** Whether streams have begun without a record. */
+    private hasUnwritten = false;
     private rowVersion: StoreVersion | undefined;
     private failedAt = Number.NEGATIVE_INFINITY;
 
@@ -71,6 +73,19 @@
         });
     }
 
+    /** Records a stream that has begun without a record once the store can be reached. */
+    recordLater({ requestId, version }: PendingRecord): void {
+        this.records.set(requestId, version);
+        this.hasUnwritten = true;
+    }
+
+    /** Writes the records of streams that began without one. */
+    async flush(): Promise<void> {
+        if (this.hasUnwritten && !this.isWriting) {
+            this.hasUnwritten = !await this.write([]);
+        }
+    }
+
     private async writePending(): Promise<void> {
         if (this.isWriting) {
             return;
--- a/src/core/streamVersions.ts
+++ b/src/core/streamVersions.ts
@@ -1,33 +1,32 @@
 import { EventId } from "../types/eventId";
 import type { RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
+import type { StoreVersion } from "../types/storeVersion";
 import { absentVersionIn } from "../types/storeVersion";
 import type { StreamOrigin } from "../types/streamOrigin";
 import { OriginSource } from "../types/streamOrigin";
 import { emit } from "../utils/events";
+import { getOrCreate } from "../utils/maps";
+import { sleep } from "../utils/time";
 import { toFailure } from "./failures";
 import { ServiceVersions } from "./serviceVersions";
 import { StreamRecorder } from "./streamRecorder";
 import { StreamRecords } from "./streamRecords";
 import type { BaseVersion, StreamTable } from "./streamTable";
 import { baseRowName, decodeStreamTable, encodeBase, streamTable } from "./streamTable";
+import { maintainStreamTable } from "./streamTableMaintenance";
 import type { UpstreamDirectory } from "./upstreamDirectory";
 
-/** The base version is replaced once it has had no upstream for this multiple of the time for which streams may be taken up. */
-const baseRetirementFactor = 2;
 /** Time after a failed read in which the base version is not asked for again, so that not each request waits for the store. */
 const failurePauseMs = 500;
-/** Rows of nodes that have not been written for this long are removed: their streams have ended. */
-const nodeRowLifetimeMs = 600_000;
-/** Rows that are removed in one transaction. */
-const maxRemovedRows = 50;
-/** Interval at which the table is read to maintain it, once it has rows. */
-const maintenanceIntervalMs = 60_000;
+
+/** Longest wait for the base version of a service of which this node has seen one version only. */
+const maxUniformWaitMs = 100;
 
 /**
  * Knows the software version that began each stream. A service has one base version, and a stream of any other version is recorded in the store before it
- * begins: a stream without a record was begun by the base version, so nodes that have lost their memory know it too. While a service has had one version
- * only, nothing is stored.
+ * begins: a stream without a record was begun by the base version, so nodes that have lost their memory know it too. While a service has one version,
+ * nothing else is stored.
  */
 export class StreamVersions {
     readonly versions: ServiceVersions;
@@ -36,6 +35,9 @@
     table: StreamTable | undefined;
     private tableReadAt = Number.NEGATIVE_INFINITY;
     private readFailedAt = Number.NEGATIVE_INFINITY;
+    /** Services whose base version this node stores shortly, unless another one does. */
+    private readonly awaitedServices = new Set<string>();
+    private readonly determining = new Map<string, Promise<string | undefined>>();
     private reading: Promise<StreamTable> | undefined;
     private nextReading: Promise<StreamTable> | undefined;
 
@@ -44,18 +46,35 @@
         private readonly store: RowStore | undefined,
         nodeId: string,
         private readonly lifetimeMs: () => number,
+        firstWriteDelayMs: () => number,
     ) {
         this.versions = ServiceVersions.create(directory);
         this.begun = StreamRecords.create(lifetimeMs);
         this.recorder = store && StreamRecorder.create(store, nodeId, this, lifetimeMs);
+        // The base version is stored while its upstreams serve, as they may leave together with all nodes that know it.
+        directory.observe(({ server }) => {
+            if (store && server && !this.baseOf(server.service) && !this.awaitedServices.has(server.service)) {
+                this.awaitedServices.add(server.service);
+                setTimeout(() => void this.storeBase(server.service), firstWriteDelayMs()).unref();
+            }
+        });
     }
 
-    /** `lifetimeMs` returns how long callers may take a stream up. Without a store, only this node's own streams are known. */
-    static create(directory: UpstreamDirectory, nodeId: string, lifetimeMs: () => number, store?: RowStore): StreamVersions {
-        return new StreamVersions(directory, store, nodeId, lifetimeMs);
+    /**
+     * `lifetimeMs` returns how long callers may take a stream up, `firstWriteDelayMs` how long this node waits for another one to write the base version.
+     * Without a store, only this node's own streams are known.
+     */
+    static create(
+        directory: UpstreamDirectory,
+        nodeId: string,
+        lifetimeMs: () => number,
+        store?: RowStore,
+        firstWriteDelayMs: () => number = () => 0,
+    ): StreamVersions {
+        return new StreamVersions(directory, store, nodeId, lifetimeMs, firstWriteDelayMs);
     }
 
-    /** Base version of a service as last read; undefined while the service has had one version only. */
+    /** Base version of a service as last read. */
     baseOf(service: string): BaseVersion | undefined {
         return this.table?.bases.get(service);
     }
@@ -67,11 +86,16 @@
         const needsRecord = (base !== undefined && base !== version) || (recorded !== undefined && recorded !== version);
         // Without an upstream of the base version, a stream without a record is refused when it is taken up.
         const isBaseGone = base !== undefined && !this.versions.of(service).includes(base) && (recorded === undefined || recorded === version);
-        const mayBegin = !needsRecord || await this.recorder?.record({ service, requestId, version }) === true || isBaseGone;
-        if (mayBegin) {
-            this.begun.set(requestId, version);
+        const record = { service, requestId, version };
+        const isRecorded = !needsRecord || await this.recorder?.record(record) === true;
+        if (!isRecorded && !isBaseGone) {
+            return false;
+        }
+        if (!isRecorded) {
+            this.recorder?.recordLater(record);
         }
-        return mayBegin;
+        this.begun.set(requestId, version);
+        return true;
     }
 
     /** The software version that began a stream. */
@@ -113,35 +137,15 @@
         return this.nextReading;
     }
 
-    /** Removes what is no longer needed from the table. Called now and then on one node. */
-    async maintain(): Promise<void> {
-        const { table } = this;
-        if (!table || table.bases.size + table.nodeRows.length === 0) {
-            return;
-        }
-        if (this.tableAgeMs > maintenanceIntervalMs) {
-            await this.readTable();
-        }
-        await this.retireBases();
-        const expired = this.table!.nodeRows.filter(({ writtenAt }) => writtenAt < Date.now() - nodeRowLifetimeMs).slice(0, maxRemovedRows);
-        if (expired.length > 0) {
-            await this.store!.transact({
-                conditions: expired.map(({ name, version }) => ({ ...name, version })),
-                puts: [],
-                removes: expired.map(({ name }) => name),
-            });
-            await this.readTable();
-        }
+    /** Writes what could not be written before. Called now and then. */
+    async flush(): Promise<void> {
+        await this.recorder?.flush();
     }
 
-    /** Replaces base versions that have been gone for so long that no stream of theirs can be taken up. */
-    private async retireBases(): Promise<void> {
-        for (const [service, { version, rowVersion }] of this.table?.bases ?? []) {
-            const [next, ...others] = this.versions.of(service);
-            const isRetired = this.versions.absentMs(service, version) > baseRetirementFactor * this.lifetimeMs();
-            if (isRetired && next !== undefined && others.length === 0) {
-                await this.writeBase(service, next, rowVersion, "retired");
-            }
+    /** Removes what is no longer needed from the table. Called now and then on one node. */
+    async maintain(): Promise<void> {
+        if (this.store) {
+            await maintainStreamTable(this.store, this, this.lifetimeMs());
         }
     }
 
@@ -165,26 +169,39 @@
     }
 
     private onlyVersionOf(service: string): StreamOrigin | undefined {
-        const [version, ...others] = this.versions.of(service);
-        return version !== undefined && others.length === 0 && this.baseOf(service) === undefined ? { version, source: OriginSource.OnlyVersion } : undefined;
+        const [version] = this.versions.of(service);
+        const isOnly = this.versions.isUniform(service) && this.baseOf(service) === undefined;
+        return version !== undefined && isOnly ? { version, source: OriginSource.OnlyVersion } : undefined;
+    }
+
+    private async storeBase(service: string): Promise<void> {
+        await this.currentBase(service);
+        this.awaitedServices.delete(service);
     }
 
-    /** The base version if it is known to be in force; it is determined and stored when a second version appears. */
+    /** The base version in force; it is determined and stored if there is none. */
     private async currentBase(service: string): Promise<string | undefined> {
         const known = this.baseOf(service);
-        const isCurrent = known && this.versions.returnedAt(service, known.version) < this.tableReadAt;
-        const isSingle = this.versions.of(service).length <= 1;
-        if (!this.store || isCurrent || (isSingle && !known)) {
+        if (!this.store || (known && this.versions.returnedAt(service, known.version) < this.tableReadAt)) {
             return known?.version;
         }
-        const first = this.versions.firstOf(service);
         if (performance.now() - this.readFailedAt < failurePauseMs) {
-            return known?.version ?? first;
+            return known?.version ?? this.versions.firstOf(service);
         }
+        const determined = getOrCreate(this.determining, service, () => this.determineBase(service).finally(() => this.determining.delete(service)));
+        return known === undefined && this.versions.isUniform(service)
+            ? Promise.race([determined, sleep(maxUniformWaitMs).then(() => this.versions.firstOf(service))])
+            : determined;
+    }
+
+    private async determineBase(service: string): Promise<string | undefined> {
+        const known = this.baseOf(service);
+        // A node that has started amid several versions takes the one whose upstream has run the longest.
+        const first = this.versions.firstOf(service);
         try {
             await this.readTable();
             if (!this.baseOf(service) && first !== undefined) {
-                await this.writeBase(service, first, absentVersionIn(this.table!.version), "several versions serve");
+                await this.writeBase(service, first, absentVersionIn(this.table!.version), "none was stored");
             }
         }
         catch (err) {
@@ -193,7 +210,8 @@
         return this.baseOf(service)?.version ?? first;
     }
 
-    private async writeBase(service: string, version: string, expected: number, reason: string): Promise<void> {
+    /** Writes the base version of a service if its row has the expected version. */
+    async writeBase(service: string, version: string, expected: StoreVersion, reason: string): Promise<void> {
         const result = await this.store!.transact({
             conditions: [{ ...baseRowName(service), version: expected }],
             puts: [encodeBase(service, version)],
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -54,6 +54,8 @@
 /** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
 const streamLifetimeFactor = 2;
 const minStreamLifetimeMs = 20_000;
+/** Time within which a node stores the base version of a service, if the controller has not done so before. */
+const maxFirstWriteDelayMs = 1_000;
 const noLoad: RunnerLoads[string] = [0, 0];
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
@@ -99,7 +101,8 @@
     readonly streamVersions: StreamVersions;
 
     private constructor(public settings: PlatformNodeSettings, readonly wire: RequestHeaderCodec, readonly random: Random, store: RowStore | undefined) {
-        this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store);
+        const firstWriteDelayMs = (): number => this.placement.isController ? 0 : maxFirstWriteDelayMs * (0.5 + random() / 2);
+        this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs);
         this.directory.observe(({ id, server, version }, previous) => {
             // Rows also change with each adapter: such changes are not logged, as every node would log each.
             if (summaryOf(server) !== summaryOf(previous)) {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -123,7 +123,8 @@
             if (!streamVersions.table) {
                 await streamVersions.readTable();
             }
-            else if (placement.isController) {
+            await streamVersions.flush();
+            if (placement.isController) {
                 await streamVersions.maintain();
             }
         };
--- /dev/null
+++ b/test/streamVersions.test.ts
@@ -0,0 +1,210 @@
+import fc from "fast-check";
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { setImmediate, setTimeout } from "node:timers/promises";
+import { StreamVersions } from "../src/core/streamVersions";
+import { UpstreamDirectory } from "../src/core/upstreamDirectory";
+import { OriginSource } from "../src/types/streamOrigin";
+import type { UpstreamServer } from "../src/types/upstreamServer";
+import { UpstreamState } from "../src/types/upstreamServer";
+import { setupLogs } from "../src/utils/events";
+import { createRandom } from "../src/utils/random";
+import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
+
+const service = "desk";
+const lifetimeMs = 20_000;
+const softwareVersions = ["v1", "v1.1", "v1.2"] as const;
+
+/** A node's view: its directory and what it knows of streams. */
+interface NodeView {
+    readonly directory: UpstreamDirectory;
+    readonly streams: StreamVersions;
+}
+
+/** Nodes without a network, with one store. */
+class VersionNetwork {
+    readonly store = MemoryPlatformStore.create(createRandom(1));
+    nodes: NodeView[] = [];
+    /** The version that began each stream. */
+    readonly begun = new Map<string, string>();
+    private readonly present = new Map<string, UpstreamServer>();
+    private rowVersion = 0;
+    private sequence = 0;
+
+    private constructor(private readonly streamLifetimeMs: number) {}
+
+    static create(nodeCount: number, streamLifetimeMs = lifetimeMs): VersionNetwork {
+        const network = new VersionNetwork(streamLifetimeMs);
+        network.store.lossShare = 0;
+        network.setPresent("v1", true);
+        network.nodes = [...Array(nodeCount).keys()].map(index => network.startNode(index));
+        return network;
+    }
+
+    get presentVersions(): readonly string[] {
+        return [...this.present.keys()];
+    }
+
+    /** Adds or removes the upstream of a software version. */
+    setPresent(softwareVersion: string, isPresent: boolean): void {
+        const id = `u-${softwareVersion}`;
+        const server: UpstreamServer | undefined = isPresent
+            ? {
+                id,
+                service,
+                address: "127.0.0.1:1",
+                availabilityZone: "a",
+                softwareVersion,
+                slots: 8,
+                state: UpstreamState.Ready,
+                models: [],
+                inMemory: [],
+                onDisk: [],
+                bornAt: ++this.sequence,
+                acceptedOrders: 0,
+            }
+            : undefined;
+        if (server) {
+            this.present.set(softwareVersion, server);
+        }
+        else {
+            this.present.delete(softwareVersion);
+        }
+        this.nodes.forEach(({ directory }) => directory.apply({ id, version: ++this.rowVersion, server }));
+    }
+
+    /** Begins a stream at a node and a software version, if that may be. */
+    async begin(node: number, softwareVersion: string): Promise<void> {
+        const requestId = `r${++this.sequence}`;
+        if (await this.nodes[node]!.streams.mayBegin(service, requestId, softwareVersion)) {
+            this.begun.set(requestId, softwareVersion);
+        }
+    }
+
+    /** Waits until nodes have written what the present versions call for. */
+    async settle(): Promise<void> {
+        await setImmediate();
+        await setTimeout(3);
+        await Promise.all(this.nodes.map(({ streams }) => streams.flush()));
+    }
+
+    restart(node: number): void {
+        this.nodes[node] = this.startNode(node);
+    }
+
+    private startNode(index: number): NodeView {
+        const directory = UpstreamDirectory.create();
+        const streams = StreamVersions.create(directory, `n${index}`, () => this.streamLifetimeMs, this.store);
+        this.present.forEach(server => directory.apply({ id: server.id, version: ++this.rowVersion, server }));
+        return { directory, streams };
+    }
+}
+
+type Step = (network: VersionNetwork) => Promise<void> | void;
+
+const stepsOf = (nodeCount: number): fc.Arbitrary<Step> => {
+    const node = fc.nat(nodeCount - 1);
+    const softwareVersion = fc.constantFrom(...softwareVersions);
+    const begin: fc.Arbitrary<Step> = fc.array(fc.tuple(node, fc.nat()), { minLength: 1, maxLength: 8 }).map(streams => async network => {
+        const { presentVersions } = network;
+        if (presentVersions.length > 0) {
+            await Promise.all(streams.map(([at, pick]) => network.begin(at, presentVersions[pick % presentVersions.length]!)));
+        }
+    });
+    // A version that comes or goes while the store is down, or before it is written down, is lost if all nodes then restart.
+    const change: fc.Arbitrary<Step> = fc.tuple(softwareVersion, fc.boolean()).map(([version, isPresent]) => async network => {
+        network.store.isDown = false;
+        await network.settle();
+        network.setPresent(version, isPresent);
+        await network.settle();
+    });
+    const restart: fc.Arbitrary<Step> = node.map(at => network => network.restart(at));
+    const restartAll: fc.Arbitrary<Step> = fc.constant(network => [...network.nodes.keys()].forEach(at => network.restart(at)));
+    const outage: fc.Arbitrary<Step> = fc.boolean().map(isDown => network => {
+        network.store.isDown = isDown;
+    });
+    return fc.oneof({ weight: 6, arbitrary: begin }, { weight: 3, arbitrary: change }, { weight: 2, arbitrary: restart }, restartAll, outage);
+};
+
+const sizes = [{ nodeCount: 7, runs: 300 }, { nodeCount: 195, runs: 20 }] as const;
+
+describe("the version that began a stream", () => {
+    before(() => setupLogs("silent"));
+    after(() => setupLogs("info"));
+    sizes.forEach(({ nodeCount, runs }) =>
+        it(`is never taken for another one, at ${nodeCount} nodes`, async () => {
+            const property = fc.asyncProperty(fc.array(stepsOf(nodeCount), { minLength: 3, maxLength: 30 }), fc.nat(nodeCount - 1), async (steps, at) => {
+                const network = VersionNetwork.create(nodeCount);
+                await network.settle();
+                for (const step of steps) {
+                    await step(network);
+                }
+                for (const [requestId, version] of network.begun) {
+                    const origin = await network.nodes[at]!.streams.originOf(service, requestId);
+                    // A stream of a version that has left may be taken for one of the base version only while that has left too.
+                    const isServed = origin.version !== undefined && network.presentVersions.includes(origin.version);
+                    assert.ok(!isServed || origin.version === version, `${requestId} began at ${version}, taken for ${JSON.stringify(origin)}`);
+                }
+            });
+            await fc.assert(property, { numRuns: runs, seed: 31 });
+        })
+    );
+
+    it("costs no write to the store while a service has one version, but for the first one", async () => {
+        const network = VersionNetwork.create(7);
+        await network.begin(0, "v1");
+        await network.settle();
+        const writesBefore = network.store.writes;
+        for (let stream = 0; stream < 20; stream++) {
+            await network.begin(stream % 7, "v1");
+        }
+        assert.equal(network.store.writes, writesBefore);
+    });
+
+    it("becomes the base version once the one before has been gone for so long that no stream of it can be taken up", async () => {
+        const network = VersionNetwork.create(2, 20);
+        await network.begin(0, "v1");
+        await network.settle();
+        network.setPresent("v1.1", true);
+        network.setPresent("v1", false);
+        const { streams } = network.nodes[0]!;
+        await streams.maintain();
+        assert.equal(streams.baseOf(service)?.version, "v1");
+        await setTimeout(60);
+        await streams.maintain();
+        assert.equal(streams.baseOf(service)?.version, "v1.1");
+        const writesBefore = network.store.writes;
+        await network.begin(0, "v1.1");
+        assert.equal(network.store.writes, writesBefore);
+        // A node that has not read of the change yet learns it from the condition of its next record.
+        await network.begin(1, "v1.1");
+        assert.equal(network.nodes[1]!.streams.baseOf(service)?.version, "v1.1");
+    });
+
+    it("is forgotten with the rows of nodes that have not recorded a stream for long", async () => {
+        const network = VersionNetwork.create(1);
+        await network.begin(0, "v1");
+        const old = { writtenAt: Date.now() - 3_600_000, streams: { r: "v1.1" } };
+        network.store.put({ table: "jackdawtrail-streams", part: "", key: "node/gone" }, Buffer.from(JSON.stringify(old)));
+        const { streams } = network.nodes[0]!;
+        await streams.readTable();
+        await streams.maintain();
+        assert.ok(!network.store.keysOf("jackdawtrail-streams").includes("node/gone"));
+    });
+
+    it("is known at all nodes after a restart of all, from one write for streams that begin together", async () => {
+        const network = VersionNetwork.create(7);
+        await network.begin(0, "v1");
+        network.setPresent("v1.1", true);
+        await network.begin(0, "v1");
+        const writesBefore = network.store.writes;
+        await Promise.all([...Array(20).keys()].map(() => network.begin(0, "v1.1")));
+        assert.ok(network.store.writes - writesBefore <= 2);
+        [...network.nodes.keys()].forEach(node => network.restart(node));
+        for (const [requestId, version] of network.begun) {
+            const origin = await network.nodes[3]!.streams.originOf(service, requestId);
+            assert.equal(origin.version, version);
+            assert.ok("source" in origin && [OriginSource.Base, OriginSource.Record].includes(origin.source));
+        }
+    });
+});
