Soak: runners of two software versions, and callers that take streams up

Callers break one in three of the connections of requests that may be resumed and take the stream up at another node; the check is that a run goes on only at a version that began the stream.

--- a/test/processSoak/invariantChecker.ts
+++ b/test/processSoak/invariantChecker.ts
@@ -1,4 +1,5 @@
 import type { RunnerOrder } from "../../src/types/runner";
+import { StreamRuns } from "./streamRuns";
 
 /** A request of a caller. */
 export interface SoakRequest {
@@ -8,6 +9,8 @@
     readonly isStream: boolean;
     /** Whether its caller aborts it: it need not be served then. */
     readonly isAborted?: boolean;
+    /** The first event that it asks for, if it takes a stream up. */
+    readonly fromEvent?: number;
 }
 
 /** Statuses that guarantee that a request has not run and will not run. */
@@ -24,6 +27,7 @@
 /** Records what callers and runners observe, and detects violations of the guarantees that they rely on. */
 export class InvariantChecker {
     readonly violations: string[] = [];
+    readonly streamRuns = StreamRuns.create();
     servedCount = 0;
     requestCount = 0;
     private readonly runnersByRequest = new Map<string, string[]>();
@@ -43,7 +47,7 @@
         this.requestCount += req.isAborted ? 0 : 1;
     }
 
-    /** Records a request that need not be served, as runners crash on it. */
+    /** Records a request that need not be served: runners crash on it, or it takes a stream up. */
     onUncountedRequest(req: SoakRequest): void {
         this.requests.set(req.id, req);
     }
@@ -60,7 +64,7 @@
             this.refusalStatuses.set(req.id, status);
         }
         if (status === 200 && isComplete) {
-            this.servedCount += req.isAborted ? 0 : 1;
+            this.servedCount += req.isAborted || req.fromEvent !== undefined ? 0 : 1;
             this.checkBody(req, body);
         }
     }
@@ -91,11 +95,12 @@
             }
         }
         this.orders.forEach((orders, runner) => this.checkOrders(runner, orders));
+        this.violations.push(...this.streamRuns.violations);
         return this.violations;
     }
 
-    private checkBody({ id, isStream }: SoakRequest, body: string): void {
-        const expected = isStream ? streamBody(id, 1) : `${id} done`;
+    private checkBody({ id, isStream, fromEvent = 1 }: SoakRequest, body: string): void {
+        const expected = isStream ? streamBody(id, fromEvent) : `${id} done`;
         if (body !== expected) {
             this.violations.push(`${id} received another body than expected: ${JSON.stringify(body.slice(0, 120))}`);
         }
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -34,6 +34,8 @@
     readonly injectedFaults: readonly string[];
     readonly requestCount: number;
     readonly servedCount: number;
+    /** Runs that went on with a stream at another runner. */
+    readonly resumedCount: number;
     /** Folder of the nodes' logs, which is kept if a check failed. */
     readonly logFolder: string;
 }
@@ -112,5 +114,12 @@
     if (violations.length === 0) {
         rmSync(logFolder, { recursive: true });
     }
-    return { violations, injectedFaults, requestCount: checker.requestCount, servedCount: checker.servedCount, logFolder };
+    return {
+        violations,
+        injectedFaults,
+        requestCount: checker.requestCount,
+        servedCount: checker.servedCount,
+        resumedCount: checker.streamRuns.resumedCount,
+        logFolder,
+    };
 };
--- a/test/processSoak/soakCaller.ts
+++ b/test/processSoak/soakCaller.ts
@@ -13,13 +13,18 @@
 const requestIntervalMs = 60;
 /** Share of requests that the caller aborts early. */
 const abortShare = 0.03;
+const maxLeaveAfterMs = 100;
+/** Of the requests of a caller that may be resumed and whose number divides by this, the connection breaks after some events; the caller takes them up. */
+const requestsPerBreak = 3;
+const breakAfterMs = 280;
+const resumableRoute = "/resume/";
 
 /** The routes: their paths, whether their requests may run twice, and whether they stream. */
 const routes: readonly Omit<SoakRequest, "id" | "isAborted">[] = [
     { path: "/once/", mayRepeat: false, isStream: false },
     { path: "/again/", mayRepeat: true, isStream: false },
     { path: "/stream/", mayRepeat: false, isStream: true },
-    { path: "/resume/", mayRepeat: true, isStream: true },
+    { path: resumableRoute, mayRepeat: true, isStream: true },
 ];
 
 /** Outcome of a request at its caller. The status is undefined if the connection ended without an answer. */
@@ -27,6 +32,8 @@
     readonly status?: number;
     readonly body: string;
     readonly isComplete: boolean;
+    /** Model or adapter that was asked for. */
+    readonly model: string;
 }
 
 /** A caller that sends requests in a loop over keep-alive connections, each to any ready node, as a load balancer does. */
@@ -64,16 +71,27 @@
     }
 
     private async sendAndCheck(node: SoakNode): Promise<void> {
-        const isAborted = this.random() < abortShare;
-        const req: SoakRequest = { ...pick(routes, this.random)!, id: `${this.name}-${++this.requestCount}`, isAborted };
+        const isLeaving = this.random() < abortShare;
+        const route = pick(routes, this.random)!;
+        const id = `${this.name}-${++this.requestCount}`;
+        const breaksOff = route.path === resumableRoute && this.requestCount % requestsPerBreak === 0;
+        const isAborted = isLeaving || breaksOff;
+        const req: SoakRequest = { ...route, id, isAborted };
         this.checker.onRequest(req);
         this.limits.onRequest(req.id, node);
         const startedAt = performance.now();
-        const { status, body, isComplete } = await this.send(node, req, isAborted);
+        const { status, body, isComplete, model } = await this.send(
+            node,
+            req,
+            breaksOff ? breakAfterMs : isLeaving ? maxLeaveAfterMs * this.random() : undefined,
+        );
         const elapsedMs = performance.now() - startedAt;
         if (status !== undefined) {
             this.checker.onAnswer(req, status, body, isComplete);
         }
+        if (req.path === resumableRoute && status === 200 && !isComplete && !isLeaving) {
+            await this.takeUp(req, body, model);
+        }
         const isCheckSuspended = isAborted || node.checksSuspendedUntil > startedAt;
         if (!isCheckSuspended && elapsedMs > deadlineMs + answerGraceMs) {
             this.checker.violations.push(`${req.id} (${req.path}) at ${node.name} had no final answer after ${Math.round(elapsedMs)} ms`);
@@ -83,30 +101,57 @@
         }
     }
 
-    private send(node: SoakNode, req: SoakRequest, isAborted: boolean): Promise<CallerOutcome> {
+    /** Takes a stream that broke off up at a ready node, with the request that brought its first event. */
+    private async takeUp(broken: SoakRequest, body: string, model: string): Promise<void> {
+        const events = body.split("\n\n").length - 1;
+        const ready = this.nodes.filter(({ isReady }) => isReady);
+        const node = ready[++this.requestCount % Math.max(1, ready.length)];
+        if (events === 0 || !node) {
+            return;
+        }
+        const req: SoakRequest = { ...broken, id: `${this.name}-${this.requestCount}`, fromEvent: events + 1 };
+        this.checker.onUncountedRequest(req);
+        this.limits.onRequest(req.id, node);
+        const outcome = await this.send(node, req, undefined, { model, headers: { "last-event-id": String(events), "resumes": broken.id } });
+        if (outcome.status !== undefined) {
+            this.checker.onAnswer(req, outcome.status, outcome.body, outcome.isComplete);
+        }
+    }
+
+    private pickModel(): { readonly model: string; readonly adapter: string; } {
         const model = pick(this.models, this.random)!;
-        const adapter = this.random() < 0.3 ? `/a${1 + Math.floor(this.random() * 3)}` : "";
+        return { model, adapter: this.random() < 0.3 ? `/a${1 + Math.floor(this.random() * 3)}` : "" };
+    }
+
+    private send(
+        node: SoakNode,
+        req: SoakRequest,
+        leaveAfterMs?: number,
+        takeUp?: { readonly model: string; readonly headers: Readonly<Record<string, string>>; },
+    ): Promise<CallerOutcome> {
+        const { model, adapter } = takeUp ? { model: takeUp.model, adapter: "" } : this.pickModel();
         const headers = {
             "host": "shop.example",
             "attempt-id": req.id,
             "deadline-ms": String(deadlineMs),
+            ...takeUp?.headers,
             ...(req.isStream ? { "model": `${model}${adapter}`, "token-count": "200,24", "prompt-prefix": `a1:100,${req.id.length}b:100` } : {}),
         };
         const [host, port] = node.callerAddress.split(":");
         return new Promise(resolve => {
             let body = "";
             const sent = request({ host, port, method: "POST", path: `${req.path}x`, headers, agent: this.agent }, res => {
-                const end = (isComplete: boolean): void => resolve({ status: res.statusCode, body, isComplete });
+                const end = (isComplete: boolean): void => resolve({ status: res.statusCode, body, isComplete, model: `${model}${adapter}` });
                 res.setEncoding("utf8");
                 res.on("data", (text: string) => body += text);
                 res.on("end", () => end(res.complete));
                 res.on("error", () => end(false));
                 res.on("close", () => end(false));
             });
-            sent.on("error", () => resolve({ body: "", isComplete: false }));
+            sent.on("error", () => resolve({ body: "", isComplete: false, model }));
             sent.end("question");
-            if (isAborted) {
-                setTimeout(() => sent.destroy(), 100 * this.random());
+            if (leaveAfterMs !== undefined) {
+                setTimeout(() => sent.destroy(), leaveAfterMs);
             }
         });
     }
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -92,12 +92,18 @@
         return upstream;
     }
 
+    /** Runners of two versions serve side by side. */
+    private get softwareVersion(): string {
+        return Number(this.id.slice(1)) % 2 === 0 ? "v1" : "v1.1";
+    }
+
     /** Its row in the directory, as written to the store. */
     get directoryRow(): object {
         return {
             service: this.service,
             addr: this.proxy.address,
             zone: "a",
+            version: this.softwareVersion,
             slots: 16,
             state: this.leavingSince === undefined ? "ready" : "draining",
             models: this.simulatedRunner?.report().models ?? [],
@@ -187,7 +193,9 @@
             setTimeout(() => void this.prompts.crash(this), 10);
             return;
         }
-        for (let event = Number(req.headers["last-event-id"] ?? 0) + 1; event <= streamEventCount && !res.destroyed; event++) {
+        const lastEventId = Number(req.headers["last-event-id"] ?? 0);
+        this.checker.streamRuns.onRun(String(req.headers.resumes ?? id), this.softwareVersion, lastEventId);
+        for (let event = lastEventId + 1; event <= streamEventCount && !res.destroyed; event++) {
             res.write(streamBody(id, event).split("\n\n", 1)[0]! + "\n\n");
             await sleep(eventIntervalMs);
         }
