Take streams up from what was read before while the store is away, if a service has had one version

Cause: since the base version is always stored, a take-up without an answer of the store was refused also where only one version has ever served, and one without Resumes even while the store answers. A node that has read the table and has seen one version only can rely on it: streams recorded since are of other versions, of which no upstream is known to it.

--- a/src/core/streamVersions.ts
+++ b/src/core/streamVersions.ts
@@ -104,19 +104,19 @@
         if (own !== undefined) {
             return { version: own, source: OriginSource.Own };
         }
-        const onlyVersion = this.onlyVersionOf(service);
         if (!this.store) {
-            return onlyVersion ?? { version: undefined, detail: "several versions serve, and no store says which one began the stream" };
+            return this.onlyVersionOf(service) ?? unknownOrigin(requestId);
         }
         try {
-            const table = await this.readTable();
-            const recorded = requestId === undefined ? undefined : table.streams.get(requestId);
-            return recorded ? fromRecord(recorded) : this.fromBase(service, requestId) ?? this.onlyVersionOf(service) ?? unknownOrigin(requestId);
+            await this.readTable();
         }
         catch (err) {
-            const mayRely = this.table !== undefined && this.baseOf(service) === undefined;
-            return (mayRely ? onlyVersion : undefined) ?? { version: undefined, detail: `the records of streams could not be read: ${toFailure(err).detail}` };
+            // Records that were written since the last read are of other versions, of which no upstream is known here.
+            if (!this.table || !this.versions.isUniform(service)) {
+                return { version: undefined, detail: `the records of streams could not be read: ${toFailure(err).detail}` };
+            }
         }
+        return this.fromTable(service, requestId);
     }
 
     /** Age of the table as last read. */
@@ -162,16 +162,23 @@
         }
     }
 
-    private fromBase(service: string, requestId: string | undefined): StreamOrigin | undefined {
+    private fromTable(service: string, requestId: string | undefined): StreamOrigin {
+        const recorded = requestId === undefined ? undefined : this.table?.streams.get(requestId);
+        if (recorded) {
+            return fromRecord(recorded);
+        }
         const base = this.baseOf(service);
         // Without the request that began it, a stream may also be one that was recorded.
-        return base && requestId !== undefined ? { version: base.version, source: OriginSource.Base } : undefined;
+        return base && requestId !== undefined
+            ? { version: base.version, source: OriginSource.Base }
+            : this.onlyVersionOf(service) ?? unknownOrigin(requestId);
     }
 
+    /** The only version that a service has had, as far as this node has seen and the store says. */
     private onlyVersionOf(service: string): StreamOrigin | undefined {
         const [version] = this.versions.of(service);
-        const isOnly = this.versions.isUniform(service) && this.baseOf(service) === undefined;
-        return version !== undefined && isOnly ? { version, source: OriginSource.OnlyVersion } : undefined;
+        const base = this.baseOf(service)?.version ?? version;
+        return version !== undefined && version === base && this.versions.isUniform(service) ? { version, source: OriginSource.OnlyVersion } : undefined;
     }
 
     private async storeBase(service: string): Promise<void> {
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -161,6 +161,24 @@
         assert.equal(network.store.writes, writesBefore);
     });
 
+    const takeUps = [
+        { name: "of a stream that another node began", requestId: "begun-elsewhere", source: OriginSource.Base },
+        { name: "that does not name the request which began its stream", requestId: undefined, source: OriginSource.OnlyVersion },
+    ] as const;
+    takeUps.forEach(({ name, requestId, source }) =>
+        it(`is known for a take-up ${name} while the store is away, if the service has had one version`, async () => {
+            const network = VersionNetwork.create(2);
+            await network.begin(0, "v1");
+            await network.begin(1, "v1");
+            await network.settle();
+            network.store.isDown = true;
+            const { streams } = network.nodes[1]!;
+            assert.deepEqual(await streams.originOf(service, requestId), { version: "v1", source });
+            network.setPresent("v1.1", true);
+            assert.equal((await streams.originOf(service, requestId)).version, undefined);
+        })
+    );
+
     it("becomes the base version once the one before has been gone for so long that no stream of it can be taken up", async () => {
         const network = VersionNetwork.create(2, 20);
         await network.begin(0, "v1");
