Do not take a stream for one of the base version after a restore that may have lost its record

Cause: the copy lacks the last records. A node that sees the restore now writes its records again, and while several versions serve a stream without a record is refused for as long as streams may be taken up.

--- a/src/core/streamRecorder.ts
+++ b/src/core/streamRecorder.ts
@@ -38,7 +38,7 @@
     private readonly records: StreamRecords;
     private pending: PendingWrite[] = [];
     private isWriting = false;
-    /** Whether streams have begun without a record. */
+    /** Whether the store may lack records of streams that have begun. */
     private hasUnwritten = false;
     private rowVersion: StoreVersion | undefined;
     private failedAt = Number.NEGATIVE_INFINITY;
@@ -79,7 +79,12 @@
         this.hasUnwritten = true;
     }
 
-    /** Writes the records of streams that began without one. */
+    /** Writes all records again, as the store was restored from a copy that may lack some. */
+    onRestored(): void {
+        this.hasUnwritten = true;
+    }
+
+    /** Writes the records of streams that the store may lack. */
     async flush(): Promise<void> {
         if (this.hasUnwritten && !this.isWriting) {
             this.hasUnwritten = !await this.write([]);
--- a/src/core/streamVersions.ts
+++ b/src/core/streamVersions.ts
@@ -2,7 +2,7 @@
 import type { RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
 import type { StoreVersion } from "../types/storeVersion";
-import { absentVersionIn } from "../types/storeVersion";
+import { absentVersionIn, eraOf, firstStoreEra } from "../types/storeVersion";
 import type { StreamOrigin } from "../types/streamOrigin";
 import { OriginSource } from "../types/streamOrigin";
 import { emit } from "../utils/events";
@@ -10,6 +10,7 @@
 import { sleep } from "../utils/time";
 import { toFailure } from "./failures";
 import { ServiceVersions } from "./serviceVersions";
+import { originOfRecord, unknownOrigin } from "./streamOrigins";
 import { StreamRecorder } from "./streamRecorder";
 import { StreamRecords } from "./streamRecords";
 import type { BaseVersion, StreamTable } from "./streamTable";
@@ -34,6 +35,8 @@
     private readonly recorder: StreamRecorder | undefined;
     table: StreamTable | undefined;
     private tableReadAt = Number.NEGATIVE_INFINITY;
+    /** When this node last saw that the store had been restored from an older copy. */
+    private restoredAt = Number.NEGATIVE_INFINITY;
     private readFailedAt = Number.NEGATIVE_INFINITY;
     /** Services whose base version this node stores shortly, unless another one does. */
     private readonly awaitedServices = new Set<string>();
@@ -152,6 +155,10 @@
     private async startReading(): Promise<StreamTable> {
         try {
             const table = decodeStreamTable(await this.store!.readTable(streamTable));
+            if (eraOf(table.version) > (this.table ? eraOf(this.table.version) : firstStoreEra)) {
+                this.restoredAt = performance.now();
+                this.recorder?.onRestored();
+            }
             this.table = table;
             this.tableReadAt = performance.now();
             return table;
@@ -165,7 +172,10 @@
     private fromTable(service: string, requestId: string | undefined): StreamOrigin {
         const recorded = requestId === undefined ? undefined : this.table?.streams.get(requestId);
         if (recorded) {
-            return fromRecord(recorded);
+            return originOfRecord(recorded);
+        }
+        if (performance.now() - this.restoredAt < this.lifetimeMs() && !this.versions.isUniform(service)) {
+            return { version: undefined, detail: "the store was restored from an older copy, which lacks the last records of streams" };
         }
         const base = this.baseOf(service);
         // Without the request that began it, a stream may also be one that was recorded.
@@ -229,15 +239,3 @@
         await this.readTable();
     }
 }
-
-const unknownOrigin = (requestId: string | undefined): StreamOrigin => ({
-    version: undefined,
-    detail: requestId === undefined
-        ? "several versions serve, and the request does not name the one that began the stream"
-        : "several versions serve, and none is recorded as the one before",
-});
-
-const fromRecord = ([version, ...others]: Iterable<string> & ReadonlySet<string>): StreamOrigin =>
-    others.length === 0 && version !== undefined
-        ? { version, source: OriginSource.Record }
-        : { version: undefined, detail: "nodes recorded different versions" };
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -114,6 +114,8 @@
     readonly body?: string;
     /** The caller aborts the request after this time. */
     readonly abortAfterMs?: number;
+    /** The caller aborts the request once it has received this many events of a stream. */
+    readonly abortAfterEvents?: number;
     /** Whether the part of an answer that arrived counts if the connection ends early. */
     readonly keepsPart?: boolean;
 }
@@ -121,7 +123,16 @@
 /** Sends a request as a caller does and waits until it completes, fails or is aborted. */
 export const callGateway = (
     address: string,
-    { method = "POST", path = "/desk/x", host = "shop.example", headers = {}, body = "", abortAfterMs, keepsPart = false }: CallerRequest = {},
+    {
+        method = "POST",
+        path = "/desk/x",
+        host = "shop.example",
+        headers = {},
+        body = "",
+        abortAfterMs,
+        abortAfterEvents = Number.POSITIVE_INFINITY,
+        keepsPart = false,
+    }: CallerRequest = {},
 ): Promise<CallerResult> =>
     new Promise(resolve => {
         const startedAt = performance.now();
@@ -138,7 +149,12 @@
                     body: Buffer.concat(chunks).toString(),
                     isComplete,
                 });
-                res.on("data", (chunk: Buffer) => chunks.push(chunk));
+                res.on("data", (chunk: Buffer) => {
+                    chunks.push(chunk);
+                    if (Buffer.concat(chunks).toString().split("\n\n").length > abortAfterEvents) {
+                        req.destroy();
+                    }
+                });
                 res.on("end", () => finish(toResult(res.complete)));
                 res.on("error", () => finish(toResult(false)));
             },
--- a/test/fakes/versionFleet.ts
+++ b/test/fakes/versionFleet.ts
@@ -15,8 +15,8 @@
 
 const lastEvent = 40;
 const eventIntervalMs = 15;
-/** Time after which the callers of `beginStreams` leave, with some of the events. */
-const callerLeavesAfterMs = 300;
+/** Events after which the callers of `beginStreams` leave. */
+const callerLeavesAfterEvents = 5;
 const service = "desk";
 
 const route = {
@@ -132,7 +132,7 @@
     beginStreams(count: number): Promise<readonly { readonly id: string; readonly body: string; }[]> {
         const begin = async (index: number): Promise<{ readonly id: string; readonly body: string; }> => {
             const id = `first-${++this.sequence}`;
-            const { body } = await this.call(this.nodes[index % this.nodes.length]!, { "attempt-id": id }, callerLeavesAfterMs);
+            const { body } = await this.call(this.nodes[index % this.nodes.length]!, { "attempt-id": id }, callerLeavesAfterEvents);
             return { id, body };
         };
         return Promise.all([...Array(count).keys()].map(begin));
@@ -151,9 +151,9 @@
         this.runners.forEach(({ upstream }) => upstream.close());
     }
 
-    private call(node: FleetNode, headers: Readonly<Record<string, string>>, abortAfterMs?: number): Promise<CallerResult> {
+    private call(node: FleetNode, headers: Readonly<Record<string, string>>, abortAfterEvents?: number): Promise<CallerResult> {
         const model = { "model": "m", "token-count": "150,40", "prompt-prefix": `own${this.sequence}:50` };
-        return callGateway(node.address, { headers: { ...model, ...headers }, abortAfterMs, keepsPart: true });
+        return callGateway(node.address, { headers: { ...model, ...headers }, abortAfterEvents, keepsPart: true });
     }
 
     private async startNode(name: string): Promise<FleetNode> {
--- a/test/processSoak.test.ts
+++ b/test/processSoak.test.ts
@@ -8,6 +8,7 @@
 const seeds: readonly { readonly seed: number; readonly cause: string; }[] = [
     { seed: 1, cause: "a runner was probed before it had ended, and one crash counted for one of two crashing parts only" },
     { seed: 215, cause: "an order that a report counted before it was given up blocked its runner permanently" },
+    { seed: 8108, cause: "the record of a stream's software version was lost in a restore of the store" },
     { seed: 1201, cause: "a common prompt part was blamed for the crashes of two others" },
 ];
 
--- a/test/streamVersions.test.ts
+++ b/test/streamVersions.test.ts
@@ -179,6 +179,23 @@
         })
     );
 
+    it("is not taken for the base version after a restore of the store that lost its record", async () => {
+        const network = VersionNetwork.create(2);
+        await network.begin(0, "v1");
+        network.setPresent("v1.1", true);
+        await network.settle();
+        const copy = network.store.copy();
+        await network.begin(0, "v1.1");
+        await network.nodes[1]!.streams.readTable();
+        network.store.restore(copy);
+        const [requestId] = [...network.begun.keys()].slice(-1);
+        assert.equal((await network.nodes[1]!.streams.originOf(service, requestId)).version, undefined);
+        // The node that began it writes its records again once it has seen the restore.
+        await network.nodes[0]!.streams.readTable();
+        await network.settle();
+        assert.equal((await network.nodes[1]!.streams.originOf(service, requestId)).version, "v1.1");
+    });
+
     it("becomes the base version once the one before has been gone for so long that no stream of it can be taken up", async () => {
         const network = VersionNetwork.create(2, 20);
         await network.begin(0, "v1");
