Review case 2: start all nodes at once, and kill whichever is the controller

Cause: the case started the first node alone, so that it became the controller, and its nodes had different seeds.

What it does now: all seven nodes start together with the same three seeds; the node that took the lease last, by the logs, is killed. A restarted node has bootstrap = false.

--- a/review/2/case.mjs
+++ b/review/2/case.mjs
@@ -1,5 +1,5 @@
 // A small deployment; the process that controls the runners is killed and started again, and a runner leaves at the same time without reporting that it drains.
-import { configOf, hasTrouble, isReady, runCase, send, sleep, waitFor } from "../standins/harness.mjs";
+import { configOf, controllerOf, freePort, hasTrouble, isReady, runCase, send, sleep, waitFor } from "../standins/harness.mjs";
 import { startStore } from "../standins/store.mjs";
 
 const nodeCount = 7;
@@ -8,6 +8,8 @@
 const drainMs = 2_000;
 const contactMs = 3_000;
 const workMs = 20;
+const pauseMs = 100;
+const seedCount = 3;
 const removalAfterKillMs = 30;
 const restartAfterKillMs = 200;
 /** For how long a runner goes on serving after its entry is gone. */
@@ -46,39 +48,36 @@
         runners.push(runner);
         store.put("servers", id, { service: "desk", addr: runner.address, zone: "a", version: "1", slots: 6, state: "ready", coldLeftMs: 0, seq: 0, born });
     }
-    const nodes = [];
-    for (let index = 1; index <= nodeCount; index++) {
-        nodes.push(await run.startNode(`n${index}`, store.address, { seeds: nodes.slice(0, 3).map(({ control }) => control) }));
-        await waitFor(`readiness of n${index}`, () => isReady(nodes.at(-1)));
-        inTouchFrom.set(`n${index}`, performance.now() + contactMs);
-        if (index === 1) {
-            // The first node is the controller from now on.
-            await sleep(1_500);
-        }
+    const ports = await Promise.all([...Array(nodeCount).keys()].map(() => Promise.all([freePort(), freePort(), freePort(), freePort()])));
+    const seeds = ports.slice(0, seedCount).map(([, , control]) => `127.0.0.1:${control}`);
+    const nodes = await Promise.all(ports.map((own, index) => run.startNode(`n${index + 1}`, store.address, { seeds, ports: own })));
+    for (const node of nodes) {
+        await waitFor(`readiness of ${node.name}`, () => isReady(node));
+        inTouchFrom.set(node.name, performance.now() + contactMs);
     }
-    const seeds = nodes.slice(1, 4).map(({ control }) => control);
     let isEnding = false;
     let count = 0;
     const call = async index => {
         const { name } = nodes[index];
+        await sleep(Math.random() * pauseMs);
         while (!isEnding) {
             const id = `${name}-${count++}`;
             sentBy.set(id, name);
             const { status, error } = await send(nodes[index], { path: "/desk/x", id, body: "checkout", headers: { "Deadline-Ms": "4000" } });
             run.record("answer", { id, status, error });
-            await sleep(80);
+            await sleep(pauseMs);
         }
     };
-    const callers = [0, 0, ...nodes.keys()].map(call);
+    const callers = [...nodes.keys(), ...nodes.keys()].map(call);
     await sleep(contactMs + 500);
     for (let round = 0; round < rounds; round++) {
-        const [first] = nodes;
         const leaving = runners[round];
+        const killed = controllerOf(nodes);
         if (hasTrouble) {
-            run.record("SIGKILL of n1", { round });
-            inTouchFrom.set("n1", Number.POSITIVE_INFINITY);
-            first.child.kill("SIGKILL");
-            await first.child.ended;
+            run.record("SIGKILL of the controller", { round, node: killed.name });
+            inTouchFrom.set(killed.name, Number.POSITIVE_INFINITY);
+            killed.child.kill("SIGKILL");
+            await killed.child.ended;
         }
         await sleep(removalAfterKillMs);
         store.remove("servers", leaving.id);
@@ -86,9 +85,10 @@
         run.record("entry removed; the runner goes on serving", { runner: leaving.id });
         if (hasTrouble) {
             await sleep(restartAfterKillMs);
-            nodes[0] = await run.startNode("n1", store.address, { seeds, ports: first.ports });
-            inTouchFrom.set("n1", performance.now() + contactMs);
-            await waitFor("readiness of n1", () => isReady(nodes[0]));
+            const again = await run.startNode(killed.name, store.address, { seeds, ports: killed.ports, isFirstStart: false });
+            nodes[nodes.indexOf(killed)] = again;
+            inTouchFrom.set(killed.name, performance.now() + contactMs);
+            await waitFor(`readiness of ${killed.name}`, () => isReady(again));
         }
         await sleep(lingerMs);
         run.record("the runner exits", { runner: leaving.id });
--- a/review/standins/harness.mjs
+++ b/review/standins/harness.mjs
@@ -1,6 +1,6 @@
 // Starts nodes with the command of the deploy file, and stand-in runners, as processes; sends requests; writes the record.
 import { spawn } from "node:child_process";
-import { appendFileSync, mkdtempSync, openSync, rmSync, writeFileSync } from "node:fs";
+import { appendFileSync, mkdtempSync, openSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, get, request } from "node:http";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -29,7 +29,7 @@
         server.listen({ port, host: "127.0.0.1", exclusive: true }, () => server.close(() => resolve(true)));
     });
 
-const freePort = async () => {
+export const freePort = async () => {
     for (;;) {
         const port = firstPort + Math.floor(Math.random() * portCount);
         if (!usedPorts.has(port)) {
@@ -57,10 +57,10 @@
     return {
         record,
         /** Starts a node; `bounds` replace those of a small deployment. */
-        startNode: async (name, storeAddress, { bounds = {}, zone = "a", seeds = [], ports } = {}) => {
+        startNode: async (name, storeAddress, { bounds = {}, zone = "a", seeds = [], ports, isFirstStart = true } = {}) => {
             const [front, ready, control, metrics] = ports ?? await Promise.all([freePort(), freePort(), freePort(), freePort()]);
             const file = join(folder, `${name}.toml`);
-            const writeSettings = changed => writeFileSync(file, settingsOf({ name, zone, front, ready, control, metrics, seeds, storeAddress, bounds: { ...bounds, ...changed } }));
+            const writeSettings = changed => writeFileSync(file, settingsOf({ name, zone, front, ready, control, metrics, seeds, storeAddress, isFirstStart, bounds: { ...bounds, ...changed } }));
             writeSettings({});
             const log = join(folder, `${name}.log`);
             const out = openSync(log, "a");
@@ -99,7 +99,7 @@
     };
 };
 
-const settingsOf = ({ name, zone, front, ready, control, metrics, seeds, storeAddress, bounds }) => {
+const settingsOf = ({ name, zone, front, ready, control, metrics, seeds, storeAddress, isFirstStart, bounds }) => {
     const { drainMs, graceS, leaseMs, applyMs } = { drainMs: 2_000, graceS: 8, leaseMs: 3_000, applyMs: 2_000, ...bounds };
     return `nodeName = "${name}"
 role = "node"
@@ -110,7 +110,7 @@
 region = "r"
 portRange = [${metrics},${metrics}]
 seeds = ${JSON.stringify(seeds)}
-bootstrap = true
+bootstrap = ${isFirstStart}
 heartbeatMs = 1200
 [zones]
 ${zone} = "r"
@@ -220,6 +220,13 @@
         req.end(body);
     });
 
+/** The node that last took the lease of the controller, by the nodes' logs. */
+export const controllerOf = nodes => {
+    const takenAt = ({ log }) =>
+        readFileSync(log, "utf8").split("\n").filter(line => line.includes('"event":501')).map(line => JSON.parse(line).time).at(-1) ?? "";
+    return [...nodes].sort((a, b) => takenAt(a) < takenAt(b) ? 1 : -1)[0];
+};
+
 /** Limits and form of a configuration, as the operator writes it. */
 export const configOf = (version, routes, services) => ({
     version,
