Review case 5: one reset of the controller's connections delays a runner's leaving at the others (DRAIN)

Cause: a follower of the store takes one failed call for an outage, and holds each removal of the next 2 s back until they are over; a node tells no other of a removal that it holds back, while its confirmations keep the others from reading the store.

The case: seven nodes, eight runners; the controller's connections to the store with a feed are reset, and a runner leaves 0.3 s later, four times.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,14 +1,20 @@
-// A node in its planned stop gets SIGTERM a second time, while requests that it has passed on are at their runner.
-import { configOf, hasTrouble, isReady, runCase, send, sleep, waitFor } from "../standins/harness.mjs";
+// A small deployment; the connections on which the controller follows the store are reset once, and a runner leaves just after it reads the store again.
+import { configOf, controllerOf, freePort, hasTrouble, isReady, runCase, send, sleep, waitFor } from "../standins/harness.mjs";
+import { startResettableLink } from "../standins/resettableLink.mjs";
 import { startStore } from "../standins/store.mjs";
 
-const graceS = 8;
-const workMs = 400;
-const callerCount = 12;
-const loadMs = 3_000;
-const secondAfterMs = 1_000;
-/** The load balancer has taken a stopping node out of the rotation by then. */
-const rotationMs = 2_000;
+const nodeCount = 7;
+const runnerCount = 8;
+const rounds = 4;
+const seedCount = 3;
+const drainMs = 2_000;
+const contactMs = 3_000;
+const workMs = 85;
+const pauseMs = 40;
+const removalAfterResetMs = 300;
+/** A runner goes on serving for drainMs after its entry is gone, and a little longer. */
+const lingerMs = 2_500;
+const roundMs = 5_000;
 
 await runCase(import.meta.url, async (run, atEnd) => {
     const store = await startStore();
@@ -24,47 +30,75 @@
         service: "desk",
         attempts: 1,
     }], [{ name: "desk", healthPath: "/healthz", maxConns: 100 }]));
-    const node = await run.startNode("n1", store.address, { bounds: { graceS } });
-    const ran = new Set();
-    for (const id of ["i-1", "i-2", "i-3", "i-4"]) {
-        const runner = await run.startRunner({ id, workMs }, ({ what, attemptId }) => what === "run" && ran.add(attemptId));
+    const removedAt = new Map();
+    const inTouchFrom = new Map();
+    const sentBy = new Map();
+    const late = [];
+    const failed = [];
+    const runners = [];
+    for (let index = 1; index <= runnerCount; index++) {
+        const id = `i-${index}`;
+        const runner = await run.startRunner({ id, workMs }, ({ what, attemptId }) => {
+            const now = performance.now();
+            const name = sentBy.get(attemptId);
+            if (what === "run" && now > (removedAt.get(id) ?? Number.POSITIVE_INFINITY) + drainMs && now > inTouchFrom.get(name)) {
+                late.push(attemptId);
+                run.record("run breaks DRAIN", { runner: id, attemptId, node: name, afterAckMs: Math.round(now - removedAt.get(id)) });
+            }
+        });
+        runners.push(runner);
         store.put("servers", id, { service: "desk", addr: runner.address, zone: "a", version: "1", slots: 6, state: "ready", coldLeftMs: 0, seq: 0, born: Date.now() });
     }
-    await waitFor("readiness", () => isReady(node));
-    let stopAt = Number.POSITIVE_INFINITY;
-    const unanswered = [];
+    const ports = await Promise.all([...Array(nodeCount).keys()].map(() => Promise.all([freePort(), freePort(), freePort(), freePort()])));
+    const seeds = ports.slice(0, seedCount).map(([, , control]) => `127.0.0.1:${control}`);
+    const links = new Map();
+    const nodes = await Promise.all(ports.map(async (own, index) => {
+        const name = `n${index + 1}`;
+        const link = await startResettableLink(store.address);
+        atEnd(link.close);
+        links.set(name, link);
+        return run.startNode(name, link.address, { seeds, ports: own });
+    }));
+    for (const node of nodes) {
+        await waitFor(`readiness of ${node.name}`, () => isReady(node));
+        inTouchFrom.set(node.name, performance.now() + contactMs);
+    }
+    let isEnding = false;
+    let count = 0;
     const call = async index => {
-        await sleep(index * workMs / callerCount);
-        for (let count = 0; performance.now() < stopAt + rotationMs && node.child.exitCode === null && node.child.signalCode === null; count++) {
-            const id = `c-${index}-${count}`;
-            run.record("sent", { id });
-            const { status, error, afterMs } = await send(node, { path: "/desk/x", id, body: "checkout", headers: { "Deadline-Ms": "4000" } });
-            run.record("answer", { id, status, error, afterMs });
-            if (status === undefined) {
-                unanswered.push(id);
+        const { name } = nodes[index];
+        await sleep(Math.random() * pauseMs);
+        while (!isEnding) {
+            const id = `${name}-${count++}`;
+            sentBy.set(id, name);
+            const { status, error } = await send(nodes[index], { path: "/desk/x", id, body: "checkout", headers: { "Deadline-Ms": "4000" } });
+            if (status !== 200) {
+                failed.push(id);
+                run.record("answer", { id, status, error });
             }
+            await sleep(pauseMs);
         }
     };
-    const callers = [...Array(callerCount).keys()].map(call);
-    await sleep(loadMs);
-    stopAt = performance.now();
-    run.record("SIGTERM");
-    node.child.kill("SIGTERM");
-    if (hasTrouble) {
-        await sleep(secondAfterMs);
-        run.record("SIGTERM again");
-        node.child.kill("SIGTERM");
+    const callers = [...nodes.keys(), ...nodes.keys()].map(call);
+    await sleep(contactMs + 500);
+    for (let round = 0; round < rounds; round++) {
+        const { name } = controllerOf(nodes);
+        const leaving = runners[round];
+        if (hasTrouble) {
+            inTouchFrom.set(name, performance.now() + contactMs);
+            run.record("the controller's connections to the store with a feed are reset", { node: name, connections: links.get(name).reset("rows-feed") });
+        }
+        await sleep(removalAfterResetMs);
+        store.remove("servers", leaving.id);
+        removedAt.set(leaving.id, performance.now());
+        run.record("entry removed; the runner goes on serving", { runner: leaving.id });
+        await sleep(lingerMs);
+        run.record("the runner exits", { runner: leaving.id });
+        leaving.kill();
+        await sleep(roundMs - lingerMs);
     }
-    const kill = setTimeout(() => {
-        run.record("SIGKILL");
-        node.child.kill("SIGKILL");
-    }, stopAt + graceS * 1_000 - performance.now());
-    await node.child.ended;
-    clearTimeout(kill);
+    isEnding = true;
     await Promise.all(callers);
-    await sleep(200);
-    // LOST: passed on to a runner, and the connection ended without an answer.
-    const lost = unanswered.filter(id => ran.has(id));
-    run.record("end", { unanswered: unanswered.length, lostAfterTheyWerePassedOn: lost.length });
-    return lost.length > 0;
+    run.record("end", { requests: count, lateRuns: late.length, withoutSuccess: failed.length });
+    return late.length > 0;
 });
