Review case 5: reset one connection of one machine of ten

What it does now: ten nodes; the one connection on which the controller waits for the feed of the runners is reset.

--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -1,9 +1,9 @@
-// A small deployment; the connections on which the controller follows the store are reset once, and a runner leaves just after it reads the store again.
+// A small deployment; one connection of the controller to the store is reset, and a runner leaves just after the controller reads the store again.
 import { configOf, controllerOf, freePort, hasTrouble, isReady, runCase, send, sleep, waitFor } from "../standins/harness.mjs";
 import { startResettableLink } from "../standins/resettableLink.mjs";
 import { startStore } from "../standins/store.mjs";
 
-const nodeCount = 7;
+const nodeCount = 10;
 const runnerCount = 8;
 const rounds = 4;
 const seedCount = 3;
@@ -85,8 +85,11 @@
         const { name } = controllerOf(nodes);
         const leaving = runners[round];
         if (hasTrouble) {
+            const link = links.get(name);
+            const openBefore = link.size();
+            await waitFor("a call to the feed of runners", () => link.reset("rows-feed?table=servers"), 2_000);
+            run.record("one of the controller's connections to the store is reset", { node: name, openBefore });
             inTouchFrom.set(name, performance.now() + contactMs);
-            run.record("the controller's connections to the store with a feed are reset", { node: name, connections: links.get(name).reset("rows-feed") });
         }
         await sleep(removalAfterResetMs);
         store.remove("servers", leaving.id);
--- a/review/standins/resettableLink.mjs
+++ b/review/standins/resettableLink.mjs
@@ -7,10 +7,13 @@
     const open = new Set();
     const server = createServer(near => {
         const far = connect({ host, port: Number(port) });
-        const link = { near, far, lastRequest: "" };
+        const link = { near, far, pendingRequest: "" };
         open.add(link);
         near.on("data", data => {
-            link.lastRequest = data.toString("latin1").split("\r\n", 1)[0];
+            link.pendingRequest = data.toString("latin1").split("\r\n", 1)[0];
+        });
+        far.on("data", () => {
+            link.pendingRequest = "";
         });
         near.on("error", () => far.destroy());
         far.on("error", () => near.destroy());
@@ -25,11 +28,13 @@
     await new Promise(resolve => server.listen(0, "127.0.0.1", resolve));
     return {
         address: `127.0.0.1:${server.address().port}`,
-        /** Resets the connections whose last request contains a text; returns their number. */
+        /** Number of connections that are open. */
+        size: () => open.size,
+        /** Resets the first connection that waits for the answer to a request with a text in its first line; returns whether there was one. */
         reset: text => {
-            const matching = [...open].filter(({ lastRequest }) => lastRequest.includes(text));
-            matching.forEach(({ near }) => near.resetAndDestroy());
-            return matching.length;
+            const waiting = [...open].find(({ pendingRequest }) => pendingRequest.includes(text));
+            waiting?.near.resetAndDestroy();
+            return waiting !== undefined;
         },
         close: () => server.close(),
     };
