--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -102,8 +102,15 @@
         }
     }
 
-    /** Applies a read of the whole table: entries that are not in it were deleted. */
+    /**
+     * Applies the whole table as of a version: entries that are not in it were deleted. A table that is no newer than this directory proves no deletion and
+     * may still list what has been deleted since; only its newer rows are applied.
+     */
     replace(changes: readonly DirectoryChange[], version: StoreVersion, graceMs: number): void {
+        if (version <= this.version) {
+            changes.forEach(change => this.apply(change));
+            return;
+        }
         // Before the first read, missing entries are those of a peer that is behind.
         const isRestored = this.version > 0 && eraOf(version) > eraOf(this.version);
         const present = new Set(changes.map(({ id }) => id));
@@ -118,7 +125,7 @@
             !present.has(id) && eraOf(removedAt) < eraOf(version) && this.removed.set(id, { version, bornAt })
         );
         this.removalsKnownFrom = Math.max(this.removalsKnownFrom, version);
-        this.version = Math.max(this.version, version);
+        this.version = version;
     }
 
     private applyChange(change: DirectoryChange, graceMs = 0): void {
