--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -1,19 +1,18 @@
 import { EventId } from "../types/eventId";
-import type { RowStore, StoredRow } from "../types/rowStore";
+import type { StoredRow } from "../types/rowStore";
 import { FeedKind } from "../types/rowStore";
 import type { StoreVersion } from "../types/storeVersion";
 import { eraOf } from "../types/storeVersion";
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { sleep } from "../utils/time";
+import type { MonitoredStore } from "./monitoredStore";
 import type { StoreFreshness } from "./storeFreshness";
 
 /** Long-poll wait of one call to the change feed; a dead connection is noticed soon after it. */
 export const feedWaitMs = 2_200;
 /** Base of the jittered delay after the first failed call; jitter keeps the nodes from reconnecting all at once. */
 const minRetryDelayMs = 150;
-/** Rows that expired while the store was unavailable, or that it lost in a restore, may reappear for this long after it has recovered. */
-export const recoveryGraceMs = 2_000;
 
 /** Receives the contents of a followed table. */
 export interface TableObserver {
@@ -46,12 +45,11 @@
 export class TableFollower {
     private version: StoreVersion | undefined;
     private unavailableSince: number | undefined;
-    private recoveredAt = Number.NEGATIVE_INFINITY;
     /** Calls that have failed since the last success. */
     private failedCalls = 0;
 
     private constructor(
-        private readonly store: RowStore,
+        private readonly store: MonitoredStore,
         private readonly table: string,
         private readonly observer: TableObserver,
         private readonly random: Random,
@@ -59,7 +57,7 @@
     ) {}
 
     /** Creates a follower that has not read anything yet. */
-    static create(store: RowStore, table: string, observer: TableObserver, random: Random, options: FollowerOptions = defaultOptions): TableFollower {
+    static create(store: MonitoredStore, table: string, observer: TableObserver, random: Random, options: FollowerOptions = defaultOptions): TableFollower {
         options.freshness?.follow(table);
         return new TableFollower(store, table, observer, random, options);
     }
@@ -119,15 +117,18 @@
     }
 
     private get graceMs(): number {
-        return Math.max(0, this.recoveredAt + recoveryGraceMs - performance.now());
+        return this.store.availability.graceMs;
     }
 
     private onSuccess(): void {
         this.failedCalls = 0;
         if (this.unavailableSince !== undefined) {
-            emit(EventId.StoreRegained, { table: this.table, afterMs: Math.round(performance.now() - this.unavailableSince) });
+            emit(EventId.StoreRegained, {
+                table: this.table,
+                afterMs: Math.round(performance.now() - this.unavailableSince),
+                graceMs: Math.round(this.graceMs),
+            });
             this.unavailableSince = undefined;
-            this.recoveredAt = performance.now();
         }
     }
 
--- a/src/core/upstreamDirectory.ts
+++ b/src/core/upstreamDirectory.ts
@@ -4,7 +4,7 @@
 import { UpstreamState } from "../types/upstreamServer";
 import { getOrCreate } from "../utils/maps";
 import { isLaterState } from "./laterState";
-import { recoveryGraceMs } from "./tableFollower";
+import { recoveryGraceMs } from "./storeAvailability";
 
 /** Called after a change of the directory with the upstream's entry from before it. */
 export type DirectoryObserver = (change: DirectoryChange, before: UpstreamServer | undefined) => void;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -2,6 +2,7 @@
 import { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
 import { LeaseVacancy } from "../core/leaseVacancy";
+import { MonitoredStore } from "../core/monitoredStore";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
 import { takeoverDelayMs } from "../core/takeoverDelay";
 import { CallerServer } from "../forward/callerServer";
@@ -60,14 +61,14 @@
 
     private constructor(
         private readonly settings: PlatformNodeSettings,
-        private readonly store: StoreClient,
+        private readonly store: MonitoredStore,
         private readonly gateway: Gateway,
         private readonly server: CallerServer,
     ) {}
 
     /** Creates a node that does not listen yet. */
     static create(settings: PlatformNodeSettings): PlatformNode {
-        const store = StoreClient.create(settings.storeAddress, settings.limits);
+        const store = MonitoredStore.create(StoreClient.create(settings.storeAddress, settings.limits));
         const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid), store);
         return new PlatformNode(settings, store, gateway, CallerServer.create(gateway));
     }
@@ -137,7 +138,7 @@
     }
 
     /** Starts model placement: as the controller while this node holds the lease, otherwise by requests to the controller. */
-    private startPlacement(store: StoreClient): { readonly controllerClient: ControllerClient; readonly peerServer: PeerServer; } {
+    private startPlacement(store: MonitoredStore): { readonly controllerClient: ControllerClient; readonly peerServer: PeerServer; } {
         const { gateway, settings } = this;
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
--- a/test/directory.test.ts
+++ b/test/directory.test.ts
@@ -1,6 +1,7 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
+import { MonitoredStore } from "../src/core/monitoredStore";
 import { TableFollower } from "../src/core/tableFollower";
 import { Gateway } from "../src/forward/gateway";
 import { createDirectoryObserver } from "../src/forward/storeObservers";
@@ -22,7 +23,7 @@
     const store = MemoryPlatformStore.create(random);
     store.lossShare = 0;
     const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
-    const follower = TableFollower.create(delayFeed(store, 50), table, createDirectoryObserver(gateway, decodeServer), random, {
+    const follower = TableFollower.create(MonitoredStore.create(delayFeed(store, 50)), table, createDirectoryObserver(gateway, decodeServer), random, {
         pauseMs: () => 0,
         waitMs: () => 50,
         maxRetryDelayMs: () => 150,
@@ -53,6 +54,11 @@
     const setDown = (isDown: boolean) => ({ store }: ReturnType<typeof createFixture>) => {
         store.isDown = isDown;
     };
+    /** As long as it takes to fail one call: a connection is lost, and the next one is answered. */
+    const failBriefly = ({ store }: ReturnType<typeof createFixture>): void => {
+        store.isDown = true;
+        setTimeout(() => store.isDown = false, 51);
+    };
     const copy = ({ store, copies }: ReturnType<typeof createFixture>) => void copies.push(store.copy());
     const restore = ({ store, copies }: ReturnType<typeof createFixture>) => store.restore(copies.at(-1)!);
     const cases: readonly Case[] = [
@@ -82,6 +88,18 @@
             pauseMs: 1_100,
             ready: [],
         },
+        {
+            name: "removes an upstream at once if its row is deleted just after one call to the store has failed",
+            steps: [put("u1", rowOf("ready")), put("u2", rowOf("ready")), failBriefly, put("u1", undefined)],
+            pauseMs: 300,
+            ready: ["u2"],
+        },
+        {
+            name: "removes an upstream at once if its row is deleted just after the first read of the store has failed",
+            steps: [failBriefly, put("u1", rowOf("ready")), put("u1", undefined)],
+            pauseMs: 300,
+            ready: [],
+        },
         {
             name: "reads the whole table after the change feed has been compacted",
             steps: [put("u1", rowOf("ready")), put("u2", rowOf("ready")), ({ store, name }) => {
--- a/test/fakes/directoryNetwork.ts
+++ b/test/fakes/directoryNetwork.ts
@@ -1,3 +1,4 @@
+import { MonitoredStore } from "../../src/core/monitoredStore";
 import { TableFollower } from "../../src/core/tableFollower";
 import { Gateway } from "../../src/forward/gateway";
 import { createDirectoryObserver } from "../../src/forward/storeObservers";
@@ -82,7 +83,7 @@
         const { store } = this;
         node.follower = new AbortController();
         const { gateway } = node;
-        void TableFollower.create(delayFeed(store, feedDelayMs), table, createDirectoryObserver(gateway, decodeServer), this.random, {
+        void TableFollower.create(MonitoredStore.create(delayFeed(store, feedDelayMs)), table, createDirectoryObserver(gateway, decodeServer), this.random, {
             pauseMs: () => 0,
             waitMs: () => feedDelayMs,
             maxRetryDelayMs: () => 150,
--- a/test/restoredConfig.test.ts
+++ b/test/restoredConfig.test.ts
@@ -1,6 +1,7 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
+import { MonitoredStore } from "../src/core/monitoredStore";
 import { TableFollower } from "../src/core/tableFollower";
 import { Gateway } from "../src/forward/gateway";
 import { createConfigObserver } from "../src/forward/storeObservers";
@@ -45,7 +46,12 @@
             store.lossShare = 0;
             const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
             const abort = new AbortController();
-            void TableFollower.create(delayFeed(store, feedDelayMs), table, createConfigObserver(gateway, key, decodeConfig, () => undefined), random).run(
+            void TableFollower.create(
+                MonitoredStore.create(delayFeed(store, feedDelayMs)),
+                table,
+                createConfigObserver(gateway, key, decodeConfig, () => undefined),
+                random,
+            ).run(
                 abort.signal,
             );
             const versions: number[] = [];
