--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -1,4 +1,4 @@
-import type { ControllerRow, DurableCrashes, LeaseYield } from "../types/controllerLease";
+import type { ControllerRow, DurableCrashes, DurableLoads, LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { RowName, RowStore } from "../types/rowStore";
 import { TransactionKind } from "../types/rowStore";
@@ -7,11 +7,12 @@
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import type { LeaseCandidate, LeaseRules, PendingRunnerLease } from "./controllerRow";
-import { nextControllerRow, storedCrashesOf } from "./controllerRow";
+import { nextControllerRow, storedCrashesOf, storedLoadsOf } from "./controllerRow";
 import { LeaseVacancy } from "./leaseVacancy";
 import { LeaseView, noEpoch } from "./leaseView";
 
 const noCrashes: DurableCrashes = { durable: [], add: () => undefined };
+const noLoads: DurableLoads = { durable: [], add: () => undefined };
 
 const rowName: RowName = { table: "jackdawtrail", part: "", key: "controller" };
 
@@ -34,6 +35,7 @@
         private readonly rules: LeaseRules,
         private readonly vacancy: LeaseVacancy,
         private readonly crashes: DurableCrashes,
+        private readonly loads: DurableLoads,
     ) {
         this.view = LeaseView.create(self, rules);
     }
@@ -44,8 +46,9 @@
         rules: LeaseRules,
         vacancy = LeaseVacancy.create(() => 0),
         crashes: DurableCrashes = noCrashes,
+        loads: DurableLoads = noLoads,
     ): ControllerLease {
-        return new ControllerLease(store, self, rules, vacancy, crashes);
+        return new ControllerLease(store, self, rules, vacancy, crashes, loads);
     }
 
     /** The epoch while the lease is certainly held by this process, undefined otherwise. */
@@ -85,12 +88,15 @@
         return this.view.mayOrder(runner);
     }
 
-    /** Requests a runner lease; true when an order may be sent at once. */
-    acquireRunnerLease(runner: string, isWeightStoreLoad: boolean): Promise<boolean> {
+    /**
+     * Requests a runner lease; true when an order may be sent at once. The load of a model is written to the row in any case, so that the next holder knows it if
+     * this one does not live to see the answer.
+     */
+    acquireRunnerLease(runner: string, isWeightStoreLoad: boolean, isModelLoad = isWeightStoreLoad): Promise<boolean> {
         if (!this.mayOrder(runner)) {
             return Promise.resolve(false);
         }
-        if (!isWeightStoreLoad && this.view.hasRunnerLease(runner)) {
+        if (!isModelLoad && this.view.hasRunnerLease(runner)) {
             return Promise.resolve(true);
         }
         return new Promise(resolve => {
@@ -154,12 +160,13 @@
         const { row, version, nowMs } = await this.store.readRow(rowName);
         this.view.clock.onAnswer(nowMs, requestedAt);
         this.view.onRead(row, version);
-        this.addStoredCrashes(this.view.seen?.row);
+        this.addStoredFacts(this.view.seen?.row);
     }
 
-    /** Shares the crashes that a row keeps: all nodes that knew them may have been restarted. */
-    private addStoredCrashes(row: ControllerRow | undefined): void {
+    /** Adds what a row keeps: all nodes that knew it may have been restarted. */
+    private addStoredFacts(row: ControllerRow | undefined): void {
         storedCrashesOf(row, this.view.clock).forEach(crash => this.crashes.add(crash));
+        storedLoadsOf(row, this.view.clock).forEach(load => this.loads.add(load));
     }
 
     /** Writes the row, and once more if an earlier write of this process took effect although its answer was lost. */
@@ -174,7 +181,8 @@
     private async write(requests: readonly PendingRunnerLease[], isReleased: boolean): Promise<boolean> {
         const requestedAt = readClocks();
         const expected = this.view.seen!.version;
-        const row = nextControllerRow(this.view.seen!, this.self, this.view.clock, requests, isReleased, this.crashes.durable, this.rules);
+        const facts = { crashes: this.crashes.durable, loads: this.loads.durable };
+        const row = nextControllerRow(this.view.seen!, this.self, this.view.clock, requests, isReleased, facts, this.rules);
         const result = await this.store.transact({
             conditions: [{ ...rowName, version: expected }],
             puts: [{ ...rowName, value: Buffer.from(JSON.stringify(row)) }],
@@ -188,7 +196,7 @@
         }
         if (result.kind === TransactionKind.Conflict) {
             this.view.onRead(result.rows[0], result.version);
-            this.addStoredCrashes(this.view.seen?.row);
+            this.addStoredFacts(this.view.seen?.row);
             this.logLoss();
             return false;
         }
--- a/src/core/controllerRow.ts
+++ b/src/core/controllerRow.ts
@@ -1,5 +1,5 @@
 import { z } from "zod";
-import type { ControllerRow, RunnerLease } from "../types/controllerLease";
+import type { ControllerRow, RunnerLease, UnansweredLoad } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
 import type { StoredRow } from "../types/rowStore";
 import type { RunnerCrash } from "../types/runnerCrash";
@@ -21,12 +21,15 @@
     peerAddress: z.string(),
     isReleased: z.boolean(),
     untilMs: z.number(),
-    // Missing from rows of earlier releases, like the crashes; those are taken for rows from before a restore.
+    // Missing from rows of earlier releases, like the crashes and loads; those are taken for rows from before a restore.
     era: z.number().default(0),
     unrecordedUntilMs: z.number().default(0),
     turns: z.record(z.string(), z.object({ holder: z.string(), untilMs: z.number() })),
     storeLoads: z.array(z.number()),
     crashes: z.array(z.object({ id: z.string(), atMs: z.number(), parts: z.array(z.string()) })).default([]),
+    loads: z.array(
+        z.object({ runner: z.string(), bornAt: z.number(), order: z.string(), memoryMb: z.number(), adapterSlots: z.number(), untilMs: z.number() }),
+    ).default([]),
 });
 
 /** Identity of a process that may take the controller lease. */
@@ -46,6 +49,12 @@
     readonly isWeightStoreLoad: boolean;
 }
 
+/** What the row keeps besides the lease, for the next holder. */
+export interface DurableFacts {
+    readonly crashes: readonly RunnerCrash[];
+    readonly loads: readonly UnansweredLoad[];
+}
+
 /** A runner lease request that waits for the row to be written. */
 export interface PendingRunnerLease extends RunnerLeaseRequest {
     readonly resolve: (isGranted: boolean) => void;
@@ -79,7 +88,7 @@
     { earliestMs, latestMs }: StoreClock,
     requests: readonly RunnerLeaseRequest[],
     isReleased: boolean,
-    crashes: readonly RunnerCrash[],
+    { crashes, loads }: DurableFacts,
     { turnGapMs, loadWindowMs }: LeaseRules,
 ): ControllerRow => {
     const runnerLease: RunnerLease = { holder: self.holder, untilMs: latestMs + maxSendDelayMs + maxOrderDeliveryMs };
@@ -95,6 +104,7 @@
         turns: Object.fromEntries([...activeLeases, ...requests.map(({ runner }) => [runner, runnerLease] as const)]),
         storeLoads: [...storeLoads, ...requests.filter(({ isWeightStoreLoad }) => isWeightStoreLoad).map(() => latestMs)],
         crashes: crashes.map(({ id, ageMs, suspects }) => ({ id, atMs: Math.round(latestMs - ageMs), parts: suspects.flat() })),
+        loads: loads.map(({ forMs, ...load }) => ({ ...load, untilMs: Math.ceil(latestMs + forMs) })),
     };
 };
 
@@ -114,3 +124,7 @@
 /** The crashes that a row keeps. */
 export const storedCrashesOf = (row: ControllerRow | undefined, { earliestMs }: StoreClock): readonly RunnerCrash[] =>
     (row?.crashes ?? []).map(({ id, atMs, parts }) => ({ id, ageMs: Math.max(0, earliestMs - atMs), suspects: [parts], cleared: [] }));
+
+/** The loads without an answer that a row keeps. */
+export const storedLoadsOf = (row: ControllerRow | undefined, { earliestMs }: StoreClock): readonly UnansweredLoad[] =>
+    (row?.loads ?? []).map(({ untilMs, ...load }) => ({ ...load, forMs: untilMs - earliestMs })).filter(({ forMs }) => forMs > 0);
--- a/src/core/restoredRow.ts
+++ b/src/core/restoredRow.ts
@@ -41,6 +41,7 @@
             turns: {},
             storeLoads: [...new Set([...row?.storeLoads ?? [], ...known?.storeLoads ?? []])],
             crashes: row?.crashes ?? [],
+            loads: [...row?.loads ?? [], ...known?.loads ?? []],
         };
     }
 }
--- a/src/core/runnerTracker.ts
+++ b/src/core/runnerTracker.ts
@@ -1,24 +1,17 @@
-import { EventId } from "../types/eventId";
 import { artifactKey } from "../types/modelRequest";
+import type { ModelTransition } from "../types/modelTransition";
 import type { RunnerOrder, RunnerReport } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
-import { assertInvariant } from "../utils/invariants";
-import { LateReservations } from "./lateReservations";
+import type { LoadName } from "./lateLoads";
+import { LateLoads } from "./lateLoads";
+import type { LoadSize } from "./loadSize";
 import { adapterMb, loadSizeOf } from "./loadSize";
 
 /** A runner counts as unreachable after this many failed report requests; a node's failure to reach it counts as one. */
 const maxFailedReports = 2;
 
-/** A load or unload of a model that the runner is executing. */
-export interface ModelTransition {
-    readonly kind: RunnerOrderKind;
-    readonly model: string;
-    /** Estimated end, on the monotonic clock. */
-    readonly doneAt: number;
-}
-
 /** The controller's view of one runner: its models and adapters, the load or unload in progress, and the pending order. */
 export class RunnerTracker {
     readonly models = new Set<string>();
@@ -43,29 +36,34 @@
     failedReports = 0;
     /** When each model was first reported, on the monotonic clock. */
     private readonly heldSince = new Map<string, number>();
-    private readonly lateReservations: LateReservations;
     private bornAt: number;
+    /** The load in flight, as it was recorded. */
+    private sentLoad: LoadName | undefined;
 
-    private constructor(public server: UpstreamServer, private readonly now: () => number) {
+    private constructor(public server: UpstreamServer, private readonly now: () => number, private readonly lateLoads: LateLoads) {
         this.bornAt = server.bornAt;
-        this.lateReservations = LateReservations.create(now);
     }
 
-    /** Creates a tracker without state; no order is sent before the first report. */
-    static create(server: UpstreamServer, now: () => number = () => performance.now()): RunnerTracker {
-        return new RunnerTracker(server, now);
+    /** Creates a tracker without state; no order is sent before the first report. `lateLoads` outlives the tracker. */
+    static create(server: UpstreamServer, now: () => number = () => performance.now(), lateLoads = LateLoads.create(now)): RunnerTracker {
+        return new RunnerTracker(server, now, lateLoads);
     }
 
     /** Memory of all models and adapters that the runner holds, is loading or unloading, or may still load. */
     usedMb(engine: EngineSpec): number {
         const models = [...this.possibleModelSet()].reduce((sum, name) => sum + (engine.models.get(name)?.memoryMb ?? 0), 0);
         const adapters = [...this.adapters.keys()].reduce((sum, artifact) => sum + adapterMb(engine, artifact), 0);
-        return models + adapters + this.lateReservations.total.memoryMb;
+        return models + adapters + this.reserved.memoryMb;
     }
 
     /** Adapter slots that are taken, or may be by a load that is still to be executed. */
     get usedAdapterSlots(): number {
-        return this.adapters.size + this.lateReservations.total.adapterSlots;
+        return this.adapters.size + this.reserved.adapterSlots;
+    }
+
+    /** What loads that were sent to earlier processes of this runner may still take up. */
+    private get reserved(): LoadSize {
+        return this.lateLoads.reservedFor(this.server.id, this.bornAt);
     }
 
     /** Estimated time of a load of a model on this runner. */
@@ -93,18 +91,18 @@
         return this.mayOrder && this.hasCurrentReport && !this.isBusy && !this.inFlightOrder && !this.pendingOrder && !this.transition;
     }
 
-    /** Applies a newer directory entry. A restart under the same ID clears all state but the memory reserved for orders that may still be executed. */
-    onServer(server: UpstreamServer, engine: EngineSpec): void {
+    /** Applies a newer directory entry. A restart under the same ID clears all state; what loads of before may still take up is kept by the runner's ID. */
+    onServer(server: UpstreamServer): void {
         this.server = server;
         if (server.bornAt !== this.bornAt) {
-            this.onRestart(server.bornAt, engine);
+            this.onRestart(server.bornAt);
         }
     }
 
     /** Applies a report; one from before the last accepted order updates only the reachability and the stored weights. */
-    onReport(report: RunnerReport, engine: EngineSpec): void {
+    onReport(report: RunnerReport): void {
         if (report.bornAt !== this.bornAt) {
-            this.onRestart(report.bornAt, engine);
+            this.onRestart(report.bornAt);
         }
         this.failedReports = 0;
         this.isSuspected = false;
@@ -135,25 +133,24 @@
         reportedAdapters.forEach(artifact => this.adapters.set(artifact, this.adapters.get(artifact) ?? this.now()));
     }
 
-    /** Asserts that an order fits into the memory and adapter slots, whatever the outcome of earlier orders. */
-    assertFits(order: RunnerOrder, engine: EngineSpec): void {
-        if (order.kind !== RunnerOrderKind.Load) {
-            return;
+    /** Records an order that is about to be sent. */
+    onSend(order: RunnerOrder, engine: EngineSpec): void {
+        this.inFlightOrder = order;
+        if (order.kind === RunnerOrderKind.Load) {
+            const name = `${order.expectedAcceptedOrders} ${artifactKey(order.model, order.adapter)}`;
+            this.sentLoad = this.lateLoads.onSent({ runner: this.server.id, bornAt: this.bornAt, order: name }, loadSizeOf(order, engine));
         }
-        const added = loadSizeOf(order, engine);
-        assertInvariant(
-            this.usedMb(engine) + added.memoryMb <= engine.memoryMb,
-            EventId.InvariantMemory,
-            () => `${this.server.id}: a load of ${order.model} exceeds the memory`,
-        );
-        const adapterCount = this.usedAdapterSlots + added.adapterSlots;
-        assertInvariant(adapterCount <= engine.adapterSlots, EventId.InvariantMemory, () => `${this.server.id}: ${adapterCount} adapters exceed the slots`);
     }
 
-    /** Applies the answer to an order. */
+    /** Records that the order was not sent after all. */
+    onNotSent(): void {
+        this.endFlight(true);
+    }
+
+    /** Applies the answer to the order in flight. */
     onAnswer(order: RunnerOrder, answer: RunnerOrderAnswer, engine: EngineSpec): void {
+        this.endFlight(answer !== RunnerOrderAnswer.Unknown);
         if (answer === RunnerOrderAnswer.Unknown) {
-            this.recordUnanswered(order, engine);
             // A report received in the meantime may have counted the order already.
             this.pendingOrder = this.acceptedOrders > order.expectedAcceptedOrders ? undefined : order;
             return;
@@ -187,10 +184,12 @@
         }
     }
 
-    private recordUnanswered(order: RunnerOrder, engine: EngineSpec): void {
-        if (order.kind === RunnerOrderKind.Load) {
-            this.lateReservations.onUnanswered(`${order.expectedAcceptedOrders} ${artifactKey(order.model, order.adapter)}`, loadSizeOf(order, engine));
+    private endFlight(isOutcomeKnown: boolean): void {
+        this.inFlightOrder = undefined;
+        if (this.sentLoad && isOutcomeKnown) {
+            this.lateLoads.onAnswered(this.sentLoad);
         }
+        this.sentLoad = undefined;
     }
 
     private onAdapterAnswer(kind: RunnerOrderKind, artifact: string, answer: RunnerOrderAnswer): void {
@@ -230,11 +229,7 @@
         ]);
     }
 
-    private onRestart(bornAt: number, engine: EngineSpec): void {
-        if (this.inFlightOrder) {
-            this.recordUnanswered(this.inFlightOrder, engine);
-        }
-        this.lateReservations.onRestart();
+    private onRestart(bornAt: number): void {
         this.bornAt = bornAt;
         this.pendingOrder = undefined;
         this.transition = undefined;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -1,6 +1,7 @@
 import { randomUUID } from "node:crypto";
 import { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
+import { LateLoads } from "../core/lateLoads";
 import { LeaseVacancy } from "../core/leaseVacancy";
 import { MonitoredStore } from "../core/monitoredStore";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
@@ -143,11 +144,12 @@
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
         const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
-        const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog);
+        const lateLoads = LateLoads.create();
+        const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
         const runners = RunnerClient.create(settings.limits);
         gateway.prober = UpstreamProber.create(runners);
         const link = ControllerLink.create();
-        const controller = Controller.create(gateway, lease, runners);
+        const controller = Controller.create(gateway, lease, runners, lateLoads);
         const peerServer = PeerServer.create(gateway, controller, link);
         const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, link, {
             peerServer,
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -4,6 +4,7 @@
 import { CopyPlan } from "../core/copyPlan";
 import type { CopyStep } from "../core/copyStep";
 import { toFailure } from "../core/failures";
+import { LateLoads } from "../core/lateLoads";
 import { ModelDemand } from "../core/modelDemand";
 import type { RunnerTracker } from "../core/runnerTracker";
 import { WeightStoreLimiter } from "../core/weightStoreLimiter";
@@ -46,14 +47,14 @@
     /** When the next round may start, on the monotonic clock. */
     private nextRoundAt = Number.NEGATIVE_INFINITY;
 
-    private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, runners: RunnerControl) {
-        this.manager = RunnerManager.create(gateway, lease, runners, () => void this.round());
+    private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, runners: RunnerControl, lateLoads: LateLoads) {
+        this.manager = RunnerManager.create(gateway, lease, runners, lateLoads, () => void this.round());
         this.storeLimiter = WeightStoreLimiter.create(gateway.settings.loadWindowMs);
     }
 
-    /** Creates a controller that is active only while the lease is held. */
-    static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl): Controller {
-        return new Controller(gateway, lease, runners);
+    /** Creates a controller that is active only while the lease is held; the row of the lease keeps `lateLoads`. */
+    static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl, lateLoads = LateLoads.create()): Controller {
+        return new Controller(gateway, lease, runners, lateLoads);
     }
 
     /** Runs planning rounds until the signal aborts. */
--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -1,6 +1,8 @@
 import { AdapterRevisions } from "../core/adapterRevisions";
+import { assertOrderFits } from "../core/assertOrderFits";
 import type { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
+import type { LateLoads } from "../core/lateLoads";
 import { RunnerTracker } from "../core/runnerTracker";
 import type { Gateway } from "../forward/gateway";
 import { EventId } from "../types/eventId";
@@ -33,15 +35,16 @@
         private readonly gateway: Gateway,
         private readonly lease: ControllerLease,
         private readonly runners: RunnerControl,
+        private readonly lateLoads: LateLoads,
         private readonly onDone: () => void,
     ) {}
 
     /** Creates a manager that tracks no runners yet; `onDone` is called when a load or unload has completed. */
-    static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl, onDone: () => void): RunnerManager {
-        return new RunnerManager(gateway, lease, runners, onDone);
+    static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl, lateLoads: LateLoads, onDone: () => void): RunnerManager {
+        return new RunnerManager(gateway, lease, runners, lateLoads, onDone);
     }
 
-    /** Removes all trackers: a new lease holder starts from the runners' reports. */
+    /** Removes all trackers: a new lease holder starts from the runners' reports, and from the loads without an answer that the lease row names. */
     clear(): void {
         this.trackers.clear();
         this.adapters = AdapterRevisions.create();
@@ -84,10 +87,10 @@
         for (const server of servers) {
             const tracker = this.trackers.get(server.id);
             if (tracker) {
-                tracker.onServer({ ...server, inMemory: tracker.server.inMemory, onDisk: tracker.server.onDisk }, engine);
+                tracker.onServer({ ...server, inMemory: tracker.server.inMemory, onDisk: tracker.server.onDisk });
             }
             else {
-                this.trackers.set(server.id, RunnerTracker.create(server));
+                this.trackers.set(server.id, RunnerTracker.create(server, () => performance.now(), this.lateLoads));
             }
         }
         for (const tracker of this.trackersOf(service)) {
@@ -105,7 +108,7 @@
         const isDue = tracker.failedReports <= maxQuickReports && (isReportNeeded || (tracker.transition !== undefined && now >= tracker.transition.doneAt));
         if (now - (this.lastReportRequestAt.get(tracker) ?? Number.NEGATIVE_INFINITY) >= (isDue ? dueReportIntervalMs : reportIntervalMs)) {
             this.lastReportRequestAt.set(tracker, now);
-            void this.fetchReport(tracker, engine);
+            void this.fetchReport(tracker);
         }
         const { pendingOrder } = tracker;
         if (pendingOrder && tracker.mayOrder && !tracker.inFlightOrder && now - (this.lastOrderAt.get(tracker) ?? Number.NEGATIVE_INFINITY) > orderResendMs) {
@@ -114,11 +117,11 @@
         }
     }
 
-    private async fetchReport(tracker: RunnerTracker, engine: EngineSpec): Promise<void> {
+    private async fetchReport(tracker: RunnerTracker): Promise<void> {
         try {
             const report = await this.runners.fetchReport(tracker.server);
             const { transition } = tracker;
-            tracker.onReport(report, engine);
+            tracker.onReport(report);
             this.gateway.residency.replaceAdapters(tracker.server.id, tracker.adapters.keys());
             if (transition && !tracker.transition) {
                 const done = transition.kind === RunnerOrderKind.Load ? EventId.ArtifactResident : EventId.ArtifactGone;
@@ -147,16 +150,16 @@
             return RunnerOrderAnswer.Conflict;
         }
         if (tracker.pendingOrder === undefined) {
-            tracker.assertFits(order, engine);
+            assertOrderFits(tracker, order, engine);
         }
-        tracker.inFlightOrder = order;
+        tracker.onSend(order, engine);
         this.lastOrderAt.set(tracker, performance.now());
         const { kind, model, adapter, expectedAcceptedOrders, epoch } = order;
         const fields = { runner: tracker.server.id, kind, model, adapter, expected: expectedAcceptedOrders, epoch };
-        const isWeightStoreLoad = tracker.pendingOrder === undefined && kind === RunnerOrderKind.Load && adapter === undefined &&
-            tracker.loadsFromWeightStore(model);
-        if (!await this.lease.acquireRunnerLease(tracker.server.id, isWeightStoreLoad)) {
-            tracker.inFlightOrder = undefined;
+        const isModelLoad = kind === RunnerOrderKind.Load && adapter === undefined;
+        const isWeightStoreLoad = tracker.pendingOrder === undefined && isModelLoad && tracker.loadsFromWeightStore(model);
+        if (!await this.lease.acquireRunnerLease(tracker.server.id, isWeightStoreLoad, isModelLoad)) {
+            tracker.onNotSent();
             return RunnerOrderAnswer.Conflict;
         }
         emit(EventId.OrderSent, { ...fields, reason });
@@ -167,7 +170,6 @@
         catch (err) {
             emit(EventId.OrderUnanswered, { ...fields, detail: toFailure(err).detail });
         }
-        tracker.inFlightOrder = undefined;
         tracker.onAnswer(order, answer, engine);
         if (answer !== RunnerOrderAnswer.Unknown && answer !== RunnerOrderAnswer.Accepted && answer !== RunnerOrderAnswer.Done) {
             emit(EventId.OrderRefused, { ...fields, answer });
--- a/src/types/controllerLease.ts
+++ b/src/types/controllerLease.ts
@@ -29,6 +29,30 @@
     readonly storeLoads: readonly number[];
     /** Crashes of runners behind the quarantines of prompt parts, which outlive the nodes. */
     readonly crashes: readonly StoredCrash[];
+    /** Loads that a runner may still execute, ordered by any holder. */
+    readonly loads: readonly StoredLoad[];
+}
+
+/** A load that was sent to a process of a runner and has not been answered. */
+export interface StoredLoad {
+    readonly runner: string;
+    /** Start of the process. */
+    readonly bornAt: number;
+    /** Identifies the order among those to this process. */
+    readonly order: string;
+    readonly memoryMb: number;
+    readonly adapterSlots: number;
+    /** When no copy can arrive any more. */
+    readonly untilMs: number;
+}
+
+/** A load that may still be executed for some time. */
+export type UnansweredLoad = Omit<StoredLoad, "untilMs"> & { readonly forMs: number; };
+
+/** Loads without an answer that a controller knows and its row keeps. */
+export interface DurableLoads {
+    readonly durable: readonly UnansweredLoad[];
+    add(load: UnansweredLoad): void;
 }
 
 /** A crash that one of the prompt parts caused. */
--- a/test/fakes/simulatedPlatformRunner.ts
+++ b/test/fakes/simulatedPlatformRunner.ts
@@ -9,8 +9,6 @@
 
 /** Age of the state that a report describes. */
 const reportLagMs = 200;
-/** Shortest and longest delay of an order whose answer is lost. */
-const lateOrderMs = { min: 2_000, max: 12_000 };
 /** Longest time that requests in flight delay the unload of their model or adapter. */
 const maxDrainMs = 1_500;
 
@@ -150,6 +148,8 @@
 /** Client of simulated runners. Answers may be lost; an order whose answer was lost is carried out late. */
 export class FaultyRunnerControl implements RunnerControl {
     lossShare = 0;
+    /** Shortest and longest delay of an order whose answer is lost. */
+    lateOrderMs = { min: 2_000, max: 12_000 };
     /** IDs of the runners that do not answer. */
     readonly unreachableRunners = new Set<string>();
 
@@ -171,7 +171,8 @@
         if (this.random() >= this.lossShare) {
             return Promise.resolve(runner.applyOrder(order));
         }
-        const delayMs = lateOrderMs.min + this.random() * (lateOrderMs.max - lateOrderMs.min);
+        const { min, max } = this.lateOrderMs;
+        const delayMs = min + this.random() * (max - min);
         setTimeout(() => runner.applyOrder(order), delayMs);
         return this.rejectWithLostAnswer();
     }
--- a/test/placement.test.ts
+++ b/test/placement.test.ts
@@ -1,92 +1,14 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
-import { ControllerLease } from "../src/core/controllerLease";
-import { Gateway } from "../src/forward/gateway";
-import { Controller } from "../src/placement/controller";
-import { requestHeaderCodec } from "../src/platform/requestHeaderCodec";
-import type { EngineSpec, ModelSpec } from "../src/types/servingConfig";
-import { UpstreamState } from "../src/types/upstreamServer";
 import { setupLogs } from "../src/utils/events";
 import { createRandom, pick } from "../src/utils/random";
 import { platformTestSettings } from "./fakes/gatewayHarness";
-import { MemoryPlatformStore } from "./fakes/memoryPlatformStore";
-import { FaultyRunnerControl, SimulatedPlatformRunner } from "./fakes/simulatedPlatformRunner";
+import { PlacementFixture, placementTestEngine as engine, placementTestService as service } from "./fakes/placementFixture";
+import type { SimulatedPlatformRunner } from "./fakes/simulatedPlatformRunner";
 
-const service = "desk";
 const stepMs = 50;
 
-const createModel = (name: string, memoryMb: number): ModelSpec => ({
-    name,
-    memoryMb,
-    loadMs: 3_000,
-    warmLoadMs: 300,
-    diskLoadMs: 700,
-    adapters: 10,
-    adapterMemoryMb: 50,
-});
-
-const engine: EngineSpec = {
-    slots: 32,
-    kvTokens: 100_000,
-    tokensPerEvent: 4,
-    memoryMb: 200_000,
-    adapterSlots: 4,
-    loadsPerS: 2,
-    models: new Map([...Array(14).keys()].map(index => [`m${index}`, createModel(`m${index}`, index % 4 === 0 ? 34_000 : 72_000)])),
-};
-
-interface Fixture {
-    readonly runners: ReadonlyMap<string, SimulatedPlatformRunner>;
-    readonly controller: Controller;
-    readonly control: FaultyRunnerControl;
-    readonly gateway: Gateway;
-    /** Writes a runner's current state into the directory. */
-    readonly publish: (runner: SimulatedPlatformRunner) => void;
-}
-
-const createFixture = async (seed: number, count = 6, heldBy = (index: number): readonly string[] => [`m${index}`]): Promise<Fixture> => {
-    const random = createRandom(seed);
-    const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
-    gateway.applyConfig({
-        version: 1,
-        routes: [],
-        services: new Map([[service, { name: service, healthPath: "/h", maxConnections: 10, engine }]]),
-        limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
-    }, Buffer.from(""));
-    const runners = new Map([...Array(count).keys()].map(index => [`r${index}`, SimulatedPlatformRunner.create(`r${index}`, engine, random, heldBy(index))]));
-    let version = 0;
-    const publish = (runner: SimulatedPlatformRunner): void =>
-        gateway.directory.apply({
-            id: runner.id,
-            version: ++version,
-            server: {
-                id: runner.id,
-                service,
-                address: "127.0.0.1:1",
-                availabilityZone: "a",
-                slots: 32,
-                state: UpstreamState.Ready,
-                models: runner.report().models,
-                inMemory: [],
-                onDisk: [],
-                bornAt: runner.bornAt,
-                acceptedOrders: 0,
-            },
-        });
-    runners.forEach(publish);
-    const store = MemoryPlatformStore.create(random);
-    store.lossShare = 0;
-    const lease = ControllerLease.create(store, { holder: "n", boot: "b", peerAddress: "p" }, platformTestSettings);
-    const control = FaultyRunnerControl.create(runners, random);
-    const controller = Controller.create(gateway, lease, control);
-    const abort = new AbortController();
-    await lease.tick();
-    setInterval(() => void lease.tick(), 500);
-    controller.start(abort.signal);
-    return { runners, controller, control, gateway, publish };
-};
-
 /** Maximum number of loads from the weight store that start in any window. */
 const maxStarts = (runners: Iterable<SimulatedPlatformRunner>, windowMs: number): number => {
     const starts = [...runners].flatMap(({ storeLoads }) => storeLoads).sort((a, b) => a - b);
@@ -111,7 +33,7 @@
     for (const seed of [1, 2, 3, 4, 5, 6]) {
         it(`keeps the limits of memory, adapter slots and the weight store's rate while orders are late and runners restart (seed ${seed})`, () =>
             withClock(async () => {
-                const { runners, controller, control, publish } = await createFixture(seed);
+                const { runners, controller, control, publish } = await PlacementFixture.start(seed);
                 const random = createRandom(seed + 100);
                 control.lossShare = 0.3;
                 let first = 0;
@@ -140,7 +62,7 @@
 
     it("loads a requested model without a copy in place of the least loaded one", () =>
         withClock(async () => {
-            const { runners, controller } = await createFixture(1, 2);
+            const { runners, controller } = await PlacementFixture.start(1, 2);
             await clock.tickAsync(1_000);
             const answers = [await controller.place({ service, model: "m9", avoid: [], unreachable: [] })];
             await clock.tickAsync(5_000);
@@ -152,7 +74,7 @@
 
     it("adds copies on idle runners for a model with more demand than one runner can serve", () =>
         withClock(async () => {
-            const { runners, controller } = await createFixture(2);
+            const { runners, controller } = await PlacementFixture.start(2);
             for (let step = 0; step < 400; step++) {
                 await clock.tickAsync(stepMs);
                 controller.countWork([{ artifact: "m1", workMs: 70, idleMs: 0 }]);
@@ -165,7 +87,11 @@
         withClock(async () => {
             // Every runner is full; m1 has one copy and suddenly four runners' work.
             const large = ["m1", "m2", "m3", "m5", "m6", "m7", "m9", "m10", "m11", "m13"];
-            const { runners, controller } = await createFixture(2, 10, index => [large[index]!, large[(index + 3) % 10 === 0 ? 4 : (index + 3) % 10]!]);
+            const { runners, controller } = await PlacementFixture.start(
+                2,
+                10,
+                index => [large[index]!, large[(index + 3) % 10 === 0 ? 4 : (index + 3) % 10]!],
+            );
             await clock.tickAsync(1_000);
             for (let step = 0; step < 7_000 / stepMs; step++) {
                 await clock.tickAsync(stepMs);
@@ -177,7 +103,7 @@
 
     it("reloads a model that lost all runners, although its demand exceeds one runner", () =>
         withClock(async () => {
-            const { runners, controller, publish } = await createFixture(4);
+            const { runners, controller, publish } = await PlacementFixture.start(4);
             const holders = (): readonly SimulatedPlatformRunner[] => [...runners.values()].filter(({ models }) => models.has("m9"));
             const request = async (steps: number): Promise<void> => {
                 for (let step = 0; step < steps; step++) {
@@ -198,7 +124,7 @@
     it("does not unload the last copy of a model without demand for a small advantage", () =>
         withClock(async () => {
             const held = [["m1", "m2"], ["m3", "m5"]];
-            const { runners, controller } = await createFixture(6, 2, index => held[index]!);
+            const { runners, controller } = await PlacementFixture.start(6, 2, index => held[index]!);
             for (let step = 0; step < 200; step++) {
                 await clock.tickAsync(stepMs);
                 controller.countWork([{ artifact: "m1", workMs: 27, idleMs: 0 }]);
@@ -208,7 +134,7 @@
 
     it("loads a model elsewhere if a node cannot reach its only runner", () =>
         withClock(async () => {
-            const { runners, controller, control } = await createFixture(5);
+            const { runners, controller, control } = await PlacementFixture.start(5);
             await clock.tickAsync(1_000);
             const [lost] = [...runners.values()].filter(({ models }) => models.has("m3"));
             control.unreachableRunners.add(lost!.id);
@@ -225,7 +151,7 @@
 
     it("refuses an unknown model at once", () =>
         withClock(async () => {
-            const { controller } = await createFixture(3);
+            const { controller } = await PlacementFixture.start(3);
             await clock.tickAsync(500);
             assert.deepEqual(await controller.place({ service, model: "nobody", avoid: [], unreachable: [] }), {
                 readyInMs: 1_000,
--- a/test/runnerTracker.test.ts
+++ b/test/runnerTracker.test.ts
@@ -30,14 +30,9 @@
 });
 
 type Step = (tracker: RunnerTracker) => void;
-const report = (acceptedOrders: number, isBusy = false): Step => tracker => tracker.onReport(reportOf(acceptedOrders, isBusy), engine);
-const send: Step = tracker => {
-    tracker.inFlightOrder = order;
-};
-const finish = (answer: RunnerOrderAnswer): Step => tracker => {
-    tracker.inFlightOrder = undefined;
-    tracker.onAnswer(order, answer, engine);
-};
+const report = (acceptedOrders: number, isBusy = false): Step => tracker => tracker.onReport(reportOf(acceptedOrders, isBusy));
+const send: Step = tracker => tracker.onSend(order, engine);
+const finish = (answer: RunnerOrderAnswer): Step => tracker => tracker.onAnswer(order, answer, engine);
 
 describe("runner tracker", () => {
     const cases: readonly { readonly name: string; readonly steps: readonly Step[]; readonly canOrder: boolean; readonly isPending: boolean; }[] = [
@@ -92,7 +87,7 @@
         readonly steps: readonly Step[];
         readonly usedAdapterSlots: number;
     }
-    const restart: Step = tracker => tracker.onReport({ ...reportOf(0), bornAt: 2 }, engine);
+    const restart: Step = tracker => tracker.onReport({ ...reportOf(0), bornAt: 2 });
     const restartCases: readonly RestartCase[] = [
         { name: "of an order that is pending", steps: [send, finish(RunnerOrderAnswer.Unknown), restart], usedAdapterSlots: 1 },
         {
@@ -124,7 +119,7 @@
                 acceptedOrders: 0,
             };
             const tracker = RunnerTracker.create(server, () => 0);
-            tracker.onReport(reportOf(3), engine);
+            tracker.onReport(reportOf(3));
             steps.forEach(step => step(tracker));
             assert.equal(tracker.usedAdapterSlots, usedAdapterSlots);
         });
