Handle the requests of a connection one after the other

Seen (measured for the issue): of two requests sent together on 60 connections of a stopping node, all second ones ran and got no answer. Cause: the HTTP server reads ahead and all requests were forwarded at once; an answer that closes the connection drops those behind it. Fix: ConnectionTurns. A request is forwarded once those ahead of it have been answered, and not at all if their answer has closed the connection; the last answer announces the close. A request whose time is over at its turn is refused as not run.

--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -12,6 +12,7 @@
 import { errorCodeOf, readBody } from "../utils/transport";
 import { answerFailure, cutAnswer } from "./answerFailure";
 import type { Call } from "./call";
+import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
 import { suspectPartsOf } from "./suspectParts";
@@ -71,6 +72,7 @@
 export class CallerServer {
     private readonly server: Server;
     private readonly gracefulClose: GracefulClose;
+    private readonly turns = ConnectionTurns.create();
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -110,6 +112,9 @@
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const startedAt = performance.now();
+        if (!await this.turns.wait(req.socket, res)) {
+            return;
+        }
         const callerAbort = new AbortController();
         this.gateway.inProgress++;
         const onEnd = (): void => callerAbort.abort();
@@ -121,7 +126,7 @@
                 callerAbort.abort();
             }
         });
-        if (this.gateway.isStopping) {
+        if (this.gateway.isStopping && this.turns.isNewest(req.socket, res)) {
             res.setHeader("Connection", "close");
         }
         try {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -59,6 +59,10 @@
             this.fail(FailureKind.Stopping, "the node is shutting down and would exit before the request is answered", stoppingRetryAfterMs);
             return;
         }
+        if (this.isTooLate) {
+            this.fail(FailureKind.DeadlineExpired, "the request waited behind another one on its connection until its time was over");
+            return;
+        }
         this.gate.startTrial();
         const first = await pinTakenUpStream(gateway, call) ?? await waitForUpstream(gateway, call, this.tried, this.gate);
         if (isRefusal(first)) {
