Refuse what arrives late in a planned stop unless its final answer is due before the exit

Seen (measured for the issue): 29 requests sent 3.3 to 5.1 s after SIGTERM were taken, run, and cut off at the end of the grace period. Cause: each plain request was allowed 1.2 s, whatever its timeout and what its upstreams take. Fix: after 2.9 s a request is taken only if its final answer is due before the exit; before that, by what its upstreams were seen to take. Others are refused at once as not run.

--- a/src/forward/canFinishBeforeExit.ts
+++ b/src/forward/canFinishBeforeExit.ts
@@ -1,19 +1,29 @@
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 
-/** Time that a stopping node reserves for a plain request; a generation needs this and the time per output token. */
-const plainRequestMs = 1_200;
+/** Least time that a stopping node reserves for a plain request; a generation needs this and the time per output token. */
+const minRequestMs = 1_200;
 const outputTokenMs = 8;
 /** Average share of its maximum output tokens that a generation produces. */
 const averageOutputShare = 0.5;
-/** Callers that arrive within this time after the stop request have no other node yet; later, generations are refused so that they go to one. */
+/** Allowance for answers that take longer than the average of their upstream. */
+const slowAnswerFactor = 1.4;
+/** Callers that arrive within this time after the stop request have no other node yet; later, requests that may not end in time are refused so that they go to one. */
 const noOtherNodeMs = 2_900;
 
-/** Whether a request that arrives now can likely be answered before the process exits. */
-export const canFinishBeforeExit = ({ exitDeadlineAt, stopRequestedAt }: Gateway, { caller }: Call): boolean => {
+/** Time that a request is expected to take, from what the upstreams of its service were seen to take. */
+const expectedMs = (gateway: Gateway, { service, caller: { modelRequest } }: Call): number => {
+    const slowestMs = Math.max(0, ...gateway.directory.readyOf(service).map(({ id }) => gateway.trafficOf(id).firstByteMs ?? 0));
+    return Math.max(minRequestMs, slowAnswerFactor * slowestMs) + averageOutputShare * (modelRequest?.maxOutputTokens ?? 0) * outputTokenMs;
+};
+
+/** Whether a request that arrives now is answered before the process exits: certainly if it arrives late in a planned stop, otherwise likely. */
+export const canFinishBeforeExit = (gateway: Gateway, call: Call): boolean => {
+    const { exitDeadlineAt, stopRequestedAt } = gateway;
     const now = performance.now();
-    if (now - stopRequestedAt > noOtherNodeMs && caller.modelRequest) {
+    const isLate = now - stopRequestedAt > noOtherNodeMs;
+    if (isLate && call.caller.modelRequest) {
         return false;
     }
-    return now + plainRequestMs + averageOutputShare * (caller.modelRequest?.maxOutputTokens ?? 0) * outputTokenMs < exitDeadlineAt;
+    return call.deadlineAt <= exitDeadlineAt || (!isLate && now + expectedMs(gateway, call) < exitDeadlineAt);
 };
