Log why no further attempt follows a failed one, and reset the answer only once it does

Also, from the review's report: the answer kept from a server error was cleared before the next upstream's turn was granted, and finishRefused then had nothing to relay. It is cleared just before the next attempt now.

--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -69,26 +69,32 @@
             this.refuse(first);
             return;
         }
-        let next: UpstreamChoice | undefined = first;
+        let next: UpstreamChoice = first;
         let outcome: AttemptOutcome | undefined;
-        while (next) {
+        for (;;) {
             const ready = await this.waitForTurn(next);
             if (isRefusal(ready)) {
                 this.finishRefused(outcome, ready);
                 return;
             }
+            if (outcome !== undefined) {
+                this.prepareRetry();
+            }
             outcome = await this.attempt(ready);
             if (call.signal.aborted) {
                 emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: this.elapsedMs() });
                 return;
             }
-            next = this.mayTryAgain(outcome) ? await this.chooseNextUpstream() : undefined;
-            if (!next) {
+            if (!this.mayTryAgain(outcome)) {
                 this.finish(outcome);
+                return;
             }
-            else {
-                this.prepareRetry();
+            const choice = await this.chooseNextUpstream();
+            if (isRefusal(choice)) {
+                this.finish(outcome, choice.detail);
+                return;
             }
+            next = choice;
         }
     }
 
@@ -116,7 +122,7 @@
             this.refuse(refusal);
         }
         else {
-            this.finish(outcome);
+            this.finish(outcome, refusal.detail);
         }
     }
 
@@ -180,19 +186,19 @@
         return true;
     }
 
-    /** Another upstream, if one is available and the service's retry budget allows it. */
-    private async chooseNextUpstream(): Promise<UpstreamChoice | undefined> {
+    /** Another upstream, if one is available and the service's retry budget allows it; otherwise why not. */
+    private async chooseNextUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call, alternative } = this;
         this.alternative = undefined;
         if (alternative) {
             return alternative;
         }
         const choice = await waitForUpstream(gateway, call, this.tried, this.gate);
-        if (isRefusal(choice)) {
-            return undefined;
-        }
         const costsNoRetry = this.sends === 0;
-        return costsNoRetry || gateway.budgetOf(call.service).withdraw() ? choice : undefined;
+        if (isRefusal(choice) || costsNoRetry || gateway.budgetOf(call.service).withdraw()) {
+            return choice;
+        }
+        return { kind: FailureKind.RetryBudgetSpent, detail: "the retry budget of the service is spent", retryAfterMs: refusedRetryAfterMs };
     }
 
     private prepareRetry(): void {
@@ -203,8 +209,8 @@
         relay.reset();
     }
 
-    /** Sends the final answer to the caller. */
-    private finish(outcome: AttemptOutcome): void {
+    /** Sends the final answer to the caller; `detail` says why there is no further attempt. */
+    private finish(outcome: AttemptOutcome, detail = "no upstream gave an answer that can be relayed"): void {
         const { relay } = this.attempts;
         const isRelayable = outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.RanAndFailed;
         if (isRelayable && relay.canComplete) {
@@ -214,7 +220,7 @@
         }
         this.fail(
             this.isTooLate ? FailureKind.DeadlineExpired : this.possibleRuns === 0 ? FailureKind.UpstreamRefused : FailureKind.UpstreamLost,
-            "no upstream gave an answer that can be relayed",
+            detail,
         );
     }
 
