Go on with streams that callers take up as long as their next event is expected in time

Cause: the forecast counted a whole stream, and take-ups queued behind new requests. Fix: only the time to the next event counts for them, and they are not queued.

--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -52,7 +52,20 @@
     };
 };
 
-/** Waits in the request queue until the selected runner has free capacity; a request that cannot be answered in time is refused immediately. */
+/** Whether the caller takes up a stream that it has received in part. */
+const takesStreamUp = ({ caller }: Call): boolean => caller.lastEventId !== undefined;
+
+/**
+ * Time until an answer is complete. How much of a stream that is taken up remains is not known, and the caller loses what it has if the stream is refused: it goes on
+ * as long as its next event is expected in time.
+ */
+const neededMsOf = (call: Call, choice: UpstreamChoice, modelRequest: ModelRequest, ahead: number): number =>
+    takesStreamUp(call) ? choice.predictedMs : predictCompletionMs(choice, modelRequest, ahead);
+
+/**
+ * Waits in the request queue until the selected runner has free capacity; a request that cannot be answered in time is refused immediately. A stream that is taken
+ * up is not queued: it began before those in the queue.
+ */
 const waitForCapacity = async (
     gateway: Gateway,
     call: Call,
@@ -70,14 +83,14 @@
             }
             const ahead = gateway.queue.countAhead(modelRequest.model, queuedRequest);
             const remainingMs = remainingMsOf(gateway, call);
-            const neededMs = predictCompletionMs(choice, modelRequest, ahead);
+            const neededMs = neededMsOf(call, choice, modelRequest, ahead);
             if (neededMs > remainingMs && choice.predictedMs > call.route.latencyObjectiveMs) {
                 return {
                     detail: `an answer would take ${Math.round(neededMs)} ms, longer than the request allows`,
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
                 };
             }
-            if (ahead === 0 && !isSaturated(choice, call.route)) {
+            if (takesStreamUp(call) || (ahead === 0 && !isSaturated(choice, call.route))) {
                 return choice;
             }
             gateway.queue.add(modelRequest.model, queuedRequest);
