Do not rely on the only known version of a service without contact to the store or a peer

Cause: while the store does not answer, a node that has seen one version takes any stream without a known record for one of that version; a node that was cut off or stood still while another version joined does so wrongly. Fix: StoreFreshness.isInContact: the store, or a peer that knows no more, was in contact within the time allowed for changes, by monotonic and wall clock. Without it the take-up is refused as not run. While the store is away for all nodes they are in contact with each other, and nothing changes.

--- a/src/core/storeFreshness.ts
+++ b/src/core/storeFreshness.ts
@@ -1,3 +1,6 @@
+import type { ClockReading } from "../utils/clockReading";
+import { maxElapsedMs, readClocks } from "../utils/clockReading";
+
 /** Share of the time allowed for applying a change after which a node without a newer confirmation reads the store itself. */
 const maxAgeShare = 0.75;
 
@@ -9,6 +12,7 @@
 export class StoreFreshness {
     private readonly confirmedAt = new Map<string, number>();
     private controllerConfirmedAt = Number.NEGATIVE_INFINITY;
+    private lastContact: ClockReading | undefined;
 
     private constructor(private readonly isController: () => boolean, private readonly maxAgeMs: () => number, private readonly now: () => number) {}
 
@@ -25,6 +29,17 @@
     /** Records that the store has returned the changes of a table. */
     onConfirmed(table: string): void {
         this.confirmedAt.set(table, this.now());
+        this.onContact(readClocks());
+    }
+
+    /** Records that the store or a peer that knows no more than this node was in contact at a time. */
+    onContact(at: ClockReading): void {
+        this.lastContact = at;
+    }
+
+    /** Whether the store or a peer was in contact lately; if not, this node may be cut off or have stood still, and others may know what it does not. */
+    get isInContact(): boolean {
+        return this.lastContact !== undefined && maxElapsedMs(this.lastContact) < this.maxAgeMs();
     }
 
     /** Time since the store confirmed all tables that this node follows, undefined before it has confirmed each. */
--- a/src/core/streamVersions.ts
+++ b/src/core/streamVersions.ts
@@ -50,6 +50,7 @@
         nodeId: string,
         private readonly lifetimeMs: () => number,
         firstWriteDelayMs: () => number,
+        private readonly isInContact: () => boolean,
     ) {
         this.versions = ServiceVersions.create(directory);
         this.begun = StreamRecords.create(lifetimeMs);
@@ -65,7 +66,7 @@
 
     /**
      * `lifetimeMs` returns how long callers may take a stream up, `firstWriteDelayMs` how long this node waits for another one to write the base version.
-     * Without a store, only this node's own streams are known.
+     * Without a store, only this node's own streams are known. `isInContact` returns whether the directory may be relied on while the store does not answer.
      */
     static create(
         directory: UpstreamDirectory,
@@ -73,8 +74,9 @@
         lifetimeMs: () => number,
         store?: RowStore,
         firstWriteDelayMs: () => number = () => 0,
+        isInContact: () => boolean = () => true,
     ): StreamVersions {
-        return new StreamVersions(directory, store, nodeId, lifetimeMs, firstWriteDelayMs);
+        return new StreamVersions(directory, store, nodeId, lifetimeMs, firstWriteDelayMs, isInContact);
     }
 
     /** Base version of a service as last read. */
@@ -114,8 +116,8 @@
             await this.readTable();
         }
         catch (err) {
-            // Records that were written since the last read are of other versions, of which no upstream is known here.
-            if (!this.table || !this.versions.isUniform(service)) {
+            // Records that were written since the last read are of other versions, of which no upstream is known here, unless this node is out of step.
+            if (!this.table || !this.versions.isUniform(service) || !this.isInContact()) {
                 return { version: undefined, detail: `the records of streams could not be read: ${toFailure(err).detail}` };
             }
         }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -102,7 +102,8 @@
 
     private constructor(public settings: PlatformNodeSettings, readonly wire: RequestHeaderCodec, readonly random: Random, store: RowStore | undefined) {
         const firstWriteDelayMs = (): number => this.placement.isController ? 0 : maxFirstWriteDelayMs * (0.5 + random() / 2);
-        this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs);
+        const isInContact = (): boolean => this.freshness.isInContact;
+        this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs, isInContact);
         this.directory.observe(({ id, server, version }, previous) => {
             // Rows also change with each adapter: such changes are not logged, as every node would log each.
             if (summaryOf(server) !== summaryOf(previous)) {
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -2,22 +2,21 @@
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
 import type { Gateway, Placement } from "../forward/gateway";
-import type { ConfigDecoder } from "../forward/storeObservers";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { Permit, PermitRequest } from "../types/sendPermit";
+import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
 import { coalesce, repeat } from "../utils/time";
-import type { Controller } from "./controller";
 import { ControllerAnnouncer } from "./controllerAnnouncer";
 import type { ControllerLink } from "./controllerLink";
 import { applyDirectory } from "./directoryExchange";
+import type { LocalComponents } from "./localComponents";
 import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
-import type { PeerServer } from "./peerServer";
 import type { PacerNodes } from "./permitClient";
 import { PermitClient } from "./permitClient";
 import { PlacementClient } from "./placementClient";
@@ -29,14 +28,6 @@
 const newsDelayMs = 30;
 /** Jitter of that interval, as a share of it, so that nodes do not send at the same time. */
 const exchangeJitter = 0.3;
-/** Components of this node that the client uses. */
-interface LocalComponents {
-    readonly peerServer: PeerServer;
-    readonly controller: Controller;
-    readonly decodeConfig: ConfigDecoder;
-    /** Called when a newer configuration from a peer was applied. */
-    readonly onConfig: () => void;
-}
 
 /** This node's client of the controller, and of other peers while the controller is unknown or unreachable. */
 export class ControllerClient implements Placement {
@@ -131,6 +122,7 @@
 
     private async exchange(): Promise<void> {
         const requestedAt = performance.now();
+        const askedAt = readClocks();
         const report = this.toReport();
         if (this.local.controller.isActive) {
             this.announcer.announce(this.lease.heldEpoch, this.peers.addresses);
@@ -152,6 +144,7 @@
                 facts.onAnswer(prepared, answer.facts);
             }
             this.applyAnswer(answer, address, report.work, requestedAt);
+            this.gateway.freshness.onContact(askedAt);
         }
         catch (err) {
             this.peers.onFailed(address);
