--- a/src/utils/sseSplitter.ts
+++ b/src/utils/sseSplitter.ts
@@ -48,6 +48,7 @@
 };
 
 const lastIdOf = (events: string): string | undefined => {
-    const fieldStart = Math.max(events.lastIndexOf("\nid:"), events.startsWith("id:") ? -1 : -2);
-    return fieldStart < -1 ? undefined : events.slice(fieldStart + 4, events.indexOf("\n", fieldStart + 4)).trim();
+    const lineStart = events.lastIndexOf("\nid:");
+    const valueStart = lineStart >= 0 ? lineStart + 4 : events.startsWith("id:") ? 3 : undefined;
+    return valueStart === undefined ? undefined : events.slice(valueStart, events.indexOf("\n", valueStart)).trim();
 };
