--- /dev/null
+++ b/test/fakes/platformProcess.ts
@@ -0,0 +1,77 @@
+import type { ChildProcess } from "node:child_process";
+import { spawn } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
+import type { Server } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { createRandom } from "../../src/utils/random";
+import { portOf } from "./jsonServer";
+import { MemoryPlatformStore } from "./memoryPlatformStore";
+import { renderSettingsFile } from "./platformSettingsFile";
+import { servePlatformStore } from "./platformStoreServer";
+import { reservePort } from "./ports";
+
+/** Options of the runtime, as in the deploy file. */
+const nodeOptions = ["--max-old-space-size=160"];
+
+const configDefaults = { limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000 } };
+
+/** One node of the platform as a process, with a store of its own. */
+export class PlatformProcess {
+    private constructor(
+        readonly process: ChildProcess,
+        readonly front: string,
+        private readonly server: Server,
+        private readonly folder: string,
+    ) {}
+
+    /** Starts a node with a configuration and the rows of its upstreams. */
+    static async start(graceS: number, config: object, upstreams: Readonly<Record<string, object>>): Promise<PlatformProcess> {
+        const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
+        const file = join(folder, "boot.toml");
+        const store = MemoryPlatformStore.create(createRandom(1));
+        store.lossShare = 0;
+        const server = await servePlatformStore(store);
+        const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
+        const [front, ready, control] = ports.map(port => `127.0.0.1:${port}`);
+        const storeAddress = `127.0.0.1:${portOf(server)}`;
+        writeFileSync(
+            file,
+            renderSettingsFile({
+                name: "n1",
+                zone: "a",
+                front: front!,
+                ready: ready!,
+                control: control!,
+                metricsPort: ports[3]!,
+                seeds: [],
+                storeAddress,
+                graceS,
+                budgetSlack: 10,
+            }),
+        );
+        store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
+        Object.entries(upstreams).forEach(([key, row]) =>
+            store.put({ table: "servers", part: "", key }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })))
+        );
+        const node = spawn(process.execPath, [...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"], {
+            env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
+            stdio: "ignore",
+        });
+        return new PlatformProcess(node, front!, server, folder);
+    }
+
+    /** Largest memory that the process has occupied so far, in MB. */
+    get peakMemoryMb(): number {
+        const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
+        return Number(kilobytes) / 1_024;
+    }
+
+    /** Ends the process and the store. */
+    close(): void {
+        this.process.kill("SIGKILL");
+        this.server.closeAllConnections();
+        this.server.close();
+        rmSync(this.folder, { recursive: true });
+    }
+}
