Limit the memory of all answers together, and join parts of an event once

Seen (endlessAnswers.test.ts on the code before): 24 callers of runners that write without end: 473 and 459 MB of 350; with an event without end 7 sound requests in 4 s. Cause: each answer had a limit (16 MB), all together had none; the bytes of an incomplete event were copied with each chunk. Fix: AnswerMemory, 32 MB for the process (setting maxHeldAnswerBytes); while it is exceeded an answer that holds more than an equal share is given up as it grows. SseSplitter joins parts at the end of their event. An attempt with more than 32 informational answers ends at once. Tests: endlessAnswers.test.ts (three kinds, all failed before), answerMemory.test.ts; 62 tests of streams and forwarding and 13 of troubledServers pass. Open: a chunk extension and a chunk size without end still last until the route's timeout.

--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,4 +1,5 @@
 import type { ServerResponse } from "node:http";
+import type { AnswerHold } from "../core/answerMemory";
 import { goOnAfter } from "../core/eventOrder";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
@@ -51,11 +52,18 @@
     private isStreaming = false;
     private bufferedBytes = 0;
 
-    private constructor(private readonly call: Call, private readonly limits: TransportLimits, private readonly observer: AnswerObserver) {}
+    private constructor(
+        private readonly call: Call,
+        private readonly limits: TransportLimits,
+        private readonly hold: AnswerHold,
+        private readonly observer: AnswerObserver,
+    ) {
+        call.res.once("close", () => hold.release());
+    }
 
-    /** Creates the relay of one request. */
-    static create(call: Call, limits: TransportLimits, observer: AnswerObserver): AnswerRelay {
-        return new AnswerRelay(call, limits, observer);
+    /** Creates the relay of one request; what it keeps of answers is taken from `hold`. */
+    static create(call: Call, limits: TransportLimits, hold: AnswerHold, observer: AnswerObserver): AnswerRelay {
+        return new AnswerRelay(call, limits, hold, observer);
     }
 
     /** Whether part of an answer has been sent to the caller. */
@@ -70,8 +78,7 @@
 
     /** Whether the latest attempt's stream ended before it was complete: inside an event, or without one at the end of its connection. */
     isBrokenOff(endsWithConnection: boolean): boolean {
-        const { partialEvent } = this.splitter;
-        return this.isStreaming && (partialEvent.length > 0 || (endsWithConnection && this.attemptEventAt === undefined));
+        return this.isStreaming && (this.splitter.partialBytes > 0 || (endsWithConnection && this.attemptEventAt === undefined));
     }
 
     /** ID of the last event that the caller has received. */
@@ -87,6 +94,7 @@
         this.bufferedBytes = 0;
         this.attemptEventAt = undefined;
         this.splitter.dropPartialEvent();
+        this.hold.release();
     }
 
     onHead(head: AnswerHead): void {
@@ -109,14 +117,16 @@
             this.lastProgressAt = performance.now();
             this.chunks.push(chunk);
             this.bufferedBytes += chunk.length;
-            return this.bufferedBytes > this.limits.maxAnswerBytes ? SinkState.TooLarge : SinkState.Ready;
+            return this.bufferedBytes > this.limits.maxAnswerBytes || !this.hold.grow(chunk.length) ? SinkState.TooLarge : SinkState.Ready;
         }
         const { lastEventId } = this;
         const events = this.splitter.push(chunk);
         if (events.length === 0) {
             // A few bytes of an event now and then are no progress.
-            return this.splitter.partialEvent.length > this.limits.maxEventBytes ? SinkState.TooLarge : SinkState.Ready;
+            return this.splitter.partialBytes > this.limits.maxEventBytes || !this.hold.grow(chunk.length) ? SinkState.TooLarge : SinkState.Ready;
         }
+        this.hold.release();
+        this.hold.grow(this.splitter.partialBytes);
         const isResumption = lastEventId !== undefined && this.attemptEventAt === undefined;
         if (!goOnAfter(events.toString("latin1"), lastEventId, isResumption)) {
             this.splitter.lastEventId = lastEventId;
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -65,6 +65,9 @@
     onData(chunk: Buffer, resume: () => void): SinkState;
 }
 
+/** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
+const maxInformationalAnswers = 32;
+
 const abortReason = new Error("attempt aborted by the node");
 
 /** Sends a request over one connection and passes the answer to the sink. The connection is reused only after a complete answer to this request. */
@@ -78,6 +81,7 @@
     new Promise(resolve => {
         const client = pool.acquire(req.mayRepeat);
         let isSent = false;
+        let informationalAnswers = 0;
         let hasHead = false;
         let framing: AnswerFraming | undefined;
         /** Whether the rest of the answer is ignored. */
@@ -114,6 +118,11 @@
             },
             onResponseStart: (current, status, headers) => {
                 if (status < 200) {
+                    if (++informationalAnswers > maxInformationalAnswers && !isDropped) {
+                        isDropped = true;
+                        current.abort(abortReason);
+                        finish(AttemptEndKind.Lost, "informational answers without end");
+                    }
                     return;
                 }
                 const decoded = wire.decodeAnswer(status, headers);
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -48,7 +48,7 @@
     private isAwaitingFirstByte = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
-        this.relay = AnswerRelay.create(call, gateway.settings.limits, {
+        this.relay = AnswerRelay.create(call, gateway.settings.limits, gateway.answerMemory.open(), {
             onHead: () => this.onHead(),
             onFirstEvent: () => {
                 call.versionPin.version ??= this.choice && softwareVersionOf(this.choice.candidate.server);
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,3 +1,4 @@
+import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestPacer } from "../core/requestPacer";
@@ -90,6 +91,8 @@
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
+    /** Memory for answers that are kept until they are complete. */
+    readonly answerMemory = AnswerMemory.create(() => this.settings.limits.maxHeldAnswerBytes);
     isStopping = false;
     /** When the node was requested to stop, and when the process exits at the latest, on the monotonic clock. */
     stopRequestedAt = Number.POSITIVE_INFINITY;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -106,6 +106,7 @@
             { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
             { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
             { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
+            { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
             { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
             { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
             { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
--- a/src/node/transportLimitSettings.ts
+++ b/src/node/transportLimitSettings.ts
@@ -9,6 +9,13 @@
 export const transportLimitDefinitions = defineSettings<TransportLimitName>({
     maxAnswerHeadBytes: integerSpec(1_024, 1_048_576, 32_768, "bytes", "maximum size of the head of an answer from an upstream or the store"),
     maxAnswerBytes: integerSpec(65_536, 268_435_456, 16_777_216, "bytes", "maximum size of an answer that is kept in memory until it is complete"),
+    maxHeldAnswerBytes: integerSpec(
+        1_048_576,
+        1_073_741_824,
+        33_554_432,
+        "bytes",
+        "maximum size of all answers together that are kept in memory until they are complete; one of them may be as large as its equal share in any case",
+    ),
     maxEventBytes: integerSpec(1_024, 16_777_216, 1_048_576, "bytes", "maximum size of one event of a stream"),
     answerSilenceMs: integerSpec(50, 60_000, 600, "ms", "time within which the store and peers begin an answer, and longest pause within it"),
     answerTimeoutMs: integerSpec(100, 60_000, 4_000, "ms", "time within which the store and peers complete an answer that they have begun"),
--- a/src/types/transportLimits.ts
+++ b/src/types/transportLimits.ts
@@ -4,6 +4,8 @@
     readonly maxAnswerHeadBytes: number;
     /** Maximum size of an answer that is kept in memory until it is complete, in bytes. */
     readonly maxAnswerBytes: number;
+    /** Maximum size of all answers together that are kept in memory until they are complete, in bytes. */
+    readonly maxHeldAnswerBytes: number;
     /** Maximum size of one event of a stream, in bytes. */
     readonly maxEventBytes: number;
     /** Time within which the store and peers begin an answer, and the longest pause within it. */
--- a/src/utils/sseSplitter.ts
+++ b/src/utils/sseSplitter.ts
@@ -1,9 +1,21 @@
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
+/** Bytes before a line feed that show whether it ends an empty line. */
+const tailBytes = 2;
+/** Parts of an event that arrives in many small pieces are joined. */
+const maxParts = 64;
+
+const noBytes: Buffer = Buffer.alloc(0);
+
+const lastBytesOf = (bytes: Buffer): Buffer => bytes.subarray(Math.max(0, bytes.length - tailBytes));
 
 /** Splits a byte stream of server-sent events at event boundaries; an incomplete event is buffered until its end arrives. */
 export class SseSplitter {
-    private incomplete: Buffer = Buffer.alloc(0);
+    /** Parts of the incomplete event, and its last bytes: an empty line may be split between two chunks. */
+    private parts: Buffer[] = [];
+    private tail = noBytes;
+    /** Buffered bytes of an incomplete event. */
+    partialBytes = 0;
     /** ID of the last complete event that had one. */
     lastEventId: string | undefined;
 
@@ -14,27 +26,38 @@
         return new SseSplitter();
     }
 
-    /** Buffered bytes of an incomplete event. */
-    get partialEvent(): Buffer {
-        return this.incomplete;
-    }
-
     /** Discards an incomplete event, since the stream is resumed with another attempt. */
     dropPartialEvent(): void {
-        this.incomplete = Buffer.alloc(0);
+        this.parts = [];
+        this.partialBytes = 0;
+        this.tail = noBytes;
     }
 
     /** Adds bytes and returns those up to the end of the last complete event. */
     push(chunk: Buffer): Buffer {
-        const bytes = this.incomplete.length === 0 ? chunk : Buffer.concat([this.incomplete, chunk]);
-        const end = lastEventEnd(bytes);
-        const complete = bytes.subarray(0, end);
-        this.incomplete = bytes.subarray(end);
-        if (end > 0) {
-            this.lastEventId = lastIdOf(complete.toString("latin1")) ?? this.lastEventId;
+        const joined = this.tail.length === 0 ? chunk : Buffer.concat([this.tail, chunk]);
+        const end = lastEventEnd(joined) - this.tail.length;
+        if (end <= 0) {
+            this.keep(chunk, lastBytesOf(joined));
+            return noBytes;
+        }
+        const complete = Buffer.concat([...this.parts, chunk.subarray(0, end)]);
+        this.dropPartialEvent();
+        if (end < chunk.length) {
+            this.keep(chunk.subarray(end), lastBytesOf(chunk.subarray(end)));
         }
+        this.lastEventId = lastIdOf(complete.toString("latin1")) ?? this.lastEventId;
         return complete;
     }
+
+    private keep(part: Buffer, tail: Buffer): void {
+        this.parts.push(part);
+        if (this.parts.length > maxParts) {
+            this.parts = [Buffer.concat(this.parts)];
+        }
+        this.partialBytes += part.length;
+        this.tail = tail;
+    }
 }
 
 /** Offset after the last empty line, which terminates an event. */
