Ignore further stop signals during a planned stop

Seen: 12 of 12 requests in progress cut off by a second SIGTERM. Cause: process.once left the runtime's default for the next signal. Fix: further signals change nothing.

--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -66,9 +66,12 @@
             return ExitCode.Failed;
         }
         return new Promise(resolve => {
-            const onSignal = (): void => void node.stop().then(cutOffCount => resolve(cutOffCount > 0 ? ExitCode.RequestsAborted : ExitCode.Ok));
-            process.once("SIGTERM", onSignal);
-            process.once("SIGINT", onSignal);
+            // Signals after the first one change nothing; the platform ends a process that takes too long.
+            let stopping: Promise<void> | undefined;
+            const stop = async (): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : ExitCode.Ok);
+            const onSignal = (): void => void (stopping ??= stop());
+            process.on("SIGTERM", onSignal);
+            process.on("SIGINT", onSignal);
         });
     }
 
--- a/test/lateInStop.test.ts
+++ b/test/lateInStop.test.ts
@@ -1,5 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import { ExitCode } from "../src/cli/exitCode";
+import { sleep } from "../src/utils/time";
 import { callGateway } from "./fakes/gatewayHarness";
 import { KeptConnection } from "./fakes/keptConnection";
 import { PlatformProcess } from "./fakes/platformProcess";
@@ -51,3 +53,40 @@
         assert.deepEqual([...laterStatuses].filter(status => status !== 503), [], "the later ones are refused as not run, if they are read");
     });
 });
+
+/** Guards against a further signal during a planned stop that ends the process with its requests. */
+describe("a node process that is requested to stop several times", () => {
+    const cases: readonly { readonly signals: readonly NodeJS.Signals[]; readonly pauseMs: number; }[] = [
+        { signals: ["SIGTERM", "SIGTERM"], pauseMs: 300 },
+        { signals: ["SIGTERM", "SIGTERM", "SIGTERM"], pauseMs: 0 },
+        { signals: ["SIGTERM", "SIGINT"], pauseMs: 300 },
+    ];
+    for (const { signals, pauseMs } of cases) {
+        it(`answers what is in progress: ${signals.join(", ")}, ${pauseMs} ms apart`, async () => {
+            const upstream = await startScriptedUpstream((socket, { id }) =>
+                void setTimeout(() => socket.write(answerOf(id, "done")), id === "id-1" ? 0 : workMs)
+            );
+            const route = { name: "r", host: "shop.example", prefix: "/desk/", routeKind: "non_idempotent", timeoutMs: 9_000, service: "desk", attempts: 1 };
+            const config = { routes: [route], services: [{ name: "desk", healthPath: "/h", maxConns: 100 }] };
+            const node = await PlatformProcess.start(graceS, config, { u1: { service: "desk", addr: upstream.address, slots: 50 } });
+            try {
+                await waitFor("an answer", async () => (await callGateway(node.front)).status === 200, waitTimeoutMs);
+                const ended = new Promise<number | null>(resolve => node.process.once("exit", resolve));
+                const connections = await Promise.all([...Array(callers).keys()].map(() => KeptConnection.open(node.front)));
+                connections.forEach((connection, index) => connection.send(`first-${index}`));
+                await waitFor("the requests", () => upstream.received.length > callers, waitTimeoutMs, 5);
+                for (const signal of signals) {
+                    node.process.kill(signal);
+                    await sleep(pauseMs);
+                }
+                await Promise.all(connections.map(connection => connection.waitForAnswers(1)));
+                assert.deepEqual(connections.map(({ statuses }) => statuses[0]), connections.map(() => 200));
+                assert.equal(await ended, ExitCode.Ok);
+            }
+            finally {
+                node.close();
+                upstream.close();
+            }
+        });
+    }
+});
