--- a/test/fakes/keptConnection.ts
+++ b/test/fakes/keptConnection.ts
@@ -43,6 +43,11 @@
         await waitFor(`answer ${count}`, () => this.statuses.length >= count || this.isClosed, answerTimeoutMs, pollMs);
     }
 
+    /** Closes the sending side. */
+    end(): void {
+        this.socket.end();
+    }
+
     close(): void {
         this.socket.destroy();
     }
--- a/test/pipelinedRequests.test.ts
+++ b/test/pipelinedRequests.test.ts
@@ -112,6 +112,27 @@
         });
     }
 
+    for (const leave of ["end", "close"] as const) {
+        it(`are not sent on once their caller has left (${leave})`, async () => {
+            const upstream = await startScriptedUpstream((socket, { id }) => void setTimeout(() => socket.write(answerOf(id, "done")), 4 * workMs));
+            const { address, close } = await startGateway([upstream.address]);
+            const caller = await KeptConnection.open(address);
+            try {
+                caller.send("a", "b", "c");
+                await sleep(workMs);
+                caller[leave]();
+                await waitFor("the end of the first request", () => upstream.closedConnections === 1, waitTimeoutMs, 5);
+                await sleep(4 * workMs);
+                assert.deepEqual(upstream.received.map(({ id }) => id), ["a"]);
+            }
+            finally {
+                caller.close();
+                upstream.close();
+                close();
+            }
+        });
+    }
+
     it("whose deadline passes while they wait are refused as not run", async () => {
         const upstream = await startScriptedUpstream((socket, { id }) => void setTimeout(() => socket.write(answerOf(id, "done")), 600));
         const { address, close } = await startGateway([upstream.address], { timeoutMs: 400 });
