--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -16,49 +16,61 @@
 
 const configDefaults = { limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000 } };
 
-/** One node of the platform as a process, with a store of its own. */
+const startStore = async (): Promise<readonly [MemoryPlatformStore, Server]> => {
+    const store = MemoryPlatformStore.create(createRandom(1));
+    store.lossShare = 0;
+    return [store, await servePlatformStore(store)];
+};
+
+/** One node of the platform as a process, with a store of its own or that of an earlier node. */
 export class PlatformProcess {
     private constructor(
         readonly process: ChildProcess,
         readonly front: string,
+        private readonly control: string,
+        readonly store: MemoryPlatformStore,
         private readonly server: Server,
         private readonly folder: string,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams. */
-    static async start(graceS: number, config: object, upstreams: Readonly<Record<string, object>>): Promise<PlatformProcess> {
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. */
+    static async start(graceS: number, config: object, upstreams: Readonly<Record<string, object>>, first?: PlatformProcess): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
-        const store = MemoryPlatformStore.create(createRandom(1));
-        store.lossShare = 0;
-        const server = await servePlatformStore(store);
+        const [store, server] = first ? [first.store, first.server] : await startStore();
         const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
         const [front, ready, control] = ports.map(port => `127.0.0.1:${port}`);
         const storeAddress = `127.0.0.1:${portOf(server)}`;
         writeFileSync(
             file,
             renderSettingsFile({
-                name: "n1",
+                name: first ? "n2" : "n1",
                 zone: "a",
                 front: front!,
                 ready: ready!,
                 control: control!,
                 metricsPort: ports[3]!,
-                seeds: [],
+                seeds: first ? [first.control] : [],
                 storeAddress,
                 graceS,
                 budgetSlack: 10,
             }),
         );
-        store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
-        Object.entries(upstreams).forEach(([key, row]) =>
-            store.put({ table: "servers", part: "", key }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })))
-        );
+        if (!first) {
+            store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
+        }
         const node = spawn(process.execPath, [...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"], {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
-        return new PlatformProcess(node, front!, server, folder);
+        const started = new PlatformProcess(node, front!, control!, store, server, folder);
+        Object.entries(upstreams).forEach(([id, row]) => started.putUpstream(id, row));
+        return started;
+    }
+
+    /** Writes the row of an upstream. */
+    putUpstream(id: string, row: object): void {
+        this.store.put({ table: "servers", part: "", key: id }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })));
     }
 
     /** Largest memory that the process has occupied so far, in MB. */
