--- a/src/core/answerMemory.ts
+++ b/src/core/answerMemory.ts
@@ -1,6 +1,6 @@
 /** Part of the memory for answers that one request holds. */
 export interface AnswerHold {
-    /** Takes more bytes; false if the memory is short and this request holds more than its share. */
+    /** Counts more bytes; false if the memory is short and this request holds more than its share, so that its answer must be given up. */
     grow(bytes: number): boolean;
     /** Gives all bytes back. */
     release(): void;
--- a/src/core/storeAvailability.ts
+++ b/src/core/storeAvailability.ts
@@ -1,6 +1,6 @@
 /** Rows that expired during an outage of the store, or that it lost in a restore, may reappear for this long after it has recovered. */
 export const recoveryGraceMs = 2_000;
-/** Failed calls that lie closer together are lost connections; no upstream misses enough heartbeats in that time for its row to expire. */
+/** Failures that span less time are lost connections: no upstream misses enough heartbeats in that time for its row to expire. */
 const minOutageMs = 500;
 
 /** Tells outages of the store from single lost connections, by the results of all calls of this node. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -60,7 +60,7 @@
             return;
         }
         if (this.isTooLate) {
-            this.fail(FailureKind.DeadlineExpired, "the request waited behind another one on its connection until its time was over");
+            this.fail(FailureKind.DeadlineExpired, "too little time is left for an upstream to answer");
             return;
         }
         this.gate.startTrial();
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -25,7 +25,7 @@
     [EventId.UpstreamLeaving]: "an upstream reported that it is leaving; it gets no new requests",
     [EventId.PeerRefused]: "a call with a wrong peer secret was refused",
     [EventId.StoreLost]: "the platform's store does not answer; the node continues with the last known state",
-    [EventId.StoreRegained]: "the platform's store answers again",
+    [EventId.StoreRegained]: "the platform's store answers again; rows that are missing are kept for `graceMs`, which is 0 after a lost connection",
     [EventId.UpstreamChanged]: "an upstream was added to the directory, changed or removed from it",
     [EventId.UpstreamRowIgnored]: "a directory row was ignored because it does not describe a usable upstream",
     [EventId.DirectoryRead]: "the whole directory was read",
