Count only answers as contact with peers, not reports

Reading the diff: a report that waited in a socket while its receiver stood still was taken for contact at the time it was read, the very form of fault that the check is for. An answer is as old as its question, so only answers count. No node loses contact by this: one that holds the lease hears from the store, and any other asks peers every 0.4 s.

--- a/src/core/storeFreshness.ts
+++ b/src/core/storeFreshness.ts
@@ -32,7 +32,7 @@
         this.onContact(readClocks());
     }
 
-    /** Records that the store or a peer that knows no more than this node was in contact at a time. */
+    /** Records a time at which a question was asked that the store or a peer has answered: this node knows what they knew then. */
     onContact(at: ClockReading): void {
         this.lastContact = at;
     }
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -10,7 +10,6 @@
 import type { Gateway } from "../forward/gateway";
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
-import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import type { Controller } from "./controller";
 import type { ControllerLink } from "./controllerLink";
@@ -131,9 +130,6 @@
         const { gateway, controller } = this;
         this.nodes.add(report);
         const { config, configBytes, directory } = gateway;
-        if (report.node !== gateway.settings.nodeId && report.directoryVersion <= directory.version) {
-            gateway.freshness.onContact(readClocks());
-        }
         const isNewer = config !== undefined && config.version > report.configVersion;
         return {
             configVersion: config?.version ?? 0,
