Plan and load copies of models by software version

During a release runners of two software versions serve side by side, and a stream goes on only at the version that began it. Callers who took streams up after the only runner of that version with the model had crashed got 503 "no available runner is known to have the model or adapter, or to be loading it" at once, although other runners of the version were there.

Cause: placement and the copy plan knew no versions. A copy at any version counted as a copy for all, so nothing was awaited, planned or loaded for streams that could not use it, and the last copy at a version was evicted like any other.

- A placement request names the versions that it may use (`versions`), no longer the IDs of all other runners, a list that grew with the fleet.
Requests of earlier releases lack the field: what they avoid is taken as the bound.
A runner with the only copy that did not take the stream counts as none.
All else of the plan, the limit on loads included, is as it was.
- A take-up waits as long as a load can end in time: a runner that works on an order, has not reported yet, or waits for the rate limit counts (core/earliestLoad.ts).
It waits for a new controller, too, and needs 100 ms after the load instead of 300: only its next event has to come in time.
A controller of an earlier release that names a runner of another version is not waited for.

Ruled out: longer waiting alone (nothing was being loaded that could be waited for), and a copy of each model at each version (it doubles all copies in a release).

--- /dev/null
+++ b/src/core/copyNeeds.ts
@@ -0,0 +1,48 @@
+import { groupBy } from "../utils/maps";
+import { serves } from "./copies";
+import type { CopyNeed } from "./copyNeed";
+import type { RunnerTracker } from "./runnerTracker";
+
+/** Value of one more copy beside those that there are. */
+const valueOfNext = ({ firstValue, secondValue }: CopyNeed, copies: number): number => copies === 0 ? firstValue : copies === 1 ? secondValue : 0;
+
+/** Values the copies that models need at some of the runners. Without such needs, nothing changes in a plan. */
+export class CopyNeeds {
+    private readonly byModel: ReadonlyMap<string, readonly CopyNeed[]>;
+
+    private constructor(needs: readonly CopyNeed[]) {
+        this.byModel = groupBy(needs, ({ model }) => model);
+    }
+
+    static create(needs: readonly CopyNeed[]): CopyNeeds {
+        return new CopyNeeds(needs);
+    }
+
+    /** Value of one more copy of a model at the best runner for it; `holders` have the model, or will. */
+    maxGain(model: string, holders: Iterable<RunnerTracker>): number {
+        return this.sumOf(model, need => valueOfNext(need, this.countAt(need, holders)));
+    }
+
+    /** Value of one more copy of a model at a runner. */
+    gainAt(model: string, tracker: RunnerTracker, holders: Iterable<RunnerTracker>): number {
+        return this.sumOf(model, need => need.bound.admits(tracker) ? valueOfNext(need, this.countAt(need, holders, tracker)) : 0);
+    }
+
+    /** Value that is lost with the copy of a model at a runner. Copies that are still being loaded do not replace it. */
+    lossAt(model: string, tracker: RunnerTracker, holders: Iterable<RunnerTracker>): number {
+        const serving = this.byModel.has(model) ? [...holders].filter(holder => serves(holder, model)) : [];
+        return this.sumOf(model, need => need.bound.admits(tracker) ? valueOfNext(need, this.countAt(need, serving, tracker)) : 0);
+    }
+
+    private countAt({ bound }: CopyNeed, holders: Iterable<RunnerTracker>, excluded?: RunnerTracker): number {
+        let count = 0;
+        for (const holder of holders) {
+            count += holder !== excluded && bound.admits(holder) ? 1 : 0;
+        }
+        return count;
+    }
+
+    private sumOf(model: string, valueOf: (need: CopyNeed) => number): number {
+        return this.byModel.get(model)?.reduce((sum, need) => sum + valueOf(need), 0) ?? 0;
+    }
+}
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -1,15 +1,15 @@
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { holdsOrLoads, isUsable, serves } from "./copies";
+import type { CopyNeed } from "./copyNeed";
+import { CopyNeeds } from "./copyNeeds";
 import type { CopyOption, CopyStep } from "./copyStep";
 import { toStep } from "./copyStep";
+import { anyModelValue, awaitedModelValue } from "./copyValues";
 import type { ModelDemand } from "./modelDemand";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
 import { victimSets } from "./victimSets";
 
-/** Value per second of the first copy of a model: the part for a model that requests are waiting for, and the part for any model that callers may request. */
-const awaitedModelValue = 1;
-const anyModelValue = 0.15;
 /** Cost of a load for each second that it takes, and the additional cost if it reads from the weight store. */
 const loadCostPerS = 0.03;
 const weightStoreLoadCost = 0.08;
@@ -29,6 +29,8 @@
     readonly demand: ModelDemand;
     /** Models that requests are waiting for. */
     readonly awaitedModels: ReadonlySet<string>;
+    /** Copies that are needed at some of the runners, such as those of one software version. */
+    readonly needs: readonly CopyNeed[];
     /** Whether the rate limit admits a load from the weight store. */
     readonly mayLoadFromWeightStore: boolean;
     /** Models that will be loaded once memory has been freed for them, by runner ID. */
@@ -46,9 +48,11 @@
     private readonly usable: readonly RunnerTracker[];
     /** Runners with a planned load. */
     private readonly plannedTrackers = new Set<RunnerTracker>();
+    private readonly needs: CopyNeeds;
 
     private constructor(private readonly inputs: CopyPlanInputs) {
         this.usable = inputs.trackers.filter(isUsable);
+        this.needs = CopyNeeds.create(inputs.needs);
         [...inputs.engine.models.keys()].forEach(model => this.trackersByModel.set(model, new Set()));
         for (const tracker of this.usable) {
             tracker.possibleModels().filter(model => holdsOrLoads(tracker, model)).forEach(model => this.trackersByModel.get(model)?.add(tracker));
@@ -103,10 +107,11 @@
     private modelsByUrgency(): readonly ModelSpec[] {
         const urgency = (name: string): number => {
             const copyCount = this.copyCount(name);
-            return copyCount === 0 ? this.costWithoutCopy(name) : copyCount * queueCost(this.loadOf(name) / copyCount);
+            const cost = copyCount === 0 ? this.costWithoutCopy(name) : copyCount * queueCost(this.loadOf(name) / copyCount);
+            return cost + this.needs.maxGain(name, this.holdersOf(name));
         };
         return [...this.inputs.engine.models.values()]
-            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name))
+            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.holdersOf(name)) > 0)
             .sort((a, b) => urgency(b.name) - urgency(a.name));
     }
 
@@ -114,8 +119,13 @@
         return this.inputs.demand.loadOf(model);
     }
 
+    /** Usable runners that have a model, are loading it or will. */
+    private holdersOf(model: string): ReadonlySet<RunnerTracker> {
+        return this.trackersByModel.get(model) ?? new Set();
+    }
+
     private copyCount(model: string): number {
-        return this.trackersByModel.get(model)?.size ?? 0;
+        return this.holdersOf(model).size;
     }
 
     private costWithoutCopy(model: string): number {
@@ -161,11 +171,12 @@
     /** Upper bound of the gain of a further copy of a model: the queueing cost that its other runners save, or the value of a first copy. */
     private maxGain(model: string): number {
         const copyCount = this.copyCount(model);
+        const needGain = this.needs.maxGain(model, this.holdersOf(model));
         if (copyCount === 0) {
-            return this.costWithoutCopy(model);
+            return this.costWithoutCopy(model) + needGain;
         }
         const relief = this.loadOf(model) / copyCount - this.loadOf(model) / (copyCount + 1);
-        let gain = 0;
+        let gain = needGain;
         this.trackersByModel.get(model)!.forEach(tracker => {
             const current = this.utilisation.get(tracker) ?? 0;
             gain += queueCost(current) - queueCost(current - relief);
@@ -196,7 +207,7 @@
     }
 
     private isServedElsewhere(model: string, tracker: RunnerTracker): boolean {
-        for (const other of this.trackersByModel.get(model) ?? []) {
+        for (const other of this.holdersOf(model)) {
             if (other !== tracker && serves(other, model)) {
                 return true;
             }
@@ -218,11 +229,12 @@
             const victimLoad = this.loadOf(victim);
             loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
             loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.costWithoutCopy(victim) : 0);
+            loss += this.needs.lossAt(victim, tracker, this.holdersOf(victim));
             this.trackersByModel.get(victim)?.forEach(other =>
                 change(other, other === tracker ? -victimLoad / copiesBefore : victimLoad / (copiesBefore - 1) - victimLoad / copiesBefore)
             );
         }
-        const gain = copyCount === 0 ? this.costWithoutCopy(model.name) : 0;
+        const gain = (copyCount === 0 ? this.costWithoutCopy(model.name) : 0) + this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
         let queueCostChange = 0;
         changes.forEach((delta, target) => {
             const current = this.utilisation.get(target) ?? 0;
--- a/src/core/weightStoreLimiter.ts
+++ b/src/core/weightStoreLimiter.ts
@@ -10,9 +10,16 @@
 
     /** Whether one more load may start now under the given rate; the window always admits at least one. */
     mayStartLoad(loadsPerS: number): boolean {
+        return this.delayMs(loadsPerS) === 0;
+    }
+
+    /** Time until one more load may start under the given rate. */
+    delayMs(loadsPerS: number): number {
         const windowStart = this.now() - this.windowMs;
         this.starts = this.starts.filter(startedAt => startedAt > windowStart);
-        return this.starts.length + 1 <= Math.max(1, Math.floor(loadsPerS * this.windowMs / 1_000));
+        const excess = this.starts.length + 1 - Math.max(1, Math.floor(loadsPerS * this.windowMs / 1_000));
+        const lastToExpire = [...this.starts].sort((a, b) => a - b)[excess - 1];
+        return lastToExpire === undefined ? 0 : lastToExpire - windowStart;
     }
 
     /** Counts a load that starts now, or started `ageMs` ago. */
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -132,7 +132,7 @@
     }
 
     /** Time for which callers may take a stream up. */
-    private get streamLifetimeMs(): number {
+    get streamLifetimeMs(): number {
         const timeouts = this.config?.routes.filter(({ isResumable }) => isResumable).map(({ timeoutMs }) => timeoutMs) ?? [];
         return Math.max(minStreamLifetimeMs, streamLifetimeFactor * Math.max(0, ...timeouts));
     }
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -5,6 +5,7 @@
 import { RouteKind } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { softwareVersionOf } from "../types/upstreamServer";
+import type { VersionConstraint } from "../types/versionConstraint";
 import { emit } from "../utils/events";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
@@ -30,6 +31,9 @@
     return version === undefined ? !excluded.has(softwareVersion) : version === softwareVersion;
 };
 
+/** What the controller is told of a pin. */
+export const constraintOf = ({ version, excluded }: VersionPin): VersionConstraint => ({ only: version, excluded: [...excluded] });
+
 const mayBeTakenUp = ({ kind, isResumable }: ServiceRoute): boolean => kind === RouteKind.Streaming && isResumable;
 
 /** Whether a stream may begin at the chosen upstream; if not, its version is excluded. */
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -4,18 +4,20 @@
 import { FailureKind } from "../types/failureKind";
 import type { ModelRequest } from "../types/modelRequest";
 import { artifactKey } from "../types/modelRequest";
+import type { PlacementAnswer } from "../types/placement";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 import type { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
-import { allowsUpstream } from "./versionPin";
+import { allowsUpstream, constraintOf } from "./versionPin";
 
 /** Bounds of the interval between two requests to the controller. */
 const maxPollIntervalMs = 250;
 const minPollIntervalMs = 20;
-/** Minimum time that a request needs once its model is ready. */
+/** Minimum time that a request needs once its model is ready, and that a stream needs which is taken up: only its next event has to come in time. */
 const minServeMs = 300;
+const minTakeUpServeMs = 100;
 /** Minimum share of a request's time that must remain for it to wait for a new controller, which takes over within seconds. */
 const minRemainingShareWithoutController = 0.55;
 /** Retry delay given to callers if no upstream is known to become available. */
@@ -103,9 +105,21 @@
     }
 };
 
-/** Upstreams at which the request's stream may not go on. */
-const excludedByVersion = (gateway: Gateway, call: Call): readonly string[] =>
-    gateway.directory.readyOf(call.service).filter(server => !allowsUpstream(call.versionPin, server)).map(({ id }) => id);
+/** Whether a request may wait for its model or adapter. A stream that is taken up waits as long as one can be ready in time: its caller loses what it has if it is refused. */
+const mayWait = (call: Call, { isComing, isUncertain, readyInMs }: PlacementAnswer, remainingMs: number): boolean => {
+    if (takesStreamUp(call)) {
+        return (isComing || isUncertain === true) && readyInMs + minTakeUpServeMs <= remainingMs;
+    }
+    return isUncertain
+        ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt)
+        : isComing && readyInMs + minServeMs <= remainingMs;
+};
+
+/** Whether a placement names a runner of another software version, as controllers of earlier releases may. */
+const isOfOtherVersion = (gateway: Gateway, call: Call, runner: string | undefined): boolean => {
+    const server = runner === undefined ? undefined : gateway.directory.get(runner);
+    return server !== undefined && !allowsUpstream(call.versionPin, server);
+};
 
 /** Selects an upstream for a request; waits for its model or adapter, and for free capacity, as long as an answer in time is likely. */
 export const waitForUpstream = async (
@@ -123,18 +137,17 @@
         if (!modelRequest) {
             return { detail: "no upstream of the service is ready", retryAfterMs: defaultRetryAfterMs };
         }
-        const { runner, readyInMs, isComing, isUncertain } = await gateway.placement.place({
+        const answer = await gateway.placement.place({
             service: call.service,
             model: modelRequest.model,
             adapter: modelRequest.adapter,
-            avoid: [...tried, ...excludedByVersion(gateway, call)],
+            versions: constraintOf(call.versionPin),
+            avoid: [...tried],
             unreachable: [...tried].filter(id => gateway.trafficOf(id).isUnreachable),
         });
-        const remainingMs = remainingMsOf(gateway, call);
-        const mayWait = isUncertain
-            ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt)
-            : isComing && readyInMs + minServeMs <= remainingMs;
-        if (!mayWait) {
+        const { runner, readyInMs } = answer;
+        const isComing = answer.isComing && !isOfOtherVersion(gateway, call, runner);
+        if (!mayWait(call, { ...answer, isComing }, remainingMsOf(gateway, call))) {
             return {
                 detail: isComing
                     ? `the model or adapter would be ready in ${Math.round(readyInMs)} ms, too late for the request`
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -3,20 +3,22 @@
 import { serves } from "../core/copies";
 import { CopyPlan } from "../core/copyPlan";
 import type { CopyStep } from "../core/copyStep";
+import { earliestLoadMs, estimatedUnloadMs } from "../core/earliestLoad";
 import { toFailure } from "../core/failures";
 import { LateLoads } from "../core/lateLoads";
-import { ModelDemand } from "../core/modelDemand";
+import { boundOf, withoutRunners } from "../core/runnerBound";
 import type { RunnerTracker } from "../core/runnerTracker";
 import { WeightStoreLimiter } from "../core/weightStoreLimiter";
 import type { Gateway } from "../forward/gateway";
 import type { LeaseYield } from "../types/controllerLease";
 import { EventId } from "../types/eventId";
-import { artifactKey, modelOfArtifactKey } from "../types/modelRequest";
+import { artifactKey } from "../types/modelRequest";
 import type { AdapterChanges, PlacementAnswer, PlacementRequest, RequestedWork } from "../types/placement";
 import type { RunnerControl } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
+import { CopyDemand } from "./copyDemand";
 import { PlannedLoads } from "./plannedLoads";
 import { dueReportIntervalMs, orderResendMs, RunnerManager } from "./runnerManager";
 
@@ -25,21 +27,16 @@
 /** Minimum gap between two rounds, and maximum share of CPU time that rounds may take: the same thread forwards requests. */
 const minRoundGapMs = 30;
 const maxRoundCpuShare = 0.1;
-/** Time for which a model counts as awaited after the last request to place it. */
-const awaitedModelTtlMs = 1_500;
 /** Estimated time until an adapter is loaded, including delivery of the order. */
 const estimatedAdapterLoadMs = 10;
 /** Maximum attempts to load an adapter before the node has to retry its request. */
 const maxAdapterAttempts = 2;
-/** Estimated time of an unload, which waits for the model's requests to end. */
-const estimatedUnloadMs = 300;
 /** Retry delay for a model that is neither loading nor planned. */
 const placementRetryMs = 1_000;
 
 /** Controls the runners of all engine services while this node holds the controller lease. */
 export class Controller {
-    private readonly demand = ModelDemand.create();
-    private readonly awaitedModels = new Map<string, number>();
+    private readonly demand: CopyDemand;
     private readonly plannedLoads = PlannedLoads.create();
     private readonly manager: RunnerManager;
     private storeLimiter: WeightStoreLimiter;
@@ -50,6 +47,7 @@
     private constructor(private readonly gateway: Gateway, private readonly lease: ControllerLease, runners: RunnerControl, lateLoads: LateLoads) {
         this.manager = RunnerManager.create(gateway, lease, runners, lateLoads, () => void this.round());
         this.storeLimiter = WeightStoreLimiter.create(gateway.settings.loadWindowMs);
+        this.demand = CopyDemand.create(gateway);
     }
 
     /** Creates a controller that is active only while the lease is held; the row of the lease keeps `lateLoads`. */
@@ -85,9 +83,9 @@
 
     /** Adds work that callers requested, by model or adapter, to the demand. */
     countWork(work: readonly RequestedWork[]): void {
-        for (const { artifact, workMs, idleMs } of work) {
-            this.demand.count(modelOfArtifactKey(artifact), workMs, idleMs);
-            this.manager.touch(artifact);
+        for (const requested of work) {
+            this.demand.count(requested);
+            this.manager.touch(requested.artifact);
         }
     }
 
@@ -97,33 +95,48 @@
         if (!engine?.models.has(req.model) || !this.isActive) {
             return { readyInMs: placementRetryMs, isComing: false, isUncertain: !this.isActive };
         }
-        const now = performance.now();
         req.unreachable.forEach(id => this.manager.suspect(id));
         const trackers = this.manager.trackersOf(req.service);
-        if (!trackers.some(tracker => serves(tracker, req.model))) {
-            this.awaitedModels.set(req.model, now);
+        const versionBound = boundOf(req);
+        const admitted = trackers.filter(versionBound.admits);
+        const isBound = admitted.length < trackers.length;
+        const isSuspected = admitted.some(tracker => tracker.isSuspected && serves(tracker, req.model));
+        // A stream that is kept to some of the runners has no other choice if the one with its model did not take it.
+        const bound = isBound && !isSuspected ? withoutRunners(versionBound, req.avoid) : versionBound;
+        const usable = admitted.filter(bound.admits);
+        if (!usable.some(tracker => serves(tracker, req.model))) {
+            this.demand.await(req, bound, trackers);
             if (!this.round()) {
                 return { readyInMs: roundIntervalMs, isComing: true };
             }
-            return this.estimateReady(req.model, engine.models.get(req.model)!, trackers);
+            return this.estimateReady(engine.models.get(req.model)!, engine, usable, isBound);
         }
         if (req.adapter === undefined) {
-            const ready = trackers.find(tracker => serves(tracker, req.model) && !req.avoid.includes(tracker.server.id));
-            const isSuspected = trackers.some(tracker => tracker.isSuspected && serves(tracker, req.model));
+            const ready = admitted.find(tracker => serves(tracker, req.model) && !req.avoid.includes(tracker.server.id));
             return { runner: ready?.server.id, readyInMs: ready || !isSuspected ? 0 : dueReportIntervalMs, isComing: ready !== undefined || isSuspected };
         }
-        return this.placeAdapter(req, engine, trackers);
+        return this.placeAdapter(req, engine, admitted);
     }
 
-    /** Estimates when a model without a copy will be ready. */
-    private estimateReady(model: string, spec: ModelSpec, trackers: readonly RunnerTracker[]): PlacementAnswer {
-        const loading = trackers.find(tracker => tracker.isLoading(model));
+    /** Estimates when a model without a copy at the given runners will be ready; `isBound` tells whether the request may use these only. */
+    private estimateReady(model: ModelSpec, engine: EngineSpec, trackers: readonly RunnerTracker[], isBound: boolean): PlacementAnswer {
+        const now = performance.now();
+        const loading = trackers.find(tracker => tracker.isLoading(model.name));
         if (loading) {
-            const doneAt = loading.transition?.doneAt ?? performance.now() + loading.loadMs(spec);
-            return { runner: loading.server.id, readyInMs: Math.max(0, doneAt - performance.now()), isComing: true };
+            const doneAt = loading.transition?.doneAt ?? now + loading.loadMs(model);
+            return { runner: loading.server.id, readyInMs: Math.max(0, doneAt - now), isComing: true };
         }
-        const isPlanned = [...this.plannedLoads.models.values()].includes(model);
-        return { readyInMs: isPlanned ? estimatedUnloadMs + spec.diskLoadMs : placementRetryMs, isComing: isPlanned };
+        const isPlanned = trackers.some(({ server }) => this.plannedLoads.models.get(server.id) === model.name);
+        const laterMs = isPlanned
+            ? estimatedUnloadMs + model.diskLoadMs
+            : isBound
+            ? earliestLoadMs(model, trackers, engine, name => this.demand.work.loadOf(name), {
+                weightStoreMs: this.storeLimiter.delayMs(engine.loadsPerS),
+                reportMs: dueReportIntervalMs,
+                now,
+            })
+            : undefined;
+        return { readyInMs: laterMs ?? placementRetryMs, isComing: laterMs !== undefined };
     }
 
     private async placeAdapter(req: PlacementRequest, engine: EngineSpec, trackers: readonly RunnerTracker[]): Promise<PlacementAnswer> {
@@ -186,15 +199,12 @@
     }
 
     private planService(service: string, engine: EngineSpec): void {
-        const now = performance.now();
         const trackers = this.manager.trackersOf(service);
         this.plannedLoads.removeEnded(id => this.manager.get(id));
-        const awaitedModels = new Set([...this.awaitedModels].filter(([, at]) => now - at < awaitedModelTtlMs).map(([model]) => model));
         const plan = CopyPlan.create({
             engine,
             trackers,
-            demand: this.demand,
-            awaitedModels,
+            ...this.demand.inputsFor(service, trackers),
             mayLoadFromWeightStore: this.storeLimiter.mayStartLoad(engine.loadsPerS),
             plannedLoads: this.plannedLoads.models,
         });
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -63,6 +63,7 @@
     service: z.string(),
     model: z.string(),
     adapter: z.string().optional(),
+    versions: z.object({ only: z.string().optional(), excluded: z.array(z.string()) }).optional(),
     avoid: z.array(z.string()),
     unreachable: z.array(z.string()),
 });
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -7,6 +7,13 @@
 /** Answer while no controller can be reached; another node takes over within seconds. */
 const noControllerAnswer: PlacementAnswer = { readyInMs: 0, isComing: false, isUncertain: true };
 
+const toMutableRequest = ({ versions, avoid, unreachable, ...rest }: PlacementRequest) => ({
+    ...rest,
+    versions: versions && { ...versions, excluded: [...versions.excluded] },
+    avoid: [...avoid],
+    unreachable: [...unreachable],
+});
+
 /** Requests models and adapters from the controller. */
 export class PlacementClient {
     private readonly pending = new Map<string, Promise<PlacementAnswer>>();
@@ -30,7 +37,7 @@
 
     /** Requests a model or adapter; concurrent requests for the same one share the answer. */
     place(req: PlacementRequest): Promise<PlacementAnswer> {
-        const key = `${req.service} ${artifactKey(req.model, req.adapter)} ${req.avoid.join(" ")}`;
+        const key = `${req.service} ${artifactKey(req.model, req.adapter)} ${JSON.stringify([req.versions, req.avoid])}`;
         return getOrCreate(this.pending, key, () => this.request(req).finally(() => this.pending.delete(key)));
     }
 
@@ -43,7 +50,7 @@
             return noControllerAnswer;
         }
         try {
-            return await this.clients.get(address).place.mutate({ ...req, avoid: [...req.avoid], unreachable: [...req.unreachable] });
+            return await this.clients.get(address).place.mutate(toMutableRequest(req));
         }
         catch (err) {
             this.onFailed(err);
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -3,12 +3,15 @@
 import type { FactAnswer, FactReport } from "./sharedFacts";
 import type { StoreVersion } from "./storeVersion";
 import type { DirectoryChange } from "./upstreamServer";
+import type { VersionConstraint } from "./versionConstraint";
 
 /** A node's request to the controller for a runner that can serve a model or adapter. */
 export interface PlacementRequest {
     readonly service: string;
     readonly model: string;
     readonly adapter?: string;
+    /** Missing from nodes of earlier releases, which list the runners of other versions in `avoid`. */
+    readonly versions?: VersionConstraint;
     /** Runners that the request has tried already. */
     readonly avoid: readonly string[];
     /** Runners that the requesting node could not reach. */
--- a/src/utils/maps.ts
+++ b/src/utils/maps.ts
@@ -7,3 +7,12 @@
     }
     return value;
 };
+
+/** Groups items by a key, in their order. */
+export const groupBy = <K, V>(items: Iterable<V>, keyOf: (item: V) => K): ReadonlyMap<K, readonly V[]> => {
+    const groups = new Map<K, V[]>();
+    for (const item of items) {
+        getOrCreate(groups, keyOf(item), () => []).push(item);
+    }
+    return groups;
+};
--- a/test/fakes/peerNodes.ts
+++ b/test/fakes/peerNodes.ts
@@ -34,14 +34,28 @@
     order: () => Promise.resolve(RunnerOrderAnswer.Accepted),
 });
 
+/** How a node reaches runners, and whether it records the versions that begin streams. */
+interface PeerNodeOptions {
+    readonly control?: RunnerControl;
+    readonly recordsStreams?: boolean;
+}
+
 /** Creates a node without a caller's side: lease, controller, and the exchange with its peers. It takes part once `start` is called. */
-export const createNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal, zone = "a") => {
+export const createNode = async (
+    store: MemoryPlatformStore,
+    name: string,
+    seeds: readonly string[],
+    signal: AbortSignal,
+    zone = "a",
+    { control = createControl(), recordsStreams = false }: PeerNodeOptions = {},
+) => {
     const random = createRandom(1);
     const peerAddress = `127.0.0.1:${await reservePort()}`;
-    const gateway = Gateway.create({ ...platformTestSettings, nodeId: name, peerAddress, seeds, availabilityZone: zone }, requestHeaderCodec, random);
+    const settings = { ...platformTestSettings, nodeId: name, peerAddress, seeds, availabilityZone: zone };
+    const gateway = Gateway.create(settings, requestHeaderCodec, random, recordsStreams ? store : undefined);
     const lease = ControllerLease.create(store, { holder: name, boot: name, peerAddress }, platformTestSettings, undefined, gateway.crashLog);
     const link = ControllerLink.create();
-    const controller = Controller.create(gateway, lease, createControl());
+    const controller = Controller.create(gateway, lease, control);
     const peerServer = PeerServer.create(gateway, controller, link);
     const client = ControllerClient.create(gateway, lease, link, { peerServer, controller, decodeConfig, onConfig: () => undefined });
     await peerServer.listen(peerAddress);
--- a/test/fakes/placementFixture.ts
+++ b/test/fakes/placementFixture.ts
@@ -3,7 +3,8 @@
 import { Gateway } from "../../src/forward/gateway";
 import { Controller } from "../../src/placement/controller";
 import { requestHeaderCodec } from "../../src/platform/requestHeaderCodec";
-import type { EngineSpec, ModelSpec } from "../../src/types/servingConfig";
+import type { EngineSpec, ModelSpec, ServiceRoute } from "../../src/types/servingConfig";
+import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
 import type { Random } from "../../src/utils/random";
 import { createRandom } from "../../src/utils/random";
@@ -33,6 +34,26 @@
     models: new Map([...Array(14).keys()].map(index => [`m${index}`, createModel(`m${index}`, index % 4 === 0 ? 34_000 : 72_000)])),
 };
 
+/** A streaming route of the service, whose streams callers may take up. */
+const resumableRoute: ServiceRoute = {
+    name: "r",
+    host: "shop.example",
+    prefix: "/desk/",
+    kind: RouteKind.Streaming,
+    timeoutMs: 6_000,
+    latencyObjectiveMs: 300,
+    priority: 1,
+    targets: [{ service: placementTestService, weight: 1 }],
+    maxAttempts: 2,
+    isResumable: true,
+};
+
+/** What the runners of a fixture state, and whether callers may take streams up. */
+export interface PlacementFixtureOptions {
+    readonly softwareVersionOf?: (index: number) => string | undefined;
+    readonly isResumable?: boolean;
+}
+
 /** A controller that holds the lease, and simulated runners that it places models on. */
 export class PlacementFixture {
     readonly gateway: Gateway;
@@ -44,11 +65,16 @@
     private holders = 0;
     private current = new AbortController();
 
-    private constructor(random: Random, count: number, heldBy: (index: number) => readonly string[]) {
+    private constructor(
+        random: Random,
+        count: number,
+        heldBy: (index: number) => readonly string[],
+        private readonly options: PlacementFixtureOptions,
+    ) {
         this.gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
         this.gateway.applyConfig({
             version: 1,
-            routes: [],
+            routes: options.isResumable ? [resumableRoute] : [],
             services: new Map([[placementTestService, { name: placementTestService, healthPath: "/h", maxConnections: 10, engine: placementTestEngine }]]),
             limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
         }, Buffer.from(""));
@@ -62,8 +88,13 @@
     }
 
     /** Starts the runners and the first controller. */
-    static async start(seed: number, count = 6, heldBy = (index: number): readonly string[] => [`m${index}`]): Promise<PlacementFixture> {
-        const fixture = new PlacementFixture(createRandom(seed), count, heldBy);
+    static async start(
+        seed: number,
+        count = 6,
+        heldBy = (index: number): readonly string[] => [`m${index}`],
+        options: PlacementFixtureOptions = {},
+    ): Promise<PlacementFixture> {
+        const fixture = new PlacementFixture(createRandom(seed), count, heldBy, options);
         await fixture.startController();
         return fixture;
     }
@@ -84,6 +115,7 @@
                 service: placementTestService,
                 address: "127.0.0.1:1",
                 availabilityZone: "a",
+                softwareVersion: this.options.softwareVersionOf?.(Number(runner.id.slice(1))),
                 slots: 32,
                 state: UpstreamState.Ready,
                 models: runner.report().models,
--- a/test/fakes/versionFleet.ts
+++ b/test/fakes/versionFleet.ts
@@ -33,7 +33,7 @@
 };
 
 /** A stream whose events name the software version that wrote them, from the event after the last one received. */
-const versionedStream = (version: string): Script => (socket, { head, id }) => {
+export const versionedStream = (version: string): Script => (socket, { head, id }) => {
     const from = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0) + 1;
     socket.write(streamHeadOf(id));
     const write = async (): Promise<void> => {
@@ -69,8 +69,9 @@
     readonly isComplete: boolean;
 }
 
-const versionsIn = (body: string): string[] => [...body.matchAll(/^data: (\S+)$/gm)].map(match => match[1]!);
-const lastIdIn = (body: string): string | undefined => [...body.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1];
+/** Versions that wrote the events of a body, and the ID of the last one. */
+export const versionsIn = (body: string): string[] => [...body.matchAll(/^data: (\S+)$/gm)].map(match => match[1]!);
+export const lastIdIn = (body: string): string | undefined => [...body.matchAll(/^id: (\d+)$/gm)].at(-1)?.[1];
 
 /** Nodes in this process with one store, in front of runners of several software versions. */
 export class VersionFleet {
