Let take-ups of a version wait until the node's directory is as new as they are

A node that was just resumed, or had not heard of a software version yet, refused streams of that version at once ("no upstream of version ... is ready", stream-version-gone), although its runners served. It knew the version from a record in the store that was newer than its directory.

A directory that has never listed the version, or belongs to a node that has lately heard from neither the store nor a peer, says nothing of whether the version is there. The take-up now waits until a runner of it appears, the store or a peer has confirmed the directory since the request came, or too little of the request's time is left, and is then decided (forward/waitForVersion.ts, event 516). A node that is in contact and saw the version leave still refuses at once, and so does one that follows no store.

--- a/src/core/serviceVersions.ts
+++ b/src/core/serviceVersions.ts
@@ -5,6 +5,8 @@
 /** When a software version was last seen in the directory. */
 interface Sighting {
     isPresent: boolean;
+    /** Whether an upstream has had this version. */
+    wasPresent: boolean;
     lastSeenAt: number;
     /** When it came back after it had been absent. */
     returnedAt: number;
@@ -36,6 +38,11 @@
         return [...this.sightings.get(service) ?? []].filter(([, { isPresent }]) => isPresent).map(([version]) => version);
     }
 
+    /** Whether this node has seen an upstream of a version. */
+    hasSeen(service: string, version: string): boolean {
+        return this.sightings.get(service)?.get(version)?.wasPresent ?? false;
+    }
+
     /** Whether this node has seen upstreams of one version only, or none. */
     isUniform(service: string): boolean {
         return (this.sightings.get(service)?.size ?? 0) <= 1;
@@ -52,7 +59,7 @@
         const { isPresent, lastSeenAt } = getOrCreate(
             getOrCreate(this.sightings, service, () => new Map<string, Sighting>()),
             version,
-            () => ({ isPresent: false, lastSeenAt: performance.now(), returnedAt: Number.NEGATIVE_INFINITY }),
+            () => ({ isPresent: false, wasPresent: false, lastSeenAt: performance.now(), returnedAt: Number.NEGATIVE_INFINITY }),
         );
         return isPresent ? 0 : performance.now() - lastSeenAt;
     }
@@ -73,7 +80,13 @@
             }
         });
         for (const version of present) {
-            const sighting = getOrCreate(sightings, version, () => ({ isPresent: true, lastSeenAt: now, returnedAt: Number.NEGATIVE_INFINITY }));
+            const sighting = getOrCreate(sightings, version, () => ({
+                isPresent: true,
+                wasPresent: true,
+                lastSeenAt: now,
+                returnedAt: Number.NEGATIVE_INFINITY,
+            }));
+            sighting.wasPresent = true;
             if (!sighting.isPresent) {
                 sighting.isPresent = true;
                 sighting.returnedAt = now;
--- a/src/core/storeFreshness.ts
+++ b/src/core/storeFreshness.ts
@@ -56,6 +56,17 @@
         return Number.isFinite(agoMs) ? agoMs : undefined;
     }
 
+    /** Whether this node knows, from the store or by way of a peer, what the store had at a time on the monotonic clock. A node that follows no table does not. */
+    isAsNewAs(at: number): boolean {
+        const { knownAgoMs } = this;
+        return knownAgoMs !== undefined && this.now() - knownAgoMs >= at;
+    }
+
+    /** Whether this node will learn of changes in the store. */
+    get isFollowing(): boolean {
+        return this.confirmedAt.size > 0;
+    }
+
     /** Records the answer of a peer to a request sent at `requestedAt`, on the monotonic clock. */
     onPeerConfirmed(confirmedAgoMs: number, requestedAt: number): void {
         this.controllerConfirmedAt = Math.max(this.controllerConfirmedAt, requestedAt - confirmedAgoMs);
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -10,6 +10,7 @@
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 import type { Refusal } from "./waitForUpstream";
+import { waitForVersion } from "./waitForVersion";
 
 /** Retry delay given to a caller whose stream cannot be taken up. */
 const takeUpRetryAfterMs = 1_000;
@@ -50,7 +51,8 @@
 };
 
 /** Pins a stream that its caller takes up to the version that began it; refuses it if that is not known or not available. */
-export const pinTakenUpStream = async (gateway: Gateway, { route, service, caller, versionPin }: Call): Promise<Refusal | undefined> => {
+export const pinTakenUpStream = async (gateway: Gateway, call: Call): Promise<Refusal | undefined> => {
+    const { route, service, caller, versionPin } = call;
     if (caller.lastEventId === undefined || !mayBeTakenUp(route)) {
         return undefined;
     }
@@ -67,7 +69,8 @@
     if (origin.version === undefined) {
         return { kind: FailureKind.StreamVersionUnknown, detail: origin.detail, retryAfterMs: takeUpRetryAfterMs };
     }
-    return directory.readyOf(service).some(server => allowsUpstream(versionPin, server))
+    const isReady = (): boolean => directory.readyOf(service).some(server => allowsUpstream(versionPin, server));
+    return await waitForVersion(gateway, call, origin.version, isReady)
         ? undefined
         : { kind: FailureKind.StreamVersionGone, detail: `no upstream of version "${origin.version}" is ready`, retryAfterMs: takeUpRetryAfterMs };
 };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -66,6 +66,7 @@
     RunnerLeasesUnwritten = 513,
     RunnerSuspected = 514,
     RunnerCrashed = 515,
+    DirectoryAwaited = 516,
     CopyAwaitedAtVersion = 517,
     InvariantMemory = 901,
     InvariantEngineMemory = 902,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -70,6 +70,8 @@
     [EventId.RunnerLeasesUnwritten]: "the runner leases could not be written to the store; the orders that need them are not sent",
     [EventId.RunnerSuspected]: "a node could not reach a runner; the runner's report is requested at once",
     [EventId.RunnerCrashed]: "a runner ended while it worked on this node's requests; the parts of those that it may have crashed on are shared with all nodes",
+    [EventId.DirectoryAwaited]:
+        "a stream was taken up whose software version this node's directory lacks, but may only not know yet: how long the request waited, and whether an upstream came",
     [EventId.CopyAwaitedAtVersion]:
         "requests wait for a model that other runners have, but none of those that they may use, such as those of one software version",
     [EventId.InvariantMemory]: "reservations exceed a runner's memory or adapter slots",
--- a/test/fakes/versionFleet.ts
+++ b/test/fakes/versionFleet.ts
@@ -67,6 +67,7 @@
     /** Software versions that wrote its events. */
     readonly versions: ReadonlySet<string>;
     readonly isComplete: boolean;
+    readonly afterMs: number;
 }
 
 /** Versions that wrote the events of a body, and the ID of the last one. */
@@ -78,6 +79,8 @@
     readonly nodes: FleetNode[] = [];
     readonly store = MemoryPlatformStore.create(createRandom(1));
     private readonly runners = new Map<string, FleetRunner>();
+    /** Nodes that learn of no change of the directory. */
+    readonly frozen = new Set<FleetNode>();
     private rowVersion = 0;
     private sequence = 0;
 
@@ -111,14 +114,20 @@
             acceptedOrders: 0,
         };
         this.runners.set(id, { upstream, entry });
-        this.nodes.forEach(({ gateway }) => gateway.directory.apply({ id, version: ++this.rowVersion, server: entry }));
+        this.applyRow(id, entry);
     }
 
     /** Ends a runner and removes it from the directory. */
     removeRunner(id: string): void {
         this.runners.get(id)?.upstream.close();
         this.runners.delete(id);
-        this.nodes.forEach(({ gateway }) => gateway.directory.apply({ id, version: ++this.rowVersion, server: undefined }));
+        this.applyRow(id);
+    }
+
+    /** Lets a frozen node learn of the runners that came meanwhile. */
+    catchUp(node: FleetNode): void {
+        this.frozen.delete(node);
+        this.runners.forEach(({ entry }, id) => node.gateway.directory.apply({ id, version: ++this.rowVersion, server: entry }));
     }
 
     /** Replaces all nodes by new processes, which know nothing of before. */
@@ -129,11 +138,11 @@
         }
     }
 
-    /** Begins streams at all nodes in turn and lets their callers leave after some events; returns what each caller has. */
-    beginStreams(count: number): Promise<readonly { readonly id: string; readonly body: string; }[]> {
+    /** Begins streams at all nodes in turn, or at one, and lets their callers leave after some events; returns what each caller has. */
+    beginStreams(count: number, node?: FleetNode): Promise<readonly { readonly id: string; readonly body: string; }[]> {
         const begin = async (index: number): Promise<{ readonly id: string; readonly body: string; }> => {
             const id = `first-${++this.sequence}`;
-            const { body } = await this.call(this.nodes[index % this.nodes.length]!, { "attempt-id": id }, callerLeavesAfterEvents);
+            const { body } = await this.call(node ?? this.nodes[index % this.nodes.length]!, { "attempt-id": id }, callerLeavesAfterEvents);
             return { id, body };
         };
         return Promise.all([...Array(count).keys()].map(begin));
@@ -144,7 +153,8 @@
         const headers = { "attempt-id": `next-${++this.sequence}`, "resumes": id, "last-event-id": lastIdIn(body) ?? "0" };
         const result = await this.call(node, headers);
         const events = result.status === 200 ? result.body : "";
-        return { status: result.status, versions: new Set([...versionsIn(body), ...versionsIn(events)]), isComplete: result.isComplete };
+        const versions = new Set([...versionsIn(body), ...versionsIn(events)]);
+        return { status: result.status, versions, isComplete: result.isComplete, afterMs: result.afterMs };
     }
 
     close(): void {
@@ -152,6 +162,10 @@
         this.runners.forEach(({ upstream }) => upstream.close());
     }
 
+    private applyRow(id: string, server?: UpstreamServer): void {
+        this.nodes.filter(node => !this.frozen.has(node)).forEach(({ gateway }) => gateway.directory.apply({ id, version: ++this.rowVersion, server }));
+    }
+
     private call(node: FleetNode, headers: Readonly<Record<string, string>>, abortAfterEvents?: number): Promise<CallerResult> {
         const model = { "model": "m", "token-count": "150,40", "prompt-prefix": `own${this.sequence}:50` };
         return callGateway(node.address, { headers: { ...model, ...headers }, abortAfterEvents, keepsPart: true });
