Do not send requests whose callers left while they waited for a permit or a record

A request that waits for its permit at a runner with a limit, or for the record of its stream in the store, wakes when its caller leaves, and went on to its attempt. The attempt was bound to the caller by a listener on a signal that had aborted before: such a listener is never called, so neither the send nor the work on it was stopped. No other wait had this: each of them looks at the signal in its loop.

Why it works: the attempt looks at the caller's signal after it has added its listener, so no abort falls between.

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -82,6 +82,10 @@
         const timers = this.startTimers(choice, abort, failOver);
         const onCallerAbort = (): void => abort.abort();
         call.signal.addEventListener("abort", onCallerAbort, { once: true });
+        if (call.signal.aborted) {
+            // The caller left while the request waited, so there will be no event.
+            abort.abort();
+        }
         emit(EventId.RequestSent, {
             request: call.caller.requestId,
             upstream: server.id,
