Look at the caller just before each send, and bound the work of one turn of the event loop

Cause: what the node knew of a caller was as old as the turn of the event loop. It was looked at once, before an upstream was waited for. The turn that forwarded then ran for all requests that had been read together, and learned of no close meanwhile. Three further delays: the close of a connection that was reset is announced in the last phase of the turn, after requests were sent on; timers (queue, permits, records, silence) run ahead of the poll that reads closes, also after a freeze; connections to upstreams that open in the same poll as the closes took their request at once.

CallerPresence.confirm waits for it and looks at the socket itself. It stands before the request is matched to a route, after each wait in the queue, before each send and once more when a new connection has opened. An attempt that is given up beforehand closes the connection that is being opened, and the departure of a caller no longer marks the upstream as unreachable.

Cost: no turn more for a request on a kept connection, one wait of two turns on a new one.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -2,12 +2,15 @@
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
+import type { CallerPresence } from "./callerPresence";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** How an attempt ended. */
 export enum AttemptEndKind {
     /** The complete answer arrived. */
     Complete = "whole",
+    /** The node gave the attempt up before it asked for a connection. */
+    Withdrawn = "withdrawn",
     /** No byte of the request was sent. */
     Unsent = "unsent",
     /** The connection ended, or the answer belonged to another request: the request may have run. */
@@ -70,16 +73,16 @@
 
 const abortReason = new Error("attempt aborted by the node");
 
-/** Sends a request over one connection and passes the answer to the sink. The connection is reused only after a complete answer to this request. */
-export const sendAttempt = (
+const exchange = (
     pool: UpstreamConnectionPool,
     req: OutgoingRequest,
     wire: RequestHeaderCodec,
     sink: AnswerSink,
+    presence: CallerPresence,
     signal: AbortSignal,
 ): Promise<AttemptEnd> =>
     new Promise(resolve => {
-        const client = pool.acquire(req.mayRepeat);
+        const client = pool.acquire(req.mayRepeat, () => presence.confirm());
         let isSent = false;
         let informationalAnswers = 0;
         let hasHead = false;
@@ -101,10 +104,6 @@
             controller?.abort(abortReason);
             finish(isSent ? AttemptEndKind.Aborted : AttemptEndKind.Unsent, "aborted");
         };
-        if (signal.aborted) {
-            finish(AttemptEndKind.Unsent, "aborted");
-            return;
-        }
         signal.addEventListener("abort", onAbort, { once: true });
         client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body }, {
             onRequestStart: started => {
@@ -171,3 +170,22 @@
             },
         });
     });
+
+/**
+ * Sends a request over one connection, if its caller is still there, and passes the answer to the sink. The connection is reused only after a complete answer
+ * to this request.
+ */
+export const sendAttempt = async (
+    pool: UpstreamConnectionPool,
+    toRequest: () => OutgoingRequest,
+    wire: RequestHeaderCodec,
+    sink: AnswerSink,
+    presence: CallerPresence,
+    signal: AbortSignal,
+): Promise<AttemptEnd> => {
+    await presence.confirm();
+    if (signal.aborted) {
+        return { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
+    }
+    return exchange(pool, toRequest(), wire, sink, presence, signal);
+};
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -8,7 +8,7 @@
 import { emit } from "../utils/events";
 import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
-import type { AttemptEnd } from "./attempt";
+import type { AttemptEnd, OutgoingRequest } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
 import type { Call } from "./call";
 import { CrashObserver } from "./crashObserver";
@@ -98,7 +98,8 @@
             configVersion: call.configVersion,
         });
         const pool = gateway.connectionPoolOf(server.id, server.address);
-        const end = await sendAttempt(pool, toOutgoingRequest(gateway, call, this.relay, server.id), gateway.wire, this.relay, abort.signal);
+        const toRequest = (): OutgoingRequest => toOutgoingRequest(gateway, call, this.relay, server.id);
+        const end = await sendAttempt(pool, toRequest, gateway.wire, this.relay, call.presence, abort.signal);
         this.framing = end.framing;
         timers.forEach(clearInterval);
         call.signal.removeEventListener("abort", onCallerAbort);
@@ -162,8 +163,10 @@
         const { relay } = this;
         const { server, traffic } = candidate;
         const { head } = relay;
-        if (end.kind === AttemptEndKind.Unsent) {
-            traffic.onUnreachable();
+        if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
+            if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted) {
+                traffic.onUnreachable();
+            }
             this.logFailed(server.id, end.reason, Verdict.NotRun);
             return AttemptOutcome.Unsent;
         }
--- a/src/forward/call.ts
+++ b/src/forward/call.ts
@@ -2,6 +2,7 @@
 import type { CallerHeaders } from "../types/requestHeaderCodec";
 import type { ServiceRoute } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
+import type { CallerPresence } from "./callerPresence";
 import type { VersionPin } from "./versionPin";
 
 /** A caller's request that has been read and matched to a route. Times are on the monotonic clock. */
@@ -21,6 +22,7 @@
     /** When the final answer is due: the caller's deadline or the route's timeout, whichever is sooner. */
     readonly deadlineAt: number;
     readonly versionPin: VersionPin;
+    readonly presence: CallerPresence;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
 }
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -8,10 +8,10 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
-import { nextTurn } from "../utils/time";
 import { errorCodeOf, readBody } from "../utils/transport";
 import { answerFailure, cutAnswer } from "./answerFailure";
 import type { Call } from "./call";
+import { CallerPresence } from "./callerPresence";
 import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
@@ -115,25 +115,15 @@
         if (!await this.turns.wait(req.socket, res)) {
             return;
         }
-        const callerAbort = new AbortController();
+        const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
-        const onEnd = (): void => callerAbort.abort();
-        req.socket.once("end", onEnd);
-        res.on("close", () => {
-            req.socket.off("end", onEnd);
-            this.gateway.inProgress--;
-            if (!res.writableFinished) {
-                callerAbort.abort();
-            }
-        });
+        res.on("close", () => this.gateway.inProgress--);
         if (this.gateway.isStopping && this.turns.isNewest(req.socket, res)) {
             res.setHeader("Connection", "close");
         }
         try {
-            const call = await this.toCall(req, res, startedAt, callerAbort.signal);
-            // A busy node reads a request together with its caller's close, but learns of the close only in the next turn.
-            await nextTurn();
-            if (callerAbort.signal.aborted) {
+            const call = await this.toCall(req, res, startedAt, presence);
+            if (presence.signal.aborted) {
                 emit(EventId.CallerLeft, { request: call?.caller.requestId, afterMs: Math.round(performance.now() - startedAt) });
             }
             else if (call) {
@@ -148,7 +138,7 @@
     }
 
     /** Reads a request and finds its route; answers it with a failure if either does not succeed. */
-    private async toCall(req: IncomingMessage, res: ServerResponse, startedAt: number, signal: AbortSignal): Promise<Call | undefined> {
+    private async toCall(req: IncomingMessage, res: ServerResponse, startedAt: number, presence: CallerPresence): Promise<Call | undefined> {
         const { gateway } = this;
         const caller = gateway.wire.decodeCaller(req.headers);
         const limits = gateway.config?.limits;
@@ -164,7 +154,7 @@
             maxBytes: limits?.maxBodyBytes ?? defaultMaxBodyBytes,
             timeoutMs: caller.deadlineMs ?? defaultHeaderTimeoutMs,
         });
-        if (bodyResult.kind === "lost") {
+        if (bodyResult.kind === "lost" || !await presence.confirm()) {
             return undefined;
         }
         const { config, routes } = gateway;
@@ -198,7 +188,8 @@
             startedAt,
             deadlineAt: startedAt + timeoutMs,
             versionPin: createVersionPin(),
-            signal,
+            presence,
+            signal: presence.signal,
         };
     }
 }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -24,6 +24,7 @@
 import { getOrCreate } from "../utils/maps";
 import type { Random } from "../utils/random";
 import { CrashWatch } from "./crashWatch";
+import { Departures } from "./departures";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -71,6 +72,7 @@
     readonly cache = PromptCacheTracker.create();
     readonly residency = ResidencyView.create();
     readonly queue = RequestQueue.create();
+    readonly departures = Departures.create();
     private active: ActiveConfig | undefined;
     private readonly trafficByUpstream = new Map<string, UpstreamTraffic>();
     private readonly poolByUpstream = new Map<string, UpstreamConnectionPool>();
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -1,4 +1,4 @@
-import type { Socket } from "node:net";
+import { Socket } from "node:net";
 import { buildConnector, Client } from "undici";
 
 /** Connecting within a VM or availability zone takes a few milliseconds; longer means that the upstream is gone or its accept queue is full. */
@@ -24,6 +24,8 @@
     private idle: IdleConnection[] = [];
     private readonly inUse = new Set<Client>();
     private readonly resetClients = new WeakSet<Client>();
+    /** Sockets of connections that are being opened. */
+    private readonly connecting = new WeakMap<Client, Socket>();
     /** How long a reused connection had been idle. */
     private readonly idleBeforeUse = new WeakMap<Client, number>();
     private learnedIdleMs = Number.POSITIVE_INFINITY;
@@ -41,12 +43,15 @@
         return this.idle.length + this.inUse.size;
     }
 
-    /** Returns a connection for one request: the most recently used one, or a new one. A request that must not be repeated never gets one that may be closing. */
-    acquire(mayRepeat: boolean): Client {
+    /**
+     * Returns a connection for one request: the most recently used one, or a new one. A request that must not be repeated never gets one that may be closing. A new
+     * connection carries the request only after `confirm`, so that the request can be aborted as late as that.
+     */
+    acquire(mayRepeat: boolean, confirm: () => Promise<unknown>): Client {
         const last = this.idle.at(-1);
         const idleMs = last ? performance.now() - last.idleSince : 0;
         const isUsable = last && idleMs < this.idleLimitMs && (mayRepeat || idleMs < maxSafeIdleMs);
-        const client = isUsable ? this.idle.pop()!.client : this.open();
+        const client = isUsable ? this.idle.pop()!.client : this.open(confirm);
         if (isUsable) {
             this.idleBeforeUse.set(client, idleMs);
         }
@@ -89,6 +94,7 @@
         this.inUse.delete(client);
         this.idle = this.idle.filter(entry => entry.client !== client);
         void client.destroy();
+        this.connecting.get(client)?.destroy();
     }
 
     /** Closes all idle connections. */
@@ -97,14 +103,21 @@
         this.idle = [];
     }
 
-    private open(): Client {
+    private open(confirm: () => Promise<unknown>): Client {
         const connect = buildConnector({ timeout: connectTimeoutMs });
         const client: Client = new Client(`http://${this.address}`, {
-            connect: (options, callback) =>
-                connect(options, (...result) => {
+            connect: (options, callback) => {
+                const socket: unknown = connect(options, (...result) => {
                     this.recordResets(client, result[1] ?? undefined);
-                    callback(...result);
-                }),
+                    void (result[0] ? Promise.resolve() : confirm()).then(() => {
+                        this.connecting.delete(client);
+                        callback(...result);
+                    });
+                });
+                if (socket instanceof Socket) {
+                    this.connecting.set(client, socket);
+                }
+            },
             pipelining: 1,
             headersTimeout: 0,
             bodyTimeout: 0,
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -97,6 +97,7 @@
             }
             gateway.queue.add(modelRequest.model, queuedRequest);
             await sleep(capacityPollIntervalMs, call.signal);
+            await call.presence.confirm();
         }
         return undefined;
     }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -51,6 +51,7 @@
     BaseVersionChanged = 419,
     BaseVersionUnknown = 420,
     StreamRecordsUnread = 421,
+    LongTurn = 427,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -39,6 +39,7 @@
     [EventId.RequestSent]: "a request was sent to an upstream; `resumes` names the request that began the stream which a caller resumes",
     [EventId.RequestAnswered]: "a request was answered with an upstream's answer; `framing` says what marked its end",
     [EventId.RequestFailed]: "a request failed because of an internal error",
+    [EventId.LongTurn]: "a turn of the event loop took long while requests waited: the node is short of processor time, and learned late that callers had left",
     [EventId.CallerLeft]: "the caller closed the connection; the attempt on the upstream was aborted",
     [EventId.PromptQuarantined]:
         "crashes of runners, at this node or others, are explained by parts of prompts or by a request; requests with all of the parts or keys are refused",
--- a/test/leftCallers.test.ts
+++ b/test/leftCallers.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import type { Gateway } from "../src/forward/gateway";
+import type { PlacementAnswer } from "../src/types/placement";
 import type { Permit } from "../src/types/sendPermit";
 import type { ServiceRoute } from "../src/types/servingConfig";
 import { RouteKind } from "../src/types/servingConfig";
@@ -13,16 +14,21 @@
 import { waitFor } from "./fakes/processes";
 import type { Script, ScriptedUpstream } from "./fakes/scriptedUpstream";
 import { startScriptedUpstream } from "./fakes/scriptedUpstream";
-import { answer, neverAnswer } from "./fakes/upstreamScripts";
+import { answer, brokenStream, neverAnswer, refuse } from "./fakes/upstreamScripts";
 
 const callerCount = 12;
 const blockMs = 60;
 /** Time in which a node that is no longer blocked learns of the callers' closes. */
-const settleMs = 300;
+const settleMs = 150;
 const stageTimeoutMs = 3_000;
 /** Delay of a stage that waits; the callers leave within it. */
-const stageMs = 200;
+const stageMs = 100;
 const maxBodyBytes = 4_000_000;
+const modelHeaders = "Model: m\r\nToken-Count: 2000,10\r\n";
+/** Gap between the events of a runner that is saturated, and number of short gaps that make it free again. */
+const saturatedGapMs = 1_000;
+const recoveryGaps = 30;
+
 /** Calls `reached` in place of, or before, a step on a request's way. */
 type Stage = (gateway: Gateway, reached: () => void) => void;
 
@@ -40,7 +46,66 @@
     readonly first?: Script;
 }
 
+const withdrawStage: Stage = (gateway, reached) => {
+    const budget = gateway.budgetOf("desk");
+    budget.withdraw = () => {
+        reached();
+        return true;
+    };
+};
+
 const cases: readonly LeaveCase[] = [
+    {
+        name: "is forwarded",
+        stage: (gateway, reached) => {
+            const budget = gateway.budgetOf("desk");
+            budget.countRequest = reached;
+        },
+    },
+    {
+        name: "gets a connection",
+        stage: (gateway, reached) => {
+            const poolOf = gateway.connectionPoolOf.bind(gateway);
+            gateway.connectionPoolOf = (...args) => {
+                reached();
+                return poolOf(...args);
+            };
+        },
+    },
+    {
+        name: "is queued for capacity",
+        stage: (gateway, reached) => {
+            gateway.trafficOf("up-0").onEventGap(saturatedGapMs);
+            const add = gateway.queue.add.bind(gateway.queue);
+            const queued = new Set<unknown>();
+            gateway.queue.add = (model, entry) => {
+                if (!queued.has(entry)) {
+                    queued.add(entry);
+                    reached();
+                }
+                add(model, entry);
+            };
+        },
+        isWaiting: true,
+        goOn: gateway => [...Array(recoveryGaps).keys()].forEach(() => gateway.trafficOf("up-0").onEventGap(1)),
+        headers: modelHeaders,
+    },
+    {
+        name: "waits for a model",
+        stage: (gateway, reached) => {
+            gateway.residency.onAbsent("up-0", "m", "m");
+            gateway.placement = {
+                ...gateway.placement,
+                place: () => {
+                    reached();
+                    const placed: PlacementAnswer = { runner: "up-0", readyInMs: stageMs, isComing: true };
+                    return Promise.resolve(placed);
+                },
+            };
+        },
+        isWaiting: true,
+        headers: modelHeaders,
+    },
     {
         name: "waits for a permit",
         stage: (gateway, reached) => {
@@ -67,6 +132,13 @@
         isWaiting: true,
         route: { kind: RouteKind.Streaming, isResumable: true },
     },
+    { name: "is to be sent again after a refusal", stage: withdrawStage, first: refuse, route: { kind: RouteKind.Idempotent, maxAttempts: 2 } },
+    {
+        name: "is to be sent again for the rest of its stream",
+        stage: withdrawStage,
+        first: brokenStream,
+        route: { kind: RouteKind.Streaming, isResumable: true, maxAttempts: 2 },
+    },
 ];
 
 const countLeft = (upstreams: readonly ScriptedUpstream[]): number =>
@@ -153,4 +225,23 @@
             });
         }
     }
+
+    it("is sent to no upstream: several hundred requests in one turn, which take long to forward", async () => {
+        const { node, upstreams } = await startNode([neverAnswer], {});
+        const callers = await LeavingCallers.connect(node.address, 300);
+        let forwarded = 0;
+        node.gateway.budgetOf("desk").countRequest = () => {
+            blockLoop(3);
+            if (++forwarded === 5) {
+                callers.leave(leavings.reset!);
+            }
+        };
+        callers.send("", 0);
+        await waitFor("the callers leave", () => callers.hasLeft, stageTimeoutMs, 5);
+        await sleep(settleMs);
+        node.close();
+        upstreams.forEach(upstream => upstream.close());
+        assert.ok(countLeft(upstreams) <= 5, `${countLeft(upstreams)} requests were sent`);
+        assert.ok(forwarded < 30, `${forwarded} requests of callers that had left were forwarded`);
+    });
 });
