--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -187,7 +187,7 @@
 
     /** Records the load that other nodes put on upstreams; those that are not listed have none. */
     applyPeerLoads(loads: RunnerLoads): void {
-        this.trafficByUpstream.forEach((traffic, id) => traffic.onPeerLoad(...(loads[id] ?? noLoad)));
+        this.trafficByUpstream.forEach((traffic, id) => traffic.onPeerLoad(...(Object.hasOwn(loads, id) ? loads[id]! : noLoad)));
         Object.entries(loads).filter(([id]) => !this.trafficByUpstream.has(id)).forEach(([id, load]) => this.trafficOf(id).onPeerLoad(...load));
     }
 
--- a/src/forward/storeObservers.ts
+++ b/src/forward/storeObservers.ts
@@ -2,14 +2,15 @@
 import { EventId } from "../types/eventId";
 import type { StoredRow } from "../types/rowStore";
 import type { ServingConfig } from "../types/servingConfig";
+import type { UpstreamFault } from "../types/upstreamFault";
 import type { DirectoryChange, UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import type { Gateway } from "./gateway";
 
 /** Decodes a configuration, or lists its faults if it cannot be decoded. */
 export type ConfigDecoder = (bytes: Buffer) => { readonly config: ServingConfig; } | { readonly faults: readonly string[]; };
-/** Decodes a row of the directory; undefined if it describes no usable upstream. */
-export type ServerDecoder = (id: string, bytes: Buffer) => UpstreamServer | undefined;
+/** Decodes a row of the directory; undefined if it names no upstream to use, and `onFault` is then called with the reason. */
+export type ServerDecoder = (id: string, bytes: Buffer, onFault: (fault: UpstreamFault) => void) => UpstreamServer | undefined;
 
 /** Decodes and activates a published configuration; the active one stays if it cannot be decoded. Returns whether it was activated. */
 export const decodeAndApplyConfig = (gateway: Gateway, bytes: Buffer, decode: ConfigDecoder, source: string): boolean => {
@@ -38,22 +39,30 @@
 
 /** Creates an observer that applies the rows of the directory table to the directory of upstreams. */
 export const createDirectoryObserver = (gateway: Gateway, decode: ServerDecoder): TableObserver => {
-    const ignoredRows = new Map<string, number>();
-    const toChange = (row: StoredRow): DirectoryChange => {
-        const server = row.value && decode(row.key, row.value);
-        if (row.value && !server && !ignoredRows.has(row.key)) {
-            ignoredRows.set(row.key, row.version);
-            emit(EventId.UpstreamRowIgnored, { upstream: row.key, rowVersion: row.version });
+    /** Faults of the rows that are ignored, each logged once. */
+    const ignoredRows = new Map<string, UpstreamFault>();
+    const toChange = ({ key, value, version }: StoredRow): DirectoryChange => {
+        let fault: UpstreamFault | undefined;
+        const server = value && decode(key, value, found => fault = found);
+        if (fault === undefined) {
+            ignoredRows.delete(key);
         }
-        return { id: row.key, version: row.version, server };
+        else if (ignoredRows.get(key) !== fault) {
+            ignoredRows.set(key, fault);
+            emit(EventId.UpstreamRowIgnored, { upstream: key, rowVersion: version, reason: fault });
+        }
+        return { id: key, version, server };
     };
     return {
         onSnapshot: (rows, version, graceMs) => {
+            const present = new Set(rows.map(({ key }) => key));
+            [...ignoredRows.keys()].filter(key => !present.has(key)).forEach(key => ignoredRows.delete(key));
             gateway.directory.replace(rows.map(toChange), version, graceMs);
             emit(EventId.DirectoryRead, { version, rows: rows.length });
         },
         onChanges: (rows, version, graceMs) => {
-            rows.forEach(row => gateway.directory.apply(toChange(row), graceMs));
+            // A row that is ignored is no expired one: the upstream that it named before does not outlive it.
+            rows.forEach(row => gateway.directory.apply(toChange(row), row.value ? 0 : graceMs));
             gateway.directory.version = Math.max(gateway.directory.version, version);
         },
     };
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -33,6 +33,12 @@
         labelNames: ["reason", "verdict"],
         registers: this.registers,
     });
+    private readonly ignoredEntries = new Counter({
+        name: "jackdawtrail_ignored_entries_total",
+        help: "Entries of the directory that name no upstream to use, from the store or a peer, by reason",
+        labelNames: ["source", "reason"],
+        registers: this.registers,
+    });
     private readonly events = new Counter({ name: "jackdawtrail_events_total", help: "Numbered log events", labelNames: ["event"], registers: this.registers });
     private readonly invariants = new Counter({
         name: "jackdawtrail_broken_invariants_total",
@@ -77,6 +83,9 @@
                 this.observe(RequestMetric.FirstToken, Number(fields.firstByteMs));
                 this.observe(RequestMetric.Total, Number(fields.afterMs));
             }
+            else if (event === EventId.UpstreamRowIgnored || event === EventId.PeerEntryIgnored) {
+                this.ignoredEntries.inc({ source: event === EventId.UpstreamRowIgnored ? "store" : "peer", reason: String(fields.reason) });
+            }
             else if (isInvariantEvent(event)) {
                 this.invariants.inc({ event });
             }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -30,6 +30,7 @@
     UpstreamRowIgnored = 308,
     DirectoryRead = 309,
     StoreEraChanged = 310,
+    PeerEntryIgnored = 311,
     RequestRefused = 401,
     AttemptFailed = 402,
     StreamResumed = 403,
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -7,6 +7,7 @@
     EventId.UnexpectedError,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
+    EventId.PeerEntryIgnored,
     EventId.RequestFailed,
     EventId.ConfigSourceFailed,
     EventId.ConfigUnreadableRecord,
