--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -15,6 +15,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { applyDirectory } from "./directoryExchange";
 import type { LocalComponents } from "./localComponents";
+import { decodePeerAnswer } from "./peerAnswerDecoder";
 import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
 import type { PacerNodes } from "./permitClient";
@@ -136,7 +137,7 @@
         const { facts } = this.local.peerServer;
         const prepared = facts.prepare(address);
         try {
-            const answer = await this.clients.get(address).exchange.mutate(toMutableReport({ ...report, facts: prepared.report }));
+            const answer = decodePeerAnswer(await this.clients.get(address).exchange.mutate(toMutableReport({ ...report, facts: prepared.report })));
             if (answer.epoch === undefined) {
                 this.peers.onFailed(address);
             }
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -8,6 +8,7 @@
 import { RequestPacer } from "../core/requestPacer";
 import { listenOn } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
+import { maxPartIdLength, maxSuspectParts } from "../forward/suspectParts";
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
 import { emit } from "../utils/events";
@@ -15,6 +16,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
+import { age, hostAddress, quantity, storeVersion } from "./peerSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
 import { VersionedPeers } from "./versionedPeers";
 
@@ -25,38 +27,36 @@
 /** Limits on the shared facts of one report. */
 const maxReportedCrashes = 1_024;
 const maxSuspects = 1_024;
-const maxParts = 256;
-const maxPartIdLength = 256;
 
-const partsSchema = z.array(z.string().max(maxPartIdLength)).max(maxParts);
+const partsSchema = z.array(z.string().max(maxPartIdLength)).max(maxSuspectParts);
 const factReportSchema = z.object({
     source: z.string().optional(),
     knownRevision: z.number(),
     facts: z.object({
         crashes: z.array(z.object({
             id: z.string().max(maxPartIdLength),
-            ageMs: z.number(),
+            ageMs: age,
             suspects: z.array(partsSchema).max(maxSuspects),
             cleared: z.array(z.string().max(maxPartIdLength)),
         })).max(maxReportedCrashes),
-        limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: z.number().optional(), ageMs: z.number() })),
+        limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity.optional(), ageMs: age })),
     }),
 });
-const peerNodeSchema = z.object({ address: z.string(), zone: z.string(), cores: z.number() });
+const peerNodeSchema = z.object({ address: hostAddress, zone: z.string(), cores: quantity });
 const reportSchema = z.object({
     node: z.string(),
-    peerAddress: z.string(),
+    peerAddress: hostAddress,
     zone: z.string(),
-    cores: z.number(),
+    cores: quantity,
     members: z.array(peerNodeSchema),
     source: z.string().optional(),
     peersVersion: z.number(),
     configVersion: z.number(),
-    directoryVersion: z.number(),
-    adaptersEpoch: z.number().optional(),
+    directoryVersion: storeVersion,
+    adaptersEpoch: storeVersion.optional(),
     adaptersRevision: z.number(),
-    work: z.array(z.object({ artifact: z.string(), workMs: z.number(), idleMs: z.number() })),
-    loads: z.record(z.string(), z.tuple([z.number(), z.number()])),
+    work: z.array(z.object({ artifact: z.string(), workMs: quantity, idleMs: age })),
+    loads: z.record(z.string(), z.tuple([quantity, quantity])),
     facts: factReportSchema.optional(),
 });
 const placementSchema = z.object({
@@ -68,8 +68,8 @@
     unreachable: z.array(z.string()),
 });
 
-const permitSchema = z.object({ runner: z.string().max(maxPartIdLength), perSecond: z.number(), maxWaitMs: z.number() });
-const announcementSchema = z.object({ peerAddress: z.string(), epoch: z.number() });
+const permitSchema = z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity, maxWaitMs: z.number() });
+const announcementSchema = z.object({ peerAddress: hostAddress, epoch: storeVersion });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
 export class PeerServer {
--- a/src/placement/permitClient.ts
+++ b/src/placement/permitClient.ts
@@ -4,6 +4,7 @@
 import type { Permit, PermitRequest } from "../types/sendPermit";
 import { emit } from "../utils/events";
 import { rankByHashCached } from "../utils/hash";
+import { decodePermit } from "./peerAnswerDecoder";
 import type { PeerClients } from "./peerClients";
 
 /** Time for which a peer that did not answer is not asked. */
@@ -39,7 +40,7 @@
                 return this.pacer.reserve(req);
             }
             try {
-                return await this.clients.get(address).permit.mutate(req);
+                return decodePermit(await this.clients.get(address).permit.mutate(req));
             }
             catch (err) {
                 this.failedUntil.set(address, performance.now() + failedPeerMs);
--- a/src/placement/placementClient.ts
+++ b/src/placement/placementClient.ts
@@ -2,6 +2,7 @@
 import type { PlacementAnswer, PlacementRequest } from "../types/placement";
 import { getOrCreate } from "../utils/maps";
 import type { Controller } from "./controller";
+import { decodePlacementAnswer } from "./peerAnswerDecoder";
 import type { PeerClients } from "./peerClients";
 
 /** Answer while no controller can be reached; another node takes over within seconds. */
@@ -50,7 +51,7 @@
             return noControllerAnswer;
         }
         try {
-            return await this.clients.get(address).place.mutate(toMutableRequest(req));
+            return decodePlacementAnswer(await this.clients.get(address).place.mutate(toMutableRequest(req)));
         }
         catch (err) {
             this.onFailed(err);
