--- a/src/platform/configDecoder.ts
+++ b/src/platform/configDecoder.ts
@@ -1,6 +1,7 @@
 import { z } from "zod";
 import type { EngineSpec, ServiceRoute, ServingConfig } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
+import { maxTimerMs } from "../utils/time";
 import { parseJson, parseWith } from "./schemas";
 
 const routeKindOf: Readonly<Record<string, RouteKind>> = {
@@ -9,17 +10,20 @@
     streaming: RouteKind.Streaming,
 };
 
+/** A time that a timer can wait. */
+const duration = z.number().transform(ms => Math.min(maxTimerMs, Math.max(0, ms)));
+
 const routeSchema = z.object({
     name: z.string(),
     host: z.string(),
     prefix: z.string(),
     routeKind: z.string(),
-    timeoutMs: z.number(),
+    timeoutMs: duration,
     sloMs: z.number().default(0),
     gapAimMs: z.number().optional(),
     priority: z.number().default(0),
     service: z.string().optional(),
-    split: z.array(z.object({ service: z.string(), weight: z.number() })).optional(),
+    split: z.array(z.object({ service: z.string(), weight: z.number().min(0) })).optional(),
     attempts: z.number().int().default(1),
     resumable: z.boolean().default(false),
 });
@@ -47,10 +51,10 @@
 });
 
 const configSchema = z.object({
-    version: z.number(),
+    version: z.number().min(0),
     routes: z.array(routeSchema),
     services: z.array(z.object({ name: z.string(), healthPath: z.string(), maxConns: z.number(), engine: engineSchema.optional() })),
-    limits: z.object({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: z.number(), idleTimeoutMs: z.number() }),
+    limits: z.object({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: duration, idleTimeoutMs: duration }),
 });
 
 const toRoute = (route: z.infer<typeof routeSchema>): ServiceRoute => ({
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -1,5 +1,6 @@
 import type { ModelRequest, PromptPart } from "../types/modelRequest";
 import type { HeaderMap, ReportedLoad, RequestHeaderCodec } from "../types/requestHeaderCodec";
+import { maxTimerMs } from "../utils/time";
 
 const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
 const kvHeaderPrefix = "kv-";
@@ -16,15 +17,29 @@
     "content-type",
 ]);
 
+/** Larger counts of tokens, requests and slots are not those of any runner. */
+const maxCount = 1_000_000_000;
+/** A lower limit is one on requests that no caller waits for. */
+const minLimitPerS = 0.001;
+
 const firstValueOf = (headers: HeaderMap, name: string): string | undefined => {
     const value = headers[name];
     return typeof value === "string" ? value : value?.[0];
 };
 
+/** Decodes a decimal number; undefined if it is missing or invalid. */
+const decodeNumber = (text: string | undefined): number | undefined => {
+    const value = Number(text);
+    return text !== undefined && text.trim() !== "" && Number.isFinite(value) ? value : undefined;
+};
+
+/** Decodes a count of tokens; 0 if it is missing or invalid. */
+const decodeTokens = (text: string | undefined): number => Math.min(maxCount, Math.max(0, decodeNumber(text) ?? 0));
+
 /** Decodes `ID:TOKENS`; the ID is hexadecimal. */
 const decodePart = (text: string): PromptPart => {
     const [id = "", tokens] = text.trim().split(":");
-    return { id, tokens: Number(tokens) || 0 };
+    return { id, tokens: decodeTokens(tokens) };
 };
 
 const decodeModelRequest = (headers: HeaderMap): ModelRequest | undefined => {
@@ -39,24 +54,22 @@
     return {
         model: slash < 0 ? name : name.slice(0, slash),
         adapter: slash < 0 ? undefined : name.slice(slash + 1),
-        promptTokens: Number(prompt) || 0,
-        maxOutputTokens: Number(output) || 0,
+        promptTokens: decodeTokens(prompt),
+        maxOutputTokens: decodeTokens(output),
         parts: prefix === "" ? [] : prefix.split(",").map(decodePart),
     };
 };
 
 /** Decodes `RUNNING,WAITING,SLOTS`; undefined if a number is missing or invalid. */
 const decodeLoad = (text: string | undefined): ReportedLoad | undefined => {
-    const [running, waiting, slots] = (text ?? "").split(",").map(Number);
-    return running !== undefined && waiting !== undefined && slots !== undefined && Number.isFinite(running + waiting + slots)
-        ? { running, waiting, slots }
-        : undefined;
+    const [running = -1, waiting = -1, slots = -1] = (text ?? "").split(",").map(decodeNumber);
+    return [running, waiting, slots].every(value => value >= 0 && value <= maxCount) ? { running, waiting, slots } : undefined;
 };
 
-/** Decodes a decimal number; undefined if it is missing or invalid. */
+/** Decodes a limit in requests per second; undefined if it is missing or invalid. */
 const decodeLimit = (text: string | undefined): number | undefined => {
-    const perSecond = Number(text);
-    return text !== undefined && text.trim() !== "" && Number.isFinite(perSecond) && perSecond >= 0 ? perSecond : undefined;
+    const perSecond = decodeNumber(text) ?? -1;
+    return perSecond < 0 ? undefined : perSecond < minLimitPerS ? 0 : perSecond;
 };
 
 const misdirectedStatus = 421;
@@ -64,11 +77,10 @@
 /** Decodes and encodes the headers of requests and answers on the platform's wire. */
 export const requestHeaderCodec: RequestHeaderCodec = {
     decodeCaller: headers => {
-        const deadline = firstValueOf(headers, "deadline-ms");
-        const deadlineMs = Number(deadline);
+        const deadlineMs = decodeNumber(firstValueOf(headers, "deadline-ms"));
         return {
             requestId: firstValueOf(headers, "attempt-id") ?? "",
-            deadlineMs: deadline !== undefined && Number.isFinite(deadlineMs) ? deadlineMs : undefined,
+            deadlineMs: deadlineMs === undefined ? undefined : Math.min(maxTimerMs, Math.max(0, deadlineMs)),
             lastEventId: firstValueOf(headers, "last-event-id"),
             resumedRequestId: firstValueOf(headers, "resumes"),
             modelRequest: decodeModelRequest(headers),
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -25,16 +25,17 @@
     421: RunnerOrderAnswer.WrongInstance,
 };
 
+const count = z.number().int().min(0);
 const reportSchema = z.object({
     models: z.array(residentModelSchema),
     atHand: localCopiesSchema,
     coming: z.array(z.string()).default([]),
     busy: z.boolean(),
     /** Number of orders accepted since the runner's start. */
-    seq: z.number(),
-    queued: z.number(),
-    active: z.number(),
-    born: z.number().optional(),
+    seq: count,
+    queued: z.number().min(0),
+    active: z.number().min(0),
+    born: count.optional(),
 });
 
 /** `MODEL/ADAPTER@VERSION` without the version. */
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -104,7 +104,11 @@
             if (!page.hasMore || !last) {
                 return { rows, version };
             }
-            from = `${last.key}\u0000`;
+            const next = `${last.key}\u0000`;
+            if (next === from) {
+                return throwStoreFailure(Verdict.Ran, "a page of a table repeats the one before it");
+            }
+            from = next;
         }
     }
 
--- a/src/utils/time.ts
+++ b/src/utils/time.ts
@@ -1,3 +1,6 @@
+/** Longest time of a timer: the runtime fires one with a longer time at once. */
+export const maxTimerMs = 2_147_483_647;
+
 /** Waits on the runtime's timer; resolves early, without an error, when the signal aborts. */
 export const sleep = (ms: number, signal?: AbortSignal): Promise<void> =>
     new Promise(resolve => {
@@ -10,7 +13,7 @@
             signal?.removeEventListener("abort", finish);
             resolve();
         };
-        const timer = setTimeout(finish, ms);
+        const timer = setTimeout(finish, Math.min(ms, maxTimerMs));
         signal?.addEventListener("abort", finish);
     });
 
@@ -21,7 +24,7 @@
 };
 
 /** A signal that aborts after a time, which may be fractional. */
-export const abortAfter = (ms: number): AbortSignal => AbortSignal.timeout(Math.max(1, Math.ceil(ms)));
+export const abortAfter = (ms: number): AbortSignal => AbortSignal.timeout(Math.min(maxTimerMs, Math.max(1, Math.ceil(ms))));
 
 /** Runs a step repeatedly, with a pause after each run, until the signal aborts. */
 export const repeat = async (step: () => Promise<void>, pauseMs: () => number, signal: AbortSignal, onError: (err: unknown) => void): Promise<void> => {
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import { Verdict } from "../types/verdict";
+import { maxTimerMs } from "./time";
 
 /** Error code of a connection that was refused: no process listens at the address. */
 export const refusedConnectionCode = "ECONNREFUSED";
@@ -50,7 +51,7 @@
             stream.removeAllListeners("data");
             resolve(result);
         };
-        const timer = setTimeout(() => finish({ kind: "slow" }), timeoutMs);
+        const timer = setTimeout(() => finish({ kind: "slow" }), Math.min(timeoutMs, maxTimerMs));
         const silenceTimer = silenceMs === undefined ? undefined : setTimeout(() => finish({ kind: "slow" }), silenceMs);
         stream.on("data", (chunk: Buffer) => {
             silenceTimer?.refresh();
