Show connections of callers and to upstreams, memory and descriptors in the metrics

Two gauges are new (caller_connections, upstream_connections); those of the runtime (resident size, heap, buffers, descriptors, delay of the event loop) were served already and were not on the operators' page.

--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
+import type { Socket } from "node:net";
 import { chooseTarget } from "../core/routeTable";
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
@@ -73,6 +74,8 @@
     private readonly server: Server;
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
+    /** Connections of callers, idle ones among them. */
+    openConnections = 0;
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -84,6 +87,10 @@
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
+        this.server.on("connection", (socket: Socket) => {
+            this.openConnections++;
+            socket.once("close", () => this.openConnections--);
+        });
     }
 
     /** Creates a server that is not listening yet. */
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -162,6 +162,11 @@
         return this.config?.services.get(service)?.engine;
     }
 
+    /** Connections to upstreams that are open or being opened. */
+    get upstreamConnections(): number {
+        return [...this.poolByUpstream.values()].reduce((sum, { size }) => sum + size, 0);
+    }
+
     trafficOf(id: string): UpstreamTraffic {
         return getOrCreate(this.trafficByUpstream, id, () => UpstreamTraffic.create());
     }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -27,6 +27,7 @@
 import { emit } from "../utils/events";
 import { createRandom } from "../utils/random";
 import { repeat, sleep } from "../utils/time";
+import { platformNodeGauges } from "./platformNodeGauges";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
@@ -102,15 +103,7 @@
         void directory.run(this.stopped.signal);
         this.followStreamVersions();
         const metrics = Metrics.create();
-        metrics.registerGauges([
-            { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
-            { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
-            { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
-            { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
-            { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
-            { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
-            { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => this.lease?.heldEpoch ?? 0 },
-        ]);
+        metrics.registerGauges(platformNodeGauges(gateway, server, () => this.lease?.heldEpoch));
         await serveMetrics(metrics, settings.metricsAddress);
         await peerServer.listen(settings.peerAddress);
         // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
--- /dev/null
+++ b/src/node/platformNodeGauges.ts
@@ -0,0 +1,16 @@
+import type { CallerServer } from "../forward/callerServer";
+import type { Gateway } from "../forward/gateway";
+import type { GaugeSpec } from "../plugins/metrics";
+
+/** Gauges of a node's state, beside those of its runtime. */
+export const platformNodeGauges = (gateway: Gateway, server: CallerServer, heldEpoch: () => number | undefined): readonly GaugeSpec[] => [
+    { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
+    { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
+    { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
+    { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
+    { name: "caller_connections", help: "Open connections of callers", read: () => server.openConnections },
+    { name: "upstream_connections", help: "Connections to upstreams that are open or being opened", read: () => gateway.upstreamConnections },
+    { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
+    { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
+    { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => heldEpoch() ?? 0 },
+];
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -31,6 +31,7 @@
         readonly store: MemoryPlatformStore,
         private readonly server: Server,
         private readonly folder: string,
+        private readonly metrics: string,
     ) {}
 
     /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. */
@@ -63,7 +64,7 @@
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
-        const started = new PlatformProcess(node, front!, control!, store, server, folder);
+        const started = new PlatformProcess(node, front!, control!, store, server, folder, `127.0.0.1:${ports[3]}`);
         Object.entries(upstreams).forEach(([id, row]) => started.putUpstream(id, row));
         return started;
     }
@@ -79,6 +80,12 @@
         return Number(kilobytes) / 1_024;
     }
 
+    /** The present value of a gauge. */
+    async gauge(name: string): Promise<number> {
+        const text = await (await fetch(`http://${this.metrics}/`)).text();
+        return Number(new RegExp(`^${name} (.*)$`, "m").exec(text)?.[1]);
+    }
+
     /** Ends the process and the store. */
     close(): void {
         this.process.kill("SIGKILL");
