Give the bodies of all requests one budget of memory, from which answers and connections take their part, too

Callers saw all their requests end with the process: maxBodyBytes bounds each body, and nothing bound all together, so a node that got 60 bodies of 3 MB at once took more than the platform lets it have. Small requests of others waited up to 4.8 s beside them.

Cause: each body was read at once and held twice (parts and their concatenation) until the garbage was collected; one turn of the event loop read up to 2 MB of each connection, and one new connection was accepted a turn.

Now one budget (core/memoryBudget.ts), worked out from limits.memoryMb less heap, runtime and uncollected buffers, and less what the resident size exceeds that by. A body is granted its size before it is read (one of unknown size the largest, once it exceeds 64 KB, so that two half-read ones never wait for each other); until then its connection is not read. In order of arrival; bodies up to 64 KB have a share of their own. What cannot get memory in half of its time is refused before it is read: 503, not-run, reason memory-short, with Retry-After worked out from how fast memory is released and spread over the refused; the log line has the bytes asked, used, the limit and the bytes by holder. The rest of a refused body is discarded for up to 2 s before the connection closes, or the reset would take the answer away. A body is read into one buffer of its size, its keys are computed part by part, and a turn reads 256 KB. Answers, untaken events of streams and connections count in the same budget; an answer is written in the parts that arrived. What a connection may hold of a head is bounded by twice the configured limit, not by 256 KB.

requestKeys.test.ts computes the keys in parts, and also checks that their values are those of earlier software versions, with which nodes share them.

--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -27,6 +27,7 @@
     [FailureKind.QueueFull]: { status: 429, title: "the queue is full" },
     [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
+    [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
     [FailureKind.Stopping]: { status: 503, title: "the node is stopping" },
     [FailureKind.UpstreamRefused]: { status: 503, title: "the upstream refused the request" },
     [FailureKind.UpstreamLost]: { status: 502, title: "the connection to the upstream was lost" },
--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -5,6 +5,7 @@
 import { FailureKind } from "../types/failureKind";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import { endUnread } from "./endUnread";
 
 const msPerSecond = 1_000;
 const badGateway = 502;
@@ -67,5 +68,6 @@
         detail: failure.detail,
     });
     res.writeHead(status, { "Content-Type": "application/problem+json", "Content-Length": Buffer.byteLength(body) });
-    res.end(body);
+    res.write(body);
+    endUnread(res);
 };
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -58,7 +58,10 @@
         private readonly hold: AnswerHold,
         private readonly observer: AnswerObserver,
     ) {
-        call.res.once("close", () => hold.release());
+        call.res.once("close", () => {
+            hold.release();
+            hold.countUntaken(0);
+        });
     }
 
     /** Creates the relay of one request; what it keeps of answers is taken from `hold`. */
@@ -147,7 +150,11 @@
         if (this.call.res.write(events)) {
             return SinkState.Ready;
         }
-        this.call.res.once("drain", resume);
+        this.hold.countUntaken(this.call.res.writableLength);
+        this.call.res.once("drain", () => {
+            this.hold.countUntaken(0);
+            resume();
+        });
         return SinkState.Full;
     }
 
@@ -159,10 +166,11 @@
             return;
         }
         const head = this.head!;
-        const body = Buffer.concat(this.chunks);
         copyHeaders(res, head.headers, true);
-        res.setHeader("content-length", body.length);
+        res.setHeader("content-length", this.bufferedBytes);
         res.writeHead(head.status);
-        res.end(body);
+        this.chunks.forEach(chunk => res.write(chunk));
+        res.end();
+        this.chunks = [];
     }
 }
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -1,6 +1,5 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
-import type { Socket } from "node:net";
 import { chooseTarget } from "../core/routeTable";
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
@@ -9,14 +8,16 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
-import { errorCodeOf, readBody } from "../utils/transport";
+import { errorCodeOf } from "../utils/transport";
 import { answerFailure, cutAnswer } from "./answerFailure";
 import type { Call } from "./call";
+import { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
 import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
-import { suspectPartsOf } from "./suspectParts";
+import { readRequestBody } from "./requestBody";
+import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
 
 /** Hop-by-hop headers, which are not forwarded. */
@@ -74,8 +75,7 @@
     private readonly server: Server;
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
-    /** Connections of callers, idle ones among them. */
-    openConnections = 0;
+    private readonly connections: CallerConnections;
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -87,10 +87,7 @@
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
-        this.server.on("connection", (socket: Socket) => {
-            this.openConnections++;
-            socket.once("close", () => this.openConnections--);
-        });
+        this.connections = CallerConnections.create(this.server, gateway.memory);
     }
 
     /** Creates a server that is not listening yet. */
@@ -98,6 +95,11 @@
         return new CallerServer(gateway);
     }
 
+    /** Open connections of callers. */
+    get openConnections(): number {
+        return this.connections.openCount;
+    }
+
     listen(address: string): Promise<void> {
         return listenOn(this.server, address);
     }
@@ -108,6 +110,7 @@
         if (limits) {
             this.server.headersTimeout = limits.headerTimeoutMs;
             this.server.keepAliveTimeout = limits.idleTimeoutMs;
+            this.connections.limitHeads(limits.maxHeaderBytes);
         }
     }
 
@@ -149,17 +152,20 @@
         const { gateway } = this;
         const caller = gateway.wire.decodeCaller(req.headers);
         const limits = gateway.config?.limits;
-        const refuse = (failure: Failure): undefined => {
+        const refuse = (failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): undefined => {
             if (!req.complete) {
                 // The rest of the body is not read, so the connection cannot be reused.
                 res.setHeader("Connection", "close");
             }
-            answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version });
+            answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
-        const bodyResult = await readBody(req, {
+        const suspects = SuspectParts.create(req, caller.modelRequest);
+        const bodyResult = await readRequestBody(req, res, gateway.memory, {
             maxBytes: limits?.maxBodyBytes ?? defaultMaxBodyBytes,
             timeoutMs: caller.deadlineMs ?? defaultHeaderTimeoutMs,
+            signal: presence.signal,
+            onPart: bytes => suspects.addPart(bytes),
         });
         if (bodyResult.kind === "lost" || !await presence.confirm()) {
             return undefined;
@@ -168,6 +174,10 @@
         if (!config || !routes) {
             return refuse(refusalOf(FailureKind.NotReady, "the node has not received a configuration yet", startingRetryAfterMs));
         }
+        if (bodyResult.kind === "no-memory") {
+            const { retryAfterMs, memory } = bodyResult.denial;
+            return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
+        }
         if (bodyResult.kind !== "whole") {
             return refuse(
                 refusalOf(bodyResult.kind === "slow" ? FailureKind.SlowSender : FailureKind.BodyTooLarge, "the request body was not read completely"),
@@ -191,7 +201,7 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
-            suspectParts: suspectPartsOf(req, bodyResult.body, caller.modelRequest),
+            suspectParts: suspects.finish(),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
             versionPin: createVersionPin(),
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,5 +1,7 @@
 import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
+import { MemoryBudget } from "../core/memoryBudget";
+import { memoryLimitOf } from "../core/memoryLimit";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestPacer } from "../core/requestPacer";
 import { RequestQueue } from "../core/requestQueue";
@@ -13,6 +15,7 @@
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
+import { MemoryHolder } from "../types/memoryHolder";
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
@@ -22,6 +25,7 @@
 import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
+import { MemoryGauge } from "../utils/memoryGauge";
 import type { Random } from "../utils/random";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
@@ -53,6 +57,8 @@
     isController: false,
 };
 
+/** Charge for a connection to an upstream. */
+const upstreamConnectionBytes = 32_768;
 /** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
 const streamLifetimeFactor = 2;
 const minStreamLifetimeMs = 20_000;
@@ -93,8 +99,17 @@
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
+    private readonly memoryGauge = MemoryGauge.create();
+    /** Memory of the process for its callers and upstreams. */
+    readonly memory = MemoryBudget.create({
+        limitBytes: () => memoryLimitOf(this.settings.memoryBytes, this.memoryGauge.read()),
+        random: () => this.random(),
+    });
     /** Memory for answers that are kept until they are complete. */
-    readonly answerMemory = AnswerMemory.create(() => this.settings.limits.maxHeldAnswerBytes);
+    readonly answerMemory = AnswerMemory.create(
+        () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
+        (holder, bytes) => this.memory.charge(holder, bytes),
+    );
     isStopping = false;
     /** When the node was requested to stop, and when the process exits at the latest, on the monotonic clock. */
     stopRequestedAt = Number.POSITIVE_INFINITY;
@@ -172,7 +187,12 @@
     }
 
     connectionPoolOf(id: string, address: string): UpstreamConnectionPool {
-        return getOrCreate(this.poolByUpstream, id, () => UpstreamConnectionPool.create(address, this.settings.limits.maxAnswerHeadBytes));
+        return getOrCreate(this.poolByUpstream, id, () =>
+            UpstreamConnectionPool.create(
+                address,
+                this.settings.limits.maxAnswerHeadBytes,
+                count => this.memory.charge(MemoryHolder.UpstreamConnections, count * upstreamConnectionBytes),
+            ));
     }
 
     budgetOf(service: string): SharedRetryBudget {
--- /dev/null
+++ b/src/forward/requestBody.ts
@@ -0,0 +1,165 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import type { BodyDenial, BodyGrant, MemoryBudget } from "../core/memoryBudget";
+import { maxSmallBodyBytes } from "../core/memoryBudget";
+import type { BodyReadResult, BodyTimeLimits } from "../utils/transport";
+import { readChunks } from "../utils/transport";
+import { TurnPacer } from "../utils/turnPacer";
+
+/** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
+const maxSilenceMs = 1_500;
+/** Share of a request's time for which its body may wait for memory. */
+const maxWaitShare = 0.5;
+/** A body that filled less than this share of its buffer is copied into one of its size. */
+const minFilledShare = 0.75;
+
+/** Shared by the bodies of all requests of the process. */
+const pacer = TurnPacer.create();
+
+/** Outcome of reading the body of a request. */
+export type RequestBodyResult = BodyReadResult | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
+
+/** Limits on reading the body of a request. */
+export interface RequestBodyLimits {
+    readonly maxBytes: number;
+    readonly timeoutMs: number;
+    /** Aborts when the caller disconnects. */
+    readonly signal: AbortSignal;
+    /** Called with each part of the body as it arrives. */
+    readonly onPart: (bytes: Buffer) => void;
+}
+
+/** Gives memory back once the request has ended. */
+const releaseAtEnd = (res: ServerResponse, grant: BodyGrant): void => {
+    if (res.closed) {
+        grant.release();
+    }
+    else {
+        res.once("close", () => grant.release());
+    }
+};
+
+/** Size that the headers state; undefined for a chunked body. */
+const statedBytesOf = ({ headers }: IncomingMessage): number | undefined =>
+    headers["transfer-encoding"] === undefined ? Number(headers["content-length"] ?? 0) : undefined;
+
+/** Reads the body of one request. */
+class RequestBodyReader {
+    private readonly dueAt: number;
+    private buffer = Buffer.alloc(0);
+    private filledBytes = 0;
+
+    constructor(
+        private readonly req: IncomingMessage,
+        private readonly res: ServerResponse,
+        private readonly memory: MemoryBudget,
+        private readonly limits: RequestBodyLimits,
+    ) {
+        this.dueAt = performance.now() + limits.timeoutMs;
+    }
+
+    /** Reads a body of a known size into one buffer. */
+    async readStated(bytes: number): Promise<RequestBodyResult> {
+        const grant = bytes === 0 ? undefined : await this.requestMemory(bytes);
+        if (grant?.isGranted === false) {
+            return { kind: "no-memory", denial: grant };
+        }
+        this.buffer = Buffer.allocUnsafeSlow(bytes);
+        const kind = await this.fill();
+        return kind === "whole" ? { kind, body: this.buffer } : { kind };
+    }
+
+    /**
+     * Reads a body of unknown size. Beyond that of a small body it is granted the largest size at once: two bodies that are half read never wait for each other's
+     * memory.
+     */
+    async readChunked(): Promise<RequestBodyResult> {
+        const { maxBytes } = this.limits;
+        const firstBytes = Math.min(maxBytes, maxSmallBodyBytes);
+        const first = await this.requestMemory(firstBytes);
+        if (!first.isGranted) {
+            return { kind: "no-memory", denial: first };
+        }
+        const firstChunks: Buffer[] = [];
+        let bytes = 0;
+        const kind = await this.read(chunk => {
+            firstChunks.push(chunk);
+            bytes += chunk.length;
+            return bytes <= firstBytes;
+        });
+        if (kind === "whole") {
+            first.shrinkTo(bytes);
+            return { kind, body: Buffer.concat(firstChunks) };
+        }
+        if (kind !== "too-large" || bytes > maxBytes) {
+            return { kind };
+        }
+        const whole = await this.requestMemory(maxBytes);
+        if (!whole.isGranted) {
+            return { kind: "no-memory", denial: whole };
+        }
+        this.buffer = Buffer.allocUnsafeSlow(maxBytes);
+        firstChunks.forEach(chunk => this.take(chunk));
+        first.release();
+        const end = await this.fill();
+        if (end !== "whole") {
+            return { kind: end };
+        }
+        const filled = this.buffer.subarray(0, this.filledBytes);
+        if (filled.length >= minFilledShare * maxBytes) {
+            return { kind: end, body: filled };
+        }
+        whole.shrinkTo(filled.length);
+        return { kind: end, body: Buffer.from(filled) };
+    }
+
+    private fill(): Promise<BodyReadResult["kind"]> {
+        return this.read(chunk => this.take(chunk));
+    }
+
+    private read(take: (chunk: Buffer) => boolean): Promise<BodyReadResult["kind"]> {
+        const { limits: { onPart }, timeLimits } = this;
+        return readChunks(this.req, chunk => {
+            onPart(chunk);
+            return take(chunk);
+        }, timeLimits);
+    }
+
+    private take(chunk: Buffer): boolean {
+        const fits = this.filledBytes + chunk.length <= this.buffer.length;
+        if (fits) {
+            this.filledBytes += chunk.copy(this.buffer, this.filledBytes);
+        }
+        return fits;
+    }
+
+    private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
+        if (result.isGranted) {
+            releaseAtEnd(this.res, result);
+        }
+        return result;
+    }
+
+    private get remainingMs(): number {
+        return this.dueAt - performance.now();
+    }
+
+    private get timeLimits(): BodyTimeLimits {
+        return { timeoutMs: Math.max(0, this.remainingMs), silenceMs: maxSilenceMs, maySilenceLast: () => this.memory.waiting === 0, pacer };
+    }
+}
+
+/** Reads the body of a request once the process has memory for it. */
+export const readRequestBody = (
+    req: IncomingMessage,
+    res: ServerResponse,
+    memory: MemoryBudget,
+    limits: RequestBodyLimits,
+): Promise<RequestBodyResult> => {
+    const bytes = statedBytesOf(req);
+    if (bytes !== undefined && bytes > limits.maxBytes) {
+        return Promise.resolve({ kind: "too-large" });
+    }
+    const reader = new RequestBodyReader(req, res, memory, limits);
+    return bytes === undefined ? reader.readChunked() : reader.readStated(bytes);
+};
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -23,6 +23,8 @@
 export class UpstreamConnectionPool {
     private idle: IdleConnection[] = [];
     private readonly inUse = new Set<Client>();
+    /** All connections that have not been closed yet. */
+    private readonly open = new Set<Client>();
     private readonly resetClients = new WeakSet<Client>();
     /** Sockets of connections that are being opened. */
     private readonly connecting = new WeakMap<Client, Socket>();
@@ -31,11 +33,11 @@
     private learnedIdleMs = Number.POSITIVE_INFINITY;
     private learnedAt = Number.NEGATIVE_INFINITY;
 
-    private constructor(private readonly address: string, private readonly maxHeadBytes: number) {}
+    private constructor(private readonly address: string, private readonly maxHeadBytes: number, private readonly onCount: (change: number) => void) {}
 
-    /** Creates an empty pool of connections to an address. */
-    static create(address: string, maxHeadBytes: number): UpstreamConnectionPool {
-        return new UpstreamConnectionPool(address, maxHeadBytes);
+    /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number. */
+    static create(address: string, maxHeadBytes: number, onCount: (change: number) => void = () => {}): UpstreamConnectionPool {
+        return new UpstreamConnectionPool(address, maxHeadBytes, onCount);
     }
 
     /** Number of connections that are open or being opened. */
@@ -51,7 +53,7 @@
         const last = this.idle.at(-1);
         const idleMs = last ? performance.now() - last.idleSince : 0;
         const isUsable = last && idleMs < this.idleLimitMs && (mayRepeat || idleMs < maxSafeIdleMs);
-        const client = isUsable ? this.idle.pop()!.client : this.open(confirm);
+        const client = isUsable ? this.idle.pop()!.client : this.connect(confirm);
         if (isUsable) {
             this.idleBeforeUse.set(client, idleMs);
         }
@@ -93,17 +95,24 @@
     discard(client: Client): void {
         this.inUse.delete(client);
         this.idle = this.idle.filter(entry => entry.client !== client);
-        void client.destroy();
-        this.connecting.get(client)?.destroy();
+        this.destroy(client);
     }
 
     /** Closes all idle connections. */
     close(): void {
-        this.idle.forEach(({ client }) => void client.destroy());
+        this.idle.forEach(({ client }) => this.destroy(client));
         this.idle = [];
     }
 
-    private open(confirm: () => Promise<unknown>): Client {
+    private destroy(client: Client): void {
+        if (this.open.delete(client)) {
+            this.onCount(-1);
+        }
+        void client.destroy();
+        this.connecting.get(client)?.destroy();
+    }
+
+    private connect(confirm: () => Promise<unknown>): Client {
         const connect = buildConnector({ timeout: connectTimeoutMs });
         const client: Client = new Client(`http://${this.address}`, {
             connect: (options, callback) => {
@@ -125,6 +134,8 @@
             keepAliveTimeout: defaultIdleTimeoutMs,
             keepAliveTimeoutThreshold: closeMarginMs,
         });
+        this.open.add(client);
+        this.onCount(1);
         // A client stands for one connection: it is not reconnected after a close.
         client.on("disconnect", () => {
             if (this.idle.some(entry => entry.client === client)) {
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -1,6 +1,7 @@
 import type { CallerServer } from "../forward/callerServer";
 import type { Gateway } from "../forward/gateway";
 import type { GaugeSpec } from "../plugins/metrics";
+import { MemoryHolder } from "../types/memoryHolder";
 
 /** Gauges of a node's state, beside those of its runtime. */
 export const platformNodeGauges = (gateway: Gateway, server: CallerServer, heldEpoch: () => number | undefined): readonly GaugeSpec[] => [
@@ -10,6 +11,13 @@
     { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
     { name: "caller_connections", help: "Open connections of callers", read: () => server.openConnections },
     { name: "upstream_connections", help: "Connections to upstreams that are open or being opened", read: () => gateway.upstreamConnections },
+    { name: "memory_limit_bytes", help: "Memory that bodies, answers and connections together may use", read: () => gateway.memory.limitBytes },
+    { name: "bodies_waiting", help: "Request bodies that wait for memory before they are read", read: () => gateway.memory.waiting },
+    ...Object.values(MemoryHolder).map(holder => ({
+        name: `memory_${holder}_bytes`,
+        help: `Memory counted for: ${holder.replace("_", " ")}`,
+        read: () => gateway.memory.usedBy(holder),
+    })),
     { name: "upstreams_known", help: "Upstreams in the directory", read: () => gateway.directory.all().length },
     { name: "nodes_known", help: "Nodes that share the budgets of repeats", read: () => gateway.knownNodes },
     { name: "controller_epoch", help: "Epoch under which this node controls runners, 0 where it does not", read: () => heldEpoch() ?? 0 },
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -6,6 +6,10 @@
 
 const address = z.string().regex(/^[^:]+:\d+$/, "must be IP:PORT");
 
+/** Descriptors of a process where the platform states no limit. */
+const defaultMaxDescriptors = 4_096;
+const bytesPerMegabyte = 1_048_576;
+
 /** The platform's settings file; other fields are ignored. */
 const settingsSchema = z.object({
     nodeName: z.string(),
@@ -17,7 +21,12 @@
     /** `control` is the address for calls from peers. */
     listen: z.object({ front: address, ready: address, control: address }),
     /** `cpuShare` is the share of one core's time, of a core that is `cores` times as fast. */
-    limits: z.object({ memoryMb: z.number().positive(), cpuShare: z.number().positive().default(1), cores: z.number().positive().default(1) }),
+    limits: z.object({
+        memoryMb: z.number().positive(),
+        maxFds: z.number().int().positive().default(defaultMaxDescriptors),
+        cpuShare: z.number().positive().default(1),
+        cores: z.number().positive().default(1),
+    }),
     bounds: z.object({
         contactMs: z.number(),
         drainMs: z.number(),
@@ -68,6 +77,8 @@
             seeds,
             heartbeatMs,
             cores: vm.cpuShare * vm.cores,
+            memoryBytes: vm.memoryMb * bytesPerMegabyte,
+            maxDescriptors: vm.maxFds,
             drainMs: bounds.drainMs,
             applyMs: bounds.applyMs,
             graceMs: bounds.graceS * msPerS,
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -17,6 +17,7 @@
     QueueFull = "queue-full",
     NoUpstream = "no-upstream",
     NotReady = "not-ready",
+    MemoryShort = "memory-short",
     Stopping = "stopping",
     UpstreamRefused = "upstream-refused",
     UpstreamLost = "upstream-lost",
--- /dev/null
+++ b/src/types/memoryHolder.ts
@@ -0,0 +1,13 @@
+/** What a process keeps in memory for its callers and upstreams. */
+export enum MemoryHolder {
+    /** Bodies of requests, from before they are read until their request ends. */
+    Bodies = "bodies",
+    /** Bytes of bodies that wait for memory; the runtime reads some ahead. */
+    UnreadBodies = "unread_bodies",
+    /** Answers that are kept until they are complete, and incomplete events. */
+    Answers = "answers",
+    /** Events of streams that their callers have not taken yet. */
+    UntakenEvents = "untaken_events",
+    CallerConnections = "caller_connections",
+    UpstreamConnections = "upstream_connections",
+}
--- a/src/types/platformNodeSettings.ts
+++ b/src/types/platformNodeSettings.ts
@@ -15,6 +15,9 @@
     readonly seeds: readonly string[];
     /** Processor capacity of the VM, in cores. */
     readonly cores: number;
+    /** Memory and descriptors of the process; the platform ends a process that takes more memory. */
+    readonly memoryBytes: number;
+    readonly maxDescriptors: number;
     /** Interval at which upstreams write their heartbeat to the directory. */
     readonly heartbeatMs: number;
     /** Time after which a leaving upstream must get no new requests. */
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,6 +1,7 @@
 import type { Readable } from "node:stream";
 import { Verdict } from "../types/verdict";
 import { maxTimerMs } from "./time";
+import type { TurnPacer } from "./turnPacer";
 
 /** Error code of a connection that was refused: no process listens at the address. */
 export const refusedConnectionCode = "ECONNREFUSED";
@@ -31,43 +32,86 @@
     | { readonly kind: "slow"; }
     | { readonly kind: "lost"; };
 
-/** Limits on reading a body. */
-export interface BodyLimits {
-    readonly maxBytes: number;
+/** Limits on the time in which a body is read. */
+export interface BodyTimeLimits {
     /** Time for the whole body. */
     readonly timeoutMs: number;
     /** Maximum time without a byte; unlimited if undefined. */
     readonly silenceMs?: number;
+    /** Whether a longer time without a byte is accepted for now. */
+    readonly maySilenceLast?: () => boolean;
+    /** Bounds what one turn of the event loop reads. */
+    readonly pacer?: TurnPacer;
 }
 
-/** Reads a body with limits on size and time. */
-export const readBody = (stream: Readable, { maxBytes, timeoutMs, silenceMs }: BodyLimits): Promise<BodyReadResult> =>
+/** Limits on reading a body. */
+export interface BodyLimits extends BodyTimeLimits {
+    readonly maxBytes: number;
+}
+
+/** Reads a body in chunks until `take` returns false, which pauses it: `too-large`. */
+export const readChunks = (
+    stream: Readable,
+    take: (chunk: Buffer) => boolean,
+    { timeoutMs, silenceMs, maySilenceLast = () => false, pacer }: BodyTimeLimits,
+): Promise<BodyReadResult["kind"]> =>
     new Promise(resolve => {
-        const chunks: Buffer[] = [];
-        let bytes = 0;
-        const finish = (result: BodyReadResult) => {
+        let isFinished = false;
+        const finish = (kind: BodyReadResult["kind"]) => {
+            isFinished = true;
             clearTimeout(timer);
             clearTimeout(silenceTimer);
             stream.removeAllListeners("data");
-            resolve(result);
+            resolve(kind);
         };
-        const timer = setTimeout(() => finish({ kind: "slow" }), Math.min(timeoutMs, maxTimerMs));
-        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(() => finish({ kind: "slow" }), silenceMs);
+        const onSilence = (): void => {
+            if (maySilenceLast()) {
+                silenceTimer?.refresh();
+            }
+            else {
+                finish("slow");
+            }
+        };
+        const resume = (): void => {
+            if (!isFinished) {
+                stream.resume();
+            }
+        };
+        const timer = setTimeout(() => finish("slow"), Math.min(timeoutMs, maxTimerMs));
+        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(onSilence, silenceMs);
+        if (stream.destroyed) {
+            finish("lost");
+            return;
+        }
         stream.on("data", (chunk: Buffer) => {
             silenceTimer?.refresh();
-            bytes += chunk.length;
-            if (bytes > maxBytes) {
+            if (!take(chunk)) {
+                stream.pause();
+                finish("too-large");
+            }
+            else if (pacer?.count(chunk.length, resume) === false) {
                 stream.pause();
-                finish({ kind: "too-large" });
-                return;
             }
-            chunks.push(chunk);
         });
-        stream.on("end", () => finish({ kind: "whole", body: Buffer.concat(chunks) }));
-        stream.on("error", () => finish({ kind: "lost" }));
-        stream.on("close", () => finish({ kind: "lost" }));
+        stream.on("end", () => finish("whole"));
+        stream.on("error", () => finish("lost"));
+        stream.on("close", () => finish("lost"));
+        stream.resume();
     });
 
+/** Reads a body with limits on size and time. */
+export const readBody = async (stream: Readable, { maxBytes, ...times }: BodyLimits): Promise<BodyReadResult> => {
+    const chunks: Buffer[] = [];
+    let bytes = 0;
+    const take = (chunk: Buffer): boolean => {
+        bytes += chunk.length;
+        chunks.push(chunk);
+        return bytes <= maxBytes;
+    };
+    const kind = await readChunks(stream, take, times);
+    return kind === "whole" ? { kind, body: Buffer.concat(chunks) } : { kind };
+};
+
 /** An answer that was abandoned because it exceeded a limit. */
 export class AnswerLimitError extends Error {
     private constructor(readonly code: string) {
--- a/test/answerMemory.test.ts
+++ b/test/answerMemory.test.ts
@@ -25,7 +25,7 @@
     ];
     for (const { name, grows, allowed } of cases) {
         it(name, () => {
-            const memory = AnswerMemory.create(() => maxBytes);
+            const memory = AnswerMemory.create(() => maxBytes, () => undefined);
             const holds = [memory.open(), memory.open(), memory.open()];
             assert.deepEqual(grows.map(([request, bytes]) => holds[request]!.grow(bytes)), allowed);
             holds.forEach(hold => hold.release());
@@ -37,7 +37,7 @@
         const step = fc.record({ request: fc.nat(19), bytes: fc.integer({ min: 1, max: 40 }), ends: fc.boolean() });
         fc.assert(
             fc.property(fc.array(step, { maxLength: 400 }), steps => {
-                const memory = AnswerMemory.create(() => maxBytes);
+                const memory = AnswerMemory.create(() => maxBytes, () => undefined);
                 const holds = [...Array(20).keys()].map(() => memory.open());
                 for (const { request, bytes, ends } of steps) {
                     if (!holds[request]!.grow(bytes) || ends) {
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -22,6 +22,8 @@
     storeAddress: "127.0.0.1:0",
     seeds: [],
     cores: 1,
+    memoryBytes: 4_294_967_296,
+    maxDescriptors: 4_100,
     heartbeatMs: 1_000,
     drainMs: 2_000,
     applyMs: 2_000,
--- a/test/oddPeerMessages.test.ts
+++ b/test/oddPeerMessages.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
 import { after, before, describe, it } from "node:test";
-import { suspectPartsOf } from "../src/forward/suspectParts";
+import { SuspectParts } from "../src/forward/suspectParts";
 import type { PeerServer } from "../src/placement/peerServer";
 import { decodeServer } from "../src/platform/directoryDecoder";
 import { requestHeaderCodec } from "../src/platform/requestHeaderCodec";
@@ -82,7 +82,7 @@
         const { first, second } = await createPair();
         const prefix = [`${"f".repeat(300)}:1`, ...[...Array(300).keys()].map(index => `${index.toString(16)}:1`)].join(",");
         const { modelRequest } = requestHeaderCodec.decodeCaller({ model: "m", "prompt-prefix": prefix });
-        const suspects = suspectPartsOf({ headers: {} } as IncomingMessage, Buffer.alloc(0), modelRequest);
+        const suspects = SuspectParts.create({ headers: {} } as IncomingMessage, modelRequest).finish();
         second.gateway.crashLog.add({ id: "u1@1", ageMs: 0, suspects: [suspects], cleared: [] });
         first.start();
         second.start();
--- a/test/requestKeys.test.ts
+++ b/test/requestKeys.test.ts
@@ -1,7 +1,19 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import type { RequestContent } from "../src/core/requestKeys";
-import { requestKeysOf } from "../src/core/requestKeys";
+import type { RequestHead } from "../src/core/requestKeys";
+import { RequestKeys } from "../src/core/requestKeys";
+
+interface RequestContent extends RequestHead {
+    readonly body: Buffer;
+}
+
+const requestKeysOf = ({ body, ...head }: RequestContent, partBytes = body.length): readonly string[] => {
+    const keys = RequestKeys.create(head);
+    for (let from = 0; from < body.length; from += partBytes) {
+        keys.addPart(body.subarray(from, from + partBytes));
+    }
+    return keys.finish();
+};
 
 const base: RequestContent = { method: "POST", host: "shop.example", url: "/counter/x?page=1", body: Buffer.from("body") };
 const modelRequest = { model: "m", promptTokens: 10, maxOutputTokens: 5, parts: [{ id: "a", tokens: 10 }] };
@@ -25,4 +37,9 @@
             assert.equal(new Set(keys).size, 2);
         });
     }
+
+    it("are the same however the body arrives, and as in earlier software versions", () => {
+        const keys = ["request:7CbJt9UOJ-VPdruA", "request:ChmAlrbRSKXnoJ3s"];
+        assert.deepEqual([requestKeysOf(base), requestKeysOf(base, 1), requestKeysOf(base, 3)], [keys, keys, keys]);
+    });
 });
