--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -26,6 +26,7 @@
     [FailureKind.DeadlineExpired]: { status: 408, title: "the deadline passed" },
     [FailureKind.QueueFull]: { status: 429, title: "the queue is full" },
     [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
+    [FailureKind.UpstreamsQuiet]: { status: 503, title: "all upstreams asked for a pause" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
     [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
     [FailureKind.Stopping]: { status: 503, title: "the node is stopping" },
--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -5,6 +5,7 @@
 import { FailureKind } from "../types/failureKind";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import type { Call } from "./call";
 import { endUnread } from "./endUnread";
 
 const msPerSecond = 1_000;
@@ -71,3 +72,10 @@
     res.write(body);
     endUnread(res);
 };
+
+/** Answers a request that was matched to a route and failed after a number of sends. */
+export const answerFailedCall = ({ res, caller, route, service, configVersion, startedAt }: Call, failure: Failure, sends: number): void => {
+    const { model, adapter } = caller.modelRequest ?? {};
+    const afterMs = Math.round(performance.now() - startedAt);
+    answerFailure(res, caller.requestId, failure, { route: route.name, service, model, adapter, configVersion, sends, afterMs });
+};
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -17,6 +17,8 @@
     Lost = "lost",
     /** The node aborted the attempt. */
     Aborted = "aborted",
+    /** No byte of the request was sent: when the connection was open, the upstream was no longer available. */
+    Withheld = "withheld",
 }
 
 /** How and why an attempt ended. */
@@ -68,6 +70,14 @@
     onData(chunk: Buffer, resume: () => void): SinkState;
 }
 
+/** Connects an attempt with what is known of its upstream. */
+export interface AttemptGuard {
+    /** Whether the request may still be sent; asked when its connection is open. */
+    mayStillSend(): boolean;
+    /** Called with each head that arrives on the connection, also with that of an answer to another request. */
+    onAnyHead(decoded: AnswerHeaders): void;
+}
+
 /** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
 const maxInformationalAnswers = 32;
 
@@ -78,12 +88,14 @@
     req: OutgoingRequest,
     wire: RequestHeaderCodec,
     sink: AnswerSink,
+    guard: AttemptGuard,
     presence: CallerPresence,
     signal: AbortSignal,
 ): Promise<AttemptEnd> =>
     new Promise(resolve => {
         const client = pool.acquire(req.mayRepeat, () => presence.confirm());
         let isSent = false;
+        let isWithheld = false;
         let informationalAnswers = 0;
         let hasHead = false;
         let framing: AnswerFraming | undefined;
@@ -112,10 +124,17 @@
                     started.abort(abortReason);
                     return;
                 }
+                if (!guard.mayStillSend()) {
+                    isWithheld = true;
+                    started.abort(abortReason);
+                    return;
+                }
                 isSent = true;
                 controller = started;
             },
             onResponseStart: (current, status, headers) => {
+                const decoded = wire.decodeAnswer(status, headers);
+                guard.onAnyHead(decoded);
                 if (status < 200) {
                     if (++informationalAnswers > maxInformationalAnswers && !isDropped) {
                         isDropped = true;
@@ -124,7 +143,6 @@
                     }
                     return;
                 }
-                const decoded = wire.decodeAnswer(status, headers);
                 // On a connection that has carried requests before, an answer without an ID may be an earlier one once more.
                 const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && pool.isReused(client));
                 const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
@@ -166,7 +184,7 @@
                     pool.onEndedUnanswered(client);
                 }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
-                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, reason);
+                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, reason);
             },
         });
     });
@@ -180,6 +198,7 @@
     toRequest: () => OutgoingRequest,
     wire: RequestHeaderCodec,
     sink: AnswerSink,
+    guard: AttemptGuard,
     presence: CallerPresence,
     signal: AbortSignal,
 ): Promise<AttemptEnd> => {
@@ -187,5 +206,5 @@
     if (signal.aborted) {
         return { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
     }
-    return exchange(pool, toRequest(), wire, sink, presence, signal);
+    return exchange(pool, toRequest(), wire, sink, guard, presence, signal);
 };
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,26 +1,25 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
-import { artifactKey } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { processKey, softwareVersionOf } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
-import type { AttemptEnd, OutgoingRequest } from "./attempt";
+import type { AttemptEnd, AttemptGuard, OutgoingRequest } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
 import type { Call } from "./call";
 import { CrashObserver } from "./crashObserver";
 import { isCutOffWithUpstream } from "./endCheck";
 import type { Gateway } from "./gateway";
 import { toOutgoingRequest } from "./outgoingRequest";
+import { countFailure, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 
 /** Interval at which upstreams are checked for silence. */
 const silenceCheckIntervalMs = 100;
-/** Weight of a refusal and of a failed run in an upstream's count of recent failures; a lost answer counts 1. */
-const refusalWeight = 0.3;
+/** Weight of a failed run in an upstream's count of recent failures; a lost answer counts 1. */
 const failedRunWeight = 0.5;
 const minServerErrorStatus = 500;
 
@@ -31,6 +30,8 @@
     NotRun = "not-run",
     /** No byte was sent: the attempt does not count as a send. */
     Unsent = "unsent",
+    /** Not sent either, as the upstream was no longer available. */
+    Withheld = "withheld",
     MayHaveRun = "may-have-run",
     /** The upstream ran the request and answered with a server error; that answer is kept. */
     RanAndFailed = "ran-and-failed",
@@ -73,6 +74,9 @@
     async run(choice: UpstreamChoice, send: number, failOver: (() => boolean) | undefined): Promise<AttemptOutcome> {
         const { call, gateway } = this;
         const { server, traffic } = choice.candidate;
+        if (!gateway.availability.mayTake(server)) {
+            return this.withhold(server);
+        }
         this.choice = choice;
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
@@ -98,8 +102,12 @@
             configVersion: call.configVersion,
         });
         const pool = gateway.connectionPoolOf(server.id, server.address);
+        const guard: AttemptGuard = {
+            mayStillSend: () => gateway.availability.mayStillSend(server),
+            onAnyHead: decoded => gateway.availability.onAnswer(server, decoded, call.caller.requestId),
+        };
         const toRequest = (): OutgoingRequest => toOutgoingRequest(gateway, call, this.relay, server.id);
-        const end = await sendAttempt(pool, toRequest, gateway.wire, this.relay, call.presence, abort.signal);
+        const end = await sendAttempt(pool, toRequest, gateway.wire, this.relay, guard, call.presence, abort.signal);
         this.framing = end.framing;
         timers.forEach(clearInterval);
         call.signal.removeEventListener("abort", onCallerAbort);
@@ -130,7 +138,8 @@
         if (decoded.load) {
             traffic.onReportedLoad(decoded.load);
         }
-        if (decoded.isSigned || decoded.limitPerS !== undefined) {
+        // An answer that asks for quiet says nothing of a limit unless it names one.
+        if ((decoded.isSigned && decoded.quietMs === undefined) || decoded.limitPerS !== undefined) {
             this.gateway.runnerLimits.onAnswer(processKey(server), decoded.limitPerS, this.sentAt);
         }
         if (!decoded.isNotExecuted) {
@@ -163,6 +172,9 @@
         const { relay } = this;
         const { server, traffic } = candidate;
         const { head } = relay;
+        if (end.kind === AttemptEndKind.Withheld) {
+            return this.withhold(server);
+        }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
             if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted) {
                 traffic.onUnreachable();
@@ -182,8 +194,7 @@
             return this.recordLost(server.id, traffic, "stream broken off");
         }
         if (head.decoded.isNotExecuted) {
-            this.recordUnavailable(server.id);
-            traffic.onFailure(refusalWeight);
+            recordRefusal(this.gateway, this.call, head.decoded, candidate);
             this.logFailed(server.id, `refused with ${head.status}`, Verdict.NotRun);
             return AttemptOutcome.NotRun;
         }
@@ -199,25 +210,18 @@
             return AttemptOutcome.Answered;
         }
         this.crashObserver.onAnswered(candidate, endsWithConnection);
-        traffic.onFailure(failedRunWeight);
+        countFailure(traffic, head.decoded, failedRunWeight);
         this.logFailed(server.id, `failed with ${head.status}`, Verdict.Ran);
         return AttemptOutcome.RanAndFailed;
     }
 
-    /** Marks the model or adapter as absent, or the runner as refusing, so that the next requests for it go elsewhere. */
-    private recordUnavailable(upstream: string): void {
-        const { modelRequest } = this.call.caller;
-        const { residency } = this.gateway;
-        if (modelRequest && this.relay.head?.decoded.isMisdirected) {
-            residency.onAbsent(upstream, modelRequest.model, artifactKey(modelRequest.model, modelRequest.adapter));
-        }
-        else if (modelRequest) {
-            residency.onRefused(upstream, modelRequest.model);
-        }
+    private withhold(server: UpstreamServer): AttemptOutcome {
+        emit(EventId.SendWithheld, { request: this.call.caller.requestId, upstream: server.id, availability: this.gateway.availability.of(server) });
+        return AttemptOutcome.Withheld;
     }
 
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
-        traffic.onFailure();
+        countFailure(traffic, this.relay.head?.decoded);
         this.logFailed(upstream, reason, Verdict.MayHaveRun);
         return AttemptOutcome.MayHaveRun;
     }
--- a/src/forward/canFinishBeforeExit.ts
+++ b/src/forward/canFinishBeforeExit.ts
@@ -13,7 +13,7 @@
 
 /** Time that a request is expected to take, from what the upstreams of its service were seen to take. */
 const expectedMs = (gateway: Gateway, { service, caller: { modelRequest } }: Call): number => {
-    const slowestMs = Math.max(0, ...gateway.directory.readyOf(service).map(({ id }) => gateway.trafficOf(id).firstByteMs ?? 0));
+    const slowestMs = Math.max(0, ...gateway.availability.servingOf(service).map(({ id }) => gateway.trafficOf(id).firstByteMs ?? 0));
     return Math.max(minRequestMs, slowAnswerFactor * slowestMs) + averageOutputShare * (modelRequest?.maxOutputTokens ?? 0) * outputTokenMs;
 };
 
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,21 +1,19 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { estimateWorkMs, predictCompletionMs } from "../core/chooseUpstream";
-import { isSaturated } from "../core/saturation";
+import { estimateWorkMs } from "../core/chooseUpstream";
 import { EventId } from "../types/eventId";
-import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
 import { artifactKey } from "../types/modelRequest";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
-import { answerFailure } from "./answerFailure";
+import { answerFailedCall } from "./answerFailure";
 import { AttemptExecutor, AttemptOutcome } from "./attemptExecutor";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit } from "./canFinishBeforeExit";
+import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { logAnswered } from "./logAnswered";
 import { QuarantineGate } from "./quarantineGate";
-import { selectUpstream } from "./selectUpstream";
 import { mayBeginAt, pinTakenUpStream } from "./versionPin";
 import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
@@ -29,6 +27,9 @@
 const refusedRetryAfterMs = 700;
 /** Retry delay given by a stopping node: another node can accept the request immediately. */
 const stoppingRetryAfterMs = 50;
+/** Outcomes after which the request has certainly not run. */
+const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.NotRun, AttemptOutcome.Unsent, AttemptOutcome.Withheld]);
+
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
     private readonly tried = new Set<string>();
@@ -37,6 +38,8 @@
     /** Attempts that were sent, and those of them that may have run. */
     private sends = 0;
     private possibleRuns = 0;
+    /** Whether the retry budget was charged for a retry that was not sent. */
+    private isRetryPaid = false;
     private upstream: string | undefined;
     /** Upstream that was chosen while the latest attempt was still in progress. */
     private alternative: UpstreamChoice | undefined;
@@ -53,6 +56,15 @@
 
     /** Sends the request to upstreams until one answers or no further attempt is allowed. */
     async run(): Promise<void> {
+        try {
+            await this.forward();
+        }
+        finally {
+            this.gateway.quietWaiters.remove(this.call.service, this.call);
+        }
+    }
+
+    private async forward(): Promise<void> {
         const { call, gateway } = this;
         this.recordDemand();
         if (!canFinishBeforeExit(gateway, call)) {
@@ -80,6 +92,7 @@
             if (outcome !== undefined) {
                 this.prepareRetry();
             }
+            gateway.quietWaiters.remove(call.service, call);
             outcome = await this.attempt(ready);
             if (call.signal.aborted) {
                 emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: this.elapsedMs() });
@@ -91,7 +104,12 @@
             }
             const choice = await this.chooseNextUpstream();
             if (isRefusal(choice)) {
-                this.finish(outcome, choice.detail);
+                if (choice.kind === FailureKind.UpstreamsQuiet) {
+                    this.finishRefused(outcome, choice);
+                }
+                else {
+                    this.finish(outcome, choice.detail);
+                }
                 return;
             }
             next = choice;
@@ -126,8 +144,8 @@
         }
     }
 
-    private refuse({ kind = FailureKind.NoUpstream, detail, retryAfterMs }: Refusal): void {
-        this.fail(kind, detail, retryAfterMs);
+    private refuse({ kind = FailureKind.NoUpstream, detail, retryAfterMs, isSpread }: Refusal): void {
+        this.fail(kind, detail, retryAfterMs, isSpread);
     }
 
     private recordDemand(): void {
@@ -147,12 +165,17 @@
         const mayRunAgain = mayRepeat(route) && this.gate.mayRunTwice && this.possibleRuns + 1 < route.maxAttempts &&
             this.sends < maxSends;
         const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? () => this.reserveAlternative() : undefined);
-        if (outcome === AttemptOutcome.Unsent) {
+        if (outcome === AttemptOutcome.Unsent || outcome === AttemptOutcome.Withheld) {
             this.sends--;
         }
         else if (outcome !== AttemptOutcome.NotRun) {
             this.possibleRuns++;
         }
+        this.isRetryPaid = outcome === AttemptOutcome.Withheld && this.sends > 0;
+        // An upstream that asked for quiet has not failed the request: it may get it after that time.
+        if (outcome === AttemptOutcome.Withheld || (outcome === AttemptOutcome.NotRun && this.gateway.availability.quietMsOf(choice.candidate.server) > 0)) {
+            this.tried.delete(this.upstream);
+        }
         return outcome;
     }
 
@@ -167,23 +190,13 @@
         if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isLastRun) {
             return false;
         }
-        return outcome === AttemptOutcome.NotRun || outcome === AttemptOutcome.Unsent || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
+        return notRunOutcomes.has(outcome) || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
     }
 
     /** Reserves an upstream that can take the request now, with a retry of the budget; returns whether there is one. */
     private reserveAlternative(): boolean {
-        const { gateway, call } = this;
-        const { modelRequest } = call.caller;
-        const choice = selectUpstream(gateway, call, this.tried);
-        if (!choice || choice.candidate.turnDelayMs !== undefined || (modelRequest && isSaturated(choice, call.route))) {
-            return false;
-        }
-        const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-        if (neededMs > call.deadlineAt - performance.now() || !gateway.budgetOf(call.service).withdraw()) {
-            return false;
-        }
-        this.alternative = choice;
-        return true;
+        this.alternative = findAlternative(this.gateway, this.call, this.tried);
+        return this.alternative !== undefined;
     }
 
     /** Another upstream, if one is available and the service's retry budget allows it; otherwise why not. */
@@ -194,7 +207,7 @@
             return alternative;
         }
         const choice = await waitForUpstream(gateway, call, this.tried, this.gate);
-        const costsNoRetry = this.sends === 0;
+        const costsNoRetry = this.sends === 0 || this.isRetryPaid;
         if (isRefusal(choice) || costsNoRetry || gateway.budgetOf(call.service).withdraw()) {
             return choice;
         }
@@ -224,21 +237,10 @@
         );
     }
 
-    private fail(kind: FailureKind, detail: string, retryDelayMs = refusedRetryAfterMs): void {
+    private fail(kind: FailureKind, detail: string, retryDelayMs = refusedRetryAfterMs, isSpread = false): void {
         const verdict = this.possibleRuns === 0 ? Verdict.NotRun : Verdict.MayHaveRun;
-        const retryAfterMs = verdict === Verdict.NotRun ? retryDelayMs * (0.75 + this.gateway.random() / 2) : undefined;
-        const failure: Failure = { kind, verdict, detail, retryAfterMs };
-        const { caller, route, service, configVersion } = this.call;
-        const { model, adapter } = caller.modelRequest ?? {};
-        answerFailure(this.call.res, caller.requestId, failure, {
-            route: route.name,
-            service,
-            model,
-            adapter,
-            configVersion,
-            sends: this.sends,
-            afterMs: this.elapsedMs(),
-        });
+        const retryAfterMs = retryDelayMs * (isSpread ? 1 : 0.75 + this.gateway.random() / 2);
+        answerFailedCall(this.call, { kind, verdict, detail, retryAfterMs: verdict === Verdict.NotRun ? retryAfterMs : undefined }, this.sends);
     }
 
     private elapsedMs(): number {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -12,8 +12,10 @@
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
 import { StreamVersions } from "../core/streamVersions";
+import { UpstreamAvailability } from "../core/upstreamAvailability";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
+import { WaitingRequests } from "../core/waitingRequests";
 import { EventId } from "../types/eventId";
 import { MemoryHolder } from "../types/memoryHolder";
 import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
@@ -96,6 +98,10 @@
     readonly crashLog = CrashLog.create(this.factCounter);
     /** Limits that runners name in their answers. */
     readonly runnerLimits = RunnerLimits.create(this.factCounter);
+    /** Which upstreams may get requests, by the directory and by their own word. */
+    readonly availability = UpstreamAvailability.create(this.directory, id => this.trafficByUpstream.get(id)?.inFlight ?? 0, this.factCounter);
+    /** Requests that wait until an upstream that asked for quiet takes requests again. */
+    readonly quietWaiters = WaitingRequests.create();
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
--- /dev/null
+++ b/src/forward/recordRefusal.ts
@@ -0,0 +1,28 @@
+import type { UpstreamCandidate } from "../core/chooseUpstream";
+import type { UpstreamTraffic } from "../core/upstreamTraffic";
+import { artifactKey } from "../types/modelRequest";
+import type { AnswerHeaders } from "../types/requestHeaderCodec";
+import type { Call } from "./call";
+import type { Gateway } from "./gateway";
+
+/** Weight of a refusal in an upstream's count of recent failures. */
+const refusalWeight = 0.3;
+
+/** Counts a failure, unless the answer asks for quiet: that is saturation, and the time it asks for is its only effect. */
+export const countFailure = (traffic: UpstreamTraffic, decoded: AnswerHeaders | undefined, weight?: number): void => {
+    if (decoded?.quietMs === undefined) {
+        traffic.onFailure(weight);
+    }
+};
+
+/** Records that an upstream did not run a request: it lacks the model or adapter, or refuses, so that the next requests for it go elsewhere. */
+export const recordRefusal = ({ residency }: Gateway, { caller: { modelRequest } }: Call, decoded: AnswerHeaders, candidate: UpstreamCandidate): void => {
+    const { server: { id }, traffic } = candidate;
+    if (modelRequest && decoded.isMisdirected) {
+        residency.onAbsent(id, modelRequest.model, artifactKey(modelRequest.model, modelRequest.adapter));
+    }
+    else if (modelRequest && decoded.quietMs === undefined) {
+        residency.onRefused(id, modelRequest.model);
+    }
+    countFailure(traffic, decoded, refusalWeight);
+};
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -14,11 +14,12 @@
 /** Tokens in an event of a stream, assumed for a service whose engine the configuration does not describe. */
 const defaultTokensPerEvent = 4;
 
-/** Ready runners of a service that have a model loaded. */
+/** Runners of a service that have a model loaded and take requests, now or after a quiet time. */
 export const serversWithModel = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
-    gateway.directory.readyOf(service).filter(server => gateway.residency.hasModel(server, model));
+    gateway.availability.servingOf(service).filter(server => gateway.residency.hasModel(server, model));
 
-const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
+/** Describes an upstream for the choice; `preferred` is the one that is assumed to have the prompt cached. */
+export const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
     const turnDelayMs = gateway.runnerLimits.delayOf(processKey(server));
@@ -32,10 +33,10 @@
     return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1, turnDelayMs };
 };
 
-/** Upstreams that can run the request now, excluding those already tried. */
+/** Upstreams that can run the request, now or after a quiet time, excluding those already tried. */
 export const candidatesFor = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): readonly UpstreamServer[] => {
     const { modelRequest } = call.caller;
-    const servers = modelRequest ? serversWithModel(gateway, call.service, modelRequest.model) : gateway.directory.readyOf(call.service);
+    const servers = modelRequest ? serversWithModel(gateway, call.service, modelRequest.model) : gateway.availability.servingOf(call.service);
     const artifact = modelRequest?.adapter === undefined ? undefined : artifactKey(modelRequest.model, modelRequest.adapter);
     return servers.filter(server =>
         !tried.has(server.id) && allowsUpstream(call.versionPin, server) && (artifact === undefined || gateway.residency.hasAdapter(server.id, artifact))
@@ -44,7 +45,7 @@
 
 /** Chooses one of the upstreams that can run the request now. */
 export const selectUpstream = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): UpstreamChoice | undefined => {
-    const servers = candidatesFor(gateway, call, tried);
+    const servers = candidatesFor(gateway, call, tried).filter(server => gateway.availability.mayTake(server));
     const { modelRequest } = call.caller;
     const sharedPartId = modelRequest && sharedPartIds(modelRequest).at(-1);
     const preferred = sharedPartId === undefined ? undefined : rankByHashCached(sharedPartId, servers.map(({ id }) => id).sort())[0];
--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -21,29 +21,24 @@
     Ended = "ended",
 }
 
-/** A runner's process, as the directory describes it. */
-export interface RunnerProcess extends RunnerAddress {
-    readonly bornAt: number;
-}
-
 /** Asks runners whether they are alive. */
 export class UpstreamProber {
     private readonly probes = new Map<string, Promise<ProbeResult>>();
 
-    private constructor(private readonly runners: RunnerControl) {}
+    private constructor(private readonly runners: RunnerControl, private readonly mayCall: (runner: RunnerAddress) => boolean) {}
 
-    /** Creates a prober that has not probed any runner. */
-    static create(runners: RunnerControl): UpstreamProber {
-        return new UpstreamProber(runners);
+    /** Creates a prober that has not probed any runner. Runners that may not be called are not probed, and their state counts as unknown. */
+    static create(runners: RunnerControl, mayCall: (runner: RunnerAddress) => boolean = () => true): UpstreamProber {
+        return new UpstreamProber(runners, mayCall);
     }
 
     /** Whether a runner answers; requests that ask at about the same time share one probe. */
-    async isAlive(runner: RunnerProcess): Promise<boolean> {
+    async isAlive(runner: RunnerAddress): Promise<boolean> {
         return await this.startProbe(runner) === ProbeResult.Alive;
     }
 
     /** Whether a runner's process has certainly ended. Always probes anew: an earlier result may be from before the end. */
-    async hasEnded(runner: RunnerProcess): Promise<boolean> {
+    async hasEnded(runner: RunnerAddress): Promise<boolean> {
         for (const pauseMs of endProbePausesMs) {
             await sleep(pauseMs);
             if (await this.probe(runner) === ProbeResult.Ended) {
@@ -53,12 +48,15 @@
         return false;
     }
 
-    private startProbe(runner: RunnerProcess): Promise<ProbeResult> {
+    private startProbe(runner: RunnerAddress): Promise<ProbeResult> {
         const probe = (): Promise<ProbeResult> => this.probe(runner).finally(() => setTimeout(() => this.probes.delete(runner.id), resultLifetimeMs).unref());
         return getOrCreate(this.probes, runner.id, probe);
     }
 
-    private async probe(runner: RunnerProcess): Promise<ProbeResult> {
+    private async probe(runner: RunnerAddress): Promise<ProbeResult> {
+        if (!this.mayCall(runner)) {
+            return ProbeResult.Unknown;
+        }
         try {
             const { bornAt } = await this.runners.fetchReport(runner);
             return bornAt > runner.bornAt ? ProbeResult.Ended : ProbeResult.Alive;
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -56,7 +56,7 @@
     if (caller.lastEventId === undefined || !mayBeTakenUp(route)) {
         return undefined;
     }
-    const { streamVersions, directory } = gateway;
+    const { streamVersions, availability } = gateway;
     const origin = await streamVersions.originOf(service, caller.resumedRequestId);
     emit(EventId.StreamTakenUp, {
         request: caller.requestId,
@@ -69,7 +69,7 @@
     if (origin.version === undefined) {
         return { kind: FailureKind.StreamVersionUnknown, detail: origin.detail, retryAfterMs: takeUpRetryAfterMs };
     }
-    const isReady = (): boolean => directory.readyOf(service).some(server => allowsUpstream(versionPin, server));
+    const isReady = (): boolean => availability.servingOf(service).some(server => allowsUpstream(versionPin, server));
     return await waitForVersion(gateway, call, origin.version, isReady)
         ? undefined
         : { kind: FailureKind.StreamVersionGone, detail: `no upstream of version "${origin.version}" is ready`, retryAfterMs: takeUpRetryAfterMs };
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -11,6 +11,7 @@
 import type { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
 import { allowsUpstream, constraintOf } from "./versionPin";
+import { waitForQuiet } from "./waitForQuiet";
 
 /** Bounds of the interval between two requests to the controller. */
 const maxPollIntervalMs = 250;
@@ -39,6 +40,8 @@
     readonly kind?: FailureKind;
     readonly detail: string;
     readonly retryAfterMs: number;
+    /** Whether the delay is already spread over callers. */
+    readonly isSpread?: boolean;
 }
 
 /** Whether no upstream was found. */
@@ -122,6 +125,10 @@
     return server !== undefined && !allowsUpstream(call.versionPin, server);
 };
 
+/** Ready upstreams that take no requests now by their own word. */
+const unavailableOf = ({ directory, availability }: Gateway, service: string): readonly string[] =>
+    directory.readyOf(service).filter(server => !availability.mayCall(server)).map(({ id }) => id);
+
 /** Selects an upstream for a request; waits for its model or adapter, and for free capacity, as long as an answer in time is likely. */
 export const waitForUpstream = async (
     gateway: Gateway,
@@ -135,21 +142,25 @@
         if (choice) {
             return choice;
         }
+        const quiet = await waitForQuiet(gateway, call, tried);
+        if (quiet.hasWaited) {
+            continue;
+        }
         if (!modelRequest) {
-            return { detail: "no upstream of the service is ready", retryAfterMs: defaultRetryAfterMs };
+            return quiet.refusal ?? { detail: "no upstream of the service is ready", retryAfterMs: defaultRetryAfterMs };
         }
         const answer = await gateway.placement.place({
             service: call.service,
             model: modelRequest.model,
             adapter: modelRequest.adapter,
             versions: constraintOf(call.versionPin),
-            avoid: [...tried],
+            avoid: [...tried, ...unavailableOf(gateway, call.service)],
             unreachable: [...tried].filter(id => gateway.trafficOf(id).isUnreachable),
         });
         const { runner, readyInMs } = answer;
         const isComing = answer.isComing && !isOfOtherVersion(gateway, call, runner);
         if (!mayWait(call, { ...answer, isComing }, remainingMsOf(gateway, call))) {
-            return {
+            return quiet.refusal ?? {
                 detail: isComing
                     ? `the model or adapter would be ready in ${Math.round(readyInMs)} ms, too late for the request`
                     : "no available runner is known to have the model or adapter, or to be loading it",
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -6,6 +6,7 @@
 import { MonitoredStore } from "../core/monitoredStore";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
 import { takeoverDelayMs } from "../core/takeoverDelay";
+import { availabilityGauges } from "../forward/availabilityGauges";
 import { CallerServer } from "../forward/callerServer";
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
@@ -103,7 +104,7 @@
         void directory.run(this.stopped.signal);
         this.followStreamVersions();
         const metrics = Metrics.create();
-        metrics.registerGauges(platformNodeGauges(gateway, server, () => this.lease?.heldEpoch));
+        metrics.registerGauges([...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch), ...availabilityGauges(gateway)]);
         await serveMetrics(metrics, settings.metricsAddress);
         await peerServer.listen(settings.peerAddress);
         // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
@@ -140,8 +141,9 @@
         const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
         const lateLoads = LateLoads.create();
         const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
-        const runners = RunnerClient.create(settings.limits);
-        gateway.prober = UpstreamProber.create(runners);
+        const { availability } = gateway;
+        const runners = RunnerClient.create(settings.limits, (runner, word) => availability.onAnswer(runner, word));
+        gateway.prober = UpstreamProber.create(runners, runner => availability.mayCall(runner));
         const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners, lateLoads);
         const peerServer = PeerServer.create(gateway, controller, link);
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -78,10 +78,11 @@
     start(signal: AbortSignal): void {
         const intervalMs = (): number => exchangeIntervalMs * (1 + exchangeJitter * (this.gateway.random() - 0.5));
         void repeat(() => this.exchange(), intervalMs, signal, err => this.onExchangeFailed(err));
-        const { crashLog, runnerLimits } = this.gateway;
+        const { availability, crashLog, runnerLimits } = this.gateway;
         const exchangeSoon = coalesce(() => this.exchange(), newsDelayMs, signal, err => this.onExchangeFailed(err));
         crashLog.onOutgoing = exchangeSoon;
         runnerLimits.onOutgoing = exchangeSoon;
+        availability.onOutgoing = exchangeSoon;
         crashLog.isTrialNode = part => this.link.epoch !== undefined && ownerOf(part, this.pacerNodes.addresses) === this.pacerNodes.self;
     }
 
--- a/src/placement/factExchange.ts
+++ b/src/placement/factExchange.ts
@@ -3,6 +3,7 @@
 import type { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { ChangeOrigin } from "../core/sharedLog";
+import type { UpstreamAvailability } from "../core/upstreamAvailability";
 import type { FactAnswer, FactReport, SharedFacts } from "../types/sharedFacts";
 
 /** The peer that this node reports to, and what the two have told each other. */
@@ -29,11 +30,16 @@
     private readonly source = randomUUID();
     private uplink: Uplink | undefined;
 
-    private constructor(private readonly counter: RevisionCounter, private readonly crashLog: CrashLog, private readonly limits: RunnerLimits) {}
+    private constructor(
+        private readonly counter: RevisionCounter,
+        private readonly crashLog: CrashLog,
+        private readonly limits: RunnerLimits,
+        private readonly availability: UpstreamAvailability,
+    ) {}
 
     /** Creates the exchange of a node that has not reported to any peer; the counter is that of the logs. */
-    static create(counter: RevisionCounter, crashLog: CrashLog, limits: RunnerLimits): FactExchange {
-        return new FactExchange(counter, crashLog, limits);
+    static create(counter: RevisionCounter, crashLog: CrashLog, limits: RunnerLimits, availability: UpstreamAvailability): FactExchange {
+        return new FactExchange(counter, crashLog, limits, availability);
     }
 
     /** Address of the peer that answered the last report. */
@@ -63,12 +69,17 @@
         return { source: this.source, revision: this.counter.value, facts: this.factsSince(source === this.source ? knownRevision : 0, false) };
     }
 
-    private apply({ crashes, limits }: SharedFacts, origin: ChangeOrigin): void {
+    private apply({ crashes, limits, leaving = [] }: SharedFacts, origin: ChangeOrigin): void {
         crashes.forEach(crash => this.crashLog.add(crash, origin));
         limits.forEach(limit => this.limits.add(limit, origin));
+        leaving.forEach(upstream => this.availability.add(upstream, origin));
     }
 
     private factsSince(revision: number, isOutgoing: boolean): SharedFacts {
-        return { crashes: this.crashLog.changesSince(revision, isOutgoing), limits: this.limits.changesSince(revision, isOutgoing) };
+        return {
+            crashes: this.crashLog.changesSince(revision, isOutgoing),
+            limits: this.limits.changesSince(revision, isOutgoing),
+            leaving: this.availability.changesSince(revision, isOutgoing),
+        };
     }
 }
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -35,12 +35,13 @@
     }
 }
 
-const toMutableFacts = ({ source, knownRevision, facts: { crashes, limits } }: FactReport) => ({
+const toMutableFacts = ({ source, knownRevision, facts: { crashes, limits, leaving } }: FactReport) => ({
     source,
     knownRevision,
     facts: {
         crashes: crashes.map(({ id, ageMs, suspects, cleared }) => ({ id, ageMs, suspects: suspects.map(parts => [...parts]), cleared: [...cleared] })),
         limits: [...limits],
+        leaving: leaving && [...leaving],
     },
 });
 
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -40,6 +40,7 @@
             cleared: z.array(z.string().max(maxPartIdLength)),
         })).max(maxReportedCrashes),
         limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity.optional(), ageMs: age })),
+        leaving: z.array(z.object({ id: z.string().max(maxPartIdLength), bornAt: z.number(), ageMs: age })).optional(),
     }),
 });
 const peerNodeSchema = z.object({ address: hostAddress, zone: z.string(), cores: quantity });
@@ -89,7 +90,7 @@
     onNewController: () => void = () => undefined;
 
     private constructor(private readonly gateway: Gateway, private readonly controller: Controller, private readonly link: ControllerLink) {
-        this.facts = FactExchange.create(gateway.factCounter, gateway.crashLog, gateway.runnerLimits);
+        this.facts = FactExchange.create(gateway.factCounter, gateway.crashLog, gateway.runnerLimits, gateway.availability);
     }
 
     /** Creates a server that has received no reports yet. */
--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -76,7 +76,8 @@
 
     /** Adds and removes trackers according to the directory, and fetches the reports that are due. */
     sync(service: string, engine: EngineSpec): void {
-        const servers = this.gateway.directory.all().filter(server => server.service === service);
+        const { directory, availability } = this.gateway;
+        const servers = directory.all().filter(server => server.service === service).map(server => availability.effective(server));
         const ids = new Set(servers.map(({ id }) => id));
         for (const [id, tracker] of this.trackers) {
             if (tracker.server.service === service && !ids.has(id)) {
@@ -94,9 +95,11 @@
             }
         }
         for (const tracker of this.trackersOf(service)) {
-            tracker.mayOrder = this.lease.mayOrder(tracker.server.id);
+            tracker.mayOrder = this.lease.mayOrder(tracker.server.id) && availability.mayCall(tracker.server);
             this.adapters.update(tracker.server.id, [...tracker.adapters.keys()].filter(artifact => tracker.hasAdapter(artifact)));
-            this.refresh(tracker, engine);
+            if (availability.mayCall(tracker.server)) {
+                this.refresh(tracker, engine);
+            }
         }
     }
 
@@ -146,7 +149,8 @@
     }
 
     private async send(tracker: RunnerTracker, engine: EngineSpec, order: RunnerOrder, reason: string): Promise<RunnerOrderAnswer> {
-        if (this.lease.heldEpoch === undefined || this.lease.heldEpoch !== order.epoch || tracker.inFlightOrder) {
+        const isHolder = this.lease.heldEpoch !== undefined && this.lease.heldEpoch === order.epoch;
+        if (!isHolder || tracker.inFlightOrder || !this.gateway.availability.mayCall(tracker.server)) {
             return RunnerOrderAnswer.Conflict;
         }
         if (tracker.pendingOrder === undefined) {
@@ -158,7 +162,8 @@
         const fields = { runner: tracker.server.id, kind, model, adapter, expected: expectedAcceptedOrders, epoch };
         const isModelLoad = kind === RunnerOrderKind.Load && adapter === undefined;
         const isWeightStoreLoad = tracker.pendingOrder === undefined && isModelLoad && tracker.loadsFromWeightStore(model);
-        if (!await this.lease.acquireRunnerLease(tracker.server.id, isWeightStoreLoad, isModelLoad)) {
+        const isAcquired = await this.lease.acquireRunnerLease(tracker.server.id, isWeightStoreLoad, isModelLoad);
+        if (!isAcquired || !this.gateway.availability.mayCall(tracker.server)) {
             tracker.onNotSent();
             return RunnerOrderAnswer.Conflict;
         }
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -1,6 +1,7 @@
 import type { ModelRequest, PromptPart } from "../types/modelRequest";
 import type { HeaderMap, ReportedLoad, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { maxTimerMs } from "../utils/time";
+import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
 const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
 const kvHeaderPrefix = "kv-";
@@ -100,7 +101,7 @@
         requestId: firstValueOf(headers, "attempt-id"),
         isSigned: headers["server-seal"] !== undefined,
         isNotExecuted: headers["not-executed"] !== undefined || status === misdirectedStatus,
-        isMisdirected: status === misdirectedStatus,
+        ...decodeUpstreamWord(status, headers),
         load: decodeLoad(firstValueOf(headers, "server-load")),
         limitPerS: decodeLimit(firstValueOf(headers, "server-limit")),
     }),
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -5,9 +5,11 @@
 import type { RunnerAddress, RunnerControl, RunnerOrder, RunnerReport } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { TransportLimits } from "../types/transportLimits";
+import type { UpstreamWord } from "../types/upstreamWord";
 import { Verdict } from "../types/verdict";
 import { errorCodeOf, readAnswerText, refusedConnectionCode, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
+import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
 const connectTimeoutMs = 300;
 const misdirectedStatus = 421;
@@ -41,11 +43,13 @@
 /** `MODEL/ADAPTER@VERSION` without the version. */
 const withoutVersion = (text: string): string => text.slice(0, text.lastIndexOf("@") < 0 ? undefined : text.lastIndexOf("@"));
 
+type WordListener = (runner: RunnerAddress, word: UpstreamWord) => void;
+
 /** HTTP client of the controller for runners. */
 export class RunnerClient implements RunnerControl {
     private readonly agent: Agent;
 
-    private constructor(private readonly limits: TransportLimits) {
+    private constructor(private readonly limits: TransportLimits, private readonly onWord: WordListener) {
         this.agent = new Agent({
             connect: { timeout: connectTimeoutMs },
             keepAliveTimeout: 1_000,
@@ -55,18 +59,20 @@
         });
     }
 
-    /** Creates a client; connections are opened on first use. */
-    static create(limits: TransportLimits): RunnerClient {
-        return new RunnerClient(limits);
+    /** Creates a client; connections are opened on first use. `onWord` is called with what each answer says of its runner's availability. */
+    static create(limits: TransportLimits, onWord: WordListener = () => undefined): RunnerClient {
+        return new RunnerClient(limits, onWord);
     }
 
-    async fetchReport({ id, address }: RunnerAddress): Promise<RunnerReport> {
+    async fetchReport(runner: RunnerAddress): Promise<RunnerReport> {
+        const { id, address } = runner;
         try {
             const res = await request(`http://${address}/api/report`, {
                 dispatcher: this.agent,
                 headers: { "expect-instance": id },
                 signal: AbortSignal.timeout(answerTimeoutMs),
             });
+            this.onWord(runner, decodeUpstreamWord(res.statusCode, res.headers));
             if (res.statusCode === misdirectedStatus) {
                 await res.body.dump();
                 throw FailureError.create({ kind: FailureKind.UpstreamEnded, verdict: Verdict.NotRun, detail: "another process answers at the address" });
@@ -102,9 +108,10 @@
     }
 
     async order(
-        { id, address }: RunnerAddress,
+        runner: RunnerAddress,
         { kind, model, adapter, expectedAcceptedOrders, holder, epoch }: RunnerOrder,
     ): Promise<RunnerOrderAnswer> {
+        const { id, address } = runner;
         const res = await request(`http://${address}/api/order`, {
             method: "POST",
             dispatcher: this.agent,
@@ -112,6 +119,7 @@
             body: JSON.stringify({ op: operationOf[kind], model, adapter, expected: expectedAcceptedOrders, holder, fence: epoch }),
             signal: AbortSignal.timeout(answerTimeoutMs),
         });
+        this.onWord(runner, decodeUpstreamWord(res.statusCode, res.headers));
         await res.body.dump();
         return answerOfStatus[res.statusCode] ?? RunnerOrderAnswer.Unknown;
     }
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -16,6 +16,7 @@
     DeadlineExpired = "deadline-expired",
     QueueFull = "queue-full",
     NoUpstream = "no-upstream",
+    UpstreamsQuiet = "upstreams-quiet",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
     Stopping = "stopping",
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -1,4 +1,5 @@
 import type { ModelRequest } from "./modelRequest";
+import type { UpstreamWord } from "./upstreamWord";
 
 /** Decoded headers of a caller's request. */
 export interface CallerHeaders {
@@ -29,15 +30,13 @@
 }
 
 /** Decoded headers of an upstream's answer. */
-export interface AnswerHeaders {
+export interface AnswerHeaders extends UpstreamWord {
     /** ID of the request that the answer belongs to. */
     readonly requestId?: string;
     /** Whether the answer carries the signature of the upstream that ran the request. */
     readonly isSigned: boolean;
     /** Whether the upstream states that it did not run the request. */
     readonly isNotExecuted: boolean;
-    /** Whether the address now belongs to another upstream. */
-    readonly isMisdirected: boolean;
     readonly load?: ReportedLoad;
     /** Requests per second that the upstream takes from all nodes together; undefined if it names no limit. */
     readonly limitPerS?: number;
--- a/src/types/runner.ts
+++ b/src/types/runner.ts
@@ -50,6 +50,8 @@
 
 export interface RunnerAddress {
     readonly id: string;
+    /** Epoch milliseconds of its start. */
+    readonly bornAt: number;
     readonly address: string;
 }
 
--- a/src/types/sharedFacts.ts
+++ b/src/types/sharedFacts.ts
@@ -1,10 +1,13 @@
 import type { RunnerCrash } from "./runnerCrash";
 import type { RunnerLimit } from "./runnerLimit";
+import type { LeavingUpstream } from "./upstreamWord";
 
 /** What nodes observe and tell all others, with the reports and answers that they exchange anyway. */
 export interface SharedFacts {
     readonly crashes: readonly RunnerCrash[];
     readonly limits: readonly RunnerLimit[];
+    /** Absent from nodes of earlier versions. */
+    readonly leaving?: readonly LeavingUpstream[];
 }
 
 /** A node's facts for the peer that it reports to. */
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -31,6 +31,11 @@
     [EventId.DirectoryRead]: "the whole directory was read",
     [EventId.StoreEraChanged]: "the store answered for the first time, or for the first time since it was restored from an older copy",
     [EventId.PeerEntryIgnored]: "an entry of the directory that a peer sent was ignored because it does not describe a usable upstream; `reason` says why",
+    [EventId.UpstreamSaidLeaving]:
+        "an upstream stated in an answer to this node, or to the one that told it, that it is leaving; this process gets no new requests",
+    [EventId.UpstreamQuiet]: "an upstream answered 503 and asked for no requests of this node for a time; `request` names the request, `leftMs` the time left",
+    [EventId.UpstreamHeaderIgnored]:
+        "a header of an answer about its upstream's availability is not valid and was ignored; `count` is the number of them since the start",
     [EventId.RequestRefused]: "a request was answered with a failure",
     [EventId.AttemptFailed]: "an attempt on an upstream failed; the request may be retried",
     [EventId.StreamResumed]: "a stream was resumed after the last event that the caller received, on the same or another runner",
@@ -57,6 +62,9 @@
     [EventId.BaseVersionChanged]: "this node wrote the base version of a service: streams without a record were begun by it",
     [EventId.BaseVersionUnknown]: "several versions of a service serve and the store cannot say which is the base version; the one named is assumed",
     [EventId.StreamRecordsUnread]: "the records of streams could not be read or maintained; that is tried again",
+    [EventId.SendWithheld]:
+        "a request was not sent to the upstream chosen for it: it was no longer available when its connection was open; another one is chosen",
+    [EventId.QuietAwaited]: "a request waits until an upstream that asked for quiet takes requests again",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/factNetwork.ts
+++ b/test/fakes/factNetwork.ts
@@ -1,5 +1,7 @@
 import { CrashLog } from "../../src/core/crashLog";
 import { RunnerLimits } from "../../src/core/runnerLimits";
+import { UpstreamAvailability } from "../../src/core/upstreamAvailability";
+import { UpstreamDirectory } from "../../src/core/upstreamDirectory";
 import { FactExchange } from "../../src/placement/factExchange";
 import type { PeerNode } from "../../src/types/peerNode";
 import type { Random } from "../../src/utils/random";
@@ -92,5 +94,13 @@
 const createFacts = (): { readonly crashLog: CrashLog; readonly exchange: FactExchange; } => {
     const counter = { value: 0 };
     const crashLog = CrashLog.create(counter);
-    return { crashLog, exchange: FactExchange.create(counter, crashLog, RunnerLimits.create(counter)) };
+    return {
+        crashLog,
+        exchange: FactExchange.create(
+            counter,
+            crashLog,
+            RunnerLimits.create(counter),
+            UpstreamAvailability.create(UpstreamDirectory.create(), () => 0, counter),
+        ),
+    };
 };
--- a/test/troubledServers.test.ts
+++ b/test/troubledServers.test.ts
@@ -65,7 +65,7 @@
         maxMs: limits.answerSilenceMs + limits.answerTimeoutMs,
         call: address => failureOf(StoreClient.create(address, limits).readTable("t")),
     },
-    { name: "the runner client", maxMs: 500, call: address => failureOf(RunnerClient.create(limits).fetchReport({ id: "u1", address })) },
+    { name: "the runner client", maxMs: 500, call: address => failureOf(RunnerClient.create(limits).fetchReport({ id: "u1", address, bornAt: 1 })) },
     {
         name: "the client of peers",
         maxMs: 700,
