--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -27,14 +27,14 @@
 
     private constructor(private readonly runners: RunnerControl, private readonly mayCall: (runner: RunnerAddress) => boolean) {}
 
-    /** Creates a prober that has not probed any runner. Runners that may not be called are not probed, and their state counts as unknown. */
+    /** Creates a prober that has not probed any runner. Runners that may not be called are not probed. */
     static create(runners: RunnerControl, mayCall: (runner: RunnerAddress) => boolean = () => true): UpstreamProber {
         return new UpstreamProber(runners, mayCall);
     }
 
-    /** Whether a runner answers; requests that ask at about the same time share one probe. */
+    /** Whether a runner answers; requests that ask at about the same time share one probe. One that may not be called has said why itself, and counts as alive. */
     async isAlive(runner: RunnerAddress): Promise<boolean> {
-        return await this.startProbe(runner) === ProbeResult.Alive;
+        return !this.mayCall(runner) || await this.startProbe(runner) === ProbeResult.Alive;
     }
 
     /** Whether a runner's process has certainly ended. Always probes anew: an earlier result may be from before the end. */
--- a/test/processSoak/invariantChecker.ts
+++ b/test/processSoak/invariantChecker.ts
@@ -1,5 +1,6 @@
 import type { RunnerOrder } from "../../src/types/runner";
 import { StreamRuns } from "./streamRuns";
+import { UpstreamWords } from "./upstreamWords";
 
 /** A request of a caller. */
 export interface SoakRequest {
@@ -28,6 +29,7 @@
 export class InvariantChecker {
     readonly violations: string[] = [];
     readonly streamRuns = StreamRuns.create();
+    readonly words = UpstreamWords.create();
     servedCount = 0;
     requestCount = 0;
     private readonly runnersByRequest = new Map<string, string[]>();
@@ -64,6 +66,7 @@
             this.refusalStatuses.set(req.id, status);
         }
         if (status === 200 && isComplete) {
+            this.words.onPassedOn(req.id);
             this.servedCount += req.isAborted || req.fromEvent !== undefined ? 0 : 1;
             this.checkBody(req, body);
         }
@@ -95,7 +98,7 @@
             }
         }
         this.orders.forEach((orders, runner) => this.checkOrders(runner, orders));
-        this.violations.push(...this.streamRuns.violations);
+        this.violations.push(...this.streamRuns.violations, ...this.words.violations);
         return this.violations;
     }
 
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -26,6 +26,7 @@
 const crashingPromptSalt = 0x5eed;
 const crashingRequestSalt = 0xb0d7;
 const limitSalt = 0x11317;
+const wordSalt = 0x3a71;
 const maxPromptDelayMs = 3_000;
 
 /** Result of a run. */
@@ -75,6 +76,7 @@
     await sleep(startUpMs);
 
     const limitRun = fleet.limits.run(() => fleet.all(), createRandom(seed ^ limitSalt));
+    const wordRun = checker.words.run(fleet, createRandom(seed ^ wordSalt));
     const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
     const restores = restoreStore(seed, store, fleet, nodes, abort.signal);
     const injectedFaults: string[] = [];
@@ -89,6 +91,7 @@
     }
     await Promise.all([...activeFaults, restores]);
     fleet.limits.end();
+    checker.words.end(fleet);
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
 
@@ -98,7 +101,7 @@
         checker.violations.push(`${checker.servedCount - servedBefore} of ${checker.requestCount - requestsBefore} requests served after the faults`);
     }
     abort.abort();
-    await Promise.all([...callerRuns, ...crashingRuns, limitRun]);
+    await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun]);
     clearInterval(probeTimer);
     await Promise.all(nodes.map(node => node.terminate()));
     fleet.terminate();
--- a/test/processSoak/soakCaller.ts
+++ b/test/processSoak/soakCaller.ts
@@ -79,6 +79,7 @@
         const req: SoakRequest = { ...route, id, isAborted };
         this.checker.onRequest(req);
         this.limits.onRequest(req.id, node);
+        this.checker.words.onRequest(req.id, node);
         const startedAt = performance.now();
         const { status, body, isComplete, model } = await this.send(
             node,
@@ -112,6 +113,7 @@
         const req: SoakRequest = { ...broken, id: `${this.name}-${this.requestCount}`, fromEvent: events + 1 };
         this.checker.onUncountedRequest(req);
         this.limits.onRequest(req.id, node);
+        this.checker.words.onRequest(req.id, node);
         const outcome = await this.send(node, req, undefined, { model, headers: { "last-event-id": String(events), "resumes": broken.id } });
         if (outcome.status !== undefined) {
             this.checker.onAnswer(req, outcome.status, outcome.body, outcome.isComplete);
--- a/test/processSoak/soakFaults.ts
+++ b/test/processSoak/soakFaults.ts
@@ -54,6 +54,7 @@
     const ms = drawDurationMs(random);
     suspendChecks(node, ms);
     node.storeProxy.setFault(fault, random);
+    node.cutAt = performance.now() + ms;
     await sleep(ms);
     node.storeProxy.setFault(LinkFault.None, random);
 };
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -111,7 +111,7 @@
 
     /** Picks a ready upstream that is not the last ready one of its service. */
     pickReady(): SoakUpstream | undefined {
-        const ready = this.upstreams.filter(({ leavingSince, isGone }) => leavingSince === undefined && !isGone);
+        const ready = this.upstreams.filter(({ leavingSince, isGone, isWithdrawn }) => leavingSince === undefined && !isGone && !isWithdrawn);
         const removable = ready.filter(({ service }) => ready.filter(other => other.service === service).length > 1);
         return pick(removable, this.random);
     }
@@ -138,6 +138,9 @@
 
     /** Stops an upstream and deletes its row. */
     remove(upstream: SoakUpstream): void {
+        if (!this.upstreams.includes(upstream)) {
+            return;
+        }
         upstream.crash();
         this.removedUpstreamViolations.push(...upstream.simulatedRunner?.violations ?? []);
         this.upstreams = this.upstreams.filter(other => other !== upstream);
--- a/test/processSoak/soakNode.ts
+++ b/test/processSoak/soakNode.ts
@@ -16,6 +16,9 @@
     isReady = false;
     /** Until this time the answers of this node are not checked for lateness and 404, because of signals to it or faults of its links. */
     checksSuspendedUntil = Number.NEGATIVE_INFINITY;
+    /** When it was last started, stopped or paused, and when its link to the store was last disturbed. */
+    disturbedAt = Number.NEGATIVE_INFINITY;
+    cutAt = Number.NEGATIVE_INFINITY;
     isStopRequested = false;
     private child: ChildProcess | undefined;
     /** Exits that did not follow a signal to stop. */
@@ -47,6 +50,7 @@
     }
 
     start(seeds: readonly string[]): void {
+        this.disturbedAt = performance.now();
         const file = join(this.logFolder, `${this.name}.toml`);
         const { name, callerAddress: front, readyAddress: ready, peerAddress: control, metricsPort, storeProxy } = this;
         writeFileSync(
@@ -74,6 +78,9 @@
     }
 
     signal(signal: NodeJS.Signals): void {
+        if (signal !== "SIGHUP") {
+            this.disturbedAt = performance.now();
+        }
         this.isStopRequested ||= signal === "SIGTERM" || signal === "SIGKILL";
         this.child?.kill(signal);
     }
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -16,6 +16,7 @@
 import type { InvariantChecker } from "./invariantChecker";
 import { streamBody, streamEventCount } from "./invariantChecker";
 import type { NamedLimits } from "./namedLimits";
+import { isLinkSound } from "./upstreamWords";
 
 const processingMs = 40;
 const eventIntervalMs = 60;
@@ -63,6 +64,11 @@
     /** When its directory row changed to draining, on the monotonic clock. */
     leavingSince: number | undefined;
     isGone = false;
+    /** Whether it is about to be removed, and whether its answers say so. */
+    isWithdrawn = false;
+    saysLeaving = false;
+    /** Until this time, on the monotonic clock, it turns requests away and asks for quiet. */
+    quietUntil = 0;
 
     private constructor(
         readonly id: string,
@@ -121,6 +127,9 @@
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const body = await text(req);
+        if (this.saysLeaving) {
+            res.setHeader("Server-Leaving", "1");
+        }
         const expected = req.headers["expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             res.writeHead(421, { "Instance-Id": this.id }).end();
@@ -152,6 +161,16 @@
 
     private async handleRequest(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const id = String(req.headers["attempt-id"]);
+        const { words } = this.checker;
+        words.onArrival(this.id, id);
+        const quietMs = this.quietUntil - performance.now();
+        if (quietMs > 0) {
+            if (isLinkSound(this)) {
+                words.onQuietAsked(this.id, id, quietMs);
+            }
+            res.writeHead(503, { "Not-Executed": "1", "Retry-After": (quietMs / 1_000).toFixed(2) }).end();
+            return;
+        }
         const [model, adapter] = String(req.headers.model ?? "").split("/");
         const loadedModel = this.simulatedRunner?.models.get(model!);
         if (this.simulatedRunner && (!loadedModel || (adapter !== undefined && !loadedModel.adapters.has(adapter)))) {
@@ -171,6 +190,7 @@
         }
         const limitPerS = this.limits.onArrival(this.id, id);
         const limit = limitPerS === undefined ? {} : { "Server-Limit": String(limitPerS) };
+        words.onAnswered(this.id, id, this.saysLeaving && isLinkSound(this));
         const isUnframed = isAnswerUnframed(id);
         res.useChunkedEncodingByDefault = !isUnframed;
         const headers = { "Attempt-Id": id, "Server-Seal": `seal-${id}`, "Server-Load": "1,0,16", ...limit, ...(isUnframed ? { Connection: "close" } : {}) };
--- a/test/quietUpstreams.test.ts
+++ b/test/quietUpstreams.test.ts
@@ -119,17 +119,16 @@
         assert.deepEqual([traffic.recentFailures, traffic.isUnreachable, node.gateway.runnerLimits.limitOf("up-0@1")], [0, false, 1_000]);
     });
 
-    it("is not probed", async () => {
+    it("is not probed, and counts as alive", async () => {
         const node = await startGateway(["127.0.0.1:1"]);
         const server = node.gateway.directory.get("up-0")!;
         let reports = 0;
         const runners = { fetchReport: () => Promise.resolve({ bornAt: ++reports }) } as unknown as RunnerControl;
         const prober = UpstreamProber.create(runners, runner => node.gateway.availability.mayCall(runner));
         node.gateway.availability.onAnswer(server, { isLeaving: false, quietMs: 1_000, isMisdirected: false, ignoredHeaders: [] });
-        await prober.isAlive(server);
-        await prober.hasEnded(server);
+        const states = [await prober.isAlive(server), await prober.hasEnded(server)];
         node.close();
-        assert.equal(reports, 0);
+        assert.deepEqual([...states, reports], [true, false, 0]);
     });
 
     it("gets at most its slots at once when the time ends", async () => {
