--- a/src/core/explainRequest.ts
+++ b/src/core/explainRequest.ts
@@ -23,6 +23,8 @@
     EventId.StoreLost,
     EventId.StoreRegained,
 ]);
+/** What an upstream said of itself counts for as long as it is in force. */
+const wordEvents: ReadonlySet<number> = new Set([EventId.UpstreamSaidLeaving, EventId.UpstreamQuiet]);
 /** Time before a request's first line and after its last one in which context events are included. */
 const contextMs = 5_000;
 
@@ -43,6 +45,12 @@
     (event === EventId.LeaseTaken || event === EventId.LeaseLost || event === EventId.StoreLost || event === EventId.StoreRegained ||
         ["model", "runner", "upstream"].some(field => relatedNames.has(fields[field])));
 
+/** Whether a line tells what an upstream of the request said of itself, and that was in force at a time. */
+const isWordInForce = ({ event, time, fields }: LogLine, relatedNames: ReadonlySet<unknown>, at: number): boolean => {
+    const lastsMs = event === EventId.UpstreamQuiet ? Number(fields.leftMs) : Number.POSITIVE_INFINITY;
+    return wordEvents.has(event) && relatedNames.has(fields.upstream) && Date.parse(time) <= at + contextMs && Date.parse(time) + lastsMs >= at - contextMs;
+};
+
 /**
  * Extracts the lines about one request from the logs of all nodes, in order of time: its own lines, marked with `*`, and context events of its
  * model, its upstreams, the lease and the store around that time. Empty if no line has the request's ID.
@@ -58,7 +66,8 @@
     const from = Date.parse(requestLines[0]!.time) - contextMs;
     const to = Date.parse(requestLines.at(-1)!.time) + contextMs;
     return allLines.filter(line =>
-        requestLines.includes(line) || (Date.parse(line.time) >= from && Date.parse(line.time) <= to && isContext(line, relatedNames))
+        requestLines.includes(line) || isWordInForce(line, relatedNames, Date.parse(requestLines[0]!.time)) ||
+        (Date.parse(line.time) >= from && Date.parse(line.time) <= to && isContext(line, relatedNames))
     )
         .map(line => `${requestLines.includes(line) ? "*" : " "} ${line.node} ${line.text}`);
 };
--- a/src/core/waitingRequests.ts
+++ b/src/core/waitingRequests.ts
@@ -27,14 +27,10 @@
         return this.byService.get(service)?.has(req) ?? false;
     }
 
-    /** Adds a request; returns whether it did not wait before. */
-    add(service: string, req: object): boolean {
+    /** Adds a request unless it waits already. */
+    add(service: string, req: object): void {
         const requests = getOrCreate(this.byService, service, () => new Map<object, number>());
-        if (this.has(service, req)) {
-            return false;
-        }
-        requests.set(req, requests.size);
-        return true;
+        requests.set(req, requests.get(req) ?? requests.size);
     }
 
     /** Removes a request that no longer waits. */
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -74,9 +74,6 @@
     async run(choice: UpstreamChoice, send: number, failOver: (() => boolean) | undefined): Promise<AttemptOutcome> {
         const { call, gateway } = this;
         const { server, traffic } = choice.candidate;
-        if (!gateway.availability.mayTake(server)) {
-            return this.withhold(server);
-        }
         this.choice = choice;
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
@@ -173,7 +170,8 @@
         const { server, traffic } = candidate;
         const { head } = relay;
         if (end.kind === AttemptEndKind.Withheld) {
-            return this.withhold(server);
+            emit(EventId.SendWithheld, { request: this.call.caller.requestId, upstream: server.id, availability: this.gateway.availability.of(server) });
+            return AttemptOutcome.Withheld;
         }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
             if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted) {
@@ -215,11 +213,6 @@
         return AttemptOutcome.RanAndFailed;
     }
 
-    private withhold(server: UpstreamServer): AttemptOutcome {
-        emit(EventId.SendWithheld, { request: this.call.caller.requestId, upstream: server.id, availability: this.gateway.availability.of(server) });
-        return AttemptOutcome.Withheld;
-    }
-
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
         countFailure(traffic, this.relay.head?.decoded);
         this.logFailed(upstream, reason, Verdict.MayHaveRun);
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -116,12 +116,13 @@
         }
     }
 
-    /** Waits until a request may be sent to the chosen upstream, or to another one that takes it sooner. */
+    /** Waits until a request may be sent to the chosen upstream, or to another one that takes it sooner or is still available after the wait. */
     private async waitForTurn(choice: UpstreamChoice): Promise<UpstreamChoice | Refusal> {
         const { gateway, call } = this;
         for (let next: UpstreamChoice | Refusal = choice;;) {
             const denied = await waitForTurn(gateway, call, next);
-            if (!denied && await mayBeginAt(gateway, call, next)) {
+            const mayBegin = !denied && await mayBeginAt(gateway, call, next);
+            if (mayBegin && gateway.availability.mayTake(next.candidate.server)) {
                 return refuseQuarantined(gateway, this.gate) ?? next;
             }
             if (denied) {
--- a/src/forward/waitForQuiet.ts
+++ b/src/forward/waitForQuiet.ts
@@ -43,13 +43,15 @@
     const hasWaited = quietWaiters.has(call.service, call);
     const decision = decideOnQuiet({ upstreams, hasWaited, ahead, neededMs: neededMsOf(gateway, call, tried), objectiveMs, remainingMs }, random);
     const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
+    if (!hasWaited || !decision.mayWait) {
+        const fields = { request: call.caller.requestId, upstream: first.id, quietMs: Math.round(first.quietMs), upstreams: upstreams.length, ahead };
+        emit(EventId.QuietDecided, { ...fields, isWaiting: decision.mayWait });
+    }
     if (!decision.mayWait) {
         const detail = `${upstreams.length} upstreams asked for quiet, ${first.id} takes requests again first, in ${Math.round(first.quietMs)} ms`;
         return { hasWaited: false, refusal: { kind: FailureKind.UpstreamsQuiet, detail, retryAfterMs: decision.retryAfterMs, isSpread: true } };
     }
-    if (quietWaiters.add(call.service, call)) {
-        emit(EventId.QuietAwaited, { request: call.caller.requestId, upstream: first.id, quietMs: Math.round(first.quietMs), ahead });
-    }
+    quietWaiters.add(call.service, call);
     await sleep(decision.waitMs, call.signal);
     return { hasWaited: true };
 };
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -159,7 +159,8 @@
         });
         const { runner, readyInMs } = answer;
         const isComing = answer.isComing && !isOfOtherVersion(gateway, call, runner);
-        if (!mayWait(call, { ...answer, isComing }, remainingMsOf(gateway, call))) {
+        const isUncertain = answer.isUncertain === true && !quiet.refusal;
+        if (!mayWait(call, { readyInMs, isComing, isUncertain }, remainingMsOf(gateway, call))) {
             return quiet.refusal ?? {
                 detail: isComing
                     ? `the model or adapter would be ready in ${Math.round(readyInMs)} ms, too late for the request`
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -57,7 +57,7 @@
     StreamRecordsUnread = 421,
     LongTurn = 427,
     SendWithheld = 429,
-    QuietAwaited = 430,
+    QuietDecided = 430,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -64,7 +64,8 @@
     [EventId.StreamRecordsUnread]: "the records of streams could not be read or maintained; that is tried again",
     [EventId.SendWithheld]:
         "a request was not sent to the upstream chosen for it: it was no longer available when its connection was open; another one is chosen",
-    [EventId.QuietAwaited]: "a request waits until an upstream that asked for quiet takes requests again",
+    [EventId.QuietDecided]:
+        "all upstreams that could run a request asked for quiet; it waits (`isWaiting`) or is refused; `upstream` takes requests again first, in `quietMs`",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
