--- a/src/core/quietTimes.ts
+++ b/src/core/quietTimes.ts
@@ -5,12 +5,15 @@
 /** Bounds of the time over which requests to an upstream increase after it asked for quiet. */
 const minRampMs = 200;
 const maxRampMs = 1_000;
+/** Afterwards it gets no more than it has slots for twice as long, so that those that waited do not all come at once. */
+const holdFactor = 2;
 
 interface QuietTime {
     readonly bornAt: number;
-    /** End of the time, and of the increase afterwards, on the monotonic clock. */
+    /** End of the time, on the monotonic clock. */
     readonly until: number;
-    readonly rampUntil: number;
+    /** Time over which requests increase after the end. */
+    readonly rampMs: number;
 }
 
 /** The times for which upstreams asked this node for no requests. */
@@ -47,8 +50,7 @@
         if (ms <= before) {
             return 0;
         }
-        const until = this.now() + ms;
-        this.times.set(id, { bornAt, until, rampUntil: until + Math.min(maxRampMs, Math.max(minRampMs, ms)) });
+        this.times.set(id, { bornAt, until: this.now() + ms, rampMs: Math.min(maxRampMs, Math.max(minRampMs, ms)) });
         return ms - before;
     }
 
@@ -57,10 +59,14 @@
         return Math.max(0, (this.find(process)?.until ?? 0) - this.now());
     }
 
-    /** Share of an upstream's usual requests that it may get: 0 at the end of its quiet time, increasing to 1. */
-    rampShare(process: UpstreamProcess): number {
+    /** Share of its slots that an upstream may have in use: 0 at the end of its quiet time, increasing to 1; undefined if there is no limit. */
+    slotShare(process: UpstreamProcess): number | undefined {
         const known = this.find(process);
-        return known ? Math.min(1, Math.max(0, (this.now() - known.until) / (known.rampUntil - known.until))) : 1;
+        return known && !this.isOver(known) ? Math.min(1, Math.max(0, (this.now() - known.until) / known.rampMs)) : undefined;
+    }
+
+    private isOver({ until, rampMs }: QuietTime): boolean {
+        return this.now() >= until + (1 + holdFactor) * rampMs;
     }
 
     private find({ id, bornAt }: UpstreamProcess): QuietTime | undefined {
@@ -69,6 +75,6 @@
     }
 
     private removeOver(): void {
-        this.times.forEach(({ rampUntil }, id) => rampUntil <= this.now() && this.times.delete(id));
+        this.times.forEach((time, id) => this.isOver(time) && this.times.delete(id));
     }
 }
--- a/src/core/upstreamAvailability.ts
+++ b/src/core/upstreamAvailability.ts
@@ -81,8 +81,8 @@
         if (this.quiet.remainingMs(process) > 0) {
             return Availability.Quiet;
         }
-        const share = this.quiet.rampShare(process);
-        return share < 1 && this.inFlightOf(process.id) >= 1 + Math.floor(share * listed.slots) ? Availability.Ramping : Availability.Available;
+        const share = this.quiet.slotShare(process);
+        return share !== undefined && this.inFlightOf(process.id) >= 1 + Math.floor(share * listed.slots) ? Availability.Ramping : Availability.Available;
     }
 
     /** Whether a new request may be sent to an upstream. */
--- a/test/leavingUpstreams.test.ts
+++ b/test/leavingUpstreams.test.ts
@@ -11,6 +11,7 @@
 import { requestHeaderCodec } from "../src/platform/requestHeaderCodec";
 import { RunnerClient } from "../src/platform/runnerClient";
 import { RouteKind } from "../src/types/servingConfig";
+import { IgnoredHeader } from "../src/types/upstreamWord";
 import { setupLogs } from "../src/utils/events";
 import type { TestGateway } from "./fakes/gatewayHarness";
 import { callGateway, startGateway } from "./fakes/gatewayHarness";
@@ -87,6 +88,23 @@
         });
     }
 
+    const invalidHeaders: readonly { readonly name: string; readonly headers: string; readonly reason: IgnoredHeader; }[] = [
+        { name: "two values", headers: leaving.repeat(2), reason: IgnoredHeader.LeavingRepeated },
+        { name: "another value", headers: "Server-Leaving: 0\r\n", reason: IgnoredHeader.LeavingValue },
+        { name: "no value", headers: "Server-Leaving:\r\n", reason: IgnoredHeader.LeavingValue },
+    ];
+    for (const { name, headers, reason } of invalidHeaders) {
+        it(`has its answer delivered, and serves on, if it says so with ${name}`, async () => {
+            const upstream = await startScriptedUpstream(send(id => answerOf(id, "done", { headers })));
+            const node = await startGateway([upstream.address]);
+            const results = [await callGateway(node.address), await callGateway(node.address)];
+            node.close();
+            upstream.close();
+            assert.deepEqual(results.map(({ body }) => body), ["done", "done"]);
+            assert.equal(node.gateway.availability.ignoredCount(reason), 2);
+        });
+    }
+
     it("may end what is in progress there", async () => {
         const script: Script = (socket, { id, index }) => {
             setTimeout(() => socket.write(answerOf(id, `done ${index}`, { headers: index === 1 ? leaving : "" })), index === 0 ? 300 : 0);
--- a/test/quietUpstreams.test.ts
+++ b/test/quietUpstreams.test.ts
@@ -119,6 +119,27 @@
         assert.deepEqual([traffic.recentFailures, traffic.isUnreachable, node.gateway.runnerLimits.limitOf("up-0@1")], [0, false, 1_000]);
     });
 
+    it("costs one retry, also if the next send is withheld once", async () => {
+        const upstreams = await Promise.all([quietFirst("30"), answer].map(script => startScriptedUpstream(script)));
+        const node = await startGateway(upstreams.map(({ address }) => address));
+        const { availability } = node.gateway;
+        node.gateway.trafficOf("up-0").onFirstByte(1);
+        let checks = 0;
+        const mayStillSend = availability.mayStillSend.bind(availability);
+        availability.mayStillSend = process => ++checks !== 2 && mayStillSend(process);
+        const budget = node.gateway.budgetOf("desk");
+        let retries = 0;
+        const withdraw = budget.withdraw.bind(budget);
+        budget.withdraw = () => {
+            retries++;
+            return withdraw();
+        };
+        const { status } = await callGateway(node.address);
+        node.close();
+        upstreams.forEach(upstream => upstream.close());
+        assert.deepEqual([status, checks, retries, ...upstreams.map(({ received }) => received.length)], [200, 3, 1, 1, 1]);
+    });
+
     it("is not probed, and counts as alive", async () => {
         const node = await startGateway(["127.0.0.1:1"]);
         const server = node.gateway.directory.get("up-0")!;
--- a/test/upstreamAvailability.test.ts
+++ b/test/upstreamAvailability.test.ts
@@ -226,11 +226,11 @@
             return traffic.inFlight;
         };
         onAnswer(503, quiet("1"));
-        const counts = [0, 1_000, 250, 250, 250, 250].map(ms => {
+        const counts = [0, 1_000, 250, 250, 250, 250, 1_990, 10].map(ms => {
             clock.tick(ms);
             return allowed();
         });
-        assert.deepEqual(counts, [0, 1, 2, 3, 4, 100]);
+        assert.deepEqual(counts, [0, 1, 2, 3, 4, 5, 5, 100]);
     });
 
     it("remembers listed upstreams and a bounded number of others", () => {
