Take a resumed stream that begins with a comment for a continuation

Cause: the first block of a resumed stream had to have an event ID, so that text that is no event is not taken for a continuation. A comment has none. Fix: the first block that is an event must have one; comments may precede it, in the same piece or by themselves.

Evidence: continuations.test.ts, five new cases.

--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,6 +1,6 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerHold } from "../core/answerMemory";
-import { goOnAfter } from "../core/eventOrder";
+import { goOnAfter, holdEvent } from "../core/eventOrder";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
@@ -131,7 +131,8 @@
         this.hold.release();
         this.hold.grow(this.splitter.partialBytes);
         const isResumption = lastEventId !== undefined && this.attemptEventAt === undefined;
-        if (!goOnAfter(events.toString("latin1"), lastEventId, isResumption)) {
+        const text = events.toString("latin1");
+        if (!goOnAfter(text, lastEventId, isResumption)) {
             this.splitter.lastEventId = lastEventId;
             return SinkState.OutOfOrder;
         }
@@ -141,10 +142,8 @@
             this.maxEventGapMs = Math.max(this.maxEventGapMs, gapMs);
             this.observer.onEventGap(gapMs);
         }
-        this.attemptEventAt ??= now;
-        if (this.firstEventAt === 0) {
-            this.firstEventAt = now;
-            this.observer.onFirstEvent();
+        if (this.attemptEventAt === undefined && holdEvent(text)) {
+            this.onFirstEvent(now);
         }
         this.lastProgressAt = now;
         if (this.call.res.write(events)) {
@@ -158,6 +157,14 @@
         return SinkState.Full;
     }
 
+    private onFirstEvent(now: number): void {
+        this.attemptEventAt = now;
+        if (this.firstEventAt === 0) {
+            this.firstEventAt = now;
+            this.observer.onFirstEvent();
+        }
+    }
+
     /** Completes the caller's answer after the upstream's answer has arrived in full. */
     complete(): void {
         const { res } = this.call;
--- a/test/continuations.test.ts
+++ b/test/continuations.test.ts
@@ -20,6 +20,14 @@
 
 const streamOf = (body: string): Script => (socket, { id }) => void socket.write(streamHeadOf(id) + (body === "" ? "" : chunkOf(body)) + lastChunk);
 
+const comment = ": keep-alive\n\n";
+const pieceGapMs = 20;
+/** A stream whose first bytes, up to the end of a comment, arrive by themselves. */
+const streamAfterComment = (body: string): Script => (socket, { id }) => {
+    socket.write(streamHeadOf(id) + chunkOf(comment));
+    setTimeout(() => socket.write(chunkOf(body) + lastChunk), pieceGapMs);
+};
+
 /** An answer to the request that resumes a stream after its second event. */
 interface Continuation {
     readonly name: string;
@@ -33,6 +41,11 @@
 
 const continuations: readonly Continuation[] = [
     { name: "events that follow", script: resumedStream, body: sseEvents(1, 4), isComplete: true },
+    { name: "events after a comment", script: streamOf(comment + sseEvents(3, 4)), body: begun + comment + sseEvents(3, 4), isComplete: true },
+    { name: "events some time after a comment", script: streamAfterComment(sseEvents(3, 4)), body: begun + comment + sseEvents(3, 4), isComplete: true },
+    { name: "text after a comment", script: streamOf(`${comment}sorry\n\n`), body: begun, isComplete: false },
+    { name: "text some time after a comment", script: streamAfterComment("sorry\n\n"), body: begun + comment, isComplete: false },
+    { name: "all events some time after a comment", script: streamAfterComment(sseEvents(1, 4)), body: begun + comment, isComplete: false },
     { name: "the end of a stream without further events", script: streamOf(""), body: begun, isComplete: true },
     { name: "a success in plain text", script: answer, body: begun, isComplete: false },
     { name: "an empty success of no type", script: (socket, { id }) => void socket.write(answerOf(id, "")), body: begun, isComplete: false },
