--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -148,15 +148,15 @@
 
     /** The best option to load a model on any runner, if its advantage exceeds the minimum. */
     private bestOption(model: ModelSpec, chosen: ReadonlySet<RunnerTracker>): CopyOption | undefined {
-        const maxGain = this.maxGain(model.name);
+        const ownGain = this.maxOwnGain(model.name);
         const added = this.loadOf(model.name) / (this.copyCount(model.name) + 1);
         let best: CopyOption | undefined;
         let bestAdvantage = minAdvantage;
-        if (maxGain < bestAdvantage) {
+        if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < bestAdvantage) {
             return undefined;
         }
         for (const tracker of this.usable) {
-            if (chosen.has(tracker) || !tracker.canOrder || maxGain - this.minAddedQueueCost(tracker, added) < bestAdvantage) {
+            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < bestAdvantage) {
                 continue;
             }
             const option = this.optionAt(model, tracker);
@@ -168,15 +168,14 @@
         return best;
     }
 
-    /** Upper bound of the gain of a further copy of a model: the queueing cost that its other runners save, or the value of a first copy. */
-    private maxGain(model: string): number {
+    /** Upper bound of the gain of a further copy of a model, beside needs: the queueing cost that its other runners save, or the value of a first copy. */
+    private maxOwnGain(model: string): number {
         const copyCount = this.copyCount(model);
-        const needGain = this.needs.maxGain(model, this.holdersOf(model));
         if (copyCount === 0) {
-            return this.costWithoutCopy(model) + needGain;
+            return this.costWithoutCopy(model);
         }
         const relief = this.loadOf(model) / copyCount - this.loadOf(model) / (copyCount + 1);
-        let gain = needGain;
+        let gain = 0;
         this.trackersByModel.get(model)!.forEach(tracker => {
             const current = this.utilisation.get(tracker) ?? 0;
             gain += queueCost(current) - queueCost(current - relief);
@@ -184,9 +183,11 @@
         return gain;
     }
 
-    /** Lower bound of the queueing cost of additional load at a runner, whatever is unloaded there. */
-    private minAddedQueueCost(tracker: RunnerTracker, added: number): number {
-        return queueCost(added) - queueCost(this.utilisation.get(tracker) ?? 0);
+    /** Upper bound of what a copy at a runner is worth for needs, less what it costs there whatever is unloaded; `added` is the load that it takes over. */
+    private maxNetNeed(model: ModelSpec, tracker: RunnerTracker, added: number): number {
+        const minAddedQueueCost = queueCost(added) - queueCost(this.utilisation.get(tracker) ?? 0);
+        const gain = this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
+        return gain > 0 ? gain - this.loadCost(model, tracker) - minAddedQueueCost : -minAddedQueueCost;
     }
 
     /** The best option to load a model on a runner, undefined if there is none. */
@@ -240,7 +241,10 @@
             const current = this.utilisation.get(target) ?? 0;
             queueCostChange += queueCost(current + delta) - queueCost(current);
         });
-        const loadCost = loadCostPerS * tracker.loadMs(model) / 1_000 + (tracker.loadsFromWeightStore(model.name) ? weightStoreLoadCost : 0);
-        return gain - loss - queueCostChange - loadCost;
+        return gain - loss - queueCostChange - this.loadCost(model, tracker);
+    }
+
+    private loadCost(model: ModelSpec, tracker: RunnerTracker): number {
+        return loadCostPerS * tracker.loadMs(model) / 1_000 + (tracker.loadsFromWeightStore(model.name) ? weightStoreLoadCost : 0);
     }
 }
--- a/src/core/versionUse.ts
+++ b/src/core/versionUse.ts
@@ -10,8 +10,8 @@
 
 /** Share of a model's streams at a version whose callers are expected to return to it. */
 const returningShare = 0.1;
-/** Value per second of a second copy at a version: pays a load from host memory or disk into free memory only. */
-const secondCopyValue = 0.12;
+/** Greatest value per second of a second copy at a version: pays a load from host memory or disk into free memory only. */
+const maxSecondCopyValue = 0.12;
 
 /** Requests for a model that were served at one software version. */
 interface Use {
@@ -61,15 +61,20 @@
             return [];
         }
         return [...this.uses].flatMap(([model, byVersion]) =>
-            [...byVersion].filter(([version]) => versions.has(version)).map(([version, use]) => ({
-                model,
-                bound: boundToVersion(version),
-                firstValue: anyModelValue + valuePerRunner * returningShare * this.loadOf(use),
-                secondValue: secondCopyValue,
-            }))
+            [...byVersion].filter(([version]) => versions.has(version)).map(([version, use]) => this.toNeed(model, version, use))
         );
     }
 
+    private toNeed(model: string, version: string, use: Use): CopyNeed {
+        const returningValue = valuePerRunner * returningShare * this.loadOf(use);
+        return {
+            model,
+            bound: boundToVersion(version),
+            firstValue: anyModelValue + returningValue,
+            secondValue: Math.min(maxSecondCopyValue, returningValue),
+        };
+    }
+
     private update(model: string, version: string, load: number, idleMs: number): void {
         const byVersion = getOrCreate(this.uses, model, () => new Map<string, Use>());
         const use = getOrCreate(byVersion, version, () => ({ lastAt: Number.NEGATIVE_INFINITY, load: 0, loadAt: this.now() }));
