Reset the connection of an order that is given up

A runner accepted an order that its sender had given up before it released the lease, 1.6 s before an order of the next holder. The order was on its way as the link was cut; the sender closed its connection after 0.4 s, but in the orderly way, so the kernel went on sending the bytes and the healed link delivered them. The bound of the runner leases (maxOrderDeliveryMs) was thus none.

Orders have connections of their own now, which are reset when an order is given up: the kernel discards what has not arrived. Longer runner leases were ruled out: no length covers a cut link, and each second delays every takeover.

A process that is killed within 0.4 s after an order still cannot reset it; requests of callers that are given up are closed in the orderly way as before.

--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -7,6 +7,7 @@
 import type { TransportLimits } from "../types/transportLimits";
 import type { UpstreamWord } from "../types/upstreamWord";
 import { Verdict } from "../types/verdict";
+import { createResettingConnector } from "../utils/resettingConnector";
 import { errorCodeOf, readAnswerText, refusedConnectionCode, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
 import { decodeUpstreamWord } from "./upstreamWordDecoder";
@@ -48,15 +49,13 @@
 /** HTTP client of the controller for runners. */
 export class RunnerClient implements RunnerControl {
     private readonly agent: Agent;
+    /** An order that is given up must not arrive later: another holder may send orders by then. */
+    private readonly orderAgent: Agent;
 
     private constructor(private readonly limits: TransportLimits, private readonly onWord: WordListener) {
-        this.agent = new Agent({
-            connect: { timeout: connectTimeoutMs },
-            keepAliveTimeout: 1_000,
-            keepAliveTimeoutThreshold: 200,
-            maxHeaderSize: limits.maxAnswerHeadBytes,
-            pipelining: 1,
-        });
+        const options = { keepAliveTimeout: 1_000, keepAliveTimeoutThreshold: 200, maxHeaderSize: limits.maxAnswerHeadBytes, pipelining: 1 };
+        this.agent = new Agent({ ...options, connect: { timeout: connectTimeoutMs } });
+        this.orderAgent = new Agent({ ...options, connect: createResettingConnector({ timeout: connectTimeoutMs }) });
     }
 
     /** Creates a client; connections are opened on first use. `onWord` is called with what each answer says of its runner's availability. */
@@ -114,7 +113,7 @@
         const { id, address } = runner;
         const res = await request(`http://${address}/api/order`, {
             method: "POST",
-            dispatcher: this.agent,
+            dispatcher: this.orderAgent,
             headers: { "content-type": "application/json", "expect-instance": id },
             body: JSON.stringify({ op: operationOf[kind], model, adapter, expected: expectedAcceptedOrders, holder, fence: epoch }),
             signal: AbortSignal.timeout(answerTimeoutMs),
