--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -59,6 +59,8 @@
         cutAnswer(res);
         return;
     }
+    // Headers of an upstream's answer that could not be relayed.
+    res.getHeaderNames().filter(name => name !== "connection").forEach(name => res.removeHeader(name));
     if (failure.retryAfterMs !== undefined && status === unavailable) {
         res.setHeader("Retry-After", (failure.retryAfterMs / msPerSecond).toFixed(2));
     }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,6 +1,9 @@
-import type { Dispatcher } from "undici";
+import type { Client, Dispatcher } from "undici";
+import { EventId } from "../types/eventId";
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
-import { errorCodeOf } from "../utils/transport";
+import { RequestStep } from "../types/requestStep";
+import { emit } from "../utils/events";
+import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { CallerPresence } from "./callerPresence";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
@@ -13,6 +16,8 @@
     Withdrawn = "withdrawn",
     /** No byte of the request was sent. */
     Unsent = "unsent",
+    /** No byte of the request was sent, as its method, path or a header cannot be sent to any upstream. */
+    Unsendable = "unsendable",
     /** The connection ended, or the answer belonged to another request: the request may have run. */
     Lost = "lost",
     /** The node aborted the attempt. */
@@ -81,6 +86,9 @@
 /** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
 const maxInformationalAnswers = 32;
 
+/** Code of the client's errors about a request that it does not send. */
+const invalidRequestCode = "UND_ERR_INVALID_ARG";
+
 const abortReason = new Error("attempt aborted by the node");
 
 const exchange = (
@@ -93,7 +101,15 @@
     signal: AbortSignal,
 ): Promise<AttemptEnd> =>
     new Promise(resolve => {
-        const client = pool.acquire(req.mayRepeat, () => presence.confirm());
+        let client: Client;
+        try {
+            client = pool.acquire(req.mayRepeat, () => presence.confirm());
+        }
+        catch (err) {
+            emit(EventId.AttemptStepFailed, { request: req.requestId, step: RequestStep.Send, detail: describeError(err) });
+            resolve({ kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined });
+            return;
+        }
         let isSent = false;
         let isWithheld = false;
         let informationalAnswers = 0;
@@ -116,8 +132,20 @@
             controller?.abort(abortReason);
             finish(isSent ? AttemptEndKind.Aborted : AttemptEndKind.Unsent, "aborted");
         };
+        /** An error of the node's own code ends this attempt alone. */
+        const contain = <A extends readonly unknown[]>(step: RequestStep, handle: (...args: A) => void) => (...args: A): void => {
+            try {
+                handle(...args);
+            }
+            catch (err) {
+                emit(EventId.AttemptStepFailed, { request: req.requestId, step, detail: describeError(err) });
+                isDropped = true;
+                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `internal error at step "${step}"`);
+                controller?.abort(abortReason);
+            }
+        };
         signal.addEventListener("abort", onAbort, { once: true });
-        client.dispatch({ method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body }, {
+        const handlers: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
                 if (isSent) {
                     // undici is about to resend the request over a new connection.
@@ -132,7 +160,7 @@
                 isSent = true;
                 controller = started;
             },
-            onResponseStart: (current, status, headers) => {
+            onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 const decoded = wire.decodeAnswer(status, headers);
                 guard.onAnyHead(decoded);
                 if (status < 200) {
@@ -155,8 +183,8 @@
                 hasHead = true;
                 framing = framingOf(headers);
                 sink.onHead({ status, headers, decoded });
-            },
-            onResponseData: (current, chunk) => {
+            }),
+            onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 if (isDropped) {
                     return;
                 }
@@ -170,23 +198,26 @@
                 else if (state === SinkState.Full) {
                     current.pause();
                 }
-            },
-            onResponseEnd: () => {
+            }),
+            onResponseEnd: contain(RequestStep.End, () => {
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
                     const isReset = framing === AnswerFraming.Connection && pool.wasReset(client);
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
                 }
-            },
+            }),
             // The controller is undefined if no connection was established.
             onResponseError: (current: Dispatcher.DispatchController | undefined, err) => {
                 if (isSent && !hasHead && !current?.aborted) {
                     pool.onEndedUnanswered(client);
                 }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
-                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, reason);
+                const unsent = errorCodeOf(err) === invalidRequestCode ? AttemptEndKind.Unsendable : AttemptEndKind.Unsent;
+                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason);
             },
-        });
+        };
+        const outgoing = { method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body };
+        contain(RequestStep.Send, () => void client.dispatch(outgoing, handlers))();
     });
 
 /**
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -1,28 +1,38 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { EventId } from "../types/eventId";
+import { RequestStep } from "../types/requestStep";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { processKey, softwareVersionOf } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
 import type { AttemptEnd, AttemptGuard, OutgoingRequest } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
+import { AttemptTimers } from "./attemptTimers";
 import type { Call } from "./call";
 import { CrashObserver } from "./crashObserver";
 import { isCutOffWithUpstream } from "./endCheck";
 import type { Gateway } from "./gateway";
+import { logSent } from "./logSent";
 import { toOutgoingRequest } from "./outgoingRequest";
 import { countFailure, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 
-/** Interval at which upstreams are checked for silence. */
-const silenceCheckIntervalMs = 100;
 /** Weight of a failed run in an upstream's count of recent failures; a lost answer counts 1. */
 const failedRunWeight = 0.5;
 const minServerErrorStatus = 500;
 
+/** Ends of attempts of which no byte was sent. */
+const unsentKinds: ReadonlySet<AttemptEndKind> = new Set([
+    AttemptEndKind.Withdrawn,
+    AttemptEndKind.Unsent,
+    AttemptEndKind.Unsendable,
+    AttemptEndKind.Withheld,
+]);
+
 /** Outcome of an attempt. */
 export enum AttemptOutcome {
     /** The upstream's answer is complete and may be relayed. */
@@ -32,6 +42,8 @@
     Unsent = "unsent",
     /** Not sent either, as the upstream was no longer available. */
     Withheld = "withheld",
+    /** No byte was sent, nor can be to any upstream. */
+    Unsendable = "unsendable",
     MayHaveRun = "may-have-run",
     /** The upstream ran the request and answered with a server error; that answer is kept. */
     RanAndFailed = "ran-and-failed",
@@ -74,42 +86,44 @@
     async run(choice: UpstreamChoice, send: number, failOver: (() => boolean) | undefined): Promise<AttemptOutcome> {
         const { call, gateway } = this;
         const { server, traffic } = choice.candidate;
+        const mayHaveRunBefore = call.progress.mayHaveRun;
+        call.progress.step = RequestStep.Send;
         this.choice = choice;
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
         traffic.inFlight++;
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
-        const timers = this.startTimers(choice, abort, failOver);
         const onCallerAbort = (): void => abort.abort();
         call.signal.addEventListener("abort", onCallerAbort, { once: true });
         if (call.signal.aborted) {
             // The caller left while the request waited, so there will be no event.
             abort.abort();
         }
-        emit(EventId.RequestSent, {
-            request: call.caller.requestId,
-            upstream: server.id,
-            softwareVersion: server.softwareVersion,
-            resumes: call.caller.resumedRequestId,
-            send,
-            predictedMs: Math.round(choice.predictedMs),
-            load: Math.round(traffic.load),
-            loadAgeMs: Math.round(traffic.reportAgeMs),
-            configVersion: call.configVersion,
-        });
-        const pool = gateway.connectionPoolOf(server.id, server.address);
-        const guard: AttemptGuard = {
-            mayStillSend: () => gateway.availability.mayStillSend(server),
-            onAnyHead: decoded => gateway.availability.onAnswer(server, decoded, call.caller.requestId),
-        };
-        const toRequest = (): OutgoingRequest => toOutgoingRequest(gateway, call, this.relay, server.id);
-        const end = await sendAttempt(pool, toRequest, gateway.wire, this.relay, guard, call.presence, abort.signal);
+        const timers = AttemptTimers.start(call, abort);
+        let end: AttemptEnd;
+        try {
+            if (failOver) {
+                timers.watchSilence(SilenceWatch.create(gateway, call, choice, this.relay), failOver);
+            }
+            end = await this.send(choice, send, abort.signal);
+        }
+        catch (err) {
+            // Once the request is sent, its attempt has an end and no error.
+            emit(EventId.AttemptStepFailed, { request: call.caller.requestId, step: call.progress.step, detail: describeError(err) });
+            end = { kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined };
+        }
+        finally {
+            timers.stop();
+            call.signal.removeEventListener("abort", onCallerAbort);
+            traffic.inFlight--;
+            this.removePendingPrefill(choice);
+        }
         this.framing = end.framing;
-        timers.forEach(clearInterval);
-        call.signal.removeEventListener("abort", onCallerAbort);
-        traffic.inFlight--;
-        this.removePendingPrefill(choice);
+        if (unsentKinds.has(end.kind)) {
+            call.progress.mayHaveRun = mayHaveRunBefore;
+        }
+        call.progress.step = RequestStep.Classify;
         if (await this.isCutOff(server, end)) {
             this.crashObserver.onLost(server);
             return this.recordLost(server.id, traffic, "the upstream ended with its answer");
@@ -117,6 +131,23 @@
         return this.classify(choice, end);
     }
 
+    private send(choice: UpstreamChoice, send: number, signal: AbortSignal): Promise<AttemptEnd> {
+        const { call, gateway } = this;
+        const { server } = choice.candidate;
+        logSent(call, choice, send);
+        const pool = gateway.connectionPoolOf(server.id, server.address);
+        const guard: AttemptGuard = {
+            mayStillSend: () => gateway.availability.mayStillSend(server),
+            onAnyHead: decoded => gateway.availability.onAnswer(server, decoded, call.caller.requestId),
+        };
+        const toRequest = (): OutgoingRequest => {
+            const req = toOutgoingRequest(gateway, call, this.relay, server.id);
+            call.progress.mayHaveRun = true;
+            return req;
+        };
+        return sendAttempt(pool, toRequest, gateway.wire, this.relay, guard, call.presence, signal);
+    }
+
     private removePendingPrefill({ candidate, prefillMs }: UpstreamChoice): void {
         if (this.isAwaitingFirstByte) {
             this.isAwaitingFirstByte = false;
@@ -147,17 +178,6 @@
         }
     }
 
-    /** Aborts the attempt at the deadline, and earlier if the upstream is silent and another one can take the request. */
-    private startTimers(choice: UpstreamChoice, abort: AbortController, failOver: (() => boolean) | undefined): NodeJS.Timeout[] {
-        const { call } = this;
-        const timers = [setTimeout(() => abort.abort(), Math.max(0, call.deadlineAt - performance.now()))];
-        if (failOver) {
-            const watch = SilenceWatch.create(this.gateway, call, choice, this.relay);
-            timers.push(setInterval(() => watch.isExhausted() && failOver() && abort.abort(), silenceCheckIntervalMs));
-        }
-        return timers;
-    }
-
     /** Whether an answer that is complete by all that arrived was cut off by the end of its upstream. */
     private async isCutOff(server: UpstreamServer, { kind, framing }: AttemptEnd): Promise<boolean> {
         const { call, relay } = this;
@@ -173,6 +193,10 @@
             emit(EventId.SendWithheld, { request: this.call.caller.requestId, upstream: server.id, availability: this.gateway.availability.of(server) });
             return AttemptOutcome.Withheld;
         }
+        if (end.kind === AttemptEndKind.Unsendable) {
+            this.logFailed(server.id, end.reason, Verdict.NotRun);
+            return AttemptOutcome.Unsendable;
+        }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
             if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted) {
                 traffic.onUnreachable();
--- /dev/null
+++ b/src/forward/attemptTimers.ts
@@ -0,0 +1,44 @@
+import { EventId } from "../types/eventId";
+import { RequestStep } from "../types/requestStep";
+import { emit } from "../utils/events";
+import { describeError } from "../utils/transport";
+import type { Call } from "./call";
+import type { SilenceWatch } from "./silenceWatch";
+
+/** Interval at which upstreams are checked for silence. */
+const silenceCheckIntervalMs = 100;
+
+/** Aborts an attempt at the deadline, and earlier if its upstream is silent and another one can take the request. */
+export class AttemptTimers {
+    private silenceTimer: NodeJS.Timeout | undefined;
+    private readonly deadlineTimer: NodeJS.Timeout;
+
+    private constructor(private readonly call: Call, private readonly abort: AbortController) {
+        this.deadlineTimer = setTimeout(() => abort.abort(), Math.max(0, call.deadlineAt - performance.now()));
+    }
+
+    /** Starts the timer of the deadline. */
+    static start(call: Call, abort: AbortController): AttemptTimers {
+        return new AttemptTimers(call, abort);
+    }
+
+    /** Checks for silence; the attempt is aborted if `failOver` returns true. An error ends the checks alone. */
+    watchSilence(watch: SilenceWatch, failOver: () => boolean): void {
+        this.silenceTimer = setInterval(() => {
+            try {
+                if (watch.isExhausted() && failOver()) {
+                    this.abort.abort();
+                }
+            }
+            catch (err) {
+                clearInterval(this.silenceTimer);
+                emit(EventId.AttemptStepFailed, { request: this.call.caller.requestId, step: RequestStep.Choose, detail: describeError(err) });
+            }
+        }, silenceCheckIntervalMs);
+    }
+
+    stop(): void {
+        clearTimeout(this.deadlineTimer);
+        clearInterval(this.silenceTimer);
+    }
+}
--- a/src/forward/call.ts
+++ b/src/forward/call.ts
@@ -3,6 +3,7 @@
 import type { ServiceRoute } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
 import type { CallerPresence } from "./callerPresence";
+import type { RequestProgress } from "./requestProgress";
 import type { VersionPin } from "./versionPin";
 
 /** A caller's request that has been read and matched to a route. Times are on the monotonic clock. */
@@ -23,6 +24,7 @@
     readonly deadlineAt: number;
     readonly versionPin: VersionPin;
     readonly presence: CallerPresence;
+    readonly progress: RequestProgress;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
 }
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -9,7 +9,8 @@
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
 import { errorCodeOf } from "../utils/transport";
-import { answerFailure, cutAnswer } from "./answerFailure";
+import { answerFailure } from "./answerFailure";
+import { answerUnexpectedError } from "./answerUnexpectedError";
 import type { Call } from "./call";
 import { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
@@ -17,6 +18,7 @@
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
 import { readRequestBody } from "./requestBody";
+import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
 
@@ -122,17 +124,19 @@
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const startedAt = performance.now();
+        const progress = RequestProgress.create();
         if (!await this.turns.wait(req.socket, res)) {
             return;
         }
         const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
+        res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
         res.on("close", () => this.gateway.inProgress--);
         if (this.gateway.isStopping && this.turns.isNewest(req.socket, res)) {
             res.setHeader("Connection", "close");
         }
         try {
-            const call = await this.toCall(req, res, startedAt, presence);
+            const call = await this.toCall(req, res, startedAt, progress, presence);
             if (presence.signal.aborted) {
                 emit(EventId.CallerLeft, { request: call?.caller.requestId, afterMs: Math.round(performance.now() - startedAt) });
             }
@@ -141,16 +145,21 @@
             }
         }
         catch (err) {
-            const requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
-            emit(EventId.RequestFailed, { request: requestId, detail: err instanceof Error ? err.stack : errorCodeOf(err) });
-            cutAnswer(res);
+            answerUnexpectedError(req, res, progress, err);
         }
     }
 
     /** Reads a request and finds its route; answers it with a failure if either does not succeed. */
-    private async toCall(req: IncomingMessage, res: ServerResponse, startedAt: number, presence: CallerPresence): Promise<Call | undefined> {
+    private async toCall(
+        req: IncomingMessage,
+        res: ServerResponse,
+        startedAt: number,
+        progress: RequestProgress,
+        presence: CallerPresence,
+    ): Promise<Call | undefined> {
         const { gateway } = this;
         const caller = gateway.wire.decodeCaller(req.headers);
+        progress.requestId = caller.requestId;
         const limits = gateway.config?.limits;
         const refuse = (failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): undefined => {
             if (!req.complete) {
@@ -205,6 +214,7 @@
             startedAt,
             deadlineAt: startedAt + timeoutMs,
             versionPin: createVersionPin(),
+            progress,
             presence,
             signal: presence.signal,
         };
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -3,6 +3,7 @@
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
 import { artifactKey } from "../types/modelRequest";
+import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { answerFailedCall } from "./answerFailure";
@@ -27,6 +28,8 @@
 const refusedRetryAfterMs = 700;
 /** Retry delay given by a stopping node: another node can accept the request immediately. */
 const stoppingRetryAfterMs = 50;
+/** Outcomes of attempts that do not count as sends. */
+const unsentOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Unsent, AttemptOutcome.Unsendable, AttemptOutcome.Withheld]);
 /** Outcomes after which the request has certainly not run. */
 const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.NotRun, AttemptOutcome.Unsent, AttemptOutcome.Withheld]);
 
@@ -76,7 +79,8 @@
             return;
         }
         this.gate.startTrial();
-        const first = await pinTakenUpStream(gateway, call) ?? await waitForUpstream(gateway, call, this.tried, this.gate);
+        call.progress.step = RequestStep.Pin;
+        const first = await pinTakenUpStream(gateway, call) ?? await this.waitForUpstream();
         if (isRefusal(first)) {
             this.refuse(first);
             return;
@@ -116,10 +120,17 @@
         }
     }
 
+    private waitForUpstream(): Promise<UpstreamChoice | Refusal> {
+        const { gateway, call } = this;
+        call.progress.step = RequestStep.Choose;
+        return waitForUpstream(gateway, call, this.tried, this.gate);
+    }
+
     /** Waits until a request may be sent to the chosen upstream, or to another one that takes it sooner or is still available after the wait. */
     private async waitForTurn(choice: UpstreamChoice): Promise<UpstreamChoice | Refusal> {
         const { gateway, call } = this;
         for (let next: UpstreamChoice | Refusal = choice;;) {
+            call.progress.step = RequestStep.Turn;
             const denied = await waitForTurn(gateway, call, next);
             const mayBegin = !denied && await mayBeginAt(gateway, call, next);
             if (mayBegin && gateway.availability.mayTake(next.candidate.server)) {
@@ -128,7 +139,7 @@
             if (denied) {
                 this.tried.add(next.candidate.server.id);
             }
-            next = await waitForUpstream(gateway, call, this.tried, this.gate);
+            next = await this.waitForUpstream();
             if (isRefusal(next)) {
                 return denied && next.kind === undefined ? denied : next;
             }
@@ -165,13 +176,18 @@
         this.sends++;
         const mayRunAgain = mayRepeat(route) && this.gate.mayRunTwice && this.possibleRuns + 1 < route.maxAttempts &&
             this.sends < maxSends;
-        const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? () => this.reserveAlternative() : undefined);
-        if (outcome === AttemptOutcome.Unsent || outcome === AttemptOutcome.Withheld) {
+        const failOver = (): boolean => {
+            this.alternative = findAlternative(this.gateway, this.call, this.tried);
+            return this.alternative !== undefined;
+        };
+        const outcome = await this.attempts.run(choice, this.sends, mayRunAgain ? failOver : undefined);
+        if (unsentOutcomes.has(outcome)) {
             this.sends--;
         }
         else if (outcome !== AttemptOutcome.NotRun) {
             this.possibleRuns++;
         }
+        this.call.progress.mayHaveRun = this.possibleRuns > 0;
         this.isRetryPaid = outcome === AttemptOutcome.Withheld && this.sends > 0;
         // An upstream that asked for quiet has not failed the request: it may get it after that time.
         if (outcome === AttemptOutcome.Withheld || (outcome === AttemptOutcome.NotRun && this.gateway.availability.quietMsOf(choice.candidate.server) > 0)) {
@@ -188,18 +204,12 @@
     private mayTryAgain(outcome: AttemptOutcome): boolean {
         const { route } = this.call;
         const isLastRun = this.possibleRuns > 0 && !this.gate.mayRunTwice;
-        if (outcome === AttemptOutcome.Answered || this.isTooLate || this.sends >= maxSends || isLastRun) {
+        if (outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.Unsendable || this.isTooLate || this.sends >= maxSends || isLastRun) {
             return false;
         }
         return notRunOutcomes.has(outcome) || (mayRepeat(route) && this.possibleRuns < route.maxAttempts);
     }
 
-    /** Reserves an upstream that can take the request now, with a retry of the budget; returns whether there is one. */
-    private reserveAlternative(): boolean {
-        this.alternative = findAlternative(this.gateway, this.call, this.tried);
-        return this.alternative !== undefined;
-    }
-
     /** Another upstream, if one is available and the service's retry budget allows it; otherwise why not. */
     private async chooseNextUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call, alternative } = this;
@@ -207,7 +217,7 @@
         if (alternative) {
             return alternative;
         }
-        const choice = await waitForUpstream(gateway, call, this.tried, this.gate);
+        const choice = await this.waitForUpstream();
         const costsNoRetry = this.sends === 0 || this.isRetryPaid;
         if (isRefusal(choice) || costsNoRetry || gateway.budgetOf(call.service).withdraw()) {
             return choice;
@@ -226,12 +236,17 @@
     /** Sends the final answer to the caller; `detail` says why there is no further attempt. */
     private finish(outcome: AttemptOutcome, detail = "no upstream gave an answer that can be relayed"): void {
         const { relay } = this.attempts;
+        this.call.progress.step = RequestStep.Answer;
         const isRelayable = outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.RanAndFailed;
         if (isRelayable && relay.canComplete) {
             relay.complete();
             logAnswered(this.call, this.attempts, this.upstream, this.sends);
             return;
         }
+        if (outcome === AttemptOutcome.Unsendable && this.possibleRuns === 0) {
+            this.fail(FailureKind.BadRequest, "the request cannot be sent to an upstream");
+            return;
+        }
         this.fail(
             this.isTooLate ? FailureKind.DeadlineExpired : this.possibleRuns === 0 ? FailureKind.UpstreamRefused : FailureKind.UpstreamLost,
             detail,
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -1,5 +1,9 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { decideOnSilence, SilenceAction } from "../core/failOver";
+import { EventId } from "../types/eventId";
+import { RequestStep } from "../types/requestStep";
+import { emit } from "../utils/events";
+import { describeError } from "../utils/transport";
 import type { AnswerRelay } from "./answerRelay";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
@@ -65,9 +69,10 @@
             return;
         }
         this.isProbing = true;
-        void prober.isAlive(this.choice.candidate.server).then(isAlive => {
-            this.isAlive = isAlive;
-            this.isProbing = false;
-        });
+        prober.isAlive(this.choice.candidate.server).then(isAlive => this.isAlive = isAlive).catch((err: unknown) => {
+            // Without a result, the runner does not count as alive.
+            this.isAlive = false;
+            emit(EventId.AttemptStepFailed, { request: this.call.caller.requestId, step: RequestStep.Choose, detail: describeError(err) });
+        }).finally(() => this.isProbing = false);
     }
 }
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -39,6 +39,12 @@
         labelNames: ["source", "reason"],
         registers: this.registers,
     });
+    private readonly internalErrors = new Counter({
+        name: "jackdawtrail_internal_errors_total",
+        help: "Internal errors on a request's way, by step and by whether they ended the request or one attempt",
+        labelNames: ["step", "ended"],
+        registers: this.registers,
+    });
     private readonly events = new Counter({ name: "jackdawtrail_events_total", help: "Numbered log events", labelNames: ["event"], registers: this.registers });
     private readonly invariants = new Counter({
         name: "jackdawtrail_broken_invariants_total",
@@ -86,6 +92,9 @@
             else if (event === EventId.UpstreamRowIgnored || event === EventId.PeerEntryIgnored) {
                 this.ignoredEntries.inc({ source: event === EventId.UpstreamRowIgnored ? "store" : "peer", reason: String(fields.reason) });
             }
+            else if (event === EventId.RequestFailed || event === EventId.AttemptStepFailed) {
+                this.internalErrors.inc({ step: String(fields.step), ended: event === EventId.RequestFailed ? "request" : "attempt" });
+            }
             else if (isInvariantEvent(event)) {
                 this.invariants.inc({ event });
             }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -55,6 +55,8 @@
     BaseVersionChanged = 419,
     BaseVersionUnknown = 420,
     StreamRecordsUnread = 421,
+    AttemptStepFailed = 425,
+    CallerWriteFailed = 426,
     LongTurn = 427,
     SendWithheld = 429,
     QuietDecided = 430,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -44,7 +44,8 @@
     [EventId.ClaimOutcomeLost]: "the outcome of a call could not be stored; retries are answered that the call may have run",
     [EventId.RequestSent]: "a request was sent to an upstream; `resumes` names the request that began the stream which a caller resumes",
     [EventId.RequestAnswered]: "a request was answered with an upstream's answer; `framing` says what marked its end",
-    [EventId.RequestFailed]: "a request failed because of an internal error",
+    [EventId.RequestFailed]:
+        "a request failed at `step` because of an internal error; it was answered with the verdict unless an answer had begun, which was cut",
     [EventId.LongTurn]: "a turn of the event loop took long while requests waited: the node is short of processor time, and learned late that callers had left",
     [EventId.CallerLeft]: "the caller closed the connection; the attempt on the upstream was aborted",
     [EventId.PromptQuarantined]:
@@ -66,6 +67,8 @@
         "a request was not sent to the upstream chosen for it: it was no longer available when its connection was open; another one is chosen",
     [EventId.QuietDecided]:
         "all upstreams that could run a request asked for quiet; it waits (`isWaiting`) or is refused; `upstream` takes requests again first, in `quietMs`",
+    [EventId.AttemptStepFailed]: "an internal error at `step` ended an attempt; the request may be retried",
+    [EventId.CallerWriteFailed]: "an answer could not be written to its caller",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -9,6 +9,7 @@
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
     EventId.RequestFailed,
+    EventId.AttemptStepFailed,
     EventId.ConfigSourceFailed,
     EventId.ConfigUnreadableRecord,
     EventId.SnapshotFailed,
@@ -41,9 +42,20 @@
 /** Whether the event reports a violated invariant. */
 export const isInvariantEvent = (event: EventId): boolean => event > invariantEventBase;
 
+/** An observer that fails must not fail what the event tells of. */
+const notify = (observer: EventObserver, event: EventId, fields: Readonly<Record<string, unknown>>): void => {
+    try {
+        observer(event, fields);
+    }
+    catch (err) {
+        const [id, name] = [EventId.UnexpectedError, EventId[EventId.UnexpectedError]];
+        log.warn(JSON.stringify({ time: new Date().toISOString(), level: "warn", event: id, name, origin: "observer of events", detail: String(err) }));
+    }
+};
+
 /** Logs a numbered event as one JSON object on one line. */
 export const emit = (event: EventId, fields: Readonly<Record<string, unknown>> = {}): void => {
-    observers.forEach(observer => observer(event, fields));
+    observers.forEach(observer => notify(observer, event, fields));
     const level = isInvariantEvent(event) ? "error" : warningEvents.has(event) ? "warn" : "info";
     log[level](JSON.stringify({ time: new Date().toISOString(), level, event, name: EventId[event], ...fields }));
 };
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -22,6 +22,9 @@
     return code ?? cause?.code ?? (err instanceof Error ? err.name : "unknown");
 };
 
+/** An error with its stack, for a log line. */
+export const describeError = (err: unknown): string => err instanceof Error ? err.stack ?? err.message : errorCodeOf(err);
+
 /** Whether the request may have run, as far as a transport error proves it. */
 export const verdictOfError = (err: unknown): Verdict => unsentCodes.has(errorCodeOf(err)) ? Verdict.NotRun : Verdict.MayHaveRun;
 
--- a/test/givenUpOrder.test.ts
+++ b/test/givenUpOrder.test.ts
@@ -28,7 +28,7 @@
                 socket.on("error", (err: NodeJS.ErrnoException) => ends.push(err.code ?? ""));
             });
             await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
-            const runner = { id: "r", address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
+            const runner = { id: "r", bornAt: 1, address: `127.0.0.1:${(server.address() as AddressInfo).port}` };
             const client = RunnerClient.create(defaultTransportLimits);
             for (let index = 0; index < answers; index++) {
                 assert.equal(await client.order(runner, order), RunnerOrderAnswer.Accepted);
