Close idle connections of callers, or refuse requests, before the descriptors of a node run out

Callers saw ECONNRESET beside strangers' idle connections or halves of heads: nothing bounded the connections of callers, so at the limit of descriptors the runtime accepts and closes each further one, and upstreams, store and peers cannot be reached either.

When the rest runs short, idle connections are closed, first those that carried no request, the oldest first (event 114, once a second with the number); if all carry requests, the next one is refused: 503, not-run, reason connections-short, Retry-After, Connection: close.

Ruled out: maxConnections of the server, which drops without an answer.

--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -11,6 +11,7 @@
 import { AnswerRelay } from "./answerRelay";
 import type { AttemptEnd, AttemptGuard, OutgoingRequest } from "./attempt";
 import { AttemptEndKind, sendAttempt } from "./attempt";
+import { AttemptOutcome } from "./attemptOutcome";
 import { AttemptTimers } from "./attemptTimers";
 import type { Call } from "./call";
 import { CrashObserver } from "./crashObserver";
@@ -33,22 +34,6 @@
     AttemptEndKind.Withheld,
 ]);
 
-/** Outcome of an attempt. */
-export enum AttemptOutcome {
-    /** The upstream's answer is complete and may be relayed. */
-    Answered = "answered",
-    NotRun = "not-run",
-    /** No byte was sent: the attempt does not count as a send. */
-    Unsent = "unsent",
-    /** Not sent either, as the upstream was no longer available. */
-    Withheld = "withheld",
-    /** No byte was sent, nor can be to any upstream. */
-    Unsendable = "unsendable",
-    MayHaveRun = "may-have-run",
-    /** The upstream ran the request and answered with a server error; that answer is kept. */
-    RanAndFailed = "ran-and-failed",
-}
-
 /** Executes the attempts of one request, one after the other, and updates the upstream's traffic statistics after each. */
 export class AttemptExecutor {
     readonly relay: AnswerRelay;
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -49,6 +49,11 @@
 /** Retry-After while the node has no configuration. */
 const startingRetryAfterMs = 500;
 
+/** New connections that the kernel keeps until they are accepted; it drops further ones, which their callers open again after seconds. */
+const listenBacklog = 2_048;
+/** Mean Retry-After while connections are short. */
+const connectionsRetryAfterMs = 1_000;
+
 const headersNamedByConnection = (req: IncomingMessage): ReadonlySet<string> =>
     new Set((req.headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
 
@@ -89,7 +94,7 @@
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
-        this.connections = CallerConnections.create(this.server, gateway.memory);
+        this.connections = CallerConnections.create(this.server, gateway);
     }
 
     /** Creates a server that is not listening yet. */
@@ -169,6 +174,11 @@
             answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
+        if (this.connections.isRefused(req)) {
+            res.setHeader("Connection", "close");
+            const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
+            return refuse(refusalOf(FailureKind.ConnectionsShort, "the node has no descriptor for the request", retryAfterMs));
+        }
         const suspects = SuspectParts.create(req, caller.modelRequest);
         const bodyResult = await readRequestBody(req, res, gateway.memory, {
             maxBytes: limits?.maxBodyBytes ?? defaultMaxBodyBytes,
@@ -226,6 +236,6 @@
     const separator = address.lastIndexOf(":");
     return new Promise((resolve, reject) => {
         server.once("error", reject);
-        server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), () => resolve());
+        server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), listenBacklog, () => resolve());
     });
 };
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -1,13 +1,12 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { estimateWorkMs } from "../core/chooseUpstream";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
-import { artifactKey } from "../types/modelRequest";
 import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { answerFailedCall } from "./answerFailure";
-import { AttemptExecutor, AttemptOutcome } from "./attemptExecutor";
+import { AttemptExecutor } from "./attemptExecutor";
+import { AttemptOutcome, notRunOutcomes, unsentOutcomes } from "./attemptOutcome";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit } from "./canFinishBeforeExit";
@@ -15,6 +14,7 @@
 import type { Gateway } from "./gateway";
 import { logAnswered } from "./logAnswered";
 import { QuarantineGate } from "./quarantineGate";
+import { recordDemand } from "./recordDemand";
 import { mayBeginAt, pinTakenUpStream } from "./versionPin";
 import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
@@ -28,10 +28,6 @@
 const refusedRetryAfterMs = 700;
 /** Retry delay given by a stopping node: another node can accept the request immediately. */
 const stoppingRetryAfterMs = 50;
-/** Outcomes of attempts that do not count as sends. */
-const unsentOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.Unsent, AttemptOutcome.Unsendable, AttemptOutcome.Withheld]);
-/** Outcomes after which the request has certainly not run. */
-const notRunOutcomes: ReadonlySet<AttemptOutcome> = new Set([AttemptOutcome.NotRun, AttemptOutcome.Unsent, AttemptOutcome.Withheld]);
 
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
@@ -69,7 +65,7 @@
 
     private async forward(): Promise<void> {
         const { call, gateway } = this;
-        this.recordDemand();
+        recordDemand(gateway, call);
         if (!canFinishBeforeExit(gateway, call)) {
             this.fail(FailureKind.Stopping, "the node is shutting down and would exit before the request is answered", stoppingRetryAfterMs);
             return;
@@ -99,7 +95,7 @@
             gateway.quietWaiters.remove(call.service, call);
             outcome = await this.attempt(ready);
             if (call.signal.aborted) {
-                emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: this.elapsedMs() });
+                emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: Math.round(performance.now() - call.startedAt) });
                 return;
             }
             if (!this.mayTryAgain(outcome)) {
@@ -160,15 +156,6 @@
         this.fail(kind, detail, retryAfterMs, isSpread);
     }
 
-    private recordDemand(): void {
-        const { call, gateway } = this;
-        const { modelRequest } = call.caller;
-        gateway.budgetOf(call.service).countRequest();
-        if (modelRequest) {
-            gateway.placement.countWork(artifactKey(modelRequest.model, modelRequest.adapter), estimateWorkMs(modelRequest));
-        }
-    }
-
     private async attempt(choice: UpstreamChoice): Promise<AttemptOutcome> {
         const { route } = this.call;
         this.upstream = choice.candidate.server.id;
@@ -258,8 +245,4 @@
         const retryAfterMs = retryDelayMs * (isSpread ? 1 : 0.75 + this.gateway.random() / 2);
         answerFailedCall(this.call, { kind, verdict, detail, retryAfterMs: verdict === Verdict.NotRun ? retryAfterMs : undefined }, this.sends);
     }
-
-    private elapsedMs(): number {
-        return Math.round(performance.now() - this.call.startedAt);
-    }
 }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -116,6 +116,8 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Connections to upstreams that are open or being opened. */
+    upstreamConnections = 0;
     isStopping = false;
     /** When the node was requested to stop, and when the process exits at the latest, on the monotonic clock. */
     stopRequestedAt = Number.POSITIVE_INFINITY;
@@ -183,11 +185,6 @@
         return this.config?.services.get(service)?.engine;
     }
 
-    /** Connections to upstreams that are open or being opened. */
-    get upstreamConnections(): number {
-        return [...this.poolByUpstream.values()].reduce((sum, { size }) => sum + size, 0);
-    }
-
     trafficOf(id: string): UpstreamTraffic {
         return getOrCreate(this.trafficByUpstream, id, () => UpstreamTraffic.create());
     }
@@ -197,7 +194,10 @@
             UpstreamConnectionPool.create(
                 address,
                 this.settings.limits.maxAnswerHeadBytes,
-                count => this.memory.charge(MemoryHolder.UpstreamConnections, count * upstreamConnectionBytes),
+                change => {
+                    this.upstreamConnections += change;
+                    this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
+                },
             ));
     }
 
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -14,6 +14,7 @@
     LinesDropped = 109,
     NodeStartFailed = 110,
     UnexpectedError = 111,
+    IdleConnectionsClosed = 114,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -13,6 +13,7 @@
     [EventId.LinesDropped]: "log lines were dropped because of the rate limit or a slow reader of the log",
     [EventId.NodeStartFailed]: "the node could not start, usually because an address is in use; the process exits",
     [EventId.UnexpectedError]: "an error that no handler caught; the process goes on unless there are many in a short time",
+    [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
     [EventId.ConfigUnreadableRecord]:
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -34,8 +34,14 @@
         private readonly metrics: string,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. */
-    static async start(graceS: number, config: object, upstreams: Readonly<Record<string, object>>, first?: PlatformProcess): Promise<PlatformProcess> {
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors. */
+    static async start(
+        graceS: number,
+        config: object,
+        upstreams: Readonly<Record<string, object>>,
+        first?: PlatformProcess,
+        maxDescriptors?: number,
+    ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
         const [store, server] = first ? [first.store, first.server] : await startStore();
@@ -55,12 +61,15 @@
                 storeAddress,
                 graceS,
                 budgetSlack: 10,
+                maxDescriptors,
             }),
         );
         if (!first) {
             store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
         }
-        const node = spawn(process.execPath, [...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"], {
+        const command = [process.execPath, ...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"];
+        const limited = maxDescriptors === undefined ? command : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
+        const node = spawn(limited[0]!, limited.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
--- a/test/fakes/platformSettingsFile.ts
+++ b/test/fakes/platformSettingsFile.ts
@@ -10,6 +10,7 @@
     readonly storeAddress: string;
     readonly graceS: number;
     readonly budgetSlack: number;
+    readonly maxDescriptors?: number;
 }
 
 /** Renders the settings file (TOML) that the platform writes for a node. */
@@ -27,6 +28,7 @@
 control = "${fields.control}"
 [limits]
 memoryMb = 350
+maxFds = ${fields.maxDescriptors ?? 4_100}
 [bounds]
 contactMs = 3000
 drainMs = 2000
