--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -9,6 +9,7 @@
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
 import { ExitCode } from "./exitCode";
+import { readSettingsFile } from "./readSettingsFile";
 import { onReloadSignal } from "./reloadSignal";
 import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
 import { surviveUnexpectedErrors } from "./unexpectedErrors";
@@ -49,14 +50,14 @@
             return ExitCode.Usage;
         }
         const { limits } = transport;
-        const result = parseSettingsFile(readFileSync(this.settingsFile, "utf8"), limits);
+        const result = await readSettingsFile(this.settingsFile, limits);
         if ("faults" in result) {
             emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
             result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
             return ExitCode.Usage;
         }
         const node = PlatformNode.create(result.settings);
-        this.watchSettings(this.settingsFile, node, limits);
+        this.watchSettings(this.settingsFile, result.text, node, limits);
         try {
             await node.start();
         }
@@ -76,8 +77,8 @@
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, node: PlatformNode, limits: TransportLimits): void {
-        let lastText = readFileSync(file, "utf8");
+    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits): void {
+        let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
             if (text === lastText) {
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -8,6 +8,7 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
+import { listenOn } from "../utils/listenOn";
 import { errorCodeOf } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
 import { answerUnexpectedError } from "./answerUnexpectedError";
@@ -49,8 +50,6 @@
 /** Retry-After while the node has no configuration. */
 const startingRetryAfterMs = 500;
 
-/** New connections that the kernel keeps until they are accepted; it drops further ones, which their callers open again after seconds. */
-const listenBacklog = 2_048;
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 
@@ -111,6 +110,10 @@
         return listenOn(this.server, address);
     }
 
+    get isListening(): boolean {
+        return this.server.listening;
+    }
+
     /** Applies the limits of the active configuration. */
     applyLimits(): void {
         const { limits } = this.gateway.config ?? {};
@@ -230,12 +233,3 @@
         };
     }
 }
-
-/** Listens on an IP:PORT address. */
-export const listenOn = (server: Server, address: string): Promise<void> => {
-    const separator = address.lastIndexOf(":");
-    return new Promise((resolve, reject) => {
-        server.once("error", reject);
-        server.listen(Number(address.slice(separator + 1)), address.slice(0, separator), listenBacklog, () => resolve());
-    });
-};
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -1,16 +1,17 @@
+import type { Server } from "node:http";
 import { createServer } from "node:http";
 import { toFailure } from "../core/failures";
 import type { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
-import { listenOn } from "./callerServer";
+import { listenOn } from "../utils/listenOn";
 import type { Gateway } from "./gateway";
 
 /** Whether the load balancer should send new connections to the node. */
 export const isReady = (gateway: Gateway): boolean => gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0;
 
-/** Answers readiness checks of the load balancer with status 200 or 503. */
-export const serveReadiness = async (gateway: Gateway, address: string): Promise<void> => {
+/** Answers readiness checks of the load balancer with status 200 or 503. Returns the server. */
+export const serveReadiness = async (gateway: Gateway, address: string): Promise<Server> => {
     let lastReady: boolean | undefined;
     const server = createServer((req, res) => {
         const ready = isReady(gateway);
@@ -28,6 +29,7 @@
         res.end();
     });
     await listenOn(server, address);
+    return server;
 };
 
 /** Serves the metrics as text on every path. */
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -15,6 +15,8 @@
     NodeStartFailed = 110,
     UnexpectedError = 111,
     IdleConnectionsClosed = 114,
+    NodeUnableToServe = 116,
+    NodeStartRetried = 117,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -12,8 +12,11 @@
     [EventId.ReadinessChanged]: "the readiness that the node reports to the load balancer changed",
     [EventId.LinesDropped]: "log lines were dropped because of the rate limit or a slow reader of the log",
     [EventId.NodeStartFailed]: "the node could not start, usually because an address is in use; the process exits",
-    [EventId.UnexpectedError]: "an error that no handler caught; the process goes on unless there are many in a short time",
+    [EventId.UnexpectedError]:
+        "an error that no handler caught; the process goes on. Of errors that repeat at one place a few are logged, with the number of those `suppressed` before",
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
+    [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
+    [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
     [EventId.ConfigUnreadableRecord]:
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -5,6 +5,8 @@
 const warningEvents: ReadonlySet<EventId> = new Set([
     EventId.NodeStartFailed,
     EventId.UnexpectedError,
+    EventId.NodeUnableToServe,
+    EventId.NodeStartRetried,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
--- a/test/platformStart.test.ts
+++ b/test/platformStart.test.ts
@@ -103,6 +103,47 @@
         });
     }
 
+    interface LateCase {
+        readonly name: string;
+        /** Prepares what is wrong when the process starts; returns a function that mends it. */
+        readonly spoil: (file: string, addresses: NodeAddresses) => Promise<() => void>;
+    }
+    const lateCases: readonly LateCase[] = [
+        {
+            name: "settings file is missing",
+            spoil: (file, addresses) => Promise.resolve(() => writeFileSync(file, settingsOf(addresses))),
+        },
+        {
+            name: "settings file is half written",
+            spoil: (file, addresses) => {
+                const text = settingsOf(addresses);
+                writeFileSync(file, text.slice(0, text.length / 2));
+                return Promise.resolve(() => writeFileSync(file, text));
+            },
+        },
+        {
+            name: "port for callers is still held by the predecessor",
+            spoil: async (file, addresses) => {
+                writeFileSync(file, settingsOf(addresses));
+                const other = createServer();
+                await new Promise<void>(resolve => other.listen(portOfAddress(addresses.front), "127.0.0.1", () => resolve()));
+                return () => other.close();
+            },
+        },
+    ];
+    for (const [index, { name, spoil }] of lateCases.entries()) {
+        it(`waits if the ${name} at first`, async () => {
+            const addresses = await reserveAddresses();
+            const file = join(folder, `spoiled-${index}.toml`);
+            const mend = await spoil(file, addresses);
+            const { ended } = startNode(file);
+            const outcome = Promise.race([ended, waitFor("readiness endpoint", () => isListening(addresses.ready), startTimeoutMs).then(() => "started")]);
+            await sleep(1_000);
+            mend();
+            assert.equal(await outcome, "started");
+        });
+    }
+
     it("survives SIGHUP before it has read its settings", async () => {
         const addresses = await reserveAddresses();
         const file = join(folder, "late.toml");
