--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -38,7 +38,7 @@
 
     override async execute(): Promise<number> {
         setupLogs("info", process.stdout);
-        surviveUnexpectedErrors();
+        const errors = surviveUnexpectedErrors();
         if (this.settingsFile === undefined) {
             this.context.stderr.write("--settings-file (JACKDAWTRAIL_NODE_FILE): missing; allowed: a file path\n");
             return ExitCode.Usage;
@@ -56,10 +56,11 @@
             result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
             return ExitCode.Usage;
         }
-        const node = PlatformNode.create(result.settings);
+        const node = PlatformNode.create(result.settings, () => errors.total);
         this.watchSettings(this.settingsFile, result.text, node, limits);
+        let onUnable: () => void = () => undefined;
         try {
-            await node.start();
+            await node.start(() => onUnable());
         }
         catch (err) {
             emit(EventId.NodeStartFailed, { detail: err instanceof Error ? err.message : errorCodeOf(err) });
@@ -69,8 +70,9 @@
         return new Promise(resolve => {
             // Signals after the first one change nothing; the platform ends a process that takes too long.
             let stopping: Promise<void> | undefined;
-            const stop = async (): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : ExitCode.Ok);
-            const onSignal = (): void => void (stopping ??= stop());
+            const stop = async (code: ExitCode): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : code);
+            const onSignal = (): void => void (stopping ??= stop(ExitCode.Ok));
+            onUnable = () => void (stopping ??= stop(ExitCode.Failed));
             process.on("SIGTERM", onSignal);
             process.on("SIGINT", onSignal);
         });
--- a/src/cli/unexpectedErrors.ts
+++ b/src/cli/unexpectedErrors.ts
@@ -1,29 +1,21 @@
+import { ErrorLogLimiter } from "../core/errorLogLimiter";
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
-import { errorCodeOf } from "../utils/transport";
-
-/** A process with more unexpected errors than this within the window is ended, so that the platform starts it anew. */
-const maxErrors = 20;
-const windowMs = 10_000;
-/** Log lines are written in batches; the last batch is written within this time. */
-const logFlushMs = 100;
-const failedExitCode = 1;
+import { describeError } from "../utils/transport";
 
 /**
- * Logs errors that no handler caught instead of ending the process: one malformed message must not end the other requests of a node. Errors in
- * quick succession are a sign of broken state and still end it.
+ * Logs errors that no handler caught instead of ending the process, however many there are: one that repeats with each message, row or probe would end it again
+ * after each start. A node that can no longer serve finds that out by its own check.
  */
-export const surviveUnexpectedErrors = (): void => {
-    let errorTimes: number[] = [];
+export const surviveUnexpectedErrors = (): ErrorLogLimiter => {
+    const errors = ErrorLogLimiter.create();
     const onError = (err: unknown, origin: string): void => {
-        const now = performance.now();
-        errorTimes = [...errorTimes.filter(at => now - at < windowMs), now];
-        const isEnding = errorTimes.length > maxErrors;
-        emit(EventId.UnexpectedError, { origin, detail: err instanceof Error ? err.stack : errorCodeOf(err), ending: isEnding });
-        if (isEnding) {
-            setTimeout(() => process.exit(failedExitCode), logFlushMs);
+        const suppressed = errors.record(err);
+        if (suppressed !== undefined) {
+            emit(EventId.UnexpectedError, { origin, detail: describeError(err), suppressed, total: errors.total });
         }
     };
     process.on("uncaughtException", onError);
     process.on("unhandledRejection", reason => onError(reason, "unhandledRejection"));
+    return errors;
 };
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -29,6 +29,7 @@
 import { createRandom } from "../utils/random";
 import { repeat, sleep } from "../utils/time";
 import { platformNodeGauges } from "./platformNodeGauges";
+import { startSelfCheck } from "./selfCheck";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
@@ -67,17 +68,18 @@
         private readonly store: MonitoredStore,
         private readonly gateway: Gateway,
         private readonly server: CallerServer,
+        private readonly unexpectedErrors: () => number,
     ) {}
 
-    /** Creates a node that does not listen yet. */
-    static create(settings: PlatformNodeSettings): PlatformNode {
+    /** Creates a node that does not listen yet; `unexpectedErrors` counts the errors that no handler caught. */
+    static create(settings: PlatformNodeSettings, unexpectedErrors = (): number => 0): PlatformNode {
         const store = MonitoredStore.create(StoreClient.create(settings.storeAddress, settings.limits));
         const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid), store);
-        return new PlatformNode(settings, store, gateway, CallerServer.create(gateway));
+        return new PlatformNode(settings, store, gateway, CallerServer.create(gateway), unexpectedErrors);
     }
 
-    /** Starts following the store and accepting requests. */
-    async start(): Promise<void> {
+    /** Starts following the store and accepting requests; `onUnable` is called if the node can no longer serve. */
+    async start(onUnable: () => void = () => undefined): Promise<void> {
         const { settings, gateway, server, store } = this;
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { controllerClient, peerServer } = this.startPlacement(store);
@@ -104,12 +106,20 @@
         void directory.run(this.stopped.signal);
         this.followStreamVersions();
         const metrics = Metrics.create();
-        metrics.registerGauges([...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch), ...availabilityGauges(gateway)]);
+        metrics.registerGauges([
+            ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
+            ...availabilityGauges(gateway),
+            { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
+        ]);
         await serveMetrics(metrics, settings.metricsAddress);
         await peerServer.listen(settings.peerAddress);
         // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
         await server.listen(settings.callerAddress);
-        await serveReadiness(gateway, settings.readyAddress);
+        const readiness = await serveReadiness(gateway, settings.readyAddress);
+        startSelfCheck([
+            { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening },
+            { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening },
+        ], onUnable);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
     }
 
