Give up an answer whose framing never ends, long before the route's timeout

Cause: the parser skips both without a limit and delivers nothing, so no limit on answers applied; only the timeout or the silence did. Fix: FramingWatch compares what a connection has received with what the parser delivered.

Trailers without end were bounded before. The trouble "a chunk size without end" also runs against all clients in troubledServers.test.ts.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -6,6 +6,7 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { CallerPresence } from "./callerPresence";
+import { FramingWatch } from "./framingWatch";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** How an attempt ended. */
@@ -118,8 +119,10 @@
         /** Whether the rest of the answer is ignored. */
         let isDropped = false;
         let controller: Dispatcher.DispatchController | undefined;
+        let framingWatch: FramingWatch | undefined;
         const finish = (kind: AttemptEndKind, reason: string): void => {
             signal.removeEventListener("abort", onAbort);
+            framingWatch?.stop();
             if (kind === AttemptEndKind.Complete) {
                 pool.release(client);
             }
@@ -159,8 +162,15 @@
                 }
                 isSent = true;
                 controller = started;
+                const socket = pool.socketOf(client);
+                framingWatch = socket && FramingWatch.start(socket, () => {
+                    isDropped = true;
+                    started.abort(abortReason);
+                    finish(AttemptEndKind.Lost, "framing without end");
+                });
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
+                framingWatch?.onProgress();
                 const decoded = wire.decodeAnswer(status, headers);
                 guard.onAnyHead(decoded);
                 if (status < 200) {
@@ -185,6 +195,7 @@
                 sink.onHead({ status, headers, decoded });
             }),
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
+                framingWatch?.onProgress();
                 if (isDropped) {
                     return;
                 }
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -26,8 +26,7 @@
     /** All connections that have not been closed yet. */
     private readonly open = new Set<Client>();
     private readonly resetClients = new WeakSet<Client>();
-    /** Sockets of connections that are being opened. */
-    private readonly connecting = new WeakMap<Client, Socket>();
+    private readonly sockets = new WeakMap<Client, Socket>();
     /** How long a reused connection had been idle. */
     private readonly idleBeforeUse = new WeakMap<Client, number>();
     private learnedIdleMs = Number.POSITIVE_INFINITY;
@@ -71,6 +70,11 @@
         return this.resetClients.has(client);
     }
 
+    /** Socket of a connection; undefined before it is opened. */
+    socketOf(client: Client): Socket | undefined {
+        return this.sockets.get(client);
+    }
+
     /** Records that a connection ended before any byte of an answer: if it had been idle, the upstream drops idle connections that early. */
     onEndedUnanswered(client: Client): void {
         const idleMs = this.idleBeforeUse.get(client);
@@ -109,7 +113,8 @@
             this.onCount(-1);
         }
         void client.destroy();
-        this.connecting.get(client)?.destroy();
+        // The client does not know the socket of a connection that is being opened.
+        this.sockets.get(client)?.destroy();
     }
 
     private connect(confirm: () => Promise<unknown>): Client {
@@ -118,13 +123,10 @@
             connect: (options, callback) => {
                 const socket: unknown = connect(options, (...result) => {
                     this.recordResets(client, result[1] ?? undefined);
-                    void (result[0] ? Promise.resolve() : confirm()).then(() => {
-                        this.connecting.delete(client);
-                        callback(...result);
-                    });
+                    void (result[0] ? Promise.resolve() : confirm()).then(() => callback(...result));
                 });
                 if (socket instanceof Socket) {
-                    this.connecting.set(client, socket);
+                    this.sockets.set(client, socket);
                 }
             },
             pipelining: 1,
--- /dev/null
+++ b/test/endlessFraming.test.ts
@@ -0,0 +1,48 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import { RouteKind } from "../src/types/servingConfig";
+import { setupLogs } from "../src/utils/events";
+import { callGateway, startGateway } from "./fakes/gatewayHarness";
+import { startScriptedUpstream } from "./fakes/scriptedUpstream";
+import { endlessTroubles, startTroubledServer } from "./fakes/troubledServer";
+import { answer } from "./fakes/upstreamScripts";
+
+const timeoutMs = 3_000;
+const maxMs = 1_000;
+
+interface FramingCase {
+    readonly kind: RouteKind;
+    readonly maxAttempts: number;
+    readonly status: number;
+}
+
+const cases: readonly FramingCase[] = [
+    { kind: RouteKind.NonIdempotent, maxAttempts: 1, status: 502 },
+    { kind: RouteKind.Idempotent, maxAttempts: 1, status: 502 },
+    { kind: RouteKind.Idempotent, maxAttempts: 2, status: 200 },
+];
+
+describe("an answer whose framing never ends", () => {
+    before(() => setupLogs("silent"));
+    after(() => setupLogs("info"));
+
+    for (const trouble of ["a chunk extension without end", "a chunk size without end", "trailers without end"]) {
+        for (const { kind, maxAttempts, status } of cases) {
+            it(`is given up long before the timeout: ${trouble}, ${kind} route, ${maxAttempts} attempts`, async () => {
+                const troubled = await startTroubledServer(endlessTroubles[trouble]!);
+                const sound = await startScriptedUpstream(answer);
+                const node = await startGateway([troubled.address, sound.address], { kind, maxAttempts, timeoutMs });
+                node.gateway.trafficOf("up-0").onFirstByte(20);
+                node.gateway.trafficOf("up-1").onFirstByte(300);
+                const result = await callGateway(node.address);
+                node.close();
+                const { requestCount } = troubled;
+                troubled.close();
+                sound.close();
+                assert.equal(result.status, status);
+                assert.ok(result.afterMs < maxMs, `${Math.round(result.afterMs)} ms`);
+                assert.equal(requestCount, 1);
+            });
+        }
+    }
+});
--- a/test/fakes/troubledServer.ts
+++ b/test/fakes/troubledServer.ts
@@ -58,6 +58,10 @@
         socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1;");
         writeEndlessly(socket, flood);
     },
+    "a chunk size without end": socket => {
+        socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n");
+        writeEndlessly(socket, Buffer.alloc(65_536, "0"));
+    },
     "trailers without end": socket => {
         socket.write("HTTP/1.1 200 OK\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n");
         writeEndlessly(socket, "A: b\r\n".repeat(1_000));
