Assign and queue no request of a caller that has left before it is placed

If the signal had aborted before, as on a retry, a request was assigned to a runner with free capacity, or kept its place in the queue, and its share of it, until the deadline. No request was sent to an engine, as its client looks at the signal itself; the capacity of the runner's limiter and the queue's places were taken for nothing.

Fix: the queue refuses it at once. Not changed: calls to plain services (core/serviceCall.ts) know no signal, so one whose caller leaves is finished, and repeated if it may be.

--- a/src/core/admissionQueue.ts
+++ b/src/core/admissionQueue.ts
@@ -18,6 +18,17 @@
 /** Share of the queue that one caller may occupy. */
 const maxCallerShare = 0.5;
 
+const callerGone = (): FailureError =>
+    FailureError.create({ kind: FailureKind.CallerGone, verdict: Verdict.NotRun, detail: "before the request was assigned", retryAfterMs: 1_000 });
+
+const noCapacity = (): FailureError =>
+    FailureError.create({
+        kind: FailureKind.NoUpstream,
+        verdict: Verdict.NotRun,
+        detail: "no upstream had free capacity before the deadline",
+        retryAfterMs: 1_000,
+    });
+
 /**
  * Admission queue for requests that no runner can take now. They are served by priority, then by the number of requests served for the
  * caller, fewest first, and then by deadline.
@@ -43,6 +54,9 @@
      * deadline or a caller that disconnects rejects it with the verdict `not-run`.
      */
     place<T>(caller: string, priority: Priority, deadlineAt: number, assign: () => T | undefined, signal: AbortSignal): Promise<T> {
+        if (signal.aborted) {
+            return Promise.reject(callerGone());
+        }
         const immediate = this.entries.length === 0 || priority === Priority.High ? assign() : undefined;
         if (immediate !== undefined) {
             return Promise.resolve(immediate);
@@ -72,15 +86,12 @@
                 },
                 reject,
             };
-            const rejectEntry = (kind: FailureKind, detail: string) => {
+            const rejectEntry = (err: FailureError) => {
                 this.remove(entry);
-                reject(FailureError.create({ kind, verdict: Verdict.NotRun, detail, retryAfterMs: 1_000 }));
+                reject(err);
             };
-            entry.timer = setTimeout(
-                () => rejectEntry(FailureKind.NoUpstream, "no upstream had free capacity before the deadline"),
-                Math.max(0, deadlineAt - performance.now()),
-            );
-            signal.addEventListener("abort", () => rejectEntry(FailureKind.CallerGone, "while the request was queued"), { once: true });
+            entry.timer = setTimeout(() => rejectEntry(noCapacity()), Math.max(0, deadlineAt - performance.now()));
+            signal.addEventListener("abort", () => rejectEntry(callerGone()), { once: true });
             this.entries.push(entry);
             this.poll();
         });
