Let take-ups wait for a new controller that knows no runners yet

A controller that had just taken over answered the first request to place a model at a version from an empty list of runners: no load could come, and the take-up was refused.

--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -6,7 +6,6 @@
 import { earliestLoadMs, estimatedUnloadMs } from "../core/earliestLoad";
 import { toFailure } from "../core/failures";
 import { LateLoads } from "../core/lateLoads";
-import { boundOf, withoutRunners } from "../core/runnerBound";
 import type { RunnerTracker } from "../core/runnerTracker";
 import { WeightStoreLimiter } from "../core/weightStoreLimiter";
 import type { Gateway } from "../forward/gateway";
@@ -16,11 +15,12 @@
 import type { AdapterChanges, PlacementAnswer, PlacementRequest, RequestedWork } from "../types/placement";
 import type { RunnerControl } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
-import type { EngineSpec, ModelSpec } from "../types/servingConfig";
+import type { EngineSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
 import { CopyDemand } from "./copyDemand";
 import { PlannedLoads } from "./plannedLoads";
 import { dueReportIntervalMs, orderResendMs, RunnerManager } from "./runnerManager";
+import { findUsableRunners } from "./usableRunners";
 
 /** Interval between two planning rounds. */
 const roundIntervalMs = 100;
@@ -97,19 +97,10 @@
         }
         req.unreachable.forEach(id => this.manager.suspect(id));
         const trackers = this.manager.trackersOf(req.service);
-        const versionBound = boundOf(req);
-        const admitted = trackers.filter(versionBound.admits);
-        const isBound = admitted.length < trackers.length;
-        const isSuspected = admitted.some(tracker => tracker.isSuspected && serves(tracker, req.model));
-        // A stream that is kept to some of the runners has no other choice if the one with its model did not take it.
-        const bound = isBound && !isSuspected ? withoutRunners(versionBound, req.avoid) : versionBound;
-        const usable = admitted.filter(bound.admits);
+        const { admitted, usable, bound, isSuspected } = findUsableRunners(req, trackers);
         if (!usable.some(tracker => serves(tracker, req.model))) {
             this.demand.await(req, bound, trackers);
-            if (!this.round()) {
-                return { readyInMs: roundIntervalMs, isComing: true };
-            }
-            return this.estimateReady(engine.models.get(req.model)!, engine, usable, isBound);
+            return this.round() ? this.estimateReady(req, engine) : { readyInMs: roundIntervalMs, isComing: true };
         }
         if (req.adapter === undefined) {
             const ready = admitted.find(tracker => serves(tracker, req.model) && !req.avoid.includes(tracker.server.id));
@@ -118,9 +109,12 @@
         return this.placeAdapter(req, engine, admitted);
     }
 
-    /** Estimates when a model without a copy at the given runners will be ready; `isBound` tells whether the request may use these only. */
-    private estimateReady(model: ModelSpec, engine: EngineSpec, trackers: readonly RunnerTracker[], isBound: boolean): PlacementAnswer {
+    /** Estimates when a model without a copy at the runners that a request may use will be ready. */
+    private estimateReady(req: PlacementRequest, engine: EngineSpec): PlacementAnswer {
         const now = performance.now();
+        const model = engine.models.get(req.model)!;
+        // The round may have learned of runners: a new controller knows none before its first one.
+        const { usable: trackers, isBound } = findUsableRunners(req, this.manager.trackersOf(req.service));
         const loading = trackers.find(tracker => tracker.isLoading(model.name));
         if (loading) {
             const doneAt = loading.transition?.doneAt ?? now + loading.loadMs(model);
