--- a/src/forward/endCheck.ts
+++ b/src/forward/endCheck.ts
@@ -1,20 +1,11 @@
-import { connect } from "node:net";
 import { EventId } from "../types/eventId";
 import { RouteKind } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
-import { errorCodeOf, refusedConnectionCode } from "../utils/transport";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
-
-/** What is known of an upstream whose connection has ended. */
-enum UpstreamLife {
-    Alive = "alive",
-    Ended = "ended",
-    /** Nothing answered in time. */
-    Unknown = "unknown",
-}
+import { probeAddress, UpstreamLife } from "./probeAddress";
 
 /** A process that ends may close its connections some milliseconds before it stops listening. */
 const maxStreamPauseMs = 100;
@@ -23,20 +14,6 @@
 /** Time after which a connection attempt counts as unanswered. */
 const maxConnectMs = 300;
 
-/** Opens and closes a connection: the host of a process that has ended refuses it. */
-const probeAddress = (address: string, timeoutMs: number, signal: AbortSignal): Promise<UpstreamLife> =>
-    new Promise(resolve => {
-        const colon = address.lastIndexOf(":");
-        const socket = connect({ host: address.slice(0, colon), port: Number(address.slice(colon + 1)), timeout: timeoutMs, signal });
-        const finish = (life: UpstreamLife): void => {
-            socket.destroy();
-            resolve(life);
-        };
-        socket.once("connect", () => finish(UpstreamLife.Alive));
-        socket.once("timeout", () => finish(UpstreamLife.Unknown));
-        socket.on("error", err => finish(errorCodeOf(err) === refusedConnectionCode ? UpstreamLife.Ended : UpstreamLife.Unknown));
-    });
-
 /**
  * Whether an answer that ended with its connection counts as cut off. The connections of a process that crashes are closed like those of one that has
  * finished, so the answer counts as complete only if its upstream lives. If that cannot be found out, a stream that may be resumed is.
--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -5,6 +5,7 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { sleep } from "../utils/time";
+import { probeAddress, UpstreamLife } from "./probeAddress";
 
 /** Time for which the result of a probe is used for other requests to the same runner. */
 const resultLifetimeMs = 300;
@@ -12,6 +13,9 @@
 /** Pauses before the probes for whether a runner has ended: its connections may end a little earlier than it does. */
 const endProbePausesMs = [100, 300];
 
+/** Time after which a connection to a runner that may not be called counts as unanswered. */
+const connectTimeoutMs = 300;
+
 /** What a probe says of a runner. */
 enum ProbeResult {
     Alive = "alive",
@@ -27,7 +31,7 @@
 
     private constructor(private readonly runners: RunnerControl, private readonly mayCall: (runner: RunnerAddress) => boolean) {}
 
-    /** Creates a prober that has not probed any runner. Runners that may not be called are not probed. */
+    /** Creates a prober that has not probed any runner. Runners that may not be called are only connected to. */
     static create(runners: RunnerControl, mayCall: (runner: RunnerAddress) => boolean = () => true): UpstreamProber {
         return new UpstreamProber(runners, mayCall);
     }
@@ -54,10 +58,11 @@
     }
 
     private async probe(runner: RunnerAddress): Promise<ProbeResult> {
-        if (!this.mayCall(runner)) {
-            return ProbeResult.Unknown;
-        }
         try {
+            if (!this.mayCall(runner)) {
+                // A connection without a request is no call.
+                return await probeAddress(runner.address, connectTimeoutMs) === UpstreamLife.Ended ? ProbeResult.Ended : ProbeResult.Unknown;
+            }
             const { bornAt } = await this.runners.fetchReport(runner);
             return bornAt > runner.bornAt ? ProbeResult.Ended : ProbeResult.Alive;
         }
--- a/test/quietUpstreams.test.ts
+++ b/test/quietUpstreams.test.ts
@@ -140,17 +140,25 @@
         assert.deepEqual([status, checks, retries, ...upstreams.map(({ received }) => received.length)], [200, 3, 1, 1, 1]);
     });
 
-    it("is not probed, and counts as alive", async () => {
-        const node = await startGateway(["127.0.0.1:1"]);
-        const server = node.gateway.directory.get("up-0")!;
-        let reports = 0;
-        const runners = { fetchReport: () => Promise.resolve({ bornAt: ++reports }) } as unknown as RunnerControl;
-        const prober = UpstreamProber.create(runners, runner => node.gateway.availability.mayCall(runner));
-        node.gateway.availability.onAnswer(server, { isLeaving: false, quietMs: 1_000, isMisdirected: false, ignoredHeaders: [] });
-        const states = [await prober.isAlive(server), await prober.hasEnded(server)];
-        node.close();
-        assert.deepEqual([...states, reports], [true, false, 0]);
-    });
+    const probeCases = [{ name: "counts as alive without a probe", isListening: true }, { name: "is found to have ended without a probe", isListening: false }];
+    for (const { name, isListening } of probeCases) {
+        it(name, async () => {
+            const upstream = await startScriptedUpstream(answer);
+            const node = await startGateway([upstream.address]);
+            const server = node.gateway.directory.get("up-0")!;
+            let reports = 0;
+            const runners = { fetchReport: () => Promise.resolve({ bornAt: ++reports }) } as unknown as RunnerControl;
+            const prober = UpstreamProber.create(runners, runner => node.gateway.availability.mayCall(runner));
+            node.gateway.availability.onAnswer(server, { isLeaving: false, quietMs: 1_000, isMisdirected: false, ignoredHeaders: [] });
+            if (!isListening) {
+                upstream.stopListening();
+            }
+            const states = [await prober.isAlive(server), await prober.hasEnded(server)];
+            node.close();
+            upstream.close();
+            assert.deepEqual([...states, reports, upstream.received.length], [true, !isListening, 0, 0]);
+        });
+    }
 
     it("gets at most its slots at once when the time ends", async () => {
         let running = 0;
