--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -5,36 +5,12 @@
 import { emit } from "../utils/events";
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
+import type { AttemptEnd } from "./attemptEnd";
+import { AttemptEndKind } from "./attemptEnd";
 import type { CallerPresence } from "./callerPresence";
 import { FramingWatch } from "./framingWatch";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
-/** How an attempt ended. */
-export enum AttemptEndKind {
-    /** The complete answer arrived. */
-    Complete = "whole",
-    /** The node gave the attempt up before it asked for a connection. */
-    Withdrawn = "withdrawn",
-    /** No byte of the request was sent. */
-    Unsent = "unsent",
-    /** No byte of the request was sent, as its method, path or a header cannot be sent to any upstream. */
-    Unsendable = "unsendable",
-    /** The connection ended, or the answer belonged to another request: the request may have run. */
-    Lost = "lost",
-    /** The node aborted the attempt. */
-    Aborted = "aborted",
-    /** No byte of the request was sent: when the connection was open, the upstream was no longer available. */
-    Withheld = "withheld",
-}
-
-/** How and why an attempt ended. */
-export interface AttemptEnd {
-    readonly kind: AttemptEndKind;
-    readonly reason: string;
-    /** What marks the end of the answer; undefined if no head arrived. */
-    readonly framing: AnswerFraming | undefined;
-}
-
 /** Status and headers of an answer. */
 export interface AnswerHead {
     readonly status: number;
