Do not take a sender for silent because the node stood still, and keep the budget of memory free of callers that left

Related to the budget of bodies: while bodies wait for memory, a sender that pauses for 1.5 s is answered 408. After a standstill of the node (processor time, a blocked loop) its timer fires before it reads what has arrived, so a sound sender, and with the same code an answer of the store or a peer, counted as silent. Now silence is checked twice, each after half of the time. test/silentSenders.test.ts fails on the code before: 'slow' instead of 'whole'.

Also, without a test of their own: a caller that left while its body waited is logged as left (410), not as refused, and no memory is kept for its return; a system that does not tell the resident size no longer fails requests (event 115, counted bytes alone limit).

--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -117,7 +117,7 @@
         return new Promise(resolve => {
             const giveUp = (): void => {
                 queue.splice(queue.indexOf(waiter), 1);
-                waiter.settle(this.deny(bytes));
+                waiter.settle(this.deny(bytes, !signal.aborted));
                 this.grantWaiting();
             };
             const timer = setTimeout(giveUp, waitMs);
@@ -184,11 +184,13 @@
     }
 
     /** Refuses a body. Callers that are refused one after the other are told to come again one after the other. */
-    private deny(bytes: number): BodyDenial {
+    private deny(bytes: number, mayComeAgain = true): BodyDenial {
         const now = this.now();
         const { bytesPerMs } = this.rate;
         const isFreeAt = Math.max(now + this.expectedWaitMs(this.large, bytes), this.promisedUntil);
-        this.promisedUntil = Math.min(now + maxRetryAfterMs, isFreeAt + bytes / bytesPerMs);
+        if (mayComeAgain) {
+            this.promisedUntil = Math.min(now + maxRetryAfterMs, isFreeAt + bytes / bytesPerMs);
+        }
         const delayMs = (isFreeAt - now) * (0.75 + this.options.random() / 2);
         return {
             isGranted: false,
--- a/src/core/memoryLimit.ts
+++ b/src/core/memoryLimit.ts
@@ -1,10 +1,4 @@
-/** What the runtime tells of the memory of its process, in bytes. */
-export interface MemoryReading {
-    /** Memory that the process occupies. */
-    readonly rss: number;
-    /** Memory of the JavaScript heap, without buffers. */
-    readonly heapTotal: number;
-}
+import type { MemoryReading } from "../utils/memoryGauge";
 
 const megabyte = 1_048_576;
 /** Code, stacks and other memory of the runtime outside of its heap, and what the kernel keeps for connections. */
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -61,7 +61,7 @@
     async readStated(bytes: number): Promise<RequestBodyResult> {
         const grant = bytes === 0 ? undefined : await this.requestMemory(bytes);
         if (grant?.isGranted === false) {
-            return { kind: "no-memory", denial: grant };
+            return this.denied(grant);
         }
         this.buffer = Buffer.allocUnsafeSlow(bytes);
         const kind = await this.fill();
@@ -77,7 +77,7 @@
         const firstBytes = Math.min(maxBytes, maxSmallBodyBytes);
         const first = await this.requestMemory(firstBytes);
         if (!first.isGranted) {
-            return { kind: "no-memory", denial: first };
+            return this.denied(first);
         }
         const firstChunks: Buffer[] = [];
         let bytes = 0;
@@ -95,7 +95,7 @@
         }
         const whole = await this.requestMemory(maxBytes);
         if (!whole.isGranted) {
-            return { kind: "no-memory", denial: whole };
+            return this.denied(whole);
         }
         this.buffer = Buffer.allocUnsafeSlow(maxBytes);
         firstChunks.forEach(chunk => this.take(chunk));
@@ -140,6 +140,10 @@
         return result;
     }
 
+    private denied(denial: BodyDenial): RequestBodyResult {
+        return this.limits.signal.aborted ? { kind: "lost" } : { kind: "no-memory", denial };
+    }
+
     private get remainingMs(): number {
         return this.dueAt - performance.now();
     }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -15,6 +15,7 @@
     NodeStartFailed = 110,
     UnexpectedError = 111,
     IdleConnectionsClosed = 114,
+    ResidentSizeUnknown = 115,
     NodeUnableToServe = 116,
     NodeStartRetried = 117,
     ConfigAdvanced = 201,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -17,6 +17,7 @@
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
     [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
     [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
+    [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
     [EventId.ConfigUnreadableRecord]:
--- a/src/utils/memoryGauge.ts
+++ b/src/utils/memoryGauge.ts
@@ -1,10 +1,24 @@
-/** Time for which a reading is used again. */
+import { getHeapStatistics } from "node:v8";
+import { EventId } from "../types/eventId";
+import { emit } from "./events";
+import { errorCodeOf } from "./transport";
+
+/** Time for which a reading is used again: each costs system calls. */
 const maxAgeMs = 25;
 
-/** Reads the memory of this process, at most once in a while: each reading costs system calls. */
+/** Memory of a process, in bytes. */
+export interface MemoryReading {
+    /** Memory that the process occupies; 0 if the system does not tell. */
+    readonly rss: number;
+    /** Memory of the JavaScript heap, without buffers. */
+    readonly heapTotal: number;
+}
+
+/** Reads the memory of this process. */
 export class MemoryGauge {
-    private latest = process.memoryUsage();
-    private readAt = performance.now();
+    private latest: MemoryReading | undefined;
+    private readAt = 0;
+    private hasFailed = false;
 
     private constructor() {}
 
@@ -12,11 +26,27 @@
         return new MemoryGauge();
     }
 
-    read(): NodeJS.MemoryUsage {
-        if (performance.now() - this.readAt > maxAgeMs) {
-            this.latest = process.memoryUsage();
-            this.readAt = performance.now();
+    /** The memory that the process occupies now, or did a moment ago. */
+    read(): MemoryReading {
+        const now = performance.now();
+        if (!this.latest || now - this.readAt > maxAgeMs) {
+            this.latest = { rss: this.readResidentSize(), heapTotal: getHeapStatistics().total_heap_size };
+            this.readAt = now;
         }
         return this.latest;
     }
+
+    private readResidentSize(): number {
+        if (this.hasFailed) {
+            return 0;
+        }
+        try {
+            return process.memoryUsage.rss();
+        }
+        catch (err) {
+            this.hasFailed = true;
+            emit(EventId.ResidentSizeUnknown, { detail: errorCodeOf(err) });
+            return 0;
+        }
+    }
 }
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -52,6 +52,9 @@
     readonly maxBytes: number;
 }
 
+/** After a standstill of this process its timers fire before it reads what has arrived: a sender counts as silent only at the second check. */
+const checksOfSilence = 2;
+
 /** Reads a body in chunks until `take` returns false, which pauses it: `too-large`. */
 export const readChunks = (
     stream: Readable,
@@ -67,8 +70,10 @@
             stream.removeAllListeners("data");
             resolve(kind);
         };
+        let silences = 0;
         const onSilence = (): void => {
-            if (maySilenceLast()) {
+            silences = maySilenceLast() ? 0 : silences + 1;
+            if (silences < checksOfSilence) {
                 silenceTimer?.refresh();
             }
             else {
@@ -81,12 +86,13 @@
             }
         };
         const timer = setTimeout(() => finish("slow"), Math.min(timeoutMs, maxTimerMs));
-        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(onSilence, silenceMs);
+        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(onSilence, silenceMs / checksOfSilence);
         if (stream.destroyed) {
             finish("lost");
             return;
         }
         stream.on("data", (chunk: Buffer) => {
+            silences = 0;
             silenceTimer?.refresh();
             if (!take(chunk)) {
                 stream.pause();
--- /dev/null
+++ b/test/silentSenders.test.ts
@@ -0,0 +1,45 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { AddressInfo, Socket } from "node:net";
+import { connect, createServer } from "node:net";
+import { describe, it } from "node:test";
+import { nextTurn, sleep } from "../src/utils/time";
+import { readBody } from "../src/utils/transport";
+
+const silenceMs = 200;
+const standstillMs = 400;
+
+const standStill = (): void => {
+    const endAt = performance.now() + standstillMs;
+    while (performance.now() < endAt) {
+        // The event loop is blocked.
+    }
+};
+
+describe("a body with a limit on silence", () => {
+    const cases: readonly { readonly name: string; readonly continues: boolean; readonly kind: string; }[] = [
+        { name: "is read if its sender went on while the reader stood still", continues: true, kind: "whole" },
+        { name: "is given up if its sender is silent", continues: false, kind: "slow" },
+    ];
+    for (const { name, continues, kind } of cases) {
+        it(name, async () => {
+            const server = createServer().listen(0, "127.0.0.1");
+            await once(server, "listening");
+            const client = connect((server.address() as AddressInfo).port, "127.0.0.1");
+            const [socket] = await once(server, "connection") as [Socket];
+            const reading = readBody(socket, { maxBytes: 100, timeoutMs: 5_000, silenceMs });
+            client.write("a");
+            await sleep(silenceMs / 4);
+            // After this phase of the event loop timers come before reads.
+            await nextTurn();
+            if (continues) {
+                client.end("b");
+            }
+            standStill();
+            assert.equal((await reading).kind, kind);
+            client.destroy();
+            socket.destroy();
+            server.close();
+        });
+    }
+});
