--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -141,8 +141,9 @@
                 const socket = pool.socketOf(client);
                 framingWatch = socket && FramingWatch.start(socket, () => {
                     isDropped = true;
-                    started.abort(abortReason);
+                    // The abort reports an error at once, which is not the reason.
                     finish(AttemptEndKind.Lost, "framing without end");
+                    started.abort(abortReason);
                 });
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
