Log why an answer is given up, not the abort that follows

What operators saw: event 402 said "Error after an abort" for answers that are too large, whose events are out of order, that belong to another request or that follow informational answers without end, where OPERATIONS promises the reason ("answer too large"). Cause: undici reports an abort as an error at once; the attempt aborted first and gave the reason second, when it had ended. Fix: one place gives an answer up: it ends the attempt with its reason, then aborts; what undici reports afterwards is ignored.

Evidence: endlessFraming.test.ts, the reason of three troubles.

--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -107,6 +107,12 @@
             }
             resolve({ kind, reason, framing });
         };
+        const giveUp = (current: Dispatcher.DispatchController, reason: string): void => {
+            isDropped = true;
+            // The abort reports an error at once, which is not the reason.
+            finish(AttemptEndKind.Lost, reason);
+            current.abort(abortReason);
+        };
         const onAbort = (): void => {
             controller?.abort(abortReason);
             finish(isSent ? AttemptEndKind.Aborted : AttemptEndKind.Unsent, "aborted");
@@ -139,12 +145,7 @@
                 isSent = true;
                 controller = started;
                 const socket = pool.socketOf(client);
-                framingWatch = socket && FramingWatch.start(socket, () => {
-                    isDropped = true;
-                    // The abort reports an error at once, which is not the reason.
-                    finish(AttemptEndKind.Lost, "framing without end");
-                    started.abort(abortReason);
-                });
+                framingWatch = socket && FramingWatch.start(socket, () => giveUp(started, "framing without end"));
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 framingWatch?.onProgress();
@@ -152,9 +153,7 @@
                 guard.onAnyHead(decoded);
                 if (status < 200) {
                     if (++informationalAnswers > maxInformationalAnswers && !isDropped) {
-                        isDropped = true;
-                        current.abort(abortReason);
-                        finish(AttemptEndKind.Lost, "informational answers without end");
+                        giveUp(current, "informational answers without end");
                     }
                     return;
                 }
@@ -162,9 +161,7 @@
                 const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && pool.isReused(client));
                 const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
                 if (isOther) {
-                    isDropped = true;
-                    current.abort(abortReason);
-                    finish(AttemptEndKind.Lost, "answer to another request");
+                    giveUp(current, "answer to another request");
                     return;
                 }
                 hasHead = true;
@@ -179,9 +176,7 @@
                 const state = sink.onData(chunk, () => current.resume());
                 const rejection = rejectionReasons[state];
                 if (rejection !== undefined) {
-                    isDropped = true;
-                    current.abort(abortReason);
-                    finish(AttemptEndKind.Lost, rejection);
+                    giveUp(current, rejection);
                 }
                 else if (state === SinkState.Full) {
                     current.pause();
@@ -196,6 +191,9 @@
             }),
             // The controller is undefined if no connection was established.
             onResponseError: (current: Dispatcher.DispatchController | undefined, err) => {
+                if (isDropped) {
+                    return;
+                }
                 if (isSent && !hasHead && !current?.aborted) {
                     pool.onEndedUnanswered(client);
                 }
--- a/test/endlessFraming.test.ts
+++ b/test/endlessFraming.test.ts
@@ -50,4 +50,23 @@
             });
         }
     }
+
+    const reasons: Readonly<Record<string, string>> = {
+        "a chunk extension without end": "framing without end",
+        "chunks without end": "answer too large",
+        "informational answers without end": "informational answers without end",
+    };
+    for (const [trouble, reason] of Object.entries(reasons)) {
+        it(`is logged with the reason for which it is given up: ${trouble}`, async () => {
+            const troubled = await startTroubledServer(endlessTroubles[trouble]!);
+            const node = await startGateway([troubled.address], { kind: RouteKind.Idempotent, timeoutMs });
+            const ends: unknown[] = [];
+            const stopObserving = observeEvents((event, { kind }) => event === EventId.AttemptFailed && ends.push(kind));
+            await callGateway(node.address, { headers: { "deadline-ms": String(timeoutMs) } });
+            stopObserving();
+            node.close();
+            troubled.close();
+            assert.deepEqual(ends, [reason]);
+        });
+    }
 });
