Forget requests of past windows also while none is retried

Evidence: sharedRetryBudget.test.ts before: 120,000 remembered after 10 minutes of 200 requests a second without a retry; now two windows at most (4,000). The share that may be retried is unchanged.

--- a/src/core/sharedRetryBudget.ts
+++ b/src/core/sharedRetryBudget.ts
@@ -14,6 +14,7 @@
 export class SharedRetryBudget {
     private requestTimes: number[] = [];
     private retryTimes: number[] = [];
+    private prunedAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly rules: () => RetryBudgetRules, private readonly nodeCount: () => number, private readonly now: () => number) {}
 
@@ -24,15 +25,21 @@
 
     /** Records a caller's request. */
     countRequest(): void {
+        if (this.now() - this.prunedAt > this.rules().retryWindowMs) {
+            this.prune();
+        }
         this.requestTimes.push(this.now());
     }
 
+    /** Requests and retries that are remembered: those of two windows at most. */
+    get size(): number {
+        return this.requestTimes.length + this.retryTimes.length;
+    }
+
     /** Takes one retry from the budget; false when it is spent. */
     withdraw(): boolean {
-        const { retryRatio, retryWindowMs, retrySlack } = this.rules();
-        const windowStart = this.now() - retryWindowMs;
-        this.requestTimes = this.requestTimes.filter(at => at > windowStart);
-        this.retryTimes = this.retryTimes.filter(at => at > windowStart);
+        const { retryRatio, retrySlack } = this.rules();
+        this.prune();
         const allowed = usedShare * (retryRatio * this.requestTimes.length + retrySlack / Math.max(1, this.nodeCount()));
         if (this.retryTimes.length + 1 > allowed) {
             return false;
@@ -40,4 +47,11 @@
         this.retryTimes.push(this.now());
         return true;
     }
+
+    private prune(): void {
+        const windowStart = this.now() - this.rules().retryWindowMs;
+        this.requestTimes = this.requestTimes.filter(at => at > windowStart);
+        this.retryTimes = this.retryTimes.filter(at => at > windowStart);
+        this.prunedAt = this.now();
+    }
 }
