--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -16,7 +16,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
-import { age, hostAddress, quantity, storeVersion } from "./peerSchemas";
+import { age, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
 import { VersionedPeers } from "./versionedPeers";
 
@@ -40,7 +40,7 @@
             cleared: z.array(z.string().max(maxPartIdLength)),
         })).max(maxReportedCrashes),
         limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity.optional(), ageMs: age })),
-        leaving: z.array(z.object({ id: z.string().max(maxPartIdLength), bornAt: z.number(), ageMs: age })).optional(),
+        leaving: leavingUpstreams.optional(),
     }),
 });
 const peerNodeSchema = z.object({ address: hostAddress, zone: z.string(), cores: quantity });
--- a/test/oddPeerMessages.test.ts
+++ b/test/oddPeerMessages.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import type { IncomingMessage } from "node:http";
 import { after, before, describe, it } from "node:test";
+import { ChangeOrigin } from "../src/core/sharedLog";
 import { SuspectParts } from "../src/forward/suspectParts";
 import type { PeerServer } from "../src/placement/peerServer";
 import { decodeServer } from "../src/platform/directoryDecoder";
@@ -78,6 +79,25 @@
         });
     }
 
+    const words: readonly { readonly name: string; readonly entries: readonly unknown[]; }[] = [
+        { name: "sound entries", entries: [] },
+        { name: "one odd entry among them", entries: [{ id: "u9", bornAt: "soon", ageMs: 0 }, 7] },
+    ];
+    for (const { name, entries } of words) {
+        for (const isReport of [true, false]) {
+            it(`let the word of a leaving upstream pass in ${isReport ? "a report" : "an answer"}, with ${name}`, async () => {
+                const { first, second } = await createPair();
+                const [from, to] = isReport ? [second, first] : [first, second];
+                const changesSince = from.gateway.availability.changesSince.bind(from.gateway.availability);
+                from.gateway.availability.changesSince = (...args) => [...entries as ReturnType<typeof changesSince>, ...changesSince(...args)];
+                from.gateway.availability.add({ id: "u1", bornAt: server.bornAt, ageMs: 0 }, ChangeOrigin.Below);
+                first.start();
+                second.start();
+                await waitFor("the word", () => to.gateway.directory.get("u1") !== undefined && !to.gateway.availability.mayTake(server), timeoutMs);
+            });
+        }
+    }
+
     it("come from no caller's prompt parts, however long or many", async () => {
         const { first, second } = await createPair();
         const prefix = [`${"f".repeat(300)}:1`, ...[...Array(300).keys()].map(index => `${index.toString(16)}:1`)].join(",");
