--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -19,6 +19,15 @@
     readonly idleSince: number;
 }
 
+/**
+ * What the client is told of a connection that its upstream closed before the request was sent. Told of the closed connection itself, the client would open another
+ * one at once, again and again.
+ */
+const unlessClosed = (result: buildConnector.CallbackArgs): buildConnector.CallbackArgs =>
+    result[1]?.destroyed || result[1]?.readableEnded
+        ? [Object.assign(new Error("the upstream closed the connection before the request was sent"), { code: "ECONNRESET" }), null]
+        : result;
+
 /** Pool of connections to one upstream; each carries one request at a time. */
 export class UpstreamConnectionPool {
     private idle: IdleConnection[] = [];
@@ -123,7 +132,7 @@
             connect: (options, callback) => {
                 const socket: unknown = connect(options, (...result) => {
                     this.recordResets(client, result[1] ?? undefined);
-                    void (result[0] ? Promise.resolve() : confirm()).then(() => callback(...result));
+                    void (result[0] ? Promise.resolve() : confirm()).then(() => callback(...unlessClosed(result)));
                 });
                 if (socket instanceof Socket) {
                     this.sockets.set(client, socket);
