--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -42,8 +42,6 @@
 /** Limit of the HTTP parser, above what a configuration may allow; the configured limit is checked on each request. */
 const maxHeaderBytes = 262_144;
 const defaultHeaderTimeoutMs = 10_000;
-/** Limit on request bodies while the node has no configuration. */
-const defaultMaxBodyBytes = 1_048_576;
 const defaultIdleTimeoutMs = 15_000;
 /** Interval at which connections are checked for senders that are too slow. */
 const checkIntervalMs = 1_000;
@@ -168,7 +166,6 @@
         const { gateway } = this;
         const caller = gateway.wire.decodeCaller(req.headers);
         progress.requestId = caller.requestId;
-        const limits = gateway.config?.limits;
         const refuse = (failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): undefined => {
             if (!req.complete) {
                 // The rest of the body is not read, so the connection cannot be reused.
@@ -182,20 +179,29 @@
             const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
             return refuse(refusalOf(FailureKind.ConnectionsShort, "the node has no descriptor for the request", retryAfterMs));
         }
+        const { config, routes } = gateway;
+        if (!config || !routes) {
+            return refuse(refusalOf(FailureKind.NotReady, "the node has not received a configuration yet", startingRetryAfterMs));
+        }
+        if (headerBytes(req) > config.limits.maxHeaderBytes) {
+            return refuse(refusalOf(FailureKind.HeadersTooLarge, "the request headers exceed the configured limit"));
+        }
+        const path = (req.url ?? "/").split("?", 1)[0]!;
+        const route = routes.find(hostOf(req), path);
+        if (!route) {
+            return refuse(refusalOf(FailureKind.UnknownPath, "no route matches this host and path"));
+        }
+        const timeoutMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
         const suspects = SuspectParts.create(req, caller.modelRequest);
         const bodyResult = await readRequestBody(req, res, gateway.memory, {
-            maxBytes: limits?.maxBodyBytes ?? defaultMaxBodyBytes,
-            timeoutMs: caller.deadlineMs ?? defaultHeaderTimeoutMs,
+            maxBytes: config.limits.maxBodyBytes,
+            timeoutMs,
             signal: presence.signal,
             onPart: bytes => suspects.addPart(bytes),
         });
         if (bodyResult.kind === "lost" || !await presence.confirm()) {
             return undefined;
         }
-        const { config, routes } = gateway;
-        if (!config || !routes) {
-            return refuse(refusalOf(FailureKind.NotReady, "the node has not received a configuration yet", startingRetryAfterMs));
-        }
         if (bodyResult.kind === "no-memory") {
             const { retryAfterMs, memory } = bodyResult.denial;
             return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
@@ -205,15 +211,6 @@
                 refusalOf(bodyResult.kind === "slow" ? FailureKind.SlowSender : FailureKind.BodyTooLarge, "the request body was not read completely"),
             );
         }
-        if (headerBytes(req) > config.limits.maxHeaderBytes) {
-            return refuse(refusalOf(FailureKind.HeadersTooLarge, "the request headers exceed the configured limit"));
-        }
-        const path = (req.url ?? "/").split("?", 1)[0]!;
-        const route = routes.find(hostOf(req), path);
-        if (!route) {
-            return refuse(refusalOf(FailureKind.UnknownPath, "no route matches this host and path"));
-        }
-        const timeoutMs = Math.min(caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
         return {
             req,
             res,
