--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -25,7 +25,9 @@
  */
 const unlessClosed = (result: buildConnector.CallbackArgs): buildConnector.CallbackArgs =>
     result[1]?.destroyed || result[1]?.readableEnded
-        ? [Object.assign(new Error("the upstream closed the connection before the request was sent"), { code: "ECONNRESET" }), null]
+        ? [Object.assign(new Error("the upstream closed the connection before the request was sent"), {
+            code: "ECONNRESET",
+        })] as unknown as buildConnector.CallbackArgs
         : result;
 
 /** Pool of connections to one upstream; each carries one request at a time. */
