--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -158,7 +158,7 @@
                 return { runner: slot.tracker.server.id, readyInMs: estimatedAdapterLoadMs, isComing: true };
             }
         }
-        return { readyInMs: orderResendMs, isComing: trackers.some(tracker => serves(tracker, req.model)) };
+        return { readyInMs: orderResendMs, isComing: usable.some(tracker => serves(tracker, req.model)) };
     }
 
     /** Plans and sends orders; returns false if the node is not the controller, has no configuration, or the last round was too recent. */
--- a/src/placement/usableRunners.ts
+++ b/src/placement/usableRunners.ts
@@ -3,6 +3,7 @@
 import { boundOf, withoutRunners } from "../core/runnerBound";
 import type { RunnerTracker } from "../core/runnerTracker";
 import type { PlacementRequest } from "../types/placement";
+import { UpstreamState } from "../types/upstreamServer";
 
 /** The runners of a service as a placement request may use them. */
 export interface UsableRunners {
@@ -18,7 +19,9 @@
 }
 
 /** Finds the runners that a request may use among those of its service. */
-export const findUsableRunners = (req: PlacementRequest, trackers: readonly RunnerTracker[]): UsableRunners => {
+export const findUsableRunners = (req: PlacementRequest, all: readonly RunnerTracker[]): UsableRunners => {
+    // A copy at a runner that leaves is none for a new request.
+    const trackers = all.filter(({ server }) => server.state === UpstreamState.Ready);
     const versionBound = boundOf(req);
     const admitted = trackers.filter(versionBound.admits);
     const isBound = admitted.length < trackers.length;
