--- a/src/core/errorLogLimiter.ts
+++ b/src/core/errorLogLimiter.ts
@@ -11,9 +11,19 @@
     readonly suppressed: number;
 }
 
+/** What was thrown as text; values without one, such as an object without a prototype, share a place. */
+const textOf = (err: unknown): string => {
+    try {
+        return String(err instanceof Error ? err.stack ?? err.message : err);
+    }
+    catch {
+        return typeof err;
+    }
+};
+
 /** The place in the code at which an error was thrown: the first line of its stack that names one. */
 const placeOf = (err: unknown): string => {
-    const [message, place = message] = (err instanceof Error ? err.stack ?? err.message : String(err)).split(/\n(?=\s+at )/, 2);
+    const [message, place = message] = textOf(err).split(/\n(?=\s+at )/, 2);
     return place!.trim();
 };
 
