--- a/test/errorLogLimiter.test.ts
+++ b/test/errorLogLimiter.test.ts
@@ -5,7 +5,7 @@
 /** Guards against a process that ends because the handler of unexpected errors throws itself. */
 describe("the limiter of logged errors", () => {
     const cases: Readonly<Record<string, unknown>> = {
-        "an object without a prototype": Object.create(null),
+        "an object without a prototype": Object.setPrototypeOf({}, Object.getPrototypeOf(Object.prototype) as object),
         "an error whose stack is no text": Object.assign(new Error("odd"), { stack: 7 }),
         "an object that cannot be converted": { toString: () => assert.fail("not convertible") },
         "a symbol": Symbol("odd"),
