--- a/src/core/memoryLimit.ts
+++ b/src/core/memoryLimit.ts
@@ -4,7 +4,7 @@
 /** Code, stacks and other memory of the runtime outside of its heap, and what the kernel keeps for connections. */
 const runtimeBytes = 76 * megabyte;
 /** Buffers that are no longer used: the runtime collects them once they have grown by about this much. */
-const uncollectedBytes = 96 * megabyte;
+const uncollectedBytes = 64 * megabyte;
 /** Above the stated limit less this, the process occupies more than what is counted explains. */
 const marginBytes = 40 * megabyte;
 /** Part of the memory that may be used in any case. */
