--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,4 +1,4 @@
-import type { Client, Dispatcher } from "undici";
+import type { Dispatcher } from "undici";
 import { EventId } from "../types/eventId";
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { RequestStep } from "../types/requestStep";
@@ -9,6 +9,7 @@
 import { AttemptEndKind } from "./attemptEnd";
 import type { CallerPresence } from "./callerPresence";
 import { FramingWatch } from "./framingWatch";
+import type { UpstreamConnection } from "./upstreamConnection";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** Status and headers of an answer. */
@@ -70,17 +71,17 @@
 
 const exchange = (
     pool: UpstreamConnectionPool,
+    acquire: () => UpstreamConnection,
     req: OutgoingRequest,
     wire: RequestHeaderCodec,
     sink: AnswerSink,
     guard: AttemptGuard,
-    presence: CallerPresence,
     signal: AbortSignal,
 ): Promise<AttemptEnd> =>
     new Promise(resolve => {
-        let client: Client;
+        let connection: UpstreamConnection;
         try {
-            client = pool.acquire(req.mayRepeat, () => presence.confirm());
+            connection = acquire();
         }
         catch (err) {
             emit(EventId.AttemptStepFailed, { request: req.requestId, step: RequestStep.Send, detail: describeError(err) });
@@ -100,10 +101,10 @@
             signal.removeEventListener("abort", onAbort);
             framingWatch?.stop();
             if (kind === AttemptEndKind.Complete) {
-                pool.release(client);
+                pool.release(connection);
             }
             else {
-                pool.discard(client);
+                pool.discard(connection);
             }
             resolve({ kind, reason, framing });
         };
@@ -144,7 +145,7 @@
                 }
                 isSent = true;
                 controller = started;
-                const socket = pool.socketOf(client);
+                const { socket } = connection;
                 framingWatch = socket && FramingWatch.start(socket, () => giveUp(started, "framing without end"));
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
@@ -158,7 +159,7 @@
                     return;
                 }
                 // On a connection that has carried requests before, an answer without an ID may be an earlier one once more.
-                const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && pool.isReused(client));
+                const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && connection.isReused);
                 const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
                 if (isOther) {
                     giveUp(current, "answer to another request");
@@ -185,7 +186,7 @@
             onResponseEnd: contain(RequestStep.End, () => {
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
-                    const isReset = framing === AnswerFraming.Connection && pool.wasReset(client);
+                    const isReset = framing === AnswerFraming.Connection && connection.wasReset;
                     finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
                 }
             }),
@@ -195,20 +196,23 @@
                     return;
                 }
                 if (isSent && !hasHead && !current?.aborted) {
-                    pool.onEndedUnanswered(client);
+                    pool.onEndedUnanswered(connection);
                 }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
-                const unsent = errorCodeOf(err) === invalidRequestCode ? AttemptEndKind.Unsendable : AttemptEndKind.Unsent;
+                const unopened = connection.isReused ? AttemptEndKind.Stale : AttemptEndKind.Unsent;
+                const unsent = errorCodeOf(err) === invalidRequestCode ? AttemptEndKind.Unsendable : unopened;
                 finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason);
             },
         };
         const outgoing = { method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body };
-        contain(RequestStep.Send, () => void client.dispatch(outgoing, handlers))();
+        contain(RequestStep.Send, () => void connection.client.dispatch(outgoing, handlers))();
     });
 
+const withdrawn: AttemptEnd = { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
+
 /**
  * Sends a request over one connection, if its caller is still there, and passes the answer to the sink. The connection is reused only after a complete answer
- * to this request.
+ * to this request. If a kept connection turns out to have been closed before the request was sent, a new one is opened.
  */
 export const sendAttempt = async (
     pool: UpstreamConnectionPool,
@@ -221,7 +225,14 @@
 ): Promise<AttemptEnd> => {
     await presence.confirm();
     if (signal.aborted) {
-        return { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
+        return withdrawn;
+    }
+    const confirm = (): Promise<boolean> => presence.confirm();
+    const req = toRequest();
+    const end = await exchange(pool, () => pool.acquire(req.mayRepeat, confirm), req, wire, sink, guard, signal);
+    if (end.kind !== AttemptEndKind.Stale) {
+        return end;
     }
-    return exchange(pool, toRequest(), wire, sink, guard, presence, signal);
+    emit(EventId.ConnectionStale, { request: req.requestId, address: pool.address, reason: end.reason });
+    return signal.aborted ? withdrawn : exchange(pool, () => pool.acquireNew(confirm), toRequest(), wire, sink, guard, signal);
 };
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -8,6 +8,8 @@
     Withdrawn = "withdrawn",
     /** No byte of the request was sent. */
     Unsent = "unsent",
+    /** No byte of the request was sent, as the kept connection had been closed. */
+    Stale = "stale",
     /** No byte of the request was sent, as its method, path or a header cannot be sent to any upstream. */
     Unsendable = "unsendable",
     /** The connection ended, or the answer belonged to another request: the request may have run. */
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -74,6 +74,7 @@
         "all upstreams that could run a request asked for quiet; it waits (`isWaiting`) or is refused; `upstream` takes requests again first, in `quietMs`",
     [EventId.AttemptStepFailed]: "an internal error at `step` ended an attempt; the request may be retried",
     [EventId.CallerWriteFailed]: "an answer could not be written to its caller",
+    [EventId.ConnectionStale]: "a kept connection had ended before the request was sent over it; the request is sent over a new one",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
