--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -145,7 +145,8 @@
                 });
             }
             this.residency.onDirectoryChange(id);
-            if (!server || (previous && previous.bornAt !== server.bornAt)) {
+            // A request that had been waiting may have asked for an upstream's pool after its removal.
+            if (!server || previous?.bornAt !== server.bornAt || previous.address !== server.address) {
                 this.removeUpstream(id);
             }
         });
--- /dev/null
+++ b/test/rebornUpstreams.test.ts
@@ -0,0 +1,49 @@
+import assert from "node:assert/strict";
+import { after, before, describe, it } from "node:test";
+import type { Gateway } from "../src/forward/gateway";
+import { setupLogs } from "../src/utils/events";
+import { callGateway, startGateway } from "./fakes/gatewayHarness";
+import { reservePort } from "./fakes/ports";
+import { startScriptedUpstream } from "./fakes/scriptedUpstream";
+import { answer } from "./fakes/upstreamScripts";
+
+const id = "up-0";
+
+/** Guards against requests that go to the address of an earlier process. */
+describe("an upstream that is born again under its ID", () => {
+    before(() => setupLogs("silent"));
+    after(() => setupLogs("info"));
+
+    const cases: readonly { readonly name: string; readonly change: (gateway: Gateway, before: string, address: string) => void; }[] = [
+        {
+            name: "at another address",
+            change: ({ directory }, _, address) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address, bornAt: 2 } }),
+        },
+        {
+            name: "at another address, as far as its row says the same process",
+            change: ({ directory }, _, address) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address } }),
+        },
+        {
+            name: "after a request that had been waiting asked for the removed one",
+            change: (gateway, before, address) => {
+                const server = { ...gateway.directory.get(id)!, address, bornAt: 2 };
+                gateway.directory.apply({ id, version: 50 });
+                gateway.connectionPoolOf(id, before);
+                gateway.directory.apply({ id, version: 51, server });
+            },
+        },
+    ];
+    for (const { name, change } of cases) {
+        it(`gets requests ${name}`, async () => {
+            const earlier = `127.0.0.1:${await reservePort()}`;
+            const later = await startScriptedUpstream(answer);
+            const node = await startGateway([earlier]);
+            node.gateway.connectionPoolOf(id, earlier);
+            change(node.gateway, earlier, later.address);
+            const { status } = await callGateway(node.address);
+            node.close();
+            later.close();
+            assert.equal(status, 200);
+        });
+    }
+});
