--- a/src/forward/upstreamProber.ts
+++ b/src/forward/upstreamProber.ts
@@ -53,8 +53,9 @@
     }
 
     private startProbe(runner: RunnerAddress): Promise<ProbeResult> {
-        const probe = (): Promise<ProbeResult> => this.probe(runner).finally(() => setTimeout(() => this.probes.delete(runner.id), resultLifetimeMs).unref());
-        return getOrCreate(this.probes, runner.id, probe);
+        const key = `${runner.id}@${runner.bornAt}@${runner.address}`;
+        const probe = (): Promise<ProbeResult> => this.probe(runner).finally(() => setTimeout(() => this.probes.delete(key), resultLifetimeMs).unref());
+        return getOrCreate(this.probes, key, probe);
     }
 
     private async probe(runner: RunnerAddress): Promise<ProbeResult> {
--- a/test/rebornUpstreams.test.ts
+++ b/test/rebornUpstreams.test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import type { Gateway } from "../src/forward/gateway";
+import { UpstreamProber } from "../src/forward/upstreamProber";
+import type { RunnerAddress, RunnerControl } from "../src/types/runner";
 import { setupLogs } from "../src/utils/events";
 import { callGateway, startGateway } from "./fakes/gatewayHarness";
 import { reservePort } from "./fakes/ports";
@@ -9,7 +11,7 @@
 
 const id = "up-0";
 
-/** Guards against requests that go to the address of an earlier process. */
+/** Guards against requests that go to the address of an earlier process, or are judged by it. */
 describe("an upstream that is born again under its ID", () => {
     before(() => setupLogs("silent"));
     after(() => setupLogs("info"));
@@ -46,4 +48,12 @@
             assert.equal(status, 200);
         });
     }
+
+    it("is alive though a probe has just found that its predecessor ended", async () => {
+        const fetchReport = (): Promise<unknown> => Promise.resolve({ bornAt: 2 });
+        const prober = UpstreamProber.create({ fetchReport } as unknown as RunnerControl);
+        const processOf = (bornAt: number): RunnerAddress => ({ id, address: "127.0.0.1:1", bornAt }) as RunnerAddress;
+        const isAlive = [await prober.isAlive(processOf(1)), await prober.isAlive(processOf(2))];
+        assert.deepEqual(isAlive, [false, true]);
+    });
 });
