--- a/test/rebornUpstreams.test.ts
+++ b/test/rebornUpstreams.test.ts
@@ -11,26 +11,32 @@
 
 const id = "up-0";
 
+/** Addresses of the earlier process and the present one. */
+interface Addresses {
+    readonly earlier: string;
+    readonly address: string;
+}
+
 /** Guards against requests that go to the address of an earlier process, or are judged by it. */
 describe("an upstream that is born again under its ID", () => {
     before(() => setupLogs("silent"));
     after(() => setupLogs("info"));
 
-    const cases: readonly { readonly name: string; readonly change: (gateway: Gateway, before: string, address: string) => void; }[] = [
+    const cases: readonly { readonly name: string; readonly change: (gateway: Gateway, addresses: Addresses) => void; }[] = [
         {
             name: "at another address",
-            change: ({ directory }, _, address) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address, bornAt: 2 } }),
+            change: ({ directory }, { address }) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address, bornAt: 2 } }),
         },
         {
             name: "at another address, as far as its row says the same process",
-            change: ({ directory }, _, address) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address } }),
+            change: ({ directory }, { address }) => directory.apply({ id, version: 50, server: { ...directory.get(id)!, address } }),
         },
         {
             name: "after a request that had been waiting asked for the removed one",
-            change: (gateway, before, address) => {
+            change: (gateway, { earlier, address }) => {
                 const server = { ...gateway.directory.get(id)!, address, bornAt: 2 };
                 gateway.directory.apply({ id, version: 50 });
-                gateway.connectionPoolOf(id, before);
+                gateway.connectionPoolOf(id, earlier);
                 gateway.directory.apply({ id, version: 51, server });
             },
         },
@@ -41,7 +47,7 @@
             const later = await startScriptedUpstream(answer);
             const node = await startGateway([earlier]);
             node.gateway.connectionPoolOf(id, earlier);
-            change(node.gateway, earlier, later.address);
+            change(node.gateway, { earlier, address: later.address });
             const { status } = await callGateway(node.address);
             node.close();
             later.close();
