--- /dev/null
+++ b/test/callerLoad/loadOptions.ts
@@ -0,0 +1,57 @@
+import { parseArgs } from "node:util";
+
+/** Options of a run. */
+export interface LoadOptions {
+    readonly seed: number;
+    readonly seconds: number;
+    readonly callers: number;
+    /** Largest body of a request. */
+    readonly maxBodyBytes: number;
+    /** Largest answer. */
+    readonly maxAnswerBytes: number;
+    /** Answers in a hundred that the upstream breaks off or gets wrong. */
+    readonly faultyPercent: number;
+    /** Whether all nodes run on one core. */
+    readonly isOneCore: boolean;
+    /** Whether nodes are stopped and started again. */
+    readonly hasStops: boolean;
+}
+
+/** Integer options with their defaults and bounds. */
+const integers = {
+    "seed": { default: 1, min: 0, max: 2_147_483_647 },
+    "seconds": { default: 30, min: 5, max: 3_600 },
+    "callers": { default: 120, min: 1, max: 500 },
+    "max-body": { default: 110_000, min: 0, max: 1_000_000 },
+    "max-answer": { default: 64_000, min: 1_000, max: 1_000_000 },
+    "faulty": { default: 0, min: 0, max: 100 },
+} as const;
+
+const toInteger = (name: keyof typeof integers, text: string | undefined): number => {
+    const { default: usual, min, max } = integers[name];
+    const value = text === undefined ? usual : Number(text);
+    if (text?.trim() === "" || !Number.isSafeInteger(value) || value < min || value > max) {
+        throw new Error(`--${name} must be an integer from ${min} to ${max}, not "${text}"`);
+    }
+    return value;
+};
+
+/** Reads the command line; throws an error that says what is wrong with it. */
+export const parseLoadOptions = (args: readonly string[]): LoadOptions => {
+    const text = { type: "string" } as const;
+    const flag = { type: "boolean", default: false } as const;
+    const { values } = parseArgs({
+        args: [...args],
+        options: { "seed": text, "seconds": text, "callers": text, "max-body": text, "max-answer": text, "faulty": text, "one-core": flag, "no-stops": flag },
+    });
+    return {
+        seed: toInteger("seed", values.seed),
+        seconds: toInteger("seconds", values.seconds),
+        callers: toInteger("callers", values.callers),
+        maxBodyBytes: toInteger("max-body", values["max-body"]),
+        maxAnswerBytes: toInteger("max-answer", values["max-answer"]),
+        faultyPercent: toInteger("faulty", values.faulty),
+        isOneCore: values["one-core"],
+        hasStops: !values["no-stops"],
+    };
+};
