--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -33,6 +33,14 @@
     onEventGap(ms: number): void;
 }
 
+/** A complete answer that is relayed if no later attempt gives one. */
+interface KeptAnswer {
+    readonly upstream: string;
+    readonly head: AnswerHead;
+    readonly chunks: Buffer[];
+    readonly bytes: number;
+}
+
 /** Relays the answer to a request: streams event by event, all other answers once they are complete. */
 export class AnswerRelay implements AnswerSink {
     private readonly splitter = SseSplitter.create();
@@ -51,6 +59,7 @@
     maxEventGapMs = 0;
     private isStreaming = false;
     private bufferedBytes = 0;
+    private kept: KeptAnswer | undefined;
 
     private constructor(
         private readonly call: Call,
@@ -89,6 +98,24 @@
         return this.splitter.lastEventId ?? this.call.caller.lastEventId;
     }
 
+    /** Keeps the latest attempt's answer, which is complete, for `restoreKept`. */
+    keep(upstream: string): void {
+        this.kept = this.head && !this.hasBegun ? { upstream, head: this.head, chunks: this.chunks, bytes: this.bufferedBytes } : undefined;
+    }
+
+    /** Makes the answer that was kept the latest one; returns its upstream if there was one. A stream that has begun since cannot be replaced. */
+    restoreKept(): string | undefined {
+        const { kept } = this;
+        if (!kept || this.hasBegun) {
+            return undefined;
+        }
+        this.reset();
+        this.head = kept.head;
+        this.chunks = kept.chunks;
+        this.bufferedBytes = kept.bytes;
+        return kept.upstream;
+    }
+
     /** Resets the state for another attempt. */
     reset(): void {
         this.head = undefined;
@@ -98,6 +125,7 @@
         this.attemptEventAt = undefined;
         this.splitter.dropPartialEvent();
         this.hold.release();
+        this.hold.grow(this.kept?.bytes ?? 0);
     }
 
     onHead(head: AnswerHead): void {
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -221,6 +221,7 @@
         this.crashObserver.onAnswered(candidate, endsWithConnection);
         countFailure(traffic, head.decoded, failedRunWeight);
         this.logFailed(server.id, `failed with ${head.status}`, Verdict.Ran);
+        relay.keep(server.id);
         return AttemptOutcome.RanAndFailed;
     }
 
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -225,9 +225,10 @@
         const { relay } = this.attempts;
         this.call.progress.step = RequestStep.Answer;
         const isRelayable = outcome === AttemptOutcome.Answered || outcome === AttemptOutcome.RanAndFailed;
-        if (isRelayable && relay.canComplete) {
+        const answeredBy = isRelayable && relay.canComplete ? this.upstream : relay.restoreKept();
+        if (answeredBy !== undefined) {
             relay.complete();
-            logAnswered(this.call, this.attempts, this.upstream, this.sends);
+            logAnswered(this.call, this.attempts, answeredBy, this.sends);
             return;
         }
         if (outcome === AttemptOutcome.Unsendable && this.possibleRuns === 0) {
--- a/test/keptServerError.test.ts
+++ b/test/keptServerError.test.ts
@@ -5,7 +5,7 @@
 import { callGateway, startGateway } from "./fakes/gatewayHarness";
 import type { Script } from "./fakes/scriptedUpstream";
 import { startScriptedUpstream } from "./fakes/scriptedUpstream";
-import { answer, answerWithError, refuse } from "./fakes/upstreamScripts";
+import { answer, answerMisdirected, answerWithError, neverAnswer, refuse, reset, truncateAnswer } from "./fakes/upstreamScripts";
 
 const lateTurnMs = 20_000;
 
@@ -46,3 +46,34 @@
         })
     );
 });
+
+/** Ends of a second attempt that gives no answer to relay. */
+const failedSeconds: readonly { readonly name: string; readonly second: Script; }[] = [
+    { name: "refuses the request", second: refuse },
+    { name: "answers for another process", second: answerMisdirected },
+    { name: "resets the connection", second: reset },
+    { name: "truncates its answer", second: truncateAnswer },
+    { name: "ends before it is sent the request", second: neverAnswer },
+];
+
+/** Guards against a server error that was replaced by a failure of the node's own, as a later attempt gave no answer. */
+describe("a request that one upstream failed and whose next upstream", () => {
+    before(() => setupLogs("silent"));
+    after(() => setupLogs("info"));
+
+    failedSeconds.forEach(({ name, second }) =>
+        it(`${name} gets the first one's answer`, async () => {
+            const upstreams = await Promise.all([answerWithError, second].map(script => startScriptedUpstream(script)));
+            if (second === neverAnswer) {
+                upstreams[1]!.stopListening();
+            }
+            const node = await startGateway(upstreams.map(({ address }) => address), { kind: RouteKind.Idempotent, maxAttempts: 2 });
+            // The first choice is the upstream that fails.
+            node.gateway.trafficOf("up-1").onPeerLoad(0, 4);
+            const result = await callGateway(node.address);
+            node.close();
+            upstreams.forEach(upstream => upstream.close());
+            assert.deepEqual({ status: result.status, body: result.body, isComplete: result.isComplete }, { status: 500, body: "sorry", isComplete: true });
+        })
+    );
+});
