--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -133,7 +133,10 @@
             }
         }
         catch (err) {
-            tracker.failedReports++;
+            // A runner that asks for quiet is alive.
+            if (this.gateway.availability.quietMsOf(tracker.server) === 0) {
+                tracker.failedReports++;
+            }
             emit(EventId.ReportFailed, { runner: tracker.server.id, detail: toFailure(err).detail });
         }
     }
--- a/test/leavingPlacement.test.ts
+++ b/test/leavingPlacement.test.ts
@@ -65,6 +65,23 @@
         assert.deepEqual([during, readyInMs, isComing, afterwards > 0], [0, 0, true, true]);
     });
 
+    it("does not take a runner that answers calls for reports by asking for quiet for one that has failed", async () => {
+        const fixture = await PlacementFixture.start(1, 2);
+        await clock.tickAsync(4_000);
+        const { control } = fixture;
+        const { fetchReport } = control;
+        control.fetchReport = async runner => {
+            if (runner.id === "r0") {
+                say(fixture, "r0", { quietMs: 100 });
+                throw new Error("status 503");
+            }
+            return await fetchReport.call(control, runner);
+        };
+        await clock.tickAsync(8_000);
+        const { runner, isComing } = await fixture.controller.place({ service: "desk", model: "m0", avoid: [], unreachable: [] });
+        assert.deepEqual([runner, isComing], ["r0", true]);
+    });
+
     it("tells other nodes of a runner that is leaving, and not of one that asks for quiet", () => {
         const createNode = () => {
             const counter = { value: 0 };
