--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -1,28 +1,37 @@
-import type { IncomingMessage, Server } from "node:http";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
+import { Server as NetServer } from "node:net";
 import { Server as TlsServer } from "node:tls";
 import { nextTurn, sleep } from "./time";
 
-/** A connection that is open for this long without a request is idle; a caller that has just connected sends its request sooner. */
-const newConnectionMs = 500;
+/** A connection that received nothing for this long is quiet; a caller that has just connected, or had its answer, sends its next request sooner. */
+const quietMs = 500;
 const pollMs = 20;
 /** The listen backlog counts as empty after this many turns of the event loop without a new connection; a turn accepts at most one. */
 const quietTurns = 3;
 const maxTurns = 2_000;
 
-/** Closes an HTTP server without resetting connections that callers have just opened, or whose request has arrived but was not read yet. */
+interface Connection {
+    /** Requests whose responses have not been closed: a response is closed once it was written out. */
+    openRequests: number;
+    /** Bytes received when the last response was closed; what is received beyond them belongs to a next request. Undefined before that. */
+    requestBytes: number | undefined;
+    receivedBytes: number;
+    /** When the connection was accepted, received bytes or ended a response, on the monotonic clock. */
+    activeAt: number;
+}
+
+/**
+ * Closes an HTTP server without cutting answers that are not written out, connections that callers have just opened, and requests that have arrived but were not read
+ * yet. The runtime's own idle connections are not used: it takes a connection for idle as soon as its answer was ended, though its bytes still wait for the reader.
+ */
 export class GracefulClose {
-    /** Connections that have not sent a request yet, with the time at which they were accepted, on the monotonic clock. */
-    private readonly newConnections = new Map<Socket, number>();
+    private readonly connections = new Map<Socket, Connection>();
     private acceptedCount = 0;
 
     private constructor(private readonly server: Server) {
-        server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => {
-            this.acceptedCount++;
-            this.newConnections.set(socket, performance.now());
-            socket.once("close", () => this.newConnections.delete(socket));
-        });
-        server.on("request", ({ socket }: IncomingMessage) => this.newConnections.delete(socket));
+        server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
+        server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
 
     /** Tracks the connections of a server that does not listen yet. */
@@ -37,27 +46,66 @@
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
         }
-        this.server.close();
+        // The HTTP server's own method closes connections, too.
+        NetServer.prototype.close.call(this.server);
     }
 
     /**
-     * Waits until all requests have been answered and no connection is too new to be idle, or until the deadline on the monotonic clock.
+     * Waits until all requests have been answered and no connection is about to send one, or until the deadline on the monotonic clock.
      * Closes idle connections meanwhile.
      */
     async finishRequests(inProgress: () => number, deadlineAt: number): Promise<void> {
         for (;;) {
             // Requests that have arrived are read first, so that their connections do not count as idle.
             await nextTurn();
-            this.server.closeIdleConnections();
-            if (performance.now() >= deadlineAt || (inProgress() === 0 && !this.hasNewConnection)) {
+            const isAwaiting = this.closeIdle(quietMs);
+            if (performance.now() >= deadlineAt || (inProgress() === 0 && !isAwaiting)) {
+                this.closeIdle(0);
                 return;
             }
             await sleep(pollMs);
         }
     }
 
-    private get hasNewConnection(): boolean {
+    private onConnection(socket: Socket): void {
+        this.acceptedCount++;
+        this.connections.set(socket, { openRequests: 0, requestBytes: undefined, receivedBytes: socket.bytesRead, activeAt: performance.now() });
+        socket.once("close", () => this.connections.delete(socket));
+    }
+
+    private onRequest(socket: Socket, res: ServerResponse): void {
+        const connection = this.connections.get(socket);
+        if (!connection) {
+            return;
+        }
+        connection.openRequests++;
+        res.once("close", () => {
+            connection.openRequests--;
+            connection.requestBytes = socket.bytesRead;
+            connection.activeAt = performance.now();
+        });
+    }
+
+    /** Closes connections that have been idle for a time; returns whether a request is open on one, or expected soon. */
+    private closeIdle(minIdleMs: number): boolean {
         const now = performance.now();
-        return [...this.newConnections.values()].some(acceptedAt => now - acceptedAt < newConnectionMs);
+        let isAwaiting = false;
+        for (const [socket, connection] of this.connections) {
+            const { bytesRead } = socket;
+            if (bytesRead !== connection.receivedBytes) {
+                connection.receivedBytes = bytesRead;
+                connection.activeAt = now;
+            }
+            const isQuiet = now - connection.activeAt >= minIdleMs;
+            const isBetweenRequests = connection.requestBytes === bytesRead;
+            if (connection.openRequests > 0 || (!isBetweenRequests && !isQuiet)) {
+                isAwaiting = true;
+            }
+            else if (isBetweenRequests && isQuiet) {
+                // Not destroyed: bytes that cross the close would reset what the caller has not received yet.
+                socket.end();
+            }
+        }
+        return isAwaiting;
     }
 }
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -20,12 +20,12 @@
         socket.on("close", () => resolve(answer));
     });
 
-const startServer = async (): Promise<{ readonly server: Server; readonly port: number; readonly close: () => Promise<void>; }> => {
+const startServer = async (body = "done"): Promise<{ readonly server: Server; readonly port: number; readonly close: () => Promise<void>; }> => {
     let inProgress = 0;
     const server = createServer((req, res) => {
         req.resume();
         inProgress++;
-        setTimeout(() => res.end("done"), 20);
+        setTimeout(() => res.end(body), 20);
         res.once("close", () => inProgress--);
     });
     const gracefulClose = GracefulClose.create(server);
@@ -71,4 +71,43 @@
         assert.match(await idle, /done/);
         assert.equal(await silent, "");
     });
+
+    /** Guards against a stop that cuts a whole answer because its reader is slower than the server. */
+    describe("while an answer waits for its reader", () => {
+        const largeBytes = 8 * 1_024 * 1_024;
+        const cases: readonly { readonly name: string; readonly requests: string; readonly answers: number; }[] = [
+            { name: "one request", requests: request, answers: 1 },
+            { name: "two requests in one write", requests: request + request, answers: 2 },
+        ];
+        for (const { name, requests, answers } of cases) {
+            it(`writes it out: ${name}`, async () => {
+                const { port, close } = await startServer("x".repeat(largeBytes));
+                let received = 0;
+                const socket = connect(port, "127.0.0.1", () => socket.write(requests));
+                const ended = new Promise<void>(resolve => socket.once("close", () => resolve()));
+                socket.on("error", () => undefined);
+                await sleep(100);
+                const closed = close();
+                await sleep(300);
+                socket.on("data", (chunk: Buffer) => received += chunk.length);
+                await Promise.all([closed, ended]);
+                assert.ok(received > answers * largeBytes, `${received} bytes`);
+            });
+        }
+    });
+
+    it("answers a request whose head arrives in parts, on a connection that was used before", async () => {
+        const { port, close } = await startServer();
+        let answer = "";
+        const socket = connect(port, "127.0.0.1", () => socket.write(request));
+        socket.on("data", (chunk: Buffer) => answer += chunk.toString());
+        socket.on("error", () => undefined);
+        await sleep(100);
+        socket.write(request.slice(0, 20));
+        const closed = close();
+        await sleep(200);
+        socket.write(request.slice(20));
+        await closed;
+        assert.equal(answer.match(/done/g)?.length, 2);
+    });
 });
