--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -199,9 +199,12 @@
             signal: presence.signal,
             onPart: bytes => suspects.addPart(bytes),
         });
-        if (bodyResult.kind === "lost" || !await presence.confirm()) {
+        if (!await presence.confirm()) {
             return undefined;
         }
+        if (bodyResult.kind === "lost") {
+            throw new Error("the request body ended early on a connection that is open");
+        }
         if (bodyResult.kind === "no-memory") {
             const { retryAfterMs, memory } = bodyResult.denial;
             return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodyDenial, BodyGrant, MemoryBudget } from "../core/memoryBudget";
 import { maxSmallBodyBytes } from "../core/memoryBudget";
-import type { BodyReadResult, BodyTimeLimits } from "../utils/transport";
-import { readChunks } from "../utils/transport";
+import type { BodyReadEnd, BodyTimeLimits } from "../utils/bodySource";
+import { BodySource } from "../utils/bodySource";
+import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
@@ -15,6 +16,8 @@
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
 
+const failedKinds = { full: "too-large", slow: "slow", stopped: "lost", lost: "lost" } as const;
+
 /** Outcome of reading the body of a request. */
 export type RequestBodyResult = BodyReadResult | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
@@ -45,16 +48,18 @@
 /** Reads the body of one request. */
 class RequestBodyReader {
     private readonly dueAt: number;
+    private readonly source: BodySource;
     private buffer = Buffer.alloc(0);
     private filledBytes = 0;
 
     constructor(
-        private readonly req: IncomingMessage,
+        req: IncomingMessage,
         private readonly res: ServerResponse,
         private readonly memory: MemoryBudget,
         private readonly limits: RequestBodyLimits,
     ) {
         this.dueAt = performance.now() + limits.timeoutMs;
+        this.source = BodySource.create(req);
     }
 
     /** Reads a body of a known size into one buffer. */
@@ -64,8 +69,8 @@
             return this.denied(grant);
         }
         this.buffer = Buffer.allocUnsafeSlow(bytes);
-        const kind = await this.fill();
-        return kind === "whole" ? { kind, body: this.buffer } : { kind };
+        const end = await this.fill();
+        return end === "whole" ? { kind: end, body: this.buffer } : { kind: failedKinds[end] };
     }
 
     /**
@@ -81,17 +86,17 @@
         }
         const firstChunks: Buffer[] = [];
         let bytes = 0;
-        const kind = await this.read(chunk => {
+        const firstEnd = await this.read(chunk => {
             firstChunks.push(chunk);
             bytes += chunk.length;
             return bytes <= firstBytes;
         });
-        if (kind === "whole") {
+        if (firstEnd === "whole") {
             first.shrinkTo(bytes);
-            return { kind, body: Buffer.concat(firstChunks) };
+            return { kind: firstEnd, body: Buffer.concat(firstChunks) };
         }
-        if (kind !== "too-large" || bytes > maxBytes) {
-            return { kind };
+        if (firstEnd !== "full" || bytes > maxBytes) {
+            return { kind: failedKinds[firstEnd] };
         }
         const whole = await this.requestMemory(maxBytes);
         if (!whole.isGranted) {
@@ -102,7 +107,7 @@
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
-            return { kind: end };
+            return { kind: failedKinds[end] };
         }
         const filled = this.buffer.subarray(0, this.filledBytes);
         if (filled.length >= minFilledShare * maxBytes) {
@@ -112,13 +117,13 @@
         return { kind: end, body: Buffer.from(filled) };
     }
 
-    private fill(): Promise<BodyReadResult["kind"]> {
+    private fill(): Promise<BodyReadEnd> {
         return this.read(chunk => this.take(chunk));
     }
 
-    private read(take: (chunk: Buffer) => boolean): Promise<BodyReadResult["kind"]> {
+    private read(take: (chunk: Buffer) => boolean): Promise<BodyReadEnd> {
         const { limits: { onPart }, timeLimits } = this;
-        return readChunks(this.req, chunk => {
+        return this.source.read(chunk => {
             onPart(chunk);
             return take(chunk);
         }, timeLimits);
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,7 +1,7 @@
 import type { Readable } from "node:stream";
 import { Verdict } from "../types/verdict";
-import { maxTimerMs } from "./time";
-import type { TurnPacer } from "./turnPacer";
+import type { BodyTimeLimits } from "./bodySource";
+import { BodySource } from "./bodySource";
 
 /** Error code of a connection that was refused: no process listens at the address. */
 export const refusedConnectionCode = "ECONNREFUSED";
@@ -35,78 +35,12 @@
     | { readonly kind: "slow"; }
     | { readonly kind: "lost"; };
 
-/** Limits on the time in which a body is read. */
-export interface BodyTimeLimits {
-    /** Time for the whole body. */
-    readonly timeoutMs: number;
-    /** Maximum time without a byte; unlimited if undefined. */
-    readonly silenceMs?: number;
-    /** Whether a longer time without a byte is accepted for now. */
-    readonly maySilenceLast?: () => boolean;
-    /** Bounds what one turn of the event loop reads. */
-    readonly pacer?: TurnPacer;
-}
-
 /** Limits on reading a body. */
 export interface BodyLimits extends BodyTimeLimits {
     readonly maxBytes: number;
 }
 
-/** After a standstill of this process its timers fire before it reads what has arrived: a sender counts as silent only at the second check. */
-const checksOfSilence = 2;
-
-/** Reads a body in chunks until `take` returns false, which pauses it: `too-large`. */
-export const readChunks = (
-    stream: Readable,
-    take: (chunk: Buffer) => boolean,
-    { timeoutMs, silenceMs, maySilenceLast = () => false, pacer }: BodyTimeLimits,
-): Promise<BodyReadResult["kind"]> =>
-    new Promise(resolve => {
-        let isFinished = false;
-        const finish = (kind: BodyReadResult["kind"]) => {
-            isFinished = true;
-            clearTimeout(timer);
-            clearTimeout(silenceTimer);
-            stream.removeAllListeners("data");
-            resolve(kind);
-        };
-        let silences = 0;
-        const onSilence = (): void => {
-            silences = maySilenceLast() ? 0 : silences + 1;
-            if (silences < checksOfSilence) {
-                silenceTimer?.refresh();
-            }
-            else {
-                finish("slow");
-            }
-        };
-        const resume = (): void => {
-            if (!isFinished) {
-                stream.resume();
-            }
-        };
-        const timer = setTimeout(() => finish("slow"), Math.min(timeoutMs, maxTimerMs));
-        const silenceTimer = silenceMs === undefined ? undefined : setTimeout(onSilence, silenceMs / checksOfSilence);
-        if (stream.destroyed) {
-            finish("lost");
-            return;
-        }
-        stream.on("data", (chunk: Buffer) => {
-            silences = 0;
-            silenceTimer?.refresh();
-            if (!take(chunk)) {
-                stream.pause();
-                finish("too-large");
-            }
-            else if (pacer?.count(chunk.length, resume) === false) {
-                stream.pause();
-            }
-        });
-        stream.on("end", () => finish("whole"));
-        stream.on("error", () => finish("lost"));
-        stream.on("close", () => finish("lost"));
-        stream.resume();
-    });
+const failedKinds = { full: "too-large", slow: "slow", stopped: "slow", lost: "lost" } as const;
 
 /** Reads a body with limits on size and time. */
 export const readBody = async (stream: Readable, { maxBytes, ...times }: BodyLimits): Promise<BodyReadResult> => {
@@ -117,8 +51,8 @@
         chunks.push(chunk);
         return bytes <= maxBytes;
     };
-    const kind = await readChunks(stream, take, times);
-    return kind === "whole" ? { kind, body: Buffer.concat(chunks) } : { kind };
+    const end = await BodySource.create(stream).read(take, times);
+    return end === "whole" ? { kind: end, body: Buffer.concat(chunks) } : { kind: failedKinds[end] };
 };
 
 /** An answer that was abandoned because it exceeded a limit. */
