--- a/test/callerLoad.test.ts
+++ b/test/callerLoad.test.ts
@@ -22,6 +22,11 @@
         record: { ...base, end: CallerEnd.Whole, status: 502, endedAt: 50, passedOnAt: 20, upstreamEnd: UpstreamEnd.Whole },
         judgement: Judgement.ErrorUnderSound,
     },
+    {
+        name: "504 after its time",
+        record: { ...base, end: CallerEnd.Whole, status: 504, endedAt: 10_001, passedOnAt: 9_900, upstreamEnd: UpstreamEnd.Whole },
+        judgement: Judgement.TimedOut,
+    },
     {
         name: "502 of a faulty upstream",
         record: { ...base, plan: { ...plan, fault: AnswerFault.ResetMidway }, end: CallerEnd.Whole, status: 502, endedAt: 50, passedOnAt: 20 },
--- a/test/callerLoad/loadJudge.ts
+++ b/test/callerLoad/loadJudge.ts
@@ -56,7 +56,8 @@
 /** Whether the request's own time or its route's had passed when its connection ended. */
 const isTimedOut = ({ plan, startedAt, endedAt = 0 }: LoadRecord): boolean => endedAt - startedAt >= Math.min(plan.deadlineMs, routeTimeoutMs);
 
-const judgeAnswer = ({ plan, status = 0, upstreamEnd }: LoadRecord): Judgement => {
+const judgeAnswer = (record: LoadRecord): Judgement => {
+    const { plan, status = 0, upstreamEnd } = record;
     if (refusalStatuses.has(status)) {
         return Judgement.Refused;
     }
@@ -66,6 +67,9 @@
     if (plan.fault !== undefined) {
         return Judgement.UpstreamFailed;
     }
+    if (isTimedOut(record)) {
+        return Judgement.TimedOut;
+    }
     return upstreamEnd === UpstreamEnd.Whole ? Judgement.ErrorUnderSound : Judgement.OtherError;
 };
 
--- a/test/callerLoad/loadUpstream.ts
+++ b/test/callerLoad/loadUpstream.ts
@@ -10,7 +10,7 @@
 const lengthPattern = /^content-length: (\d+)$/im;
 const idPattern = /^attempt-id: (.*)$/im;
 
-const headOf = ({ plan: { id, framing, route } }: LoadRecord, length: number): string => {
+const headOf = ({ plan: { id, framing: planned, route } }: LoadRecord, length: number, framing = planned): string => {
     const type = route.isStream ? "Content-Type: text/event-stream\r\n" : "";
     const framings: Readonly<Record<Framing, string>> = {
         [Framing.Chunks]: "Transfer-Encoding: chunked\r\n",
@@ -26,7 +26,7 @@
 const faults: Readonly<Record<AnswerFault, (socket: Socket, record: LoadRecord) => void>> = {
     [AnswerFault.ResetMidway]: (socket, record) => void socket.write(headOf(record, 1_000), () => void socket.resetAndDestroy()),
     [AnswerFault.CloseBeforeHead]: socket => void socket.destroy(),
-    [AnswerFault.CloseMidway]: (socket, record) => void socket.end(`${headOf(record, 1_000)}1`),
+    [AnswerFault.CloseMidway]: (socket, record) => void socket.end(`${headOf(record, 1_000, Framing.Length)}1`),
     [AnswerFault.ServerError]: (socket, { plan: { id } }) =>
         void socket.write(`HTTP/1.1 500 Failed\r\nAttempt-Id: ${id}\r\nServer-Seal: seal\r\nContent-Length: 0\r\n\r\n`),
     [AnswerFault.InvalidBytes]: socket => void socket.write("\x01\x02 no answer\r\n\r\n"),
--- a/test/callerLoad/requestPlan.ts
+++ b/test/callerLoad/requestPlan.ts
@@ -14,6 +14,7 @@
 export enum AnswerFault {
     ResetMidway = "reset-midway",
     CloseBeforeHead = "close-before-head",
+    /** Closes the connection in order, within an answer that is framed by a length. */
     CloseMidway = "close-midway",
     ServerError = "server-error",
     InvalidBytes = "invalid-bytes",
