--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -122,10 +122,20 @@
         }
     }
 
+    /** Stops accepting connections, by the deadline on the monotonic clock at the latest. */
+    stopListening(deadlineAt: number): Promise<void> {
+        return this.gracefulClose.stopListening(deadlineAt);
+    }
+
+    /** Finishes requests until the deadline on the monotonic clock. */
+    finishRequests(deadlineAt: number): Promise<void> {
+        return this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
+    }
+
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
-        await this.gracefulClose.stopListening();
-        await this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
+        await this.stopListening(deadlineAt);
+        await this.finishRequests(deadlineAt);
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
--- /dev/null
+++ b/src/node/plannedStop.ts
@@ -0,0 +1,68 @@
+import { exitMarginMs } from "../core/exitMargin";
+import { sleep } from "../utils/time";
+import { TurnMeter } from "../utils/turnMeter";
+
+/** Time for flushing the last bytes of answers and log lines. */
+const flushMs = 100;
+/** Interval at which a step is checked against the deadline, which comes nearer when the event loop is slow. */
+const pollMs = 50;
+
+/** The time that a planned stop has, and what its steps take. */
+export class PlannedStop {
+    readonly requestedAt = performance.now();
+    private readonly turns = TurnMeter.create();
+    private readonly measuring = new AbortController();
+    private readonly stepsMs: Record<string, number> = {};
+
+    private constructor(private readonly graceMs: number) {}
+
+    /** Begins a stop now. `onDeadline` is called with the present deadline, now and then. */
+    static begin(graceMs: number, onDeadline: (deadlineAt: number) => void): PlannedStop {
+        const stop = new PlannedStop(graceMs);
+        onDeadline(stop.deadlineAt);
+        void stop.turns.run(() => onDeadline(stop.deadlineAt), stop.measuring.signal);
+        return stop;
+    }
+
+    /** When the last step ends at the latest, on the monotonic clock. */
+    get deadlineAt(): number {
+        return this.requestedAt + this.graceMs - exitMarginMs(this.turns.longestMs, this.graceMs);
+    }
+
+    /** The deadline as it is while the event loop is free. */
+    get latestDeadlineAt(): number {
+        return this.requestedAt + this.graceMs - exitMarginMs(0, this.graceMs);
+    }
+
+    /** Runs a step, at most until the deadline. */
+    async run(name: string, step: Promise<unknown>): Promise<void> {
+        const startedAt = performance.now();
+        let isDone = false;
+        const done = step.finally(() => isDone = true);
+        while (!isDone && performance.now() < this.deadlineAt) {
+            await Promise.race([done, sleep(Math.max(0, Math.min(pollMs, this.deadlineAt - performance.now())))]);
+        }
+        this.stepsMs[name] = Math.round(performance.now() - startedAt);
+    }
+
+    /** What the stop's last log line says. */
+    get summary(): Readonly<Record<string, unknown>> {
+        return {
+            stepsMs: this.stepsMs,
+            tookMs: Math.round(performance.now() - this.requestedAt),
+            longestTurnMs: Math.round(this.turns.longestMs),
+            marginMs: Math.round(this.requestedAt + this.graceMs - this.deadlineAt),
+        };
+    }
+
+    /** Ends the deadline's measuring. */
+    end(): void {
+        this.measuring.abort();
+    }
+
+    /** Waits until the last bytes and log lines are written, as far as there is time. */
+    async flush(): Promise<void> {
+        const remainingMs = this.requestedAt + this.graceMs - performance.now() - 2 * this.turns.longestMs;
+        await sleep(Math.max(0, Math.min(flushMs, remainingMs)));
+    }
+}
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -28,15 +28,12 @@
 import { emit } from "../utils/events";
 import { createRandom } from "../utils/random";
 import { repeat, sleep } from "../utils/time";
+import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
 import { startSelfCheck } from "./selfCheck";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
-/** The process exits this long before the platform would kill it. */
-const exitMarginMs = 600;
-/** Time for flushing the last bytes of answers and log lines. */
-const flushMs = 100;
 /** Long-poll wait of the controller's reads of the change feed; shorter than other nodes', which rely on what the controller has read. */
 const controllerFeedWaitMs = 500;
 /** Pause after a change of the directory, so that one call returns several changes. */
@@ -199,21 +196,22 @@
     /** Stops gracefully: reports not ready, then closes the listener, then finishes requests in progress. Returns the number of requests cut off. */
     async stop(): Promise<number> {
         const { gateway, settings, server } = this;
-        const stopRequestedAt = performance.now();
+        const stop = PlannedStop.begin(settings.graceMs, deadlineAt => gateway.exitDeadlineAt = deadlineAt);
         gateway.isStopping = true;
-        gateway.stopRequestedAt = stopRequestedAt;
-        gateway.exitDeadlineAt = stopRequestedAt + settings.graceMs - exitMarginMs;
+        gateway.stopRequestedAt = stop.requestedAt;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
-        await sleep(stopNoticeMs);
-        await released;
-        await server.close(gateway.exitDeadlineAt);
+        await stop.run("notice", sleep(stopNoticeMs));
+        await stop.run("accept", server.stopListening(stop.latestDeadlineAt));
+        await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
+        await stop.run("release", released ?? Promise.resolve());
         const { inProgress } = gateway;
         // Requests that still arrive on open connections are refused as not run while the last bytes are flushed.
+        stop.end();
         gateway.exitDeadlineAt = performance.now();
         this.stopped.abort();
-        emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress });
-        await sleep(flushMs);
+        emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress, ...stop.summary });
+        await stop.flush();
         return inProgress;
     }
 }
--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -77,8 +77,10 @@
         context.stage = NodeStage.Stopping;
         emit(EventId.NodeStopping, { inProgress: context.inProgress });
         const deadlineAt = performance.now() + context.cfg.stopGraceMs;
-        await Promise.all(this.plugins.map(plugin => plugin.stop?.()));
-        await sleep(context.cfg.stopNoticeMs);
+        const stopped = new AbortController();
+        const pluginsStopped = Promise.all(this.plugins.map(plugin => plugin.stop?.())).finally(() => stopped.abort());
+        await Promise.race([pluginsStopped, sleep(context.cfg.stopGraceMs, stopped.signal)]);
+        await sleep(Math.min(context.cfg.stopNoticeMs, Math.max(0, deadlineAt - performance.now())));
         await this.server?.close(deadlineAt);
         return this.terminate();
     }
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -9,7 +9,8 @@
 const pollMs = 20;
 /** The listen backlog counts as empty after this many turns of the event loop without a new connection; a turn accepts at most one. */
 const quietTurns = 3;
-const maxTurns = 2_000;
+/** Connections of the backlog are accepted for this long at most; new ones may come without end. */
+const maxAcceptMs = 1_000;
 
 interface Connection {
     /** Requests whose responses have not been closed: a response is closed once it was written out. */
@@ -39,9 +40,10 @@
         return new GracefulClose(server);
     }
 
-    /** Accepts the connections in the listen backlog, which would be reset, and stops listening. */
-    async stopListening(): Promise<void> {
-        for (let quiet = 0, turns = 0; quiet < quietTurns && turns < maxTurns; turns++) {
+    /** Accepts the connections in the listen backlog, which would be reset, and stops listening, by the deadline on the monotonic clock at the latest. */
+    async stopListening(deadlineAt: number): Promise<void> {
+        const acceptsUntil = Math.min(deadlineAt, performance.now() + maxAcceptMs);
+        for (let quiet = 0; quiet < quietTurns && performance.now() < acceptsUntil;) {
             const { acceptedCount } = this;
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -26,6 +26,8 @@
  */
 export class MemoryPlatformStore implements RowStore {
     isDown = false;
+    /** Whether its server leaves requests without an answer. */
+    isSilent = false;
     /** Share of writes whose answer is lost. */
     lossShare = 0.05;
     /** Whether the next read of a feed finds that its history was dropped. */
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -34,13 +34,14 @@
         private readonly metrics: string,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, and load modules before the program. */
     static async start(
         graceS: number,
         config: object,
         upstreams: Readonly<Record<string, object>>,
         first?: PlatformProcess,
         maxDescriptors?: number,
+        modules: readonly string[] = [],
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -67,7 +68,7 @@
         if (!first) {
             store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
         }
-        const command = [process.execPath, ...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"];
+        const command = [process.execPath, ...nodeOptions, ...modules.flatMap(module => ["--require", module]), "build/jackdawtrail.cjs", "serve-platform"];
         const limited = maxDescriptors === undefined ? command : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
         const node = spawn(limited[0]!, limited.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
--- a/test/fakes/platformStoreServer.ts
+++ b/test/fakes/platformStoreServer.ts
@@ -31,6 +31,9 @@
         Object.entries(handlers).map(([route, handler]): [string, Handler] => [route, async input => {
             try {
                 const answer = await handler(input);
+                if (store.isSilent) {
+                    return alreadyAnswered;
+                }
                 input.res.setHeader("store-era", store.era);
                 return answer;
             }
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -31,8 +31,9 @@
     const gracefulClose = GracefulClose.create(server);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
     const close = async (): Promise<void> => {
-        await gracefulClose.stopListening();
-        await gracefulClose.finishRequests(() => inProgress, performance.now() + graceMs);
+        const deadlineAt = performance.now() + graceMs;
+        await gracefulClose.stopListening(deadlineAt);
+        await gracefulClose.finishRequests(() => inProgress, deadlineAt);
         server.closeAllConnections();
     };
     return { server, port: (server.address() as AddressInfo).port, close };
