--- a/test/standaloneStop.test.ts
+++ b/test/standaloneStop.test.ts
@@ -18,7 +18,7 @@
         it(`ends with its grace period: ${name}`, async () => {
             // Only these settings are read, and no dependency.
             const cfg = { nodeId: "n1", queueCapacity: 10, stopGraceMs, stopNoticeMs } as unknown as StandaloneNodeSettings;
-            const node = StandaloneNode.create(cfg, {} as unknown as NodeDependencies).use({ start: () => Promise.resolve(), stop });
+            const node = StandaloneNode.create(cfg, {} as unknown as NodeDependencies).use({ name: "component", start: () => Promise.resolve(), stop });
             const startedAt = performance.now();
             await node.stop();
             const tookMs = performance.now() - startedAt;
