--- a/src/core/awaitedCopies.ts
+++ b/src/core/awaitedCopies.ts
@@ -44,7 +44,7 @@
     /** Copies that requests are waiting for at some of a service's runners. */
     needsOf(service: string): readonly CopyNeed[] {
         return this.currentOf(service).flatMap(({ model, bound }) =>
-            bound ? [{ model, bound, firstValue: awaitedModelValue + anyModelValue, secondValue: 0 }] : []
+            bound ? [{ model, bound, firstValue: awaitedModelValue + anyModelValue, secondValue: 0, delayCostPerS: awaitedModelValue }] : []
         );
     }
 
--- a/src/core/copyNeed.ts
+++ b/src/core/copyNeed.ts
@@ -7,4 +7,6 @@
     /** Value per second of the first copy at these runners, and of a second one. */
     readonly firstValue: number;
     readonly secondValue: number;
+    /** What requests that wait for the first copy lose with each second until it serves; undefined if none wait. */
+    readonly delayCostPerS?: number;
 }
--- a/src/core/copyNeeds.ts
+++ b/src/core/copyNeeds.ts
@@ -3,6 +3,9 @@
 import type { CopyNeed } from "./copyNeed";
 import type { RunnerTracker } from "./runnerTracker";
 
+/** Delay from which on requests that wait for a copy gain nothing by it. */
+const maxDelayMs = 10_000;
+
 /** Value of one more copy beside those that there are. */
 const valueOfNext = ({ firstValue, secondValue }: CopyNeed, copies: number): number => copies === 0 ? firstValue : copies === 1 ? secondValue : 0;
 
@@ -34,6 +37,12 @@
         return this.sumOf(model, need => need.bound.admits(tracker) ? valueOfNext(need, this.countAt(need, serving, tracker)) : 0);
     }
 
+    /** What requests that wait for a first copy lose until one serves, if the next one is at this runner and serves after `readyMs`. */
+    delayCost(model: string, tracker: RunnerTracker, readyMs: number, holders: Iterable<RunnerTracker>): number {
+        const delayMs = (need: CopyNeed): number => need.bound.admits(tracker) ? Math.min(readyMs, maxDelayMs) : maxDelayMs;
+        return this.sumOf(model, need => need.delayCostPerS && this.countAt(need, holders) === 0 ? need.delayCostPerS * delayMs(need) / 1_000 : 0);
+    }
+
     private countAt({ bound }: CopyNeed, holders: Iterable<RunnerTracker>, excluded?: RunnerTracker): number {
         let count = 0;
         for (const holder of holders) {
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -8,6 +8,7 @@
 import type { ModelDemand } from "./modelDemand";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
+import { busyHalfLifeMs, estimateUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
 
 /** Cost of a load for each second that it takes, and the additional cost if it reads from the weight store. */
@@ -17,7 +18,6 @@
 const lostCacheCost = 0.3;
 /** An unload waits for the model's requests in flight and blocks the runner meanwhile; this is its cost just after a request. */
 const busyVictimCost = 0.4;
-const busyVictimHalfLifeMs = 2_500;
 /** Maximum number of copies of one model that a round adds. */
 const maxCopiesAtOnce = 4;
 /** Minimum advantage of a load over its costs. */
@@ -151,18 +151,17 @@
         const ownGain = this.maxOwnGain(model.name);
         const added = this.loadOf(model.name) / (this.copyCount(model.name) + 1);
         let best: CopyOption | undefined;
-        let bestAdvantage = minAdvantage;
-        if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < bestAdvantage) {
+        if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < minAdvantage) {
             return undefined;
         }
         for (const tracker of this.usable) {
-            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < bestAdvantage) {
+            const least = Math.max(minAdvantage, best?.rank ?? minAdvantage);
+            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < least) {
                 continue;
             }
             const option = this.optionAt(model, tracker);
-            if (option && option.advantage > bestAdvantage) {
+            if (option && option.advantage > minAdvantage && (!best || option.rank > best.rank)) {
                 best = option;
-                bestAdvantage = option.advantage;
             }
         }
         return best;
@@ -183,7 +182,7 @@
         return gain;
     }
 
-    /** Upper bound of what a copy at a runner is worth for needs, less what it costs there whatever is unloaded; `added` is the load that it takes over. */
+    /** Upper bound of what a copy at a runner is worth for needs, less what it costs there in any case; `added` is the load that it takes over. */
     private maxNetNeed(model: ModelSpec, tracker: RunnerTracker, added: number): number {
         const minAddedQueueCost = queueCost(added) - queueCost(this.utilisation.get(tracker) ?? 0);
         const gain = this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
@@ -192,7 +191,7 @@
 
     /** The best option to load a model on a runner, undefined if there is none. */
     private optionAt(model: ModelSpec, tracker: RunnerTracker): CopyOption | undefined {
-        const { engine, mayLoadFromWeightStore } = this.inputs;
+        const { engine, demand, mayLoadFromWeightStore } = this.inputs;
         if (holdsOrLoads(tracker, model.name) || (tracker.loadsFromWeightStore(model.name) && !mayLoadFromWeightStore)) {
             return undefined;
         }
@@ -200,20 +199,17 @@
         let best: CopyOption | undefined;
         for (const victims of victimSets(tracker, missingMb, engine, name => this.loadOf(name))) {
             const advantage = this.advantage(model, tracker, victims);
-            if (advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
-                best = { tracker, victims, advantage };
+            const readyMs = estimateUnloadMs(victims, demand) + tracker.loadMs(model);
+            const rank = advantage - this.needs.delayCost(model.name, tracker, readyMs, this.holdersOf(model.name));
+            if (!best || rank > best.rank) {
+                best = { tracker, victims, advantage, rank };
             }
         }
         return best;
     }
 
     private isServedElsewhere(model: string, tracker: RunnerTracker): boolean {
-        for (const other of this.holdersOf(model)) {
-            if (other !== tracker && serves(other, model)) {
-                return true;
-            }
-        }
-        return false;
+        return [...this.holdersOf(model)].some(other => other !== tracker && serves(other, model));
     }
 
     private advantage(model: ModelSpec, tracker: RunnerTracker, victims: readonly string[]): number {
@@ -228,7 +224,7 @@
             const copiesBefore = this.copyCount(victim);
             const isLastServing = !this.isServedElsewhere(victim, tracker);
             const victimLoad = this.loadOf(victim);
-            loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
+            loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyHalfLifeMs);
             loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.costWithoutCopy(victim) : 0);
             loss += this.needs.lossAt(victim, tracker, this.holdersOf(victim));
             this.trackersByModel.get(victim)?.forEach(other =>
--- a/src/core/copyStep.ts
+++ b/src/core/copyStep.ts
@@ -17,6 +17,8 @@
     readonly tracker: RunnerTracker;
     readonly victims: readonly string[];
     readonly advantage: number;
+    /** The advantage, less what waiting requests lose until the copy serves: of several options, the greatest is taken. */
+    readonly rank: number;
 }
 
 /** The first order of an option: the unload of its first victim, or the load if there is none. */
--- a/src/core/earliestLoad.ts
+++ b/src/core/earliestLoad.ts
@@ -1,11 +1,9 @@
 import type { EngineSpec, ModelSpec } from "../types/servingConfig";
 import { isUsable } from "./copies";
 import type { RunnerTracker } from "./runnerTracker";
+import { estimatedUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
 
-/** Estimated time of an unload, which waits for the model's requests to end. */
-export const estimatedUnloadMs = 300;
-
 /** What a load has to wait for, beside the runner that it is ordered from. */
 export interface LoadDelays {
     /** Until the rate limit admits one more load from the weight store. */
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -3,10 +3,11 @@
 import { serves } from "../core/copies";
 import { CopyPlan } from "../core/copyPlan";
 import type { CopyStep } from "../core/copyStep";
-import { earliestLoadMs, estimatedUnloadMs } from "../core/earliestLoad";
+import { earliestLoadMs } from "../core/earliestLoad";
 import { toFailure } from "../core/failures";
 import { LateLoads } from "../core/lateLoads";
 import type { RunnerTracker } from "../core/runnerTracker";
+import { estimatedUnloadMs } from "../core/unloadTime";
 import { WeightStoreLimiter } from "../core/weightStoreLimiter";
 import type { Gateway } from "../forward/gateway";
 import type { LeaseYield } from "../types/controllerLease";
@@ -18,6 +19,7 @@
 import type { EngineSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
 import { CopyDemand } from "./copyDemand";
+import { findOvertakenLoads } from "./overtakenLoads";
 import { PlannedLoads } from "./plannedLoads";
 import { dueReportIntervalMs, orderResendMs, RunnerManager } from "./runnerManager";
 import { findUsableRunners } from "./usableRunners";
@@ -194,11 +196,13 @@
 
     private planService(service: string, engine: EngineSpec): void {
         const trackers = this.manager.trackersOf(service);
+        const demand = this.demand.inputsFor(service, trackers);
         this.plannedLoads.removeEnded(id => this.manager.get(id));
+        findOvertakenLoads(this.plannedLoads.models, trackers, demand.needs).forEach(id => this.plannedLoads.remove(id));
         const plan = CopyPlan.create({
             engine,
             trackers,
-            ...this.demand.inputsFor(service, trackers),
+            ...demand,
             mayLoadFromWeightStore: this.storeLimiter.mayStartLoad(engine.loadsPerS),
             plannedLoads: this.plannedLoads.models,
         });
--- a/test/versionedRelease.test.ts
+++ b/test/versionedRelease.test.ts
@@ -118,6 +118,28 @@
         assert.ok(runner !== undefined && runner !== "r0" && softwareVersionOf(indexOf(runner)) === "v1", `placed at ${runner}`);
     });
 
+    it("loads what streams wait for before a model for which memory was being freed as they came back", async () => {
+        const heldBy = (index: number): readonly string[] => [["m1", "m7"], ["m1", "m6"], ["m2", "m3"]][index]!;
+        const { controller, control, runners, withdraw } = await PlacementFixture.start(1, 3, heldBy, { softwareVersionOf, isResumable: true });
+        const [crashed, , left] = [...runners.values()];
+        await clock.tickAsync(4_500);
+        // The runner that is left frees memory for a model that no runner has.
+        controller.countWork(["m1", "m5", "m6", "m7"].map(artifact => ({ artifact, workMs: 400, idleMs: 0 })));
+        await clock.tickAsync(2 * stepMs);
+        assert.ok(left!.isBusy);
+        control.unreachableRunners.add(crashed!.id);
+        withdraw(crashed!);
+        let runner: string | undefined;
+        let waitedMs = 0;
+        for (; waitedMs < takeUpMs && runner === undefined; waitedMs += stepMs) {
+            const versions = { only: "v1", excluded: [] };
+            const answer = await controller.place({ service, model: "m1", versions, avoid: [crashed!.id], unreachable: [crashed!.id] });
+            runner = answer.readyInMs === 0 ? answer.runner : undefined;
+            await clock.tickAsync(stepMs);
+        }
+        assert.ok(runner === left!.id && waitedMs < 5_000, `placed at ${runner} after ${waitedMs} ms`);
+    });
+
     it("loads no second copy for a release alone", async () => {
         const { runners } = await PlacementFixture.start(1, 8, index => index < modelCount ? [modelOf(index)] : [], { softwareVersionOf, isResumable: true });
         await clock.tickAsync(20_000);
