--- a/test/callerLoad.test.ts
+++ b/test/callerLoad.test.ts
@@ -74,6 +74,7 @@
         ["--faulty", "1.5"],
         ["--max-body", ""],
         ["--max-answer", "-5"],
+        ["--max-work", "0"],
         ["extra"],
     ];
     for (const line of lines) {
--- a/test/callerLoad/loadOptions.ts
+++ b/test/callerLoad/loadOptions.ts
@@ -9,6 +9,8 @@
     readonly maxBodyBytes: number;
     /** Largest answer. */
     readonly maxAnswerBytes: number;
+    /** Longest time for which an upstream works before its answer, and then once more on its events. */
+    readonly maxWorkMs: number;
     /** Answers in a hundred that the upstream breaks off or gets wrong. */
     readonly faultyPercent: number;
     /** Whether all nodes run on one core. */
@@ -24,6 +26,7 @@
     "callers": { default: 120, min: 1, max: 500 },
     "max-body": { default: 110_000, min: 0, max: 1_000_000 },
     "max-answer": { default: 64_000, min: 1_000, max: 1_000_000 },
+    "max-work": { default: 2_800, min: 300, max: 60_000 },
     "faulty": { default: 0, min: 0, max: 100 },
 } as const;
 
@@ -42,7 +45,17 @@
     const flag = { type: "boolean", default: false } as const;
     const { values } = parseArgs({
         args: [...args],
-        options: { "seed": text, "seconds": text, "callers": text, "max-body": text, "max-answer": text, "faulty": text, "one-core": flag, "no-stops": flag },
+        options: {
+            "seed": text,
+            "seconds": text,
+            "callers": text,
+            "max-body": text,
+            "max-answer": text,
+            "max-work": text,
+            "faulty": text,
+            "one-core": flag,
+            "no-stops": flag,
+        },
     });
     return {
         seed: toInteger("seed", values.seed),
@@ -50,6 +63,7 @@
         callers: toInteger("callers", values.callers),
         maxBodyBytes: toInteger("max-body", values["max-body"]),
         maxAnswerBytes: toInteger("max-answer", values["max-answer"]),
+        maxWorkMs: toInteger("max-work", values["max-work"]),
         faultyPercent: toInteger("faulty", values.faulty),
         isOneCore: values["one-core"],
         hasStops: !values["no-stops"],
--- a/test/callerLoad/requestPlan.ts
+++ b/test/callerLoad/requestPlan.ts
@@ -72,7 +72,7 @@
 };
 
 /** Draws a request. */
-export const drawRequest = (id: string, { maxBodyBytes, maxAnswerBytes, faultyPercent }: LoadOptions, random: Random): RequestPlan => {
+export const drawRequest = (id: string, { maxBodyBytes, maxAnswerBytes, maxWorkMs, faultyPercent }: LoadOptions, random: Random): RequestPlan => {
     const route = pick(loadRoutes, random)!;
     const framings = route.isStream ? [Framing.Chunks, Framing.Connection] : [Framing.Chunks, Framing.Length, Framing.Connection];
     return {
@@ -85,8 +85,8 @@
         readPauseMs: random() < 0.2 ? random() * maxReadPauseMs : 0,
         answerBytes: Math.round(random() * random() * maxAnswerBytes),
         framing: pick(framings, random)!,
-        workMs: random() < 0.1 ? 300 + 2_500 * random() : 60 * random(),
-        eventGapMs: random() < 0.2 ? 200 * random() : 10 * random(),
+        workMs: random() < 0.1 ? 300 + (maxWorkMs - 300) * random() : 60 * random(),
+        eventGapMs: random() < 0.2 ? maxWorkMs / eventCount * random() : 10 * random(),
         fault: random() * 100 < faultyPercent ? pick(Object.values(AnswerFault), random) : undefined,
     };
 };
