--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import type { Client, Dispatcher } from "undici";
 import { EventId } from "../types/eventId";
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
@@ -26,6 +27,8 @@
     /** Names and values, alternating. */
     readonly headers: string[];
     readonly body: Buffer;
+    /** Called with the connection on which the body is about to be sent. */
+    readonly onSend?: (socket: Socket) => void;
     readonly mayRepeat: boolean;
 }
 
@@ -145,6 +148,9 @@
                 isSent = true;
                 controller = started;
                 const socket = pool.socketOf(client);
+                if (socket) {
+                    req.onSend?.(socket);
+                }
                 framingWatch = socket && FramingWatch.start(socket, () => giveUp(started, "framing without end"));
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
--- a/src/forward/call.ts
+++ b/src/forward/call.ts
@@ -2,6 +2,7 @@
 import type { CallerHeaders } from "../types/requestHeaderCodec";
 import type { ServiceRoute } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
+import type { BodyMemory } from "./bodyMemory";
 import type { CallerPresence } from "./callerPresence";
 import type { RequestProgress } from "./requestProgress";
 import type { VersionPin } from "./versionPin";
@@ -17,6 +18,8 @@
     /** Headers to forward, names and values alternating. */
     readonly headers: readonly string[];
     readonly body: Buffer;
+    /** Where a large body lies. */
+    readonly bodyMemory: BodyMemory | undefined;
     /** What this request has in common with others and a crash of its runner may come from, the more common first: prompt parts and request keys. */
     readonly suspectParts: readonly string[];
     readonly startedAt: number;
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -220,6 +220,7 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
+            bodyMemory: bodyResult.memory,
             suspectParts: suspects.finish(),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
--- a/src/forward/outgoingRequest.ts
+++ b/src/forward/outgoingRequest.ts
@@ -39,6 +39,7 @@
             }),
         ],
         body: call.body,
+        onSend: socket => call.bodyMemory?.onSend(socket),
         mayRepeat: mayRepeat(route),
     };
 };
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -4,19 +4,20 @@
 import type { BodyReadResult, BodyTimeLimits } from "../utils/transport";
 import { readChunks } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
+import { BodyMemory } from "./bodyMemory";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
 const maxSilenceMs = 1_500;
 /** Share of a request's time for which its body may wait for memory. */
 const maxWaitShare = 0.5;
-/** A body that filled less than this share of its buffer is copied into one of its size. */
-const minFilledShare = 0.75;
 
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
 
 /** Outcome of reading the body of a request. */
-export type RequestBodyResult = BodyReadResult | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
+export type RequestBodyResult =
+    | (BodyReadResult & { /** Where a large body lies; undefined for a small one. */ readonly memory?: BodyMemory; })
+    | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
 /** Limits on reading the body of a request. */
 export interface RequestBodyLimits {
@@ -45,7 +46,7 @@
 /** Reads the body of one request. */
 class RequestBodyReader {
     private readonly dueAt: number;
-    private buffer = Buffer.alloc(0);
+    private buffer: Buffer = Buffer.alloc(0);
     private filledBytes = 0;
 
     constructor(
@@ -63,9 +64,10 @@
         if (grant?.isGranted === false) {
             return this.denied(grant);
         }
-        this.buffer = Buffer.allocUnsafeSlow(bytes);
+        const memory = grant && bytes > maxSmallBodyBytes ? BodyMemory.create(this.res, grant, bytes) : undefined;
+        this.buffer = memory?.bytes ?? Buffer.allocUnsafeSlow(bytes);
         const kind = await this.fill();
-        return kind === "whole" ? { kind, body: this.buffer } : { kind };
+        return kind === "whole" ? { kind, body: this.buffer, memory } : { kind };
     }
 
     /**
@@ -97,19 +99,16 @@
         if (!whole.isGranted) {
             return this.denied(whole);
         }
-        this.buffer = Buffer.allocUnsafeSlow(maxBytes);
+        const memory = BodyMemory.create(this.res, whole, maxBytes);
+        this.buffer = memory.bytes;
         firstChunks.forEach(chunk => this.take(chunk));
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
             return { kind: end };
         }
-        const filled = this.buffer.subarray(0, this.filledBytes);
-        if (filled.length >= minFilledShare * maxBytes) {
-            return { kind: end, body: filled };
-        }
-        whole.shrinkTo(filled.length);
-        return { kind: end, body: Buffer.from(filled) };
+        memory.shrinkTo(this.filledBytes);
+        return { kind: end, body: memory.bytes, memory };
     }
 
     private fill(): Promise<BodyReadResult["kind"]> {
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -11,8 +11,8 @@
 import { servePlatformStore } from "./platformStoreServer";
 import { reservePort } from "./ports";
 
-/** Options of the runtime, as in the deploy file. */
-const nodeOptions = ["--max-old-space-size=160"];
+/** Options of the runtime in the deploy file. */
+const nodeOptions = /^run = "node (.*?)\s*target\//m.exec(readFileSync("deploy/system.toml", "utf8"))![1]!.split(" ");
 
 const configDefaults = { limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000 } };
 
@@ -85,8 +85,12 @@
 
     /** Largest memory that the process has occupied so far, in MB. */
     get peakMemoryMb(): number {
-        const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
-        return Number(kilobytes) / 1_024;
+        return this.readStatusMb("VmHWM");
+    }
+
+    /** Memory that the process occupies now, in MB. */
+    get memoryMb(): number {
+        return this.readStatusMb("VmRSS");
     }
 
     /** The present value of a gauge. */
@@ -95,6 +99,11 @@
         return Number(new RegExp(`^${name} (.*)$`, "m").exec(text)?.[1]);
     }
 
+    private readStatusMb(field: string): number {
+        const [, kilobytes] = new RegExp(`^${field}:\\s+(\\d+) kB$`, "m").exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
+        return Number(kilobytes) / 1_024;
+    }
+
     /** Ends the process and the store. */
     close(): void {
         this.process.kill("SIGKILL");
--- a/test/requestBodies.test.ts
+++ b/test/requestBodies.test.ts
@@ -12,11 +12,14 @@
 
 /** Memory that a node of the platform may use, by its settings file. */
 const memoryMb = 350;
-const bodyBytes = 3_000_000;
-const body = Buffer.alloc(bodyBytes, "x");
+const defaultBodyBytes = 3_000_000;
+const body = Buffer.alloc(defaultBodyBytes, "x");
+/** Share of the memory for bodies, answers and connections that bodies may take. */
+const bodyShare = 0.6;
 const workMs = 500;
 const startTimeoutMs = 8_000;
 const maxTries = 12;
+const giveBackTimeoutMs = 3_000;
 const latencyObjectiveMs = 500;
 /** Share of small requests that must be answered within the objective. */
 const minQuickShare = 0.95;
@@ -41,10 +44,11 @@
 /** How callers send their bodies. */
 interface Sending {
     readonly isChunked?: boolean;
+    readonly bodyBytes?: number;
     readonly leaveAfterMs?: number;
 }
 
-const callLarge = (front: string, id: string, { isChunked, leaveAfterMs }: Sending): Promise<LargeAnswer> =>
+const callLarge = (front: string, id: string, { isChunked, bodyBytes = defaultBodyBytes, leaveAfterMs }: Sending): Promise<LargeAnswer> =>
     new Promise(resolve => {
         const [host, port] = front.split(":");
         const length = isChunked ? { "transfer-encoding": "chunked" } : { "content-length": bodyBytes };
@@ -71,7 +75,7 @@
         if (leaveAfterMs !== undefined) {
             setTimeout(() => req.destroy(), leaveAfterMs);
         }
-        req.end(body);
+        req.end(body.subarray(0, bodyBytes));
     });
 
 /** A service and its callers in a process of their own, which the work of this one does not delay. */
@@ -123,12 +127,25 @@
     return { node, small, close };
 };
 
+/** Waits until bodies could take their whole share again within the stated limit. */
+const waitForMemory = async (node: PlatformProcess): Promise<void> => {
+    let report = "";
+    const isGivenBack = async (): Promise<boolean> => {
+        const limitMb = await node.gauge("jackdawtrail_memory_limit_bytes") / 1_048_576;
+        report = `${Math.round(node.memoryMb)} MB with a limit of ${Math.round(limitMb)} MB for callers`;
+        return node.memoryMb + bodyShare * limitMb <= memoryMb;
+    };
+    await waitFor("memory that is given back", isGivenBack, giveBackTimeoutMs).catch((err: unknown) => assert.fail(`${String(err)}: ${report}`));
+};
+
 /** Guards against a node whose memory grows with the number of bodies, until the platform kills it with the requests of all callers. */
 describe("a node process whose callers send large bodies at once", () => {
     const cases: readonly (Sending & { readonly name: string; readonly callers: number; })[] = [
         { name: "60 callers", callers: 60 },
         { name: "120 callers", callers: 120 },
         { name: "300 callers", callers: 300 },
+        { name: "600 callers, 0.3 MB", callers: 600, bodyBytes: 300_000 },
+        { name: "1,200 callers, 0.3 MB", callers: 1_200, bodyBytes: 300_000 },
         { name: "60 callers, in chunks", callers: 60, isChunked: true },
     ];
     for (const { name, callers, ...sending } of cases) {
@@ -158,6 +175,7 @@
                 assert.deepEqual(smallAnswers.filter(({ status }) => status !== 200), [], report);
                 const quickCount = smallAnswers.filter(({ afterMs }) => afterMs <= latencyObjectiveMs).length;
                 assert.ok(quickCount >= minQuickShare * smallAnswers.length, `${quickCount} quick: ${report}`);
+                await waitForMemory(node);
             }
             finally {
                 close();
