--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -233,6 +233,7 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
+            bodyMemory: bodyResult.memory,
             suspectParts: suspects.finish(),
             startedAt,
             deadlineAt: startedAt + timeoutMs,
