--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -1,8 +1,9 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodyDenial, BodyGrant, MemoryBudget } from "../core/memoryBudget";
 import { maxSmallBodyBytes } from "../core/memoryBudget";
-import type { BodyReadResult, BodyTimeLimits } from "../utils/transport";
-import { readChunks } from "../utils/transport";
+import type { BodyReadEnd, BodyTimeLimits } from "../utils/bodySource";
+import { BodySource } from "../utils/bodySource";
+import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
 import { BodyMemory } from "./bodyMemory";
 
@@ -14,6 +15,8 @@
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
 
+const failedKinds = { full: "too-large", slow: "slow", stopped: "lost", lost: "lost" } as const;
+
 /** Outcome of reading the body of a request. */
 export type RequestBodyResult =
     | (BodyReadResult & { /** Where a large body lies; undefined for a small one. */ readonly memory?: BodyMemory; })
@@ -46,16 +49,18 @@
 /** Reads the body of one request. */
 class RequestBodyReader {
     private readonly dueAt: number;
+    private readonly source: BodySource;
     private buffer: Buffer = Buffer.alloc(0);
     private filledBytes = 0;
 
     constructor(
-        private readonly req: IncomingMessage,
+        req: IncomingMessage,
         private readonly res: ServerResponse,
         private readonly memory: MemoryBudget,
         private readonly limits: RequestBodyLimits,
     ) {
         this.dueAt = performance.now() + limits.timeoutMs;
+        this.source = BodySource.create(req);
     }
 
     /** Reads a body of a known size into one buffer. */
@@ -65,9 +70,12 @@
             return this.denied(grant);
         }
         const memory = grant && bytes > maxSmallBodyBytes ? BodyMemory.create(this.res, grant, bytes) : undefined;
+        if (grant && !memory) {
+            releaseAtEnd(this.res, grant);
+        }
         this.buffer = memory?.bytes ?? Buffer.allocUnsafeSlow(bytes);
-        const kind = await this.fill();
-        return kind === "whole" ? { kind, body: this.buffer, memory } : { kind };
+        const end = await this.fill();
+        return end === "whole" ? { kind: end, body: this.buffer, memory } : { kind: failedKinds[end] };
     }
 
     /**
@@ -81,19 +89,20 @@
         if (!first.isGranted) {
             return this.denied(first);
         }
+        releaseAtEnd(this.res, first);
         const firstChunks: Buffer[] = [];
         let bytes = 0;
-        const kind = await this.read(chunk => {
+        const firstEnd = await this.read(chunk => {
             firstChunks.push(chunk);
             bytes += chunk.length;
             return bytes <= firstBytes;
         });
-        if (kind === "whole") {
+        if (firstEnd === "whole") {
             first.shrinkTo(bytes);
-            return { kind, body: Buffer.concat(firstChunks) };
+            return { kind: firstEnd, body: Buffer.concat(firstChunks) };
         }
-        if (kind !== "too-large" || bytes > maxBytes) {
-            return { kind };
+        if (firstEnd !== "full" || bytes > maxBytes) {
+            return { kind: failedKinds[firstEnd] };
         }
         const whole = await this.requestMemory(maxBytes);
         if (!whole.isGranted) {
@@ -105,19 +114,19 @@
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
-            return { kind: end };
+            return { kind: failedKinds[end] };
         }
         memory.shrinkTo(this.filledBytes);
         return { kind: end, body: memory.bytes, memory };
     }
 
-    private fill(): Promise<BodyReadResult["kind"]> {
+    private fill(): Promise<BodyReadEnd> {
         return this.read(chunk => this.take(chunk));
     }
 
-    private read(take: (chunk: Buffer) => boolean): Promise<BodyReadResult["kind"]> {
+    private read(take: (chunk: Buffer) => boolean): Promise<BodyReadEnd> {
         const { limits: { onPart }, timeLimits } = this;
-        return readChunks(this.req, chunk => {
+        return this.source.read(chunk => {
             onPart(chunk);
             return take(chunk);
         }, timeLimits);
@@ -131,12 +140,8 @@
         return fits;
     }
 
-    private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
-        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
-        if (result.isGranted) {
-            releaseAtEnd(this.res, result);
-        }
-        return result;
+    private requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
