--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -70,6 +70,9 @@
             return this.denied(grant);
         }
         const memory = grant && bytes > maxSmallBodyBytes ? BodyMemory.create(this.res, grant, bytes) : undefined;
+        if (grant && !memory) {
+            releaseAtEnd(this.res, grant);
+        }
         this.buffer = memory?.bytes ?? Buffer.allocUnsafeSlow(bytes);
         const end = await this.fill();
         return end === "whole" ? { kind: end, body: this.buffer, memory } : { kind: failedKinds[end] };
@@ -86,6 +89,7 @@
         if (!first.isGranted) {
             return this.denied(first);
         }
+        releaseAtEnd(this.res, first);
         const firstChunks: Buffer[] = [];
         let bytes = 0;
         const firstEnd = await this.read(chunk => {
@@ -136,12 +140,8 @@
         return fits;
     }
 
-    private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
-        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
-        if (result.isGranted) {
-            releaseAtEnd(this.res, result);
-        }
-        return result;
+    private requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
