--- a/src/core/copyNeeds.ts
+++ b/src/core/copyNeeds.ts
@@ -43,6 +43,12 @@
         return this.sumOf(model, need => need.delayCostPerS && this.countAt(need, holders) === 0 ? need.delayCostPerS * delayMs(need) / 1_000 : 0);
     }
 
+    /** Whether requests wait for a first copy of a model that may be at this runner. */
+    isAwaited(model: string, tracker: RunnerTracker, holders: Iterable<RunnerTracker>): boolean {
+        return this.byModel.get(model)?.some(need => need.delayCostPerS !== undefined && need.bound.admits(tracker) && this.countAt(need, holders) === 0) ??
+            false;
+    }
+
     private countAt({ bound }: CopyNeed, holders: Iterable<RunnerTracker>, excluded?: RunnerTracker): number {
         let count = 0;
         for (const holder of holders) {
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -1,11 +1,10 @@
-import type { EngineSpec, ModelSpec } from "../types/servingConfig";
+import type { ModelSpec } from "../types/servingConfig";
 import { holdsOrLoads, isUsable, serves } from "./copies";
-import type { CopyNeed } from "./copyNeed";
 import { CopyNeeds } from "./copyNeeds";
+import type { CopyPlanInputs } from "./copyPlanInputs";
 import type { CopyOption, CopyStep } from "./copyStep";
 import { toStep } from "./copyStep";
 import { anyModelValue, awaitedModelValue } from "./copyValues";
-import type { ModelDemand } from "./modelDemand";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
 import { busyHalfLifeMs, estimateUnloadMs } from "./unloadTime";
@@ -23,20 +22,6 @@
 /** Minimum advantage of a load over its costs. */
 const minAdvantage = 0.06;
 
-export interface CopyPlanInputs {
-    readonly engine: EngineSpec;
-    readonly trackers: readonly RunnerTracker[];
-    readonly demand: ModelDemand;
-    /** Models that requests are waiting for. */
-    readonly awaitedModels: ReadonlySet<string>;
-    /** Copies that are needed at some of the runners, such as those of one software version. */
-    readonly needs: readonly CopyNeed[];
-    /** Whether the rate limit admits a load from the weight store. */
-    readonly mayLoadFromWeightStore: boolean;
-    /** Models that will be loaded once memory has been freed for them, by runner ID. */
-    readonly plannedLoads: ReadonlyMap<string, string>;
-}
-
 /**
  * Chooses loads and unloads by their advantage: first copies of awaited models, and further copies that even out the
  * runners' utilisation. Follows shifts of demand between models, and bursts of demand for one.
@@ -82,7 +67,7 @@
         const chosen = new Set<RunnerTracker>(this.plannedTrackers);
         for (const model of this.modelsByUrgency()) {
             for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
-                const best = this.bestOption(model, chosen);
+                const best = this.bestOption(model, chosen) ?? this.optionBesidePlan(model, chosen);
                 if (!best) {
                     break;
                 }
@@ -108,10 +93,10 @@
         const urgency = (name: string): number => {
             const copyCount = this.copyCount(name);
             const cost = copyCount === 0 ? this.costWithoutCopy(name) : copyCount * queueCost(this.loadOf(name) / copyCount);
-            return cost + this.needs.maxGain(name, this.holdersOf(name));
+            return cost + this.needs.maxGain(name, this.presentHoldersOf(name));
         };
         return [...this.inputs.engine.models.values()]
-            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.holdersOf(name)) > 0)
+            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.presentHoldersOf(name)) > 0)
             .sort((a, b) => urgency(b.name) - urgency(a.name));
     }
 
@@ -124,6 +109,11 @@
         return this.trackersByModel.get(model) ?? new Set();
     }
 
+    /** Those that have a model or are loading it. */
+    private presentHoldersOf(model: string): readonly RunnerTracker[] {
+        return [...this.holdersOf(model)].filter(tracker => !this.plannedTrackers.has(tracker) || holdsOrLoads(tracker, model));
+    }
+
     private copyCount(model: string): number {
         return this.holdersOf(model).size;
     }
@@ -167,6 +157,19 @@
         return best;
     }
 
+    /** A load of a model that requests wait for at a runner with room, while its planned copy waits for memory: that may take as long as the streams there last. */
+    private optionBesidePlan(model: ModelSpec, chosen: ReadonlySet<RunnerTracker>): CopyOption | undefined {
+        const present = new Set(this.presentHoldersOf(model.name));
+        const planned = [...this.holdersOf(model.name)].filter(tracker => !present.has(tracker));
+        if (!planned.some(tracker => this.needs.isAwaited(model.name, tracker, present))) {
+            return undefined;
+        }
+        planned.forEach(tracker => this.changeRunners(model.name, trackers => trackers.delete(tracker)));
+        const option = this.bestOption(model, chosen);
+        planned.forEach(tracker => this.changeRunners(model.name, trackers => trackers.add(tracker)));
+        return option?.victims.length === 0 && this.needs.isAwaited(model.name, option.tracker, present) ? option : undefined;
+    }
+
     /** Upper bound of the gain of a further copy of a model, beside needs: the queueing cost that its other runners save, or the value of a first copy. */
     private maxOwnGain(model: string): number {
         const copyCount = this.copyCount(model);
--- a/src/placement/copyDemand.ts
+++ b/src/placement/copyDemand.ts
@@ -1,5 +1,5 @@
 import { AwaitedCopies } from "../core/awaitedCopies";
-import type { CopyPlanInputs } from "../core/copyPlan";
+import type { CopyPlanInputs } from "../core/copyPlanInputs";
 import { ModelDemand } from "../core/modelDemand";
 import type { RunnerBound } from "../core/runnerBound";
 import type { RunnerTracker } from "../core/runnerTracker";
