--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -3,10 +3,12 @@
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
+import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import type { Call } from "./call";
 import { endUnread } from "./endUnread";
+import type { RequestProgress } from "./requestProgress";
 
 const msPerSecond = 1_000;
 const badGateway = 502;
@@ -44,10 +46,15 @@
 };
 
 /** Answers a request that failed without an answer from an upstream. A stream that has begun is cut: it must not look complete. */
-export const answerFailure = (res: ServerResponse, requestId: string, failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): void => {
+export const answerFailure = (
+    res: ServerResponse,
+    progress: RequestProgress,
+    failure: Failure,
+    logFields: Readonly<Record<string, unknown>> = {},
+): void => {
     const status = statusOf(failure);
     emit(EventId.RequestRefused, {
-        request: requestId,
+        request: progress.requestId,
         kind: failure.kind,
         verdict: failure.verdict,
         detail: failure.detail,
@@ -55,7 +62,9 @@
         retryAfterMs: failure.retryAfterMs,
         ...logFields,
     });
+    progress.hasFinalLine = true;
     if (res.headersSent) {
+        progress.isCut = true;
         cutAnswer(res);
         return;
     }
@@ -72,12 +81,13 @@
     });
     res.writeHead(status, { "Content-Type": "application/problem+json", "Content-Length": Buffer.byteLength(body) });
     res.write(body);
+    progress.step = RequestStep.Write;
     endUnread(res);
 };
 
 /** Answers a request that was matched to a route and failed after a number of sends. */
-export const answerFailedCall = ({ res, caller, route, service, configVersion, startedAt }: Call, failure: Failure, sends: number): void => {
+export const answerFailedCall = ({ res, caller, route, service, configVersion, startedAt, progress }: Call, failure: Failure, sends: number): void => {
     const { model, adapter } = caller.modelRequest ?? {};
     const afterMs = Math.round(performance.now() - startedAt);
-    answerFailure(res, caller.requestId, failure, { route: route.name, service, model, adapter, configVersion, sends, afterMs });
+    answerFailure(res, progress, failure, { route: route.name, service, model, adapter, configVersion, sends, afterMs });
 };
--- a/src/forward/answerUnexpectedError.ts
+++ b/src/forward/answerUnexpectedError.ts
@@ -14,6 +14,7 @@
 export const answerUnexpectedError = (req: IncomingMessage, res: ServerResponse, progress: RequestProgress, err: unknown): void => {
     const { requestId, step, verdict } = progress;
     emit(EventId.RequestFailed, { request: requestId, step, verdict, hasBegun: res.headersSent, detail: describeError(err) });
+    progress.hasFinalLine = true;
     if (res.closed || res.writableEnded) {
         return;
     }
@@ -21,7 +22,7 @@
         if (!res.headersSent && !req.complete) {
             res.setHeader("Connection", "close");
         }
-        answerFailure(res, requestId, {
+        answerFailure(res, progress, {
             kind: FailureKind.Internal,
             verdict,
             detail: `an internal error at step "${step}"`,
@@ -30,6 +31,7 @@
     }
     catch (failed) {
         emit(EventId.RequestFailed, { request: requestId, step, verdict, hasBegun: res.headersSent, detail: describeError(failed) });
+        progress.isCut = true;
         cutAnswer(res);
     }
 };
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -5,6 +5,7 @@
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
@@ -19,6 +20,7 @@
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
 import { readRequestBody } from "./requestBody";
+import { RequestEnds } from "./requestEnds";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
@@ -80,6 +82,7 @@
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
     private readonly connections: CallerConnections;
+    private readonly ends: RequestEnds;
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -91,6 +94,7 @@
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
+        this.ends = RequestEnds.create(gateway);
         this.connections = CallerConnections.create(this.server, gateway);
     }
 
@@ -126,14 +130,18 @@
     async close(deadlineAt: number): Promise<void> {
         await this.gracefulClose.stopListening();
         await this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
+        this.ends.logCutAtExit();
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const startedAt = performance.now();
         const progress = RequestProgress.create();
         if (!await this.turns.wait(req.socket, res)) {
+            progress.requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
+            this.ends.logDropped(req, res, progress);
             return;
         }
+        progress.step = RequestStep.Read;
+        this.ends.watch(req, res, progress);
         const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
         res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
@@ -142,11 +150,8 @@
             res.setHeader("Connection", "close");
         }
         try {
-            const call = await this.toCall(req, res, startedAt, progress, presence);
-            if (presence.signal.aborted) {
-                emit(EventId.CallerLeft, { request: call?.caller.requestId, afterMs: Math.round(performance.now() - startedAt) });
-            }
-            else if (call) {
+            const call = await this.toCall(req, res, progress, presence);
+            if (call && !presence.signal.aborted) {
                 await Forwarder.create(this.gateway, call).run();
             }
         }
@@ -159,7 +164,6 @@
     private async toCall(
         req: IncomingMessage,
         res: ServerResponse,
-        startedAt: number,
         progress: RequestProgress,
         presence: CallerPresence,
     ): Promise<Call | undefined> {
@@ -171,7 +175,7 @@
                 // The rest of the body is not read, so the connection cannot be reused.
                 res.setHeader("Connection", "close");
             }
-            answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
+            answerFailure(res, progress, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
         if (this.connections.isRefused(req)) {
@@ -197,8 +201,10 @@
             maxBytes: config.limits.maxBodyBytes,
             timeoutMs,
             signal: presence.signal,
+            progress,
             onPart: bytes => suspects.addPart(bytes),
         });
+        progress.step = RequestStep.Read;
         if (!await presence.confirm()) {
             return undefined;
         }
@@ -224,8 +230,8 @@
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
             suspectParts: suspects.finish(),
-            startedAt,
-            deadlineAt: startedAt + timeoutMs,
+            startedAt: progress.startedAt,
+            deadlineAt: progress.startedAt + timeoutMs,
             versionPin: createVersionPin(),
             progress,
             presence,
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -95,7 +95,6 @@
             gateway.quietWaiters.remove(call.service, call);
             outcome = await this.attempt(ready);
             if (call.signal.aborted) {
-                emit(EventId.CallerLeft, { request: call.caller.requestId, upstream: this.upstream, afterMs: Math.round(performance.now() - call.startedAt) });
                 return;
             }
             if (!this.mayTryAgain(outcome)) {
@@ -159,6 +158,7 @@
     private async attempt(choice: UpstreamChoice): Promise<AttemptOutcome> {
         const { route } = this.call;
         this.upstream = choice.candidate.server.id;
+        this.call.progress.upstream = this.upstream;
         this.tried.add(this.upstream);
         this.sends++;
         const mayRunAgain = mayRepeat(route) && this.gate.mayRunTwice && this.possibleRuns + 1 < route.maxAttempts &&
@@ -175,6 +175,7 @@
             this.possibleRuns++;
         }
         this.call.progress.mayHaveRun = this.possibleRuns > 0;
+        this.call.progress.framing = this.attempts.framing;
         this.isRetryPaid = outcome === AttemptOutcome.Withheld && this.sends > 0;
         // An upstream that asked for quiet has not failed the request: it may get it after that time.
         if (outcome === AttemptOutcome.Withheld || (outcome === AttemptOutcome.NotRun && this.gateway.availability.quietMsOf(choice.candidate.server) > 0)) {
--- a/src/forward/logAnswered.ts
+++ b/src/forward/logAnswered.ts
@@ -1,10 +1,18 @@
 import { EventId } from "../types/eventId";
+import { RequestStep } from "../types/requestStep";
 import { emit } from "../utils/events";
 import type { AttemptExecutor } from "./attemptExecutor";
 import type { Call } from "./call";
 
 /** Logs that a request was answered with the answer of an upstream. */
-export const logAnswered = ({ caller, route, startedAt }: Call, { relay, framing }: AttemptExecutor, upstream: string | undefined, sends: number): void => {
+export const logAnswered = (
+    { caller, route, startedAt, progress }: Call,
+    { relay, framing }: AttemptExecutor,
+    upstream: string | undefined,
+    sends: number,
+): void => {
+    progress.hasFinalLine = true;
+    progress.step = RequestStep.Write;
     const isStream = relay.firstEventAt > 0;
     emit(EventId.RequestAnswered, {
         request: caller.requestId,
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -1,10 +1,12 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodyDenial, BodyGrant, MemoryBudget } from "../core/memoryBudget";
 import { maxSmallBodyBytes } from "../core/memoryBudget";
+import { RequestStep } from "../types/requestStep";
 import type { BodyReadEnd, BodyTimeLimits } from "../utils/bodySource";
 import { BodySource } from "../utils/bodySource";
 import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
+import type { RequestProgress } from "./requestProgress";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
 const maxSilenceMs = 1_500;
@@ -27,6 +29,7 @@
     readonly timeoutMs: number;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
+    readonly progress: RequestProgress;
     /** Called with each part of the body as it arrives. */
     readonly onPart: (bytes: Buffer) => void;
 }
@@ -122,9 +125,11 @@
     }
 
     private read(take: (chunk: Buffer) => boolean): Promise<BodyReadEnd> {
-        const { limits: { onPart }, timeLimits } = this;
+        const { limits: { onPart, progress }, timeLimits } = this;
+        progress.step = RequestStep.Body;
         return this.source.read(chunk => {
             onPart(chunk);
+            progress.bodyBytes += chunk.length;
             return take(chunk);
         }, timeLimits);
     }
@@ -138,6 +143,7 @@
     }
 
     private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+        this.limits.progress.step = RequestStep.Memory;
         const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
         if (result.isGranted) {
             releaseAtEnd(this.res, result);
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -45,6 +45,12 @@
         labelNames: ["step", "ended"],
         registers: this.registers,
     });
+    private readonly unanswered = new Counter({
+        name: "jackdawtrail_requests_unanswered_total",
+        help: "Requests that ended without a whole answer, by their step and by who ended the connection",
+        labelNames: ["step", "closer"],
+        registers: this.registers,
+    });
     private readonly events = new Counter({ name: "jackdawtrail_events_total", help: "Numbered log events", labelNames: ["event"], registers: this.registers });
     private readonly invariants = new Counter({
         name: "jackdawtrail_broken_invariants_total",
@@ -89,6 +95,9 @@
                 this.observe(RequestMetric.FirstToken, Number(fields.firstByteMs));
                 this.observe(RequestMetric.Total, Number(fields.afterMs));
             }
+            else if (event === EventId.RequestUnanswered) {
+                this.unanswered.inc({ step: String(fields.step), closer: String(fields.closer) });
+            }
             else if (event === EventId.UpstreamRowIgnored || event === EventId.PeerEntryIgnored) {
                 this.ignoredEntries.inc({ source: event === EventId.UpstreamRowIgnored ? "store" : "peer", reason: String(fields.reason) });
             }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -64,6 +64,7 @@
     LongTurn = 427,
     SendWithheld = 429,
     QuietDecided = 430,
+    RequestUnanswered = 432,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/types/requestStep.ts
+++ b/src/types/requestStep.ts
@@ -1,7 +1,12 @@
-/** Steps of a request's way, for the error that ends it. */
+/** Steps of a request's way, for what ends it. */
 export enum RequestStep {
-    /** Decoding its headers, reading its body and finding its route. */
+    /** Waiting until the requests ahead on its connection have been answered. */
+    Ahead = "ahead",
+    /** Decoding its headers and finding its route. */
     Read = "read",
+    /** Waiting for memory for its body, and reading it. */
+    Memory = "memory",
+    Body = "body",
     /** Finding the software version at which a stream goes on. */
     Pin = "pin",
     /** Choosing an upstream, and waiting for one. */
@@ -18,4 +23,6 @@
     Classify = "classify",
     /** Answering the caller. */
     Answer = "answer",
+    /** Its answer is handed to the connection and not written out yet. */
+    Write = "write",
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -52,7 +52,9 @@
     [EventId.RequestFailed]:
         "a request failed at `step` because of an internal error; it was answered with the verdict unless an answer had begun, which was cut",
     [EventId.LongTurn]: "a turn of the event loop took long while requests waited: the node is short of processor time, and learned late that callers had left",
-    [EventId.CallerLeft]: "the caller closed the connection; the attempt on the upstream was aborted",
+    [EventId.CallerLeft]: "the caller closed the connection before its answer began; the attempt on the upstream was aborted",
+    [EventId.RequestUnanswered]:
+        "a request ended without a whole answer; `closer` is the caller, a failed write, this node or its exit; `handedBytes` of the answer were given to the connection, `unwrittenBytes` of them still wait",
     [EventId.PromptQuarantined]:
         "crashes of runners, at this node or others, are explained by parts of prompts or by a request; requests with all of the parts or keys are refused",
     [EventId.PromptQuarantineEnded]:
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -11,6 +11,7 @@
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
     EventId.RequestFailed,
+    EventId.RequestUnanswered,
     EventId.AttemptStepFailed,
     EventId.ConfigSourceFailed,
     EventId.ConfigUnreadableRecord,
