--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -65,6 +65,7 @@
     SendWithheld = 429,
     QuietDecided = 430,
     ConnectionStale = 431,
+    RequestUnanswered = 432,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
