--- a/src/core/runnerTracker.ts
+++ b/src/core/runnerTracker.ts
@@ -34,8 +34,9 @@
     isSuspected = false;
     /** Failed report requests since the last report. */
     failedReports = 0;
-    /** When each model was first reported, on the monotonic clock. */
+    /** When each model appeared, on the monotonic clock. Those of the first report were loaded at a time that is not known: they count as held for long. */
     private readonly heldSince = new Map<string, number>();
+    private hasReported = false;
     private bornAt: number;
     /** The load in flight, as it was recorded. */
     private sentLoad: LoadName | undefined;
@@ -81,7 +82,7 @@
         return this.failedReports + (this.isSuspected ? 1 : 0) < maxFailedReports;
     }
 
-    /** Time since the runner was first seen to hold a model. */
+    /** Time since the runner was seen to load a model. */
     heldMs(model: string): number {
         return this.now() - (this.heldSince.get(model) ?? this.now());
     }
@@ -123,7 +124,9 @@
         this.models.clear();
         report.models.forEach(({ name }) => this.models.add(name));
         [...this.heldSince.keys()].filter(name => !this.models.has(name)).forEach(name => this.heldSince.delete(name));
-        this.models.forEach(name => this.heldSince.set(name, this.heldSince.get(name) ?? this.now()));
+        const appearedAt = this.hasReported ? this.now() : Number.NEGATIVE_INFINITY;
+        this.models.forEach(name => this.heldSince.set(name, this.heldSince.get(name) ?? appearedAt));
+        this.hasReported = true;
         const reportedAdapters = new Set([
             ...report.models.flatMap(({ name, adapters }) => adapters.map(adapter => artifactKey(name, adapter))),
             ...report.loadingAdapters,
@@ -236,6 +239,8 @@
         this.acceptedOrders = 0;
         this.isBusy = false;
         this.hasCurrentReport = false;
+        this.hasReported = false;
+        this.heldSince.clear();
         this.models.clear();
         this.adapters.clear();
         this.unloadingAdapters.clear();
--- a/test/runnerTracker.test.ts
+++ b/test/runnerTracker.test.ts
@@ -1,10 +1,12 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { RunnerTracker } from "../src/core/runnerTracker";
+import { victimSets } from "../src/core/victimSets";
 import type { RunnerOrder, RunnerReport } from "../src/types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../src/types/runner";
 import type { EngineSpec } from "../src/types/servingConfig";
 import { UpstreamState } from "../src/types/upstreamServer";
+import { createTracker } from "./fakes/trackers";
 
 const engine: EngineSpec = {
     slots: 8,
@@ -125,3 +127,19 @@
         });
     }
 });
+
+describe("models of a runner that may be unloaded", () => {
+    const loaded = ["m"];
+    const sets = (steps: readonly Step[]): readonly (readonly string[])[] => {
+        const tracker = createTracker({ id: "r", hasReport: false });
+        steps.forEach(step => step(tracker));
+        return victimSets(tracker, 10, engine, () => 1);
+    };
+    const empty: Step = tracker => tracker.onReport({ ...reportOf(3), models: [] });
+    const cases: readonly { readonly name: string; readonly steps: readonly Step[]; readonly sets: readonly (readonly string[])[]; }[] = [
+        { name: "include those that a new controller finds, which have served for an unknown time", steps: [report(3)], sets: [loaded] },
+        { name: "include those that later reports list, too", steps: [report(3), report(4)], sets: [loaded] },
+        { name: "exclude those in use that were just loaded", steps: [empty, report(4)], sets: [] },
+    ];
+    cases.forEach(({ name, steps, sets: expected }) => it(name, () => assert.deepEqual(sets(steps), expected)));
+});
