--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -4,7 +4,7 @@
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
-import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
@@ -19,26 +19,12 @@
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
 import { readRequestBody } from "./requestBody";
+import { RequestEnds } from "./requestEnds";
+import { headerBytes, headersToForward, hostOf } from "./requestHead";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
 
-/** Hop-by-hop headers, which are not forwarded. */
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    // Set again from the body that is sent.
-    "content-length",
-]);
-
 /** Limit of the HTTP parser, above what a configuration may allow; the configured limit is checked on each request. */
 const maxHeaderBytes = 262_144;
 const defaultHeaderTimeoutMs = 10_000;
@@ -51,27 +37,6 @@
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 
-const headersNamedByConnection = (req: IncomingMessage): ReadonlySet<string> =>
-    new Set((req.headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
-
-/** Headers of a caller's request that are forwarded to the upstream, names and values alternating. */
-export const headersToForward = (req: IncomingMessage, wire: RequestHeaderCodec): string[] => {
-    const dropped = headersNamedByConnection(req);
-    const forwarded: string[] = [];
-    for (let index = 0; index < req.rawHeaders.length; index += 2) {
-        const name = req.rawHeaders[index]!.toLowerCase();
-        const isDropped = connectionHeaders.has(name) || wire.isSystemHeader(name) || (dropped.has(name) && !wire.isEndToEndHeader(name));
-        if (!isDropped) {
-            forwarded.push(req.rawHeaders[index]!, req.rawHeaders[index + 1]!);
-        }
-    }
-    return forwarded;
-};
-
-const headerBytes = (req: IncomingMessage): number => req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-
-const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "");
-
 const refusalOf = (kind: FailureKind, detail: string, retryAfterMs?: number): Failure => ({ kind, detail, verdict: Verdict.NotRun, retryAfterMs });
 
 /** Accepts callers' requests and forwards them. */
@@ -80,6 +45,7 @@
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
     private readonly connections: CallerConnections;
+    private readonly ends: RequestEnds;
 
     private constructor(private readonly gateway: Gateway) {
         this.server = createServer({
@@ -91,6 +57,7 @@
             noDelay: true,
         }, (req, res) => void this.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
+        this.ends = RequestEnds.create(gateway);
         this.connections = CallerConnections.create(this.server, gateway);
     }
 
@@ -132,18 +99,27 @@
         return this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
     }
 
+    /** Logs the requests that have no whole answer yet, as the process is about to exit. */
+    logCutAtExit(): void {
+        this.ends.logCutAtExit();
+    }
+
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
         await this.stopListening(deadlineAt);
         await this.finishRequests(deadlineAt);
+        this.logCutAtExit();
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const startedAt = performance.now();
         const progress = RequestProgress.create();
         if (!await this.turns.wait(req.socket, res)) {
+            progress.requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
+            this.ends.logDropped(req, res, progress);
             return;
         }
+        progress.step = RequestStep.Read;
+        this.ends.watch(req, res, progress);
         const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
         res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
@@ -152,11 +128,8 @@
             res.setHeader("Connection", "close");
         }
         try {
-            const call = await this.toCall(req, res, startedAt, progress, presence);
-            if (presence.signal.aborted) {
-                emit(EventId.CallerLeft, { request: call?.caller.requestId, afterMs: Math.round(performance.now() - startedAt) });
-            }
-            else if (call) {
+            const call = await this.toCall(req, res, progress, presence);
+            if (call && !presence.signal.aborted) {
                 await Forwarder.create(this.gateway, call).run();
             }
         }
@@ -169,7 +142,6 @@
     private async toCall(
         req: IncomingMessage,
         res: ServerResponse,
-        startedAt: number,
         progress: RequestProgress,
         presence: CallerPresence,
     ): Promise<Call | undefined> {
@@ -181,7 +153,7 @@
                 // The rest of the body is not read, so the connection cannot be reused.
                 res.setHeader("Connection", "close");
             }
-            answerFailure(res, caller.requestId, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
+            answerFailure(res, progress, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
         if (this.connections.isRefused(req)) {
@@ -207,8 +179,10 @@
             maxBytes: config.limits.maxBodyBytes,
             timeoutMs,
             signal: presence.signal,
+            progress,
             onPart: bytes => suspects.addPart(bytes),
         });
+        progress.step = RequestStep.Read;
         if (!await presence.confirm()) {
             return undefined;
         }
@@ -233,9 +207,10 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
+            bodyMemory: bodyResult.memory,
             suspectParts: suspects.finish(),
-            startedAt,
-            deadlineAt: startedAt + timeoutMs,
+            startedAt: progress.startedAt,
+            deadlineAt: progress.startedAt + timeoutMs,
             versionPin: createVersionPin(),
             progress,
             presence,
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -1,17 +1,18 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import type { BodyDenial, BodyGrant, MemoryBudget } from "../core/memoryBudget";
 import { maxSmallBodyBytes } from "../core/memoryBudget";
+import { RequestStep } from "../types/requestStep";
 import type { BodyReadEnd, BodyTimeLimits } from "../utils/bodySource";
 import { BodySource } from "../utils/bodySource";
 import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
+import { BodyMemory } from "./bodyMemory";
+import type { RequestProgress } from "./requestProgress";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
 const maxSilenceMs = 1_500;
 /** Share of a request's time for which its body may wait for memory. */
 const maxWaitShare = 0.5;
-/** A body that filled less than this share of its buffer is copied into one of its size. */
-const minFilledShare = 0.75;
 
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
@@ -19,7 +20,9 @@
 const failedKinds = { full: "too-large", slow: "slow", stopped: "lost", lost: "lost" } as const;
 
 /** Outcome of reading the body of a request. */
-export type RequestBodyResult = BodyReadResult | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
+export type RequestBodyResult =
+    | (BodyReadResult & { /** Where a large body lies; undefined for a small one. */ readonly memory?: BodyMemory; })
+    | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
 /** Limits on reading the body of a request. */
 export interface RequestBodyLimits {
@@ -27,6 +30,7 @@
     readonly timeoutMs: number;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
+    readonly progress: RequestProgress;
     /** Called with each part of the body as it arrives. */
     readonly onPart: (bytes: Buffer) => void;
 }
@@ -49,7 +53,7 @@
 class RequestBodyReader {
     private readonly dueAt: number;
     private readonly source: BodySource;
-    private buffer = Buffer.alloc(0);
+    private buffer: Buffer = Buffer.alloc(0);
     private filledBytes = 0;
 
     constructor(
@@ -68,9 +72,13 @@
         if (grant?.isGranted === false) {
             return this.denied(grant);
         }
-        this.buffer = Buffer.allocUnsafeSlow(bytes);
+        const memory = grant && bytes > maxSmallBodyBytes ? BodyMemory.create(this.res, grant, bytes) : undefined;
+        if (grant && !memory) {
+            releaseAtEnd(this.res, grant);
+        }
+        this.buffer = memory?.bytes ?? Buffer.allocUnsafeSlow(bytes);
         const end = await this.fill();
-        return end === "whole" ? { kind: end, body: this.buffer } : { kind: failedKinds[end] };
+        return end === "whole" ? { kind: end, body: this.buffer, memory } : { kind: failedKinds[end] };
     }
 
     /**
@@ -84,6 +92,7 @@
         if (!first.isGranted) {
             return this.denied(first);
         }
+        releaseAtEnd(this.res, first);
         const firstChunks: Buffer[] = [];
         let bytes = 0;
         const firstEnd = await this.read(chunk => {
@@ -102,19 +111,16 @@
         if (!whole.isGranted) {
             return this.denied(whole);
         }
-        this.buffer = Buffer.allocUnsafeSlow(maxBytes);
+        const memory = BodyMemory.create(this.res, whole, maxBytes);
+        this.buffer = memory.bytes;
         firstChunks.forEach(chunk => this.take(chunk));
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
             return { kind: failedKinds[end] };
         }
-        const filled = this.buffer.subarray(0, this.filledBytes);
-        if (filled.length >= minFilledShare * maxBytes) {
-            return { kind: end, body: filled };
-        }
-        whole.shrinkTo(filled.length);
-        return { kind: end, body: Buffer.from(filled) };
+        memory.shrinkTo(this.filledBytes);
+        return { kind: end, body: memory.bytes, memory };
     }
 
     private fill(): Promise<BodyReadEnd> {
@@ -122,9 +128,11 @@
     }
 
     private read(take: (chunk: Buffer) => boolean): Promise<BodyReadEnd> {
-        const { limits: { onPart }, timeLimits } = this;
+        const { limits: { onPart, progress }, timeLimits } = this;
+        progress.step = RequestStep.Body;
         return this.source.read(chunk => {
             onPart(chunk);
+            progress.bodyBytes += chunk.length;
             return take(chunk);
         }, timeLimits);
     }
@@ -137,12 +145,9 @@
         return fits;
     }
 
-    private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
-        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
-        if (result.isGranted) {
-            releaseAtEnd(this.res, result);
-        }
-        return result;
+    private requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+        this.limits.progress.step = RequestStep.Memory;
+        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -209,6 +209,7 @@
         // Requests that still arrive on open connections are refused as not run while the last bytes are flushed.
         stop.end();
         gateway.exitDeadlineAt = performance.now();
+        server.logCutAtExit();
         this.stopped.abort();
         emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress, ...stop.summary });
         await stop.flush();
