--- a/test/callerLoad/loadOptions.ts
+++ b/test/callerLoad/loadOptions.ts
@@ -25,7 +25,7 @@
     "seconds": { default: 30, min: 5, max: 3_600 },
     "callers": { default: 120, min: 1, max: 500 },
     "max-body": { default: 110_000, min: 0, max: 1_000_000 },
-    "max-answer": { default: 64_000, min: 1_000, max: 1_000_000 },
+    "max-answer": { default: 64_000, min: 1_000, max: 4_000_000 },
     "max-work": { default: 2_800, min: 300, max: 60_000 },
     "faulty": { default: 0, min: 0, max: 100 },
 } as const;
