--- a/src/utils/bodySource.ts
+++ b/src/utils/bodySource.ts
@@ -38,6 +38,8 @@
     /** How the stream ended; undefined while more may come. */
     private end: "whole" | "lost" | undefined;
     private reading: Reading | undefined;
+    /** Whether this process does not read the stream for now, so that its sender cannot go on. */
+    private isPaced = false;
 
     private constructor(private readonly stream: Readable) {
         if (stream.readableEnded) {
@@ -66,7 +68,7 @@
         return new Promise(resolve => {
             let silences = 0;
             const onSilence = (): void => {
-                silences = maySilenceLast() ? 0 : silences + 1;
+                silences = this.isPaced || maySilenceLast() ? 0 : silences + 1;
                 if (silences < checksOfSilence) {
                     silenceTimer?.refresh();
                 }
@@ -105,12 +107,15 @@
             reading.finish("full");
         }
         else if (reading.pacer?.count(chunk.length, () => this.onTurn()) === false) {
+            this.isPaced = true;
             this.stream.pause();
         }
     }
 
     private onTurn(): void {
+        this.isPaced = false;
         if (this.reading) {
+            this.reading.onChunk();
             this.stream.resume();
         }
     }
