--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -13,6 +13,9 @@
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 30_000;
 
+/** Interval at which waiting bodies are tried again: the limit may rise although nothing is released. */
+const retryIntervalMs = 50;
+
 /** Memory that a body may use. */
 export interface BodyGrant {
     readonly isGranted: true;
@@ -59,6 +62,7 @@
     private readonly large: Waiter[] = [];
     private readonly rate: ReleaseRate;
     private readonly now: () => number;
+    private retryTimer: NodeJS.Timeout | undefined;
     /** Until when the memory that becomes free is meant for callers that were refused, on the monotonic clock. */
     private promisedUntil = 0;
 
@@ -127,16 +131,25 @@
                     clearTimeout(timer);
                     signal.removeEventListener("abort", giveUp);
                     this.add(MemoryHolder.UnreadBodies, -waitingBodyBytes);
+                    this.stopRetrying();
                     resolve(result);
                 },
             };
             signal.addEventListener("abort", giveUp, { once: true });
             this.add(MemoryHolder.UnreadBodies, waitingBodyBytes);
             queue.push(waiter);
+            this.retryTimer ??= setInterval(() => this.grantWaiting(), retryIntervalMs);
         });
     }
 
-    /** Lets waiting bodies in as far as the memory allows; to be called when the limit may have risen. */
+    private stopRetrying(): void {
+        if (this.waiting === 0) {
+            clearInterval(this.retryTimer);
+            this.retryTimer = undefined;
+        }
+    }
+
+    /** Lets waiting bodies in as far as the memory allows. */
     grantWaiting(): void {
         for (const queue of [this.small, this.large]) {
             while (queue.length > 0 && this.fits(queue[0]!.bytes)) {
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -99,6 +99,22 @@
         });
     }
 
+    // Guards against bodies that wait until their time has passed although the limit has risen.
+    it("grants what fits once the limit rises, although nothing is released", async () => {
+        let currentBytes = limitBytes;
+        budget = MemoryBudget.create({ limitBytes: () => currentBytes, random: () => 0.5 });
+        await ask(55 * megabyte);
+        const waiting = await ask(6 * megabyte);
+        clock.tick(waitMs / 2);
+        await settle();
+        assert.ok(!("result" in waiting));
+        currentBytes = 2 * limitBytes;
+        clock.tick(waitMs / 4);
+        await settle();
+        assert.ok(waiting.result?.isGranted);
+        assert.equal(clock.countTimers(), 0);
+    });
+
     it("tells refused callers to come again one after the other, as memory becomes free", async () => {
         await ask(60 * megabyte);
         const delaysMs: number[] = [];
