--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -80,9 +80,9 @@
         detail: failure.detail,
     });
     res.writeHead(status, { "Content-Type": "application/problem+json", "Content-Length": Buffer.byteLength(body) });
-    res.write(body);
+    res.write(body, err => progress.isAnswerWritten = !err);
     progress.step = RequestStep.Write;
-    endUnread(res);
+    endUnread(res, progress.exitInMs);
 };
 
 /** Answers a request that was matched to a route and failed after a number of sends. */
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -4,7 +4,6 @@
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
 import { FailureKind } from "../types/failureKind";
-import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { RequestStep } from "../types/requestStep";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
@@ -13,34 +12,20 @@
 import { errorCodeOf } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
 import { answerUnexpectedError } from "./answerUnexpectedError";
+import { BodyCutoff } from "./bodyCutoff";
 import type { Call } from "./call";
 import { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
 import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
+import { headersToForward } from "./headersToForward";
 import { readRequestBody } from "./requestBody";
 import { RequestEnds } from "./requestEnds";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
 
-/** Hop-by-hop headers, which are not forwarded. */
-const connectionHeaders: ReadonlySet<string> = new Set([
-    "connection",
-    "keep-alive",
-    "proxy-connection",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-    "expect",
-    // Set again from the body that is sent.
-    "content-length",
-]);
-
 /** Limit of the HTTP parser, above what a configuration may allow; the configured limit is checked on each request. */
 const maxHeaderBytes = 262_144;
 const defaultHeaderTimeoutMs = 10_000;
@@ -50,26 +35,11 @@
 /** Retry-After while the node has no configuration. */
 const startingRetryAfterMs = 500;
 
+/** Retry-After of a stopping node: another one can accept the request at once. */
+const stoppingRetryAfterMs = 50;
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 
-const headersNamedByConnection = (req: IncomingMessage): ReadonlySet<string> =>
-    new Set((req.headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
-
-/** Headers of a caller's request that are forwarded to the upstream, names and values alternating. */
-export const headersToForward = (req: IncomingMessage, wire: RequestHeaderCodec): string[] => {
-    const dropped = headersNamedByConnection(req);
-    const forwarded: string[] = [];
-    for (let index = 0; index < req.rawHeaders.length; index += 2) {
-        const name = req.rawHeaders[index]!.toLowerCase();
-        const isDropped = connectionHeaders.has(name) || wire.isSystemHeader(name) || (dropped.has(name) && !wire.isEndToEndHeader(name));
-        if (!isDropped) {
-            forwarded.push(req.rawHeaders[index]!, req.rawHeaders[index + 1]!);
-        }
-    }
-    return forwarded;
-};
-
 const headerBytes = (req: IncomingMessage): number => req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
 const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "");
@@ -81,6 +51,7 @@
     private readonly server: Server;
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
+    private readonly bodyCutoff = BodyCutoff.create();
     private readonly connections: CallerConnections;
     private readonly ends: RequestEnds;
 
@@ -128,13 +99,14 @@
 
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
+        this.bodyCutoff.setExit(deadlineAt);
         await this.gracefulClose.stopListening();
         await this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
         this.ends.logCutAtExit();
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const progress = RequestProgress.create();
+        const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt);
         if (!await this.turns.wait(req.socket, res)) {
             progress.requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
             this.ends.logDropped(req, res, progress);
@@ -201,10 +173,10 @@
             maxBytes: config.limits.maxBodyBytes,
             timeoutMs,
             signal: presence.signal,
+            cutoff: this.bodyCutoff,
             progress,
             onPart: bytes => suspects.addPart(bytes),
         });
-        progress.step = RequestStep.Read;
         if (!await presence.confirm()) {
             return undefined;
         }
@@ -215,11 +187,18 @@
             const { retryAfterMs, memory } = bodyResult.denial;
             return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
         }
+        if (bodyResult.kind === "stopping") {
+            if (this.turns.isNewest(req.socket, res)) {
+                res.setHeader("Connection", "close");
+            }
+            return refuse(refusalOf(FailureKind.Stopping, "the node is shutting down and the request body is not complete", stoppingRetryAfterMs));
+        }
         if (bodyResult.kind !== "whole") {
             return refuse(
                 refusalOf(bodyResult.kind === "slow" ? FailureKind.SlowSender : FailureKind.BodyTooLarge, "the request body was not read completely"),
             );
         }
+        progress.step = RequestStep.Read;
         return {
             req,
             res,
--- /dev/null
+++ b/src/forward/headersToForward.ts
@@ -0,0 +1,35 @@
+import type { IncomingMessage } from "node:http";
+import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+
+/** Hop-by-hop headers, which are not forwarded. */
+const connectionHeaders: ReadonlySet<string> = new Set([
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "expect",
+    // Set again from the body that is sent.
+    "content-length",
+]);
+
+const headersNamedByConnection = (req: IncomingMessage): ReadonlySet<string> =>
+    new Set((req.headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
+
+/** Headers of a caller's request that are forwarded to the upstream, names and values alternating. */
+export const headersToForward = (req: IncomingMessage, wire: RequestHeaderCodec): string[] => {
+    const dropped = headersNamedByConnection(req);
+    const forwarded: string[] = [];
+    for (let index = 0; index < req.rawHeaders.length; index += 2) {
+        const name = req.rawHeaders[index]!.toLowerCase();
+        const isDropped = connectionHeaders.has(name) || wire.isSystemHeader(name) || (dropped.has(name) && !wire.isEndToEndHeader(name));
+        if (!isDropped) {
+            forwarded.push(req.rawHeaders[index]!, req.rawHeaders[index + 1]!);
+        }
+    }
+    return forwarded;
+};
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -6,6 +6,7 @@
 import { BodySource } from "../utils/bodySource";
 import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
+import type { BodyCutoff } from "./bodyCutoff";
 import type { RequestProgress } from "./requestProgress";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
@@ -18,10 +19,10 @@
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
 
-const failedKinds = { full: "too-large", slow: "slow", stopped: "lost", lost: "lost" } as const;
+const failedKinds = { full: "too-large", slow: "slow", stopped: "stopping", lost: "lost" } as const;
 
 /** Outcome of reading the body of a request. */
-export type RequestBodyResult = BodyReadResult | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
+export type RequestBodyResult = BodyReadResult | { readonly kind: "stopping"; } | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
 /** Limits on reading the body of a request. */
 export interface RequestBodyLimits {
@@ -29,6 +30,7 @@
     readonly timeoutMs: number;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
+    readonly cutoff: BodyCutoff;
     readonly progress: RequestProgress;
     /** Called with each part of the body as it arrives. */
     readonly onPart: (bytes: Buffer) => void;
@@ -54,6 +56,8 @@
     private readonly source: BodySource;
     private buffer = Buffer.alloc(0);
     private filledBytes = 0;
+    /** Aborts when the caller disconnects, or when the process exits too soon. */
+    private readonly stop = new AbortController();
 
     constructor(
         req: IncomingMessage,
@@ -62,11 +66,26 @@
         private readonly limits: RequestBodyLimits,
     ) {
         this.dueAt = performance.now() + limits.timeoutMs;
+        limits.signal.addEventListener("abort", () => this.stop.abort(), { once: true });
+        if (limits.signal.aborted) {
+            this.stop.abort();
+        }
         this.source = BodySource.create(req);
     }
 
+    /** Reads the body, of the size that is stated if any. */
+    async run(bytes: number | undefined): Promise<RequestBodyResult> {
+        const unwatch = this.limits.cutoff.watch(() => this.stop.abort());
+        try {
+            return await (bytes === undefined ? this.readChunked() : this.readStated(bytes));
+        }
+        finally {
+            unwatch();
+        }
+    }
+
     /** Reads a body of a known size into one buffer. */
-    async readStated(bytes: number): Promise<RequestBodyResult> {
+    private async readStated(bytes: number): Promise<RequestBodyResult> {
         const grant = bytes === 0 ? undefined : await this.requestMemory(bytes);
         if (grant?.isGranted === false) {
             return this.denied(grant);
@@ -80,7 +99,7 @@
      * Reads a body of unknown size. Beyond that of a small body it is granted the largest size at once: two bodies that are half read never wait for each other's
      * memory.
      */
-    async readChunked(): Promise<RequestBodyResult> {
+    private async readChunked(): Promise<RequestBodyResult> {
         const { maxBytes } = this.limits;
         const firstBytes = Math.min(maxBytes, maxSmallBodyBytes);
         const first = await this.requestMemory(firstBytes);
@@ -144,7 +163,7 @@
 
     private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
         this.limits.progress.step = RequestStep.Memory;
-        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
+        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.stop.signal);
         if (result.isGranted) {
             releaseAtEnd(this.res, result);
         }
@@ -152,7 +171,7 @@
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
-        return this.limits.signal.aborted ? { kind: "lost" } : { kind: "no-memory", denial };
+        return this.stop.signal.aborted ? { kind: "stopping" } : { kind: "no-memory", denial };
     }
 
     private get remainingMs(): number {
@@ -160,7 +179,13 @@
     }
 
     private get timeLimits(): BodyTimeLimits {
-        return { timeoutMs: Math.max(0, this.remainingMs), silenceMs: maxSilenceMs, maySilenceLast: () => this.memory.waiting === 0, pacer };
+        return {
+            timeoutMs: Math.max(0, this.remainingMs),
+            silenceMs: maxSilenceMs,
+            maySilenceLast: () => this.memory.waiting === 0,
+            pacer,
+            signal: this.stop.signal,
+        };
     }
 }
 
@@ -175,6 +200,5 @@
     if (bytes !== undefined && bytes > limits.maxBytes) {
         return Promise.resolve({ kind: "too-large" });
     }
-    const reader = new RequestBodyReader(req, res, memory, limits);
-    return bytes === undefined ? reader.readChunked() : reader.readStated(bytes);
+    return new RequestBodyReader(req, res, memory, limits).run(bytes);
 };
--- a/src/forward/requestEnds.ts
+++ b/src/forward/requestEnds.ts
@@ -65,7 +65,7 @@
 
     private onClose(request: OpenRequest, isWritten: boolean): void {
         const { res, req: { socket }, progress } = request;
-        if (progress.isCut || (isWritten && progress.hasFinalLine)) {
+        if (progress.isCut || ((isWritten || progress.isAnswerWritten) && progress.hasFinalLine)) {
             return;
         }
         const closer = closerOf(socket);
--- a/src/forward/requestProgress.ts
+++ b/src/forward/requestProgress.ts
@@ -18,14 +18,21 @@
     framing: AnswerFraming | undefined;
     /** Whether a line states how it ended: an answer, a refusal or an error. */
     hasFinalLine = false;
+    /** Whether the whole body of its answer was written, though the connection may still be read. */
+    isAnswerWritten = false;
     /** Whether this node has cut the answer, so that it does not look complete. */
     isCut = false;
 
-    private constructor() {}
+    private constructor(private readonly exitDeadlineAt: () => number) {}
 
-    /** Creates the progress of a request that has just arrived. */
-    static create(): RequestProgress {
-        return new RequestProgress();
+    /** Creates the progress of a request that has just arrived, with the time on the monotonic clock at which the process exits at the latest. */
+    static create(exitDeadlineAt: () => number): RequestProgress {
+        return new RequestProgress(exitDeadlineAt);
+    }
+
+    /** Time until the process exits at the latest. */
+    get exitInMs(): number {
+        return this.exitDeadlineAt() - performance.now();
     }
 
     get verdict(): Verdict {
