--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -12,6 +12,7 @@
 import { errorCodeOf } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
 import { answerUnexpectedError } from "./answerUnexpectedError";
+import { BodyCutoff } from "./bodyCutoff";
 import type { Call } from "./call";
 import { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
@@ -34,6 +35,8 @@
 /** Retry-After while the node has no configuration. */
 const startingRetryAfterMs = 500;
 
+/** Retry-After of a stopping node: another one can accept the request at once. */
+const stoppingRetryAfterMs = 50;
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 
@@ -44,6 +47,7 @@
     private readonly server: Server;
     private readonly gracefulClose: GracefulClose;
     private readonly turns = ConnectionTurns.create();
+    private readonly bodyCutoff = BodyCutoff.create();
     private readonly connections: CallerConnections;
     private readonly ends: RequestEnds;
 
@@ -91,6 +95,7 @@
 
     /** Stops accepting connections, by the deadline on the monotonic clock at the latest. */
     stopListening(deadlineAt: number): Promise<void> {
+        this.bodyCutoff.setExit(deadlineAt);
         return this.gracefulClose.stopListening(deadlineAt);
     }
 
@@ -112,7 +117,7 @@
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
-        const progress = RequestProgress.create();
+        const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt);
         if (!await this.turns.wait(req.socket, res)) {
             progress.requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
             this.ends.logDropped(req, res, progress);
@@ -179,10 +184,10 @@
             maxBytes: config.limits.maxBodyBytes,
             timeoutMs,
             signal: presence.signal,
+            cutoff: this.bodyCutoff,
             progress,
             onPart: bytes => suspects.addPart(bytes),
         });
-        progress.step = RequestStep.Read;
         if (!await presence.confirm()) {
             return undefined;
         }
@@ -193,11 +198,18 @@
             const { retryAfterMs, memory } = bodyResult.denial;
             return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
         }
+        if (bodyResult.kind === "stopping") {
+            if (this.turns.isNewest(req.socket, res)) {
+                res.setHeader("Connection", "close");
+            }
+            return refuse(refusalOf(FailureKind.Stopping, "the node is shutting down and the request body is not complete", stoppingRetryAfterMs));
+        }
         if (bodyResult.kind !== "whole") {
             return refuse(
                 refusalOf(bodyResult.kind === "slow" ? FailureKind.SlowSender : FailureKind.BodyTooLarge, "the request body was not read completely"),
             );
         }
+        progress.step = RequestStep.Read;
         return {
             req,
             res,
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -6,6 +6,7 @@
 import { BodySource } from "../utils/bodySource";
 import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
+import type { BodyCutoff } from "./bodyCutoff";
 import { BodyMemory } from "./bodyMemory";
 import type { RequestProgress } from "./requestProgress";
 
@@ -17,11 +18,12 @@
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
 
-const failedKinds = { full: "too-large", slow: "slow", stopped: "lost", lost: "lost" } as const;
+const failedKinds = { full: "too-large", slow: "slow", stopped: "stopping", lost: "lost" } as const;
 
 /** Outcome of reading the body of a request. */
 export type RequestBodyResult =
     | (BodyReadResult & { /** Where a large body lies; undefined for a small one. */ readonly memory?: BodyMemory; })
+    | { readonly kind: "stopping"; }
     | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
 /** Limits on reading the body of a request. */
@@ -30,6 +32,7 @@
     readonly timeoutMs: number;
     /** Aborts when the caller disconnects. */
     readonly signal: AbortSignal;
+    readonly cutoff: BodyCutoff;
     readonly progress: RequestProgress;
     /** Called with each part of the body as it arrives. */
     readonly onPart: (bytes: Buffer) => void;
@@ -55,6 +58,8 @@
     private readonly source: BodySource;
     private buffer: Buffer = Buffer.alloc(0);
     private filledBytes = 0;
+    /** Aborts when the caller disconnects, or when the process exits too soon. */
+    private readonly stop = new AbortController();
 
     constructor(
         req: IncomingMessage,
@@ -63,11 +68,26 @@
         private readonly limits: RequestBodyLimits,
     ) {
         this.dueAt = performance.now() + limits.timeoutMs;
+        limits.signal.addEventListener("abort", () => this.stop.abort(), { once: true });
+        if (limits.signal.aborted) {
+            this.stop.abort();
+        }
         this.source = BodySource.create(req);
     }
 
+    /** Reads the body, of the size that is stated if any. */
+    async run(bytes: number | undefined): Promise<RequestBodyResult> {
+        const unwatch = this.limits.cutoff.watch(() => this.stop.abort());
+        try {
+            return await (bytes === undefined ? this.readChunked() : this.readStated(bytes));
+        }
+        finally {
+            unwatch();
+        }
+    }
+
     /** Reads a body of a known size into one buffer. */
-    async readStated(bytes: number): Promise<RequestBodyResult> {
+    private async readStated(bytes: number): Promise<RequestBodyResult> {
         const grant = bytes === 0 ? undefined : await this.requestMemory(bytes);
         if (grant?.isGranted === false) {
             return this.denied(grant);
@@ -85,7 +105,7 @@
      * Reads a body of unknown size. Beyond that of a small body it is granted the largest size at once: two bodies that are half read never wait for each other's
      * memory.
      */
-    async readChunked(): Promise<RequestBodyResult> {
+    private async readChunked(): Promise<RequestBodyResult> {
         const { maxBytes } = this.limits;
         const firstBytes = Math.min(maxBytes, maxSmallBodyBytes);
         const first = await this.requestMemory(firstBytes);
@@ -147,11 +167,11 @@
 
     private requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
         this.limits.progress.step = RequestStep.Memory;
-        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.limits.signal);
+        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.stop.signal);
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
-        return this.limits.signal.aborted ? { kind: "lost" } : { kind: "no-memory", denial };
+        return this.stop.signal.aborted ? { kind: "stopping" } : { kind: "no-memory", denial };
     }
 
     private get remainingMs(): number {
@@ -159,7 +179,13 @@
     }
 
     private get timeLimits(): BodyTimeLimits {
-        return { timeoutMs: Math.max(0, this.remainingMs), silenceMs: maxSilenceMs, maySilenceLast: () => this.memory.waiting === 0, pacer };
+        return {
+            timeoutMs: Math.max(0, this.remainingMs),
+            silenceMs: maxSilenceMs,
+            maySilenceLast: () => this.memory.waiting === 0,
+            pacer,
+            signal: this.stop.signal,
+        };
     }
 }
 
@@ -174,6 +200,5 @@
     if (bytes !== undefined && bytes > limits.maxBytes) {
         return Promise.resolve({ kind: "too-large" });
     }
-    const reader = new RequestBodyReader(req, res, memory, limits);
-    return bytes === undefined ? reader.readChunked() : reader.readStated(bytes);
+    return new RequestBodyReader(req, res, memory, limits).run(bytes);
 };
