--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -107,13 +107,12 @@
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt);
+        this.ends.watch(req, res, progress);
         if (!await this.turns.wait(req.socket, res)) {
-            progress.requestId = this.gateway.wire.decodeCaller(req.headers).requestId;
-            this.ends.logDropped(req, res, progress);
+            this.ends.drop(res);
             return;
         }
-        progress.step = RequestStep.Read;
-        this.ends.watch(req, res, progress);
+        this.ends.begin(res);
         const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
         res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
--- a/src/forward/requestEnds.ts
+++ b/src/forward/requestEnds.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import { EventId } from "../types/eventId";
 import { RequestCloser } from "../types/requestCloser";
+import { RequestStep } from "../types/requestStep";
 import { emit } from "../utils/events";
 import { errorCodeOf } from "../utils/transport";
 import type { Gateway } from "./gateway";
@@ -16,7 +17,7 @@
     readonly res: ServerResponse;
     readonly progress: RequestProgress;
     /** Bytes that its connection had been given before. */
-    readonly bytesBefore: number;
+    bytesBefore: number;
 }
 
 const closerOf = ({ errored, readableEnded }: Socket): RequestCloser => {
@@ -28,7 +29,7 @@
 
 /** Logs the end of each request that gets no whole answer, whatever lines it has had before. */
 export class RequestEnds {
-    private readonly open = new Set<OpenRequest>();
+    private readonly open = new Map<ServerResponse, OpenRequest>();
 
     private constructor(private readonly gateway: Gateway) {}
 
@@ -39,26 +40,39 @@
     /** Watches a request until its answer has been written or its connection is closed. */
     watch(req: IncomingMessage, res: ServerResponse, progress: RequestProgress): void {
         const request = { req, res, progress, bytesBefore: req.socket.bytesWritten };
-        this.open.add(request);
+        this.open.set(res, request);
         let isWritten = false;
         // The runtime also announces this, and drops what is not written, when the connection is destroyed.
         res.once("finish", () => isWritten = !req.socket.destroyed);
         res.once("close", () => {
-            if (this.open.delete(request)) {
+            if (this.open.delete(res)) {
                 this.onClose(request, isWritten);
             }
         });
     }
 
-    /** Logs a request that is dropped behind another one, whose answer closed their connection. */
-    logDropped(req: IncomingMessage, res: ServerResponse, progress: RequestProgress): void {
-        this.log({ req, res, progress, bytesBefore: req.socket.bytesWritten }, closerOf(req.socket));
+    /** Notes that a request is no longer behind another one on its connection. */
+    begin(res: ServerResponse): void {
+        const request = this.open.get(res);
+        if (request) {
+            request.progress.step = RequestStep.Read;
+            request.bytesBefore = request.req.socket.bytesWritten;
+        }
+    }
+
+    /** Logs a request that is dropped behind another one, with which their connection ended. */
+    drop(res: ServerResponse): void {
+        const request = this.open.get(res);
+        if (request) {
+            this.open.delete(res);
+            this.log(request, closerOf(request.req.socket));
+        }
     }
 
     /** Logs the requests that the exit of the process cuts, up to a number. */
     logCutAtExit(): void {
-        [...this.open].slice(0, maxNamedAtExit).forEach(request => {
-            this.open.delete(request);
+        [...this.open.values()].slice(0, maxNamedAtExit).forEach(request => {
+            this.open.delete(request.res);
             this.log(request, RequestCloser.Exit);
         });
     }
@@ -92,10 +106,10 @@
     }
 
     private fieldsOf({ req, progress }: OpenRequest): Readonly<Record<string, unknown>> {
-        const { gateway: { isStopping, stopRequestedAt } } = this;
+        const { gateway: { isStopping, stopRequestedAt, wire } } = this;
         const now = performance.now();
         return {
-            request: progress.requestId,
+            request: progress.step === RequestStep.Ahead ? wire.decodeCaller(req.headers).requestId : progress.requestId,
             upstream: progress.upstream,
             step: progress.step,
             detail: req.socket.errored ? errorCodeOf(req.socket.errored) : undefined,
--- a/test/requestEnds.test.ts
+++ b/test/requestEnds.test.ts
@@ -35,7 +35,7 @@
     readonly script: Script;
     readonly request: string;
     /** What ends the request, some time after it was sent. */
-    readonly end: "caller closes" | "caller resets" | "stop" | "exit" | "nothing";
+    readonly end: "caller closes" | "caller ends" | "caller resets" | "stop" | "exit" | "nothing";
     /** Whether the node has been requested to stop. */
     readonly isStopping?: boolean;
     /** Another request, sent while the first one's answer comes. */
@@ -116,6 +116,23 @@
         end: "exit",
         lines: [[EventId.RequestUnanswered, { request: "a", step: "send", closer: "exit", verdict: "may-have-run", isBodyWhole: true }]],
     },
+    {
+        name: "a request behind another one that runs, the process exits",
+        script: silent,
+        request: headOf("a", "Content-Length: 0") + headOf("b", "Content-Length: 0"),
+        end: "exit",
+        lines: [
+            [EventId.RequestUnanswered, { request: "a", step: "send", closer: "exit" }],
+            [EventId.RequestUnanswered, { request: "b", step: "ahead", closer: "exit", verdict: "not-run" }],
+        ],
+    },
+    {
+        name: "a request that runs, its caller ends its side of the connection",
+        script: silent,
+        request: headOf("a", "Content-Length: 0"),
+        end: "caller ends",
+        lines: [[EventId.CallerLeft, { request: "a", upstream: "up-0" }]],
+    },
     {
         name: "a request behind one whose answer closes the connection",
         kind: RouteKind.Streaming,
@@ -157,8 +174,9 @@
     },
 ];
 
-const closings: Readonly<Record<"caller closes" | "caller resets", (socket: Socket) => void>> = {
+const closings: Readonly<Record<"caller closes" | "caller ends" | "caller resets", (socket: Socket) => void>> = {
     "caller closes": socket => void socket.destroy(),
+    "caller ends": socket => void socket.end(),
     "caller resets": socket => void socket.resetAndDestroy(),
 };
 
