--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -1,13 +1,13 @@
-import type { EngineSpec, ModelSpec } from "../types/servingConfig";
+import type { ModelSpec } from "../types/servingConfig";
 import { holdsOrLoads, isUsable, serves } from "./copies";
-import type { CopyNeed } from "./copyNeed";
 import { CopyNeeds } from "./copyNeeds";
+import type { CopyPlanInputs } from "./copyPlanInputs";
 import type { CopyOption, CopyStep } from "./copyStep";
 import { toStep } from "./copyStep";
 import { anyModelValue, awaitedModelValue } from "./copyValues";
-import type { ModelDemand } from "./modelDemand";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
+import { busyHalfLifeMs, estimateUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
 
 /** Cost of a load for each second that it takes, and the additional cost if it reads from the weight store. */
@@ -17,26 +17,11 @@
 const lostCacheCost = 0.3;
 /** An unload waits for the model's requests in flight and blocks the runner meanwhile; this is its cost just after a request. */
 const busyVictimCost = 0.4;
-const busyVictimHalfLifeMs = 2_500;
 /** Maximum number of copies of one model that a round adds. */
 const maxCopiesAtOnce = 4;
 /** Minimum advantage of a load over its costs. */
 const minAdvantage = 0.06;
 
-export interface CopyPlanInputs {
-    readonly engine: EngineSpec;
-    readonly trackers: readonly RunnerTracker[];
-    readonly demand: ModelDemand;
-    /** Models that requests are waiting for. */
-    readonly awaitedModels: ReadonlySet<string>;
-    /** Copies that are needed at some of the runners, such as those of one software version. */
-    readonly needs: readonly CopyNeed[];
-    /** Whether the rate limit admits a load from the weight store. */
-    readonly mayLoadFromWeightStore: boolean;
-    /** Models that will be loaded once memory has been freed for them, by runner ID. */
-    readonly plannedLoads: ReadonlyMap<string, string>;
-}
-
 /**
  * Chooses loads and unloads by their advantage: first copies of awaited models, and further copies that even out the
  * runners' utilisation. Follows shifts of demand between models, and bursts of demand for one.
@@ -79,10 +64,10 @@
     /** Orders to send now, at most one to each runner. */
     steps(): readonly CopyStep[] {
         const steps: CopyStep[] = [];
-        const chosen = new Set<RunnerTracker>(this.plannedTrackers);
+        const chosen = new Set([...this.plannedTrackers, ...this.needs.awaitedHolders(model => this.holdersOf(model))]);
         for (const model of this.modelsByUrgency()) {
             for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
-                const best = this.bestOption(model, chosen);
+                const best = this.bestOption(model, chosen) ?? this.optionBesidePlan(model, chosen);
                 if (!best) {
                     break;
                 }
@@ -108,10 +93,10 @@
         const urgency = (name: string): number => {
             const copyCount = this.copyCount(name);
             const cost = copyCount === 0 ? this.costWithoutCopy(name) : copyCount * queueCost(this.loadOf(name) / copyCount);
-            return cost + this.needs.maxGain(name, this.holdersOf(name));
+            return cost + this.needs.maxGain(name, this.presentHoldersOf(name));
         };
         return [...this.inputs.engine.models.values()]
-            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.holdersOf(name)) > 0)
+            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.presentHoldersOf(name)) > 0)
             .sort((a, b) => urgency(b.name) - urgency(a.name));
     }
 
@@ -124,6 +109,11 @@
         return this.trackersByModel.get(model) ?? new Set();
     }
 
+    /** Those that have a model or are loading it. */
+    private presentHoldersOf(model: string): readonly RunnerTracker[] {
+        return [...this.holdersOf(model)].filter(tracker => !this.plannedTrackers.has(tracker) || holdsOrLoads(tracker, model));
+    }
+
     private copyCount(model: string): number {
         return this.holdersOf(model).size;
     }
@@ -151,23 +141,35 @@
         const ownGain = this.maxOwnGain(model.name);
         const added = this.loadOf(model.name) / (this.copyCount(model.name) + 1);
         let best: CopyOption | undefined;
-        let bestAdvantage = minAdvantage;
-        if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < bestAdvantage) {
+        if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < minAdvantage) {
             return undefined;
         }
         for (const tracker of this.usable) {
-            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < bestAdvantage) {
+            const least = Math.max(minAdvantage, best?.rank ?? minAdvantage);
+            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < least) {
                 continue;
             }
             const option = this.optionAt(model, tracker);
-            if (option && option.advantage > bestAdvantage) {
+            if (option && option.advantage > minAdvantage && (!best || option.rank > best.rank)) {
                 best = option;
-                bestAdvantage = option.advantage;
             }
         }
         return best;
     }
 
+    /** A load of a model that requests wait for at a runner with room, while its planned copy waits for memory: that may take as long as the streams there last. */
+    private optionBesidePlan(model: ModelSpec, chosen: ReadonlySet<RunnerTracker>): CopyOption | undefined {
+        const present = new Set(this.presentHoldersOf(model.name));
+        const planned = [...this.holdersOf(model.name)].filter(tracker => !present.has(tracker));
+        if (!planned.some(tracker => this.needs.isAwaited(model.name, tracker, present))) {
+            return undefined;
+        }
+        planned.forEach(tracker => this.changeRunners(model.name, trackers => trackers.delete(tracker)));
+        const option = this.bestOption(model, chosen);
+        planned.forEach(tracker => this.changeRunners(model.name, trackers => trackers.add(tracker)));
+        return option?.victims.length === 0 && this.needs.isAwaited(model.name, option.tracker, present) ? option : undefined;
+    }
+
     /** Upper bound of the gain of a further copy of a model, beside needs: the queueing cost that its other runners save, or the value of a first copy. */
     private maxOwnGain(model: string): number {
         const copyCount = this.copyCount(model);
@@ -183,7 +185,7 @@
         return gain;
     }
 
-    /** Upper bound of what a copy at a runner is worth for needs, less what it costs there whatever is unloaded; `added` is the load that it takes over. */
+    /** Upper bound of what a copy at a runner is worth for needs, less what it costs there in any case; `added` is the load that it takes over. */
     private maxNetNeed(model: ModelSpec, tracker: RunnerTracker, added: number): number {
         const minAddedQueueCost = queueCost(added) - queueCost(this.utilisation.get(tracker) ?? 0);
         const gain = this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
@@ -192,7 +194,7 @@
 
     /** The best option to load a model on a runner, undefined if there is none. */
     private optionAt(model: ModelSpec, tracker: RunnerTracker): CopyOption | undefined {
-        const { engine, mayLoadFromWeightStore } = this.inputs;
+        const { engine, demand, mayLoadFromWeightStore } = this.inputs;
         if (holdsOrLoads(tracker, model.name) || (tracker.loadsFromWeightStore(model.name) && !mayLoadFromWeightStore)) {
             return undefined;
         }
@@ -200,20 +202,17 @@
         let best: CopyOption | undefined;
         for (const victims of victimSets(tracker, missingMb, engine, name => this.loadOf(name))) {
             const advantage = this.advantage(model, tracker, victims);
-            if (advantage > (best?.advantage ?? Number.NEGATIVE_INFINITY)) {
-                best = { tracker, victims, advantage };
+            const readyMs = estimateUnloadMs(victims, demand) + tracker.loadMs(model);
+            const rank = advantage - this.needs.delayCost(model.name, tracker, readyMs, this.holdersOf(model.name));
+            if (!best || rank > best.rank) {
+                best = { tracker, victims, advantage, rank };
             }
         }
         return best;
     }
 
     private isServedElsewhere(model: string, tracker: RunnerTracker): boolean {
-        for (const other of this.holdersOf(model)) {
-            if (other !== tracker && serves(other, model)) {
-                return true;
-            }
-        }
-        return false;
+        return [...this.holdersOf(model)].some(other => other !== tracker && serves(other, model));
     }
 
     private advantage(model: ModelSpec, tracker: RunnerTracker, victims: readonly string[]): number {
@@ -228,7 +227,7 @@
             const copiesBefore = this.copyCount(victim);
             const isLastServing = !this.isServedElsewhere(victim, tracker);
             const victimLoad = this.loadOf(victim);
-            loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyVictimHalfLifeMs);
+            loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyHalfLifeMs);
             loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.costWithoutCopy(victim) : 0);
             loss += this.needs.lossAt(victim, tracker, this.holdersOf(victim));
             this.trackersByModel.get(victim)?.forEach(other =>
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -19,9 +19,9 @@
 import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
-import { headersToForward } from "./headersToForward";
 import { readRequestBody } from "./requestBody";
 import { RequestEnds } from "./requestEnds";
+import { headerBytes, headersToForward, hostOf } from "./requestHead";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
@@ -40,10 +40,6 @@
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 
-const headerBytes = (req: IncomingMessage): number => req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
-
-const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "");
-
 const refusalOf = (kind: FailureKind, detail: string, retryAfterMs?: number): Failure => ({ kind, detail, verdict: Verdict.NotRun, retryAfterMs });
 
 /** Accepts callers' requests and forwards them. */
@@ -97,14 +93,29 @@
         }
     }
 
-    /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
-    async close(deadlineAt: number): Promise<void> {
+    /** Stops accepting connections, by the deadline on the monotonic clock at the latest. */
+    stopListening(deadlineAt: number): Promise<void> {
         this.bodyCutoff.setExit(deadlineAt);
-        await this.gracefulClose.stopListening();
-        await this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
+        return this.gracefulClose.stopListening(deadlineAt);
+    }
+
+    /** Finishes requests until the deadline on the monotonic clock. */
+    finishRequests(deadlineAt: number): Promise<void> {
+        return this.gracefulClose.finishRequests(() => this.gateway.inProgress, deadlineAt);
+    }
+
+    /** Logs the requests that have no whole answer yet, as the process is about to exit. */
+    logCutAtExit(): void {
         this.ends.logCutAtExit();
     }
 
+    /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
+    async close(deadlineAt: number): Promise<void> {
+        await this.stopListening(deadlineAt);
+        await this.finishRequests(deadlineAt);
+        this.logCutAtExit();
+    }
+
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
         const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt);
         this.ends.watch(req, res, progress);
@@ -207,6 +218,7 @@
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
             body: bodyResult.body,
+            bodyMemory: bodyResult.memory,
             suspectParts: suspects.finish(),
             startedAt: progress.startedAt,
             deadlineAt: progress.startedAt + timeoutMs,
--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -7,14 +7,13 @@
 import type { BodyReadResult } from "../utils/transport";
 import { TurnPacer } from "../utils/turnPacer";
 import type { BodyCutoff } from "./bodyCutoff";
+import { BodyMemory } from "./bodyMemory";
 import type { RequestProgress } from "./requestProgress";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
 const maxSilenceMs = 1_500;
 /** Share of a request's time for which its body may wait for memory. */
 const maxWaitShare = 0.5;
-/** A body that filled less than this share of its buffer is copied into one of its size. */
-const minFilledShare = 0.75;
 
 /** Shared by the bodies of all requests of the process. */
 const pacer = TurnPacer.create();
@@ -22,7 +21,10 @@
 const failedKinds = { full: "too-large", slow: "slow", stopped: "stopping", lost: "lost" } as const;
 
 /** Outcome of reading the body of a request. */
-export type RequestBodyResult = BodyReadResult | { readonly kind: "stopping"; } | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
+export type RequestBodyResult =
+    | (BodyReadResult & { /** Where a large body lies; undefined for a small one. */ readonly memory?: BodyMemory; })
+    | { readonly kind: "stopping"; }
+    | { readonly kind: "no-memory"; readonly denial: BodyDenial; };
 
 /** Limits on reading the body of a request. */
 export interface RequestBodyLimits {
@@ -54,7 +56,7 @@
 class RequestBodyReader {
     private readonly dueAt: number;
     private readonly source: BodySource;
-    private buffer = Buffer.alloc(0);
+    private buffer: Buffer = Buffer.alloc(0);
     private filledBytes = 0;
     /** Aborts when the caller disconnects, or when the process exits too soon. */
     private readonly stop = new AbortController();
@@ -90,9 +92,13 @@
         if (grant?.isGranted === false) {
             return this.denied(grant);
         }
-        this.buffer = Buffer.allocUnsafeSlow(bytes);
+        const memory = grant && bytes > maxSmallBodyBytes ? BodyMemory.create(this.res, grant, bytes) : undefined;
+        if (grant && !memory) {
+            releaseAtEnd(this.res, grant);
+        }
+        this.buffer = memory?.bytes ?? Buffer.allocUnsafeSlow(bytes);
         const end = await this.fill();
-        return end === "whole" ? { kind: end, body: this.buffer } : { kind: failedKinds[end] };
+        return end === "whole" ? { kind: end, body: this.buffer, memory } : { kind: failedKinds[end] };
     }
 
     /**
@@ -106,6 +112,7 @@
         if (!first.isGranted) {
             return this.denied(first);
         }
+        releaseAtEnd(this.res, first);
         const firstChunks: Buffer[] = [];
         let bytes = 0;
         const firstEnd = await this.read(chunk => {
@@ -124,19 +131,16 @@
         if (!whole.isGranted) {
             return this.denied(whole);
         }
-        this.buffer = Buffer.allocUnsafeSlow(maxBytes);
+        const memory = BodyMemory.create(this.res, whole, maxBytes);
+        this.buffer = memory.bytes;
         firstChunks.forEach(chunk => this.take(chunk));
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
             return { kind: failedKinds[end] };
         }
-        const filled = this.buffer.subarray(0, this.filledBytes);
-        if (filled.length >= minFilledShare * maxBytes) {
-            return { kind: end, body: filled };
-        }
-        whole.shrinkTo(filled.length);
-        return { kind: end, body: Buffer.from(filled) };
+        memory.shrinkTo(this.filledBytes);
+        return { kind: end, body: memory.bytes, memory };
     }
 
     private fill(): Promise<BodyReadEnd> {
@@ -161,13 +165,9 @@
         return fits;
     }
 
-    private async requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
+    private requestMemory(bytes: number): Promise<BodyGrant | BodyDenial> {
         this.limits.progress.step = RequestStep.Memory;
-        const result = await this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.stop.signal);
-        if (result.isGranted) {
-            releaseAtEnd(this.res, result);
-        }
-        return result;
+        return this.memory.requestBody(bytes, Math.max(0, maxWaitShare * this.remainingMs), this.stop.signal);
     }
 
     private denied(denial: BodyDenial): RequestBodyResult {
--- a/src/forward/headersToForward.ts
+++ b/src/forward/requestHead.ts
@@ -33,3 +33,9 @@
     }
     return forwarded;
 };
+
+/** Size of a request's headers. */
+export const headerBytes = (req: IncomingMessage): number => req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
+
+/** Host that a request names, without its port. */
+export const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "");
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -11,8 +11,8 @@
 import { servePlatformStore } from "./platformStoreServer";
 import { reservePort } from "./ports";
 
-/** Options of the runtime, as in the deploy file. */
-const nodeOptions = ["--max-old-space-size=160"];
+/** Options of the runtime in the deploy file. */
+const nodeOptions = /^run = "node (.*?)\s*target\//m.exec(readFileSync("deploy/system.toml", "utf8"))![1]!.split(" ");
 
 const configDefaults = { limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000 } };
 
@@ -34,13 +34,14 @@
         private readonly metrics: string,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, and load modules before the program. */
     static async start(
         graceS: number,
         config: object,
         upstreams: Readonly<Record<string, object>>,
         first?: PlatformProcess,
         maxDescriptors?: number,
+        modules: readonly string[] = [],
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -67,7 +68,7 @@
         if (!first) {
             store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
         }
-        const command = [process.execPath, ...nodeOptions, "build/jackdawtrail.cjs", "serve-platform"];
+        const command = [process.execPath, ...nodeOptions, ...modules.flatMap(module => ["--require", module]), "build/jackdawtrail.cjs", "serve-platform"];
         const limited = maxDescriptors === undefined ? command : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
         const node = spawn(limited[0]!, limited.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
@@ -85,8 +86,12 @@
 
     /** Largest memory that the process has occupied so far, in MB. */
     get peakMemoryMb(): number {
-        const [, kilobytes] = /^VmHWM:\s+(\d+) kB$/m.exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
-        return Number(kilobytes) / 1_024;
+        return this.readStatusMb("VmHWM");
+    }
+
+    /** Memory that the process occupies now, in MB. */
+    get memoryMb(): number {
+        return this.readStatusMb("VmRSS");
     }
 
     /** The present value of a gauge. */
@@ -95,6 +100,11 @@
         return Number(new RegExp(`^${name} (.*)$`, "m").exec(text)?.[1]);
     }
 
+    private readStatusMb(field: string): number {
+        const [, kilobytes] = new RegExp(`^${field}:\\s+(\\d+) kB$`, "m").exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
+        return Number(kilobytes) / 1_024;
+    }
+
     /** Ends the process and the store. */
     close(): void {
         this.process.kill("SIGKILL");
