--- a/src/core/copyNeeds.ts
+++ b/src/core/copyNeeds.ts
@@ -43,14 +43,6 @@
         return this.sumOf(model, need => need.delayCostPerS && this.countAt(need, holders) === 0 ? need.delayCostPerS * delayMs(need) / 1_000 : 0);
     }
 
-    /** Runners with the only copy that requests have waited for: they may still need adapters there, which no runner loads while it carries out another order. */
-    awaitedHolders(holdersOf: (model: string) => Iterable<RunnerTracker>): readonly RunnerTracker[] {
-        return [...this.byModel.values()].flat().filter(({ delayCostPerS }) => delayCostPerS !== undefined).flatMap(({ model, bound }) => {
-            const serving = [...holdersOf(model)].filter(holder => bound.admits(holder) && serves(holder, model));
-            return serving.length === 1 ? serving : [];
-        });
-    }
-
     /** Whether requests wait for a first copy of a model that may be at this runner. */
     isAwaited(model: string, tracker: RunnerTracker, holders: Iterable<RunnerTracker>): boolean {
         return this.byModel.get(model)?.some(need => need.delayCostPerS !== undefined && need.bound.admits(tracker) && this.countAt(need, holders) === 0) ??
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -64,7 +64,7 @@
     /** Orders to send now, at most one to each runner. */
     steps(): readonly CopyStep[] {
         const steps: CopyStep[] = [];
-        const chosen = new Set([...this.plannedTrackers, ...this.needs.awaitedHolders(model => this.holdersOf(model))]);
+        const chosen = new Set<RunnerTracker>(this.plannedTrackers);
         for (const model of this.modelsByUrgency()) {
             for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
                 const best = this.bestOption(model, chosen) ?? this.optionBesidePlan(model, chosen);
