--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -87,7 +87,7 @@
             // The caller left while the request waited, so there will be no event.
             abort.abort();
         }
-        const timers = AttemptTimers.start(call, abort);
+        const timers = AttemptTimers.start(call, abort, gateway.attemptsEnd);
         let end: AttemptEnd;
         try {
             if (failOver) {
@@ -169,7 +169,7 @@
     private async isCutOff(server: UpstreamServer, { kind, framing }: AttemptEnd): Promise<boolean> {
         const { call, relay } = this;
         const mayBeCut = kind === AttemptEndKind.Complete && framing === AnswerFraming.Connection && !relay.isBrokenOff(true);
-        return mayBeCut && relay.head?.decoded.isSigned === true && await isCutOffWithUpstream(call, server);
+        return mayBeCut && relay.head?.decoded.isSigned === true && await isCutOffWithUpstream(call, server, this.gateway.exitDeadlineAt);
     }
 
     private classify({ candidate }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
--- a/src/forward/canFinishBeforeExit.ts
+++ b/src/forward/canFinishBeforeExit.ts
@@ -17,6 +17,10 @@
     return Math.max(minRequestMs, slowAnswerFactor * slowestMs) + averageOutputShare * (modelRequest?.maxOutputTokens ?? 0) * outputTokenMs;
 };
 
+/** Whether a request that has waited is likely to be answered before the process exits, if it is sent now. */
+export const mayFinishBeforeExit = (gateway: Gateway, call: Call): boolean =>
+    call.deadlineAt <= gateway.exitDeadlineAt || performance.now() + expectedMs(gateway, call) < gateway.exitDeadlineAt;
+
 /** Whether a request that arrives now is answered before the process exits: certainly if it arrives late in a planned stop, otherwise likely. */
 export const canFinishBeforeExit = (gateway: Gateway, call: Call): boolean => {
     const { exitDeadlineAt, stopRequestedAt } = gateway;
--- a/src/forward/endCheck.ts
+++ b/src/forward/endCheck.ts
@@ -16,10 +16,11 @@
 
 /**
  * Whether an answer that ended with its connection counts as cut off. The connections of a process that crashes are closed like those of one that has
- * finished, so the answer counts as complete only if its upstream lives. If that cannot be found out, a stream that may be resumed is.
+ * finished, so the answer counts as complete only if its upstream lives. If that cannot be found out, also because the process exits, a stream that may be resumed is.
  */
-export const isCutOffWithUpstream = async (call: Call, { id, address }: UpstreamServer): Promise<boolean> => {
-    const { route, caller: { requestId }, deadlineAt, signal } = call;
+export const isCutOffWithUpstream = async (call: Call, { id, address }: UpstreamServer, exitDeadlineAt: number): Promise<boolean> => {
+    const { route, caller: { requestId }, signal } = call;
+    const deadlineAt = Math.min(call.deadlineAt, exitDeadlineAt);
     const endedAt = performance.now();
     const isStream = route.kind === RouteKind.Streaming;
     if (isStream) {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -9,12 +9,13 @@
 import { AttemptOutcome, notRunOutcomes, unsentOutcomes } from "./attemptOutcome";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
-import { canFinishBeforeExit } from "./canFinishBeforeExit";
+import { canFinishBeforeExit, mayFinishBeforeExit } from "./canFinishBeforeExit";
 import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { logAnswered } from "./logAnswered";
 import { QuarantineGate } from "./quarantineGate";
 import { recordDemand } from "./recordDemand";
+import { stoppingRefusal, untilExit } from "./untilExit";
 import { mayBeginAt, pinTakenUpStream } from "./versionPin";
 import { waitForTurn } from "./waitForTurn";
 import type { Refusal } from "./waitForUpstream";
@@ -26,8 +27,6 @@
 const minAttemptMs = 20;
 /** Default retry delay given to refused callers. */
 const refusedRetryAfterMs = 700;
-/** Retry delay given by a stopping node: another node can accept the request immediately. */
-const stoppingRetryAfterMs = 50;
 
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
@@ -67,7 +66,7 @@
         const { call, gateway } = this;
         recordDemand(gateway, call);
         if (!canFinishBeforeExit(gateway, call)) {
-            this.fail(FailureKind.Stopping, "the node is shutting down and would exit before the request is answered", stoppingRetryAfterMs);
+            this.refuse(stoppingRefusal);
             return;
         }
         if (this.isTooLate) {
@@ -76,7 +75,7 @@
         }
         this.gate.startTrial();
         call.progress.step = RequestStep.Pin;
-        const first = await pinTakenUpStream(gateway, call) ?? await this.waitForUpstream();
+        const first = await untilExit(gateway, this.chooseFirstUpstream());
         if (isRefusal(first)) {
             this.refuse(first);
             return;
@@ -84,7 +83,7 @@
         let next: UpstreamChoice = first;
         let outcome: AttemptOutcome | undefined;
         for (;;) {
-            const ready = await this.waitForTurn(next);
+            const ready = await untilExit(gateway, this.waitForTurn(next));
             if (isRefusal(ready)) {
                 this.finishRefused(outcome, ready);
                 return;
@@ -102,9 +101,9 @@
                 this.finish(outcome);
                 return;
             }
-            const choice = await this.chooseNextUpstream();
+            const choice = await untilExit(gateway, this.chooseNextUpstream());
             if (isRefusal(choice)) {
-                if (choice.kind === FailureKind.UpstreamsQuiet) {
+                if (choice.kind === FailureKind.UpstreamsQuiet || choice.kind === FailureKind.Stopping) {
                     this.finishRefused(outcome, choice);
                 }
                 else {
@@ -116,6 +115,10 @@
         }
     }
 
+    private async chooseFirstUpstream(): Promise<UpstreamChoice | Refusal> {
+        return await pinTakenUpStream(this.gateway, this.call) ?? this.waitForUpstream();
+    }
+
     private waitForUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call } = this;
         call.progress.step = RequestStep.Choose;
@@ -130,7 +133,7 @@
             const denied = await waitForTurn(gateway, call, next);
             const mayBegin = !denied && await mayBeginAt(gateway, call, next);
             if (mayBegin && gateway.availability.mayTake(next.candidate.server)) {
-                return refuseQuarantined(gateway, this.gate) ?? next;
+                return refuseQuarantined(gateway, this.gate) ?? (this.attempts.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? next : stoppingRefusal);
             }
             if (denied) {
                 this.tried.add(next.candidate.server.id);
@@ -205,8 +208,7 @@
             return alternative;
         }
         const choice = await this.waitForUpstream();
-        const costsNoRetry = this.sends === 0 || this.isRetryPaid;
-        if (isRefusal(choice) || costsNoRetry || gateway.budgetOf(call.service).withdraw()) {
+        if (isRefusal(choice) || this.sends === 0 || this.isRetryPaid || gateway.budgetOf(call.service).withdraw()) {
             return choice;
         }
         return { kind: FailureKind.RetryBudgetSpent, detail: "the retry budget of the service is spent", retryAfterMs: refusedRetryAfterMs };
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -28,6 +28,7 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { MemoryGauge } from "../utils/memoryGauge";
+import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
@@ -122,6 +123,9 @@
     /** When the node was requested to stop, and when the process exits at the latest, on the monotonic clock. */
     stopRequestedAt = Number.POSITIVE_INFINITY;
     exitDeadlineAt = Number.POSITIVE_INFINITY;
+    /** Given shortly before the process exits: to requests that wait to be sent, then to those whose upstreams have not answered. */
+    readonly waitsEnd = Notice.create();
+    readonly attemptsEnd = Notice.create();
     /** Requests that have been received and not answered yet. */
     inProgress = 0;
 
--- a/src/node/plannedStop.ts
+++ b/src/node/plannedStop.ts
@@ -2,8 +2,8 @@
 import { sleep } from "../utils/time";
 import { TurnMeter } from "../utils/turnMeter";
 
-/** Time for flushing the last bytes of answers and log lines. */
-const flushMs = 100;
+/** Turns of the event loop that a pause leaves: the one before SIGTERM was noticed, that of its own timer, and one for the exit. */
+const reservedTurns = 3;
 /** Interval at which a step is checked against the deadline, which comes nearer when the event loop is slow. */
 const pollMs = 50;
 
@@ -60,9 +60,11 @@
         this.measuring.abort();
     }
 
-    /** Waits until the last bytes and log lines are written, as far as there is time. */
-    async flush(): Promise<void> {
-        const remainingMs = this.requestedAt + this.graceMs - performance.now() - 2 * this.turns.longestMs;
-        await sleep(Math.max(0, Math.min(flushMs, remainingMs)));
+    /** Waits for a time, as far as the grace period allows it. */
+    async pause(ms: number): Promise<void> {
+        const remainingMs = this.requestedAt + this.graceMs - performance.now() - reservedTurns * this.turns.longestMs;
+        if (remainingMs > 0) {
+            await sleep(Math.min(ms, remainingMs));
+        }
     }
 }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -34,6 +34,11 @@
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
+/** Requests that still wait to be sent are refused this long before the last answers are given, and these are written within a time. */
+const waitsEndMs = 250;
+const lastAnswersMs = 50;
+/** Time for flushing the last bytes of answers and log lines. */
+const flushMs = 100;
 /** Long-poll wait of the controller's reads of the change feed; shorter than other nodes', which rely on what the controller has read. */
 const controllerFeedWaitMs = 500;
 /** Pause after a change of the directory, so that one call returns several changes. */
@@ -193,10 +198,26 @@
         emit(EventId.SettingsReloaded, { retrySlack: next.retrySlack, seeds: next.seeds.length });
     }
 
+    /** Answers what its upstreams have not answered, except streams that have begun. */
+    private async answerLast(stop: PlannedStop): Promise<void> {
+        const { gateway } = this;
+        gateway.waitsEnd.give();
+        gateway.attemptsEnd.give();
+        if (gateway.inProgress > 0) {
+            await new Promise(resolve => setImmediate(resolve));
+            await stop.pause(lastAnswersMs);
+        }
+    }
+
     /** Stops gracefully: reports not ready, then closes the listener, then finishes requests in progress. Returns the number of requests cut off. */
     async stop(): Promise<number> {
         const { gateway, settings, server } = this;
-        const stop = PlannedStop.begin(settings.graceMs, deadlineAt => gateway.exitDeadlineAt = deadlineAt);
+        const stop = PlannedStop.begin(settings.graceMs, deadlineAt => {
+            gateway.exitDeadlineAt = deadlineAt;
+            if (performance.now() >= deadlineAt - waitsEndMs) {
+                gateway.waitsEnd.give();
+            }
+        });
         gateway.isStopping = true;
         gateway.stopRequestedAt = stop.requestedAt;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
@@ -205,13 +226,14 @@
         await stop.run("accept", server.stopListening(stop.latestDeadlineAt));
         await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
         await stop.run("release", released ?? Promise.resolve());
+        await this.answerLast(stop);
         const { inProgress } = gateway;
         // Requests that still arrive on open connections are refused as not run while the last bytes are flushed.
         stop.end();
         gateway.exitDeadlineAt = performance.now();
         this.stopped.abort();
         emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress, ...stop.summary });
-        await stop.flush();
+        await stop.pause(flushMs);
         return inProgress;
     }
 }
