--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -75,7 +75,7 @@
         }
         this.gate.startTrial();
         call.progress.step = RequestStep.Pin;
-        const first = await untilExit(gateway, this.chooseFirstUpstream());
+        const first = await untilExit(gateway, pinTakenUpStream(gateway, call).then(refusal => refusal ?? this.waitForUpstream()));
         if (isRefusal(first)) {
             this.refuse(first);
             return;
@@ -114,10 +114,6 @@
         }
     }
 
-    private async chooseFirstUpstream(): Promise<UpstreamChoice | Refusal> {
-        return await pinTakenUpStream(this.gateway, this.call) ?? this.waitForUpstream();
-    }
-
     private waitForUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call } = this;
         call.progress.step = RequestStep.Choose;
