--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -92,7 +92,8 @@
     private closeIdle(minIdleMs: number): boolean {
         const now = performance.now();
         let isAwaiting = false;
-        for (const [socket, connection] of this.connections) {
+        // What is read after the end of a connection is not answered.
+        for (const [socket, connection] of [...this.connections].filter(([{ writableEnded }]) => !writableEnded)) {
             const { bytesRead } = socket;
             if (bytesRead !== connection.receivedBytes) {
                 connection.receivedBytes = bytesRead;
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -9,6 +9,8 @@
 
 const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 const graceMs = 3_000;
+/** Time of a request that keeps a stop going. */
+const slowMs = 1_200;
 
 /** Sends `text` on a new connection once `ready` resolves, and resolves with all bytes received until the connection closes. */
 const sendOnNewConnection = (port: number, text: string, ready: () => Promise<unknown>): Promise<string> =>
@@ -111,4 +113,32 @@
         await closed;
         assert.equal(answer.match(/done/g)?.length, 2);
     });
+
+    /** Guards against a stop that lasts to its deadline for a request that crossed the close of its connection. */
+    it("ends though a caller answers the close with a request and stays", async () => {
+        let inProgress = 0;
+        const server = createServer((req, res) => {
+            req.resume();
+            if (!req.socket.writableEnded) {
+                inProgress++;
+                res.once("close", () => inProgress--);
+                setTimeout(() => res.end("done"), req.url === "/slow" ? slowMs : 20);
+            }
+        });
+        const gracefulClose = GracefulClose.create(server);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        const slow = connect(port, "127.0.0.1", () => slow.write(request.replace(/ \S+ /, " /slow ")));
+        const staying = connect({ port, host: "127.0.0.1", allowHalfOpen: true }, () => staying.write(request));
+        [slow, staying].forEach(socket => socket.on("error", () => undefined).resume());
+        staying.once("end", () => staying.write(request));
+        await sleep(100);
+        const startedAt = performance.now();
+        await gracefulClose.stopListening(startedAt + graceMs);
+        await gracefulClose.finishRequests(() => inProgress, startedAt + graceMs);
+        const tookMs = performance.now() - startedAt;
+        staying.destroy();
+        slow.destroy();
+        assert.ok(tookMs < graceMs, `${tookMs} ms`);
+    });
 });
