--- a/src/forward/bodyMemory.ts
+++ b/src/forward/bodyMemory.ts
@@ -10,7 +10,13 @@
     private readonly senders = new Set<Socket>();
 
     private constructor(res: ServerResponse, private readonly grant: BodyGrant, bytes: number) {
-        this.buffer = MappedBuffer.create(bytes);
+        try {
+            this.buffer = MappedBuffer.create(bytes);
+        }
+        catch (err) {
+            grant.release();
+            throw err;
+        }
         if (res.closed) {
             this.end();
         }
--- a/test/bodyMemory.test.ts
+++ b/test/bodyMemory.test.ts
@@ -62,6 +62,15 @@
         assert.deepEqual([heldBytes(), memory.bytes.length], [0, 0]);
     });
 
+    it("is not counted if it cannot be mapped", async () => {
+        const budget = MemoryBudget.create({ limitBytes: () => 10 * bodyBytes, random: () => 0.5 });
+        const grant = await budget.requestBody(bodyBytes, 0, new AbortController().signal);
+        assert.ok(grant.isGranted);
+        const res = Object.assign(new EventEmitter(), { closed: false }) as unknown as ServerResponse;
+        assert.throws(() => BodyMemory.create(res, grant, Number.MAX_SAFE_INTEGER), RangeError);
+        assert.equal(budget.usedBytes, 0);
+    });
+
     it("is given back at once where the response is closed already", async () => {
         const { memory, heldBytes } = await startBody(true);
         assert.deepEqual([heldBytes(), memory.bytes.length], [0, 0]);
