--- a/src/core/upstreamAvailability.ts
+++ b/src/core/upstreamAvailability.ts
@@ -25,7 +25,7 @@
     /** It said that it is leaving. */
     Leaving = "leaving",
     Draining = "draining",
-    /** The directory has no entry of it, or has one of a later process with its ID. */
+    /** The directory has no entry of it, or has one of a later process with its ID or at another address. */
     Gone = "gone",
 }
 
@@ -34,6 +34,9 @@
     readonly address: string;
 }
 
+/** An upstream's process, at the address at which the one that asks would reach it if that matters. */
+type LocatedProcess = UpstreamProcess & Partial<Pick<AddressedUpstream, "address">>;
+
 /** States that pass by themselves. */
 const passingStates: ReadonlySet<Availability> = new Set([Availability.Available, Availability.Ramping, Availability.Quiet]);
 
@@ -67,9 +70,10 @@
     }
 
     /** Whether an upstream may get a request now. */
-    of(process: UpstreamProcess): Availability {
+    of(process: LocatedProcess): Availability {
         const listed = this.directory.get(process.id);
-        if (!listed || listed.bornAt > process.bornAt) {
+        const isElsewhere = process.address !== undefined && listed?.address !== process.address;
+        if (!listed || listed.bornAt > process.bornAt || isElsewhere) {
             return Availability.Gone;
         }
         if (listed.state !== UpstreamState.Ready) {
@@ -86,12 +90,12 @@
     }
 
     /** Whether a new request may be sent to an upstream. */
-    mayTake(process: UpstreamProcess): boolean {
+    mayTake(process: LocatedProcess): boolean {
         return this.of(process) === Availability.Available;
     }
 
     /** Whether a request that was chosen for an upstream may still be sent when its connection is open. */
-    mayStillSend(process: UpstreamProcess): boolean {
+    mayStillSend(process: LocatedProcess): boolean {
         const state = this.of(process);
         return state === Availability.Available || state === Availability.Ramping;
     }
--- a/test/rebornUpstreams.test.ts
+++ b/test/rebornUpstreams.test.ts
@@ -4,6 +4,7 @@
 import { UpstreamProber } from "../src/forward/upstreamProber";
 import type { RunnerAddress, RunnerControl } from "../src/types/runner";
 import { setupLogs } from "../src/utils/events";
+import { sleep } from "../src/utils/time";
 import { callGateway, startGateway } from "./fakes/gatewayHarness";
 import { reservePort } from "./fakes/ports";
 import { startScriptedUpstream } from "./fakes/scriptedUpstream";
@@ -55,6 +56,23 @@
         });
     }
 
+    for (const bornAt of [1, 0]) {
+        it(`gets requests although one that chose the earlier process waited for its turn meanwhile, born at ${bornAt}`, async () => {
+            const earlier = `127.0.0.1:${await reservePort()}`;
+            const later = await startScriptedUpstream(answer);
+            const { gateway, address, close } = await startGateway([earlier]);
+            gateway.placement.acquirePermit = () => Promise.resolve({ isGranted: true, waitMs: 300 });
+            gateway.runnerLimits.onAnswer(`${id}@1`, 5, performance.now());
+            const waiting = callGateway(address);
+            await sleep(100);
+            gateway.directory.apply({ id, version: 50, server: { ...gateway.directory.get(id)!, address: later.address, bornAt } });
+            const statuses = [(await waiting).status, (await callGateway(address)).status];
+            close();
+            later.close();
+            assert.deepEqual(statuses, [200, 200]);
+        });
+    }
+
     it("is alive though a probe has just found that its predecessor ended", async () => {
         const fetchReport = (): Promise<unknown> => Promise.resolve({ bornAt: 2 });
         const prober = UpstreamProber.create({ fetchReport } as unknown as RunnerControl);
