--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -5,14 +5,12 @@
 import type { CopyOption, CopyStep } from "./copyStep";
 import { toStep } from "./copyStep";
 import { anyModelValue, awaitedModelValue } from "./copyValues";
+import { loadCost } from "./loadCost";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
 import { busyHalfLifeMs, estimateUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
 
-/** Cost of a load for each second that it takes, and the additional cost if it reads from the weight store. */
-const loadCostPerS = 0.03;
-const weightStoreLoadCost = 0.08;
 /** Cost of the prompt cache that is lost with a copy, times the copy's load as a share of a runner's time. */
 const lostCacheCost = 0.3;
 /** An unload waits for the model's requests in flight and blocks the runner meanwhile; this is its cost just after a request. */
@@ -80,10 +78,10 @@
         return steps;
     }
 
-    /** The next order for a model on a runner that an earlier plan chose for it. */
+    /** The next order for a model on a runner that an earlier plan chose for it, undefined if the load is no longer of advantage. */
     stepFor(model: ModelSpec, tracker: RunnerTracker): CopyStep | undefined {
         this.changeRunners(model.name, trackers => trackers.delete(tracker));
-        const option = this.optionAt(model, tracker);
+        const option = this.optionAt(model, tracker, 0);
         this.changeRunners(model.name, trackers => trackers.add(tracker));
         return option && toStep(model, option);
     }
@@ -149,8 +147,8 @@
             if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < least) {
                 continue;
             }
-            const option = this.optionAt(model, tracker);
-            if (option && option.advantage > minAdvantage && (!best || option.rank > best.rank)) {
+            const option = this.optionAt(model, tracker, minAdvantage);
+            if (option && (!best || option.rank > best.rank)) {
                 best = option;
             }
         }
@@ -189,11 +187,11 @@
     private maxNetNeed(model: ModelSpec, tracker: RunnerTracker, added: number): number {
         const minAddedQueueCost = queueCost(added) - queueCost(this.utilisation.get(tracker) ?? 0);
         const gain = this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
-        return gain > 0 ? gain - this.loadCost(model, tracker) - minAddedQueueCost : -minAddedQueueCost;
+        return gain > 0 ? gain - loadCost(model, tracker) - minAddedQueueCost : -minAddedQueueCost;
     }
 
-    /** The best option to load a model on a runner, undefined if there is none. */
-    private optionAt(model: ModelSpec, tracker: RunnerTracker): CopyOption | undefined {
+    /** The best option to load a model on a runner, undefined if none has an advantage over `least`. */
+    private optionAt(model: ModelSpec, tracker: RunnerTracker, least: number): CopyOption | undefined {
         const { engine, demand, mayLoadFromWeightStore } = this.inputs;
         if (holdsOrLoads(tracker, model.name) || (tracker.loadsFromWeightStore(model.name) && !mayLoadFromWeightStore)) {
             return undefined;
@@ -202,6 +200,9 @@
         let best: CopyOption | undefined;
         for (const victims of victimSets(tracker, missingMb, engine, name => this.loadOf(name))) {
             const advantage = this.advantage(model, tracker, victims);
+            if (advantage <= least) {
+                continue;
+            }
             const readyMs = estimateUnloadMs(victims, demand) + tracker.loadMs(model);
             const rank = advantage - this.needs.delayCost(model.name, tracker, readyMs, this.holdersOf(model.name));
             if (!best || rank > best.rank) {
@@ -240,10 +241,6 @@
             const current = this.utilisation.get(target) ?? 0;
             queueCostChange += queueCost(current + delta) - queueCost(current);
         });
-        return gain - loss - queueCostChange - this.loadCost(model, tracker);
-    }
-
-    private loadCost(model: ModelSpec, tracker: RunnerTracker): number {
-        return loadCostPerS * tracker.loadMs(model) / 1_000 + (tracker.loadsFromWeightStore(model.name) ? weightStoreLoadCost : 0);
+        return gain - loss - queueCostChange - loadCost(model, tracker);
     }
 }
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -211,7 +211,7 @@
             const model = engine.models.get(planned);
             if (tracker && model && tracker.canOrder && tracker.server.service === service) {
                 const step = plan.stepFor(model, tracker);
-                if (step && step.advantage > 0) {
+                if (step) {
                     this.execute(tracker, engine, step);
                 }
                 else {
--- a/test/versionedCopyPlan.test.ts
+++ b/test/versionedCopyPlan.test.ts
@@ -102,6 +102,13 @@
             workMs: { m1: 100 },
             steps: ["unload m2 at b"],
         },
+        {
+            name: "unloads a model in use that another runner has, though one without requests that streams may return to would be faster",
+            runners: [{ id: "a", softwareVersion: "v1", models: ["m2", "m3"] }, { id: "b", softwareVersion: "v1.1", models: ["m3"] }],
+            needs: [awaitedV1("m1"), needV1("m2", 1.1, 0)],
+            workMs: { m3: 2 },
+            steps: ["unload m3 at a"],
+        },
         ...[
             { what: "loads what streams wait for at a runner with room", room: "v1", steps: ["load m9 at c"] },
             { what: "loads what streams wait for at no other version", room: "v1.1", steps: [] },
@@ -138,4 +145,15 @@
             );
         })
     );
+
+    it("keeps to a planned load while one of its victims is worth less, though another would be faster to unload", () => {
+        const trackers = [{ id: "a", softwareVersion: "v1", models: ["m2", "m3"] }, { id: "b", softwareVersion: "v1.1", models: ["m3"] }].map(createTracker);
+        clock.tick(residencyMs);
+        const demand = ModelDemand.create();
+        demand.count("m3", 2);
+        const needs = [awaitedV1("m1"), needV1("m2", 1.4, 0)];
+        const plannedLoads = new Map([["a", "m1"]]);
+        const plan = CopyPlan.create({ engine, trackers, demand, awaitedModels: new Set(), needs, mayLoadFromWeightStore: true, plannedLoads });
+        assert.equal(plan.stepFor(engine.models.get("m1")!, trackers[0]!)?.model, "m3");
+    });
 });
