--- a/src/core/copyNeeds.ts
+++ b/src/core/copyNeeds.ts
@@ -12,15 +12,27 @@
 /** Values the copies that models need at some of the runners. Without such needs, nothing changes in a plan. */
 export class CopyNeeds {
     private readonly byModel: ReadonlyMap<string, readonly CopyNeed[]>;
+    private readonly awaited: ReadonlySet<string>;
 
     private constructor(needs: readonly CopyNeed[]) {
         this.byModel = groupBy(needs, ({ model }) => model);
+        this.awaited = new Set(needs.filter(({ delayCostPerS }) => delayCostPerS !== undefined).map(({ model }) => model));
     }
 
     static create(needs: readonly CopyNeed[]): CopyNeeds {
         return new CopyNeeds(needs);
     }
 
+    /** Whether there is a need for a model; its copies may satisfy it. */
+    has(model: string): boolean {
+        return this.byModel.has(model);
+    }
+
+    /** Whether a need for a model has a cost of delay; its copies may satisfy it. */
+    hasWaiting(model: string): boolean {
+        return this.awaited.has(model);
+    }
+
     /** Value of one more copy of a model at the best runner for it; `holders` have the model, or will. */
     maxGain(model: string, holders: Iterable<RunnerTracker>): number {
         return this.sumOf(model, need => valueOfNext(need, this.countAt(need, holders)));
@@ -33,12 +45,18 @@
 
     /** Value that is lost with the copy of a model at a runner. Copies that are still being loaded do not replace it. */
     lossAt(model: string, tracker: RunnerTracker, holders: Iterable<RunnerTracker>): number {
-        const serving = this.byModel.has(model) ? [...holders].filter(holder => serves(holder, model)) : [];
+        if (!this.byModel.has(model)) {
+            return 0;
+        }
+        const serving = [...holders].filter(holder => serves(holder, model));
         return this.sumOf(model, need => need.bound.admits(tracker) ? valueOfNext(need, this.countAt(need, serving, tracker)) : 0);
     }
 
     /** What requests that wait for a first copy lose until one serves, if the next one is at this runner and serves after `readyMs`. */
     delayCost(model: string, tracker: RunnerTracker, readyMs: number, holders: Iterable<RunnerTracker>): number {
+        if (!this.awaited.has(model)) {
+            return 0;
+        }
         const delayMs = (need: CopyNeed): number => need.bound.admits(tracker) ? Math.min(readyMs, maxDelayMs) : maxDelayMs;
         return this.sumOf(model, need => need.delayCostPerS && this.countAt(need, holders) === 0 ? need.delayCostPerS * delayMs(need) / 1_000 : 0);
     }
--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -8,13 +8,11 @@
 import { loadCost } from "./loadCost";
 import { queueCost, valuePerRunner } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
-import { busyHalfLifeMs, estimateUnloadMs } from "./unloadTime";
+import { busyUnloadCost, estimateUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
 
 /** Cost of the prompt cache that is lost with a copy, times the copy's load as a share of a runner's time. */
 const lostCacheCost = 0.3;
-/** An unload waits for the model's requests in flight and blocks the runner meanwhile; this is its cost just after a request. */
-const busyVictimCost = 0.4;
 /** Maximum number of copies of one model that a round adds. */
 const maxCopiesAtOnce = 4;
 /** Minimum advantage of a load over its costs. */
@@ -88,14 +86,16 @@
 
     /** Models with demand or waiting requests, in descending order of what their callers lose. */
     private modelsByUrgency(): readonly ModelSpec[] {
-        const urgency = (name: string): number => {
-            const copyCount = this.copyCount(name);
-            const cost = copyCount === 0 ? this.costWithoutCopy(name) : copyCount * queueCost(this.loadOf(name) / copyCount);
-            return cost + this.needs.maxGain(name, this.presentHoldersOf(name));
-        };
-        return [...this.inputs.engine.models.values()]
-            .filter(({ name }) => this.loadOf(name) > 0 || this.inputs.awaitedModels.has(name) || this.needs.maxGain(name, this.presentHoldersOf(name)) > 0)
-            .sort((a, b) => urgency(b.name) - urgency(a.name));
+        const urgencies = new Map<ModelSpec, number>();
+        for (const model of this.inputs.engine.models.values()) {
+            const load = this.loadOf(model.name);
+            const needed = this.needs.has(model.name) ? this.needs.maxGain(model.name, this.presentHoldersOf(model.name)) : 0;
+            if (load > 0 || this.inputs.awaitedModels.has(model.name) || needed > 0) {
+                const copyCount = this.copyCount(model.name);
+                urgencies.set(model, needed + (copyCount === 0 ? this.costWithoutCopy(model.name) : copyCount * queueCost(load / copyCount)));
+            }
+        }
+        return [...urgencies.keys()].sort((a, b) => urgencies.get(b)! - urgencies.get(a)!);
     }
 
     private loadOf(model: string): number {
@@ -142,9 +142,9 @@
         if (ownGain + this.needs.maxGain(model.name, this.holdersOf(model.name)) < minAdvantage) {
             return undefined;
         }
-        for (const tracker of this.usable) {
-            const least = Math.max(minAdvantage, best?.rank ?? minAdvantage);
-            if (chosen.has(tracker) || !tracker.canOrder || ownGain + this.maxNetNeed(model, tracker, added) < least) {
+        for (const tracker of this.usable.filter(usable => usable.canOrder && !chosen.has(usable))) {
+            const maxAdvantage = ownGain + this.maxNetNeed(model, tracker, added);
+            if (maxAdvantage < minAdvantage || (best && maxAdvantage - this.delayCost(model, tracker, []) < best.rank)) {
                 continue;
             }
             const option = this.optionAt(model, tracker, minAdvantage);
@@ -157,6 +157,9 @@
 
     /** A load of a model that requests wait for at a runner with room, while its planned copy waits for memory: that may take as long as the streams there last. */
     private optionBesidePlan(model: ModelSpec, chosen: ReadonlySet<RunnerTracker>): CopyOption | undefined {
+        if (!this.needs.hasWaiting(model.name)) {
+            return undefined;
+        }
         const present = new Set(this.presentHoldersOf(model.name));
         const planned = [...this.holdersOf(model.name)].filter(tracker => !present.has(tracker));
         if (!planned.some(tracker => this.needs.isAwaited(model.name, tracker, present))) {
@@ -192,7 +195,7 @@
 
     /** The best option to load a model on a runner, undefined if none has an advantage over `least`. */
     private optionAt(model: ModelSpec, tracker: RunnerTracker, least: number): CopyOption | undefined {
-        const { engine, demand, mayLoadFromWeightStore } = this.inputs;
+        const { engine, mayLoadFromWeightStore } = this.inputs;
         if (holdsOrLoads(tracker, model.name) || (tracker.loadsFromWeightStore(model.name) && !mayLoadFromWeightStore)) {
             return undefined;
         }
@@ -203,8 +206,7 @@
             if (advantage <= least) {
                 continue;
             }
-            const readyMs = estimateUnloadMs(victims, demand) + tracker.loadMs(model);
-            const rank = advantage - this.needs.delayCost(model.name, tracker, readyMs, this.holdersOf(model.name));
+            const rank = advantage - this.delayCost(model, tracker, victims);
             if (!best || rank > best.rank) {
                 best = { tracker, victims, advantage, rank };
             }
@@ -212,8 +214,10 @@
         return best;
     }
 
-    private isServedElsewhere(model: string, tracker: RunnerTracker): boolean {
-        return [...this.holdersOf(model)].some(other => other !== tracker && serves(other, model));
+    /** What waiting requests lose until a copy at a runner serves; least without victims. */
+    private delayCost(model: ModelSpec, tracker: RunnerTracker, victims: readonly string[]): number {
+        const readyMs = estimateUnloadMs(victims, this.inputs.demand) + tracker.loadMs(model);
+        return this.needs.delayCost(model.name, tracker, readyMs, this.holdersOf(model.name));
     }
 
     private advantage(model: ModelSpec, tracker: RunnerTracker, victims: readonly string[]): number {
@@ -226,9 +230,9 @@
         let loss = 0;
         for (const victim of victims) {
             const copiesBefore = this.copyCount(victim);
-            const isLastServing = !this.isServedElsewhere(victim, tracker);
+            const isLastServing = ![...this.holdersOf(victim)].some(other => other !== tracker && serves(other, victim));
             const victimLoad = this.loadOf(victim);
-            loss += busyVictimCost * 2 ** (-this.inputs.demand.idleMs(victim) / busyHalfLifeMs);
+            loss += busyUnloadCost(this.inputs.demand.idleMs(victim));
             loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.costWithoutCopy(victim) : 0);
             loss += this.needs.lossAt(victim, tracker, this.holdersOf(victim));
             this.trackersByModel.get(victim)?.forEach(other =>
