--- a/test/requestLimits.test.ts
+++ b/test/requestLimits.test.ts
@@ -38,9 +38,10 @@
     after(() => setupLogs("info"));
 
     for (const { name, runnerCount, limitedCount, limitPerS, minServedShare, minUsedShare } of cases) {
-        it(`is kept by all nodes together: ${name}`, async () => {
+        it(`is kept by all nodes together: ${name}`, async t => {
             const random = createRandom(11);
             const fleet = await ServingFleet.create(7, runnerCount, { crashParts: new Set(), restartMs: 1_000 });
+            t.after(() => fleet.close());
             const results: { readonly at: number; readonly status?: number; readonly afterMs: number; readonly retryAfter?: unknown; }[] = [];
             const pending: Promise<unknown>[] = [];
             await sleep(1_500);
@@ -70,12 +71,12 @@
             const refused = later.filter(({ status }) => status === 503);
             assert.deepEqual(refused.filter(({ retryAfter }) => retryAfter === undefined), [], "refusals without Retry-After");
             assert.ok(refused.every(({ afterMs }) => afterMs < 500), "requests that cannot be served are refused at once");
-            fleet.close();
         });
     }
 
-    it("no longer counts once the runner does not name it", async () => {
+    it("no longer counts once the runner does not name it", async t => {
         const fleet = await ServingFleet.create(7, 1, { crashParts: new Set(), restartMs: 1_000 });
+        t.after(() => fleet.close());
         const runner = fleet.runners[0]!;
         runner.limitPerS = 5;
         await sleep(1_500);
@@ -94,6 +95,5 @@
         await play(contactMs);
         assert.ok(await play(2_000) > 15, "not limited any more");
         await sleep(2_500);
-        fleet.close();
     });
 });
