--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -1,4 +1,5 @@
 import type { ModelSpec } from "../types/servingConfig";
+import { getOrCreate } from "../utils/maps";
 import { holdsOrLoads, isUsable, serves } from "./copies";
 import { CopyNeeds } from "./copyNeeds";
 import type { CopyPlanInputs } from "./copyPlanInputs";
@@ -25,6 +26,7 @@
 export class CopyPlan {
     private readonly trackersByModel = new Map<string, Set<RunnerTracker>>();
     private readonly utilisation = new Map<RunnerTracker, number>();
+    private readonly loads = new Map<string, number>();
     private readonly usedMb = new Map<RunnerTracker, number>();
     private readonly usable: readonly RunnerTracker[];
     /** Runners with a planned load. */
@@ -99,7 +101,7 @@
     }
 
     private loadOf(model: string): number {
-        return this.inputs.demand.loadOf(model);
+        return getOrCreate(this.loads, model, () => this.inputs.demand.loadOf(model));
     }
 
     /** Usable runners that have a model, are loading it or will. */
@@ -203,11 +205,8 @@
         let best: CopyOption | undefined;
         for (const victims of victimSets(tracker, missingMb, engine, name => this.loadOf(name))) {
             const advantage = this.advantage(model, tracker, victims);
-            if (advantage <= least) {
-                continue;
-            }
-            const rank = advantage - this.delayCost(model, tracker, victims);
-            if (!best || rank > best.rank) {
+            const rank = advantage > least ? advantage - this.delayCost(model, tracker, victims) : Number.NEGATIVE_INFINITY;
+            if (rank > (best?.rank ?? Number.NEGATIVE_INFINITY)) {
                 best = { tracker, victims, advantage, rank };
             }
         }
