--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -13,6 +13,7 @@
 import { StoreFreshness } from "../core/storeFreshness";
 import { StreamVersions } from "../core/streamVersions";
 import { UpstreamAvailability } from "../core/upstreamAvailability";
+import { UpstreamContact } from "../core/upstreamContact";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { WaitingRequests } from "../core/waitingRequests";
@@ -117,6 +118,8 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Whether this node reaches upstreams over its own links. */
+    readonly contact = UpstreamContact.create();
     /** Connections to upstreams that are open or being opened. */
     upstreamConnections = 0;
     isStopping = false;
