--- /dev/null
+++ b/test/fakes/cutFleet.ts
@@ -0,0 +1,179 @@
+import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
+import { Agent, request } from "node:http";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Random } from "../../src/utils/random";
+import { sleep } from "../../src/utils/time";
+import type { LinkCut } from "./linkCut";
+import { CutProxy, NewLinks, sourceAddressModule } from "./linkCut";
+import { PlatformProcess } from "./platformProcess";
+import { reservePort } from "./ports";
+import type { Script, ScriptedUpstream } from "./scriptedUpstream";
+import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./scriptedUpstream";
+import { sseEvents } from "./upstreamScripts";
+
+const nodeCount = 3;
+const upstreamsPerService = 3;
+const routeTimeoutMs = 6_000;
+const deadlineMs = 4_000;
+const graceS = 8;
+const events = 5;
+const workMs = 40;
+const maxThinkMs = 150;
+
+/** A caller's request that has ended. Times are on the monotonic clock. */
+export interface CutCall {
+    readonly id: string;
+    readonly node: number;
+    readonly kind: string;
+    readonly sentAt: number;
+    readonly endedAt: number;
+    /** Undefined if the connection ended without a whole answer. */
+    readonly status: number | undefined;
+    readonly isServed: boolean;
+}
+
+const kinds = ["streaming", "idempotent", "non_idempotent"] as const;
+
+const streamBody = sseEvents(1, events);
+
+const writeEvents = async (socket: Parameters<Script>[0], id: string): Promise<void> => {
+    socket.write(streamHeadOf(id));
+    for (let event = 1; event <= events && socket.writable; event++) {
+        await sleep(workMs / 2);
+        socket.write(chunkOf(sseEvents(event, event)));
+    }
+    socket.write(lastChunk);
+};
+
+/** Nodes as processes with upstreams of three services, from which nodes can be cut off while callers, store and peers reach them. */
+export class CutFleet {
+    readonly calls: CutCall[] = [];
+
+    private constructor(
+        private readonly folder: string,
+        private readonly subnet: number,
+        private readonly runs: ReadonlyMap<string, number>,
+        private readonly nodes: readonly PlatformProcess[],
+        private readonly proxies: readonly CutProxy[],
+        private readonly upstreams: readonly ScriptedUpstream[],
+    ) {}
+
+    /** Starts the nodes; `subnet` is the third part of their addresses on loopback. */
+    static async start(subnet: number): Promise<CutFleet> {
+        const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-cut-"));
+        const runs = new Map<string, number>();
+        const scripts: Readonly<Record<(typeof kinds)[number], Script>> = {
+            streaming: (socket, { id }) => void writeEvents(socket, id),
+            idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
+            non_idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
+        };
+        const rows: Record<string, object> = {};
+        const proxies: CutProxy[] = [];
+        const upstreams: ScriptedUpstream[] = [];
+        for (const kind of kinds) {
+            for (let index = 0; index < upstreamsPerService; index++) {
+                const upstream = await startScriptedUpstream((socket, req, self) => {
+                    if (req.head.startsWith("GET /h ")) {
+                        socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${kind}-${index}\r\nContent-Length: 0\r\n\r\n`);
+                        return;
+                    }
+                    runs.set(req.id, (runs.get(req.id) ?? 0) + 1);
+                    scripts[kind](socket, req, self);
+                });
+                const proxy = await CutProxy.create(upstream.address);
+                rows[`${kind}-${index}`] = { service: kind, addr: proxy.address, slots: 50 };
+                upstreams.push(upstream);
+                proxies.push(proxy);
+            }
+        }
+        const config = {
+            routes: kinds.map(kind => ({
+                name: kind,
+                host: "shop.example",
+                prefix: `/${kind}/`,
+                routeKind: kind,
+                timeoutMs: routeTimeoutMs,
+                service: kind,
+                attempts: 2,
+                resumable: kind === "streaming",
+            })),
+            services: kinds.map(name => ({ name, healthPath: "/h", maxConns: 500 })),
+        };
+        const closedPort = await reservePort();
+        const nodes: PlatformProcess[] = [];
+        for (let index = 0; index < nodeCount; index++) {
+            const address = CutFleet.addressOf(subnet, index);
+            const module = join(folder, `source-${index}.cjs`);
+            writeFileSync(module, sourceAddressModule(address, join(folder, `cut-${index}.json`), closedPort));
+            nodes.push(await PlatformProcess.start(graceS, config, rows, nodes[0], undefined, [module], address));
+        }
+        return new CutFleet(folder, subnet, runs, nodes, proxies, upstreams);
+    }
+
+    private static addressOf(subnet: number, node: number): string {
+        return `127.0.${subnet}.${node + 2}`;
+    }
+
+    /** Cuts a node off from all upstreams, or reconnects it. */
+    setCut(node: number, cut: LinkCut | undefined): void {
+        const isHeld = cut !== undefined && [NewLinks.Hang, NewLinks.Refused].includes(cut.new);
+        const ports = isHeld ? this.proxies.map(({ port }) => port) : [];
+        writeFileSync(join(this.folder, `cut-${node}.json`), JSON.stringify({ kind: cut?.new, ports }));
+        this.proxies.forEach(proxy => proxy.setCut(CutFleet.addressOf(this.subnet, node), cut));
+    }
+
+    /** Whether all nodes answer. */
+    async isServing(): Promise<boolean> {
+        const agent = new Agent();
+        const pairs = [...this.nodes.keys()].flatMap(node => kinds.map(kind => ({ node, kind })));
+        const calls = await Promise.all(pairs.map(({ node, kind }) => this.call(node, kind, `first-${node}-${kind}`, agent)));
+        return calls.every(({ isServed }) => isServed);
+    }
+
+    /** Sends requests to a node over a kept connection, one after the other, until the signal aborts. */
+    async runCaller(node: number, name: string, random: Random, signal: AbortSignal): Promise<void> {
+        const agent = new Agent({ keepAlive: true, maxSockets: 1 });
+        for (let count = 0; !signal.aborted; count++) {
+            await sleep(maxThinkMs * random(), signal);
+            const kind = kinds[Math.floor(random() * kinds.length)]!;
+            this.calls.push(await this.call(node, kind, `${name}-${count}`, agent));
+        }
+        agent.destroy();
+    }
+
+    /** How often upstreams began to run a request. */
+    runsOf(id: string): number {
+        return this.runs.get(id) ?? 0;
+    }
+
+    close(): void {
+        this.nodes.slice(1).forEach(node => node.process.kill("SIGKILL"));
+        this.nodes[0]?.close();
+        this.proxies.forEach(proxy => proxy.close());
+        this.upstreams.forEach(upstream => upstream.close());
+        rmSync(this.folder, { recursive: true });
+    }
+
+    private call(node: number, kind: (typeof kinds)[number], id: string, agent: Agent): Promise<CutCall> {
+        const sentAt = performance.now();
+        const [host, port] = this.nodes[node]!.front.split(":");
+        const headers = { host: "shop.example", "attempt-id": id, "deadline-ms": deadlineMs };
+        return new Promise(resolve => {
+            const finish = (status: number | undefined, body: string): void => {
+                const isServed = status === 200 && body === (kind === "streaming" ? streamBody : `done ${id}`);
+                clearTimeout(deadline);
+                resolve({ id, node, kind, sentAt, endedAt: performance.now(), status, isServed });
+            };
+            const req = request({ host, port, method: "POST", path: `/${kind}/x`, headers, agent }, res => {
+                const chunks: Buffer[] = [];
+                res.on("data", (chunk: Buffer) => chunks.push(chunk));
+                res.on("error", () => finish(undefined, ""));
+                res.on("end", () => finish(res.complete ? res.statusCode : undefined, Buffer.concat(chunks).toString()));
+            });
+            const deadline = setTimeout(() => req.destroy(), deadlineMs);
+            req.on("error", () => finish(undefined, ""));
+            req.end();
+        });
+    }
+}
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -34,7 +34,7 @@
         private readonly metrics: string,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, and load modules before the program. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, and have another address on loopback. */
     static async start(
         graceS: number,
         config: object,
@@ -42,17 +42,19 @@
         first?: PlatformProcess,
         maxDescriptors?: number,
         modules: readonly string[] = [],
+        ip = "127.0.0.1",
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
         const [store, server] = first ? [first.store, first.server] : await startStore();
         const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
-        const [front, ready, control] = ports.map(port => `127.0.0.1:${port}`);
+        const [front, ready, control] = ports.map(port => `${ip}:${port}`);
         const storeAddress = `127.0.0.1:${portOf(server)}`;
         writeFileSync(
             file,
             renderSettingsFile({
-                name: first ? "n2" : "n1",
+                name: first ? `n2-${ports[0]}` : "n1",
+                ip,
                 zone: "a",
                 front: front!,
                 ready: ready!,
@@ -74,7 +76,7 @@
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
-        const started = new PlatformProcess(node, front!, control!, store, server, folder, `127.0.0.1:${ports[3]}`);
+        const started = new PlatformProcess(node, front!, control!, store, server, folder, `${ip}:${ports[3]}`);
         Object.entries(upstreams).forEach(([id, row]) => started.putUpstream(id, row));
         return started;
     }
--- a/test/fakes/platformSettingsFile.ts
+++ b/test/fakes/platformSettingsFile.ts
@@ -11,12 +11,13 @@
     readonly graceS: number;
     readonly budgetSlack: number;
     readonly maxDescriptors?: number;
+    readonly ip?: string;
 }
 
 /** Renders the settings file (TOML) that the platform writes for a node. */
 export const renderSettingsFile = (fields: SettingsFileFields): string =>
     `nodeName = "${fields.name}"
-ip = "127.0.0.1"
+ip = "${fields.ip ?? "127.0.0.1"}"
 zone = "${fields.zone}"
 portRange = [${fields.metricsPort}, ${fields.metricsPort}]
 seeds = ${JSON.stringify(fields.seeds)}
