--- /dev/null
+++ b/src/core/chooseProbeTargets.ts
@@ -0,0 +1,45 @@
+import type { UpstreamServer } from "../types/upstreamServer";
+import { processKey, UpstreamState } from "../types/upstreamServer";
+import type { Random } from "../utils/random";
+
+/** What is known of the upstreams that may be probed. */
+export interface ProbeHistory {
+    /** Processes that were probed already. */
+    readonly asked: ReadonlySet<string>;
+    /** Processes with a failed connection. */
+    readonly failed: ReadonlySet<string>;
+    /** The process that sent something last. */
+    readonly lastSpeaker: string | undefined;
+}
+
+/** Weights of the reasons to probe another upstream instead; each outweighs all that follow. */
+const askedWeight = 16;
+const failedWeight = 8;
+const sameServiceWeight = 2;
+const sameZoneWeight = 1;
+const drainingWeight = 4;
+
+/** Chooses upstreams to probe: the one that spoke last first, then random ones of other services and zones. */
+export const chooseProbeTargets = (
+    servers: readonly UpstreamServer[],
+    count: number,
+    { asked, failed, lastSpeaker }: ProbeHistory,
+    random: Random,
+): readonly UpstreamServer[] => {
+    const chosen: UpstreamServer[] = [];
+    const ranked = servers.map(server => {
+        const key = processKey(server);
+        const isLastSpeaker = key === lastSpeaker && !asked.has(key) && !failed.has(key);
+        const weight = askedWeight * Number(asked.has(key)) + failedWeight * Number(failed.has(key)) +
+            drainingWeight * Number(server.state === UpstreamState.Draining);
+        return { server, weight: isLastSpeaker ? -1 : weight + random() };
+    });
+    while (chosen.length < count && chosen.length < servers.length) {
+        const cost = ({ server, weight }: typeof ranked[number]): number =>
+            weight + sameServiceWeight * Number(chosen.some(({ service }) => service === server.service)) +
+            sameZoneWeight * Number(chosen.some(({ availabilityZone }) => availabilityZone === server.availabilityZone));
+        const best = ranked.filter(({ server }) => !chosen.includes(server)).reduce((left, right) => cost(right) < cost(left) ? right : left);
+        chosen.push(best.server);
+    }
+    return chosen;
+};
--- /dev/null
+++ b/src/core/contactEvidence.ts
@@ -0,0 +1,116 @@
+import { ContactFailure } from "../types/contactFailure";
+import type { AttentiveClock } from "./attentiveClock";
+
+/** Failures older than this say nothing of the path now. */
+const failureLifetimeMs = 2_000;
+/** Failures that a log line names. */
+const maxLoggedFailures = 6;
+
+/** The last failed connection to an upstream's process. */
+interface FailedConnection {
+    readonly kind: ContactFailure;
+    /** On the monotonic clock, and on the attentive one. */
+    readonly at: number;
+    readonly countedAt: number;
+}
+
+/** What this node's connections say of its path to the upstreams. */
+export class ContactEvidence {
+    private readonly failures = new Map<string, FailedConnection>();
+    private lastWordAt: number;
+    private busySince = 0;
+    private inProgress = 0;
+    private newPathProvenAt = Number.NEGATIVE_INFINITY;
+    private openedAt = Number.NEGATIVE_INFINITY;
+    /** The process that sent something last: it is the most likely to answer. */
+    lastSpeaker: string | undefined;
+
+    private constructor(private readonly clock: AttentiveClock) {
+        this.lastWordAt = clock.nowMs;
+    }
+
+    /** Creates the evidence of a node that has not used an upstream yet. */
+    static create(clock: AttentiveClock): ContactEvidence {
+        return new ContactEvidence(clock);
+    }
+
+    onSent(): void {
+        if (this.inProgress++ === 0) {
+            this.busySince = this.clock.nowMs;
+        }
+    }
+
+    onDone(): void {
+        this.inProgress--;
+    }
+
+    /** Records that something arrived over a connection that was opened at a time on the monotonic clock. */
+    onWord(process: string | undefined, connectionOpenedAt: number): void {
+        this.lastWordAt = this.clock.nowMs;
+        this.lastSpeaker = process ?? this.lastSpeaker;
+        if (connectionOpenedAt > this.newPathProvenAt) {
+            this.newPathProvenAt = connectionOpenedAt;
+            this.removeFailures(({ at }) => at <= connectionOpenedAt);
+        }
+    }
+
+    /** Records that a connection was opened, which says nothing of whether anything arrives over it. */
+    onOpened(): void {
+        this.openedAt = performance.now();
+        this.removeFailures(({ kind }) => kind === ContactFailure.Connect);
+    }
+
+    onFailure(process: string, kind: ContactFailure): void {
+        this.failures.set(process, { kind, at: performance.now(), countedAt: this.clock.nowMs });
+    }
+
+    forgetFailures(): void {
+        this.failures.clear();
+    }
+
+    /** Processes with a failed connection, since a new connection last proved that the path is there. */
+    get failedProcesses(): ReadonlySet<string> {
+        this.removeFailures(({ countedAt }) => this.clock.nowMs - countedAt > failureLifetimeMs);
+        return new Set(this.failures.keys());
+    }
+
+    /** Whether a connection failed after a time on the monotonic clock. */
+    hasFailedSince(time: number): boolean {
+        return [...this.failures.values()].some(({ at }) => at > time);
+    }
+
+    /** Age of the oldest failed connection since a new one last worked; 0 if there is none. */
+    get unexplainedMs(): number {
+        return this.failures.size === 0 ? 0 : this.clock.nowMs - Math.min(...[...this.failures.values()].map(({ countedAt }) => countedAt));
+    }
+
+    /** Time since anything arrived from an upstream. */
+    get quietMs(): number {
+        return this.clock.nowMs - this.lastWordAt;
+    }
+
+    /** Time for which requests have been in progress without anything from any upstream. */
+    get silentMs(): number {
+        return this.inProgress === 0 ? 0 : this.clock.nowMs - Math.max(this.lastWordAt, this.busySince);
+    }
+
+    /** Whether a connection was opened, or one that was opened since was answered, after a time on the monotonic clock. */
+    hasReachedSince(at: number): boolean {
+        return Math.max(this.openedAt, this.newPathProvenAt) > at;
+    }
+
+    /** What a log line says of it. */
+    get summary(): Readonly<Record<string, unknown>> {
+        const newPathAgeMs = performance.now() - this.newPathProvenAt;
+        return {
+            quietMs: Math.round(this.quietMs),
+            inProgress: this.inProgress,
+            newPathAgeMs: Number.isFinite(newPathAgeMs) ? Math.round(newPathAgeMs) : undefined,
+            failures: [...this.failures].slice(0, maxLoggedFailures).map(([process, { kind }]) => `${process} ${kind}`),
+        };
+    }
+
+    private removeFailures(matches: (failure: FailedConnection) => boolean): void {
+        this.failures.forEach((failure, process) => matches(failure) && this.failures.delete(process));
+    }
+}
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -62,6 +62,8 @@
     mayStillSend(): boolean;
     /** Called with each head that arrives on the connection, also with that of an answer to another request. */
     onAnyHead(decoded: AnswerHeaders): void;
+    /** Called when anything has arrived over the connection, with the time of its opening. */
+    onArrival(connectionOpenedAt: number): void;
 }
 
 /** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
@@ -156,6 +158,7 @@
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 framingWatch?.onProgress();
+                guard.onArrival(connection.openedAt);
                 const decoded = wire.decodeAnswer(status, headers);
                 guard.onAnyHead(decoded);
                 if (status < 200) {
@@ -177,6 +180,7 @@
             }),
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 framingWatch?.onProgress();
+                guard.onArrival(connection.openedAt);
                 if (isDropped) {
                     return;
                 }
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -27,3 +27,11 @@
     /** What marks the end of the answer; undefined if no head arrived. */
     readonly framing: AnswerFraming | undefined;
 }
+
+/** Ends of attempts of which no byte was sent. */
+export const unsentKinds: ReadonlySet<AttemptEndKind> = new Set([
+    AttemptEndKind.Withdrawn,
+    AttemptEndKind.Unsent,
+    AttemptEndKind.Unsendable,
+    AttemptEndKind.Withheld,
+]);
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -12,7 +12,7 @@
 import type { AttemptGuard, OutgoingRequest } from "./attempt";
 import { sendAttempt } from "./attempt";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind } from "./attemptEnd";
+import { AttemptEndKind, unsentKinds } from "./attemptEnd";
 import { AttemptOutcome } from "./attemptOutcome";
 import { AttemptTimers } from "./attemptTimers";
 import type { Call } from "./call";
@@ -21,6 +21,7 @@
 import type { Gateway } from "./gateway";
 import { logSent } from "./logSent";
 import { toOutgoingRequest } from "./outgoingRequest";
+import { recordFailedConnection } from "./recordFailedConnection";
 import { countFailure, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 
@@ -28,14 +29,6 @@
 const failedRunWeight = 0.5;
 const minServerErrorStatus = 500;
 
-/** Ends of attempts of which no byte was sent. */
-const unsentKinds: ReadonlySet<AttemptEndKind> = new Set([
-    AttemptEndKind.Withdrawn,
-    AttemptEndKind.Unsent,
-    AttemptEndKind.Unsendable,
-    AttemptEndKind.Withheld,
-]);
-
 /** Executes the attempts of one request, one after the other, and updates the upstream's traffic statistics after each. */
 export class AttemptExecutor {
     readonly relay: AnswerRelay;
@@ -79,6 +72,7 @@
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
         traffic.inFlight++;
+        gateway.contact.onSent();
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
         const onCallerAbort = (): void => abort.abort();
@@ -104,9 +98,11 @@
             timers.stop();
             call.signal.removeEventListener("abort", onCallerAbort);
             traffic.inFlight--;
+            gateway.contact.onDone();
             this.removePendingPrefill(choice);
         }
         this.framing = end.framing;
+        recordFailedConnection(gateway.contact, server, end.reason);
         if (unsentKinds.has(end.kind)) {
             call.progress.mayHaveRun = mayHaveRunBefore;
         }
@@ -125,6 +121,7 @@
         const pool = gateway.connectionPoolOf(server.id, server.address);
         const guard: AttemptGuard = {
             mayStillSend: () => gateway.availability.mayStillSend(server),
+            onArrival: openedAt => gateway.contact.onWord(processKey(server), openedAt),
             onAnyHead: decoded => gateway.availability.onAnswer(server, decoded, call.caller.requestId),
         };
         const toRequest = (): OutgoingRequest => {
--- /dev/null
+++ b/src/forward/contactMonitor.ts
@@ -0,0 +1,65 @@
+import { EventId } from "../types/eventId";
+import type { ServiceSpec } from "../types/servingConfig";
+import type { UpstreamServer } from "../types/upstreamServer";
+import { processKey } from "../types/upstreamServer";
+import type { UpstreamWord } from "../types/upstreamWord";
+import { emit } from "../utils/events";
+import { nextTurn, repeat } from "../utils/time";
+import { errorCodeOf } from "../utils/transport";
+import type { Gateway } from "./gateway";
+import { contactFailureOf } from "./recordFailedConnection";
+
+/** Interval at which the belief is brought up to date. */
+const tickIntervalMs = 100;
+/** Time in which an upstream has to answer a probe. */
+const probeTimeoutMs = 500;
+
+/** Sends a probe over a new connection and calls `onOpened` once that is open; resolves with what any answer says of its upstream. */
+export type AskUpstream = (server: UpstreamServer, service: ServiceSpec, signal: AbortSignal, onOpened: () => void) => Promise<UpstreamWord>;
+
+/** Probes upstreams to find out whether this node reaches any of them over its own links. */
+export class ContactMonitor {
+    private constructor(private readonly gateway: Gateway, private readonly ask: AskUpstream) {}
+
+    /** Creates a monitor that has not probed any upstream. */
+    static create(gateway: Gateway, ask: AskUpstream): ContactMonitor {
+        return new ContactMonitor(gateway, ask);
+    }
+
+    /** Monitors until the signal aborts. */
+    start(signal: AbortSignal): void {
+        const step = async (): Promise<void> => {
+            // What has arrived by now counts, also if this process is late to read it.
+            await nextTurn();
+            this.gateway.contact.tick(() => this.targets()).forEach(server => void this.probe(server));
+        };
+        void repeat(step, () => tickIntervalMs, signal, err => emit(EventId.ContactProbeFailed, { detail: errorCodeOf(err) }));
+    }
+
+    private targets(): readonly UpstreamServer[] {
+        const { directory, availability, config } = this.gateway;
+        return directory.all().filter(server => config?.services.has(server.service) && availability.mayCall(server));
+    }
+
+    private async probe(server: UpstreamServer): Promise<void> {
+        const { contact, availability, config } = this.gateway;
+        const service = config?.services.get(server.service);
+        if (!service) {
+            return;
+        }
+        const sentAt = performance.now();
+        try {
+            const word = await this.ask(server, service, AbortSignal.timeout(probeTimeoutMs), () => contact.onOpened());
+            availability.onAnswer(server, word);
+            contact.onProbeAnswered(processKey(server), sentAt);
+        }
+        catch (err) {
+            const reason = errorCodeOf(err);
+            emit(EventId.ContactProbeFailed, { upstream: server.id, detail: reason, afterMs: Math.round(performance.now() - sentAt) });
+            const failure = contactFailureOf(reason);
+            if (failure !== undefined) {
+                contact.onProbeFailed(processKey(server), failure);
+            }
+        }
+    }
+}
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -119,7 +119,7 @@
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
     /** Whether this node reaches upstreams over its own links. */
-    readonly contact = UpstreamContact.create();
+    readonly contact = UpstreamContact.create(() => this.random());
     /** Connections to upstreams that are open or being opened. */
     upstreamConnections = 0;
     isStopping = false;
@@ -206,6 +206,7 @@
                     this.upstreamConnections += change;
                     this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
                 },
+                () => this.contact.onOpened(),
             ));
     }
 
--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -27,6 +27,8 @@
     readonly client: Client;
     /** The connection's socket; undefined before it is being opened. */
     socket: Socket | undefined;
+    /** When it was opened, on the monotonic clock. */
+    openedAt = Number.NEGATIVE_INFINITY;
     private hasConnected = false;
     private isReset = false;
     /** How long the connection had been idle before its present request; undefined at its first. */
@@ -100,6 +102,7 @@
         }
         this.hasConnected = true;
         const socket: unknown = buildConnector({ timeout: connectTimeoutMs })(options, (...result) => {
+            this.openedAt = performance.now();
             this.recordReset(result[1] ?? undefined);
             void (result[0] ? Promise.resolve() : this.confirm()).then(() => callback(...unlessClosed(result)));
         });
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -17,11 +17,21 @@
     private learnedIdleMs = Number.POSITIVE_INFINITY;
     private learnedAt = Number.NEGATIVE_INFINITY;
 
-    private constructor(readonly address: string, private readonly maxHeadBytes: number, private readonly onCount: (change: number) => void) {}
+    private constructor(
+        readonly address: string,
+        private readonly maxHeadBytes: number,
+        private readonly onCount: (change: number) => void,
+        private readonly onOpened: () => void,
+    ) {}
 
-    /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number. */
-    static create(address: string, maxHeadBytes: number, onCount: (change: number) => void = () => {}): UpstreamConnectionPool {
-        return new UpstreamConnectionPool(address, maxHeadBytes, onCount);
+    /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number, `onOpened` when one is open. */
+    static create(
+        address: string,
+        maxHeadBytes: number,
+        onCount: (change: number) => void = () => {},
+        onOpened: () => void = () => {},
+    ): UpstreamConnectionPool {
+        return new UpstreamConnectionPool(address, maxHeadBytes, onCount, onOpened);
     }
 
     /** Number of connections that are open or being opened. */
@@ -99,7 +109,10 @@
     }
 
     private connect(confirm: () => Promise<unknown>): UpstreamConnection {
-        const connection = UpstreamConnection.create(this.address, this.maxHeadBytes, confirm);
+        const connection = UpstreamConnection.create(this.address, this.maxHeadBytes, () => {
+            this.onOpened();
+            return confirm();
+        });
         this.open.add(connection);
         this.onCount(1);
         connection.client.on("disconnect", () => {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -8,6 +8,8 @@
 import { takeoverDelayMs } from "../core/takeoverDelay";
 import { availabilityGauges } from "../forward/availabilityGauges";
 import { CallerServer } from "../forward/callerServer";
+import { contactGauges } from "../forward/contactGauges";
+import { ContactMonitor } from "../forward/contactMonitor";
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
@@ -22,6 +24,7 @@
 import { requestHeaderCodec } from "../platform/requestHeaderCodec";
 import { RunnerClient } from "../platform/runnerClient";
 import { StoreClient } from "../platform/storeClient";
+import { askUpstream } from "../platform/upstreamQuestion";
 import { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
@@ -111,6 +114,7 @@
         metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
+            ...contactGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
         ]);
         await serveMetrics(metrics, settings.metricsAddress);
@@ -154,7 +158,11 @@
         const lateLoads = LateLoads.create();
         const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
         const { availability } = gateway;
-        const runners = RunnerClient.create(settings.limits, (runner, word) => availability.onAnswer(runner, word));
+        const runners = RunnerClient.create(settings.limits, (runner, word) => {
+            gateway.contact.onWord();
+            availability.onAnswer(runner, word);
+        });
+        ContactMonitor.create(gateway, askUpstream).start(signal);
         gateway.prober = UpstreamProber.create(runners, runner => availability.mayCall(runner));
         const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners, lateLoads);
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -41,6 +41,12 @@
     [EventId.UpstreamQuiet]: "an upstream answered 503 and asked for no requests of this node for a time; `request` names the request, `leftMs` the time left",
     [EventId.UpstreamHeaderIgnored]:
         "a header of an answer about its upstream's availability is not valid and was ignored; `count` is the number of them since the start",
+    [EventId.UpstreamContactHeld]:
+        "an upstream answered over a new connection: this node reaches upstreams over its own links, `afterMs` after the last change; `reason` says what showed it",
+    [EventId.UpstreamContactDoubted]:
+        "connections to several upstreams failed, or nothing arrives from any: upstreams are probed; with the ages of the last word and of the last new connection that worked",
+    [EventId.UpstreamContactLost]: "no probe of several upstreams was answered: this node does not reach upstreams over its own links",
+    [EventId.ContactProbeFailed]: "an upstream did not answer a probe of this node's path to the upstreams",
     [EventId.RequestRefused]: "a request was answered with a failure",
     [EventId.AttemptFailed]: "an attempt on an upstream failed; the request may be retried",
     [EventId.StreamResumed]: "a stream was resumed after the last event that the caller received, on the same or another runner",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -10,6 +10,7 @@
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
+    EventId.UpstreamContactLost,
     EventId.RequestFailed,
     EventId.RequestUnanswered,
     EventId.AttemptStepFailed,
--- a/test/leavingUpstreams.test.ts
+++ b/test/leavingUpstreams.test.ts
@@ -128,7 +128,7 @@
         const pool = UpstreamConnectionPool.create(upstream.address, 10_000);
         const req = { requestId: "id-1", method: "POST", path: "/x", headers: [], body: Buffer.alloc(0), mayRepeat: false };
         const sink = { onHead: () => undefined, onData: () => SinkState.Ready };
-        const guard = { mayStillSend: () => false, onAnyHead: () => undefined };
+        const guard = { mayStillSend: () => false, onAnyHead: () => undefined, onArrival: () => undefined };
         const caller = { socket: new Socket() } as IncomingMessage;
         const presence = CallerPresence.watch(caller, new EventEmitter() as ServerResponse, Departures.create());
         const { kind } = await sendAttempt(pool, () => req, requestHeaderCodec, sink, guard, presence, AbortSignal.timeout(1_000));
--- a/test/upstreamConnections.test.ts
+++ b/test/upstreamConnections.test.ts
@@ -25,7 +25,7 @@
 const send = (pool: UpstreamConnectionPool, id: string): Promise<AttemptEnd> => {
     const req = { requestId: id, method: "POST", path: "/x", headers: ["attempt-id", id], body: Buffer.from("question"), mayRepeat: false };
     const sink = { onHead: () => undefined, onData: () => SinkState.Ready };
-    const guard = { mayStillSend: () => true, onAnyHead: () => undefined };
+    const guard = { mayStillSend: () => true, onAnyHead: () => undefined, onArrival: () => undefined };
     const presence = CallerPresence.watch({ socket: new Socket() } as IncomingMessage, new EventEmitter() as ServerResponse, Departures.create());
     presence.confirm = () => new Promise(resolve => setImmediate(() => resolve(true)));
     return sendAttempt(pool, () => req, requestHeaderCodec, sink, guard, presence, AbortSignal.timeout(timeoutMs));
