--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -34,6 +34,8 @@
     private failuresAt = 0;
     private unreachableUntil = 0;
     private unreachableCount = 0;
+    /** When a connection to it last failed. */
+    unreachableAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly now: () => number) {}
 
@@ -125,6 +127,7 @@
     }
 
     onUnreachable(): void {
+        this.unreachableAt = this.now();
         // Several requests may fail while the upstream already counts as unreachable; the time doubles only once for them.
         if (!this.isUnreachable) {
             this.unreachableCount++;
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -10,6 +10,7 @@
 import type { Gateway } from "./gateway";
 import type { QuarantineGate } from "./quarantineGate";
 import { selectUpstream } from "./selectUpstream";
+import { unreachableRunners } from "./unreachableRunners";
 import { allowsUpstream, constraintOf } from "./versionPin";
 import { waitForQuiet } from "./waitForQuiet";
 
@@ -155,7 +156,7 @@
             adapter: modelRequest.adapter,
             versions: constraintOf(call.versionPin),
             avoid: [...tried, ...unavailableOf(gateway, call.service)],
-            unreachable: [...tried].filter(id => gateway.trafficOf(id).isUnreachable),
+            unreachable: unreachableRunners(gateway, tried),
         });
         const { runner, readyInMs } = answer;
         const isComing = answer.isComing && !isOfOtherVersion(gateway, call, runner);
--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -17,6 +17,8 @@
 export const dueReportIntervalMs = 150;
 /** Number of failed reports that are retried at the short interval; after that the runner is likely gone. */
 const maxQuickReports = 3;
+/** Minimum time between two words of nodes on one runner that make it report at once: if they are wrong, the nodes are cut off themselves. */
+const minSuspicionPauseMs = 5_000;
 /** Delay before a pending order is resent. */
 export const orderResendMs = 400;
 
@@ -29,6 +31,7 @@
     /** Adapters that requests may use, with revisions so that nodes can fetch only changes. */
     adapters = AdapterRevisions.create();
     private readonly lastReportRequestAt = new WeakMap<RunnerTracker, number>();
+    private readonly lastSuspectedAt = new WeakMap<RunnerTracker, number>();
     private readonly lastOrderAt = new WeakMap<RunnerTracker, number>();
 
     private constructor(
@@ -53,7 +56,10 @@
     /** Records that a node could not reach a runner; its next report shows whether it is gone. */
     suspect(id: string): void {
         const tracker = this.trackers.get(id);
-        if (tracker?.isReachable && !tracker.isSuspected) {
+        const now = performance.now();
+        const lastAt = (tracker && this.lastSuspectedAt.get(tracker)) ?? Number.NEGATIVE_INFINITY;
+        if (tracker?.isReachable && !tracker.isSuspected && now - lastAt >= minSuspicionPauseMs) {
+            this.lastSuspectedAt.set(tracker, now);
             tracker.isSuspected = true;
             emit(EventId.RunnerSuspected, { runner: id, failedReports: tracker.failedReports });
         }
