--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -40,6 +40,8 @@
     [FailureKind.PromptQuarantined]: { status: 503, title: "runners crash on the request or a part of its prompt" },
     [FailureKind.StreamVersionGone]: { status: 503, title: "no upstream of the software version that began the stream is ready" },
     [FailureKind.StreamVersionUnknown]: { status: 503, title: "the software version that began the stream is not known" },
+    [FailureKind.UpstreamsUnreachable]: { status: 503, title: "neither the node nor a peer reaches the upstreams" },
+    [FailureKind.RelayRefused]: { status: 503, title: "the node does not take the request from a peer" },
     [FailureKind.RetryBudgetSpent]: { status: 503, title: "the retry budget is spent" },
     [FailureKind.CallerGone]: { status: 499, title: "the caller closed the connection" },
     [FailureKind.ClaimUnavailable]: { status: 503, title: "the claim could not be written" },
--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -8,6 +8,7 @@
 import { emit } from "../utils/events";
 import type { Call } from "./call";
 import { endUnread } from "./endUnread";
+import { addReport } from "./relayHeaders";
 import type { RequestProgress } from "./requestProgress";
 
 const msPerSecond = 1_000;
@@ -73,6 +74,7 @@
     if (failure.retryAfterMs !== undefined && status === unavailable) {
         res.setHeader("Retry-After", (failure.retryAfterMs / msPerSecond).toFixed(2));
     }
+    addReport(res, progress, failure);
     const body = JSON.stringify({
         type: `urn:jackdawtrail:problem:${failure.kind}`,
         title: failureClasses[failure.kind].title,
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -8,6 +8,7 @@
 import type { AnswerHead, AnswerSink } from "./attempt";
 import { SinkState } from "./attempt";
 import type { Call } from "./call";
+import { addReport } from "./relayHeaders";
 
 const connectionHeaders: ReadonlySet<string> = new Set(["connection", "keep-alive", "transfer-encoding", "upgrade", "proxy-connection", "te", "trailer"]);
 
@@ -138,6 +139,7 @@
         this.observer.onHead(head);
         if (this.isStreaming && !res.headersSent) {
             copyHeaders(res, head.headers, true);
+            addReport(res, this.call.progress, undefined, 1);
             res.writeHead(head.status);
             res.flushHeaders();
         }
@@ -203,6 +205,7 @@
         const head = this.head!;
         copyHeaders(res, head.headers, true);
         res.setHeader("content-length", this.bufferedBytes);
+        addReport(res, this.call.progress);
         res.writeHead(head.status);
         this.chunks.forEach(chunk => res.write(chunk));
         res.end();
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -33,6 +33,7 @@
 import type { Random } from "../utils/random";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
+import { PeerRelays } from "./peerRelays";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -120,6 +121,8 @@
     );
     /** Whether this node reaches upstreams over its own links. */
     readonly contact = UpstreamContact.create();
+    /** The peers through which callers are served while it does not. */
+    readonly peers = PeerRelays.create(this);
     /** Connections to upstreams that are open or being opened. */
     upstreamConnections = 0;
     isStopping = false;
--- a/src/forward/logAnswered.ts
+++ b/src/forward/logAnswered.ts
@@ -18,6 +18,7 @@
         request: caller.requestId,
         route: route.name,
         upstream,
+        peer: progress.peer,
         status: relay.head?.status,
         sends,
         framing,
--- a/src/forward/outgoingRequest.ts
+++ b/src/forward/outgoingRequest.ts
@@ -3,6 +3,7 @@
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import type { Gateway } from "./gateway";
+import { encodeRelayed } from "./relayHeaders";
 
 /** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
 const returnMarginMs = 8;
@@ -20,8 +21,10 @@
     return kept;
 };
 
-/** The request as it is sent to an upstream: a stream that has begun goes on after the last event that the caller has received. */
-export const toOutgoingRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string): OutgoingRequest => {
+const remainingMsOf = ({ deadlineAt }: Call): number => deadlineAt - performance.now() - returnMarginMs;
+
+/** The request with the headers of one attempt: a stream that has begun goes on after the last event that the caller has received. */
+const toRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string | undefined, priority?: number): OutgoingRequest => {
     const { req, route, caller } = call;
     const isResumed = relay.lastEventId !== undefined && relay.lastEventId !== caller.lastEventId;
     const forwarded = isResumed ? dropHeader(call.headers, "last-event-id") : call.headers;
@@ -33,8 +36,8 @@
             ...forwarded,
             ...gateway.wire.encodeAttempt({
                 upstreamId,
-                remainingMs: call.deadlineAt - performance.now() - returnMarginMs,
-                priority: caller.modelRequest ? Math.min(leastUrgentPriority, mostUrgentPriority + route.priority) : undefined,
+                remainingMs: remainingMsOf(call),
+                priority,
                 lastEventId: isResumed ? relay.lastEventId : undefined,
             }),
         ],
@@ -43,3 +46,22 @@
         mayRepeat: mayRepeat(route),
     };
 };
+
+/** The request as it is sent to an upstream. */
+export const toOutgoingRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string): OutgoingRequest =>
+    toRequest(gateway, call, relay, upstreamId, call.caller.modelRequest ? Math.min(leastUrgentPriority, mostUrgentPriority + call.route.priority) : undefined);
+
+/** The request as it is passed on to a peer, which may run it up to a number of times. */
+export const toRelayedRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, maxRuns: number): OutgoingRequest => {
+    const req = toRequest(gateway, call, relay, undefined);
+    const [name, value] = encodeRelayed({
+        node: gateway.settings.nodeId,
+        elapsedMs: Math.max(0, performance.now() - call.startedAt),
+        remainingMs: Math.max(1, remainingMsOf(call)),
+        configVersion: call.configVersion,
+        service: call.service,
+        maxRuns,
+        streamVersion: call.versionPin.version,
+    });
+    return { ...req, headers: [...req.headers, name, value] };
+};
--- a/src/forward/requestHead.ts
+++ b/src/forward/requestHead.ts
@@ -1,5 +1,6 @@
 import type { IncomingMessage } from "node:http";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
+import { relayHeader, relayReportHeader } from "./relayHeaders";
 
 /** Hop-by-hop headers, which are not forwarded. */
 const connectionHeaders: ReadonlySet<string> = new Set([
@@ -17,6 +18,9 @@
     "content-length",
 ]);
 
+/** Headers between nodes, which are not forwarded either. */
+const nodeHeaders: ReadonlySet<string> = new Set([relayHeader, relayReportHeader]);
+
 const headersNamedByConnection = (req: IncomingMessage): ReadonlySet<string> =>
     new Set((req.headers.connection ?? "").split(",").map(name => name.trim().toLowerCase()));
 
@@ -26,7 +30,8 @@
     const forwarded: string[] = [];
     for (let index = 0; index < req.rawHeaders.length; index += 2) {
         const name = req.rawHeaders[index]!.toLowerCase();
-        const isDropped = connectionHeaders.has(name) || wire.isSystemHeader(name) || (dropped.has(name) && !wire.isEndToEndHeader(name));
+        const isDropped = connectionHeaders.has(name) || nodeHeaders.has(name) || wire.isSystemHeader(name) ||
+            (dropped.has(name) && !wire.isEndToEndHeader(name));
         if (!isDropped) {
             forwarded.push(req.rawHeaders[index]!, req.rawHeaders[index + 1]!);
         }
--- /dev/null
+++ b/src/forward/requestReception.ts
@@ -0,0 +1,182 @@
+import type { IncomingMessage, ServerResponse } from "node:http";
+import { chooseTarget } from "../core/routeTable";
+import { EventId } from "../types/eventId";
+import type { Failure } from "../types/failure";
+import { FailureKind } from "../types/failureKind";
+import type { RelayedRequest } from "../types/relayedRequest";
+import { RequestStep } from "../types/requestStep";
+import type { ServiceRoute } from "../types/servingConfig";
+import { Verdict } from "../types/verdict";
+import { emit } from "../utils/events";
+import type { Random } from "../utils/random";
+import { errorCodeOf } from "../utils/transport";
+import { answerFailure } from "./answerFailure";
+import { answerUnexpectedError } from "./answerUnexpectedError";
+import { BodyCutoff } from "./bodyCutoff";
+import type { Call } from "./call";
+import type { CallerConnections } from "./callerConnections";
+import { CallerPresence } from "./callerPresence";
+import { ConnectionTurns } from "./connectionTurns";
+import { Forwarder } from "./forwarder";
+import type { Gateway } from "./gateway";
+import { relayHeaderBytes } from "./relayHeaders";
+import { readRequestBody } from "./requestBody";
+import { RequestEnds } from "./requestEnds";
+import { headerBytes, headersToForward, hostOf } from "./requestHead";
+import { RequestProgress } from "./requestProgress";
+import { SuspectParts } from "./suspectParts";
+import { createVersionPin } from "./versionPin";
+
+/** Retry-After while the node has no configuration. */
+const startingRetryAfterMs = 500;
+
+/** Retry-After of a stopping node: another one can accept the request at once. */
+const stoppingRetryAfterMs = 50;
+/** Mean Retry-After while connections are short. */
+const connectionsRetryAfterMs = 1_000;
+
+const refusalOf = (kind: FailureKind, detail: string, retryAfterMs?: number): Failure => ({ kind, detail, verdict: Verdict.NotRun, retryAfterMs });
+
+/** The service of a request: the one that the peer chose, if this node's configuration allows it. */
+const chooseService = ({ targets }: ServiceRoute, relayed: RelayedRequest | undefined, random: Random): string =>
+    targets.find(({ service, weight }) => service === relayed?.service && weight > 0)?.service ?? chooseTarget(targets, random) ?? "";
+
+/** Reads requests, of callers and of peers that pass theirs on, and has them forwarded. */
+export class RequestReception {
+    private readonly turns = ConnectionTurns.create();
+    private readonly bodyCutoff = BodyCutoff.create();
+    private readonly ends: RequestEnds;
+
+    private constructor(private readonly gateway: Gateway, private readonly connections: CallerConnections) {
+        this.ends = RequestEnds.create(gateway);
+    }
+
+    static create(gateway: Gateway, connections: CallerConnections): RequestReception {
+        return new RequestReception(gateway, connections);
+    }
+
+    /** Sets when the process exits at the latest, on the monotonic clock. */
+    setExit(deadlineAt: number): void {
+        this.bodyCutoff.setExit(deadlineAt);
+    }
+
+    /** Logs the requests that have no whole answer yet, as the process is about to exit. */
+    logCutAtExit(): void {
+        this.ends.logCutAtExit();
+    }
+
+    /** Answers a request, of a caller or as a peer passes it on. */
+    async handle(req: IncomingMessage, res: ServerResponse, relayed?: RelayedRequest): Promise<void> {
+        const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt, relayed);
+        this.ends.watch(req, res, progress);
+        if (!await this.turns.wait(req.socket, res)) {
+            this.ends.drop(res);
+            return;
+        }
+        this.ends.begin(res);
+        const presence = CallerPresence.watch(req, res, this.gateway.departures);
+        this.gateway.inProgress++;
+        res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
+        res.on("close", () => this.gateway.inProgress--);
+        if (this.gateway.isStopping && this.turns.isNewest(req.socket, res)) {
+            res.setHeader("Connection", "close");
+        }
+        try {
+            const call = await this.toCall(req, res, progress, presence);
+            if (call && !presence.signal.aborted) {
+                await Forwarder.create(this.gateway, call).run();
+            }
+        }
+        catch (err) {
+            answerUnexpectedError(req, res, progress, err);
+        }
+    }
+
+    /** Reads a request and finds its route; answers it with a failure if either does not succeed. */
+    private async toCall(
+        req: IncomingMessage,
+        res: ServerResponse,
+        progress: RequestProgress,
+        presence: CallerPresence,
+    ): Promise<Call | undefined> {
+        const { gateway } = this;
+        const caller = gateway.wire.decodeCaller(req.headers);
+        progress.requestId = caller.requestId;
+        const refuse = (failure: Failure, logFields: Readonly<Record<string, unknown>> = {}): undefined => {
+            if (!req.complete) {
+                // The rest of the body is not read, so the connection cannot be reused.
+                res.setHeader("Connection", "close");
+            }
+            answerFailure(res, progress, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
+            return undefined;
+        };
+        if (this.connections.isRefused(req)) {
+            res.setHeader("Connection", "close");
+            const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
+            return refuse(refusalOf(FailureKind.ConnectionsShort, "the node has no descriptor for the request", retryAfterMs));
+        }
+        const { config, routes } = gateway;
+        if (!config || !routes) {
+            return refuse(refusalOf(FailureKind.NotReady, "the node has not received a configuration yet", startingRetryAfterMs));
+        }
+        const { relayed } = progress;
+        if (headerBytes(req) - relayHeaderBytes(req.headers) > config.limits.maxHeaderBytes) {
+            return refuse(refusalOf(FailureKind.HeadersTooLarge, "the request headers exceed the configured limit"));
+        }
+        const path = (req.url ?? "/").split("?", 1)[0]!;
+        const route = routes.find(hostOf(req), path);
+        if (!route) {
+            return refuse(refusalOf(FailureKind.UnknownPath, "no route matches this host and path"));
+        }
+        const timeoutMs = Math.min(relayed?.remainingMs ?? caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+        const suspects = SuspectParts.create(req, caller.modelRequest);
+        const bodyResult = await readRequestBody(req, res, gateway.memory, {
+            maxBytes: config.limits.maxBodyBytes,
+            timeoutMs,
+            signal: presence.signal,
+            cutoff: this.bodyCutoff,
+            progress,
+            onPart: bytes => suspects.addPart(bytes),
+        });
+        if (!await presence.confirm()) {
+            return undefined;
+        }
+        if (bodyResult.kind === "lost") {
+            throw new Error("the request body ended early on a connection that is open");
+        }
+        if (bodyResult.kind === "no-memory") {
+            const { retryAfterMs, memory } = bodyResult.denial;
+            return refuse(refusalOf(FailureKind.MemoryShort, "the node has no memory for the request body in its time", retryAfterMs), { memory });
+        }
+        if (bodyResult.kind === "stopping") {
+            if (this.turns.isNewest(req.socket, res)) {
+                res.setHeader("Connection", "close");
+            }
+            return refuse(refusalOf(FailureKind.Stopping, "the node is shutting down and the request body is not complete", stoppingRetryAfterMs));
+        }
+        if (bodyResult.kind !== "whole") {
+            return refuse(
+                refusalOf(bodyResult.kind === "slow" ? FailureKind.SlowSender : FailureKind.BodyTooLarge, "the request body was not read completely"),
+            );
+        }
+        progress.step = RequestStep.Read;
+        return {
+            req,
+            res,
+            caller,
+            route: relayed ? { ...route, maxAttempts: Math.min(route.maxAttempts, relayed.maxRuns) } : route,
+            service: chooseService(route, relayed, gateway.random),
+            configVersion: config.version,
+            headers: headersToForward(req, gateway.wire),
+            body: bodyResult.body,
+            bodyMemory: bodyResult.memory,
+            suspectParts: suspects.finish(),
+            startedAt: progress.startedAt - (relayed?.elapsedMs ?? 0),
+            deadlineAt: progress.startedAt + timeoutMs,
+            versionPin: createVersionPin(relayed?.streamVersion),
+            progress,
+            presence,
+            signal: presence.signal,
+        };
+    }
+}
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -23,8 +23,8 @@
     readonly excluded: Set<string>;
 }
 
-/** Creates the pin of a stream that has not begun. */
-export const createVersionPin = (): VersionPin => ({ version: undefined, excluded: new Set() });
+/** Creates the pin of a stream that has not begun, or was begun by a version. */
+export const createVersionPin = (version?: string): VersionPin => ({ version, excluded: new Set() });
 
 /** Whether a request may be sent to an upstream. */
 export const allowsUpstream = ({ version, excluded }: VersionPin, server: UpstreamServer): boolean => {
@@ -53,7 +53,7 @@
 /** Pins a stream that its caller takes up to the version that began it; refuses it if that is not known or not available. */
 export const pinTakenUpStream = async (gateway: Gateway, call: Call): Promise<Refusal | undefined> => {
     const { route, service, caller, versionPin } = call;
-    if (caller.lastEventId === undefined || !mayBeTakenUp(route)) {
+    if (caller.lastEventId === undefined || versionPin.version !== undefined || !mayBeTakenUp(route)) {
         return undefined;
     }
     const { streamVersions, availability } = gateway;
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -10,6 +10,7 @@
 import { CallerServer } from "../forward/callerServer";
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
+import { RelayIntake } from "../forward/relayIntake";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
 import { UpstreamProber } from "../forward/upstreamProber";
 import { Controller } from "../placement/controller";
@@ -159,6 +160,7 @@
         const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners, lateLoads);
         const peerServer = PeerServer.create(gateway, controller, link);
+        peerServer.relayIntake = RelayIntake.create(gateway, this.server.reception, host => peerServer.nodes.hasHost(host));
         const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, link, {
             peerServer,
             controller,
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -51,6 +51,7 @@
         private readonly local: LocalComponents,
     ) {
         this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
+        gateway.peers.setPeers(this.peers.nodes);
         this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
         this.placements = PlacementClient.create(
             local.controller,
@@ -227,6 +228,7 @@
         gateway.knownNodes = Math.max(1, answer.nodeCount);
         if (answer.peers) {
             this.peers.setPeers(answer.peers);
+            this.gateway.peers.setPeers(this.peers.nodes);
         }
         this.peersVersion = answer.peersVersion;
         if (answer.adapters) {
--- a/src/placement/peerDirectory.ts
+++ b/src/placement/peerDirectory.ts
@@ -28,11 +28,16 @@
         return this.peers.length === 0 ? undefined : Math.max(...this.peers.map(({ cores }) => cores));
     }
 
+    /** All known peers but this node. */
+    get nodes(): readonly PeerNode[] {
+        const own = this.self().address;
+        const known = this.peers.length > 1 ? this.peers : this.seeds().map(address => ({ address, zone: "", cores: 1 }));
+        return known.filter(({ address }) => address !== own);
+    }
+
     /** Addresses of all known peers but this node. */
     get addresses(): readonly string[] {
-        const own = this.self().address;
-        const known = this.peers.length > 1 ? this.peers.map(({ address }) => address) : this.seeds();
-        return known.filter(address => address !== own);
+        return this.nodes.map(({ address }) => address);
     }
 
     /** Records that a peer did not answer. */
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -7,6 +7,7 @@
 import { toFailure } from "../core/failures";
 import { RequestPacer } from "../core/requestPacer";
 import type { Gateway } from "../forward/gateway";
+import type { RelayIntake } from "../forward/relayIntake";
 import { maxPartIdLength, maxSuspectParts } from "../forward/suspectParts";
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
@@ -23,6 +24,8 @@
 /** Limits on a peer's request. */
 const maxReportBytes = 4_194_304;
 const peerRequestTimeoutMs = 5_000;
+/** Callers' requests that peers pass on have headers of the size that callers may send. */
+const maxHeaderBytes = 262_144;
 
 /** Limits on the shared facts of one report. */
 const maxReportedCrashes = 1_024;
@@ -86,6 +89,8 @@
 
     /** Announcement of the controller with the highest known epoch. */
     latestAnnouncement: ControllerAnnouncement | undefined;
+    /** Takes callers' requests that peers pass on; without it, they are refused. */
+    relayIntake: RelayIntake | undefined;
     /** Called when a controller with a higher epoch becomes known. */
     onNewController: () => void = () => undefined;
 
@@ -109,7 +114,11 @@
     /** Starts to serve peers on an address. */
     listen(address: string): Promise<void> {
         const router = createPeerServerRouter(this, this.controller);
-        this.httpServer = createServer((req, res) => {
+        this.httpServer = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (req, res) => {
+            if (this.relayIntake?.isRelayed(req)) {
+                this.relayIntake.handle(req, res);
+                return;
+            }
             const path = (req.url ?? "/").split("?", 1)[0]!.slice(1);
             nodeHTTPRequestHandler({ router, req, res, path, createContext: () => ({}), maxBodySize: maxReportBytes }).catch((err: unknown) => {
                 emit(EventId.PeerExchangeFailed, { peer: req.socket.remoteAddress, detail: toFailure(err).detail });
--- a/src/placement/reportedNodes.ts
+++ b/src/placement/reportedNodes.ts
@@ -53,6 +53,11 @@
         return [...byAddress.values()];
     }
 
+    /** Whether a node that reports has a host. */
+    hasHost(host: string): boolean {
+        return this.members.some(({ address }) => address.slice(0, address.lastIndexOf(":")) === host);
+    }
+
     /** Sum of the loads that nodes have reported, but for one of them. */
     loadsExcluding(node?: string): Record<string, [number, number]> {
         const sums: Record<string, [number, number]> = {};
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -92,8 +92,7 @@
     encodeAttempt: ({ upstreamId, remainingMs, priority, lastEventId }) => [
         "Deadline-Ms",
         String(Math.max(1, Math.floor(remainingMs))),
-        "Expect-Instance",
-        upstreamId,
+        ...(upstreamId === undefined ? [] : ["Expect-Instance", upstreamId]),
         ...(priority === undefined ? [] : ["Request-Priority", String(priority)]),
         ...(lastEventId === undefined ? [] : ["Last-Event-Id", lastEventId]),
     ],
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -30,6 +30,8 @@
     PromptQuarantined = "prompt-quarantined",
     StreamVersionGone = "stream-version-gone",
     StreamVersionUnknown = "stream-version-unknown",
+    UpstreamsUnreachable = "upstreams-unreachable",
+    RelayRefused = "relay-refused",
     RetryBudgetSpent = "retry-budget-spent",
     CallerGone = "caller-gone",
     ClaimUnavailable = "claim-unavailable",
--- /dev/null
+++ b/src/types/relayedRequest.ts
@@ -0,0 +1,15 @@
+/** What a node says of its caller's request when it passes it on to a peer. */
+export interface RelayedRequest {
+    /** The node that read the request. */
+    readonly node: string;
+    /** Time since the request arrived there, and until the answer is due. */
+    readonly elapsedMs: number;
+    readonly remainingMs: number;
+    readonly configVersion: number;
+    /** Service that was chosen among the targets of the route. */
+    readonly service: string;
+    /** Runs that are allowed. */
+    readonly maxRuns: number;
+    /** Software version that began the stream; undefined before it began. */
+    readonly streamVersion?: string;
+}
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -14,7 +14,8 @@
 
 /** Values that a node sends to an upstream in the headers of an attempt. */
 export interface AttemptHeaders {
-    readonly upstreamId: string;
+    /** Undefined for a peer, which chooses the upstream. */
+    readonly upstreamId?: string;
     readonly remainingMs: number;
     /** 0 is served first, 9 last. */
     readonly priority?: number;
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -77,6 +77,12 @@
     [EventId.AttemptStepFailed]: "an internal error at `step` ended an attempt; the request may be retried",
     [EventId.CallerWriteFailed]: "an answer could not be written to its caller",
     [EventId.ConnectionStale]: "a kept connection had ended before the request was sent over it; the request is sent over a new one",
+    [EventId.RequestPassedOn]:
+        "a caller's request is sent to a peer, as this node does not reach the upstreams: `contact` is what it believes of its links, `after` the outcome of the attempt before",
+    [EventId.RelayEnded]:
+        "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
+    [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
+    [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
