--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -12,6 +12,7 @@
 import { ContactMonitor } from "../forward/contactMonitor";
 import { Gateway } from "../forward/gateway";
 import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
+import { RelayIntake } from "../forward/relayIntake";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
 import { UpstreamProber } from "../forward/upstreamProber";
 import { Controller } from "../placement/controller";
@@ -167,6 +168,7 @@
         const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners, lateLoads);
         const peerServer = PeerServer.create(gateway, controller, link);
+        peerServer.relayIntake = RelayIntake.create(gateway, this.server.reception, host => peerServer.nodes.hasHost(host));
         const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, link, {
             peerServer,
             controller,
