--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -19,7 +19,7 @@
 
 const minServerErrorStatus = 500;
 
-const peerGuard: AttemptGuard = { mayStillSend: () => true, onAnyHead: () => undefined };
+const peerGuard: AttemptGuard = { mayStillSend: () => true, onAnyHead: () => undefined, onArrival: () => undefined };
 
 /** How an attempt through a peer ended. */
 export interface PeerAttemptEnd {
