--- a/src/core/contactEvidence.ts
+++ b/src/core/contactEvidence.ts
@@ -3,6 +3,11 @@
 
 /** Failures older than this say nothing of the path now. */
 const failureLifetimeMs = 2_000;
+/** Time without anything from any upstream after which one of them is probed: with requests in progress, and without. */
+const maxSilenceMs = 500;
+const maxQuietMs = 650;
+/** Time for which a failed connection may be explained by a new one that works elsewhere, before an upstream is probed, too. */
+const maxUnexplainedMs = 200;
 /** Failures that a log line names. */
 const maxLoggedFailures = 6;
 
@@ -79,8 +84,13 @@
         return [...this.failures.values()].some(({ at }) => at > time);
     }
 
+    /** Whether nothing has arrived from any upstream for a while, or a connection failed, if failures count now, and none worked since. */
+    isProbeDue(doFailuresCount: boolean): boolean {
+        return this.silentMs >= maxSilenceMs || this.quietMs >= maxQuietMs || (doFailuresCount && this.unexplainedMs >= maxUnexplainedMs);
+    }
+
     /** Age of the oldest failed connection since a new one last worked; 0 if there is none. */
-    get unexplainedMs(): number {
+    private get unexplainedMs(): number {
         return this.failures.size === 0 ? 0 : this.clock.nowMs - Math.min(...[...this.failures.values()].map(({ countedAt }) => countedAt));
     }
 
@@ -99,6 +109,11 @@
         return Math.max(this.openedAt, this.newPathProvenAt) > at;
     }
 
+    /** Whether a connection that was opened after a time on the monotonic clock was answered. */
+    hasAnsweredSince(time: number): boolean {
+        return this.newPathProvenAt > time;
+    }
+
     /** What a log line says of it. */
     get summary(): Readonly<Record<string, unknown>> {
         const newPathAgeMs = performance.now() - this.newPathProvenAt;
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -9,12 +9,7 @@
 import { chooseProbeTargets } from "./chooseProbeTargets";
 import { ContactEvidence } from "./contactEvidence";
 
-/** Time without anything from any upstream after which one of them is probed: with requests in progress, and without. */
-const maxSilenceMs = 500;
-const maxQuietMs = 650;
-/** Time for which a failed connection may be explained by a new one that works elsewhere, before an upstream is probed, too. */
-const maxUnexplainedMs = 200;
-/** Time after which such a probe counts as unanswered. */
+/** Time after which the probe of a held path counts as unanswered. */
 const checkTimeoutMs = 200;
 /** Failed connections to this many processes, without a new one that worked in between, raise a doubt. */
 const minFailedProcesses = 2;
@@ -81,6 +76,18 @@
         return this.current === ContactState.Held && this.evidence.failedProcesses.size < minFailedProcesses && this.evidence.hasReachedSince(failedAt);
     }
 
+    /** Whether the path is held, and an upstream answered over a connection that was opened after a time on the monotonic clock. */
+    isProvenSince(time: number): boolean {
+        return this.current === ContactState.Held && this.evidence.hasAnsweredSince(time);
+    }
+
+    /** Upstreams to probe for a proof of the path now. */
+    proofTargets(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
+        const targets = this.choose(listTargets, firstProbes);
+        this.probeCount += targets.length;
+        return targets;
+    }
+
     /** Whether a kept connection may carry a request that must not be repeated. */
     get trustsKeptConnections(): boolean {
         return this.current === ContactState.Held && this.evidence.silentMs < maxTrustedSilenceMs;
@@ -153,7 +160,7 @@
 
     private whileHeld(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
         this.doubtAfterFailures();
-        const isCheckDue = this.isCheckDue();
+        const isCheckDue = this.evidence.isProbeDue(this.clock.nowMs >= this.mayConcludeAt);
         if (!isCheckDue) {
             this.checkedAt = undefined;
             this.asked.clear();
@@ -172,12 +179,6 @@
         return targets;
     }
 
-    /** Whether nothing has arrived from any upstream for a while, or a connection failed and none worked since. */
-    private isCheckDue(): boolean {
-        const { silentMs, quietMs, unexplainedMs } = this.evidence;
-        return silentMs >= maxSilenceMs || quietMs >= maxQuietMs || (unexplainedMs >= maxUnexplainedMs && this.clock.nowMs >= this.mayConcludeAt);
-    }
-
     /** Whether upstreams are only slow to answer probes: connections open, none failed, and answers arrive on those that were open before. */
     private get areProbesSlow(): boolean {
         return this.failedProbes === 0 && !this.evidence.hasFailedSince(this.changedAtMs) && this.evidence.hasReachedSince(this.changedAtMs) &&
--- a/src/forward/contactMonitor.ts
+++ b/src/forward/contactMonitor.ts
@@ -1,3 +1,4 @@
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { ServiceSpec } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
@@ -36,6 +37,18 @@
         void repeat(step, () => tickIntervalMs, signal, err => emit(EventId.ContactProbeFailed, { detail: errorCodeOf(err) }));
     }
 
+    /** Whether an upstream other than the given one answers over a connection that was opened after a time on the monotonic clock; probes some if none has yet. */
+    async confirm(except: UpstreamServer, since: number): Promise<boolean> {
+        const { contact } = this.gateway;
+        if (!contact.isProvenSince(since)) {
+            const targets = contact.proofTargets(() => this.targets().filter(({ id }) => id !== except.id));
+            await Promise.all(targets.map(server => this.probe(server)));
+            // Where there is no other upstream, nothing speaks for the loss of the path rather than for that of the upstream.
+            return targets.length === 0 ? contact.state === ContactState.Held : contact.isProvenSince(since);
+        }
+        return true;
+    }
+
     private targets(): readonly UpstreamServer[] {
         const { directory, availability, config } = this.gateway;
         return directory.all().filter(server => config?.services.has(server.service) && availability.mayCall(server));
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -31,6 +31,7 @@
 import { MemoryGauge } from "../utils/memoryGauge";
 import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
+import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
@@ -94,6 +95,8 @@
     placement: Placement = disabledPlacement;
     /** Probes silent runners; without it, silence alone counts, and no crash is recorded. */
     prober: UpstreamProber | undefined;
+    /** Without it, this node takes its path to the upstreams for granted. */
+    contactMonitor: ContactMonitor | undefined;
     /** Counts the changes of what this node shares with the others. */
     readonly factCounter: RevisionCounter = { value: 0 };
     /** Crashes of runners, and the prompt parts that are in quarantine for them. */
@@ -104,7 +107,7 @@
     readonly availability = UpstreamAvailability.create(this.directory, id => this.trafficByUpstream.get(id)?.inFlight ?? 0, this.factCounter);
     /** Requests that wait until an upstream that asked for quiet takes requests again. */
     readonly quietWaiters = WaitingRequests.create();
-    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
+    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     private readonly memoryGauge = MemoryGauge.create();
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -162,7 +162,8 @@
             gateway.contact.onWord();
             availability.onAnswer(runner, word);
         });
-        ContactMonitor.create(gateway, askUpstream).start(signal);
+        gateway.contactMonitor = ContactMonitor.create(gateway, askUpstream);
+        gateway.contactMonitor.start(signal);
         gateway.prober = UpstreamProber.create(runners, runner => availability.mayCall(runner));
         const link = ControllerLink.create();
         const controller = Controller.create(gateway, lease, runners, lateLoads);
--- a/test/fakes/servingFleet.ts
+++ b/test/fakes/servingFleet.ts
@@ -1,7 +1,9 @@
 import { CallerServer } from "../../src/forward/callerServer";
+import { ContactMonitor } from "../../src/forward/contactMonitor";
 import { UpstreamProber } from "../../src/forward/upstreamProber";
 import { defaultTransportLimits } from "../../src/node/transportLimitSettings";
 import { RunnerClient } from "../../src/platform/runnerClient";
+import { askUpstream } from "../../src/platform/upstreamQuestion";
 import { RouteKind } from "../../src/types/servingConfig";
 import { createRandom } from "../../src/utils/random";
 import type { CallerResult } from "./gatewayHarness";
@@ -38,6 +40,8 @@
 const startNode = async (store: MemoryPlatformStore, name: string, seeds: readonly string[], signal: AbortSignal) => {
     const node = await createNode(store, name, seeds, signal);
     node.gateway.prober = UpstreamProber.create(RunnerClient.create(defaultTransportLimits));
+    node.gateway.contactMonitor = ContactMonitor.create(node.gateway, askUpstream);
+    node.gateway.contactMonitor.start(signal);
     node.gateway.applyConfig({
         version: 1,
         routes: [route, counterRoute, bookingRoute],
