--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -5,6 +5,7 @@
 import type { LateLoads } from "../core/lateLoads";
 import { RunnerTracker } from "../core/runnerTracker";
 import type { Gateway } from "../forward/gateway";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { RunnerControl, RunnerOrder } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
@@ -40,7 +41,14 @@
         private readonly runners: RunnerControl,
         private readonly lateLoads: LateLoads,
         private readonly onDone: () => void,
-    ) {}
+    ) {
+        gateway.contact.observe(state => {
+            if (state === ContactState.Lost) {
+                // Reports that failed shortly before did so for the same reason.
+                this.trackers.forEach(tracker => tracker.failedReports = 0);
+            }
+        });
+    }
 
     /** Creates a manager that tracks no runners yet; `onDone` is called when a load or unload has completed. */
     static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl, lateLoads: LateLoads, onDone: () => void): RunnerManager {
@@ -82,7 +90,8 @@
 
     /** Adds and removes trackers according to the directory, and fetches the reports that are due. */
     sync(service: string, engine: EngineSpec): void {
-        const { directory, availability } = this.gateway;
+        const { directory, availability, contact } = this.gateway;
+        const isReaching = contact.state !== ContactState.Lost;
         const servers = directory.all().filter(server => server.service === service).map(server => availability.effective(server));
         const ids = new Set(servers.map(({ id }) => id));
         for (const [id, tracker] of this.trackers) {
@@ -101,9 +110,9 @@
             }
         }
         for (const tracker of this.trackersOf(service)) {
-            tracker.mayOrder = this.lease.mayOrder(tracker.server.id) && availability.mayCall(tracker.server);
+            tracker.mayOrder = isReaching && this.lease.mayOrder(tracker.server.id) && availability.mayCall(tracker.server);
             this.adapters.update(tracker.server.id, [...tracker.adapters.keys()].filter(artifact => tracker.hasAdapter(artifact)));
-            if (availability.mayCall(tracker.server)) {
+            if (isReaching && availability.mayCall(tracker.server)) {
                 this.refresh(tracker, engine);
             }
         }
@@ -127,6 +136,7 @@
     }
 
     private async fetchReport(tracker: RunnerTracker): Promise<void> {
+        const requestedAt = performance.now();
         try {
             const report = await this.runners.fetchReport(tracker.server);
             const { transition } = tracker;
@@ -139,8 +149,8 @@
             }
         }
         catch (err) {
-            // A runner that asks for quiet is alive.
-            if (this.gateway.availability.quietMsOf(tracker.server) === 0) {
+            // A runner that asks for quiet is alive, and one that this node does not reach may be.
+            if (this.gateway.availability.quietMsOf(tracker.server) === 0 && !this.gateway.contact.wasLostSince(requestedAt)) {
                 tracker.failedReports++;
             }
             emit(EventId.ReportFailed, { runner: tracker.server.id, detail: toFailure(err).detail });
