--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -9,12 +9,7 @@
 import { chooseProbeTargets } from "./chooseProbeTargets";
 import { ContactEvidence } from "./contactEvidence";
 
-/** Time without anything from any upstream after which one of them is probed: with requests in progress, and without. */
-const maxSilenceMs = 500;
-const maxQuietMs = 650;
-/** Time for which a failed connection may be explained by a new one that works elsewhere, before an upstream is probed, too. */
-const maxUnexplainedMs = 200;
-/** Time after which such a probe counts as unanswered. */
+/** Time after which the probe of a held path counts as unanswered. */
 const checkTimeoutMs = 200;
 /** Failed connections to this many processes, without a new one that worked in between, raise a doubt. */
 const minFailedProcesses = 2;
@@ -38,9 +33,6 @@
     [ContactState.Lost]: EventId.UpstreamContactLost,
 };
 
-/** Called after each change of the belief. */
-type ContactObserver = (state: ContactState, previous: ContactState) => void;
-
 /**
  * What this node believes of its own path to the upstreams. One upstream that fails or is silent says nothing of it. Failures at several, or silence of all, raise
  * a doubt that probes over new connections decide: answers on open connections do not show that new ones can be opened.
@@ -48,11 +40,12 @@
 export class UpstreamContact {
     private readonly clock = AttentiveClock.create();
     private readonly evidence = ContactEvidence.create(this.clock);
-    private readonly observers: ContactObserver[] = [];
+    private readonly observers: ((state: ContactState, previous: ContactState) => void)[] = [];
     private current = ContactState.Held;
     /** When the state changed, on the attentive clock and on the monotonic one. */
     private changedAt = this.clock.nowMs;
     private changedAtMs = performance.now();
+    private lostUntil = Number.NEGATIVE_INFINITY;
     private mayConcludeAt = Number.NEGATIVE_INFINITY;
     /** Start of the check that is not answered yet, and of the latest probes of a lost path. */
     private checkedAt: number | undefined;
@@ -81,24 +74,36 @@
         return this.current === ContactState.Held && this.evidence.failedProcesses.size < minFailedProcesses && this.evidence.hasReachedSince(failedAt);
     }
 
+    /** Whether the path is held, and an upstream answered over a connection that was opened after a time on the monotonic clock. */
+    isProvenSince(time: number): boolean {
+        return this.current === ContactState.Held && this.evidence.hasAnsweredSince(time);
+    }
+
+    /** Upstreams to probe for a proof of the path now. */
+    proofTargets(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
+        const targets = this.choose(listTargets, firstProbes);
+        this.probeCount += targets.length;
+        return targets;
+    }
+
+    /** Whether the path has been lost at a time since the given one, on the monotonic clock. */
+    wasLostSince(time: number): boolean {
+        return this.current === ContactState.Lost || this.lostUntil > time;
+    }
+
     /** Whether a kept connection may carry a request that must not be repeated. */
     get trustsKeptConnections(): boolean {
         return this.current === ContactState.Held && this.evidence.silentMs < maxTrustedSilenceMs;
     }
 
     /** Calls the observer after each change. */
-    observe(observer: ContactObserver): void {
+    observe(observer: (state: ContactState, previous: ContactState) => void): void {
         this.observers.push(observer);
     }
 
-    /** Records that a request was sent to an upstream. */
-    onSent(): void {
-        this.evidence.onSent();
-    }
-
-    /** Records that such a request has ended. */
-    onDone(): void {
-        this.evidence.onDone();
+    /** Adds to the number of requests in progress at upstreams. */
+    countInProgress(change: number): void {
+        this.evidence.countInProgress(change);
     }
 
     /** Records that part of an answer arrived over a connection, opened at a time on the monotonic clock if that is known. */
@@ -153,7 +158,7 @@
 
     private whileHeld(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
         this.doubtAfterFailures();
-        const isCheckDue = this.isCheckDue();
+        const isCheckDue = this.evidence.isProbeDue(this.clock.nowMs >= this.mayConcludeAt);
         if (!isCheckDue) {
             this.checkedAt = undefined;
             this.asked.clear();
@@ -172,12 +177,6 @@
         return targets;
     }
 
-    /** Whether nothing has arrived from any upstream for a while, or a connection failed and none worked since. */
-    private isCheckDue(): boolean {
-        const { silentMs, quietMs, unexplainedMs } = this.evidence;
-        return silentMs >= maxSilenceMs || quietMs >= maxQuietMs || (unexplainedMs >= maxUnexplainedMs && this.clock.nowMs >= this.mayConcludeAt);
-    }
-
     /** Whether upstreams are only slow to answer probes: connections open, none failed, and answers arrive on those that were open before. */
     private get areProbesSlow(): boolean {
         return this.failedProbes === 0 && !this.evidence.hasFailedSince(this.changedAtMs) && this.evidence.hasReachedSince(this.changedAtMs) &&
@@ -231,6 +230,7 @@
 
     private change(state: ContactState, reason: string): void {
         const previous = this.current;
+        this.lostUntil = previous === ContactState.Lost ? performance.now() : this.lostUntil;
         const afterMs = Math.round(performance.now() - this.changedAtMs);
         emit(eventOf[state], { reason, previous, afterMs, probed: this.asked.size, failedProbes: this.failedProbes, ...this.evidence.summary });
         this.current = state;
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -31,8 +31,10 @@
 import { MemoryGauge } from "../utils/memoryGauge";
 import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
+import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
+import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
 import { PeerRelays } from "./peerRelays";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
@@ -95,6 +97,8 @@
     placement: Placement = disabledPlacement;
     /** Probes silent runners; without it, silence alone counts, and no crash is recorded. */
     prober: UpstreamProber | undefined;
+    /** Without it, this node takes its path to the upstreams for granted. */
+    contactMonitor: ContactMonitor | undefined;
     /** Counts the changes of what this node shares with the others. */
     readonly factCounter: RevisionCounter = { value: 0 };
     /** Crashes of runners, and the prompt parts that are in quarantine for them. */
@@ -105,7 +109,7 @@
     readonly availability = UpstreamAvailability.create(this.directory, id => this.trafficByUpstream.get(id)?.inFlight ?? 0, this.factCounter);
     /** Requests that wait until an upstream that asked for quiet takes requests again. */
     readonly quietWaiters = WaitingRequests.create();
-    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
+    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     private readonly memoryGauge = MemoryGauge.create();
@@ -142,6 +146,7 @@
         const firstWriteDelayMs = (): number => this.placement.isController ? 0 : maxFirstWriteDelayMs * (0.5 + random() / 2);
         const isInContact = (): boolean => this.freshness.isInContact;
         this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs, isInContact);
+        forgetFailuresOnRegain(this.contact, this.trafficByUpstream, this.poolByUpstream);
         this.directory.observe(({ id, server, version }, previous) => {
             // Rows also change with each adapter: such changes are not logged, as every node would log each.
             if (summaryOf(server) !== summaryOf(previous)) {
@@ -209,7 +214,7 @@
                     this.upstreamConnections += change;
                     this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
                 },
-                () => this.contact.onOpened(),
+                this.contact,
             ));
     }
 
