--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -47,6 +47,20 @@
         return this.refused.has(req);
     }
 
+    /** Counts the connection of a peer while it carries a request that was passed on. */
+    takeOver(req: IncomingMessage, res: ServerResponse): void {
+        const { memory } = this.gateway;
+        const { socket } = req;
+        memory.charge(MemoryHolder.CallerConnections, connectionBytes);
+        if (!this.descriptors.begin(socket)) {
+            this.refused.add(req);
+        }
+        res.once("close", () => {
+            memory.charge(MemoryHolder.CallerConnections, -connectionBytes);
+            this.descriptors.remove(socket);
+        });
+    }
+
     /** Bounds what a connection may hold of a head. Heads that are somewhat too large are still read and refused with a reason. */
     limitHeads(maxHeaderBytes: number): void {
         const server = this.server as Server & { maxHeaderSize?: number; };
--- a/src/forward/finalAnswer.ts
+++ b/src/forward/finalAnswer.ts
@@ -8,8 +8,8 @@
 import type { Gateway } from "./gateway";
 import { logAnswered } from "./logAnswered";
 import { isStranded, strandedRefusal } from "./peerPath";
+import type { Refusal } from "./refusal";
 import type { SendTally } from "./sendTally";
-import type { Refusal } from "./waitForUpstream";
 
 /** Default retry delay given to refused callers. */
 export const refusedRetryAfterMs = 700;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -8,6 +8,7 @@
 import { AttemptExecutor } from "./attemptExecutor";
 import { AttemptOutcome, unsentOutcomes } from "./attemptOutcome";
 import type { Call } from "./call";
+import { mayRepeat } from "./call";
 import { canFinishBeforeExit, mayFinishBeforeExit } from "./canFinishBeforeExit";
 import { FinalAnswer, refusedRetryAfterMs } from "./finalAnswer";
 import { findAlternative } from "./findAlternative";
@@ -16,11 +17,11 @@
 import { goesOnThroughPeer, goesThroughPeer, isStranded, strandedRefusal, unreachableRefusal } from "./peerPath";
 import { QuarantineGate } from "./quarantineGate";
 import { recordDemand } from "./recordDemand";
+import type { Refusal } from "./refusal";
 import { SendTally } from "./sendTally";
 import { stoppingRefusal, untilExit } from "./untilExit";
 import { mayBeginAt, pinTakenUpStream } from "./versionPin";
 import { waitForTurn } from "./waitForTurn";
-import type { Refusal } from "./waitForUpstream";
 import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
 
 /** Forwards one request until it has a final answer. */
@@ -35,6 +36,8 @@
     private outcome: AttemptOutcome | undefined;
     /** Upstream that was chosen while the latest attempt was still in progress. */
     private alternative: UpstreamChoice | undefined;
+    /** Whether the latest attempt was given up for one through a peer, which the retry budget was charged for. */
+    private leavesForPeer = false;
 
     private constructor(private readonly gateway: Gateway, private readonly call: Call) {
         this.attempts = AttemptExecutor.create(gateway, call);
@@ -100,11 +103,14 @@
                 this.answer.finish(this.outcome);
                 return;
             }
-            if (goesOnThroughPeer(gateway, call, this.outcome) && await this.finishThroughPeer()) {
+            if ((this.leavesForPeer || goesOnThroughPeer(gateway, call, this.outcome)) && await this.finishThroughPeer()) {
                 return;
             }
             next = await untilExit(gateway, this.chooseNextUpstream());
             if (isRefusal(next)) {
+                if (goesThroughPeer(gateway, call) && await this.finishThroughPeer()) {
+                    return;
+                }
                 this.refuseNext(this.outcome, next);
                 return;
             }
@@ -167,12 +173,8 @@
         progress.upstream = server.id;
         progress.softwareVersion = softwareVersionOf(server);
         this.tried.add(server.id);
-        const failOver = (): boolean => {
-            this.alternative = findAlternative(gateway, this.call, this.tried);
-            return this.alternative !== undefined;
-        };
         tally.add(1, 0);
-        const outcome = await this.attempts.run(choice, tally.sends, tally.mayRunAgain ? failOver : undefined);
+        const outcome = await this.attempts.run(choice, tally.sends, this.failOver());
         if (unsentOutcomes.has(outcome)) {
             tally.add(-1, 0);
         }
@@ -181,7 +183,7 @@
         }
         progress.mayHaveRun = tally.possibleRuns > 0;
         progress.framing = this.attempts.framing;
-        tally.isRetryPaid = outcome === AttemptOutcome.Withheld && tally.sends > 0;
+        tally.isRetryPaid = this.leavesForPeer || (outcome === AttemptOutcome.Withheld && tally.sends > 0);
         // An upstream that asked for quiet has not failed the request: it may get it after that time.
         if (outcome === AttemptOutcome.Withheld || (outcome === AttemptOutcome.NotRun && gateway.availability.quietMsOf(server) > 0)) {
             this.tried.delete(server.id);
@@ -189,6 +191,27 @@
         return outcome;
     }
 
+    /** What is tried while an upstream is silent; undefined if the request must not run again, here or at a peer. */
+    private failOver(): (() => boolean) | undefined {
+        const { gateway, call, tally: { mayRunAgain } } = this;
+        const isRelayed = call.progress.relayed !== undefined;
+        this.leavesForPeer = false;
+        if (!mayRunAgain && !(isRelayed && mayRepeat(call.route))) {
+            return undefined;
+        }
+        return () => {
+            if (isStranded(gateway, call)) {
+                return true;
+            }
+            if (!isRelayed && gateway.contact.state !== ContactState.Held && gateway.peers.choice.hasAny) {
+                this.leavesForPeer = gateway.budgetOf(call.service).withdraw();
+                return this.leavesForPeer;
+            }
+            this.alternative = mayRunAgain ? findAlternative(gateway, call, this.tried) : undefined;
+            return this.alternative !== undefined;
+        };
+    }
+
     /** Another upstream, if one is available and the service's retry budget allows it; otherwise why not. */
     private async chooseNextUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call, alternative, tally } = this;
--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -10,9 +10,9 @@
 import type { PeerAttemptEnd } from "./peerAttempt";
 import { runPeerAttempt } from "./peerAttempt";
 import type { QuarantineGate } from "./quarantineGate";
+import type { Refusal } from "./refusal";
 import type { SendTally } from "./sendTally";
 import { stoppingRefusal } from "./untilExit";
-import type { Refusal } from "./waitForUpstream";
 import { refuseQuarantined } from "./waitForUpstream";
 
 /** Peers that are asked for one request. */
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -69,6 +69,9 @@
     async handle(req: IncomingMessage, res: ServerResponse, relayed?: RelayedRequest): Promise<void> {
         const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt, relayed);
         this.ends.watch(req, res, progress);
+        if (relayed) {
+            this.connections.takeOver(req, res);
+        }
         if (!await this.turns.wait(req.socket, res)) {
             this.ends.drop(res);
             return;
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -7,6 +7,7 @@
 import type { AnswerRelay } from "./answerRelay";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { isPathLost } from "./peerPath";
 
 /** Silence of a model request or of a begun answer after which its upstream is probed; callers disconnect after 2 s at the earliest. */
 const maxSilenceMs = 1_500;
@@ -15,6 +16,9 @@
 /** The timeout for the first byte is at least this multiple of the upstream's usual latency. */
 const firstByteTimeoutFactor = 6;
 
+/** Silence after which an attempt is given up once no upstream answers over the node's links. */
+const minLostSilenceMs = 100;
+
 /** Watches one attempt for silence, and probes its runner before the attempt is given up. */
 export class SilenceWatch {
     private readonly sentAt = performance.now();
@@ -51,8 +55,12 @@
             this.silentSince = lastProgressAt;
             this.isAlive = this.isProbed ? undefined : false;
         }
+        const silentMs = performance.now() - this.silentSince;
+        if (isPathLost(this.gateway) && silentMs >= minLostSilenceMs) {
+            return true;
+        }
         const action = decideOnSilence({
-            silentMs: performance.now() - this.silentSince,
+            silentMs,
             maxSilenceMs: relay.head ? maxSilenceMs : this.firstByteTimeoutMs,
             allowedMs: call.deadlineAt - sentAt,
             isAlive: this.isAlive,
--- a/src/forward/untilExit.ts
+++ b/src/forward/untilExit.ts
@@ -1,6 +1,6 @@
 import { FailureKind } from "../types/failureKind";
 import type { Gateway } from "./gateway";
-import type { Refusal } from "./waitForUpstream";
+import type { Refusal } from "./refusal";
 
 /** Another node can take the request immediately. */
 const retryAfterMs = 50;
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -9,7 +9,7 @@
 import { emit } from "../utils/events";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
-import type { Refusal } from "./waitForUpstream";
+import type { Refusal } from "./refusal";
 import { waitForVersion } from "./waitForVersion";
 
 /** Retry delay given to a caller whose stream cannot be taken up. */
--- a/src/forward/waitForQuiet.ts
+++ b/src/forward/waitForQuiet.ts
@@ -7,8 +7,8 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import type { Refusal } from "./refusal";
 import { candidatesFor, toCandidate } from "./selectUpstream";
-import type { Refusal } from "./waitForUpstream";
 
 /** What became of a request for which no upstream is available now. */
 export interface QuietOutcome {
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -6,7 +6,7 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
-import type { Refusal } from "./waitForUpstream";
+import type { Refusal } from "./refusal";
 
 /** Waits for a turn at an upstream if it has named a limit. Refuses at once if the turn would come too late for an answer. */
 export const waitForTurn = async (gateway: Gateway, call: Call, choice: UpstreamChoice): Promise<Refusal | undefined> => {
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -8,7 +8,9 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { QuarantineGate } from "./quarantineGate";
+import type { Refusal } from "./refusal";
 import { selectUpstream } from "./selectUpstream";
 import { allowsUpstream, constraintOf } from "./versionPin";
 import { waitForQuiet } from "./waitForQuiet";
@@ -34,16 +36,6 @@
 /** Time until the final answer is due; a stopping node refuses waiting requests before it exits. */
 const remainingMsOf = (gateway: Gateway, call: Call): number => Math.min(call.deadlineAt, gateway.exitDeadlineAt - maxPollIntervalMs) - performance.now();
 
-/** Why a request is not sent to any upstream; it has not run. */
-export interface Refusal {
-    /** Why, if not for want of an upstream. */
-    readonly kind?: FailureKind;
-    readonly detail: string;
-    readonly retryAfterMs: number;
-    /** Whether the delay is already spread over callers. */
-    readonly isSpread?: boolean;
-}
-
 /** Whether no upstream was found. */
 export const isRefusal = (result: UpstreamChoice | Refusal): result is Refusal => "detail" in result;
 
@@ -81,7 +73,7 @@
     const queuedRequest = { firstTokenDueAt: call.startedAt + call.route.latencyObjectiveMs, priority: call.route.priority };
     try {
         while (!call.signal.aborted) {
-            const refusal = refuseQuarantined(gateway, gate);
+            const refusal = isPathLost(gateway) ? unreachableRefusal : refuseQuarantined(gateway, gate);
             const choice = refusal ? undefined : selectUpstream(gateway, call, tried);
             if (!choice) {
                 return refusal;
@@ -138,6 +130,9 @@
 ): Promise<UpstreamChoice | Refusal> => {
     const { modelRequest } = call.caller;
     while (!call.signal.aborted) {
+        if (isPathLost(gateway)) {
+            return unreachableRefusal;
+        }
         const choice = modelRequest ? await waitForCapacity(gateway, call, modelRequest, tried, gate) : selectUpstream(gateway, call, tried);
         if (choice) {
             return choice;
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -119,6 +119,8 @@
                 this.relayIntake.handle(req, res);
                 return;
             }
+            const timer = setTimeout(() => req.destroy(), peerRequestTimeoutMs);
+            req.once("close", () => clearTimeout(timer));
             const path = (req.url ?? "/").split("?", 1)[0]!.slice(1);
             nodeHTTPRequestHandler({ router, req, res, path, createContext: () => ({}), maxBodySize: maxReportBytes }).catch((err: unknown) => {
                 emit(EventId.PeerExchangeFailed, { peer: req.socket.remoteAddress, detail: toFailure(err).detail });
@@ -126,7 +128,8 @@
             });
         });
         this.httpServer.headersTimeout = peerRequestTimeoutMs;
-        this.httpServer.requestTimeout = peerRequestTimeoutMs;
+        // A body that a peer passes on may wait for memory: it has limits of its own.
+        this.httpServer.requestTimeout = 0;
         return listenOn(this.httpServer, address);
     }
 
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -1,9 +1,11 @@
 import { CallerServer } from "../../src/forward/callerServer";
 import { RelayIntake } from "../../src/forward/relayIntake";
 import { ContactState } from "../../src/types/contactState";
+import type { EventId } from "../../src/types/eventId";
 import type { ServiceRoute } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
+import { observeEvents } from "../../src/utils/events";
 import { createRandom } from "../../src/utils/random";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
@@ -136,3 +138,23 @@
         });
     }
 }
+
+/** An event that was logged while a fleet ran. */
+export interface LoggedEvent {
+    readonly event: EventId;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Runs a test on a fleet, with the events that all of its nodes log meanwhile. */
+export const withFleet = async (options: RelayFleetOptions, run: (fleet: RelayFleet, events: readonly LoggedEvent[]) => Promise<void>): Promise<void> => {
+    const fleet = await RelayFleet.create(options);
+    const events: LoggedEvent[] = [];
+    const stopObserving = observeEvents((event, fields) => events.push({ event, fields }));
+    try {
+        await run(fleet, events);
+    }
+    finally {
+        stopObserving();
+        fleet.close();
+    }
+};
