--- a/src/forward/attemptTimers.ts
+++ b/src/forward/attemptTimers.ts
@@ -4,11 +4,16 @@
 import type { Notice } from "../utils/notice";
 import { describeError } from "../utils/transport";
 import type { Call } from "./call";
-import type { SilenceWatch } from "./silenceWatch";
 
 /** Interval at which upstreams are checked for silence. */
 const silenceCheckIntervalMs = 100;
 
+/** Watches an attempt for silence. */
+export interface AttemptWatch {
+    /** Whether the attempt should be moved; called repeatedly. */
+    isExhausted(): boolean;
+}
+
 /** Aborts an attempt at the deadline, when the process exits, and earlier if its upstream is silent and another one can take the request. */
 export class AttemptTimers {
     private silenceTimer: NodeJS.Timeout | undefined;
@@ -27,7 +32,7 @@
     }
 
     /** Checks for silence; the attempt is aborted if `failOver` returns true. An error ends the checks alone. */
-    watchSilence(watch: SilenceWatch, failOver: () => boolean): void {
+    watchSilence(watch: AttemptWatch, failOver: () => boolean): void {
         this.silenceTimer = setInterval(() => {
             try {
                 if (watch.isExhausted() && failOver()) {
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -135,6 +135,7 @@
             return true;
         }
         if (gateway.contact.state === ContactState.Lost) {
+            gateway.peers.onUntaken();
             answer.refuseOrFinish(outcome, unreachableRefusal);
             return true;
         }
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -6,9 +6,14 @@
 import { emit } from "../utils/events";
 import { listenOn } from "../utils/listenOn";
 import type { Gateway } from "./gateway";
+import { isPathLost } from "./peerPath";
+
+/** Whether the node can serve callers: one that is cut off from the upstreams can as long as peers take its requests. */
+const canServe = (gateway: Gateway): boolean => !isPathLost(gateway) || !gateway.peers.takeNone;
 
 /** Whether the load balancer should send new connections to the node. */
-export const isReady = (gateway: Gateway): boolean => gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0;
+export const isReady = (gateway: Gateway): boolean =>
+    gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0 && canServe(gateway);
 
 /** Answers readiness checks of the load balancer with status 200 or 503. Returns the server. */
 export const serveReadiness = async (gateway: Gateway, address: string): Promise<Server> => {
@@ -22,6 +27,7 @@
                 configVersion: gateway.config?.version,
                 upstreams: gateway.directory.all().length,
                 stopping: gateway.isStopping,
+                contact: gateway.contact.state,
             });
         }
         req.resume();
--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -15,12 +15,21 @@
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 import { toRelayedRequest } from "./outgoingRequest";
+import { PeerSilence } from "./peerSilence";
 import { decodeReport, withoutReport } from "./relayHeaders";
 
 const minServerErrorStatus = 500;
 
 const peerGuard: AttemptGuard = { mayStillSend: () => true, onAnyHead: () => undefined };
 
+/** The peer of an attempt, and what it may do. */
+export interface PeerAttemptTarget {
+    readonly address: string;
+    readonly maxRuns: number;
+    /** Whether another peer would take the request if this one is no longer alive; undefined if the request must not run again. */
+    readonly mayMove: (() => boolean) | undefined;
+}
+
 /** How an attempt through a peer ended. */
 export interface PeerAttemptEnd {
     readonly outcome: AttemptOutcome;
@@ -30,6 +39,8 @@
     /** Sends to upstreams, and those of them that may have run. */
     readonly sends: number;
     readonly runs: number;
+    /** Whether it was given up, as the peer was silent or the time over. */
+    readonly isGivenUp: boolean;
 }
 
 /** Passes the answer of an upstream on as the peer relays it, and keeps back what the peer says itself. */
@@ -86,7 +97,13 @@
     return [head.status < minServerErrorStatus ? AttemptOutcome.Answered : AttemptOutcome.RanAndFailed, reason];
 };
 
-const exchange = async (gateway: Gateway, call: Call, relay: AnswerRelay, peer: string, maxRuns: number, sink: AnswerSink): Promise<AttemptEnd> => {
+const exchange = async (
+    gateway: Gateway,
+    call: Call,
+    relay: AnswerRelay,
+    { address, maxRuns, mayMove }: PeerAttemptTarget,
+    sink: AnswerSink,
+): Promise<AttemptEnd> => {
     const abort = new AbortController();
     const onCallerAbort = (): void => abort.abort();
     call.signal.addEventListener("abort", onCallerAbort, { once: true });
@@ -101,7 +118,10 @@
         return req;
     };
     try {
-        return await sendAttempt(gateway.peers.poolOf(peer), toRequest, gateway.wire, sink, peerGuard, call.presence, abort.signal);
+        if (mayMove) {
+            timers.watchSilence(PeerSilence.create(gateway.peers.prober, address, relay), mayMove);
+        }
+        return await sendAttempt(gateway.peers.poolOf(address), toRequest, gateway.wire, sink, peerGuard, call.presence, abort.signal);
     }
     catch (err) {
         // Once the request is sent, its attempt has an end and no error.
@@ -114,16 +134,17 @@
     }
 };
 
-/** Sends a request to a peer, which may run it up to a number of times, and passes on what an upstream answers. */
-export const runPeerAttempt = async (gateway: Gateway, call: Call, relay: AnswerRelay, peer: string, maxRuns: number): Promise<PeerAttemptEnd> => {
+/** Sends a request to a peer and passes on what an upstream answers. */
+export const runPeerAttempt = async (gateway: Gateway, call: Call, relay: AnswerRelay, target: PeerAttemptTarget): Promise<PeerAttemptEnd> => {
     const { progress } = call;
+    const { address: peer, maxRuns } = target;
     const sentAt = performance.now();
     const sink = new PeerAnswerSink(call, relay);
     progress.step = RequestStep.Send;
     progress.peer = peer;
     gateway.peers.passedOn++;
     gateway.peers.choice.onBegin(peer);
-    const end = await exchange(gateway, call, relay, peer, maxRuns, sink).finally(() => {
+    const end = await exchange(gateway, call, relay, target, sink).finally(() => {
         gateway.peers.passedOn--;
         gateway.peers.choice.onEnd(peer);
     });
@@ -148,5 +169,5 @@
         afterMs,
         framing: end.framing,
     });
-    return { outcome, reason, report, sends, runs };
+    return { outcome, reason, report, sends, runs, isGivenUp: end.kind === AttemptEndKind.Aborted };
 };
--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -71,7 +71,7 @@
             }
             this.prepare();
             emit(EventId.RequestPassedOn, { request: call.caller.requestId, peer, contact: gateway.contact.state, after: this.outcome, sends: tally.sends });
-            const end = await runPeerAttempt(gateway, call, this.relay, peer, tally.peerRuns);
+            const end = await runPeerAttempt(gateway, call, this.relay, { address: peer, maxRuns: tally.peerRuns, mayMove: this.mayMoveFrom(peer) });
             this.record(peer, end);
             if (!this.isUntaken(end) && end.outcome === AttemptOutcome.NotRun) {
                 return { kind: "refused", refusal: this.refusalOf(end) };
@@ -97,6 +97,11 @@
         return undefined;
     }
 
+    private mayMoveFrom(peer: string): (() => boolean) | undefined {
+        const { gateway: { peers }, tally } = this;
+        return tally.mayRunAfterPeer ? () => peers.choice.choose(new Set([...this.asked, peer])) !== undefined : undefined;
+    }
+
     private prepare(): void {
         const { relay, call } = this;
         if (this.outcome === undefined) {
@@ -109,8 +114,8 @@
     }
 
     private record(peer: string, end: PeerAttemptEnd): void {
-        const { call, tally, gateway: { peers: { choice } } } = this;
-        const { outcome, sends, runs, report } = end;
+        const { call, tally, gateway: { peers, peers: { choice } } } = this;
+        const { outcome, sends, runs, report, isGivenUp } = end;
         tally.add(sends, runs);
         tally.isRetryPaid &&= sends === 0;
         call.progress.mayHaveRun = tally.possibleRuns > 0;
@@ -118,9 +123,10 @@
         if (outcome === AttemptOutcome.RanAndFailed) {
             this.relay.keep(call.progress.upstream ?? peer);
         }
-        const avoidedMs = report ? report.failure && avoidedMsByKind[report.failure.kind] : lostPeerAvoidedMs;
+        const avoidedMs = report && !isGivenUp ? report.failure && avoidedMsByKind[report.failure.kind] : lostPeerAvoidedMs;
         if (avoidedMs === undefined) {
             choice.onTaken(peer);
+            peers.onTaken();
         }
         else if (!call.signal.aborted && !tally.isTooLate) {
             this.asked.add(peer);
--- /dev/null
+++ b/src/forward/peerProber.ts
@@ -0,0 +1,45 @@
+import { Agent } from "undici";
+import { toFailure } from "../core/failures";
+import { EventId } from "../types/eventId";
+import { createBoundedFetch } from "../utils/boundedFetch";
+import { emit } from "../utils/events";
+import { getOrCreate } from "../utils/maps";
+
+const connectTimeoutMs = 300;
+/** Peers normally answer within a few milliseconds. */
+const timeoutMs = 500;
+const maxAnswerBytes = 65_536;
+/** Time for which the result of a probe is used for other requests through the same peer. */
+const resultLifetimeMs = 300;
+
+/** Asks peers whether they are alive. */
+export class PeerProber {
+    private readonly probes = new Map<string, Promise<boolean>>();
+    private readonly fetch = createBoundedFetch(new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1 }), { maxBytes: maxAnswerBytes, timeoutMs });
+
+    private constructor() {}
+
+    static create(): PeerProber {
+        return new PeerProber();
+    }
+
+    /** Whether a peer answers, whatever that is; requests that ask at about the same time share one probe. */
+    isAlive(address: string): Promise<boolean> {
+        return getOrCreate(
+            this.probes,
+            address,
+            () => this.probe(address).finally(() => setTimeout(() => this.probes.delete(address), resultLifetimeMs).unref()),
+        );
+    }
+
+    private async probe(address: string): Promise<boolean> {
+        try {
+            await this.fetch(`http://${address}/`, {});
+            return true;
+        }
+        catch (err) {
+            emit(EventId.PeerExchangeFailed, { peer: address, detail: toFailure(err).detail });
+            return false;
+        }
+    }
+}
--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -3,19 +3,29 @@
 import type { PeerNode } from "../types/peerNode";
 import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
+import { PeerProber } from "./peerProber";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** Charge for a connection to a peer. */
 const peerConnectionBytes = 32_768;
 
+/** After so many requests in a row that no peer took, the peers count as cut off as well, for a time. */
+const minUntaken = 3;
+const untakenLifetimeMs = 5_000;
+
 /** The peers through which this node serves callers while it does not reach the upstreams itself. */
 export class PeerRelays {
     readonly choice: PeerChoice;
+    readonly prober = PeerProber.create();
     private readonly poolByPeer = new Map<string, UpstreamConnectionPool>();
     /** Requests that were passed on and have not ended, and those that peers passed on to this node. */
     passedOn = 0;
     takenOver = 0;
 
+    /** Requests in a row that no peer took. */
+    private untaken = 0;
+    private untakenAt = 0;
+
     private constructor(private readonly gateway: Gateway) {
         this.choice = PeerChoice.create({
             ownAddress: () => gateway.settings.peerAddress,
@@ -39,6 +49,22 @@
         });
     }
 
+    /** A peer took a request. */
+    onTaken(): void {
+        this.untaken = 0;
+    }
+
+    /** No peer took a request. */
+    onUntaken(): void {
+        this.untaken++;
+        this.untakenAt = performance.now();
+    }
+
+    /** Whether lately no peer took any request. */
+    get takeNone(): boolean {
+        return this.untaken >= minUntaken && performance.now() - this.untakenAt < untakenLifetimeMs;
+    }
+
     poolOf(address: string): UpstreamConnectionPool {
         const { gateway } = this;
         return getOrCreate(this.poolByPeer, address, () =>
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -67,10 +67,13 @@
 /** Headers of a peer's answer without those between nodes. */
 export const withoutReport = (headers: HeaderMap): HeaderMap => Object.fromEntries(Object.entries(headers).filter(([header]) => header !== relayReportHeader));
 
-/** Bytes that the node before has added to the headers of a request. */
+/** Allowance for what a node adds besides its own header. */
+const addedHeaderBytes = 256;
+
+/** Bytes that the node before may have added to the headers of a request. */
 export const relayHeaderBytes = (headers: HeaderMap): number => {
     const value = headers[relayHeader];
-    return typeof value === "string" ? relayHeader.length + value.length + 2 * 2 : 0;
+    return typeof value === "string" ? relayHeader.length + value.length + addedHeaderBytes : 0;
 };
 
 /** Adds what the node says of a request to the answer, if a peer passed it on; `running` counts an attempt whose answer has begun. */
--- a/src/forward/sendTally.ts
+++ b/src/forward/sendTally.ts
@@ -52,6 +52,12 @@
         return this.gate.mayRunTwice && mayRepeat(route) ? Math.max(1, route.maxAttempts - this.possibleRuns - 1) : 1;
     }
 
+    /** Whether the request may run again if all runs of a peer are lost. */
+    get mayRunAfterPeer(): boolean {
+        const { route } = this.call;
+        return mayRepeat(route) && this.gate.mayRunTwice && this.possibleRuns + this.peerRuns < route.maxAttempts;
+    }
+
     /** Records sends, and how many of them may have run. */
     add(sends: number, possibleRuns: number): void {
         const { progress } = this.call;
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -5,6 +5,7 @@
 import { emit } from "../utils/events";
 import { describeError } from "../utils/transport";
 import type { AnswerRelay } from "./answerRelay";
+import type { AttemptWatch } from "./attemptTimers";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 import { isPathLost } from "./peerPath";
@@ -20,7 +21,7 @@
 const minLostSilenceMs = 100;
 
 /** Watches one attempt for silence, and probes its runner before the attempt is given up. */
-export class SilenceWatch {
+export class SilenceWatch implements AttemptWatch {
     private readonly sentAt = performance.now();
     private readonly firstByteTimeoutMs: number;
     private readonly isProbed: boolean;
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -39,6 +39,18 @@
         labelNames: ["source", "reason"],
         registers: this.registers,
     });
+    private readonly relayedAttempts = new Counter({
+        name: "jackdawtrail_relayed_attempts_total",
+        help: "Attempts through a peer, by outcome and reason",
+        labelNames: ["outcome", "reason"],
+        registers: this.registers,
+    });
+    private readonly refusedRelays = new Counter({
+        name: "jackdawtrail_refused_relays_total",
+        help: "Requests of peers that this node did not take, by reason",
+        labelNames: ["reason"],
+        registers: this.registers,
+    });
     private readonly internalErrors = new Counter({
         name: "jackdawtrail_internal_errors_total",
         help: "Internal errors on a request's way, by step and by whether they ended the request or one attempt",
@@ -101,6 +113,12 @@
             else if (event === EventId.UpstreamRowIgnored || event === EventId.PeerEntryIgnored) {
                 this.ignoredEntries.inc({ source: event === EventId.UpstreamRowIgnored ? "store" : "peer", reason: String(fields.reason) });
             }
+            else if (event === EventId.RelayEnded) {
+                this.relayedAttempts.inc({ outcome: String(fields.outcome), reason: String(fields.reason) });
+            }
+            else if (event === EventId.RelayRefused) {
+                this.refusedRelays.inc({ reason: String(fields.reason) });
+            }
             else if (event === EventId.RequestFailed || event === EventId.AttemptStepFailed) {
                 this.internalErrors.inc({ step: String(fields.step), ended: event === EventId.RequestFailed ? "request" : "attempt" });
             }
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -5,7 +5,7 @@
 import type { ServiceRoute } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
-import { observeEvents } from "../../src/utils/events";
+import { observeEvents, setupLogs } from "../../src/utils/events";
 import { createRandom } from "../../src/utils/random";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
@@ -147,6 +147,7 @@
 
 /** Runs a test on a fleet, with the events that all of its nodes log meanwhile. */
 export const withFleet = async (options: RelayFleetOptions, run: (fleet: RelayFleet, events: readonly LoggedEvent[]) => Promise<void>): Promise<void> => {
+    setupLogs("error");
     const fleet = await RelayFleet.create(options);
     const events: LoggedEvent[] = [];
     const stopObserving = observeEvents((event, fields) => events.push({ event, fields }));
--- a/test/relayAccounts.test.ts
+++ b/test/relayAccounts.test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
+import { isReady } from "../src/forward/monitoringServers";
 import { ContactState } from "../src/types/contactState";
 import { EventId } from "../src/types/eventId";
+import { MemoryHolder } from "../src/types/memoryHolder";
 import { RouteKind } from "../src/types/servingConfig";
 import { sleep } from "../src/utils/time";
 import { callGateway } from "./fakes/gatewayHarness";
@@ -11,6 +13,9 @@
 import { answer, neverAnswer, reset } from "./fakes/upstreamScripts";
 
 const silentThenAnswer: Script = (socket, req, upstream) => (req.index === 0 ? neverAnswer : answer)(socket, req, upstream);
+/** Answers after more silence than a peer is allowed that is not alive. */
+const lateAnswer: Script = (socket, req, upstream) => void setTimeout(() => answer(socket, req, upstream), 1_800);
+const modelHeaders = { model: "m", "token-count": "10,5", "prompt-prefix": "a:10" };
 const idempotent = { kind: RouteKind.Idempotent };
 
 describe("a request that is passed on to a peer", () => {
@@ -91,4 +96,70 @@
         });
         peer.close();
     });
+
+    it("goes to another peer if the first one has no memory for its body, and holds none in the end", () =>
+        withFleet({ nodes: 3, scripts: [answer] }, async fleet => {
+            const { gateway } = fleet.peers[0]!;
+            gateway.settings = { ...gateway.settings, memoryBytes: 1 };
+            const body = "0123456789".repeat(30_000);
+            assert.equal((await callGateway(fleet.origin.address, { body })).status, 200);
+            assert.equal(fleet.received.length, 1);
+            assert.equal(fleet.received[0]!.body, body);
+            await sleep(100);
+            assert.deepEqual(fleet.nodes.map(node => node.gateway.memory.usedBy(MemoryHolder.Bodies)), [0, 0, 0]);
+            assert.deepEqual(fleet.nodes.map(node => node.gateway.answerMemory.used), [0, 0, 0]);
+        }));
+
+    it("goes on through another peer if the first one is silent and no longer alive", async () => {
+        const silentPeer = await startScriptedUpstream(neverAnswer);
+        const silent = { address: silentPeer.address, zone: "a", cores: 1 };
+        await withFleet({ scripts: [answer], route: { ...idempotent, timeoutMs: 6_000 } }, async ({ origin, peers: [peer] }) => {
+            origin.gateway.peers.setPeers([silent]);
+            const result = callGateway(origin.address, { headers: { "deadline-ms": "6000" } });
+            await sleep(100);
+            origin.gateway.peers.setPeers([silent, { ...silent, address: peer!.peerAddress }]);
+            const { status, afterMs } = await result;
+            assert.equal(status, 200);
+            assert.ok(afterMs < 3_000, `${afterMs} ms`);
+        });
+        silentPeer.close();
+    });
+
+    it("stays with a peer that is alive and waits for its upstream", () =>
+        withFleet({ nodes: 3, scripts: [lateAnswer], route: { ...idempotent, timeoutMs: 6_000 } }, async fleet => {
+            const { status } = await callGateway(fleet.origin.address, { headers: { ...modelHeaders, "deadline-ms": "6000" } });
+            assert.equal(status, 200);
+            assert.equal(fleet.received.length, 1);
+        }));
+
+    it("is answered, as it may have run, when its node exits before the peer has answered", () =>
+        withFleet({ scripts: [neverAnswer] }, async ({ origin, peers: [peer] }) => {
+            const result = callGateway(origin.address);
+            await sleep(150);
+            origin.gateway.attemptsEnd.give();
+            assert.equal((await result).status, 502);
+            await sleep(150);
+            assert.equal(peer!.gateway.inProgress, 0);
+        }));
+
+    it("is answered, as it may have run, when the peer exits before its upstream has answered", () =>
+        withFleet({ scripts: [neverAnswer] }, async ({ origin, peers: [peer] }) => {
+            const result = callGateway(origin.address);
+            await sleep(150);
+            peer!.gateway.attemptsEnd.give();
+            assert.equal((await result).status, 502);
+        }));
+
+    it("lets the node say that it is ready, unless no peer takes requests", () =>
+        withFleet({ scripts: [answer] }, async ({ origin, peers: [peer] }) => {
+            assert.equal((await callGateway(origin.address)).status, 200);
+            assert.equal(isReady(origin.gateway), true);
+            peer!.setContact(ContactState.Lost);
+            for (let count = 0; count < 3; count++) {
+                assert.equal((await callGateway(origin.address)).status, 503);
+            }
+            assert.equal(isReady(origin.gateway), false);
+            origin.setContact(ContactState.Held);
+            assert.equal(isReady(origin.gateway), true);
+        }));
 });
