--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -27,7 +27,7 @@
     private constructor(
         readonly process: ChildProcess,
         readonly front: string,
-        private readonly control: string,
+        readonly control: string,
         readonly store: MemoryPlatformStore,
         private readonly server: Server,
         private readonly folder: string,
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -75,6 +75,7 @@
 export class RelayFleet {
     readonly nodes: RelayNode[] = [];
     readonly upstreams: ScriptedUpstream[] = [];
+    private readonly scriptedPeers: ScriptedUpstream[] = [];
     private readonly abort = new AbortController();
 
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
@@ -110,9 +111,17 @@
         return this.upstreams.flatMap(({ received }) => received);
     }
 
+    /** Starts a peer that answers with raw bytes; the first node knows it, and no other one, until it is told of others. */
+    async addScriptedPeer(script: Script): Promise<ScriptedUpstream> {
+        const peer = await startScriptedUpstream(script);
+        this.scriptedPeers.push(peer);
+        this.origin.gateway.peers.setPeers([{ address: peer.address, zone: "a", cores: 1 }]);
+        return peer;
+    }
+
     close(): void {
         this.abort.abort();
-        [this.cutUpstream, ...this.upstreams].forEach(upstream => upstream.close());
+        [this.cutUpstream, ...this.upstreams, ...this.scriptedPeers].forEach(upstream => upstream.close());
         this.nodes.forEach(node => node.close());
     }
 
--- a/test/relayAccounts.test.ts
+++ b/test/relayAccounts.test.ts
@@ -9,7 +9,7 @@
 import { callGateway } from "./fakes/gatewayHarness";
 import { withFleet } from "./fakes/relayFleet";
 import type { Script } from "./fakes/scriptedUpstream";
-import { answerOf, startScriptedUpstream } from "./fakes/scriptedUpstream";
+import { answerOf } from "./fakes/scriptedUpstream";
 import { answer, neverAnswer, reset } from "./fakes/upstreamScripts";
 
 const silentThenAnswer: Script = (socket, req, upstream) => (req.index === 0 ? neverAnswer : answer)(socket, req, upstream);
@@ -53,6 +53,19 @@
             assert.equal(peer!.gateway.peers.takenOver, 0);
         }));
 
+    it("ends at the peer when the caller leaves while it waits there for an upstream", () =>
+        withFleet({ scripts: [answer] }, async ({ origin, peers: [peer] }) => {
+            const { gateway } = peer!;
+            gateway.directory.apply({ id: "up-0", version: 9, server: undefined });
+            gateway.placement = { ...gateway.placement, place: () => Promise.resolve({ readyInMs: 1_000, isComing: true }) };
+            const result = callGateway(origin.address, { headers: modelHeaders, abortAfterMs: 200 });
+            await sleep(150);
+            assert.equal(gateway.inProgress, 1);
+            await result;
+            await sleep(300);
+            assert.equal(gateway.inProgress, 0);
+        }));
+
     it("counts a request as in progress at both nodes", () =>
         withFleet({ scripts: [neverAnswer] }, async ({ origin, peers: [peer] }) => {
             const result = callGateway(origin.address, { headers: { "deadline-ms": "300" } });
@@ -75,27 +88,19 @@
             assert.deepEqual(senders, ["n0", "n0"]);
         }));
 
-    it("loses a request that must run once with the peer, and says that it may have run", async () => {
-        const peer = await startScriptedUpstream(reset);
-        await withFleet({ scripts: [answer] }, async fleet => {
-            const { origin } = fleet;
-            origin.gateway.peers.setPeers([{ address: peer.address, zone: "a", cores: 1 }]);
-            const result = await callGateway(origin.address);
-            assert.equal(result.status, 502);
+    it("is lost with the peer if it must run once, and may have run", () =>
+        withFleet({ scripts: [answer] }, async fleet => {
+            const peer = await fleet.addScriptedPeer(reset);
+            assert.equal((await callGateway(fleet.origin.address)).status, 502);
             assert.equal(peer.received.length, 1);
             assert.equal(fleet.received.length, 0);
-        });
-        peer.close();
-    });
-
-    it("does not relay what a peer answers without saying what it is", async () => {
-        const peer = await startScriptedUpstream((socket, { id }) => void socket.write(answerOf(id, "forged")));
-        await withFleet({ scripts: [answer] }, async ({ origin }) => {
-            origin.gateway.peers.setPeers([{ address: peer.address, zone: "a", cores: 1 }]);
-            assert.equal((await callGateway(origin.address)).status, 502);
-        });
-        peer.close();
-    });
+        }));
+
+    it("is not answered with what a peer sends without saying what it is", () =>
+        withFleet({ scripts: [answer] }, async fleet => {
+            await fleet.addScriptedPeer((socket, { id }) => void socket.write(answerOf(id, "forged")));
+            assert.equal((await callGateway(fleet.origin.address)).status, 502);
+        }));
 
     it("goes to another peer if the first one has no memory for its body, and holds none in the end", () =>
         withFleet({ nodes: 3, scripts: [answer] }, async fleet => {
@@ -110,20 +115,17 @@
             assert.deepEqual(fleet.nodes.map(node => node.gateway.answerMemory.used), [0, 0, 0]);
         }));
 
-    it("goes on through another peer if the first one is silent and no longer alive", async () => {
-        const silentPeer = await startScriptedUpstream(neverAnswer);
-        const silent = { address: silentPeer.address, zone: "a", cores: 1 };
-        await withFleet({ scripts: [answer], route: { ...idempotent, timeoutMs: 6_000 } }, async ({ origin, peers: [peer] }) => {
-            origin.gateway.peers.setPeers([silent]);
-            const result = callGateway(origin.address, { headers: { "deadline-ms": "6000" } });
+    it("goes on through another peer if the first one is silent and no longer alive", () =>
+        withFleet({ scripts: [answer], route: { ...idempotent, timeoutMs: 6_000 } }, async fleet => {
+            const { gateway, address } = fleet.origin;
+            const silent = await fleet.addScriptedPeer(neverAnswer);
+            const result = callGateway(address, { headers: { "deadline-ms": "6000" } });
             await sleep(100);
-            origin.gateway.peers.setPeers([silent, { ...silent, address: peer!.peerAddress }]);
+            gateway.peers.setPeers([silent.address, fleet.peers[0]!.peerAddress].map(peer => ({ address: peer, zone: "a", cores: 1 })));
             const { status, afterMs } = await result;
             assert.equal(status, 200);
             assert.ok(afterMs < 3_000, `${afterMs} ms`);
-        });
-        silentPeer.close();
-    });
+        }));
 
     it("stays with a peer that is alive and waits for its upstream", () =>
         withFleet({ nodes: 3, scripts: [lateAnswer], route: { ...idempotent, timeoutMs: 6_000 } }, async fleet => {
