--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -1,9 +1,11 @@
 import { CallerServer } from "../../src/forward/callerServer";
 import { RelayIntake } from "../../src/forward/relayIntake";
 import { ContactState } from "../../src/types/contactState";
+import type { EventId } from "../../src/types/eventId";
 import type { ServiceRoute } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
+import { observeEvents, setupLogs } from "../../src/utils/events";
 import { createRandom } from "../../src/utils/random";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
@@ -73,6 +75,7 @@
 export class RelayFleet {
     readonly nodes: RelayNode[] = [];
     readonly upstreams: ScriptedUpstream[] = [];
+    private readonly scriptedPeers: ScriptedUpstream[] = [];
     private readonly abort = new AbortController();
 
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
@@ -108,9 +111,17 @@
         return this.upstreams.flatMap(({ received }) => received);
     }
 
+    /** Starts a peer that answers with raw bytes; the first node knows it, and no other one, until it is told of others. */
+    async addScriptedPeer(script: Script): Promise<ScriptedUpstream> {
+        const peer = await startScriptedUpstream(script);
+        this.scriptedPeers.push(peer);
+        this.origin.gateway.peers.setPeers([{ address: peer.address, zone: "a", cores: 1 }]);
+        return peer;
+    }
+
     close(): void {
         this.abort.abort();
-        [this.cutUpstream, ...this.upstreams].forEach(upstream => upstream.close());
+        [this.cutUpstream, ...this.upstreams, ...this.scriptedPeers].forEach(upstream => upstream.close());
         this.nodes.forEach(node => node.close());
     }
 
@@ -136,3 +147,24 @@
         });
     }
 }
+
+/** An event that was logged while a fleet ran. */
+export interface LoggedEvent {
+    readonly event: EventId;
+    readonly fields: Readonly<Record<string, unknown>>;
+}
+
+/** Runs a test on a fleet, with the events that all of its nodes log meanwhile. */
+export const withFleet = async (options: RelayFleetOptions, run: (fleet: RelayFleet, events: readonly LoggedEvent[]) => Promise<void>): Promise<void> => {
+    setupLogs("error");
+    const fleet = await RelayFleet.create(options);
+    const events: LoggedEvent[] = [];
+    const stopObserving = observeEvents((event, fields) => events.push({ event, fields }));
+    try {
+        await run(fleet, events);
+    }
+    finally {
+        stopObserving();
+        fleet.close();
+    }
+};
