--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,5 +1,6 @@
 import "./reloadSignal";
 import { Builtins, Cli } from "clipanion";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
 import { CheckSettingsCommand, ExplainRequestCommand } from "./platformTools";
 import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
@@ -7,6 +8,7 @@
 import { ServeCommand } from "./serve";
 import { ServePlatformCommand } from "./servePlatform";
 
+startTimes.mark(StartStep.Program);
 const cli = new Cli({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
 [
     Builtins.HelpCommand,
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -3,6 +3,7 @@
 import { startStandaloneNode } from "../node/startStandaloneNode";
 import { EventId } from "../types/eventId";
 import { emit, setupLogs } from "../utils/events";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { ExitCode } from "./exitCode";
 import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
 import { surviveUnexpectedErrors } from "./unexpectedErrors";
@@ -35,6 +36,7 @@
         }
         setupLogs(result.settings.logLevel);
         surviveUnexpectedErrors();
+        startTimes.mark(StartStep.Settings);
         const node = await startStandaloneNode(result.settings);
         return new Promise(resolve => {
             let signalCount = 0;
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -6,6 +6,7 @@
 import { EventId } from "../types/eventId";
 import type { TransportLimits } from "../types/transportLimits";
 import { emit, setupLogs } from "../utils/events";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
 import { ExitCode } from "./exitCode";
@@ -56,6 +57,7 @@
             result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
             return ExitCode.Usage;
         }
+        startTimes.mark(StartStep.Settings);
         const node = PlatformNode.create(result.settings, () => errors.total);
         this.watchSettings(this.settingsFile, result.text, node, limits);
         let onUnable: () => void = () => undefined;
@@ -102,7 +104,12 @@
                 emit(EventId.SettingsRefused, { file, faults: [errorCodeOf(err)] });
             }
         };
-        onReloadSignal(rereadSafely);
+        onReloadSignal(isEarly => {
+            if (isEarly) {
+                emit(EventId.SignalBeforeStart, { signal: "SIGHUP", step: startTimes.lastStep, effect: "the settings file is read again" });
+            }
+            rereadSafely();
+        });
         setInterval(rereadSafely, settingsPollMs).unref();
     }
 }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -27,6 +27,7 @@
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import { emit } from "../utils/events";
 import { createRandom } from "../utils/random";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { repeat, sleep } from "../utils/time";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
@@ -122,7 +123,8 @@
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening },
             { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening },
         ], onUnable);
-        emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
+        startTimes.mark(StartStep.Started);
+        emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress, startMs: startTimes.summary });
     }
 
     /** Reads the records of streams once, and maintains them on the controller. */
--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -9,6 +9,7 @@
 import { EventId } from "../types/eventId";
 import type { HttpRoute } from "../types/httpExchange";
 import { emit } from "../utils/events";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { sleep } from "../utils/time";
 import type { NodeContext, NodePlugin } from "./context";
 import { NodeStage } from "./context";
@@ -59,7 +60,9 @@
         this.server = server;
         server.addRoutes(...this.healthRoutes());
         await server.listen();
-        emit(EventId.NodeStarted, { node: this.context.cfg.nodeId, listen: this.context.cfg.listen, availabilityZone: this.context.cfg.availabilityZone });
+        const { nodeId, listen, availabilityZone } = this.context.cfg;
+        startTimes.mark(StartStep.Started);
+        emit(EventId.NodeStarted, { node: nodeId, listen, availabilityZone, startMs: startTimes.summary });
         for (const plugin of this.plugins) {
             await plugin.start(this.context);
         }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -2,7 +2,7 @@
 
 /** Meaning of each event, for the event catalogue. */
 export const eventMeanings: Readonly<Record<EventId, string>> = {
-    [EventId.NodeStarted]: "the node is listening",
+    [EventId.NodeStarted]: "the node is listening; `startMs` says when each step of the start was complete, in ms since the process began",
     [EventId.NodeReady]: "a configuration is in force and the fleet is known",
     [EventId.NodeStopping]: "a graceful shutdown started",
     [EventId.NodeStopped]: "the node stopped without cutting off requests",
@@ -17,6 +17,8 @@
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
     [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
     [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
+    [EventId.SignalBeforeStart]:
+        "a signal arrived before the node had started; `step` is the last complete step of the start, `effect` what the signal brings about",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
