--- /dev/null
+++ b/src/cli/logFlushMs.ts
@@ -0,0 +1,2 @@
+/** Log lines are written in batches; the last batch is written within this time. */
+export const logFlushMs = 100;
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,15 +1,16 @@
-import "./reloadSignal";
+import type { CommandClass } from "clipanion";
 import { Builtins, Cli } from "clipanion";
 import { StartStep, startTimes } from "../utils/startTimes";
+import type { CommandContext } from "./commandContext";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
 import { CheckSettingsCommand, ExplainRequestCommand } from "./platformTools";
+import type { ProcessSignals } from "./processSignals";
 import { RecordsApplyCommand, RecordsCheckCommand, RecordsGetCommand, RecordsHistoryCommand, RecordsListCommand, RecordsWithdrawCommand } from "./records";
 import { ReplayCommand } from "./replay";
 import { ServeCommand } from "./serve";
 import { ServePlatformCommand } from "./servePlatform";
 
-startTimes.mark(StartStep.Program);
-const cli = new Cli({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
+const cli = new Cli<CommandContext>({ binaryName: "jackdawtrail", binaryLabel: "jackdawtrail", binaryVersion: "0.1.0" });
 [
     Builtins.HelpCommand,
     Builtins.VersionCommand,
@@ -27,7 +28,12 @@
     EventsCommand,
     CheckSettingsCommand,
     ExplainRequestCommand,
-].forEach(command => cli.register(command));
+].forEach(command => cli.register(command as CommandClass as CommandClass<CommandContext>));
 
-// Idle connections would keep the process alive.
-void cli.run(process.argv.slice(2)).then(code => process.exit(process.exitCode ?? code));
+/** Runs the command that the arguments name, and ends the process with its exit code. */
+export const run = async (signals: ProcessSignals): Promise<void> => {
+    startTimes.mark(StartStep.Program);
+    const code = await cli.run(process.argv.slice(2), { ...Cli.defaultContext, signals });
+    // Idle connections would keep the process alive.
+    process.exit(process.exitCode ?? code);
+};
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -1,15 +1,18 @@
 import { Command } from "clipanion";
 import { readSettings, settingDefinitions } from "../node/standaloneNodeSettings";
-import { startStandaloneNode } from "../node/startStandaloneNode";
+import { createStandaloneNode } from "../node/startStandaloneNode";
 import { EventId } from "../types/eventId";
 import { emit, setupLogs } from "../utils/events";
 import { StartStep, startTimes } from "../utils/startTimes";
+import type { CommandContext } from "./commandContext";
 import { ExitCode } from "./exitCode";
+import { serveUntilStopped } from "./serveUntilStopped";
 import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
+import { SignalMeaning } from "./signalMeaning";
 import { surviveUnexpectedErrors } from "./unexpectedErrors";
 
 /** `jackdawtrail serve`: runs a node until SIGTERM or SIGINT. */
-export class ServeCommand extends Command {
+export class ServeCommand extends Command<CommandContext> {
     static override paths = [["serve"]];
     static override usage = Command.Usage({
         description: "Runs a node.",
@@ -37,19 +40,11 @@
         setupLogs(result.settings.logLevel);
         surviveUnexpectedErrors();
         startTimes.mark(StartStep.Settings);
-        const node = await startStandaloneNode(result.settings);
-        return new Promise(resolve => {
-            let signalCount = 0;
-            const onSignal = () => {
-                signalCount++;
-                if (signalCount > 1) {
-                    resolve(node.terminate() > 0 ? ExitCode.RequestsAborted : ExitCode.Ok);
-                    return;
-                }
-                void node.stop().then(cutOffCount => resolve(cutOffCount > 0 ? ExitCode.RequestsAborted : ExitCode.Ok));
-            };
-            process.on("SIGTERM", onSignal);
-            process.on("SIGINT", onSignal);
-        });
+        const { signals } = this.context;
+        const ignore = (signal: NodeJS.Signals): void => emit(EventId.SignalIgnored, { signal });
+        signals.handle(SignalMeaning.Reload, ignore);
+        signals.handle(SignalMeaning.None, ignore);
+        const [node, server] = createStandaloneNode(result.settings);
+        return serveUntilStopped({ start: () => node.start(server), stop: () => node.stop(), terminate: () => node.terminate() }, signals);
     }
 }
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -9,20 +9,22 @@
 import { StartStep, startTimes } from "../utils/startTimes";
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
+import type { CommandContext } from "./commandContext";
 import { ExitCode } from "./exitCode";
+import { logFlushMs } from "./logFlushMs";
+import type { ProcessSignals } from "./processSignals";
 import { readSettingsFile } from "./readSettingsFile";
-import { onReloadSignal } from "./reloadSignal";
+import { serveUntilStopped } from "./serveUntilStopped";
 import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
+import { SignalMeaning } from "./signalMeaning";
 import { surviveUnexpectedErrors } from "./unexpectedErrors";
+import { unlessStopped } from "./unlessStopped";
 
 /** Poll interval for the settings file, which may change without a signal. */
 const settingsPollMs = 2_000;
 
-/** Log lines are written in batches; the last batch is written within this time. */
-const logFlushMs = 100;
-
 /** `jackdawtrail serve-platform`: runs a node on the platform until SIGTERM or SIGINT. */
-export class ServePlatformCommand extends Command {
+export class ServePlatformCommand extends Command<CommandContext> {
     static override paths = [["serve-platform"]];
     static override usage = Command.Usage({
         description: "Runs a node on the platform.",
@@ -51,7 +53,12 @@
             return ExitCode.Usage;
         }
         const { limits } = transport;
-        const result = await readSettingsFile(this.settingsFile, limits);
+        const { signals } = this.context;
+        const result = await unlessStopped(readSettingsFile(this.settingsFile, limits), signals);
+        if (!result) {
+            await sleep(logFlushMs);
+            return ExitCode.Ok;
+        }
         if ("faults" in result) {
             emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
             result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
@@ -59,29 +66,12 @@
         }
         startTimes.mark(StartStep.Settings);
         const node = PlatformNode.create(result.settings, () => errors.total);
-        this.watchSettings(this.settingsFile, result.text, node, limits);
-        let onUnable: () => void = () => undefined;
-        try {
-            await node.start(() => onUnable());
-        }
-        catch (err) {
-            emit(EventId.NodeStartFailed, { detail: err instanceof Error ? err.message : errorCodeOf(err) });
-            await sleep(logFlushMs);
-            return ExitCode.Failed;
-        }
-        return new Promise(resolve => {
-            // Signals after the first one change nothing; the platform ends a process that takes too long.
-            let stopping: Promise<void> | undefined;
-            const stop = async (code: ExitCode): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : code);
-            const onSignal = (): void => void (stopping ??= stop(ExitCode.Ok));
-            onUnable = () => void (stopping ??= stop(ExitCode.Failed));
-            process.on("SIGTERM", onSignal);
-            process.on("SIGINT", onSignal);
-        });
+        this.watchSettings(this.settingsFile, result.text, node, limits, signals);
+        return serveUntilStopped(node, signals);
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits): void {
+    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits, signals: ProcessSignals): void {
         let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
@@ -104,9 +94,9 @@
                 emit(EventId.SettingsRefused, { file, faults: [errorCodeOf(err)] });
             }
         };
-        onReloadSignal(isEarly => {
-            if (isEarly) {
-                emit(EventId.SignalBeforeStart, { signal: "SIGHUP", step: startTimes.lastStep, effect: "the settings file is read again" });
+        signals.handle(SignalMeaning.Reload, signal => {
+            if (startTimes.lastStep !== StartStep.Started) {
+                emit(EventId.SignalBeforeStart, { signal, step: startTimes.lastStep, effect: SignalMeaning.Reload });
             }
             rereadSafely();
         });
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -1,4 +1,5 @@
 import { randomUUID } from "node:crypto";
+import type { Server } from "node:http";
 import { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
 import { LateLoads } from "../core/lateLoads";
@@ -29,6 +30,8 @@
 import { createRandom } from "../utils/random";
 import { StartStep, startTimes } from "../utils/startTimes";
 import { repeat, sleep } from "../utils/time";
+import { followStreamVersions } from "./followStreamVersions";
+import { openInTurn } from "./openInTurn";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
 import { startSelfCheck } from "./selfCheck";
@@ -55,9 +58,6 @@
 const maxFullRateNodes = 8;
 /** Minimum pause between two attempts to take a vacant lease. */
 const minTakeoverPauseMs = 200;
-/** Interval between two reads of the records of streams until one succeeds, and at which the controller maintains them. */
-const streamReadRetryMs = 400;
-const streamMaintenanceIntervalMs = 5_000;
 /** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
 const controllerTimeoutMs = 1_500;
 
@@ -65,6 +65,8 @@
 export class PlatformNode {
     private lease: ControllerLease | undefined;
     private readonly stopped = new AbortController();
+    /** Whether the load balancer may have seen the node as ready; otherwise a stop is not announced. */
+    private hasStarted = false;
 
     private constructor(
         private readonly settings: PlatformNodeSettings,
@@ -107,46 +109,33 @@
         });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
-        this.followStreamVersions();
+        followStreamVersions(gateway, this.stopped.signal);
         const metrics = Metrics.create();
         metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
         ]);
-        await serveMetrics(metrics, settings.metricsAddress);
-        await peerServer.listen(settings.peerAddress);
-        // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
-        await server.listen(settings.callerAddress);
-        const readiness = await serveReadiness(gateway, settings.readyAddress);
+        let readiness: Server | undefined;
+        const openings = [
+            () => serveMetrics(metrics, settings.metricsAddress),
+            () => peerServer.listen(settings.peerAddress),
+            // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
+            () => server.listen(settings.callerAddress),
+            async () => void (readiness = await serveReadiness(gateway, settings.readyAddress)),
+        ];
+        this.hasStarted = await openInTurn(openings, () => gateway.isStopping);
+        if (!this.hasStarted) {
+            return;
+        }
         startSelfCheck([
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening },
-            { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening },
+            { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness!.listening },
         ], onUnable);
         startTimes.mark(StartStep.Started);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress, startMs: startTimes.summary });
     }
 
-    /** Reads the records of streams once, and maintains them on the controller. */
-    private followStreamVersions(): void {
-        const { streamVersions, placement, random } = this.gateway;
-        const step = async (): Promise<void> => {
-            if (!streamVersions.table) {
-                await streamVersions.readTable();
-            }
-            await streamVersions.flush();
-            if (placement.isController) {
-                await streamVersions.maintain();
-            }
-        };
-        void repeat(
-            step,
-            () => streamVersions.table ? streamMaintenanceIntervalMs : streamReadRetryMs * (0.5 + random()),
-            this.stopped.signal,
-            err => emit(EventId.StreamRecordsUnread, { detail: toFailure(err).detail }),
-        );
-    }
-
     /** Starts model placement: as the controller while this node holds the lease, otherwise by requests to the controller. */
     private startPlacement(store: MonitoredStore): { readonly controllerClient: ControllerClient; readonly peerServer: PeerServer; } {
         const { gateway, settings } = this;
@@ -224,7 +213,7 @@
         gateway.stopRequestedAt = stop.requestedAt;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
-        await stop.run("notice", sleep(stopNoticeMs));
+        await stop.run("notice", sleep(this.hasStarted ? stopNoticeMs : 0));
         await stop.run("accept", server.stopListening(stop.latestDeadlineAt));
         await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
         await stop.run("release", released ?? Promise.resolve());
--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -22,6 +22,7 @@
 export class StandaloneNode {
     private readonly plugins: NodePlugin[] = [];
     private server: StandaloneNodeServer | undefined;
+    private hasStarted = false;
 
     private constructor(readonly context: NodeContext, private readonly background: AbortController) {}
 
@@ -55,17 +56,28 @@
         return this;
     }
 
-    /** Opens the listener and starts the components. */
+    /** Opens the listener and starts the components, unless the node is stopped meanwhile. */
     async start(server: StandaloneNodeServer): Promise<void> {
         this.server = server;
         server.addRoutes(...this.healthRoutes());
         await server.listen();
+        if (this.isStopping) {
+            return;
+        }
         const { nodeId, listen, availabilityZone } = this.context.cfg;
         startTimes.mark(StartStep.Started);
         emit(EventId.NodeStarted, { node: nodeId, listen, availabilityZone, startMs: startTimes.summary });
         for (const plugin of this.plugins) {
+            if (this.isStopping) {
+                return;
+            }
             await plugin.start(this.context);
         }
+        this.hasStarted = true;
+    }
+
+    private get isStopping(): boolean {
+        return this.context.stage === NodeStage.Stopping || this.context.stage === NodeStage.Stopped;
     }
 
     /**
@@ -74,7 +86,7 @@
      */
     async stop(): Promise<number> {
         const { context } = this;
-        if (context.stage === NodeStage.Stopping || context.stage === NodeStage.Stopped) {
+        if (this.isStopping) {
             return 0;
         }
         context.stage = NodeStage.Stopping;
@@ -83,7 +95,9 @@
         const stopped = new AbortController();
         const pluginsStopped = Promise.all(this.plugins.map(plugin => plugin.stop?.())).finally(() => stopped.abort());
         await Promise.race([pluginsStopped, sleep(context.cfg.stopGraceMs, stopped.signal)]);
-        await sleep(Math.min(context.cfg.stopNoticeMs, Math.max(0, deadlineAt - performance.now())));
+        if (this.hasStarted) {
+            await sleep(Math.min(context.cfg.stopNoticeMs, Math.max(0, deadlineAt - performance.now())));
+        }
         await this.server?.close(deadlineAt);
         return this.terminate();
     }
--- a/src/node/startStandaloneNode.ts
+++ b/src/node/startStandaloneNode.ts
@@ -16,8 +16,8 @@
 import { StandaloneNode } from "./standaloneNode";
 import type { StandaloneNodeSettings } from "./standaloneNodeSettings";
 
-/** Starts a standalone node with all of its components and HTTP clients. */
-export const startStandaloneNode = async (cfg: StandaloneNodeSettings): Promise<StandaloneNode> => {
+/** Creates a standalone node with all of its components and HTTP clients, and the server to start it with. */
+export const createStandaloneNode = (cfg: StandaloneNodeSettings): readonly [StandaloneNode, StandaloneNodeServer] => {
     const node = StandaloneNode.create(cfg, {
         table: createTableClient(cfg.tableUrl),
         objects: createObjectStoreClient(cfg.objectStoreUrl),
@@ -38,6 +38,12 @@
     if (cfg.traceFile !== undefined) {
         node.use(createTraceFile(cfg.traceFile));
     }
+    return [node, server];
+};
+
+/** Starts a standalone node with all of its components and HTTP clients. */
+export const startStandaloneNode = async (cfg: StandaloneNodeSettings): Promise<StandaloneNode> => {
+    const [node, server] = createStandaloneNode(cfg);
     await node.start(server);
     return node;
 };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -19,6 +19,7 @@
     NodeUnableToServe = 116,
     NodeStartRetried = 117,
     SignalBeforeStart = 120,
+    SignalIgnored = 121,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -19,6 +19,7 @@
     [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
     [EventId.SignalBeforeStart]:
         "a signal arrived before the node had started; `step` is the last complete step of the start, `effect` what the signal brings about",
+    [EventId.SignalIgnored]: "a signal arrived that asks nothing of the node; its default action would have ended the process",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
--- a/test/platformStart.test.ts
+++ b/test/platformStart.test.ts
@@ -1,13 +1,14 @@
 import assert from "node:assert/strict";
 import type { ChildProcess } from "node:child_process";
 import { execFileSync, spawn } from "node:child_process";
-import { closeSync, constants, mkdtempSync, openSync, rmSync, writeFileSync, writeSync } from "node:fs";
+import { closeSync, mkdtempSync, rmSync, writeFileSync, writeSync } from "node:fs";
 import { connect, createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import { ExitCode } from "../src/cli/exitCode";
 import { sleep } from "../src/utils/time";
+import { openForWriting } from "./fakes/heldProgram";
 import { renderSettingsFile } from "./fakes/platformSettingsFile";
 import { reservePort } from "./fakes/ports";
 import { waitFor } from "./fakes/processes";
@@ -53,17 +54,6 @@
         socket.on("error", () => resolve(false));
     });
 
-/** Opens a named pipe for writing; undefined while no process reads it. */
-const openForWriting = (pipe: string): number | undefined => {
-    try {
-        return openSync(pipe, constants.O_WRONLY | constants.O_NONBLOCK);
-    }
-    catch (err) {
-        assert.equal((err as NodeJS.ErrnoException).code, "ENXIO");
-        return undefined;
-    }
-};
-
 describe("the start of a node on the platform", () => {
     const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-start-"));
     const children: ChildProcess[] = [];
