--- a/src/node/plannedStop.ts
+++ b/src/node/plannedStop.ts
@@ -1,5 +1,8 @@
 import { exitMarginMs } from "../core/exitMargin";
+import { EventId } from "../types/eventId";
+import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
+import { describeError } from "../utils/transport";
 import { TurnMeter } from "../utils/turnMeter";
 
 /** Turns of the event loop that a pause leaves: the one before SIGTERM was noticed, that of its own timer, and one for the exit. */
@@ -34,11 +37,12 @@
         return this.requestedAt + this.graceMs - exitMarginMs(0, this.graceMs);
     }
 
-    /** Runs a step, at most until the deadline. */
+    /** Runs a step, at most until the deadline. One that fails is logged, and the next one may run. */
     async run(name: string, step: Promise<unknown>): Promise<void> {
         const startedAt = performance.now();
         let isDone = false;
-        const done = step.finally(() => isDone = true);
+        const logFailure = (err: unknown): void => emit(EventId.UnexpectedError, { origin: `step ${name} of the stop`, detail: describeError(err) });
+        const done = step.catch(logFailure).finally(() => isDone = true);
         while (!isDone && performance.now() < this.deadlineAt) {
             await Promise.race([done, sleep(Math.max(0, Math.min(pollMs, this.deadlineAt - performance.now())))]);
         }
