--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -202,8 +202,8 @@
 
     /** Stops gracefully: reports not ready, then closes the listener, then finishes requests in progress. Returns the number of requests cut off. */
     async stop(): Promise<number> {
-        const { gateway, settings, server } = this;
-        const stop = PlannedStop.begin(settings.graceMs, deadlineAt => {
+        const { gateway, server } = this;
+        const stop = PlannedStop.begin(gateway.settings.graceMs, deadlineAt => {
             gateway.exitDeadlineAt = deadlineAt;
             if (performance.now() >= deadlineAt - waitsEndMs) {
                 gateway.waitsEnd.give();
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -7,6 +7,7 @@
 import { createRandom } from "../../src/utils/random";
 import { portOf } from "./jsonServer";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
+import type { SettingsFileFields } from "./platformSettingsFile";
 import { renderSettingsFile } from "./platformSettingsFile";
 import { servePlatformStore } from "./platformStoreServer";
 import { reservePort } from "./ports";
@@ -32,6 +33,7 @@
         private readonly server: Server,
         private readonly folder: string,
         private readonly metrics: string,
+        private readonly settings: SettingsFileFields,
     ) {}
 
     /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, and load modules before the program. */
@@ -49,22 +51,20 @@
         const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
         const [front, ready, control] = ports.map(port => `127.0.0.1:${port}`);
         const storeAddress = `127.0.0.1:${portOf(server)}`;
-        writeFileSync(
-            file,
-            renderSettingsFile({
-                name: first ? "n2" : "n1",
-                zone: "a",
-                front: front!,
-                ready: ready!,
-                control: control!,
-                metricsPort: ports[3]!,
-                seeds: first ? [first.control] : [],
-                storeAddress,
-                graceS,
-                budgetSlack: 10,
-                maxDescriptors,
-            }),
-        );
+        const settings: SettingsFileFields = {
+            name: first ? "n2" : "n1",
+            zone: "a",
+            front: front!,
+            ready: ready!,
+            control: control!,
+            metricsPort: ports[3]!,
+            seeds: first ? [first.control] : [],
+            storeAddress,
+            graceS,
+            budgetSlack: 10,
+            maxDescriptors,
+        };
+        writeFileSync(file, renderSettingsFile(settings));
         if (!first) {
             store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
         }
@@ -74,11 +74,17 @@
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
-        const started = new PlatformProcess(node, front!, control!, store, server, folder, `127.0.0.1:${ports[3]}`);
+        const started = new PlatformProcess(node, front!, control!, store, server, folder, `127.0.0.1:${ports[3]}`, settings);
         Object.entries(upstreams).forEach(([id, row]) => started.putUpstream(id, row));
         return started;
     }
 
+    /** Writes the settings file again with changes, or only the first half of it. */
+    changeSettings(changes: Partial<SettingsFileFields>, isHalfWritten = false): void {
+        const text = renderSettingsFile({ ...this.settings, ...changes });
+        writeFileSync(join(this.folder, "boot.toml"), isHalfWritten ? text.slice(0, text.length / 2) : text);
+    }
+
     /** Writes the row of an upstream. */
     putUpstream(id: string, row: object): void {
         this.store.put({ table: "servers", part: "", key: id }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })));
