--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
-import { PlatformNode } from "../node/platformNode";
+import { PassingWaits } from "../core/passingWaits";
+import { PlatformNodeRun } from "../node/platformNodeRun";
 import { readTransportLimits, transportLimitDefinitions } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
 import { EventId } from "../types/eventId";
@@ -25,7 +26,7 @@
     static override paths = [["serve-platform"]];
     static override usage = Command.Usage({
         description: "Runs a node on the platform.",
-        details: "The platform writes the settings file. If it has errors, all of them are printed and the exit code is 2.",
+        details: "The platform writes the settings file. The start waits while it is missing or has errors, which are logged, and while a port is in use.",
         examples: [["Run a node with the platform's settings", "jackdawtrail serve-platform --settings-file /etc/jackdawtrail/boot.toml"]],
     });
 
@@ -50,36 +51,31 @@
             return ExitCode.Usage;
         }
         const { limits } = transport;
-        const result = await readSettingsFile(this.settingsFile, limits);
-        if ("faults" in result) {
-            emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
-            result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
-            return ExitCode.Usage;
-        }
-        const node = PlatformNode.create(result.settings, () => errors.total);
-        this.watchSettings(this.settingsFile, result.text, node, limits);
-        let onUnable: () => void = () => undefined;
-        try {
-            await node.start(() => onUnable());
-        }
-        catch (err) {
-            emit(EventId.NodeStartFailed, { detail: err instanceof Error ? err.message : errorCodeOf(err) });
+        const told = new AbortController();
+        process.on("SIGTERM", () => told.abort());
+        process.on("SIGINT", () => told.abort());
+        const reading = await readSettingsFile(this.settingsFile, limits, PassingWaits.create(told.signal));
+        if (!reading) {
+            emit(EventId.NodeStopped, { waitedFor: this.settingsFile });
             await sleep(logFlushMs);
-            return ExitCode.Failed;
+            return ExitCode.Ok;
         }
+        const node = PlatformNodeRun.create(reading.settings, () => errors.total);
+        this.watchSettings(this.settingsFile, reading.text, node, limits);
         return new Promise(resolve => {
             // Signals after the first one change nothing; the platform ends a process that takes too long.
             let stopping: Promise<void> | undefined;
             const stop = async (code: ExitCode): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : code);
-            const onSignal = (): void => void (stopping ??= stop(ExitCode.Ok));
-            onUnable = () => void (stopping ??= stop(ExitCode.Failed));
-            process.on("SIGTERM", onSignal);
-            process.on("SIGINT", onSignal);
+            told.signal.addEventListener("abort", () => void (stopping ??= stop(ExitCode.Ok)));
+            node.start(() => void (stopping ??= stop(ExitCode.Failed))).catch((err: unknown) => {
+                emit(EventId.NodeStartFailed, { detail: err instanceof Error ? err.message : errorCodeOf(err) });
+                void sleep(logFlushMs).then(() => resolve(ExitCode.Failed));
+            });
         });
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits): void {
+    private watchSettings(file: string, firstText: string, node: PlatformNodeRun, limits: TransportLimits): void {
         let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -8,6 +8,7 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { GracefulClose } from "../utils/gracefulClose";
+import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
 import { errorCodeOf } from "../utils/transport";
 import { answerFailure } from "./answerFailure";
@@ -75,6 +76,11 @@
         return this.connections.openCount;
     }
 
+    /** The server with the address at which it is to listen. */
+    port(address: string): ServerPort {
+        return { server: this.server, address };
+    }
+
     listen(address: string): Promise<void> {
         return listenOn(this.server, address);
     }
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -4,17 +4,16 @@
 import type { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
-import { listenOn } from "../utils/listenOn";
 import type { Gateway } from "./gateway";
 
 /** Whether the load balancer should send new connections to the node. */
 export const isReady = (gateway: Gateway): boolean => gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0;
 
-/** Answers readiness checks of the load balancer with status 200 or 503. Returns the server. */
-export const serveReadiness = async (gateway: Gateway, address: string): Promise<Server> => {
+/** Creates the server that answers readiness checks of the load balancer with status 200 or 503. */
+export const createReadinessServer = (gateway: Gateway, isListening: () => boolean): Server => {
     let lastReady: boolean | undefined;
-    const server = createServer((req, res) => {
-        const ready = isReady(gateway);
+    return createServer((req, res) => {
+        const ready = isReady(gateway) && isListening();
         if (ready !== lastReady) {
             lastReady = ready;
             emit(EventId.ReadinessChanged, {
@@ -22,19 +21,18 @@
                 configVersion: gateway.config?.version,
                 upstreams: gateway.directory.all().length,
                 stopping: gateway.isStopping,
+                listening: isListening(),
             });
         }
         req.resume();
         res.writeHead(ready ? 200 : 503, { "Content-Length": 0 });
         res.end();
     });
-    await listenOn(server, address);
-    return server;
 };
 
-/** Serves the metrics as text on every path. */
-export const serveMetrics = async (metrics: Metrics, address: string): Promise<void> => {
-    const server = createServer((req, res) => {
+/** Creates the server that answers every path with the metrics as text. */
+export const createMetricsServer = (metrics: Metrics): Server =>
+    createServer((req, res) => {
         req.resume();
         metrics.render().then(({ text, contentType }) => {
             res.writeHead(200, { "Content-Type": contentType });
@@ -44,5 +42,3 @@
             res.destroy();
         });
     });
-    await listenOn(server, address);
-};
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -1,21 +1,13 @@
-import { randomUUID } from "node:crypto";
-import { ControllerLease } from "../core/controllerLease";
+import type { ControllerLease } from "../core/controllerLease";
 import { toFailure } from "../core/failures";
-import { LateLoads } from "../core/lateLoads";
-import { LeaseVacancy } from "../core/leaseVacancy";
 import { MonitoredStore } from "../core/monitoredStore";
+import { PassingWaits } from "../core/passingWaits";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
-import { takeoverDelayMs } from "../core/takeoverDelay";
 import { availabilityGauges } from "../forward/availabilityGauges";
 import { CallerServer } from "../forward/callerServer";
 import { Gateway } from "../forward/gateway";
-import { serveMetrics, serveReadiness } from "../forward/monitoringServers";
+import { createMetricsServer, createReadinessServer } from "../forward/monitoringServers";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
-import { UpstreamProber } from "../forward/upstreamProber";
-import { Controller } from "../placement/controller";
-import { ControllerClient } from "../placement/controllerClient";
-import { ControllerLink } from "../placement/controllerLink";
-import { PeerServer } from "../placement/peerServer";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { platformTables } from "../platform/platformTables";
@@ -26,8 +18,12 @@
 import { EventId } from "../types/eventId";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import { emit } from "../utils/events";
+import { listenOnAll } from "../utils/listenOn";
 import { createRandom } from "../utils/random";
-import { repeat, sleep } from "../utils/time";
+import { sleep } from "../utils/time";
+import { errorCodeOf } from "../utils/transport";
+import { followStreamVersions } from "./followStreamVersions";
+import { createNodePlacement } from "./nodePlacement";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
 import { startSelfCheck } from "./selfCheck";
@@ -48,22 +44,21 @@
 /** Upper bound of the delay after failed reads of the store: a share of the time allowed for a change, less in small fleets. */
 const maxRetryDelayShare = 0.5;
 const retryDelayPerNodeMs = 25;
-/** Interval between renewals of the controller's lease. */
-const leaseRenewalMs = 450;
-/** With more nodes than this, each reads the lease row less often; one of them still notices an expired lease soon. */
-const maxFullRateNodes = 8;
-/** Minimum pause between two attempts to take a vacant lease. */
-const minTakeoverPauseMs = 200;
-/** Interval between two reads of the records of streams until one succeeds, and at which the controller maintains them. */
-const streamReadRetryMs = 400;
-const streamMaintenanceIntervalMs = 5_000;
-/** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
-const controllerTimeoutMs = 1_500;
+const msPerS = 1_000;
+
+/** Settings that hold from the start of a node to its end. */
+const fixedSettings = ["callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
 
 /** A node on the platform: forwards callers' requests and takes part in model placement. */
 export class PlatformNode {
     private lease: ControllerLease | undefined;
     private readonly stopped = new AbortController();
+    private readonly stopping = new AbortController();
+    /** Aborts if the settings name other addresses before the node has started at those that it was created with. */
+    private readonly outdated = new AbortController();
+    private hasStarted = false;
+
+    private latestSettings: PlatformNodeSettings;
 
     private constructor(
         private readonly settings: PlatformNodeSettings,
@@ -71,7 +66,9 @@
         private readonly gateway: Gateway,
         private readonly server: CallerServer,
         private readonly unexpectedErrors: () => number,
-    ) {}
+    ) {
+        this.latestSettings = settings;
+    }
 
     /** Creates a node that does not listen yet; `unexpectedErrors` counts the errors that no handler caught. */
     static create(settings: PlatformNodeSettings, unexpectedErrors = (): number => 0): PlatformNode {
@@ -80,11 +77,19 @@
         return new PlatformNode(settings, store, gateway, CallerServer.create(gateway), unexpectedErrors);
     }
 
-    /** Starts following the store and accepting requests; `onUnable` is called if the node can no longer serve. */
-    async start(onUnable: () => void = () => undefined): Promise<void> {
+    /**
+     * Starts following the store and accepting requests, once all ports for callers, peers and the load balancer can be used; `onUnable` is called if the node can no
+     * longer serve. Returns false if it was stopped before, or if the settings have come to name other addresses: such a node is renewed.
+     */
+    async start(onUnable: () => void = () => undefined): Promise<boolean> {
         const { settings, gateway, server, store } = this;
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
-        const { controllerClient, peerServer } = this.startPlacement(store);
+        const { controllerClient, peerServer, lease, takePart } = createNodePlacement(gateway, store, {
+            runners: RunnerClient.create(settings.limits, (runner, word) => gateway.availability.onAnswer(runner, word)),
+            decodeConfig,
+            onConfig: () => server.applyLimits(),
+        }, this.stopped.signal);
+        this.lease = lease;
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
         // While the store is away all nodes try it, and one that reaches it tells the others.
         const maxRetryDelayMs = (): number =>
@@ -106,98 +111,61 @@
         });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
-        this.followStreamVersions();
+        followStreamVersions(gateway, this.stopped.signal);
+        const waits = PassingWaits.create(AbortSignal.any([this.stopping.signal, this.outdated.signal]));
         const metrics = Metrics.create();
         metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
+            { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
-        await serveMetrics(metrics, settings.metricsAddress);
-        await peerServer.listen(settings.peerAddress);
-        // Callers and the load balancer come last: they must not be answered by a node that then fails to start.
-        await server.listen(settings.callerAddress);
-        const readiness = await serveReadiness(gateway, settings.readyAddress);
+        this.serveMetrics(metrics);
+        const readiness = createReadinessServer(gateway, () => server.isListening);
+        const callerPort = server.port(settings.callerAddress);
+        const readinessPort = { server: readiness, address: settings.readyAddress };
+        if (!await listenOnAll([peerServer.port(settings.peerAddress), callerPort, readinessPort], waits)) {
+            this.stopped.abort();
+            return false;
+        }
+        takePart();
+        this.hasStarted = true;
         startSelfCheck([
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening },
             { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening },
         ], onUnable);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
+        return true;
     }
 
-    /** Reads the records of streams once, and maintains them on the controller. */
-    private followStreamVersions(): void {
-        const { streamVersions, placement, random } = this.gateway;
-        const step = async (): Promise<void> => {
-            if (!streamVersions.table) {
-                await streamVersions.readTable();
-            }
-            await streamVersions.flush();
-            if (placement.isController) {
-                await streamVersions.maintain();
-            }
-        };
-        void repeat(
-            step,
-            () => streamVersions.table ? streamMaintenanceIntervalMs : streamReadRetryMs * (0.5 + random()),
-            this.stopped.signal,
-            err => emit(EventId.StreamRecordsUnread, { detail: toFailure(err).detail }),
-        );
-    }
-
-    /** Starts model placement: as the controller while this node holds the lease, otherwise by requests to the controller. */
-    private startPlacement(store: MonitoredStore): { readonly controllerClient: ControllerClient; readonly peerServer: PeerServer; } {
-        const { gateway, settings } = this;
-        const { signal } = this.stopped;
-        const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
-        const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
-        const lateLoads = LateLoads.create();
-        const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
-        const { availability } = gateway;
-        const runners = RunnerClient.create(settings.limits, (runner, word) => availability.onAnswer(runner, word));
-        gateway.prober = UpstreamProber.create(runners, runner => availability.mayCall(runner));
-        const link = ControllerLink.create();
-        const controller = Controller.create(gateway, lease, runners, lateLoads);
-        const peerServer = PeerServer.create(gateway, controller, link);
-        const controllerClient: ControllerClient = ControllerClient.create(gateway, lease, link, {
-            peerServer,
-            controller,
-            decodeConfig,
-            onConfig: () => this.server.applyLimits(),
+    /** Serves metrics as soon as their port can be used; callers do not wait for that. */
+    private serveMetrics(metrics: Metrics): void {
+        const address = this.settings.metricsAddress;
+        const server = createMetricsServer(metrics);
+        this.stopped.signal.addEventListener("abort", () => {
+            server.close();
+            server.closeAllConnections();
         });
-        gateway.placement = controllerClient;
-        controllerClient.start(signal);
-        controller.start(signal);
-        const isControllerResponding = (): boolean => link.ageMs < controllerTimeoutMs;
-        const tick = async (): Promise<void> => {
-            if (lease.heldEpoch !== undefined || !isControllerResponding()) {
-                await lease.tick();
-            }
-        };
-        const pauseMs = (): number => {
-            if (lease.heldEpoch !== undefined) {
-                return leaseRenewalMs;
-            }
-            const readPauseMs = leaseRenewalMs * Math.max(1, gateway.knownNodes / maxFullRateNodes) * (0.5 + gateway.random());
-            return vacancy.takeoverInMs === undefined || isControllerResponding() ? readPauseMs : Math.max(minTakeoverPauseMs, vacancy.takeoverInMs);
-        };
-        void repeat(
-            tick,
-            pauseMs,
-            signal,
-            err => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }),
-        );
-        this.lease = lease;
-        return { controllerClient, peerServer };
+        listenOnAll([{ server, address }], PassingWaits.create(this.stopped.signal))
+            .catch((err: unknown) => emit(EventId.MetricsUnserved, { address, reason: errorCodeOf(err) }));
     }
 
     /** Applies reloaded settings; addresses keep their values from startup. */
     reload(next: PlatformNodeSettings): void {
         const { callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
+        this.latestSettings = next;
+        if (!this.hasStarted && fixedSettings.some(name => next[name] !== this.settings[name])) {
+            this.outdated.abort();
+        }
         this.gateway.settings = { ...next, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
         emit(EventId.SettingsReloaded, { retrySlack: next.retrySlack, seeds: next.seeds.length });
     }
 
+    /** Creates the node that replaces this one if it did not start, with the settings as they are by now. */
+    renew(): PlatformNode {
+        return PlatformNode.create(this.latestSettings, this.unexpectedErrors);
+    }
+
     /** Answers what its upstreams have not answered, except streams that have begun. */
     private async answerLast(stop: PlannedStop): Promise<void> {
         const { gateway } = this;
@@ -219,10 +187,11 @@
             }
         });
         gateway.isStopping = true;
+        this.stopping.abort();
         gateway.stopRequestedAt = stop.requestedAt;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
-        await stop.run("notice", sleep(stopNoticeMs));
+        await stop.run("notice", sleep(this.hasStarted ? stopNoticeMs : 0));
         await stop.run("accept", server.stopListening(stop.latestDeadlineAt));
         await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
         await stop.run("release", released ?? Promise.resolve());
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -11,6 +11,7 @@
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
 import { emit } from "../utils/events";
+import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
 import type { Controller } from "./controller";
 import type { ControllerLink } from "./controllerLink";
@@ -108,6 +109,11 @@
 
     /** Starts to serve peers on an address. */
     listen(address: string): Promise<void> {
+        return listenOn(this.port(address).server, address);
+    }
+
+    /** The server for peers, with the address at which it is to listen. */
+    port(address: string): ServerPort {
         const router = createPeerServerRouter(this, this.controller);
         this.httpServer = createServer((req, res) => {
             const path = (req.url ?? "/").split("?", 1)[0]!.slice(1);
@@ -118,7 +124,7 @@
         });
         this.httpServer.headersTimeout = peerRequestTimeoutMs;
         this.httpServer.requestTimeout = peerRequestTimeoutMs;
-        return listenOn(this.httpServer, address);
+        return { server: this.httpServer, address };
     }
 
     /** Stops the server and closes its connections. */
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -18,6 +18,8 @@
     ResidentSizeUnknown = 115,
     NodeUnableToServe = 116,
     NodeStartRetried = 117,
+    WaitPassed = 130,
+    MetricsUnserved = 131,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -11,12 +11,15 @@
     [EventId.SettingsReloaded]: "the settings file was reloaded; settings that can change without a restart are in force",
     [EventId.ReadinessChanged]: "the readiness that the node reports to the load balancer changed",
     [EventId.LinesDropped]: "log lines were dropped because of the rate limit or a slow reader of the log",
-    [EventId.NodeStartFailed]: "the node could not start, usually because an address is in use; the process exits",
+    [EventId.NodeStartFailed]: "the node could not start for a reason that lasts as long as the process, such as a port that it may not use; the process exits",
     [EventId.UnexpectedError]:
         "an error that no handler caught; the process goes on. Of errors that repeat at one place a few are logged, with the number of those `suppressed` before",
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
     [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
-    [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
+    [EventId.NodeStartRetried]:
+        "the node waits for what it cannot start or go on without (`waitsFor`): a settings file without faults, or ports; logged when a wait begins, when its `reason` changes, and every 10 s with `waitedMs`",
+    [EventId.WaitPassed]: "what the node waited for (117) has come after `waitedMs`",
+    [EventId.MetricsUnserved]: "the port for metrics cannot be used while this process lives; the node serves its callers without metrics",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
--- a/test/fakes/platformStoreServer.ts
+++ b/test/fakes/platformStoreServer.ts
@@ -48,9 +48,9 @@
     );
 
 /** Serves an in-memory store by the platform's protocol. */
-export const servePlatformStore = (store: MemoryPlatformStore): Promise<Server> =>
+export const servePlatformStore = (store: MemoryPlatformStore, port = 0): Promise<Server> =>
     serveJson(
-        0,
+        port,
         withFailureResponses(store, {
             "GET /api/rows-get": async ({ url }) => {
                 const { rows, version } = await store.readTable(url.searchParams.get("table") ?? "");
--- /dev/null
+++ b/test/heldPorts.test.ts
@@ -0,0 +1,103 @@
+import assert from "node:assert/strict";
+import { writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { after, describe, it } from "node:test";
+import { ExitCode } from "../src/cli/exitCode";
+import { sleep } from "../src/utils/time";
+import type { NodeAddresses } from "./fakes/nodeStart";
+import { heldMs, isAnswering, isListening, NodeStarts, reserveAddresses, settingsOf, startedWithinMs, startPollMs, startTimeoutMs } from "./fakes/nodeStart";
+import { waitFor } from "./fakes/processes";
+
+/** The processor time of the end and the flush of the log, not the grace period. */
+const endedWithinMs = 1_000;
+
+describe("guards against an end while a port is taken", { concurrency: true }, () => {
+    const starts = NodeStarts.create();
+    after(() => starts.close());
+
+    const ports: readonly (keyof NodeAddresses)[] = ["front", "ready", "control"];
+    for (const taken of ports) {
+        it(`answers neither callers nor the load balancer while the ${taken} port is taken, and starts once it is free`, async () => {
+            const addresses = await reserveAddresses();
+            const free = await starts.takePort(addresses[taken]);
+            const file = join(starts.folder, `${taken}.toml`);
+            writeFileSync(file, settingsOf(addresses));
+            const { child, ended } = starts.start(file);
+            const seen = { ended: false, listening: false, answered: false };
+            void ended.then(() => seen.ended = true);
+            const freedAt = performance.now() + heldMs;
+            while (performance.now() < freedAt) {
+                seen.listening ||= taken !== "ready" && await isListening(addresses.ready);
+                seen.answered ||= await isAnswering(addresses.ready) || await isAnswering(addresses.front);
+                await sleep(startPollMs);
+            }
+            assert.deepEqual(seen, { ended: false, listening: false, answered: false });
+            free();
+            await waitFor("answers", async () => await isAnswering(addresses.ready) && isAnswering(addresses.front), startedWithinMs, startPollMs);
+            child.kill("SIGTERM");
+            assert.equal(await ended, ExitCode.Ok);
+        });
+    }
+
+    it("serves callers while the metrics port is taken, and metrics once it is free", async () => {
+        const addresses = await reserveAddresses();
+        const free = await starts.takePort(addresses.metrics);
+        const file = join(starts.folder, "metrics.toml");
+        writeFileSync(file, settingsOf(addresses));
+        const { child, ended } = starts.start(file);
+        await waitFor("answers", async () => await isAnswering(addresses.ready) && isAnswering(addresses.front), startTimeoutMs, startPollMs);
+        await sleep(heldMs);
+        assert.equal(await isAnswering(addresses.front), true);
+        assert.equal(child.exitCode ?? child.signalCode ?? undefined, undefined);
+        free();
+        await waitFor("metrics", () => isAnswering(addresses.metrics), startedWithinMs, startPollMs);
+        child.kill("SIGTERM");
+        assert.equal(await ended, ExitCode.Ok);
+    });
+
+    it("takes the ports that the settings name by then", async () => {
+        const [before, after] = [await reserveAddresses(), await reserveAddresses()];
+        const free = await starts.takePort(before.front);
+        const file = join(starts.folder, "moved.toml");
+        writeFileSync(file, settingsOf(before));
+        const { child, ended } = starts.start(file);
+        await waitFor("metrics", () => isAnswering(before.metrics), startTimeoutMs, startPollMs);
+        writeFileSync(file, settingsOf(after));
+        child.kill("SIGHUP");
+        await waitFor("answers", async () => await isAnswering(after.ready) && isAnswering(after.front), startedWithinMs, startPollMs);
+        await waitFor("metrics", () => isAnswering(after.metrics), startedWithinMs, startPollMs);
+        assert.equal(await isListening(before.ready), false);
+        free();
+        child.kill("SIGTERM");
+        assert.equal(await ended, ExitCode.Ok);
+    });
+
+    interface StopCase {
+        readonly name: string;
+        readonly spoil: (file: string, addresses: NodeAddresses) => Promise<void>;
+    }
+    const stopCases: readonly StopCase[] = [
+        {
+            name: "a port",
+            spoil: async (file, addresses) => {
+                writeFileSync(file, settingsOf(addresses));
+                await starts.takePort(addresses.control);
+            },
+        },
+        { name: "its settings", spoil: () => Promise.resolve() },
+    ];
+    for (const [index, { name, spoil }] of stopCases.entries()) {
+        it(`ends at once with exit code 0 on SIGTERM while it waits for ${name}`, async () => {
+            const addresses = await reserveAddresses();
+            const file = join(starts.folder, `stopped-${index}.toml`);
+            await spoil(file, addresses);
+            const { child, ended, log } = starts.start(file);
+            await waitFor("line of the wait", () => log().includes("NodeStartRetried"), startTimeoutMs, startPollMs);
+            const toldAt = performance.now();
+            child.kill("SIGTERM");
+            assert.equal(await ended, ExitCode.Ok);
+            assert.ok(performance.now() - toldAt < endedWithinMs);
+            assert.match(log(), /NodeStopped/);
+        });
+    }
+});
