--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -18,6 +18,7 @@
 import { EventId } from "../types/eventId";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import { emit } from "../utils/events";
+import type { ServerPort } from "../utils/listenOn";
 import { listenOnAll } from "../utils/listenOn";
 import { createRandom } from "../utils/random";
 import { sleep } from "../utils/time";
@@ -130,9 +131,10 @@
         }
         takePart();
         this.hasStarted = true;
+        const relisten = (port: ServerPort) => (): Promise<unknown> => listenOnAll([port], waits);
         startSelfCheck([
-            { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening },
-            { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening },
+            { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening, mend: relisten(callerPort) },
+            { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening, mend: relisten(readinessPort) },
         ], onUnable);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress });
         return true;
--- a/src/node/selfCheck.ts
+++ b/src/node/selfCheck.ts
@@ -1,5 +1,6 @@
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
+import { errorCodeOf } from "../utils/transport";
 
 const checkIntervalMs = 1_000;
 /** Failed checks in a row after which the node is taken to be unable to serve. */
@@ -9,19 +10,35 @@
 export interface SelfCheckItem {
     readonly name: string;
     readonly isSound: () => boolean;
+    /** Tries to mend it for as long as that can succeed; throws if it cannot while the process lives. */
+    readonly mend?: () => Promise<unknown>;
 }
 
-/** Checks now and then whether a node can still serve; calls `onUnable` once if it cannot. Returns a function that ends the checks. */
+/** Checks now and then whether a node can still serve; calls `onUnable` once if it cannot and that cannot be mended. Returns a function that ends the checks. */
 export const startSelfCheck = (items: readonly SelfCheckItem[], onUnable: () => void): () => void => {
     let failedChecks = 0;
+    const beingMended = new Set<SelfCheckItem>();
+    const mend = async (item: SelfCheckItem): Promise<void> => {
+        beingMended.add(item);
+        emit(EventId.ListenerLost, { listener: item.name });
+        try {
+            await item.mend?.();
+        }
+        catch (err) {
+            emit(EventId.ListenerLost, { listener: item.name, detail: errorCodeOf(err) });
+        }
+        beingMended.delete(item);
+    };
     const timer = setInterval(() => {
-        const failed = items.filter(({ isSound }) => !isSound()).map(({ name }) => name);
+        const failed = items.filter(item => !item.isSound() && !beingMended.has(item));
         failedChecks = failed.length === 0 ? 0 : failedChecks + 1;
         if (failedChecks >= maxFailedChecks) {
             clearInterval(timer);
-            emit(EventId.NodeUnableToServe, { failed });
+            emit(EventId.NodeUnableToServe, { failed: failed.map(({ name }) => name) });
             onUnable();
+            return;
         }
+        failed.filter(item => item.mend).forEach(item => void mend(item));
     }, checkIntervalMs);
     timer.unref();
     return () => clearInterval(timer);
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -20,6 +20,7 @@
     NodeStartRetried = 117,
     WaitPassed = 130,
     MetricsUnserved = 131,
+    ListenerLost = 132,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -15,11 +15,14 @@
     [EventId.UnexpectedError]:
         "an error that no handler caught; the process goes on. Of errors that repeat at one place a few are logged, with the number of those `suppressed` before",
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
-    [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
+    [EventId.NodeUnableToServe]:
+        "the node can no longer serve, as by a listener that is lost and cannot be opened again; it finishes accepted requests and ends with an error",
     [EventId.NodeStartRetried]:
         "the node waits for what it cannot start or go on without (`waitsFor`): a settings file without faults, or ports; logged when a wait begins, when its `reason` changes, and every 10 s with `waitedMs`",
     [EventId.WaitPassed]: "what the node waited for (117) has come after `waitedMs`",
     [EventId.MetricsUnserved]: "the port for metrics cannot be used while this process lives; the node serves its callers without metrics",
+    [EventId.ListenerLost]:
+        "a listener was closed and is opened again; `detail` is the error of a try that cannot succeed, and three of them in a row end the node (116)",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -8,6 +8,7 @@
     EventId.NodeUnableToServe,
     EventId.NodeStartRetried,
     EventId.MetricsUnserved,
+    EventId.ListenerLost,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
