--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -54,11 +54,13 @@
         return this;
     }
 
-    /** Opens the listener and starts the components. */
+    /** Opens the listener, as soon as its address can be used, and starts the components. */
     async start(server: StandaloneNodeServer): Promise<void> {
         this.server = server;
         server.addRoutes(...this.healthRoutes());
-        await server.listen();
+        if (!await server.listen()) {
+            return;
+        }
         emit(EventId.NodeStarted, { node: this.context.cfg.nodeId, listen: this.context.cfg.listen, availabilityZone: this.context.cfg.availabilityZone });
         for (const plugin of this.plugins) {
             await plugin.start(this.context);
--- a/src/plugins/standaloneNodeServer.ts
+++ b/src/plugins/standaloneNodeServer.ts
@@ -4,11 +4,13 @@
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
 import { raise, toFailure } from "../core/failures";
+import { PassingWaits } from "../core/passingWaits";
 import type { NodeContext } from "../node/context";
 import { NodeStage } from "../node/context";
 import { FailureKind } from "../types/failureKind";
 import type { HttpExchange, HttpRoute } from "../types/httpExchange";
 import { GracefulClose } from "../utils/gracefulClose";
+import { listenOnAll } from "../utils/listenOn";
 import { sendFailure } from "../utils/problems";
 
 const headersTimeoutMs = 10_000;
@@ -47,15 +49,10 @@
         this.routes.push(...routes);
     }
 
-    /** Starts to listen on the node's address. */
-    listen(): Promise<void> {
-        const { listen } = this.node.cfg;
-        const colon = listen.lastIndexOf(":");
-        const host = listen.slice(0, colon).replace(/^\[|\]$/g, "");
-        return new Promise((resolve, reject) => {
-            this.server.once("error", reject);
-            this.server.listen(Number(listen.slice(colon + 1)), host, () => resolve());
-        });
+    /** Starts to listen on the node's address; waits while it cannot be used. Returns false if the node was stopped before. */
+    listen(): Promise<boolean> {
+        const { cfg, signal } = this.node;
+        return listenOnAll([{ server: this.server, address: cfg.listen }], PassingWaits.create(signal));
     }
 
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
