--- a/test/heldPorts.test.ts
+++ b/test/heldPorts.test.ts
@@ -55,22 +55,38 @@
         assert.equal(await ended, ExitCode.Ok);
     });
 
-    it("takes the ports that the settings name by then", async () => {
-        const [before, after] = [await reserveAddresses(), await reserveAddresses()];
-        const free = await starts.takePort(before.front);
-        const file = join(starts.folder, "moved.toml");
-        writeFileSync(file, settingsOf(before));
-        const { child, ended } = starts.start(file);
-        await waitFor("metrics", () => isAnswering(before.metrics), startTimeoutMs, startPollMs);
-        writeFileSync(file, settingsOf(after));
-        child.kill("SIGHUP");
-        await waitFor("answers", async () => await isAnswering(after.ready) && isAnswering(after.front), startedWithinMs, startPollMs);
-        await waitFor("metrics", () => isAnswering(after.metrics), startedWithinMs, startPollMs);
-        assert.equal(await isListening(before.ready), false);
-        free();
-        child.kill("SIGTERM");
-        assert.equal(await ended, ExitCode.Ok);
-    });
+    interface MovedCase {
+        readonly name: string;
+        /** Makes the first address of callers one that cannot be used; returns it. */
+        readonly spoil: (address: string) => Promise<string>;
+    }
+    const movedCases: readonly MovedCase[] = [
+        {
+            name: "a port is taken",
+            spoil: async address => {
+                await starts.takePort(address);
+                return address;
+            },
+        },
+        // An address of the range for documentation, which no machine has.
+        { name: "the machine lacks an address", spoil: address => Promise.resolve(address.replace("127.0.0.1", "192.0.2.1")) },
+    ];
+    for (const [index, { name, spoil }] of movedCases.entries()) {
+        it(`takes the addresses that the settings name by then, while ${name}`, async () => {
+            const [before, after] = [await reserveAddresses(), await reserveAddresses()];
+            const file = join(starts.folder, `moved-${index}.toml`);
+            writeFileSync(file, settingsOf({ ...before, front: await spoil(before.front) }));
+            const { child, ended } = starts.start(file);
+            await waitFor("metrics", () => isAnswering(before.metrics), startTimeoutMs, startPollMs);
+            writeFileSync(file, settingsOf(after));
+            child.kill("SIGHUP");
+            await waitFor("answers", async () => await isAnswering(after.ready) && isAnswering(after.front), startedWithinMs, startPollMs);
+            await waitFor("metrics", () => isAnswering(after.metrics), startedWithinMs, startPollMs);
+            assert.equal(await isListening(before.ready), false);
+            child.kill("SIGTERM");
+            assert.equal(await ended, ExitCode.Ok);
+        });
+    }
 
     interface StopCase {
         readonly name: string;
