--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
-import { PlatformNode } from "../node/platformNode";
+import { PassingWaits } from "../core/passingWaits";
+import { PlatformNodeRun } from "../node/platformNodeRun";
 import { readTransportLimits, transportLimitDefinitions } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
 import { EventId } from "../types/eventId";
@@ -28,7 +29,7 @@
     static override paths = [["serve-platform"]];
     static override usage = Command.Usage({
         description: "Runs a node on the platform.",
-        details: "The platform writes the settings file. If it has errors, all of them are printed and the exit code is 2.",
+        details: "The platform writes the settings file. The start waits while it is missing or has errors, which are logged, and while a port is in use.",
         examples: [["Run a node with the platform's settings", "jackdawtrail serve-platform --settings-file /etc/jackdawtrail/boot.toml"]],
     });
 
@@ -54,24 +55,22 @@
         }
         const { limits } = transport;
         const { signals } = this.context;
-        const result = await unlessStopped(readSettingsFile(this.settingsFile, limits), signals);
-        if (!result) {
+        const stopped = new AbortController();
+        const reading = await unlessStopped(readSettingsFile(this.settingsFile, limits, PassingWaits.create(stopped.signal)), signals);
+        if (!reading) {
+            stopped.abort();
+            emit(EventId.NodeStopped, { waitedFor: this.settingsFile });
             await sleep(logFlushMs);
             return ExitCode.Ok;
         }
-        if ("faults" in result) {
-            emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
-            result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
-            return ExitCode.Usage;
-        }
         startTimes.mark(StartStep.Settings);
-        const node = PlatformNode.create(result.settings, () => errors.total);
-        this.watchSettings(this.settingsFile, result.text, node, limits, signals);
+        const node = PlatformNodeRun.create(reading.settings, () => errors.total);
+        this.watchSettings(this.settingsFile, reading.text, node, limits, signals);
         return serveUntilStopped(node, signals);
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits, signals: ProcessSignals): void {
+    private watchSettings(file: string, firstText: string, node: PlatformNodeRun, limits: TransportLimits, signals: ProcessSignals): void {
         let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
--- a/src/node/standaloneNode.ts
+++ b/src/node/standaloneNode.ts
@@ -56,12 +56,11 @@
         return this;
     }
 
-    /** Opens the listener and starts the components, unless the node is stopped meanwhile. */
+    /** Opens the listener, as soon as its address can be used, and starts the components, unless the node is stopped meanwhile. */
     async start(server: StandaloneNodeServer): Promise<void> {
         this.server = server;
         server.addRoutes(...this.healthRoutes());
-        await server.listen();
-        if (this.isStopping) {
+        if (!await server.listen() || this.isStopping) {
             return;
         }
         const { nodeId, listen, availabilityZone } = this.context.cfg;
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -7,6 +7,8 @@
     EventId.UnexpectedError,
     EventId.NodeUnableToServe,
     EventId.NodeStartRetried,
+    EventId.MetricsUnserved,
+    EventId.ListenerLost,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
