--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -9,6 +9,8 @@
 export const maxSmallBodyBytes = 65_536;
 /** Charge for a body that waits: what the runtime and the kernel have read ahead of it. */
 export const waitingBodyBytes = 131_072;
+/** Share of the budget that waiting bodies may take: without a bound, they would take the part of the small ones. */
+const waitingShare = 0.1;
 /** Bounds of the delay after which a refused caller may come again. */
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 30_000;
@@ -115,7 +117,8 @@
         if (queue.length === 0 && this.fits(bytes)) {
             return Promise.resolve(this.grant(bytes));
         }
-        if (this.isTooLarge(bytes) || this.expectedWaitMs(queue, bytes) > waitMs || signal.aborted) {
+        const mayWait = this.usedBy(MemoryHolder.UnreadBodies) + waitingBodyBytes <= this.waitingLimitBytes;
+        if (!mayWait || this.isTooLarge(bytes) || this.expectedWaitMs(queue, bytes) > waitMs || signal.aborted) {
             return Promise.resolve(this.deny(bytes));
         }
         return new Promise(resolve => {
@@ -163,9 +166,16 @@
         this.used.set(holder, this.usedBy(holder) + bytes);
     }
 
-    /** Bytes up to which all holders may be filled by a body of this size. */
+    /** Bytes that bodies may take while they wait; one always may. */
+    private get waitingLimitBytes(): number {
+        return Math.max(waitingBodyBytes, waitingShare * this.limitBytes);
+    }
+
+    /** Bytes up to which all holders may be filled by a body of this size. Bodies that wait do not delay a small one. */
     private ceilingOf(bytes: number): number {
-        return this.limitBytes * (bytes <= maxSmallBodyBytes ? bodyShare + smallBodyShare : bodyShare);
+        return bytes <= maxSmallBodyBytes
+            ? this.limitBytes * (bodyShare + smallBodyShare) + this.usedBy(MemoryHolder.UnreadBodies)
+            : this.limitBytes * bodyShare;
     }
 
     private isTooLarge(bytes: number): boolean {
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -115,6 +115,19 @@
         assert.equal(clock.countTimers(), 0);
     });
 
+    // Guards against small requests that are refused because the bodies that wait were counted in their part of the memory.
+    it("grants small bodies beside many that wait, and refuses at once those for which there is no room to wait", async () => {
+        await ask(60 * megabyte);
+        const large = [];
+        for (let index = 0; index < 200; index++) {
+            large.push(await ask(0.1 * megabyte, 60_000));
+        }
+        const small = await ask(1_000);
+        assert.ok(small.result?.isGranted);
+        assert.ok(budget.usedBy(MemoryHolder.UnreadBodies) <= 0.1 * limitBytes);
+        assert.ok(large.some(({ result }) => result?.isGranted === false));
+    });
+
     it("tells refused callers to come again one after the other, as memory becomes free", async () => {
         await ask(60 * megabyte);
         const delaysMs: number[] = [];
