--- a/test/heldPorts.test.ts
+++ b/test/heldPorts.test.ts
@@ -55,6 +55,17 @@
         assert.equal(await ended, ExitCode.Ok);
     });
 
+    it("ends with exit code 0 on SIGTERM while the metrics port is taken", async () => {
+        const addresses = await reserveAddresses();
+        await starts.takePort(addresses.metrics);
+        const file = join(starts.folder, "stopped-metrics.toml");
+        writeFileSync(file, settingsOf(addresses));
+        const { child, ended } = starts.start(file);
+        await waitFor("answers", async () => await isAnswering(addresses.ready) && isAnswering(addresses.front), startTimeoutMs, startPollMs);
+        child.kill("SIGTERM");
+        assert.equal(await ended, ExitCode.Ok);
+    });
+
     interface MovedCase {
         readonly name: string;
         /** Makes the first address of callers one that cannot be used; returns it. */
