--- a/src/cli/processSignals.ts
+++ b/src/cli/processSignals.ts
@@ -1,6 +1,6 @@
 import { SignalMeaning } from "./signalMeaning";
 
-/** Signals whose default action ends a process. SIGQUIT and those that report faults of the program keep it. */
+/** Signals whose default action ends a process. SIGQUIT, SIGXCPU, what profilers use and what reports faults of the program keep it. */
 const meanings: readonly (readonly [NodeJS.Signals, SignalMeaning])[] = [
     ["SIGHUP", SignalMeaning.Reload],
     ["SIGTERM", SignalMeaning.Stop],
