--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -84,6 +84,11 @@
         return [...this.used.values()].reduce((sum, bytes) => sum + bytes, 0);
     }
 
+    /** Bytes that each holder uses, for the log. */
+    get usedByHolder(): Readonly<Record<string, number>> {
+        return Object.fromEntries(this.used);
+    }
+
     usedBy(holder: MemoryHolder): number {
         return this.used.get(holder) ?? 0;
     }
@@ -212,7 +217,7 @@
                 askedBytes: bytes,
                 usedBytes: this.usedBytes,
                 limitBytes: Math.round(this.limitBytes),
-                usedByHolder: Object.fromEntries(this.used),
+                usedByHolder: this.usedByHolder,
             },
         };
     }
--- a/src/core/memoryLimit.ts
+++ b/src/core/memoryLimit.ts
@@ -11,7 +11,7 @@
 const minShare = 0.05;
 
 /** Bytes that a process may use for its callers and upstreams: the memory that the platform states less what heap and runtime need. */
-export const memoryLimitOf = (statedBytes: number, { rss, heapTotal }: MemoryReading): number => {
+export const memoryLimitOf = (statedBytes: number, { rss, heapTotal }: Pick<MemoryReading, "rss" | "heapTotal">): number => {
     const overBytes = Math.max(0, rss - (statedBytes - marginBytes));
     return Math.max(minShare * statedBytes, statedBytes - runtimeBytes - uncollectedBytes - heapTotal - overBytes);
 };
--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -67,6 +67,7 @@
 
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const { socket } = req;
+        this.gateway.heapWatch.check();
         if (!this.descriptors.begin(socket)) {
             this.refused.add(req);
         }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,5 +1,6 @@
 import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
+import { HeapWatch } from "../core/heapWatch";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
@@ -106,12 +107,18 @@
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
-    private readonly memoryGauge = MemoryGauge.create();
+    readonly memoryGauge = MemoryGauge.create();
     /** Memory of the process for its callers and upstreams. */
     readonly memory = MemoryBudget.create({
         limitBytes: () => memoryLimitOf(this.settings.memoryBytes, this.memoryGauge.read()),
         random: () => this.random(),
     });
+    readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => ({
+        inProgress: this.inProgress,
+        upstreamConnections: this.upstreamConnections,
+        upstreams: this.directory.all().length,
+        usedByHolder: this.memory.usedByHolder,
+    }));
     /** Memory for answers that are kept until they are complete. */
     readonly answerMemory = AnswerMemory.create(
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -57,6 +57,8 @@
 /** Interval between two reads of the records of streams until one succeeds, and at which the controller maintains them. */
 const streamReadRetryMs = 400;
 const streamMaintenanceIntervalMs = 5_000;
+/** Interval at which the heap is checked, beside the checks of requests. */
+const heapCheckIntervalMs = 500;
 /** A controller that has not answered for this long may be gone; the lease row shows whether it is. */
 const controllerTimeoutMs = 1_500;
 
@@ -104,6 +106,8 @@
             knownVersion: () => gateway.directory.version,
             freshness,
         });
+        const heapTimer = setInterval(() => gateway.heapWatch.check(), heapCheckIntervalMs);
+        this.stopped.signal.addEventListener("abort", () => clearInterval(heapTimer), { once: true });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
         this.followStreamVersions();
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -12,6 +12,8 @@
     { name: "caller_connections", help: "Open connections of callers", read: () => server.openConnections },
     { name: "upstream_connections", help: "Connections to upstreams that are open or being opened", read: () => gateway.upstreamConnections },
     { name: "memory_limit_bytes", help: "Memory that bodies, answers and connections together may use", read: () => gateway.memory.limitBytes },
+    { name: "heap_used_bytes", help: "JavaScript heap in use, with what has not been collected yet", read: () => gateway.memoryGauge.read().heapUsed },
+    { name: "heap_limit_bytes", help: "Size of the JavaScript heap at which the runtime ends the process", read: () => gateway.memoryGauge.read().heapLimit },
     { name: "bodies_waiting", help: "Request bodies that wait for memory before they are read", read: () => gateway.memory.waiting },
     ...Object.values(MemoryHolder).map(holder => ({
         name: `memory_${holder}_bytes`,
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -18,6 +18,7 @@
     ResidentSizeUnknown = 115,
     NodeUnableToServe = 116,
     NodeStartRetried = 117,
+    HeapNearLimit = 121,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -16,6 +16,8 @@
         "an error that no handler caught; the process goes on. Of errors that repeat at one place a few are logged, with the number of those `suppressed` before",
     [EventId.IdleConnectionsClosed]: "connections of callers without a request were closed, because the descriptors of the process are short",
     [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
+    [EventId.HeapNearLimit]:
+        "the JavaScript heap is near its limit, at which the runtime ends the process without a line: its size, the limit, and what callers and upstreams hold, by holder",
     [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -7,6 +7,7 @@
     EventId.UnexpectedError,
     EventId.NodeUnableToServe,
     EventId.NodeStartRetried,
+    EventId.HeapNearLimit,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
