--- a/src/forward/connectionTurns.ts
+++ b/src/forward/connectionTurns.ts
@@ -30,6 +30,12 @@
         }
         const turn = ahead?.done ?? Promise.resolve();
         this.newest.set(socket, { res, done: turn.then(() => this.waitForEnd(socket, res)) });
+        // An idle connection must not keep the head of its last request.
+        res.once("close", () => {
+            if (this.isNewest(socket, res)) {
+                this.newest.delete(socket);
+            }
+        });
         await turn;
         return this.isOpen(socket);
     }
