--- a/src/core/descriptorBudget.ts
+++ b/src/core/descriptorBudget.ts
@@ -44,6 +44,11 @@
         return this.unused.size + this.idle.size + this.busy.size;
     }
 
+    /** Number of requests in progress on a connection. */
+    requestsOn(connection: T): number {
+        return this.busy.get(connection) ?? 0;
+    }
+
     /** Descriptors for callers and upstreams. */
     get limit(): number {
         return this.sockets - this.setAside;
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -29,6 +29,7 @@
     [FailureKind.UpstreamsQuiet]: { status: 503, title: "all upstreams asked for a pause" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
     [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
+    [FailureKind.HeapShort]: { status: 503, title: "the node has no memory for the request" },
     [FailureKind.ConnectionsShort]: { status: 503, title: "the node has no connection for the request" },
     [FailureKind.Stopping]: { status: 503, title: "the node is stopping" },
     [FailureKind.UpstreamRefused]: { status: 503, title: "the upstream refused the request" },
--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -1,9 +1,12 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Socket } from "node:net";
 import { DescriptorBudget } from "../core/descriptorBudget";
+import type { HeapDenial, HeapGrant } from "../core/requestHeap";
 import { EventId } from "../types/eventId";
+import { FailureKind } from "../types/failureKind";
 import { MemoryHolder } from "../types/memoryHolder";
 import { emit } from "../utils/events";
+import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
 
 /** Charge for a connection of a caller with what it holds of an incomplete head. */
@@ -11,15 +14,34 @@
 /** Limit of the parser under a configuration: this multiple of the configured limit, and no less than this. */
 const parserHeaderFactor = 2;
 const minParserHeaderBytes = 16_384;
+/** A request behind as many others of its connection, all unanswered, was sent far ahead. */
+const minFarAhead = 4;
+/** Mean Retry-After while connections are short. */
+const connectionsRetryAfterMs = 1_000;
 /** Closed connections are logged together, at this interval. */
 const logIntervalMs = 1_000;
 
+/** A connection with the runtime's parser of it, which is not documented. */
+type ParsedSocket = Socket & { readonly parser?: { onIncoming: () => number; }; };
+
+/** Why a request is refused before it is looked at. */
+export interface ConnectionRefusal {
+    readonly kind: FailureKind;
+    readonly detail: string;
+    readonly retryAfterMs: number;
+    /** State of the budget, for the log. */
+    readonly memory?: HeapDenial["memory"];
+}
+
 /** Connections of callers, idle ones among them, within the memory and descriptors of the process. */
 export class CallerConnections {
     private readonly descriptors: DescriptorBudget<Socket>;
-    /** Requests that must be refused for want of descriptors. */
-    private readonly refused = new WeakSet<IncomingMessage>();
+    private readonly refusals = new WeakMap<IncomingMessage, ConnectionRefusal>();
+    /** Heap of the unanswered requests of each connection. The runtime does not announce the close of responses behind another one. */
+    private readonly heapGrants = new Map<Socket, Set<HeapGrant>>();
+    private readonly cut = new WeakSet<Socket>();
     private closedCount = 0;
+    private cutCount = 0;
 
     private constructor(private readonly server: Server, private readonly gateway: Gateway) {
         this.descriptors = DescriptorBudget.create<Socket>({
@@ -42,9 +64,14 @@
         return this.descriptors.connections;
     }
 
-    /** Whether there is no descriptor for serving a request. */
-    isRefused(req: IncomingMessage): boolean {
-        return this.refused.has(req);
+    /** Why there is no descriptor or memory for serving a request; undefined if there is. */
+    refusalOf(req: IncomingMessage): ConnectionRefusal | undefined {
+        return this.refusals.get(req);
+    }
+
+    /** Whether the connection of a request was closed before it was read: the runtime goes on to the end of what it has received. */
+    isCut({ socket }: IncomingMessage): boolean {
+        return this.cut.has(socket);
     }
 
     /** Bounds what a connection may hold of a head. Heads that are somewhat too large are still read and refused with a reason. */
@@ -58,6 +85,8 @@
         memory.charge(MemoryHolder.CallerConnections, connectionBytes);
         socket.once("close", () => {
             memory.charge(MemoryHolder.CallerConnections, -connectionBytes);
+            this.heapGrants.get(socket)?.forEach(grant => grant.release());
+            this.heapGrants.delete(socket);
             this.descriptors.remove(socket);
         });
         if (!this.descriptors.open(socket)) {
@@ -66,12 +95,59 @@
     }
 
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
+        const { gateway, descriptors } = this;
         const { socket } = req;
-        this.gateway.heapWatch.check();
-        if (!this.descriptors.begin(socket)) {
-            this.refused.add(req);
+        if (this.isCut(req)) {
+            return;
         }
-        res.once("close", () => this.descriptors.end(socket));
+        gateway.heapWatch.check();
+        const hasDescriptor = descriptors.begin(socket);
+        const isFarAhead = descriptors.requestsOn(socket) > minFarAhead;
+        const heap = gateway.requestHeap.request(req.rawHeaders, isFarAhead);
+        res.once("close", () => descriptors.end(socket));
+        if (!heap.isGranted) {
+            const { retryAfterMs, memory } = heap;
+            this.refusals.set(req, { kind: FailureKind.HeapShort, detail: "the node has no memory for the request", retryAfterMs, memory });
+            if (isFarAhead) {
+                this.cutConnection(socket);
+            }
+            return;
+        }
+        this.holdHeap(socket, res, heap);
+        if (!hasDescriptor) {
+            const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
+            this.refusals.set(req, { kind: FailureKind.ConnectionsShort, detail: "the node has no descriptor for the request", retryAfterMs });
+        }
+    }
+
+    private holdHeap(socket: Socket, res: ServerResponse, heap: HeapGrant): void {
+        const grants = getOrCreate(this.heapGrants, socket, () => new Set());
+        grants.add(heap);
+        res.once("close", () => {
+            grants.delete(heap);
+            heap.release();
+        });
+    }
+
+    /** Closes a connection on which more was sent ahead than there is memory for: refusals have to wait for the answers ahead of them. */
+    private cutConnection(socket: Socket): void {
+        this.cut.add(socket);
+        // The parser goes on to the end of what has been received, and all that it announces would stay until the turn of the event loop ends.
+        const { parser } = socket as ParsedSocket;
+        if (parser) {
+            parser.onIncoming = () => 0;
+        }
+        socket.destroy();
+        this.cutCount++;
+        if (this.cutCount === 1) {
+            setTimeout(() => this.logCut(), logIntervalMs).unref();
+        }
+    }
+
+    private logCut(): void {
+        const { usedBytes, limitBytes } = this.gateway.requestHeap;
+        emit(EventId.ConnectionsCut, { closed: this.cutCount, open: this.openCount, usedBytes, limitBytes });
+        this.cutCount = 0;
     }
 
     private closeIdle(socket: Socket): void {
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -37,8 +37,6 @@
 
 /** Retry-After of a stopping node: another one can accept the request at once. */
 const stoppingRetryAfterMs = 50;
-/** Mean Retry-After while connections are short. */
-const connectionsRetryAfterMs = 1_000;
 
 const refusalOf = (kind: FailureKind, detail: string, retryAfterMs?: number): Failure => ({ kind, detail, verdict: Verdict.NotRun, retryAfterMs });
 
@@ -117,6 +115,9 @@
     }
 
     private async handle(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        if (this.connections.isCut(req)) {
+            return;
+        }
         const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt);
         this.ends.watch(req, res, progress);
         if (!await this.turns.wait(req.socket, res)) {
@@ -160,10 +161,11 @@
             answerFailure(res, progress, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
-        if (this.connections.isRefused(req)) {
+        const refusal = this.connections.refusalOf(req);
+        if (refusal) {
+            const { kind, detail, retryAfterMs, memory } = refusal;
             res.setHeader("Connection", "close");
-            const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
-            return refuse(refusalOf(FailureKind.ConnectionsShort, "the node has no descriptor for the request", retryAfterMs));
+            return refuse(refusalOf(kind, detail, retryAfterMs), { memory });
         }
         const { config, routes } = gateway;
         if (!config || !routes) {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -4,6 +4,7 @@
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
+import { RequestHeap } from "../core/requestHeap";
 import { RequestPacer } from "../core/requestPacer";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
@@ -113,10 +114,13 @@
         limitBytes: () => memoryLimitOf(this.settings.memoryBytes, this.memoryGauge.read()),
         random: () => this.random(),
     });
+    /** Heap for the requests of callers. */
+    readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
     readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => ({
         inProgress: this.inProgress,
         upstreamConnections: this.upstreamConnections,
         upstreams: this.directory.all().length,
+        requestHeapBytes: this.requestHeap.usedBytes,
         usedByHolder: this.memory.usedByHolder,
     }));
     /** Memory for answers that are kept until they are complete. */
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -14,6 +14,8 @@
     { name: "memory_limit_bytes", help: "Memory that bodies, answers and connections together may use", read: () => gateway.memory.limitBytes },
     { name: "heap_used_bytes", help: "JavaScript heap in use, with what has not been collected yet", read: () => gateway.memoryGauge.read().heapUsed },
     { name: "heap_limit_bytes", help: "Size of the JavaScript heap at which the runtime ends the process", read: () => gateway.memoryGauge.read().heapLimit },
+    { name: "request_heap_bytes", help: "JavaScript heap counted for requests in progress", read: () => gateway.requestHeap.usedBytes },
+    { name: "request_heap_limit_bytes", help: "JavaScript heap that requests in progress may hold", read: () => gateway.requestHeap.limitBytes },
     { name: "bodies_waiting", help: "Request bodies that wait for memory before they are read", read: () => gateway.memory.waiting },
     ...Object.values(MemoryHolder).map(holder => ({
         name: `memory_${holder}_bytes`,
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -19,6 +19,7 @@
     NodeUnableToServe = 116,
     NodeStartRetried = 117,
     HeapNearLimit = 121,
+    ConnectionsCut = 122,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -19,6 +19,7 @@
     UpstreamsQuiet = "upstreams-quiet",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
+    HeapShort = "heap-short",
     ConnectionsShort = "connections-short",
     Stopping = "stopping",
     UpstreamRefused = "upstream-refused",
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -18,6 +18,8 @@
     [EventId.NodeUnableToServe]: "the node can no longer serve, as by a listener that is lost; it finishes accepted requests and ends with an error",
     [EventId.HeapNearLimit]:
         "the JavaScript heap is near its limit, at which the runtime ends the process without a line: its size, the limit, and what callers and upstreams hold, by holder",
+    [EventId.ConnectionsCut]:
+        "connections of callers were closed with requests unanswered: more were sent ahead on them than the heap has room for (counted each second)",
     [EventId.NodeStartRetried]: "the settings file is missing or has faults, or a port is still in use; the start tries again for a few seconds",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -8,6 +8,7 @@
     EventId.NodeUnableToServe,
     EventId.NodeStartRetried,
     EventId.HeapNearLimit,
+    EventId.ConnectionsCut,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
