--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -17,6 +17,8 @@
 export const dueReportIntervalMs = 150;
 /** Number of failed reports that are retried at the short interval; after that the runner is likely gone. */
 const maxQuickReports = 3;
+/** Reports that are fetched at a time: each takes a connection and its objects in the heap. */
+const maxReportsInProgress = 256;
 /** Delay before a pending order is resent. */
 export const orderResendMs = 400;
 
@@ -29,6 +31,9 @@
     /** Adapters that requests may use, with revisions so that nodes can fetch only changes. */
     adapters = AdapterRevisions.create();
     private readonly lastReportRequestAt = new WeakMap<RunnerTracker, number>();
+    /** Runners whose report is due, in the order in which it became so. */
+    private readonly awaitedReports = new Set<RunnerTracker>();
+    private reportsInProgress = 0;
     private readonly lastOrderAt = new WeakMap<RunnerTracker, number>();
 
     private constructor(
@@ -47,6 +52,7 @@
     /** Removes all trackers: a new lease holder starts from the runners' reports, and from the loads without an answer that the lease row names. */
     clear(): void {
         this.trackers.clear();
+        this.awaitedReports.clear();
         this.adapters = AdapterRevisions.create();
     }
 
@@ -111,7 +117,8 @@
         const isDue = tracker.failedReports <= maxQuickReports && (isReportNeeded || (tracker.transition !== undefined && now >= tracker.transition.doneAt));
         if (now - (this.lastReportRequestAt.get(tracker) ?? Number.NEGATIVE_INFINITY) >= (isDue ? dueReportIntervalMs : reportIntervalMs)) {
             this.lastReportRequestAt.set(tracker, now);
-            void this.fetchReport(tracker);
+            this.awaitedReports.add(tracker);
+            this.fetchAwaited();
         }
         const { pendingOrder } = tracker;
         if (pendingOrder && tracker.mayOrder && !tracker.inFlightOrder && now - (this.lastOrderAt.get(tracker) ?? Number.NEGATIVE_INFINITY) > orderResendMs) {
@@ -120,6 +127,23 @@
         }
     }
 
+    /** Fetches reports in the order in which they became due, a number at a time. */
+    private fetchAwaited(): void {
+        for (const tracker of this.awaitedReports) {
+            if (this.reportsInProgress >= maxReportsInProgress) {
+                return;
+            }
+            this.awaitedReports.delete(tracker);
+            if (this.trackers.get(tracker.server.id) === tracker && this.gateway.availability.mayCall(tracker.server)) {
+                this.reportsInProgress++;
+                void this.fetchReport(tracker).finally(() => {
+                    this.reportsInProgress--;
+                    this.fetchAwaited();
+                });
+            }
+        }
+    }
+
     private async fetchReport(tracker: RunnerTracker): Promise<void> {
         try {
             const report = await this.runners.fetchReport(tracker.server);
--- a/test/fullHeap.test.ts
+++ b/test/fullHeap.test.ts
@@ -108,3 +108,43 @@
         });
     }
 });
+
+/** Guards against a heap that the directory's size fills: a controller that asks all runners for their reports at once holds a connection for each. */
+describe("a node process with a large directory", () => {
+    it("goes on and keeps within its memory: 5,000 runners that cannot be reached", async () => {
+        const runnerCount = 5_000;
+        const upstream = await startSilentUpstream();
+        const { port } = upstream.address() as AddressInfo;
+        const rowOf = (index: number): object => ({
+            service: "s",
+            addr: `127.1.${Math.floor(index / 250)}.${index % 250 + 1}:${port}`,
+            slots: 8,
+            models: [{ name: "m", version: 1 }],
+        });
+        const node = await PlatformProcess.start(
+            8,
+            {
+                routes: [{ name: "r", host: "shop.example", prefix: "/r/", routeKind: "streaming", timeoutMs: 9_000, service: "s" }],
+                services: [{
+                    name: "s",
+                    healthPath: "/h",
+                    maxConns: 100,
+                    engine: { slots: 8, kvCapacity: 100_000, models: [{ name: "m", weightsMb: 10, loadS: 5 }] },
+                }],
+            },
+            Object.fromEntries([...Array(runnerCount).keys()].map(index => [`u${index}`, rowOf(index)])),
+        );
+        try {
+            const isController = async (): Promise<boolean> => await node.gauge("jackdawtrail_controller_epoch") > 0;
+            await waitFor("the lease", () => isController().catch(() => false), startTimeoutMs);
+            await sleep(holdMs);
+            assert.equal(node.process.exitCode ?? node.process.signalCode ?? "runs", "runs");
+            assert.equal(await node.gauge("jackdawtrail_upstreams_known"), runnerCount);
+            assert.ok(node.peakMemoryMb <= memoryMb, `${Math.round(node.peakMemoryMb)} MB`);
+        }
+        finally {
+            node.close();
+            upstream.close();
+        }
+    });
+});
