--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -20,6 +20,8 @@
 
 /** Larger counts of tokens, requests and slots are not those of any runner. */
 const maxCount = 1_000_000_000;
+/** Parts of a prompt beyond these are not looked at: each is kept while its request is in progress. */
+const maxPromptParts = 256;
 /** A lower limit is one on requests that no caller waits for. */
 const minLimitPerS = 0.001;
 
@@ -57,7 +59,7 @@
         adapter: slash < 0 ? undefined : name.slice(slash + 1),
         promptTokens: decodeTokens(prompt),
         maxOutputTokens: decodeTokens(output),
-        parts: prefix === "" ? [] : prefix.split(",").map(decodePart),
+        parts: prefix === "" ? [] : prefix.split(",", maxPromptParts).map(decodePart),
     };
 };
 
--- a/test/platformDecoders.test.ts
+++ b/test/platformDecoders.test.ts
@@ -156,6 +156,13 @@
         assert.equal(deadlineMs, 6_000);
     });
 
+    // Guards against a head of 8 KB that takes ten times as much in the heap, for as long as its request is in progress.
+    it("describe a bounded number of prompt parts", () => {
+        const ids = [...Array(1_333).keys()].map(index => index.toString(16).padStart(3, "0"));
+        const { modelRequest } = requestHeaderCodec.decodeCaller({ model: "m", "prompt-prefix": ids.map(id => `${id}:1`).join(",") });
+        assert.deepEqual(modelRequest?.parts, ids.slice(0, 256).map(id => ({ id, tokens: 1 })));
+    });
+
     const answers = [
         { name: "a refusal", status: 503, headers: { "not-executed": "1" }, isNotExecuted: true },
         { name: "another upstream at the address", status: 421, headers: {}, isNotExecuted: true },
