--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -50,6 +50,8 @@
 
 /** Settings that hold from the start of a node to its end. */
 const fixedSettings = ["callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
+/** Interval at which the heap is checked, beside the checks of requests. */
+const heapCheckIntervalMs = 500;
 
 /** A node on the platform: forwards callers' requests and takes part in model placement. */
 export class PlatformNode {
@@ -111,6 +113,8 @@
             knownVersion: () => gateway.directory.version,
             freshness,
         });
+        const heapTimer = setInterval(() => gateway.heapWatch.check(), heapCheckIntervalMs);
+        this.stopped.signal.addEventListener("abort", () => clearInterval(heapTimer), { once: true });
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
         followStreamVersions(gateway, this.stopped.signal);
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -20,6 +20,8 @@
     NodeStartRetried = 117,
     SignalBeforeStart = 120,
     SignalIgnored = 121,
+    HeapNearLimit = 123,
+    ConnectionsCut = 124,
     WaitPassed = 130,
     MetricsUnserved = 131,
     ListenerLost = 132,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -26,6 +26,10 @@
     [EventId.SignalBeforeStart]:
         "a signal arrived before the node had started; `step` is the last complete step of the start, `effect` what the signal brings about",
     [EventId.SignalIgnored]: "a signal arrived that asks nothing of the node; its default action would have ended the process",
+    [EventId.HeapNearLimit]:
+        "the JavaScript heap is near its limit, at which the runtime ends the process without a line: its size, the limit, and what callers and upstreams hold, by holder",
+    [EventId.ConnectionsCut]:
+        "connections of callers were closed with requests unanswered: more were sent ahead on them than the heap has room for (counted each second)",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -9,6 +9,8 @@
     EventId.NodeStartRetried,
     EventId.MetricsUnserved,
     EventId.ListenerLost,
+    EventId.HeapNearLimit,
+    EventId.ConnectionsCut,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
