--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -1,31 +1,35 @@
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
-import { PlatformNode } from "../node/platformNode";
+import { PassingWaits } from "../core/passingWaits";
+import { PlatformNodeRun } from "../node/platformNodeRun";
 import { readTransportLimits, transportLimitDefinitions } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
 import { EventId } from "../types/eventId";
 import type { TransportLimits } from "../types/transportLimits";
 import { emit, setupLogs } from "../utils/events";
+import { StartStep, startTimes } from "../utils/startTimes";
 import { sleep } from "../utils/time";
 import { errorCodeOf } from "../utils/transport";
+import type { CommandContext } from "./commandContext";
 import { ExitCode } from "./exitCode";
+import { logFlushMs } from "./logFlushMs";
+import type { ProcessSignals } from "./processSignals";
 import { readSettingsFile } from "./readSettingsFile";
-import { onReloadSignal } from "./reloadSignal";
+import { serveUntilStopped } from "./serveUntilStopped";
 import { addSettingOptions, describeFault, settingValuesOf } from "./settingOptions";
+import { SignalMeaning } from "./signalMeaning";
 import { surviveUnexpectedErrors } from "./unexpectedErrors";
+import { unlessStopped } from "./unlessStopped";
 
 /** Poll interval for the settings file, which may change without a signal. */
 const settingsPollMs = 2_000;
 
-/** Log lines are written in batches; the last batch is written within this time. */
-const logFlushMs = 100;
-
 /** `jackdawtrail serve-platform`: runs a node on the platform until SIGTERM or SIGINT. */
-export class ServePlatformCommand extends Command {
+export class ServePlatformCommand extends Command<CommandContext> {
     static override paths = [["serve-platform"]];
     static override usage = Command.Usage({
         description: "Runs a node on the platform.",
-        details: "The platform writes the settings file. If it has errors, all of them are printed and the exit code is 2.",
+        details: "The platform writes the settings file. The start waits while it is missing or has errors, which are logged, and while a port is in use.",
         examples: [["Run a node with the platform's settings", "jackdawtrail serve-platform --settings-file /etc/jackdawtrail/boot.toml"]],
     });
 
@@ -50,36 +54,23 @@
             return ExitCode.Usage;
         }
         const { limits } = transport;
-        const result = await readSettingsFile(this.settingsFile, limits);
-        if ("faults" in result) {
-            emit(EventId.SettingsRefused, { file: this.settingsFile, faults: result.faults });
-            result.faults.forEach(fault => this.context.stderr.write(`${fault}\n`));
-            return ExitCode.Usage;
-        }
-        const node = PlatformNode.create(result.settings, () => errors.total);
-        this.watchSettings(this.settingsFile, result.text, node, limits);
-        let onUnable: () => void = () => undefined;
-        try {
-            await node.start(() => onUnable());
-        }
-        catch (err) {
-            emit(EventId.NodeStartFailed, { detail: err instanceof Error ? err.message : errorCodeOf(err) });
+        const { signals } = this.context;
+        const stopped = new AbortController();
+        const reading = await unlessStopped(readSettingsFile(this.settingsFile, limits, PassingWaits.create(stopped.signal)), signals);
+        if (!reading) {
+            stopped.abort();
+            emit(EventId.NodeStopped, { waitedFor: this.settingsFile });
             await sleep(logFlushMs);
-            return ExitCode.Failed;
+            return ExitCode.Ok;
         }
-        return new Promise(resolve => {
-            // Signals after the first one change nothing; the platform ends a process that takes too long.
-            let stopping: Promise<void> | undefined;
-            const stop = async (code: ExitCode): Promise<void> => resolve(await node.stop() > 0 ? ExitCode.RequestsAborted : code);
-            const onSignal = (): void => void (stopping ??= stop(ExitCode.Ok));
-            onUnable = () => void (stopping ??= stop(ExitCode.Failed));
-            process.on("SIGTERM", onSignal);
-            process.on("SIGINT", onSignal);
-        });
+        startTimes.mark(StartStep.Settings);
+        const node = PlatformNodeRun.create(reading.settings, () => errors.total);
+        this.watchSettings(this.settingsFile, reading.text, node, limits, signals);
+        return serveUntilStopped(node, signals);
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, firstText: string, node: PlatformNode, limits: TransportLimits): void {
+    private watchSettings(file: string, firstText: string, node: PlatformNodeRun, limits: TransportLimits, signals: ProcessSignals): void {
         let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
@@ -102,7 +93,12 @@
                 emit(EventId.SettingsRefused, { file, faults: [errorCodeOf(err)] });
             }
         };
-        onReloadSignal(rereadSafely);
+        signals.handle(SignalMeaning.Reload, signal => {
+            if (startTimes.lastStep !== StartStep.Started) {
+                emit(EventId.SignalBeforeStart, { signal, step: startTimes.lastStep, effect: SignalMeaning.Reload });
+            }
+            rereadSafely();
+        });
         setInterval(rereadSafely, settingsPollMs).unref();
     }
 }
--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -1,6 +1,7 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
 import { GracefulClose } from "../utils/gracefulClose";
+import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
 import { CallerConnections } from "./callerConnections";
 import type { Gateway } from "./gateway";
@@ -44,6 +45,11 @@
         return this.connections.openCount;
     }
 
+    /** The server with the address at which it is to listen. */
+    port(address: string): ServerPort {
+        return { server: this.server, address };
+    }
+
     listen(address: string): Promise<void> {
         return listenOn(this.server, address);
     }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,9 +1,10 @@
 import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
+import { HeapWatch } from "../core/heapWatch";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
-import { RequestPacer } from "../core/requestPacer";
+import { RequestHeap } from "../core/requestHeap";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
@@ -19,11 +20,10 @@
 import { WaitingRequests } from "../core/waitingRequests";
 import { EventId } from "../types/eventId";
 import { MemoryHolder } from "../types/memoryHolder";
-import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
+import type { RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import type { RowStore } from "../types/rowStore";
-import type { Permit, PermitRequest } from "../types/sendPermit";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
@@ -36,6 +36,8 @@
 import { Departures } from "./departures";
 import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
 import { PeerRelays } from "./peerRelays";
+import { disabledPlacement } from "./placement";
+import type { Placement } from "./placement";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -45,25 +47,6 @@
     readonly routes: RouteTable;
 }
 
-/** Places models and adapters on runners as requests need them. */
-export interface Placement {
-    place(req: PlacementRequest): Promise<PlacementAnswer>;
-    /** Adds a request's estimated work to the demand for an artifact, in milliseconds of a runner's time. */
-    countWork(artifact: string, workMs: number): void;
-    /** Requests a turn at a runner that has named a limit. */
-    acquirePermit(req: PermitRequest): Promise<Permit>;
-    /** Whether this node is the controller. */
-    readonly isController: boolean;
-}
-
-const ownPacer = RequestPacer.create();
-const disabledPlacement: Placement = {
-    place: () => Promise.resolve({ readyInMs: 0, isComing: false }),
-    countWork: () => {},
-    acquirePermit: req => Promise.resolve(ownPacer.reserve(req)),
-    isController: false,
-};
-
 /** Charge for a connection to an upstream. */
 const upstreamConnectionBytes = 32_768;
 /** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
@@ -112,12 +95,21 @@
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
-    private readonly memoryGauge = MemoryGauge.create();
+    readonly memoryGauge = MemoryGauge.create();
     /** Memory of the process for its callers and upstreams. */
     readonly memory = MemoryBudget.create({
         limitBytes: () => memoryLimitOf(this.settings.memoryBytes, this.memoryGauge.read()),
         random: () => this.random(),
     });
+    /** Heap for the requests of callers. */
+    readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
+    readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => ({
+        inProgress: this.inProgress,
+        upstreamConnections: this.upstreamConnections,
+        upstreams: this.directory.all().length,
+        requestHeapBytes: this.requestHeap.usedBytes,
+        usedByHolder: this.memory.usedByHolder,
+    }));
     /** Memory for answers that are kept until they are complete. */
     readonly answerMemory = AnswerMemory.create(
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -32,8 +32,6 @@
 
 /** Retry-After of a stopping node: another one can accept the request at once. */
 const stoppingRetryAfterMs = 50;
-/** Mean Retry-After while connections are short. */
-const connectionsRetryAfterMs = 1_000;
 
 const refusalOf = (kind: FailureKind, detail: string, retryAfterMs?: number): Failure => ({ kind, detail, verdict: Verdict.NotRun, retryAfterMs });
 
@@ -67,6 +65,9 @@
 
     /** Answers a request, of a caller or as a peer passes it on. */
     async handle(req: IncomingMessage, res: ServerResponse, relayed?: RelayedRequest): Promise<void> {
+        if (this.connections.isCut(req)) {
+            return;
+        }
         const progress = RequestProgress.create(() => this.gateway.exitDeadlineAt, relayed);
         this.ends.watch(req, res, progress);
         if (relayed) {
@@ -113,10 +114,11 @@
             answerFailure(res, progress, failure, { host: req.headers.host, path: req.url, configVersion: gateway.config?.version, ...logFields });
             return undefined;
         };
-        if (this.connections.isRefused(req)) {
+        const refusal = this.connections.refusalOf(req);
+        if (refusal) {
+            const { kind, detail, retryAfterMs, memory } = refusal;
             res.setHeader("Connection", "close");
-            const retryAfterMs = connectionsRetryAfterMs * (0.5 + gateway.random());
-            return refuse(refusalOf(FailureKind.ConnectionsShort, "the node has no descriptor for the request", retryAfterMs));
+            return refuse(refusalOf(kind, detail, retryAfterMs), { memory });
         }
         const { config, routes } = gateway;
         if (!config || !routes) {
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -1,7 +1,8 @@
 import type { ControllerLease } from "../core/controllerLease";
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
-import type { Gateway, Placement } from "../forward/gateway";
+import type { Gateway } from "../forward/gateway";
+import type { Placement } from "../forward/placement";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -12,6 +12,7 @@
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
 import { emit } from "../utils/events";
+import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
 import type { Controller } from "./controller";
 import type { ControllerLink } from "./controllerLink";
@@ -113,6 +114,11 @@
 
     /** Starts to serve peers on an address. */
     listen(address: string): Promise<void> {
+        return listenOn(this.port(address).server, address);
+    }
+
+    /** The server for peers, with the address at which it is to listen. */
+    port(address: string): ServerPort {
         const router = createPeerServerRouter(this, this.controller);
         this.httpServer = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (req, res) => {
             if (this.relayIntake?.isRelayed(req)) {
@@ -130,7 +136,7 @@
         this.httpServer.headersTimeout = peerRequestTimeoutMs;
         // A body that a peer passes on may wait for memory: it has limits of its own.
         this.httpServer.requestTimeout = 0;
-        return listenOn(this.httpServer, address);
+        return { server: this.httpServer, address };
     }
 
     /** Stops the server and closes its connections. */
--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -20,6 +20,8 @@
 const maxQuickReports = 3;
 /** Minimum time between two words of nodes on one runner that make it report at once: if they are wrong, the nodes are cut off themselves. */
 const minSuspicionPauseMs = 5_000;
+/** Reports that are fetched at a time: each takes a connection and its objects in the heap. */
+const maxReportsInProgress = 256;
 /** Delay before a pending order is resent. */
 export const orderResendMs = 400;
 
@@ -33,6 +35,9 @@
     adapters = AdapterRevisions.create();
     private readonly lastReportRequestAt = new WeakMap<RunnerTracker, number>();
     private readonly lastSuspectedAt = new WeakMap<RunnerTracker, number>();
+    /** Runners whose report is due, in the order in which it became so. */
+    private readonly awaitedReports = new Set<RunnerTracker>();
+    private reportsInProgress = 0;
     private readonly lastOrderAt = new WeakMap<RunnerTracker, number>();
 
     private constructor(
@@ -58,6 +63,7 @@
     /** Removes all trackers: a new lease holder starts from the runners' reports, and from the loads without an answer that the lease row names. */
     clear(): void {
         this.trackers.clear();
+        this.awaitedReports.clear();
         this.adapters = AdapterRevisions.create();
     }
 
@@ -126,7 +132,8 @@
         const isDue = tracker.failedReports <= maxQuickReports && (isReportNeeded || (tracker.transition !== undefined && now >= tracker.transition.doneAt));
         if (now - (this.lastReportRequestAt.get(tracker) ?? Number.NEGATIVE_INFINITY) >= (isDue ? dueReportIntervalMs : reportIntervalMs)) {
             this.lastReportRequestAt.set(tracker, now);
-            void this.fetchReport(tracker);
+            this.awaitedReports.add(tracker);
+            this.fetchAwaited();
         }
         const { pendingOrder } = tracker;
         if (pendingOrder && tracker.mayOrder && !tracker.inFlightOrder && now - (this.lastOrderAt.get(tracker) ?? Number.NEGATIVE_INFINITY) > orderResendMs) {
@@ -135,6 +142,23 @@
         }
     }
 
+    /** Fetches reports in the order in which they became due, a number at a time. */
+    private fetchAwaited(): void {
+        for (const tracker of this.awaitedReports) {
+            if (this.reportsInProgress >= maxReportsInProgress) {
+                return;
+            }
+            this.awaitedReports.delete(tracker);
+            if (this.trackers.get(tracker.server.id) === tracker && this.gateway.availability.mayCall(tracker.server)) {
+                this.reportsInProgress++;
+                void this.fetchReport(tracker).finally(() => {
+                    this.reportsInProgress--;
+                    this.fetchAwaited();
+                });
+            }
+        }
+    }
+
     private async fetchReport(tracker: RunnerTracker): Promise<void> {
         const requestedAt = performance.now();
         try {
