--- a/src/core/controllerLease.ts
+++ b/src/core/controllerLease.ts
@@ -134,6 +134,15 @@
         });
     }
 
+    /** Gives the lease to whoever takes it next; this process may take it again when it is vacant. */
+    handOver(): Promise<void> {
+        return this.runExclusively(async () => {
+            if (this.heldEpoch !== undefined) {
+                await this.write([], true);
+            }
+        });
+    }
+
     private runExclusively<T>(operation: () => Promise<T>): Promise<T> {
         const done = this.lastOperation.then(operation);
         this.lastOperation = done.catch(() => undefined);
@@ -208,6 +217,7 @@
         if (isReleased) {
             this.wasHeld = false;
             emit(EventId.LeaseLost, { epoch: this.view.epoch, reason: "released" });
+            this.view.epoch = noEpoch;
             return true;
         }
         if (this.view.epoch === noEpoch) {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -18,6 +18,7 @@
 import { ControllerClient } from "../placement/controllerClient";
 import { ControllerLink } from "../placement/controllerLink";
 import { PeerServer } from "../placement/peerServer";
+import { tickLease } from "../placement/tickLease";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { platformTables } from "../platform/platformTables";
@@ -26,6 +27,7 @@
 import { StoreClient } from "../platform/storeClient";
 import { askUpstream } from "../platform/upstreamQuestion";
 import { Metrics } from "../plugins/metrics";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import { emit } from "../utils/events";
@@ -154,7 +156,9 @@
         const { gateway, settings } = this;
         const { signal } = this.stopped;
         const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
-        const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
+        const vacancy = LeaseVacancy.create(() =>
+            takeoverDelayMs(settings.cores, controllerClient.largestKnownCores, gateway.contact.state === ContactState.Lost)
+        );
         const lateLoads = LateLoads.create();
         const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
         const { availability } = gateway;
@@ -178,11 +182,7 @@
         controllerClient.start(signal);
         controller.start(signal);
         const isControllerResponding = (): boolean => link.ageMs < controllerTimeoutMs;
-        const tick = async (): Promise<void> => {
-            if (lease.heldEpoch !== undefined || !isControllerResponding()) {
-                await lease.tick();
-            }
-        };
+        const tick = (): Promise<void> => tickLease(lease, gateway.contact, peerServer.nodes, isControllerResponding());
         const pauseMs = (): number => {
             if (lease.heldEpoch !== undefined) {
                 return leaseRenewalMs;
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -3,6 +3,7 @@
 import { toFailure } from "../core/failures";
 import type { Gateway, Placement } from "../forward/gateway";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
@@ -182,6 +183,7 @@
             peerAddress: gateway.settings.peerAddress,
             zone: gateway.settings.availabilityZone,
             cores: gateway.settings.cores,
+            reachesUpstreams: gateway.contact.state === ContactState.Held,
             members: isRelaying ? local.peerServer.nodes.members.filter(({ address }) => address !== gateway.settings.peerAddress) : [],
             source: this.source,
             peersVersion: this.peersVersion,
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -49,6 +49,7 @@
     peerAddress: hostAddress,
     zone: z.string(),
     cores: quantity,
+    reachesUpstreams: z.boolean().optional(),
     members: z.array(peerNodeSchema),
     source: z.string().optional(),
     peersVersion: z.number(),
--- a/src/placement/reportedNodes.ts
+++ b/src/placement/reportedNodes.ts
@@ -53,6 +53,12 @@
         return [...byAddress.values()];
     }
 
+    /** Whether a node that reaches upstreams has reported lately. */
+    get someReachUpstreams(): boolean {
+        const now = performance.now();
+        return [...this.nodes.values()].some(({ report, receivedAt }) => report.reachesUpstreams === true && now - receivedAt < loadsTtlMs);
+    }
+
     /** Sum of the loads that nodes have reported, but for one of them. */
     loadsExcluding(node?: string): Record<string, [number, number]> {
         const sums: Record<string, [number, number]> = {};
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -53,6 +53,8 @@
     readonly zone: string;
     /** Processor capacity of the node's VM, in cores. */
     readonly cores: number;
+    /** Whether the node reaches upstreams over its own links; missing from nodes of earlier releases. */
+    readonly reachesUpstreams?: boolean;
     /** Nodes that this one reports for, as their relay; their work and loads are part of its own. */
     readonly members: readonly PeerNode[];
     /** Version of the list of peers that the node knows, from `source`. */
