--- a/src/node/nodePlacement.ts
+++ b/src/node/nodePlacement.ts
@@ -12,6 +12,8 @@
 import { ControllerClient } from "../placement/controllerClient";
 import { ControllerLink } from "../placement/controllerLink";
 import { PeerServer } from "../placement/peerServer";
+import { tickLease } from "../placement/tickLease";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { RunnerControl } from "../types/runner";
 import { emit } from "../utils/events";
@@ -50,7 +52,7 @@
     const { settings } = gateway;
     const { runners, decodeConfig, onConfig } = parts;
     const self = { holder: settings.nodeId, boot: randomUUID(), peerAddress: settings.peerAddress };
-    const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores));
+    const vacancy = LeaseVacancy.create(() => takeoverDelayMs(settings.cores, controllerClient.largestKnownCores, gateway.contact.state === ContactState.Lost));
     const lateLoads = LateLoads.create();
     const lease = ControllerLease.create(store, self, settings, vacancy, gateway.crashLog, lateLoads);
     gateway.prober = UpstreamProber.create(runners, runner => gateway.availability.mayCall(runner));
@@ -65,11 +67,7 @@
     });
     gateway.placement = controllerClient;
     const isControllerResponding = (): boolean => link.ageMs < controllerTimeoutMs;
-    const tick = async (): Promise<void> => {
-        if (lease.heldEpoch !== undefined || !isControllerResponding()) {
-            await lease.tick();
-        }
-    };
+    const tick = (): Promise<void> => tickLease(lease, gateway.contact, peerServer.nodes, isControllerResponding());
     const pauseMs = (): number => {
         if (lease.heldEpoch !== undefined) {
             return leaseRenewalMs;
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -4,6 +4,7 @@
 import type { Gateway } from "../forward/gateway";
 import type { Placement } from "../forward/placement";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
@@ -184,6 +185,7 @@
             peerAddress: gateway.settings.peerAddress,
             zone: gateway.settings.availabilityZone,
             cores: gateway.settings.cores,
+            reachesUpstreams: gateway.contact.state === ContactState.Held,
             members: isRelaying ? local.peerServer.nodes.members.filter(({ address }) => address !== gateway.settings.peerAddress) : [],
             source: this.source,
             peersVersion: this.peersVersion,
