--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -50,13 +50,9 @@
     return mayBegin;
 };
 
-/** Pins a stream that its caller takes up to the version that began it; refuses it if that is not known or not available. */
-export const pinTakenUpStream = async (gateway: Gateway, call: Call): Promise<Refusal | undefined> => {
-    const { route, service, caller, versionPin } = call;
-    if (caller.lastEventId === undefined || versionPin.version !== undefined || !mayBeTakenUp(route)) {
-        return undefined;
-    }
-    const { streamVersions, availability } = gateway;
+/** Finds the version that began a stream that its caller takes up; refuses it if that is not known. */
+const pinToOrigin = async (gateway: Gateway, { service, caller, versionPin }: Call): Promise<Refusal | undefined> => {
+    const { streamVersions } = gateway;
     const origin = await streamVersions.originOf(service, caller.resumedRequestId);
     emit(EventId.StreamTakenUp, {
         request: caller.requestId,
@@ -66,11 +62,27 @@
         recordsAgeMs: Math.round(streamVersions.tableAgeMs),
     });
     versionPin.version = origin.version;
-    if (origin.version === undefined) {
-        return { kind: FailureKind.StreamVersionUnknown, detail: origin.detail, retryAfterMs: takeUpRetryAfterMs };
+    return origin.version === undefined
+        ? { kind: FailureKind.StreamVersionUnknown, detail: origin.detail, retryAfterMs: takeUpRetryAfterMs }
+        : undefined;
+};
+
+/**
+ * Pins a stream that its caller takes up to the version that began it, unless the peer that passed it on has named that; refuses it if the version is not known or
+ * not available.
+ */
+export const pinTakenUpStream = async (gateway: Gateway, call: Call): Promise<Refusal | undefined> => {
+    const { route, service, caller, versionPin } = call;
+    if (caller.lastEventId === undefined || !mayBeTakenUp(route)) {
+        return undefined;
+    }
+    const refusal = versionPin.version === undefined ? await pinToOrigin(gateway, call) : undefined;
+    const { version } = versionPin;
+    if (refusal || version === undefined) {
+        return refusal;
     }
-    const isReady = (): boolean => availability.servingOf(service).some(server => allowsUpstream(versionPin, server));
-    return await waitForVersion(gateway, call, origin.version, isReady)
+    const isReady = (): boolean => gateway.availability.servingOf(service).some(server => allowsUpstream(versionPin, server));
+    return await waitForVersion(gateway, call, version, isReady)
         ? undefined
-        : { kind: FailureKind.StreamVersionGone, detail: `no upstream of version "${origin.version}" is ready`, retryAfterMs: takeUpRetryAfterMs };
+        : { kind: FailureKind.StreamVersionGone, detail: `no upstream of version "${version}" is ready`, retryAfterMs: takeUpRetryAfterMs };
 };
--- a/test/relayedStreams.test.ts
+++ b/test/relayedStreams.test.ts
@@ -102,6 +102,23 @@
             },
         ));
 
+    it("go on at a peer that learns of their software version only then", () =>
+        withFleet({ scripts: [resumedStream], versions: ["v1"], cutScript: silentStream, route: streaming }, async ({ origin, peers: [peer] }) => {
+            const { directory, freshness } = peer!.gateway;
+            const server = directory.get("up-0")!;
+            directory.apply({ id: "up-0", version: 9, server: undefined });
+            freshness.follow("servers");
+            origin.setContact(ContactState.Held);
+            const result = callGateway(origin.address);
+            await sleep(200);
+            origin.setContact(ContactState.Lost);
+            await sleep(300);
+            directory.apply({ id: "up-0", version: 10, server });
+            const { body, isComplete } = await result;
+            assert.equal(body, sseEvents(1, eventCount));
+            assert.equal(isComplete, true);
+        }));
+
     it("go on through another peer if the one that relays them ends", () =>
         withFleet({ nodes: 3, scripts: [silentThenResumed], route: streaming }, async fleet => {
             const { origin, peers } = fleet;
