--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -4,6 +4,7 @@
 import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
 import { PeerProber } from "./peerProber";
+import { maxRelayHeaderBytes } from "./relayHeaders";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
 /** Charge for a connection to a peer. */
@@ -67,10 +68,14 @@
 
     poolOf(address: string): UpstreamConnectionPool {
         const { gateway } = this;
-        return getOrCreate(this.poolByPeer, address, () =>
-            UpstreamConnectionPool.create(address, gateway.settings.limits.maxAnswerHeadBytes, change => {
-                gateway.upstreamConnections += change;
-                gateway.memory.charge(MemoryHolder.UpstreamConnections, change * peerConnectionBytes);
-            }));
+        return getOrCreate(
+            this.poolByPeer,
+            address,
+            () =>
+                UpstreamConnectionPool.create(address, gateway.settings.limits.maxAnswerHeadBytes + maxRelayHeaderBytes, change => {
+                    gateway.upstreamConnections += change;
+                    gateway.memory.charge(MemoryHolder.UpstreamConnections, change * peerConnectionBytes);
+                }),
+        );
     }
 }
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -8,11 +8,15 @@
 import { Verdict } from "../types/verdict";
 import type { RequestProgress } from "./requestProgress";
 
+/** Largest size of these headers: each character of a name may take six. */
+export const maxRelayHeaderBytes = 32_768;
+
 /** Header of a request that a node passes on to a peer, and of the peer's answer. */
 export const relayHeader = "jackdawtrail-relay";
 export const relayReportHeader = "jackdawtrail-relay-report";
 
-const maxNameLength = 256;
+/** Longest name that a row of an upstream may have. */
+const maxNameLength = 1_024;
 const maxDetailLength = 200;
 const maxSends = 1_000;
 
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -7,6 +7,7 @@
 import { toFailure } from "../core/failures";
 import { RequestPacer } from "../core/requestPacer";
 import type { Gateway } from "../forward/gateway";
+import { maxRelayHeaderBytes } from "../forward/relayHeaders";
 import type { RelayIntake } from "../forward/relayIntake";
 import { maxPartIdLength, maxSuspectParts } from "../forward/suspectParts";
 import { EventId } from "../types/eventId";
@@ -114,7 +115,7 @@
     /** Starts to serve peers on an address. */
     listen(address: string): Promise<void> {
         const router = createPeerServerRouter(this, this.controller);
-        this.httpServer = createServer({ maxHeaderSize: maxHeaderBytes, noDelay: true }, (req, res) => {
+        this.httpServer = createServer({ maxHeaderSize: maxHeaderBytes + maxRelayHeaderBytes, noDelay: true }, (req, res) => {
             if (this.relayIntake?.isRelayed(req)) {
                 this.relayIntake.handle(req, res);
                 return;
--- a/test/relayedStreams.test.ts
+++ b/test/relayedStreams.test.ts
@@ -14,6 +14,7 @@
 const streaming = { kind: RouteKind.Streaming, isResumable: true, maxAttempts: 3 };
 const eventCount = 4;
 const eventGapMs = 150;
+const longVersion = "ü\u2028".repeat(500);
 const atOnceMs = 500;
 
 /** Begins a stream and writes no more. */
@@ -102,6 +103,16 @@
             },
         ));
 
+    it("come through a peer whole if the software version has a long name of other letters", () =>
+        withFleet(
+            { scripts: [brokenStream, resumedStream], versions: [longVersion, longVersion], route: { ...streaming, maxAttempts: 2 } },
+            async ({ origin }) => {
+                const result = await callGateway(origin.address);
+                assert.equal(result.body, sseEvents(1, eventCount));
+                assert.equal(result.isComplete, true);
+            },
+        ));
+
     it("go on at a peer that learns of their software version only then", () =>
         withFleet({ scripts: [resumedStream], versions: ["v1"], cutScript: silentStream, route: streaming }, async ({ origin, peers: [peer] }) => {
             const { directory, freshness } = peer!.gateway;
