--- a/src/utils/listenOn.ts
+++ b/src/utils/listenOn.ts
@@ -29,7 +29,12 @@
         const onListening = (): void => finish(resolve);
         server.on("error", onError);
         server.on("listening", onListening);
-        server.listen(Number(address.slice(separator + 1)), host, listenBacklog);
+        try {
+            server.listen(Number(address.slice(separator + 1)), host, listenBacklog);
+        }
+        catch (err) {
+            finish(() => reject(err as Error));
+        }
     });
 };
 
--- a/test/passingWaits.test.ts
+++ b/test/passingWaits.test.ts
@@ -6,6 +6,7 @@
 import { EventId } from "../src/types/eventId";
 import { observeEvents, setupLogs } from "../src/utils/events";
 import { listenOnAll } from "../src/utils/listenOn";
+import { sleep } from "../src/utils/time";
 
 const waitEvents: ReadonlySet<EventId> = new Set([EventId.NodeStartRetried, EventId.WaitPassed]);
 
@@ -95,6 +96,9 @@
     return server;
 };
 
+/** Longer than the first pauses between tries. */
+const severalTriesMs = 500;
+
 interface ListenCase {
     readonly code: string;
     readonly failures: number;
@@ -122,4 +126,16 @@
             assert.ok(listeners <= createServer().listenerCount("listening") + 1);
         });
     }
+
+    // Guards against a wait that adds listeners with each try because listen throws instead of emitting an error.
+    it("keeps no listeners while it waits for a port that is out of range", async () => {
+        const server = createServer();
+        const before = ["error", "listening"].map(event => server.listenerCount(event));
+        const abort = new AbortController();
+        const outcome = listenOnAll([{ server, address: "127.0.0.1:70000" }], PassingWaits.create(abort.signal));
+        await sleep(severalTriesMs);
+        abort.abort();
+        assert.equal(await outcome, false);
+        assert.deepEqual(["error", "listening"].map(event => server.listenerCount(event)), before);
+    });
 });
