--- a/src/cli/entry.ts
+++ b/src/cli/entry.ts
@@ -1,6 +1,6 @@
 import { ProcessSignals } from "./processSignals";
 
-/** Commands that run until they are stopped; the others leave signals their default actions. */
+/** Commands that run until they are stopped; the others leave signals their default actions. One with an option before its name replaces them once it runs. */
 const servingCommands: readonly (string | undefined)[] = ["serve", "serve-platform"];
 
 const signals = ProcessSignals.create();
--- a/src/cli/processSignals.ts
+++ b/src/cli/processSignals.ts
@@ -19,6 +19,7 @@
 export class ProcessSignals {
     private readonly handlers = new Map<SignalMeaning, Handler>();
     private readonly pending = new Map<NodeJS.Signals, SignalMeaning>();
+    private isListening = false;
 
     private constructor() {}
 
@@ -27,8 +28,12 @@
         return new ProcessSignals();
     }
 
-    /** Replaces the default actions from now on. */
+    /** Replaces the default actions from now on; further calls have no effect. */
     listen(emitter: Pick<NodeJS.Process, "on"> = process): void {
+        if (this.isListening) {
+            return;
+        }
+        this.isListening = true;
         meanings.forEach(([signal, meaning]) => emitter.on(signal, () => this.deliver(signal, meaning)));
     }
 
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -41,6 +41,7 @@
         surviveUnexpectedErrors();
         startTimes.mark(StartStep.Settings);
         const { signals } = this.context;
+        signals.listen();
         const ignore = (signal: NodeJS.Signals): void => emit(EventId.SignalIgnored, { signal });
         signals.handle(SignalMeaning.Reload, ignore);
         signals.handle(SignalMeaning.None, ignore);
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -41,6 +41,7 @@
     }
 
     override async execute(): Promise<number> {
+        this.context.signals.listen();
         setupLogs("info", process.stdout);
         const errors = surviveUnexpectedErrors();
         if (this.settingsFile === undefined) {
--- a/test/earlySignals.test.ts
+++ b/test/earlySignals.test.ts
@@ -124,6 +124,20 @@
         }
     }
 
+    // Guards against a serving command that is not recognized by the entry, and so keeps the default actions for as long as it serves.
+    for (const signal of [...stopSignals, "SIGHUP"] as const) {
+        it(`are handled by serve-platform with an option before its name: ${signal}`, async () => {
+            const { file, text } = await preparePlatform();
+            writeFileSync(file, text);
+            const { child, ended, hasLogged } = start([entry, "--settings-file", file, "serve-platform"], {});
+            await waitFor("event 101", () => hasLogged(EventId.NodeStarted));
+            child.kill(signal);
+            await Promise.race([ended, sleep(deliveryMs)]);
+            child.kill("SIGTERM");
+            assert.equal(await Promise.race([ended, sleep(graceMs).then(() => "still running")]), ExitCode.Ok);
+        });
+    }
+
     it("end a command that does not serve", async () => {
         const held = HeldProgram.create(entry, mkdtempSync(join(folder, "held-")));
         const { child, ended } = start([held.entry, "events"], {});
