--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -126,7 +126,8 @@
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
-        if (!await listenOnAll([peerServer.port(settings.peerAddress), callerPort, readinessPort], waits)) {
+        const peerPort = peerServer.port(settings.peerAddress);
+        if (!await listenOnAll([peerPort, callerPort, readinessPort], waits)) {
             this.stopped.abort();
             return false;
         }
@@ -136,6 +137,7 @@
         startSelfCheck([
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening, mend: relisten(callerPort) },
             { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening, mend: relisten(readinessPort) },
+            { name: "listener for peers", isSound: () => gateway.isStopping || peerPort.server.listening, mend: relisten(peerPort) },
         ], onUnable);
         startTimes.mark(StartStep.Started);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress, startMs: startTimes.summary });
--- a/test/fakes/nodeStart.ts
+++ b/test/fakes/nodeStart.ts
@@ -89,9 +89,9 @@
         return new NodeStarts();
     }
 
-    /** Starts a node with a settings file. */
-    start(file: string): StartedNode {
-        const child = spawn(process.execPath, [program, "serve-platform"], {
+    /** Starts a node with a settings file and options of the runtime. */
+    start(file: string, runtimeOptions: readonly string[] = []): StartedNode {
+        const child = spawn(process.execPath, [...runtimeOptions, program, "serve-platform"], {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: ["ignore", "pipe", "inherit"],
         });
