--- a/src/core/peerChoice.ts
+++ b/src/core/peerChoice.ts
@@ -7,6 +7,8 @@
 /** After this many peers of an availability zone in a row took no request, the others are asked first. */
 const maxZoneFailures = 2;
 const zoneAvoidedMs = 1_000;
+/** A request that so many peers did not take is offered to none of those that are avoided. */
+const maxAskedInVain = 2;
 
 const hostOfAddress = (address: string): string => address.slice(0, address.lastIndexOf(":"));
 
@@ -33,6 +35,8 @@
     private zones: ReadonlyMap<string, string> = new Map();
     /** Peers that take no requests for now, until a time. */
     private readonly avoidedUntil = new Map<string, number>();
+    /** When each peer last took a request. */
+    private readonly takenAt = new Map<string, number>();
     private readonly failures = new Map<string, ZoneFailures>();
     /** Requests in progress through each peer. */
     private readonly inProgress = new Map<string, number>();
@@ -57,7 +61,9 @@
         this.others = this.all.filter(peer => peer.zone !== zone);
         this.hosts = new Set(peers.map(({ address }) => hostOfAddress(address)));
         this.zones = new Map(this.all.map(peer => [peer.address, peer.zone]));
-        [...this.avoidedUntil.keys()].filter(address => !this.zones.has(address)).forEach(address => this.avoidedUntil.delete(address));
+        for (const times of [this.avoidedUntil, this.takenAt]) {
+            [...times.keys()].filter(address => !this.zones.has(address)).forEach(address => times.delete(address));
+        }
     }
 
     /** Whether a known peer has this host. */
@@ -65,6 +71,11 @@
         return this.hosts.has(host);
     }
 
+    /** The peer that a request is sent to: one that takes requests, as far as is known, and otherwise the one that took a request last. */
+    chooseForRequest(asked: ReadonlySet<string>): string | undefined {
+        return this.choose(asked) ?? (asked.size < maxAskedInVain ? this.chooseAvoided(asked) : undefined);
+    }
+
     /** A peer to be asked, except those that were; undefined if none of those that were looked at takes requests. */
     choose(asked: ReadonlySet<string>): string | undefined {
         const mayAsk = ({ address }: PeerNode): boolean => !asked.has(address) && !this.isAvoided(address);
@@ -83,6 +94,13 @@
         return undefined;
     }
 
+    /** One failure may have been the request's: if all peers are avoided, the one that took a request last is asked all the same. */
+    private chooseAvoided(asked: ReadonlySet<string>): string | undefined {
+        const takenAt = ({ address }: PeerNode): number => this.takenAt.get(address) ?? Number.NEGATIVE_INFINITY;
+        const candidates = this.sample(this.all).filter(({ address }) => !asked.has(address));
+        return candidates.reduce<PeerNode | undefined>((best, peer) => best && takenAt(best) >= takenAt(peer) ? best : peer, undefined)?.address;
+    }
+
     /** Whether any peer is known that may be asked, as far as one choice shows. */
     get hasAny(): boolean {
         return this.choose(new Set()) !== undefined;
@@ -111,6 +129,7 @@
             this.failures.delete(zone);
         }
         this.avoidedUntil.delete(address);
+        this.takenAt.set(address, this.now());
     }
 
     /** A peer takes no requests; it is not asked for a time. */
--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -61,7 +61,7 @@
         const { gateway, call, tally } = this;
         this.outcome = outcome;
         for (let count = 0; count < maxPeers && !call.signal.aborted; count++) {
-            const peer = gateway.peers.choice.choose(this.asked);
+            const peer = gateway.peers.choice.chooseForRequest(this.asked);
             if (peer === undefined) {
                 break;
             }
--- a/test/cutOffNodes.test.ts
+++ b/test/cutOffNodes.test.ts
@@ -60,9 +60,12 @@
                 const atCut = during.filter(isCutOff);
                 const elsewhere = during.filter(call => !isCutOff(call));
                 const failed = atCut.filter(({ isServed }) => !isServed).length;
+                const reasons = atCut.filter(({ isServed }) => !isServed).map(({ kind, status, sentAt, endedAt }) =>
+                    `${kind} ${status} at ${Math.round(sentAt - cutAt)} after ${Math.round(endedAt - sentAt)}`
+                );
                 const seen = `${atCut.length - failed} of ${atCut.length} there, ${
                     elsewhere.filter(({ isServed }) => isServed).length
-                } of ${elsewhere.length} elsewhere`;
+                } of ${elsewhere.length} elsewhere; ${reasons.slice(0, 12).join(", ")}`;
                 assert.ok(atCut.length > 0 && elsewhere.length > 0, "no requests");
                 assert.ok(shareServed(atCut) >= minRelativeShare * shareServed(elsewhere), seen);
                 assert.ok(failed <= allowedFailures + allowedFailureShare * during.length, seen);
--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -37,9 +37,10 @@
 
 const streamBody = sseEvents(1, events);
 
-const writeEvents = async (socket: Parameters<Script>[0], id: string): Promise<void> => {
+const writeEvents: Script = async (socket, { id, head }) => {
     socket.write(streamHeadOf(id));
-    for (let event = 1; event <= events && socket.writable; event++) {
+    const lastEventId = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0);
+    for (let event = lastEventId + 1; event <= events && socket.writable; event++) {
         await sleep(workMs / 2);
         socket.write(chunkOf(sseEvents(event, event)));
     }
@@ -64,7 +65,7 @@
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-cut-"));
         const runs = new Map<string, number>();
         const scripts: Readonly<Record<(typeof kinds)[number], Script>> = {
-            streaming: (socket, { id }) => void writeEvents(socket, id),
+            streaming: writeEvents,
             idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
             non_idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
         };
--- a/test/peerChoice.test.ts
+++ b/test/peerChoice.test.ts
@@ -132,6 +132,18 @@
         assert.equal(choice.choose(new Set()), peers[1]!.address);
     });
 
+    // Guards against requests that are refused although a peer takes them, as one failure made the node avoid it.
+    it("offers a request to the peer that took one last if all are avoided, and to two of these at most", () => {
+        const [, sound, cut] = peersOf(3, 1).map(({ address }) => address);
+        const { choice } = create(peersOf(3, 1));
+        choice.onTaken(sound!);
+        [sound, cut].forEach(address => choice.onUntaken(address!, avoidedMs));
+        assert.equal(choice.chooseForRequest(new Set()), sound);
+        assert.equal(choice.chooseForRequest(new Set([sound!])), cut);
+        assert.equal(choice.chooseForRequest(new Set([sound!, cut!])), undefined);
+        assert.equal(choice.choose(new Set()), undefined);
+    });
+
     it("never chooses the node itself, nor one that was asked", () => {
         const peers = peersOf(3, 1);
         const { choice } = create(peers);
