--- a/src/core/peerChoice.ts
+++ b/src/core/peerChoice.ts
@@ -10,6 +10,9 @@
 /** A request that so many peers did not take is offered to none of those that are avoided. */
 const maxAskedInVain = 2;
 
+/** Time for which a peer that is no longer listed is still known. */
+const unlistedLifetimeMs = 15_000;
+
 const hostOfAddress = (address: string): string => address.slice(0, address.lastIndexOf(":"));
 
 /** How often peers of an availability zone took no request since one did. */
@@ -28,6 +31,8 @@
 
 /** Chooses the peer through which a request is served: one of the own availability zone if they take requests, at random, the less busy one of two. */
 export class PeerChoice {
+    /** Peers with the time at which they were last listed. */
+    private readonly listed = new Map<string, { readonly peer: PeerNode; readonly at: number; }>();
     private own: readonly PeerNode[] = [];
     private others: readonly PeerNode[] = [];
     private all: readonly PeerNode[] = [];
@@ -51,11 +56,15 @@
         return new PeerChoice(options);
     }
 
-    /** Replaces the known peers; the node itself may be among them. */
-    setPeers(peers: readonly PeerNode[]): void {
+    /** Sets the known peers; the node itself may be among them. Those that are no longer listed are kept for a while: a new controller lists only nodes that have reported to it. */
+    setPeers(listed: readonly PeerNode[]): void {
         const { ownAddress, ownZone } = this.options;
         const own = ownAddress();
         const zone = ownZone();
+        const now = this.now();
+        listed.forEach(peer => this.listed.set(peer.address, { peer, at: now }));
+        [...this.listed].filter(([, { at }]) => now - at > unlistedLifetimeMs).forEach(([address]) => this.listed.delete(address));
+        const peers = [...this.listed.values()].map(({ peer }) => peer);
         this.all = peers.filter(({ address }) => address !== own);
         this.own = this.all.filter(peer => peer.zone === zone);
         this.others = this.all.filter(peer => peer.zone !== zone);
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -128,6 +128,8 @@
     readonly abortAfterEvents?: number;
     /** Whether the part of an answer that arrived counts if the connection ends early. */
     readonly keepsPart?: boolean;
+    /** Address on loopback from which the request comes. */
+    readonly localAddress?: string;
 }
 
 /** Sends a request as a caller does and waits until it completes, fails or is aborted. */
@@ -142,6 +144,7 @@
         abortAfterMs,
         abortAfterEvents = Number.POSITIVE_INFINITY,
         keepsPart = false,
+        localAddress,
     }: CallerRequest = {},
 ): Promise<CallerResult> =>
     new Promise(resolve => {
@@ -151,7 +154,7 @@
         const requestHeaders = { host, "attempt-id": "id-1", "deadline-ms": "3000", ...headers };
         const finish = (result: Omit<CallerResult, "afterMs">): void => resolve({ ...result, afterMs: performance.now() - startedAt });
         const req = request(
-            { host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method, path, headers: requestHeaders, agent: false },
+            { host: address.slice(0, colon), port: Number(address.slice(colon + 1)), method, path, headers: requestHeaders, agent: false, localAddress },
             res => {
                 const toResult = (isComplete: boolean) => ({
                     status: res.statusCode,
--- a/test/peerChoice.test.ts
+++ b/test/peerChoice.test.ts
@@ -153,6 +153,19 @@
         assert.equal(choice.choose(new Set([peers[1]!.address, peers[2]!.address])), undefined);
     });
 
+    // Guards against a new controller that knows no peers yet, and so refuses what they pass on.
+    it("knows peers that are no longer listed for a while, and not for ever", () => {
+        const peers = peersOf(3, 1);
+        const { choice, clock } = create(peers);
+        choice.setPeers([peers[0]!]);
+        assert.equal(choice.isKnownHost("10.0.0.2"), true);
+        assert.ok(choice.choose(new Set()));
+        clock.nowMs += 20_000;
+        choice.setPeers([peers[0]!]);
+        assert.equal(choice.isKnownHost("10.0.0.2"), false);
+        assert.equal(choice.choose(new Set()), undefined);
+    });
+
     it("knows the hosts of its peers and no others", () => {
         const { choice } = create(peersOf(3, 1));
         assert.equal(choice.isKnownHost("10.0.0.2"), true);
--- a/test/relayIntake.test.ts
+++ b/test/relayIntake.test.ts
@@ -40,8 +40,7 @@
 
     it("are refused as not run if a stranger sends them", () =>
         withFleet({ scripts: [answer] }, async ({ peers: [peer], upstreams: [upstream] }, events) => {
-            peer!.gateway.peers.setPeers([{ address: "127.0.0.99:1", zone: "a", cores: 1 }]);
-            const result = await callGateway(peer!.peerAddress, { headers: headersOf() });
+            const result = await callGateway(peer!.peerAddress, { headers: headersOf(), localAddress: "127.0.0.98" });
             assert.equal(result.status, 503);
             assert.equal(upstream!.received.length, 0);
             const report = decodeReport(result.headers as HeaderMap);
