--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -68,15 +68,16 @@
         private readonly gateway: Gateway,
         private readonly server: CallerServer,
         private readonly unexpectedErrors: () => number,
+        private readonly metrics: Metrics,
     ) {
         this.latestSettings = settings;
     }
 
-    /** Creates a node that does not listen yet; `unexpectedErrors` counts the errors that no handler caught. */
-    static create(settings: PlatformNodeSettings, unexpectedErrors = (): number => 0): PlatformNode {
+    /** Creates a node that does not listen yet; `unexpectedErrors` counts the errors that no handler caught. The metrics may be those of a node that it replaces. */
+    static create(settings: PlatformNodeSettings, unexpectedErrors = (): number => 0, metrics = Metrics.create()): PlatformNode {
         const store = MonitoredStore.create(StoreClient.create(settings.storeAddress, settings.limits));
         const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid), store);
-        return new PlatformNode(settings, store, gateway, CallerServer.create(gateway), unexpectedErrors);
+        return new PlatformNode(settings, store, gateway, CallerServer.create(gateway), unexpectedErrors, metrics);
     }
 
     /**
@@ -115,14 +116,13 @@
         void directory.run(this.stopped.signal);
         followStreamVersions(gateway, this.stopped.signal);
         const waits = PassingWaits.create(AbortSignal.any([this.stopping.signal, this.outdated.signal]));
-        const metrics = Metrics.create();
-        metrics.registerGauges([
+        this.metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
-        this.serveMetrics(metrics);
+        this.serveMetrics();
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
@@ -145,9 +145,9 @@
     }
 
     /** Serves metrics as soon as their port can be used; callers do not wait for that. */
-    private serveMetrics(metrics: Metrics): void {
+    private serveMetrics(): void {
         const address = this.settings.metricsAddress;
-        const server = createMetricsServer(metrics);
+        const server = createMetricsServer(this.metrics);
         this.stopped.signal.addEventListener("abort", () => {
             server.close();
             server.closeAllConnections();
@@ -169,7 +169,7 @@
 
     /** Creates the node that replaces this one if it did not start, with the settings as they are by now. */
     renew(): PlatformNode {
-        return PlatformNode.create(this.latestSettings, this.unexpectedErrors);
+        return PlatformNode.create(this.latestSettings, this.unexpectedErrors, this.metrics);
     }
 
     /** Answers what its upstreams have not answered, except streams that have begun. */
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -21,6 +21,7 @@
     readonly name = "metrics";
     private readonly registry = new Registry();
     private readonly registers = [this.registry];
+    private hasDefaultMetrics = false;
     private readonly refusals = new Counter({
         name: "jackdawtrail_refusals_total",
         help: "Requests refused, by reason and verdict",
@@ -133,12 +134,17 @@
         ]);
     }
 
-    /** Registers gauges and the default metrics of the Node.js runtime. */
+    /** Registers gauges, in place of earlier ones of the same names, and the default metrics of the Node.js runtime. */
     registerGauges(gauges: readonly GaugeSpec[]): void {
-        collectDefaultMetrics({ register: this.registry });
-        for (const { name, help, read } of gauges) {
+        if (!this.hasDefaultMetrics) {
+            this.hasDefaultMetrics = true;
+            collectDefaultMetrics({ register: this.registry });
+        }
+        for (const { name: ownName, help, read } of gauges) {
+            const name = `jackdawtrail_${ownName}`;
+            this.registry.removeSingleMetric(name);
             new Gauge({
-                name: `jackdawtrail_${name}`,
+                name,
                 help,
                 registers: this.registers,
                 collect() {
--- a/test/heldPorts.test.ts
+++ b/test/heldPorts.test.ts
@@ -3,6 +3,7 @@
 import { join } from "node:path";
 import { after, describe, it } from "node:test";
 import { ExitCode } from "../src/cli/exitCode";
+import { EventId } from "../src/types/eventId";
 import { sleep } from "../src/utils/time";
 import type { NodeAddresses } from "./fakes/nodeStart";
 import { heldMs, isAnswering, isListening, NodeStarts, reserveAddresses, settingsOf, startedWithinMs, startPollMs, startTimeoutMs } from "./fakes/nodeStart";
@@ -10,6 +11,7 @@
 
 /** The processor time of the end and the flush of the log, not the grace period. */
 const endedWithinMs = 1_000;
+const renewals = 4;
 
 describe("guards against an end while a port is taken", { concurrency: true }, () => {
     const starts = NodeStarts.create();
@@ -99,6 +101,25 @@
         });
     }
 
+    it("counts on, in the metrics, when the settings name other addresses while a port is taken", async () => {
+        const addresses = await reserveAddresses();
+        await starts.takePort(addresses.front);
+        const file = join(starts.folder, "renewed.toml");
+        writeFileSync(file, settingsOf(addresses));
+        const { child, log } = starts.start(file);
+        const reloads = (): number => log().split("SettingsReloaded").length - 1;
+        await waitFor("metrics", () => isAnswering(addresses.metrics), startTimeoutMs, startPollMs);
+        for (let count = 1; count <= renewals; count++) {
+            writeFileSync(file, settingsOf(addresses, `127.0.0.1:${count}`));
+            child.kill("SIGHUP");
+            await waitFor("reload", () => reloads() === count, startTimeoutMs, startPollMs);
+        }
+        await waitFor("metrics", () => isAnswering(addresses.metrics), startedWithinMs, startPollMs);
+        const text = await (await fetch(`http://${addresses.metrics}/`)).text();
+        const [, counted] = new RegExp(`^jackdawtrail_events_total{event="${EventId.SettingsReloaded}"} (.*)$`, "m").exec(text) ?? [];
+        assert.equal(Number(counted), renewals);
+    });
+
     interface StopCase {
         readonly name: string;
         readonly spoil: (file: string, addresses: NodeAddresses) => Promise<void>;
