--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -127,8 +127,11 @@
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
         const peerPort = peerServer.port(settings.peerAddress);
-        if (!await listenOnAll([peerPort, callerPort, readinessPort], waits)) {
+        const ports = [peerPort, callerPort, readinessPort];
+        if (!await listenOnAll(ports, waits)) {
             this.stopped.abort();
+            // The runtime's timer of a server that has listened would keep the node.
+            ports.forEach(({ server: httpServer }) => httpServer.close());
             return false;
         }
         takePart();
