--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -34,6 +34,8 @@
     private failuresAt = 0;
     private unreachableUntil = 0;
     private unreachableCount = 0;
+    /** When a connection to it last failed. */
+    unreachableAt = Number.NEGATIVE_INFINITY;
 
     private constructor(private readonly now: () => number) {}
 
@@ -124,7 +126,15 @@
         this.failuresAt = this.now();
     }
 
+    /** Takes back what failures said: the node's path to all upstreams was the reason. */
+    forgetFailures(): void {
+        this.failures = 0;
+        this.unreachableUntil = 0;
+        this.unreachableCount = 0;
+    }
+
     onUnreachable(): void {
+        this.unreachableAt = this.now();
         // Several requests may fail while the upstream already counts as unreachable; the time doubles only once for them.
         if (!this.isUnreachable) {
             this.unreachableCount++;
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -5,7 +5,6 @@
 import { memoryLimitOf } from "../core/memoryLimit";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestHeap } from "../core/requestHeap";
-import { RequestPacer } from "../core/requestPacer";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
 import { RouteTable } from "../core/routeTable";
@@ -15,16 +14,16 @@
 import { StoreFreshness } from "../core/storeFreshness";
 import { StreamVersions } from "../core/streamVersions";
 import { UpstreamAvailability } from "../core/upstreamAvailability";
+import { UpstreamContact } from "../core/upstreamContact";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { WaitingRequests } from "../core/waitingRequests";
 import { EventId } from "../types/eventId";
 import { MemoryHolder } from "../types/memoryHolder";
-import type { PlacementAnswer, PlacementRequest, RunnerLoads } from "../types/placement";
+import type { RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import type { RowStore } from "../types/rowStore";
-import type { Permit, PermitRequest } from "../types/sendPermit";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { emit } from "../utils/events";
@@ -32,8 +31,13 @@
 import { MemoryGauge } from "../utils/memoryGauge";
 import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
+import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
 import { Departures } from "./departures";
+import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
+import { PeerRelays } from "./peerRelays";
+import { disabledPlacement } from "./placement";
+import type { Placement } from "./placement";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
@@ -43,25 +47,6 @@
     readonly routes: RouteTable;
 }
 
-/** Places models and adapters on runners as requests need them. */
-export interface Placement {
-    place(req: PlacementRequest): Promise<PlacementAnswer>;
-    /** Adds a request's estimated work to the demand for an artifact, in milliseconds of a runner's time. */
-    countWork(artifact: string, workMs: number): void;
-    /** Requests a turn at a runner that has named a limit. */
-    acquirePermit(req: PermitRequest): Promise<Permit>;
-    /** Whether this node is the controller. */
-    readonly isController: boolean;
-}
-
-const ownPacer = RequestPacer.create();
-const disabledPlacement: Placement = {
-    place: () => Promise.resolve({ readyInMs: 0, isComing: false }),
-    countWork: () => {},
-    acquirePermit: req => Promise.resolve(ownPacer.reserve(req)),
-    isController: false,
-};
-
 /** Charge for a connection to an upstream. */
 const upstreamConnectionBytes = 32_768;
 /** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
@@ -95,6 +80,8 @@
     placement: Placement = disabledPlacement;
     /** Probes silent runners; without it, silence alone counts, and no crash is recorded. */
     prober: UpstreamProber | undefined;
+    /** Without it, this node takes its path to the upstreams for granted. */
+    contactMonitor: ContactMonitor | undefined;
     /** Counts the changes of what this node shares with the others. */
     readonly factCounter: RevisionCounter = { value: 0 };
     /** Crashes of runners, and the prompt parts that are in quarantine for them. */
@@ -105,7 +92,7 @@
     readonly availability = UpstreamAvailability.create(this.directory, id => this.trafficByUpstream.get(id)?.inFlight ?? 0, this.factCounter);
     /** Requests that wait until an upstream that asked for quiet takes requests again. */
     readonly quietWaiters = WaitingRequests.create();
-    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober);
+    readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
     readonly memoryGauge = MemoryGauge.create();
@@ -128,6 +115,10 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Whether this node reaches upstreams over its own links. */
+    readonly contact = UpstreamContact.create(() => this.random());
+    /** The peers through which callers are served while it does not. */
+    readonly peers = PeerRelays.create(this);
     /** Connections to upstreams that are open or being opened. */
     upstreamConnections = 0;
     isStopping = false;
@@ -147,6 +138,7 @@
         const firstWriteDelayMs = (): number => this.placement.isController ? 0 : maxFirstWriteDelayMs * (0.5 + random() / 2);
         const isInContact = (): boolean => this.freshness.isInContact;
         this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs, isInContact);
+        forgetFailuresOnRegain(this.contact, this.trafficByUpstream, this.poolByUpstream);
         this.directory.observe(({ id, server, version }, previous) => {
             // Rows also change with each adapter: such changes are not logged, as every node would log each.
             if (summaryOf(server) !== summaryOf(previous)) {
@@ -214,6 +206,7 @@
                     this.upstreamConnections += change;
                     this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
                 },
+                this.contact,
             ));
     }
 
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -5,9 +5,14 @@
 import { EventId } from "../types/eventId";
 import { emit } from "../utils/events";
 import type { Gateway } from "./gateway";
+import { isPathLost } from "./peerPath";
+
+/** Whether the node can serve callers: one that is cut off from the upstreams can as long as peers take its requests. */
+const canServe = (gateway: Gateway): boolean => !isPathLost(gateway) || !gateway.peers.takeNone;
 
 /** Whether the load balancer should send new connections to the node. */
-export const isReady = (gateway: Gateway): boolean => gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0;
+export const isReady = (gateway: Gateway): boolean =>
+    gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0 && canServe(gateway);
 
 /** Creates the server that answers readiness checks of the load balancer with status 200 or 503. */
 export const createReadinessServer = (gateway: Gateway, isListening: () => boolean): Server => {
@@ -21,6 +26,7 @@
                 configVersion: gateway.config?.version,
                 upstreams: gateway.directory.all().length,
                 stopping: gateway.isStopping,
+                contact: gateway.contact.state,
                 listening: isListening(),
             });
         }
--- /dev/null
+++ b/src/forward/placement.ts
@@ -0,0 +1,24 @@
+import { RequestPacer } from "../core/requestPacer";
+import type { PlacementAnswer, PlacementRequest } from "../types/placement";
+import type { Permit, PermitRequest } from "../types/sendPermit";
+
+/** Places models and adapters on runners as requests need them. */
+export interface Placement {
+    place(req: PlacementRequest): Promise<PlacementAnswer>;
+    /** Adds a request's estimated work to the demand for an artifact, in milliseconds of a runner's time. */
+    countWork(artifact: string, workMs: number): void;
+    /** Requests a turn at a runner that has named a limit. */
+    acquirePermit(req: PermitRequest): Promise<Permit>;
+    /** Whether this node is the controller. */
+    readonly isController: boolean;
+}
+
+/** Turns that a node without a controller gives itself. */
+const ownPacer = RequestPacer.create();
+/** The placement of a node that takes no part in it. */
+export const disabledPlacement: Placement = {
+    place: () => Promise.resolve({ readyInMs: 0, isComing: false }),
+    countWork: () => {},
+    acquirePermit: req => Promise.resolve(ownPacer.reserve(req)),
+    isController: false,
+};
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -5,8 +5,11 @@
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
 import { availabilityGauges } from "../forward/availabilityGauges";
 import { CallerServer } from "../forward/callerServer";
+import { contactGauges } from "../forward/contactGauges";
+import { ContactMonitor } from "../forward/contactMonitor";
 import { Gateway } from "../forward/gateway";
 import { createMetricsServer, createReadinessServer } from "../forward/monitoringServers";
+import { RelayIntake } from "../forward/relayIntake";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
@@ -14,6 +17,7 @@
 import { requestHeaderCodec } from "../platform/requestHeaderCodec";
 import { RunnerClient } from "../platform/runnerClient";
 import { StoreClient } from "../platform/storeClient";
+import { askUpstream } from "../platform/upstreamQuestion";
 import { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
@@ -90,11 +94,17 @@
         const { settings, gateway, server, store } = this;
         const configRows = createConfigObserver(gateway, platformTables.configKey, decodeConfig, () => server.applyLimits());
         const { controllerClient, peerServer, lease, takePart } = createNodePlacement(gateway, store, {
-            runners: RunnerClient.create(settings.limits, (runner, word) => gateway.availability.onAnswer(runner, word)),
+            runners: RunnerClient.create(settings.limits, (runner, word) => {
+                gateway.contact.onWord();
+                gateway.availability.onAnswer(runner, word);
+            }),
             decodeConfig,
             onConfig: () => server.applyLimits(),
         }, this.stopped.signal);
         this.lease = lease;
+        gateway.contactMonitor = ContactMonitor.create(gateway, askUpstream);
+        gateway.contactMonitor.start(this.stopped.signal);
+        peerServer.relayIntake = RelayIntake.create(gateway, server.reception, host => peerServer.nodes.hasHost(host));
         const waitMs = (): number => controllerClient.isController ? controllerFeedWaitMs : feedWaitMs;
         // While the store is away all nodes try it, and one that reaches it tells the others.
         const maxRetryDelayMs = (): number =>
@@ -123,6 +133,7 @@
         this.metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
+            ...contactGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -1,8 +1,10 @@
 import type { ControllerLease } from "../core/controllerLease";
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
-import type { Gateway, Placement } from "../forward/gateway";
+import type { Gateway } from "../forward/gateway";
+import type { Placement } from "../forward/placement";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
@@ -51,6 +53,7 @@
         private readonly local: LocalComponents,
     ) {
         this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
+        gateway.peers.setPeers(this.peers.nodes);
         this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
         this.placements = PlacementClient.create(
             local.controller,
@@ -182,6 +185,7 @@
             peerAddress: gateway.settings.peerAddress,
             zone: gateway.settings.availabilityZone,
             cores: gateway.settings.cores,
+            reachesUpstreams: gateway.contact.state === ContactState.Held,
             members: isRelaying ? local.peerServer.nodes.members.filter(({ address }) => address !== gateway.settings.peerAddress) : [],
             source: this.source,
             peersVersion: this.peersVersion,
@@ -227,6 +231,7 @@
         gateway.knownNodes = Math.max(1, answer.nodeCount);
         if (answer.peers) {
             this.peers.setPeers(answer.peers);
+            this.gateway.peers.setPeers(this.peers.nodes);
         }
         this.peersVersion = answer.peersVersion;
         if (answer.adapters) {
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -7,6 +7,8 @@
 import { toFailure } from "../core/failures";
 import { RequestPacer } from "../core/requestPacer";
 import type { Gateway } from "../forward/gateway";
+import { maxRelayHeaderBytes } from "../forward/relayHeaders";
+import type { RelayIntake } from "../forward/relayIntake";
 import { maxPartIdLength, maxSuspectParts } from "../forward/suspectParts";
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
@@ -24,6 +26,8 @@
 /** Limits on a peer's request. */
 const maxReportBytes = 4_194_304;
 const peerRequestTimeoutMs = 5_000;
+/** Callers' requests that peers pass on have headers of the size that callers may send. */
+const maxHeaderBytes = 262_144;
 
 /** Limits on the shared facts of one report. */
 const maxReportedCrashes = 1_024;
@@ -50,6 +54,7 @@
     peerAddress: hostAddress,
     zone: z.string(),
     cores: quantity,
+    reachesUpstreams: z.boolean().optional(),
     members: z.array(peerNodeSchema),
     source: z.string().optional(),
     peersVersion: z.number(),
@@ -87,6 +92,8 @@
 
     /** Announcement of the controller with the highest known epoch. */
     latestAnnouncement: ControllerAnnouncement | undefined;
+    /** Takes callers' requests that peers pass on; without it, they are refused. */
+    relayIntake: RelayIntake | undefined;
     /** Called when a controller with a higher epoch becomes known. */
     onNewController: () => void = () => undefined;
 
@@ -115,7 +122,13 @@
     /** The server for peers, with the address at which it is to listen. */
     port(address: string): ServerPort {
         const router = createPeerServerRouter(this, this.controller);
-        this.httpServer = createServer((req, res) => {
+        this.httpServer = createServer({ maxHeaderSize: maxHeaderBytes + maxRelayHeaderBytes, noDelay: true }, (req, res) => {
+            if (this.relayIntake?.isRelayed(req)) {
+                this.relayIntake.handle(req, res);
+                return;
+            }
+            const timer = setTimeout(() => req.destroy(), peerRequestTimeoutMs);
+            req.once("close", () => clearTimeout(timer));
             const path = (req.url ?? "/").split("?", 1)[0]!.slice(1);
             nodeHTTPRequestHandler({ router, req, res, path, createContext: () => ({}), maxBodySize: maxReportBytes }).catch((err: unknown) => {
                 emit(EventId.PeerExchangeFailed, { peer: req.socket.remoteAddress, detail: toFailure(err).detail });
@@ -123,7 +136,8 @@
             });
         });
         this.httpServer.headersTimeout = peerRequestTimeoutMs;
-        this.httpServer.requestTimeout = peerRequestTimeoutMs;
+        // A body that a peer passes on may wait for memory: it has limits of its own.
+        this.httpServer.requestTimeout = 0;
         return { server: this.httpServer, address };
     }
 
--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -5,6 +5,7 @@
 import type { LateLoads } from "../core/lateLoads";
 import { RunnerTracker } from "../core/runnerTracker";
 import type { Gateway } from "../forward/gateway";
+import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { RunnerControl, RunnerOrder } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
@@ -17,6 +18,8 @@
 export const dueReportIntervalMs = 150;
 /** Number of failed reports that are retried at the short interval; after that the runner is likely gone. */
 const maxQuickReports = 3;
+/** Minimum time between two words of nodes on one runner that make it report at once: if they are wrong, the nodes are cut off themselves. */
+const minSuspicionPauseMs = 5_000;
 /** Reports that are fetched at a time: each takes a connection and its objects in the heap. */
 const maxReportsInProgress = 256;
 /** Delay before a pending order is resent. */
@@ -31,6 +34,7 @@
     /** Adapters that requests may use, with revisions so that nodes can fetch only changes. */
     adapters = AdapterRevisions.create();
     private readonly lastReportRequestAt = new WeakMap<RunnerTracker, number>();
+    private readonly lastSuspectedAt = new WeakMap<RunnerTracker, number>();
     /** Runners whose report is due, in the order in which it became so. */
     private readonly awaitedReports = new Set<RunnerTracker>();
     private reportsInProgress = 0;
@@ -42,7 +46,14 @@
         private readonly runners: RunnerControl,
         private readonly lateLoads: LateLoads,
         private readonly onDone: () => void,
-    ) {}
+    ) {
+        gateway.contact.observe(state => {
+            if (state === ContactState.Lost) {
+                // Reports that failed shortly before did so for the same reason.
+                this.trackers.forEach(tracker => tracker.failedReports = 0);
+            }
+        });
+    }
 
     /** Creates a manager that tracks no runners yet; `onDone` is called when a load or unload has completed. */
     static create(gateway: Gateway, lease: ControllerLease, runners: RunnerControl, lateLoads: LateLoads, onDone: () => void): RunnerManager {
@@ -59,7 +70,10 @@
     /** Records that a node could not reach a runner; its next report shows whether it is gone. */
     suspect(id: string): void {
         const tracker = this.trackers.get(id);
-        if (tracker?.isReachable && !tracker.isSuspected) {
+        const now = performance.now();
+        const lastAt = (tracker && this.lastSuspectedAt.get(tracker)) ?? Number.NEGATIVE_INFINITY;
+        if (tracker?.isReachable && !tracker.isSuspected && now - lastAt >= minSuspicionPauseMs) {
+            this.lastSuspectedAt.set(tracker, now);
             tracker.isSuspected = true;
             emit(EventId.RunnerSuspected, { runner: id, failedReports: tracker.failedReports });
         }
@@ -82,7 +96,8 @@
 
     /** Adds and removes trackers according to the directory, and fetches the reports that are due. */
     sync(service: string, engine: EngineSpec): void {
-        const { directory, availability } = this.gateway;
+        const { directory, availability, contact } = this.gateway;
+        const isReaching = contact.state !== ContactState.Lost;
         const servers = directory.all().filter(server => server.service === service).map(server => availability.effective(server));
         const ids = new Set(servers.map(({ id }) => id));
         for (const [id, tracker] of this.trackers) {
@@ -101,9 +116,9 @@
             }
         }
         for (const tracker of this.trackersOf(service)) {
-            tracker.mayOrder = this.lease.mayOrder(tracker.server.id) && availability.mayCall(tracker.server);
+            tracker.mayOrder = isReaching && this.lease.mayOrder(tracker.server.id) && availability.mayCall(tracker.server);
             this.adapters.update(tracker.server.id, [...tracker.adapters.keys()].filter(artifact => tracker.hasAdapter(artifact)));
-            if (availability.mayCall(tracker.server)) {
+            if (isReaching && availability.mayCall(tracker.server)) {
                 this.refresh(tracker, engine);
             }
         }
@@ -145,6 +160,7 @@
     }
 
     private async fetchReport(tracker: RunnerTracker): Promise<void> {
+        const requestedAt = performance.now();
         try {
             const report = await this.runners.fetchReport(tracker.server);
             const { transition } = tracker;
@@ -157,8 +173,8 @@
             }
         }
         catch (err) {
-            // A runner that asks for quiet is alive.
-            if (this.gateway.availability.quietMsOf(tracker.server) === 0) {
+            // A runner that asks for quiet is alive, and one that this node does not reach may be.
+            if (this.gateway.availability.quietMsOf(tracker.server) === 0 && !this.gateway.contact.wasLostSince(requestedAt)) {
                 tracker.failedReports++;
             }
             emit(EventId.ReportFailed, { runner: tracker.server.id, detail: toFailure(err).detail });
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -54,6 +54,12 @@
     [EventId.UpstreamQuiet]: "an upstream answered 503 and asked for no requests of this node for a time; `request` names the request, `leftMs` the time left",
     [EventId.UpstreamHeaderIgnored]:
         "a header of an answer about its upstream's availability is not valid and was ignored; `count` is the number of them since the start",
+    [EventId.UpstreamContactHeld]:
+        "an upstream answered over a new connection: this node reaches upstreams over its own links, `afterMs` after the last change; `reason` says what showed it",
+    [EventId.UpstreamContactDoubted]:
+        "connections to several upstreams failed, or nothing arrives from any: upstreams are probed; with the ages of the last word and of the last new connection that worked",
+    [EventId.UpstreamContactLost]: "no probe of several upstreams was answered: this node does not reach upstreams over its own links",
+    [EventId.ContactProbeFailed]: "an upstream did not answer a probe of this node's path to the upstreams",
     [EventId.RequestRefused]: "a request was answered with a failure",
     [EventId.AttemptFailed]: "an attempt on an upstream failed; the request may be retried",
     [EventId.StreamResumed]: "a stream was resumed after the last event that the caller received, on the same or another runner",
@@ -90,6 +96,12 @@
     [EventId.AttemptStepFailed]: "an internal error at `step` ended an attempt; the request may be retried",
     [EventId.CallerWriteFailed]: "an answer could not be written to its caller",
     [EventId.ConnectionStale]: "a kept connection had ended before the request was sent over it; the request is sent over a new one",
+    [EventId.RequestPassedOn]:
+        "a caller's request is sent to a peer, as this node does not reach the upstreams: `contact` is what it believes of its links, `after` the outcome of the attempt before",
+    [EventId.RelayEnded]:
+        "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
+    [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
+    [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -28,7 +28,7 @@
     private constructor(
         readonly process: ChildProcess,
         readonly front: string,
-        private readonly control: string,
+        readonly control: string,
         readonly store: MemoryPlatformStore,
         private readonly server: Server,
         private readonly folder: string,
@@ -36,7 +36,7 @@
         private readonly settings: SettingsFileFields,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, and load modules before the program. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, and have another address on loopback. */
     static async start(
         graceS: number,
         config: object,
@@ -44,15 +44,17 @@
         first?: PlatformProcess,
         maxDescriptors?: number,
         modules: readonly string[] = [],
+        ip = "127.0.0.1",
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
         const [store, server] = first ? [first.store, first.server] : await startStore();
         const ports = await Promise.all([reservePort(), reservePort(), reservePort(), reservePort()]);
-        const [front, ready, control] = ports.map(port => `127.0.0.1:${port}`);
+        const [front, ready, control] = ports.map(port => `${ip}:${port}`);
         const storeAddress = `127.0.0.1:${portOf(server)}`;
         const settings: SettingsFileFields = {
-            name: first ? "n2" : "n1",
+            name: first ? `n2-${ports[0]}` : "n1",
+            ip,
             zone: "a",
             front: front!,
             ready: ready!,
@@ -74,7 +76,7 @@
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
         });
-        const started = new PlatformProcess(node, front!, control!, store, server, folder, `127.0.0.1:${ports[3]}`, settings);
+        const started = new PlatformProcess(node, front!, control!, store, server, folder, `${ip}:${ports[3]}`, settings);
         Object.entries(upstreams).forEach(([id, row]) => started.putUpstream(id, row));
         return started;
     }
