--- a/test/callerLoad/loadUpstream.ts
+++ b/test/callerLoad/loadUpstream.ts
@@ -91,6 +91,9 @@
                 record.passedOnAt ??= performance.now();
                 void answer(socket, record);
             }
+            else if (head.startsWith("GET /h ")) {
+                socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+            }
         }
         buffered = [bytes];
         missing = 1;
--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -75,10 +75,6 @@
         for (const kind of kinds) {
             for (let index = 0; index < upstreamsPerService; index++) {
                 const upstream = await startScriptedUpstream((socket, req, self) => {
-                    if (req.head.startsWith("GET /h ")) {
-                        socket.write(`HTTP/1.1 200 OK\r\nInstance-Id: ${kind}-${index}\r\nContent-Length: 0\r\n\r\n`);
-                        return;
-                    }
                     runs.set(req.id, (runs.get(req.id) ?? 0) + 1);
                     scripts[kind](socket, req, self);
                 });
--- a/test/fakes/scriptedUpstream.ts
+++ b/test/fakes/scriptedUpstream.ts
@@ -24,6 +24,9 @@
     close(): void;
 }
 
+/** Begin of a health check, which is no request of a caller: the upstream answers it whatever its script. */
+const healthCheckStart = "GET /h ";
+
 const headerValue = (head: string, name: string): string => new RegExp(`^${name}: (.*)$`, "im").exec(head)?.[1]?.trim() ?? "";
 
 /** Starts a scripted upstream on loopback. */
@@ -43,6 +46,10 @@
                 }
                 const req = { head, body: buffered.slice(end + 4, end + 4 + length), index: received.length, id: headerValue(head, "attempt-id") };
                 buffered = buffered.slice(end + 4 + length);
+                if (req.id === "" && head.startsWith(healthCheckStart)) {
+                    socket.write("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n");
+                    continue;
+                }
                 received.push(req);
                 script(socket, req, upstream);
             }
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -6,7 +6,7 @@
 import { CrashingPrompts } from "./crashingPrompts";
 import type { InvariantChecker } from "./invariantChecker";
 import { NamedLimits } from "./namedLimits";
-import { SoakUpstream } from "./soakUpstream";
+import { healthPath, SoakUpstream } from "./soakUpstream";
 
 const modelCount = 6;
 const runnerCount = 4;
@@ -93,7 +93,7 @@
         const config = {
             version: this.configVersion += 1 + Math.floor(this.random() * 3),
             routes: routesOnWire,
-            services: [{ name: "desk", healthPath: "/h", maxConns: 100 }, { name: "engines", healthPath: "/h", maxConns: 100, engine: engineOnWire }],
+            services: [{ name: "desk", healthPath, maxConns: 100 }, { name: "engines", healthPath, maxConns: 100, engine: engineOnWire }],
             limits: { maxHeaderBytes: 8_192, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
         };
         this.configBytes = Buffer.from(JSON.stringify(config));
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -58,6 +58,9 @@
 /** Whether the answer to a request has neither a length nor chunks and ends with its connection; one in three does. */
 const isAnswerUnframed = (id: string): boolean => Number(id.split("-").at(-1)) % 3 === 0;
 
+/** Path of health checks, which are no requests. */
+export const healthPath = "/h";
+
 /** An upstream of the platform behind a proxy: a runner of an engine service, or an instance of a plain service. */
 export class SoakUpstream {
     readonly faults: UpstreamFaults = { lostAnswers: 0, refusals: 0, lateOrders: 0 };
@@ -135,6 +138,10 @@
             res.writeHead(421, { "Instance-Id": this.id }).end();
             return;
         }
+        if (req.url === healthPath) {
+            res.writeHead(this.saysLeaving ? 503 : 200, { "Instance-Id": this.id }).end();
+            return;
+        }
         if (req.url === "/api/report") {
             const { isBusy, acceptedOrders, queued, active, models, inMemory, onDisk, loadingAdapters: coming } = this.simulatedRunner!.report();
             res.end(JSON.stringify({ models, atHand: { inMemory, onDisk }, coming, busy: isBusy, seq: acceptedOrders, queued, active, born: 1 }));
