--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -9,7 +9,7 @@
 export const maxSmallBodyBytes = 65_536;
 /** Charge for a body that waits: what the runtime and the kernel have read ahead of it. */
 export const waitingBodyBytes = 131_072;
-/** Share of the budget that waiting bodies may take: without a bound, they would take the part of the small ones. */
+/** Share of the budget up to which large bodies may wait: without a bound, they would take the part of the small ones. */
 const waitingShare = 0.1;
 /** Bounds of the delay after which a refused caller may come again. */
 const minRetryAfterMs = 500;
@@ -122,7 +122,7 @@
         if (queue.length === 0 && this.fits(bytes)) {
             return Promise.resolve(this.grant(bytes));
         }
-        const mayWait = this.usedBy(MemoryHolder.UnreadBodies) + waitingBodyBytes <= this.waitingLimitBytes;
+        const mayWait = queue === this.small || this.usedBy(MemoryHolder.UnreadBodies) + waitingBodyBytes <= this.waitingLimitBytes;
         if (!mayWait || this.isTooLarge(bytes) || this.expectedWaitMs(queue, bytes) > waitMs || signal.aborted) {
             return Promise.resolve(this.deny(bytes));
         }
@@ -171,7 +171,7 @@
         this.used.set(holder, this.usedBy(holder) + bytes);
     }
 
-    /** Bytes that bodies may take while they wait; one always may. */
+    /** Bytes up to which large bodies may wait; one always may. */
     private get waitingLimitBytes(): number {
         return Math.max(waitingBodyBytes, waitingShare * this.limitBytes);
     }
--- a/test/memoryBudget.test.ts
+++ b/test/memoryBudget.test.ts
@@ -128,6 +128,20 @@
         assert.ok(large.some(({ result }) => result?.isGranted === false));
     });
 
+    // Guards against small requests that are refused at once, because large bodies have taken all room to wait.
+    it("lets a small body wait for its own part beside large ones that fill the room to wait", async () => {
+        await ask(60 * megabyte);
+        for (let index = 0; index < 200; index++) {
+            await ask(0.1 * megabyte, 60_000);
+        }
+        budget.charge(MemoryHolder.Answers, 10 * megabyte);
+        const small = await ask(1_000, 60_000);
+        assert.ok(!("result" in small), "refused at once");
+        budget.charge(MemoryHolder.Answers, -10 * megabyte);
+        await settle();
+        assert.ok(small.result?.isGranted);
+    });
+
     it("tells refused callers to come again one after the other, as memory becomes free", async () => {
         await ask(60 * megabyte);
         const delaysMs: number[] = [];
