--- a/src/core/requestHeap.ts
+++ b/src/core/requestHeap.ts
@@ -5,7 +5,7 @@
 /** Charge for a request and its connections, without its head. */
 const requestBytes = 36_864;
 /** Charge for a header, beside its text. */
-const headerBytes = 160;
+export const headerHeapBytes = 160;
 /** Bounds of the delay after which a refused caller may come again. */
 const minRetryAfterMs = 500;
 const maxRetryAfterMs = 1_500;
@@ -53,7 +53,7 @@
     /** Heap for a request, by its headers, names and values alternating; `isFarAhead` if many others of its connection are unanswered. */
     request(rawHeaders: readonly string[], isFarAhead = false): HeapGrant | HeapDenial {
         const textBytes = rawHeaders.reduce((sum, text) => sum + text.length, 0);
-        const askedBytes = requestBytes + textBytes + headerBytes * rawHeaders.length / 2;
+        const askedBytes = requestBytes + textBytes + headerHeapBytes * rawHeaders.length / 2;
         if (this.used + askedBytes > this.limitBytes * (isFarAhead ? aheadShare : 1)) {
             const retryAfterMs = minRetryAfterMs + (maxRetryAfterMs - minRetryAfterMs) * this.options.random();
             return { isGranted: false, retryAfterMs, memory: { askedBytes, usedBytes: this.used, limitBytes: this.limitBytes } };
--- /dev/null
+++ b/src/core/unfinishedHeads.ts
@@ -0,0 +1,73 @@
+import { headerHeapBytes } from "./requestHeap";
+
+/** Share of the heap's limit that heads may hold that have not been read to their end; as much may lie outside the heap. */
+const headShare = 0.15;
+
+/** Dependencies of a budget. */
+export interface UnfinishedHeadsOptions {
+    /** Size of the heap at which the runtime ends the process. */
+    readonly heapLimitBytes: () => number;
+}
+
+/** What all connections together hold of heads that have not been read to their end. */
+export class UnfinishedHeads<T> {
+    /** Bytes by connection, in the order in which the heads began. */
+    private readonly held = new Map<T, number>();
+    private used = 0;
+    /** Heads that were given up so far, for want of room. */
+    givenUp = 0;
+
+    private constructor(private readonly options: UnfinishedHeadsOptions) {}
+
+    static create<T>(options: UnfinishedHeadsOptions): UnfinishedHeads<T> {
+        return new UnfinishedHeads<T>(options);
+    }
+
+    get usedBytes(): number {
+        return this.used;
+    }
+
+    get limitBytes(): number {
+        return headShare * this.options.heapLimitBytes();
+    }
+
+    /** Number of connections that hold such a head. */
+    get count(): number {
+        return this.held.size;
+    }
+
+    /** Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. */
+    hold(connection: T, textBytes: number, headers: number): readonly T[] {
+        const bytes = textBytes + headers * headerHeapBytes;
+        this.used += bytes - (this.held.get(connection) ?? 0);
+        this.held.set(connection, bytes);
+        const closed: T[] = [];
+        while (this.used > this.limitBytes) {
+            const dispensable = this.mostDispensable;
+            if (dispensable === undefined) {
+                break;
+            }
+            this.release(dispensable);
+            closed.push(dispensable);
+        }
+        this.givenUp += closed.length;
+        return closed;
+    }
+
+    /** The head of a connection has been read to its end, or the connection has been closed. */
+    release(connection: T): void {
+        this.used -= this.held.get(connection) ?? 0;
+        this.held.delete(connection);
+    }
+
+    /** The oldest head that is no smaller than the mean: a large one that has just begun may still end, and small ones make no room. */
+    private get mostDispensable(): T | undefined {
+        const meanBytes = this.used / this.held.size;
+        for (const [connection, bytes] of this.held) {
+            if (bytes >= meanBytes) {
+                return connection;
+            }
+        }
+        return undefined;
+    }
+}
--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -8,6 +8,7 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
+import { HeadWatch } from "./headWatch";
 
 /** Charge for a connection of a caller with what it holds of an incomplete head. */
 const connectionBytes = 16_384;
@@ -18,6 +19,8 @@
 const minFarAhead = 4;
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
+/** Answer to a head for which there is no room. */
+const headRefusal = "HTTP/1.1 503 Service Unavailable\r\nConnection: close\r\nRetry-After: 1\r\nContent-Length: 0\r\n\r\n";
 /** Closed connections are logged together, at this interval. */
 const logIntervalMs = 1_000;
 
@@ -40,8 +43,10 @@
     /** Heap of the unanswered requests of each connection. The runtime does not announce the close of responses behind another one. */
     private readonly heapGrants = new Map<Socket, Set<HeapGrant>>();
     private readonly cut = new WeakSet<Socket>();
+    private readonly headWatch: HeadWatch;
     private closedCount = 0;
     private cutCount = 0;
+    private givenUpCount = 0;
 
     private constructor(private readonly server: Server, private readonly gateway: Gateway) {
         this.descriptors = DescriptorBudget.create<Socket>({
@@ -49,6 +54,7 @@
             upstreamConnections: () => gateway.upstreamConnections,
             close: socket => this.closeIdle(socket),
         });
+        this.headWatch = HeadWatch.create(gateway.unfinishedHeads, socket => this.giveUpHead(socket));
         server.on("connection", (socket: Socket) => this.onOpened(socket));
         // Before the handler of requests, which asks whether a request is refused.
         server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res));
@@ -102,6 +108,7 @@
             this.heapGrants.delete(socket);
             this.descriptors.remove(socket);
         });
+        this.headWatch.open(socket);
         if (!this.descriptors.open(socket)) {
             this.closeIdle(socket);
         }
@@ -110,6 +117,7 @@
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const { gateway, descriptors } = this;
         const { socket } = req;
+        this.headWatch.end(socket);
         if (this.isCut(req)) {
             return;
         }
@@ -163,6 +171,23 @@
         this.cutCount = 0;
     }
 
+    private giveUpHead(socket: Socket): void {
+        if (this.descriptors.requestsOn(socket) === 0) {
+            socket.write(headRefusal);
+        }
+        socket.destroy();
+        this.givenUpCount++;
+        if (this.givenUpCount === 1) {
+            setTimeout(() => this.logGivenUp(), logIntervalMs).unref();
+        }
+    }
+
+    private logGivenUp(): void {
+        const { count, usedBytes, limitBytes } = this.gateway.unfinishedHeads;
+        emit(EventId.HeadsGivenUp, { givenUp: this.givenUpCount, unfinished: count, usedBytes, limitBytes, open: this.openCount });
+        this.givenUpCount = 0;
+    }
+
     private closeIdle(socket: Socket): void {
         socket.destroy();
         this.closedCount++;
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
 import { HeapWatch } from "../core/heapWatch";
@@ -13,6 +14,7 @@
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
 import { StreamVersions } from "../core/streamVersions";
+import { UnfinishedHeads } from "../core/unfinishedHeads";
 import { UpstreamAvailability } from "../core/upstreamAvailability";
 import { UpstreamContact } from "../core/upstreamContact";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
@@ -103,11 +105,14 @@
     });
     /** Heap for the requests of callers. */
     readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
+    /** Heads of callers' requests that have not been read to their end. */
+    readonly unfinishedHeads = UnfinishedHeads.create<Socket>({ heapLimitBytes: () => this.memoryGauge.read().heapLimit });
     readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => ({
         inProgress: this.inProgress,
         upstreamConnections: this.upstreamConnections,
         upstreams: this.directory.all().length,
         requestHeapBytes: this.requestHeap.usedBytes,
+        unfinishedHeadBytes: this.unfinishedHeads.usedBytes,
         usedByHolder: this.memory.usedByHolder,
     }));
     /** Memory for answers that are kept until they are complete. */
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -18,6 +18,13 @@
     { name: "heap_limit_bytes", help: "Size of the JavaScript heap at which the runtime ends the process", read: () => gateway.memoryGauge.read().heapLimit },
     { name: "request_heap_bytes", help: "JavaScript heap counted for requests in progress", read: () => gateway.requestHeap.usedBytes },
     { name: "request_heap_limit_bytes", help: "JavaScript heap that requests in progress may hold", read: () => gateway.requestHeap.limitBytes },
+    { name: "unfinished_head_bytes", help: "Memory counted for heads that have not been read to their end", read: () => gateway.unfinishedHeads.usedBytes },
+    {
+        name: "unfinished_head_limit_bytes",
+        help: "Memory that heads that have not been read to their end may hold",
+        read: () => gateway.unfinishedHeads.limitBytes,
+    },
+    { name: "unfinished_heads_given_up", help: "Heads that were given up for want of room, since the start", read: () => gateway.unfinishedHeads.givenUp },
     { name: "bodies_waiting", help: "Request bodies that wait for memory before they are read", read: () => gateway.memory.waiting },
     ...Object.values(MemoryHolder).map(holder => ({
         name: `memory_${holder}_bytes`,
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -22,6 +22,7 @@
     SignalIgnored = 121,
     HeapNearLimit = 123,
     ConnectionsCut = 124,
+    HeadsGivenUp = 125,
     WaitPassed = 130,
     MetricsUnserved = 131,
     ListenerLost = 132,
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -11,6 +11,7 @@
     EventId.ListenerLost,
     EventId.HeapNearLimit,
     EventId.ConnectionsCut,
+    EventId.HeadsGivenUp,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
