--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -117,7 +117,7 @@
     private onRequest(req: IncomingMessage, res: ServerResponse): void {
         const { gateway, descriptors } = this;
         const { socket } = req;
-        this.headWatch.end(socket);
+        this.headWatch.end(req);
         if (this.isCut(req)) {
             return;
         }
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -1,15 +1,22 @@
+import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
+import { headerBytes } from "./requestHead";
+
+/** Bytes around a chunk of a body. */
+const chunkFramingBytes = 8;
 
 /** Callbacks of the runtime's parser, by their numbers. */
 enum ParserCallback {
     MessageBegin = 0,
+    Body = 3,
     Execute = 5,
 }
 
 /** The runtime's parser of a connection, which is not documented. */
 interface Parser {
     [ParserCallback.MessageBegin]?: ((...args: unknown[]) => unknown) | null;
+    [ParserCallback.Body]?: ((...args: unknown[]) => unknown) | null;
     [ParserCallback.Execute]?: ((...args: unknown[]) => unknown) | null;
     /** Headers that have been read, names and values alternating. */
     _headers?: readonly string[];
@@ -18,13 +25,17 @@
 /** What is being read on a connection. */
 interface Reading {
     isInHead: boolean;
-    /** Bytes of the head, and of what was read with its beginning. */
+    /** The request whose chunked body is being read: trailers may follow it. */
+    chunked: IncomingMessage | undefined;
+    /** Bytes of the head or the trailers, and of what was read with their beginning. */
     headBytes: number;
+    /** Bytes of this read that are a head that has ended, or a body. */
+    otherBytes: number;
     /** Bytes that the connection has received. */
     receivedBytes: number;
 }
 
-/** Follows how much of each head has been read, with each read: the parser keeps it until its end. */
+/** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
 export class HeadWatch {
     private readonly readings = new Map<Socket, Reading>();
 
@@ -41,13 +52,22 @@
         if (!parser) {
             return;
         }
-        const reading: Reading = { isInHead: false, headBytes: 0, receivedBytes: socket.bytesRead };
+        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
         this.readings.set(socket, reading);
+        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Body]: body, [ParserCallback.Execute]: execute } = parser;
+        const onBody = (...args: unknown[]): unknown => {
+            reading.otherBytes += (args[0] as Buffer).length + chunkFramingBytes;
+            return body?.apply(parser, args);
+        };
         socket.once("close", () => {
             this.readings.delete(socket);
             this.heads.release(socket);
+            // The runtime uses parsers again, and resets the other callbacks.
+            if (parser[ParserCallback.Body] === onBody) {
+                parser[ParserCallback.Body] = body;
+            }
         });
-        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
+        parser[ParserCallback.Body] = onBody;
         parser[ParserCallback.MessageBegin] = (...args) => {
             reading.isInHead = true;
             return begin?.(...args);
@@ -59,24 +79,42 @@
         };
     }
 
-    /** A head has been read to its end. */
-    end(socket: Socket): void {
-        const reading = this.readings.get(socket);
-        if (reading) {
-            reading.isInHead = false;
-            if (reading.headBytes > 0) {
-                reading.headBytes = 0;
-                this.heads.release(socket);
-            }
+    /** The head of a request has been read to its end. */
+    end(req: IncomingMessage): void {
+        const reading = this.readings.get(req.socket);
+        if (!reading) {
+            return;
+        }
+        reading.isInHead = false;
+        if (req.headers["transfer-encoding"] !== undefined) {
+            reading.chunked = req;
+            reading.otherBytes = headerBytes(req) + (req.url?.length ?? 0);
+        }
+        this.forget(req.socket, reading);
+    }
+
+    private forget(socket: Socket, reading: Reading): void {
+        if (reading.headBytes > 0) {
+            reading.headBytes = 0;
+            this.heads.release(socket);
         }
     }
 
     private onRead(socket: Socket, parser: Parser, reading: Reading): void {
         const { bytesRead } = socket;
+        const { otherBytes } = reading;
         const bytes = bytesRead - reading.receivedBytes;
         reading.receivedBytes = bytesRead;
-        if (reading.isInHead && !socket.destroyed) {
-            reading.headBytes += bytes;
+        reading.otherBytes = 0;
+        if (reading.chunked?.complete) {
+            reading.chunked = undefined;
+            if (!reading.isInHead) {
+                this.forget(socket, reading);
+            }
+        }
+        if ((reading.isInHead || reading.chunked) && !socket.destroyed) {
+            // Trailers begin anew after each part of the body.
+            reading.headBytes = otherBytes > 0 ? Math.max(0, bytes - otherBytes) : reading.headBytes + bytes;
             this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2).forEach(this.close);
         }
     }
--- a/test/unfinishedHeads.test.ts
+++ b/test/unfinishedHeads.test.ts
@@ -20,18 +20,22 @@
 /** Deadline of a caller beside the others. */
 const maxAnswerMs = 3_000;
 
-/** A head with a number of headers and about a size, without its end. */
-const headOf = (bytes: number, headers: number): string => {
+const headStart = "POST /desk/x HTTP/1.1\r\nHost: shop.example\r\n";
+const wholeRequest = "GET /unknown HTTP/1.1\r\nHost: shop.example\r\n\r\n";
+const chunkedBody = "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n";
+
+/** A number of headers of about a size, without their end. */
+const headersOf = (bytes: number, headers: number): string => {
     const value = "v".repeat(Math.max(1, Math.floor(bytes / headers) - "X-H0000: \r\n".length));
-    return `POST /desk/x HTTP/1.1\r\nHost: shop.example\r\n${[...Array(headers).keys()].map(index => `X-H${1_000 + index}: ${value}\r\n`).join("")}`;
+    return [...Array(headers).keys()].map(index => `X-H${1_000 + index}: ${value}\r\n`).join("");
 };
 
-/** Guards against heads without an end that fill the heap or the memory until the process is ended. */
+/** Guards against heads and trailers without an end that fill the heap or the memory until the process is ended. */
 describe("a node process whose callers do not end their heads", () => {
     interface Case {
         readonly name: string;
-        /** What the callers send before their heads. */
-        readonly before?: string;
+        /** What the callers send before the headers. */
+        readonly start?: string;
         readonly bytes: number;
         readonly headers: number;
         readonly comesAgain?: boolean;
@@ -41,10 +45,12 @@
         { name: "60 KB in 40 headers", bytes: 60_000, headers: 40 },
         { name: "120 KB in 80 headers", bytes: 120_000, headers: 80 },
         { name: "120 KB in 24 headers", bytes: 120_000, headers: 24 },
-        { name: "60 KB in 40 headers, behind a request", before: "GET /unknown HTTP/1.1\r\nHost: shop.example\r\n\r\n", bytes: 60_000, headers: 40 },
+        { name: "60 KB in 40 headers, behind a request", start: wholeRequest + headStart, bytes: 60_000, headers: 40 },
         { name: "60 KB in 40 headers, from callers that come again", bytes: 60_000, headers: 40, comesAgain: true },
+        { name: "trailers of 60 KB in 1,000 headers", start: headStart + chunkedBody, bytes: 60_000, headers: 1_000 },
+        { name: "trailers of 120 KB in 24 headers", start: headStart + chunkedBody, bytes: 120_000, headers: 24 },
     ];
-    for (const { name, before = "", bytes, headers, comesAgain } of cases) {
+    for (const { name, start = headStart, bytes, headers, comesAgain } of cases) {
         it(`goes on, keeps within its memory and serves others: ${name}`, async () => {
             const upstream = await startScriptedUpstream((socket, { id }) => socket.write(answerOf(id, "done")));
             const node = await PlatformProcess.start(
@@ -56,9 +62,9 @@
                 },
                 { u1: { service: "s", addr: upstream.address, slots: 5_000 } },
             );
-            const senders = HeadSenders.create(node.front, before + headOf(bytes, headers), comesAgain);
+            const senders = HeadSenders.create(node.front, start + headersOf(bytes, headers), comesAgain);
             const isServing = async (): Promise<boolean> => (await callGateway(node.front)).status === 200;
-            const large = `${headOf(60_000, 200)}Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n`;
+            const large = `${headStart}${headersOf(60_000, 200)}Attempt-Id: id-1\r\nContent-Length: 0\r\n\r\n`;
             const parts = [large.slice(0, 15_000), large.slice(15_000, 40_000), large.slice(40_000)];
             const sendLarge = async (): Promise<{ readonly status?: number; }> => {
                 const socket = connect(Number(node.front.split(":")[1]), "127.0.0.1");
