--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -27,9 +27,22 @@
     return contents;
 };
 
+/** When a program was built; undefined if another build has removed it. */
+const builtAtOf = async file => {
+    try {
+        return (await stat(file)).mtimeMs;
+    }
+    catch (err) {
+        if (err.code === "ENOENT") {
+            return undefined;
+        }
+        throw err;
+    }
+};
+
 const removeOldPrograms = async (folder, prefix) => {
     const files = (await readdir(folder)).filter(file => file.startsWith(prefix) && file.endsWith(".cjs")).map(file => join(folder, file));
-    const programs = await Promise.all(files.map(async file => ({ file, builtAt: (await stat(file)).mtimeMs })));
+    const programs = (await Promise.all(files.map(async file => ({ file, builtAt: await builtAtOf(file) })))).filter(({ builtAt }) => builtAt !== undefined);
     programs.sort((a, b) => b.builtAt - a.builtAt);
     await Promise.all(programs.slice(keptPrograms).map(({ file }) => rm(file, { force: true })));
 };
