--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -24,6 +24,7 @@
     [FailureKind.NotReady]: 1_000,
     [FailureKind.Stopping]: 3_000,
     [FailureKind.MemoryShort]: 500,
+    [FailureKind.HeapShort]: 500,
     [FailureKind.ConnectionsShort]: 500,
 };
 /** Time for which a peer is not asked that could not be reached, or whose connection was lost. */
