--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -76,11 +76,13 @@
 
     /** Counts the connection of a peer while it carries a request that was passed on. */
     takeOver(req: IncomingMessage, res: ServerResponse): void {
-        const { memory } = this.gateway;
+        const { memory, peers } = this.gateway;
         const { socket } = req;
         memory.charge(MemoryHolder.CallerConnections, connectionBytes);
+        peers.takenOver++;
         this.onRequest(req, res);
         res.once("close", () => {
+            peers.takenOver--;
             memory.charge(MemoryHolder.CallerConnections, -connectionBytes);
             this.heapGrants.delete(socket);
             this.descriptors.remove(socket);
--- a/src/forward/relayIntake.ts
+++ b/src/forward/relayIntake.ts
@@ -46,10 +46,7 @@
             this.refuse(req, res, relayed ?? unreadable, refusal ?? RelayRefusal.Malformed);
             return;
         }
-        const { gateway: { peers, wire } } = this;
-        emit(EventId.RequestTakenOver, { request: wire.decodeCaller(req.headers).requestId, ...relayed, peer: req.socket.remoteAddress });
-        peers.takenOver++;
-        res.once("close", () => peers.takenOver--);
+        emit(EventId.RequestTakenOver, { request: this.gateway.wire.decodeCaller(req.headers).requestId, ...relayed, peer: req.socket.remoteAddress });
         void this.reception.handle(req, res, relayed);
     }
 
--- a/test/relayedDuties.test.ts
+++ b/test/relayedDuties.test.ts
@@ -132,6 +132,18 @@
             }));
     }
 
+    it("causes no warning of the runtime at either node, with a body", async () => {
+        const warnings: string[] = [];
+        const onWarning = ({ message }: Error): void => void warnings.push(message);
+        process.on("warning", onWarning);
+        await withFleet({ scripts: [answer] }, async ({ origin }) => {
+            assert.equal((await callGateway(origin.address, { body: "0123456789".repeat(30_000) })).status, 200);
+            await sleep(50);
+        });
+        process.off("warning", onWarning);
+        assert.deepEqual(warnings, []);
+    });
+
     it("has the time that its route allows for both nodes together", () =>
         withFleet({ scripts: [neverAnswer], route: { kind: RouteKind.Idempotent, timeoutMs: 700 } }, async fleet => {
             const { status, afterMs } = await callGateway(fleet.origin.address, { headers: { "deadline-ms": "6000" } });
