--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -1,5 +1,7 @@
+import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
 import { Agent, request } from "node:http";
+import type { Socket } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import type { Random } from "../../src/utils/random";
@@ -8,7 +10,7 @@
 import { CutProxy, NewLinks, sourceAddressModule } from "./linkCut";
 import { PlatformProcess } from "./platformProcess";
 import { reservePort } from "./ports";
-import type { Script, ScriptedUpstream } from "./scriptedUpstream";
+import type { ReceivedRequest, Script, ScriptedUpstream } from "./scriptedUpstream";
 import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./scriptedUpstream";
 import { sseEvents } from "./upstreamScripts";
 
@@ -18,7 +20,8 @@
 const deadlineMs = 4_000;
 const graceS = 8;
 const events = 5;
-const workMs = 40;
+const defaultWorkMs = 40;
+const minEventMs = 20;
 const maxThinkMs = 150;
 
 /** A caller's request that has ended. Times are on the monotonic clock. */
@@ -37,11 +40,11 @@
 
 const streamBody = sseEvents(1, events);
 
-const writeEvents: Script = async (socket, { id, head }) => {
+const writeEvents = async (socket: Socket, { id, head }: ReceivedRequest, workMs: number): Promise<void> => {
     socket.write(streamHeadOf(id));
     const lastEventId = Number(/^last-event-id: (\d+)$/im.exec(head)?.[1] ?? 0);
     for (let event = lastEventId + 1; event <= events && socket.writable; event++) {
-        await sleep(workMs / 2);
+        await sleep(Math.max(minEventMs, workMs / events));
         socket.write(chunkOf(sseEvents(event, event)));
     }
     socket.write(lastChunk);
@@ -61,11 +64,11 @@
     ) {}
 
     /** Starts the nodes; `subnet` is the third part of their addresses on loopback. */
-    static async start(subnet: number): Promise<CutFleet> {
+    static async start(subnet: number, workMs = defaultWorkMs): Promise<CutFleet> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-cut-"));
         const runs = new Map<string, number>();
         const scripts: Readonly<Record<(typeof kinds)[number], Script>> = {
-            streaming: writeEvents,
+            streaming: (socket, req) => void writeEvents(socket, req, workMs),
             idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
             non_idempotent: (socket, { id }) => void setTimeout(() => socket.write(answerOf(id, `done ${id}`)), workMs),
         };
@@ -120,6 +123,16 @@
         this.proxies.forEach(proxy => proxy.setCut(CutFleet.addressOf(this.subnet, node), cut));
     }
 
+    /** Requests a planned stop of a node; resolves with the time until its process has ended. */
+    async stop(node: number): Promise<number> {
+        const startedAt = performance.now();
+        const { process } = this.nodes[node]!;
+        const exited = once(process, "exit");
+        process.kill("SIGTERM");
+        await exited;
+        return performance.now() - startedAt;
+    }
+
     /** Whether all nodes answer. */
     async isServing(): Promise<boolean> {
         const agent = new Agent();
