--- a/src/core/contactEvidence.ts
+++ b/src/core/contactEvidence.ts
@@ -76,9 +76,9 @@
         return new Set(this.failures.keys());
     }
 
-    /** Whether a connection failed after a time on the monotonic clock. */
-    hasFailedSince(time: number): boolean {
-        return [...this.failures.values()].some(({ at }) => at > time);
+    /** Whether a connection failed after a time on the monotonic clock, except those to a process. */
+    hasFailedSince(time: number, except?: string): boolean {
+        return [...this.failures].some(([process, { at }]) => at > time && process !== except);
     }
 
     /** Whether nothing has arrived from any upstream for a while, or a connection failed, if failures count now, and none worked since. */
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -1,12 +1,12 @@
 import type { ContactFailure } from "../types/contactFailure";
 import { ContactState } from "../types/contactState";
-import { EventId } from "../types/eventId";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { processKey } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { AttentiveClock } from "./attentiveClock";
 import { chooseProbeTargets } from "./chooseProbeTargets";
+import { contactEvents } from "./contactEvents";
 import { ContactEvidence } from "./contactEvidence";
 
 /** Time after which the probe of a held path counts as unanswered. */
@@ -27,12 +27,6 @@
 /** A request that must not be repeated is not sent on a kept connection while nothing has arrived for this long. */
 const maxTrustedSilenceMs = 200;
 
-const eventOf: Readonly<Record<ContactState, EventId>> = {
-    [ContactState.Held]: EventId.UpstreamContactHeld,
-    [ContactState.Doubted]: EventId.UpstreamContactDoubted,
-    [ContactState.Lost]: EventId.UpstreamContactLost,
-};
-
 /**
  * What this node believes of its own path to the upstreams. One upstream that fails or is silent says nothing of it. Failures at several, or silence of all, raise
  * a doubt that probes over new connections decide: answers on open connections do not show that new ones can be opened.
@@ -74,6 +68,11 @@
         return this.current === ContactState.Held && this.evidence.failedProcesses.size < minFailedProcesses && this.evidence.hasReachedSince(failedAt);
     }
 
+    /** Whether a connection to a process other than the given one failed after a time on the monotonic clock, and none has worked since. */
+    hasFailedBeside(process: string, time: number): boolean {
+        return this.evidence.hasFailedSince(time, process);
+    }
+
     /** Whether the path is held, and an upstream answered over a connection that was opened after a time on the monotonic clock. */
     isProvenSince(time: number): boolean {
         return this.current === ContactState.Held && this.evidence.hasAnsweredSince(time);
@@ -232,7 +231,7 @@
         const previous = this.current;
         this.lostUntil = previous === ContactState.Lost ? performance.now() : this.lostUntil;
         const afterMs = Math.round(performance.now() - this.changedAtMs);
-        emit(eventOf[state], { reason, previous, afterMs, probed: this.asked.size, failedProbes: this.failedProbes, ...this.evidence.summary });
+        emit(contactEvents[state], { reason, previous, afterMs, probed: this.asked.size, failedProbes: this.failedProbes, ...this.evidence.summary });
         this.current = state;
         this.changedAt = this.clock.nowMs;
         this.changedAtMs = performance.now();
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -166,7 +166,7 @@
     private async isCutOff(server: UpstreamServer, { kind, framing }: AttemptEnd): Promise<boolean> {
         const { call, relay } = this;
         const mayBeCut = kind === AttemptEndKind.Complete && framing === AnswerFraming.Connection && !relay.isBrokenOff(true);
-        return mayBeCut && relay.head?.decoded.isSigned === true && await isCutOffWithUpstream(call, server, this.gateway.exitDeadlineAt);
+        return mayBeCut && relay.head?.decoded.isSigned === true && await isCutOffWithUpstream(this.gateway, call, server);
     }
 
     private classify({ candidate }: UpstreamChoice, end: AttemptEnd): AttemptOutcome {
