--- a/src/core/chooseProbeTargets.ts
+++ b/src/core/chooseProbeTargets.ts
@@ -10,6 +10,8 @@
     readonly failed: ReadonlySet<string>;
     /** The process that sent something last. */
     readonly lastSpeaker: string | undefined;
+    /** Whether the process that was started last is asked first: of those that were all down, it is the most likely to be up. */
+    readonly prefersNewest: boolean;
 }
 
 /** Weights of the reasons to probe another upstream instead; each outweighs all that follow. */
@@ -23,16 +25,19 @@
 export const chooseProbeTargets = (
     servers: readonly UpstreamServer[],
     count: number,
-    { asked, failed, lastSpeaker }: ProbeHistory,
+    { asked, failed, lastSpeaker, prefersNewest }: ProbeHistory,
     random: Random,
 ): readonly UpstreamServer[] => {
     const chosen: UpstreamServer[] = [];
+    const births = prefersNewest ? servers.filter(server => !asked.has(processKey(server))).map(({ bornAt }) => bornAt) : [];
+    const newestBirth = births.reduce((latest, bornAt) => Math.max(latest, bornAt), Number.NEGATIVE_INFINITY);
     const ranked = servers.map(server => {
         const key = processKey(server);
         const isLastSpeaker = key === lastSpeaker && !asked.has(key) && !failed.has(key);
         const weight = askedWeight * Number(asked.has(key)) + failedWeight * Number(failed.has(key)) +
             drainingWeight * Number(server.state === UpstreamState.Draining);
-        return { server, weight: isLastSpeaker ? -1 : weight + random() };
+        const isNewest = server.bornAt === newestBirth && !asked.has(key);
+        return { server, weight: isLastSpeaker || isNewest ? random() - 1 : weight + random() };
     });
     while (chosen.length < count && chosen.length < servers.length) {
         const cost = ({ server, weight }: typeof ranked[number]): number =>
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -217,7 +217,8 @@
             return [];
         }
         const { failedProcesses, lastSpeaker } = this.evidence;
-        return chooseProbeTargets(listTargets(), count, { asked: this.asked, failed: failedProcesses, lastSpeaker }, this.random);
+        const prefersNewest = this.current === ContactState.Lost;
+        return chooseProbeTargets(listTargets(), count, { asked: this.asked, failed: failedProcesses, lastSpeaker, prefersNewest }, this.random);
     }
 
     private doubtAfterFailures(): void {
--- a/test/upstreamContact.test.ts
+++ b/test/upstreamContact.test.ts
@@ -86,6 +86,23 @@
         assert.ok(fleet.changeAfter(backAt, ContactState.Held)! - backAt <= maxRegainMs);
     });
 
+    for (const upstreams of [24, 400]) {
+        it(`is held soon after one of ${upstreams} upstreams, which were all down, has been started again`, async () => {
+            const fleet = ContactSimulation.create(clock, { upstreams });
+            await fleet.pass(warmUpMs);
+            fleet.servers.forEach(({ id }) => fleet.crashed.add(id));
+            await fleet.pass(3_000);
+            assert.equal(fleet.contact.state, ContactState.Lost);
+            const backAt = performance.now();
+            const [first] = fleet.servers;
+            fleet.servers = fleet.servers.map(server => server === first ? { ...server, bornAt: 2 } : server);
+            fleet.crashed.delete(first!.id);
+            await fleet.pass(3_000);
+            const heldAt = fleet.changeAfter(backAt, ContactState.Held) ?? Number.POSITIVE_INFINITY;
+            assert.ok(heldAt - backAt <= maxRegainMs, `held after ${heldAt - backAt} ms`);
+        });
+    }
+
     it("is lost at a node that has started in a cut", async () => {
         const fleet = ContactSimulation.create(clock);
         fleet.link = Link.Mute;
