--- a/src/core/chooseProbeTargets.ts
+++ b/src/core/chooseProbeTargets.ts
@@ -10,13 +10,16 @@
     readonly failed: ReadonlySet<string>;
     /** The process that sent something last. */
     readonly lastSpeaker: string | undefined;
+    /** Whether a process has named a limit on requests: others are probed while there are any. */
+    readonly isLimited: (process: string) => boolean;
     /** Whether the process that was started last is asked first: of those that were all down, it is the most likely to be up. */
     readonly prefersNewest: boolean;
 }
 
 /** Weights of the reasons to probe another upstream instead; each outweighs all that follow. */
-const askedWeight = 16;
-const failedWeight = 8;
+const askedWeight = 32;
+const failedWeight = 16;
+const limitedWeight = 8;
 const sameServiceWeight = 2;
 const sameZoneWeight = 1;
 const drainingWeight = 4;
@@ -25,7 +28,7 @@
 export const chooseProbeTargets = (
     servers: readonly UpstreamServer[],
     count: number,
-    { asked, failed, lastSpeaker, prefersNewest }: ProbeHistory,
+    { asked, failed, lastSpeaker, isLimited, prefersNewest }: ProbeHistory,
     random: Random,
 ): readonly UpstreamServer[] => {
     const chosen: UpstreamServer[] = [];
@@ -33,9 +36,9 @@
     const newestBirth = births.reduce((latest, bornAt) => Math.max(latest, bornAt), Number.NEGATIVE_INFINITY);
     const ranked = servers.map(server => {
         const key = processKey(server);
-        const isLastSpeaker = key === lastSpeaker && !asked.has(key) && !failed.has(key);
+        const isLastSpeaker = key === lastSpeaker && !asked.has(key) && !failed.has(key) && !isLimited(key);
         const weight = askedWeight * Number(asked.has(key)) + failedWeight * Number(failed.has(key)) +
-            drainingWeight * Number(server.state === UpstreamState.Draining);
+            limitedWeight * Number(isLimited(key)) + drainingWeight * Number(server.state === UpstreamState.Draining);
         const isNewest = server.bornAt === newestBirth && !asked.has(key);
         return { server, weight: isLastSpeaker || isNewest ? random() - 1 : weight + random() };
     });
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -51,11 +51,11 @@
     probeCount = 0;
     lossCount = 0;
 
-    private constructor(private readonly random: Random) {}
+    private constructor(private readonly random: Random, private readonly isLimited: (process: string) => boolean) {}
 
-    /** Creates the belief of a node that has not used an upstream yet. */
-    static create(random: Random = Math.random): UpstreamContact {
-        return new UpstreamContact(random);
+    /** Creates the belief of a node that has not used an upstream yet; `isLimited` says whether a process has named a limit on requests. */
+    static create(random: Random = Math.random, isLimited: (process: string) => boolean = () => false): UpstreamContact {
+        return new UpstreamContact(random, isLimited);
     }
 
     /** Whether upstreams can be reached directly. */
@@ -217,8 +217,9 @@
             return [];
         }
         const { failedProcesses, lastSpeaker } = this.evidence;
-        const prefersNewest = this.current === ContactState.Lost;
-        return chooseProbeTargets(listTargets(), count, { asked: this.asked, failed: failedProcesses, lastSpeaker, prefersNewest }, this.random);
+        const { asked, isLimited, current } = this;
+        const history = { asked, failed: failedProcesses, lastSpeaker, isLimited, prefersNewest: current === ContactState.Lost };
+        return chooseProbeTargets(listTargets(), count, history, this.random);
     }
 
     private doubtAfterFailures(): void {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -116,7 +116,7 @@
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
     /** Whether this node reaches upstreams over its own links. */
-    readonly contact = UpstreamContact.create(() => this.random());
+    readonly contact = UpstreamContact.create(() => this.random(), process => this.runnerLimits.limitOf(process) !== undefined);
     /** The peers through which callers are served while it does not. */
     readonly peers = PeerRelays.create(this);
     /** Connections to upstreams that are open or being opened. */
--- a/test/contactMonitor.test.ts
+++ b/test/contactMonitor.test.ts
@@ -62,6 +62,32 @@
         }
     }
 
+    const limits: readonly { readonly name: string; readonly limitedCount: number; readonly isProbed: boolean; }[] = [
+        { name: "leave upstreams alone that have named a limit", limitedCount: 3, isProbed: false },
+        { name: "ask upstreams that have named a limit if there are no others", limitedCount: 4, isProbed: true },
+    ];
+    for (const { name, limitedCount, isProbed } of limits) {
+        it(name, async () => {
+            const upstreams = await Promise.all([0, 1, 2, 3].map(() => startScriptedUpstream(refuse)));
+            const node = await startGateway(upstreams.map(({ address }) => address));
+            const stopped = new AbortController();
+            ContactMonitor.create(node.gateway, askUpstream).start(stopped.signal);
+            await waitFor(() => upstreams.some(({ received }) => received.length > 0));
+            const byProbes = [...upstreams.keys()].sort((a, b) => upstreams[b]!.received.length - upstreams[a]!.received.length);
+            const limited = byProbes.slice(0, limitedCount);
+            limited.forEach(index => node.gateway.runnerLimits.onAnswer(`up-${index}@1`, 1, performance.now()));
+            const before = upstreams.map(({ received }) => received.length);
+            await sleep(3_000);
+            stopped.abort();
+            node.close();
+            upstreams.forEach(upstream => upstream.close());
+            const probed = [...upstreams.keys()].filter(index => upstreams[index]!.received.length > before[index]!);
+            assert.ok(probed.length > 0);
+            assert.equal(probed.some(index => limited.includes(index)), isProbed);
+            assert.equal(node.gateway.contact.state, ContactState.Held);
+        });
+    }
+
     it("ask a runner for its report and another upstream for its health, over new connections", async () => {
         const upstreams = await Promise.all([0, 1].map(() => startScriptedUpstream(refuse)));
         const server = { id: "u", service: "desk", address: upstreams[0]!.address } as Parameters<typeof askUpstream>[0];
