--- a/src/forward/peerProber.ts
+++ b/src/forward/peerProber.ts
@@ -4,6 +4,7 @@
 import { createBoundedFetch } from "../utils/boundedFetch";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
+import { createPunctualConnector } from "../utils/punctualConnector";
 
 const connectTimeoutMs = 300;
 /** Peers normally answer within a few milliseconds. */
@@ -15,7 +16,10 @@
 /** Asks peers whether they are alive. */
 export class PeerProber {
     private readonly probes = new Map<string, Promise<boolean>>();
-    private readonly fetch = createBoundedFetch(new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 1 }), { maxBytes: maxAnswerBytes, timeoutMs });
+    private readonly fetch = createBoundedFetch(new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), pipelining: 1 }), {
+        maxBytes: maxAnswerBytes,
+        timeoutMs,
+    });
 
     private constructor() {}
 
--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -1,8 +1,10 @@
 import { Socket } from "node:net";
-import { buildConnector, Client } from "undici";
+import type { buildConnector } from "undici";
+import { Client } from "undici";
+import { createPunctualConnector } from "../utils/punctualConnector";
 
 /** Connecting within a VM or availability zone takes a few milliseconds; longer means that the upstream is gone or its accept queue is full. */
-const connectTimeoutMs = 400;
+const defaultConnectTimeoutMs = 400;
 /** Idle time after which a connection is closed if the upstream specifies none. */
 const defaultIdleTimeoutMs = 900;
 /** Margin by which a connection is closed before the upstream would close it, so that no request is sent while it closes. */
@@ -35,7 +37,7 @@
     private idleMs: number | undefined;
     private idleSince = 0;
 
-    private constructor(address: string, maxHeadBytes: number, private readonly confirm: () => Promise<unknown>) {
+    private constructor(address: string, maxHeadBytes: number, private readonly confirm: () => Promise<unknown>, private readonly connectTimeoutMs: number) {
         this.client = new Client(`http://${address}`, {
             connect: (options, callback) => this.connect(options, callback),
             pipelining: 1,
@@ -48,8 +50,13 @@
     }
 
     /** Creates a connection that is opened for its first request and carries it only after `confirm`. */
-    static create(address: string, maxHeadBytes: number, confirm: () => Promise<unknown>): UpstreamConnection {
-        return new UpstreamConnection(address, maxHeadBytes, confirm);
+    static create(
+        address: string,
+        maxHeadBytes: number,
+        confirm: () => Promise<unknown>,
+        connectTimeoutMs = defaultConnectTimeoutMs,
+    ): UpstreamConnection {
+        return new UpstreamConnection(address, maxHeadBytes, confirm, connectTimeoutMs);
     }
 
     /** Whether the connection is open, as far as this process has read. */
@@ -101,7 +108,7 @@
             return;
         }
         this.hasConnected = true;
-        const socket: unknown = buildConnector({ timeout: connectTimeoutMs })(options, (...result) => {
+        const socket: unknown = createPunctualConnector({ timeout: this.connectTimeoutMs })(options, (...result) => {
             this.openedAt = performance.now();
             this.recordReset(result[1] ?? undefined);
             void (result[0] ? Promise.resolve() : this.confirm()).then(() => callback(...unlessClosed(result)));
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -5,6 +5,7 @@
 import type { FactReport } from "../types/sharedFacts";
 import { createBoundedFetch } from "../utils/boundedFetch";
 import { getOrCreate } from "../utils/maps";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import type { PeerServerRouter } from "./peerServer";
 
 /** Peers normally answer within a few milliseconds. */
@@ -17,7 +18,7 @@
     private readonly fetch: typeof globalThis.fetch;
 
     private constructor(maxAnswerBytes: number) {
-        const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 10_000, pipelining: 1 });
+        const dispatcher = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), keepAliveTimeout: 10_000, pipelining: 1 });
         this.fetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs: peerTimeoutMs });
     }
 
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -7,6 +7,7 @@
 import type { TransportLimits } from "../types/transportLimits";
 import type { UpstreamWord } from "../types/upstreamWord";
 import { Verdict } from "../types/verdict";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import { createResettingConnector } from "../utils/resettingConnector";
 import { errorCodeOf, readAnswerText, refusedConnectionCode, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
@@ -54,7 +55,7 @@
 
     private constructor(private readonly limits: TransportLimits, private readonly onWord: WordListener) {
         const options = { keepAliveTimeout: 1_000, keepAliveTimeoutThreshold: 200, maxHeaderSize: limits.maxAnswerHeadBytes, pipelining: 1 };
-        this.agent = new Agent({ ...options, connect: { timeout: connectTimeoutMs } });
+        this.agent = new Agent({ ...options, connect: createPunctualConnector({ timeout: connectTimeoutMs }) });
         this.orderAgent = new Agent({ ...options, connect: createResettingConnector({ timeout: connectTimeoutMs }) });
     }
 
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -10,6 +10,7 @@
 import type { TransportLimits } from "../types/transportLimits";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 import { parseJson, parseWith } from "./schemas";
 
@@ -73,7 +74,7 @@
 
     private constructor(private readonly address: string, private readonly limits: TransportLimits) {
         this.agent = new Agent({
-            connect: { timeout: connectTimeoutMs },
+            connect: createPunctualConnector({ timeout: connectTimeoutMs }),
             headersTimeout: 0,
             bodyTimeout: 0,
             maxHeaderSize: limits.maxAnswerHeadBytes,
--- a/src/plugins/httpEngines.ts
+++ b/src/plugins/httpEngines.ts
@@ -9,6 +9,7 @@
 import { OrderAnswer } from "../types/order";
 import type { EngineReport } from "../types/report";
 import { Verdict } from "../types/verdict";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import { abortAfter } from "../utils/time";
 import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 
@@ -149,7 +150,7 @@
 
 /** Creates a lookup of HTTP engine clients, which share one connection pool. */
 export const createEngineLookup = (): EngineLookup => {
-    const agent = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 4_000 });
+    const agent = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), keepAliveTimeout: 4_000 });
     const clients = new Map<string, Engine>();
     return url => {
         let client = clients.get(url);
--- a/src/plugins/httpServiceClient.ts
+++ b/src/plugins/httpServiceClient.ts
@@ -4,6 +4,7 @@
 import { FailureKind } from "../types/failureKind";
 import type { ServiceClient, ServiceRequest } from "../types/service";
 import { Verdict } from "../types/verdict";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import { abortAfter } from "../utils/time";
 import { errorCodeOf, readBody, verdictOfError } from "../utils/transport";
 
@@ -63,9 +64,9 @@
 
 /** Creates an HTTP client of services. */
 export const createServiceClient = (): ServiceClient => {
-    const keepAliveAgent = new Agent({ connect: { timeout: connectTimeoutMs }, keepAliveTimeout: 4_000 });
+    const keepAliveAgent = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), keepAliveTimeout: 4_000 });
     // The service may close an idle connection just as a call is sent, which leaves unknown whether the call ran: calls that must not be repeated
     // therefore each use a new connection.
-    const singleUseAgent = new Agent({ connect: { timeout: connectTimeoutMs }, pipelining: 0 });
+    const singleUseAgent = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), pipelining: 0 });
     return { call: (url, req) => call(req.repeatable ? keepAliveAgent : singleUseAgent, url, req) };
 };
--- a/src/plugins/infrastructureClients.ts
+++ b/src/plugins/infrastructureClients.ts
@@ -6,6 +6,7 @@
 import type { CommitResult, Table, TableCommit, TableRow } from "../types/table";
 import { Verdict } from "../types/verdict";
 import type { Vm, VmList } from "../types/vm";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
 
 const connectTimeoutMs = 1_000;
@@ -28,7 +29,7 @@
 /** A JSON client of a service that standalone nodes depend on: table, object store or VM list. */
 class InfrastructureClient {
     private readonly agent: Dispatcher = new Agent({
-        connect: { timeout: connectTimeoutMs },
+        connect: createPunctualConnector({ timeout: connectTimeoutMs }),
         headersTimeout: answerTimeoutMs,
         bodyTimeout: answerTimeoutMs,
         connections: 8,
--- a/src/plugins/standalonePeerClient.ts
+++ b/src/plugins/standalonePeerClient.ts
@@ -4,6 +4,7 @@
 import { Agent } from "undici";
 import type { StandaloneNodeSettings } from "../node/standaloneNodeSettings";
 import { createBoundedFetch } from "../utils/boundedFetch";
+import { createPunctualConnector } from "../utils/punctualConnector";
 import type { StandalonePeerRouter } from "./standalonePeerRouter";
 import { peerSecretHeader } from "./standalonePeerRouter";
 
@@ -21,7 +22,7 @@
 /** Creates a lookup of peer clients, which share one connection pool. */
 export const createPeerLookup = (cfg: StandaloneNodeSettings): PeerLookup => {
     const ca = cfg.tlsCaFile === undefined ? undefined : readFileSync(cfg.tlsCaFile);
-    const dispatcher = new Agent({ connect: { timeout: connectTimeoutMs, ca }, keepAliveTimeout: 10_000 });
+    const dispatcher = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs, ca }), keepAliveTimeout: 10_000 });
     const clients = new Map<string, TRPCClient<StandalonePeerRouter>>();
     const boundedFetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs: peerTimeoutMs });
     return url => {
--- a/src/utils/resettingConnector.ts
+++ b/src/utils/resettingConnector.ts
@@ -1,5 +1,7 @@
 import type { Socket } from "node:net";
-import { buildConnector } from "undici";
+import type { buildConnector } from "undici";
+import type { PunctualConnectorOptions } from "./punctualConnector";
+import { createPunctualConnector } from "./punctualConnector";
 
 /** Start of the codes of undici's own errors, such as that of a request which was aborted. */
 const clientErrorPrefix = "UND_ERR";
@@ -23,8 +25,8 @@
  * Creates a connector for connections that are reset when a request on them is given up. After an orderly close the kernel would go on sending the bytes of the request,
  * and a link that was cut meanwhile would deliver them once it has healed; a reset discards them.
  */
-export const createResettingConnector = (options: buildConnector.BuildOptions): buildConnector.connector => {
-    const connect = buildConnector(options);
+export const createResettingConnector = (options: PunctualConnectorOptions): buildConnector.connector => {
+    const connect = createPunctualConnector(options);
     return (target, callback) =>
         connect(target, (...result) => {
             const [, socket] = result;
--- a/test/fakes/linkCut.ts
+++ b/test/fakes/linkCut.ts
@@ -1,5 +1,5 @@
 import type { Socket } from "node:net";
-import { connect, createServer } from "node:net";
+import { connect, createServer, Socket as NetSocket } from "node:net";
 import { portOf } from "./jsonServer";
 
 /** What a cut does to connections that are open. */
@@ -136,3 +136,14 @@
     return connect.apply(this, args);
 };
 `;
+
+/** Lets new connections of this process to some ports hang; returns a function that ends that. */
+export const hangNewConnections = (ports: readonly number[]): () => void => {
+    const original = NetSocket.prototype.connect as (...args: unknown[]) => NetSocket;
+    const hang = function(this: NetSocket, ...args: unknown[]): NetSocket {
+        const [options] = Array.isArray(args[0]) ? args[0] as unknown[] : args;
+        return ports.includes(Number((options as { readonly port?: unknown; }).port)) ? this : original.apply(this, args);
+    };
+    Object.defineProperty(NetSocket.prototype, "connect", { configurable: true, writable: true, value: hang });
+    return () => void Object.defineProperty(NetSocket.prototype, "connect", { configurable: true, writable: true, value: original });
+};
