--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -27,6 +27,8 @@
     [FailureKind.HeapShort]: 500,
     [FailureKind.ConnectionsShort]: 500,
 };
+/** Share of the request's remaining time after which no further peer is asked, if the time went to connections that were not opened. */
+const maxConnectShare = 0.4;
 /** Time for which a peer is not asked that could not be reached, or whose connection was lost. */
 const lostPeerAvoidedMs = 1_000;
 
@@ -42,6 +44,8 @@
 /** Sends a request of this node's caller through peers, until an upstream has answered one of them or no further attempt is allowed. */
 export class PeerForwarder {
     private readonly asked = new Set<string>();
+    /** Time that went to connections that were not opened. */
+    private connectMs = 0;
     /** Outcome of the latest attempt, of this node or through a peer. */
     outcome: AttemptOutcome | undefined;
 
@@ -61,7 +65,8 @@
     async run(outcome: AttemptOutcome | undefined): Promise<PeerForwardingEnd> {
         const { gateway, call, tally } = this;
         this.outcome = outcome;
-        for (let count = 0; count < maxPeers && !call.signal.aborted; count++) {
+        const maxConnectMs = maxConnectShare * (call.deadlineAt - performance.now());
+        for (let count = 0; count < maxPeers && !call.signal.aborted && this.connectMs < maxConnectMs; count++) {
             const peer = gateway.peers.choice.chooseForRequest(this.asked);
             if (peer === undefined) {
                 break;
@@ -72,7 +77,9 @@
             }
             this.prepare();
             emit(EventId.RequestPassedOn, { request: call.caller.requestId, peer, contact: gateway.contact.state, after: this.outcome, sends: tally.sends });
+            const sentAt = performance.now();
             const end = await runPeerAttempt(gateway, call, this.relay, { address: peer, maxRuns: tally.peerRuns, mayMove: this.mayMoveFrom(peer) });
+            this.connectMs += end.outcome === AttemptOutcome.Unsent ? performance.now() - sentAt : 0;
             this.record(peer, end);
             if (!this.isUntaken(end) && end.outcome === AttemptOutcome.NotRun) {
                 return { kind: "refused", refusal: this.refusalOf(end) };
--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -10,6 +10,9 @@
 /** Charge for a connection to a peer. */
 const peerConnectionBytes = 32_768;
 
+/** Time in which a connection to a peer must open: a request may have to try several of them one after the other. */
+const connectTimeoutMs = 150;
+
 /** After so many requests in a row that no peer took, the peers count as cut off as well, for a time. */
 const minUntaken = 3;
 const untakenLifetimeMs = 5_000;
@@ -68,14 +71,11 @@
 
     poolOf(address: string): UpstreamConnectionPool {
         const { gateway } = this;
-        return getOrCreate(
-            this.poolByPeer,
-            address,
-            () =>
-                UpstreamConnectionPool.create(address, gateway.settings.limits.maxAnswerHeadBytes + maxRelayHeaderBytes, change => {
-                    gateway.upstreamConnections += change;
-                    gateway.memory.charge(MemoryHolder.UpstreamConnections, change * peerConnectionBytes);
-                }),
-        );
+        const onCount = (change: number): void => {
+            gateway.upstreamConnections += change;
+            gateway.memory.charge(MemoryHolder.UpstreamConnections, change * peerConnectionBytes);
+        };
+        const maxHeadBytes = gateway.settings.limits.maxAnswerHeadBytes + maxRelayHeaderBytes;
+        return getOrCreate(this.poolByPeer, address, () => UpstreamConnectionPool.create(address, maxHeadBytes, onCount, undefined, connectTimeoutMs));
     }
 }
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -26,6 +26,7 @@
         private readonly maxHeadBytes: number,
         private readonly onCount: (change: number) => void,
         private readonly contact: PathContact,
+        private readonly connectTimeoutMs: number | undefined,
     ) {}
 
     /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number, and `contact` with each one that was opened. */
@@ -34,8 +35,9 @@
         maxHeadBytes: number,
         onCount: (change: number) => void = () => {},
         contact: PathContact = UpstreamContact.create(),
+        connectTimeoutMs?: number,
     ): UpstreamConnectionPool {
-        return new UpstreamConnectionPool(address, maxHeadBytes, onCount, contact);
+        return new UpstreamConnectionPool(address, maxHeadBytes, onCount, contact, connectTimeoutMs);
     }
 
     /** Number of connections that are open or being opened. */
@@ -122,7 +124,7 @@
         const connection = UpstreamConnection.create(this.address, this.maxHeadBytes, () => {
             this.contact.onOpened();
             return confirm();
-        });
+        }, this.connectTimeoutMs);
         this.open.add(connection);
         this.onCount(1);
         connection.client.on("disconnect", () => {
--- a/test/relayedDuties.test.ts
+++ b/test/relayedDuties.test.ts
@@ -7,6 +7,7 @@
 import { sleep } from "../src/utils/time";
 import type { CallerResult } from "./fakes/gatewayHarness";
 import { callGateway } from "./fakes/gatewayHarness";
+import { hangNewConnections } from "./fakes/linkCut";
 import type { RelayFleet, RelayFleetOptions, RelayNode } from "./fakes/relayFleet";
 import { withFleet } from "./fakes/relayFleet";
 import type { Script } from "./fakes/scriptedUpstream";
@@ -144,6 +145,33 @@
         assert.deepEqual(warnings, []);
     });
 
+    const silentCases: readonly {
+        readonly name: string;
+        readonly silent: number;
+        readonly deadlineMs: number;
+        readonly status: number;
+        readonly maxMs: number;
+    }[] = [
+        { name: "no peer answers", silent: 6, deadlineMs: 4_000, status: 503, maxMs: 1_000 },
+        { name: "no peer answers and little time is left", silent: 6, deadlineMs: 800, status: 503, maxMs: 600 },
+        { name: "three of four do not", silent: 3, deadlineMs: 4_000, status: 200, maxMs: 700 },
+    ];
+    for (const { name, silent, deadlineMs, status, maxMs } of silentCases) {
+        it(`does not use up its time on connections that stay unanswered: ${name}`, () =>
+            withFleet({ nodes: silent + (status === 200 ? 2 : 1), scripts: [answer] }, async ({ origin, peers }) => {
+                const resume = hangNewConnections(peers.slice(0, silent).map(({ peerAddress }) => Number(peerAddress.split(":")[1])));
+                try {
+                    const result = await callGateway(origin.address, { headers: { "deadline-ms": String(deadlineMs) } });
+                    assert.equal(result.status, status);
+                    assert.ok(result.afterMs <= maxMs, `${result.afterMs} ms`);
+                    assert.ok(status === 200 || Number(result.headers["retry-after"]) > 0);
+                }
+                finally {
+                    resume();
+                }
+            }));
+    }
+
     it("has the time that its route allows for both nodes together", () =>
         withFleet({ scripts: [neverAnswer], route: { kind: RouteKind.Idempotent, timeoutMs: 700 } }, async fleet => {
             const { status, afterMs } = await callGateway(fleet.origin.address, { headers: { "deadline-ms": "6000" } });
