--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -28,6 +28,8 @@
     readonly timeFactor: number;
     /** Added for a limit that the upstream has named; undefined without one. */
     readonly turnDelayMs?: number;
+    /** Whether the model is only expected there. */
+    readonly isModelExpected?: boolean;
 }
 
 /** The chosen upstream with the predicted time to the first byte. */
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -200,9 +200,10 @@
             return this.recordLost(server.id, traffic, "stream broken off");
         }
         if (head.decoded.isNotExecuted) {
-            recordRefusal(this.gateway, this.call, head.decoded, candidate);
-            this.logFailed(server.id, `refused with ${head.status}`, Verdict.NotRun);
-            return AttemptOutcome.NotRun;
+            const outcome = recordRefusal(this.gateway, this.call, head.decoded, candidate);
+            const cause = outcome === AttemptOutcome.TooEarly ? ", its load of the model takes longer than expected" : "";
+            this.logFailed(server.id, `refused with ${head.status}${cause}`, Verdict.NotRun);
+            return outcome;
         }
         if (!head.decoded.isSigned) {
             return this.recordLost(server.id, traffic, "answer without a seal");
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -6,7 +6,7 @@
 import { softwareVersionOf } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { AttemptExecutor } from "./attemptExecutor";
-import { AttemptOutcome, unsentOutcomes } from "./attemptOutcome";
+import { AttemptOutcome, notRunOutcomes, unsentOutcomes } from "./attemptOutcome";
 import type { Call } from "./call";
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit, mayFinishBeforeExit } from "./canFinishBeforeExit";
@@ -179,14 +179,17 @@
         if (unsentOutcomes.has(outcome)) {
             tally.add(-1, 0);
         }
-        else if (outcome !== AttemptOutcome.NotRun) {
+        else if (!notRunOutcomes.has(outcome)) {
             tally.add(0, 1);
         }
         progress.mayHaveRun = tally.possibleRuns > 0;
         progress.framing = this.attempts.framing;
         tally.isRetryPaid = this.leavesForPeer || (outcome === AttemptOutcome.Withheld && tally.sends > 0);
-        // An upstream that asked for quiet has not failed the request: it may get it after that time.
-        if (outcome === AttemptOutcome.Withheld || (outcome === AttemptOutcome.NotRun && gateway.availability.quietMsOf(server) > 0)) {
+        // An upstream that asked for quiet, or still loads the model, has not failed the request: it may get it after that time.
+        if (
+            outcome === AttemptOutcome.Withheld || outcome === AttemptOutcome.TooEarly ||
+            (outcome === AttemptOutcome.NotRun && gateway.availability.quietMsOf(server) > 0)
+        ) {
             this.tried.delete(server.id);
         }
         return outcome;
--- a/src/forward/recordRefusal.ts
+++ b/src/forward/recordRefusal.ts
@@ -2,6 +2,7 @@
 import type { UpstreamTraffic } from "../core/upstreamTraffic";
 import { artifactKey } from "../types/modelRequest";
 import type { AnswerHeaders } from "../types/requestHeaderCodec";
+import { AttemptOutcome } from "./attemptOutcome";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 
@@ -15,9 +16,20 @@
     }
 };
 
-/** Records that an upstream did not run a request: it lacks the model or adapter, or refuses, so that the next requests for it go elsewhere. */
-export const recordRefusal = ({ residency }: Gateway, { caller: { modelRequest } }: Call, decoded: AnswerHeaders, candidate: UpstreamCandidate): void => {
-    const { server: { id }, traffic } = candidate;
+/**
+ * Records that an upstream did not run a request: it lacks the model or adapter, or refuses, so that the next requests for it go elsewhere. One whose load takes
+ * longer than expected has not failed, and may get the request later.
+ */
+export const recordRefusal = (
+    { residency }: Gateway,
+    { caller: { modelRequest } }: Call,
+    decoded: AnswerHeaders,
+    { server: { id }, traffic, isModelExpected }: UpstreamCandidate,
+): AttemptOutcome => {
+    if (modelRequest && isModelExpected && decoded.quietMs === undefined) {
+        residency.onTooEarly(id, modelRequest.model);
+        return AttemptOutcome.TooEarly;
+    }
     if (modelRequest && decoded.isMisdirected) {
         residency.onAbsent(id, modelRequest.model, artifactKey(modelRequest.model, modelRequest.adapter));
     }
@@ -25,4 +37,5 @@
         residency.onRefused(id, modelRequest.model);
     }
     countFailure(traffic, decoded, refusalWeight);
+    return AttemptOutcome.NotRun;
 };
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -29,8 +29,9 @@
     const tokensPerEvent = gateway.engineOf(call.service)?.tokensPerEvent ?? defaultTokensPerEvent;
     const sharedTokens = modelRequest.parts.slice(0, -1).reduce((sum, { tokens }) => sum + tokens, 0);
     const assumedTokens = server.id === preferred ? preferredCachedShare * sharedTokens : 0;
+    const isModelExpected = gateway.residency.isExpected(server, modelRequest.model);
     const cached = Math.max(gateway.cache.cachedTokens(server.id, modelRequest), assumedTokens);
-    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1, turnDelayMs };
+    return { server, traffic, prefillTokens: Math.max(1, modelRequest.promptTokens - cached), tokensPerEvent, timeFactor: 1, turnDelayMs, isModelExpected };
 };
 
 /** Upstreams that can run the request, now or after a quiet time, excluding those already tried. */
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -165,7 +165,10 @@
             };
         }
         await sleep(Math.min(maxPollIntervalMs, Math.max(minPollIntervalMs, readyInMs)), call.signal);
-        if (runner !== undefined && readyInMs < maxPollIntervalMs) {
+        if (runner !== undefined && readyInMs < maxPollIntervalMs && answer.isExpected === true) {
+            gateway.residency.expectModel(runner, modelRequest.model);
+        }
+        else if (runner !== undefined && readyInMs < maxPollIntervalMs) {
             gateway.residency.addModel(runner, modelRequest.model);
             if (modelRequest.adapter !== undefined) {
                 gateway.residency.addAdapter(runner, artifactKey(modelRequest.model, modelRequest.adapter));
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -120,7 +120,8 @@
         const loading = trackers.find(tracker => tracker.isLoading(model.name));
         if (loading) {
             const doneAt = loading.transition?.doneAt ?? now + loading.loadMs(model);
-            return { runner: loading.server.id, readyInMs: Math.max(0, doneAt - now), isComing: true };
+            const readyInMs = doneAt > now ? doneAt - now : dueReportIntervalMs;
+            return { runner: loading.server.id, readyInMs, isComing: true, isExpected: true };
         }
         const isPlanned = trackers.some(({ server }) => this.plannedLoads.models.get(server.id) === model.name);
         const laterMs = isPlanned
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -67,6 +67,7 @@
     runner: z.string().optional(),
     readyInMs: quantity,
     isComing: z.boolean(),
+    isExpected: z.boolean().optional(),
     isUncertain: z.boolean().optional(),
 });
 
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -24,6 +24,8 @@
     readonly readyInMs: number;
     /** Whether the model or adapter is available, is being loaded or will be. */
     readonly isComing: boolean;
+    /** Whether the model is expected at the runner by then, rather than known to be there; missing from nodes of earlier releases. */
+    readonly isExpected?: boolean;
     /** Whether no active controller gave the answer. */
     readonly isUncertain?: boolean;
 }
--- a/test/fakes/releaseFleet.ts
+++ b/test/fakes/releaseFleet.ts
@@ -1,5 +1,4 @@
 import { CallerServer } from "../../src/forward/callerServer";
-import type { EngineSpec, ModelSpec } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
 import type { DirectoryChange } from "../../src/types/upstreamServer";
 import { UpstreamState } from "../../src/types/upstreamServer";
@@ -8,6 +7,7 @@
 import { MemoryPlatformStore } from "./memoryPlatformStore";
 import { createNode } from "./peerNodes";
 import { reservePort } from "./ports";
+import { createReleaseEngine } from "./releaseEngine";
 import type { ScriptedUpstream } from "./scriptedUpstream";
 import { startScriptedUpstream } from "./scriptedUpstream";
 import { FaultyRunnerControl, SimulatedPlatformRunner } from "./simulatedPlatformRunner";
@@ -34,16 +34,7 @@
     maxAttempts: 2,
     isResumable: true,
 };
-const createModel = (name: string): ModelSpec => ({ name, memoryMb: 60_000, loadMs, warmLoadMs: 300, diskLoadMs: 700, adapters: 0, adapterMemoryMb: 0 });
-const engine: EngineSpec = {
-    slots: 64,
-    kvTokens: 100_000,
-    tokensPerEvent: 4,
-    memoryMb: 130_000,
-    adapterSlots: 1,
-    loadsPerS: 2,
-    models: new Map(["m1", "m2"].map(name => [name, createModel(name)])),
-};
+const engine = createReleaseEngine(loadMs);
 
 /** A runner of the fleet, and what it has loaded at first. */
 export interface ReleaseRunner {
@@ -85,15 +76,23 @@
     private rowVersion = 0;
     private sequence = 0;
 
-    private constructor() {
+    private constructor(private readonly loadDelayMs: number) {
         this.store.lossShare = 0;
         const timer = setInterval(() => this.publishModels(), publishIntervalMs);
         this.abort.signal.addEventListener("abort", () => clearInterval(timer));
     }
 
-    /** Starts nodes and runners; the first node is the controller, and the last one stands still until `resume`, without knowing the later runners. */
-    static async create(nodeCount: number, runners: readonly ReleaseRunner[], laterRunners: readonly ReleaseRunner[]): Promise<ReleaseFleet> {
-        const fleet = new ReleaseFleet();
+    /**
+     * Starts nodes and runners; the first node is the controller, and the last one stands still until `resume`, without knowing the later runners. Loads take
+     * `loadDelayMs` longer than the configuration says.
+     */
+    static async create(
+        nodeCount: number,
+        runners: readonly ReleaseRunner[],
+        laterRunners: readonly ReleaseRunner[],
+        loadDelayMs = 0,
+    ): Promise<ReleaseFleet> {
+        const fleet = new ReleaseFleet(loadDelayMs);
         for (const runner of runners) {
             await fleet.addRunner(runner);
         }
@@ -187,7 +186,7 @@
     }
 
     private async addRunner({ id, softwareVersion, models }: ReleaseRunner): Promise<void> {
-        const runner = SimulatedPlatformRunner.create(id, engine, createRandom(1), models);
+        const runner = SimulatedPlatformRunner.create(id, createReleaseEngine(loadMs + this.loadDelayMs), createRandom(1), models);
         const stream = versionedStream(softwareVersion);
         const upstream = await startScriptedUpstream((socket, req, self) => {
             const model = /^model: (\S+)$/im.exec(req.head)?.[1] ?? "";
--- a/test/takenUpInRelease.test.ts
+++ b/test/takenUpInRelease.test.ts
@@ -18,15 +18,18 @@
         { crashed: "v1", losesController: false },
         { crashed: "v1.1", losesController: false },
         { crashed: "v1.1", losesController: true },
+        { crashed: "v1", losesController: false, loadDelayMs: 20 },
+        { crashed: "v1.1", losesController: false, loadDelayMs: 400 },
     ];
-    for (const { crashed, losesController } of cases) {
-        const event = `crashed as a node comes back${losesController ? " and the controller is lost" : ""}`;
+    for (const { crashed, losesController, loadDelayMs } of cases) {
+        const lateness = loadDelayMs === undefined ? "" : ` and loads take ${loadDelayMs} ms longer`;
+        const event = `crashed as a node comes back${losesController ? " and the controller is lost" : ""}${lateness}`;
         it(`go on at their version after its only runner with the model (${crashed}) ${event}`, { timeout: timeoutMs }, async () => {
             const runnersOf = (version: string) => [
                 { id: `${version}-a`, softwareVersion: version, models: [model] },
                 { id: `${version}-b`, softwareVersion: version, models: ["m2"] },
             ];
-            const fleet = await ReleaseFleet.create(4, runnersOf("v1"), runnersOf("v1.1"));
+            const fleet = await ReleaseFleet.create(4, runnersOf("v1"), runnersOf("v1.1"), loadDelayMs);
             try {
                 await sleep(settleMs);
                 const begun = await fleet.beginStreams(streamCount, model);
