--- a/src/core/findCrashingParts.ts
+++ b/src/core/findCrashingParts.ts
@@ -92,6 +92,18 @@
 /** Whether a new suspicion may be the cause in place of a common one: the key of a request only if the request was in progress at several crashes. */
 const mayExplain = ({ part, crashes }: Suspicion): boolean => !isRequestKey(part) || separateCrashes(crashes).length > 1;
 
+/**
+ * Whether enough crashes speak for a part beside those that other parts explain. The key of a request may be shared by sound requests, which are in progress at any crash, and
+ * by requests whose prompts crash runners: a crash with a prompt part that only some of the requests with the key contained does not count for the key.
+ */
+const isNeeded = ({ part, requests, crashes }: Suspicion, others: readonly Suspicion[]): boolean => {
+    if (!isRequestKey(part)) {
+        return true;
+    }
+    const promptParts = others.filter(other => !isRequestKey(other.part) && !requests.every(request => request.includes(other.part)));
+    return separateCrashes(crashes.filter(crash => !promptParts.some(other => other.crashes.includes(crash)))).length >= minCrashesOfQuarantine;
+};
+
 /** Other parts that every suspected request with the part contained: which of them is the cause is not known yet. */
 const companionsOf = ({ part, requests, crashes }: Suspicion): readonly string[] =>
     requests[0]!.filter(other => other !== part && requests.every(request => request.includes(other)) && !crashes.some(({ cleared }) => cleared.has(other)));
@@ -111,7 +123,8 @@
         separateCrashes(suspicion.crashes).length >= minCrashesOfQuarantine &&
         (!wasAnswered(suspicion.part) ||
             weigh(suspicion, all.filter(other => !wasAnswered(other.part) && mayExplain(other) && isMoreSpecific(other, suspicion))) >= minCrashesOfAnswered);
-    let suspicions = all.filter(isSufficient);
+    const sufficient = all.filter(isSufficient);
+    let suspicions = sufficient.filter(suspicion => isNeeded(suspicion, sufficient));
     for (let worst = findWorst(suspicions, explained); worst; worst = findWorst(suspicions, explained)) {
         quarantines.push({ parts: [worst.part, ...companionsOf(worst)], crashes: separateCrashes(worst.crashes).map(({ id, at }) => ({ id, at })) });
         worst.crashes.forEach(crash => explained.add(crash));
--- a/test/findCrashingParts.test.ts
+++ b/test/findCrashingParts.test.ts
@@ -23,6 +23,18 @@
     readonly quarantines: readonly string[];
 }
 
+/** As a soak found them: two parts crash runners, in requests of two paths that have sound ones, too. */
+const soakCrashes = crashesOf(
+    ["a bad1 request:p request:1"],
+    ["a request:w request:2"],
+    ["a bad1 request:w request:3", "a request:w request:4", "a request:p request:5"],
+    ["a bad1 request:p request:6", "a bad2 request:w request:7"],
+    ["a bad2 request:p request:8"],
+    ["a bad2 request:w request:9", "a request:p request:5"],
+    ["a bad2 request:w request:10", "a request:p request:11"],
+    ["a bad1 request:w request:12", "a request:p request:11"],
+);
+
 const cases: readonly Case[] = [
     { name: "finds nothing after two crashes", crashes: crashesOf(["a bad"], ["a bad"]), quarantines: [] },
     {
@@ -122,6 +134,30 @@
         crashes: crashesOf(["request:x request:1"], ["request:x request:2"], ["request:x request:3"]),
         quarantines: ["request:x"],
     },
+    {
+        name: "does not blame the path and body that two crashing parts share with sound requests",
+        crashes: soakCrashes,
+        answered: ["a", "request:p", "request:w"],
+        quarantines: ["bad1 a", "bad2 a"],
+    },
+    {
+        name: "does not blame that path and body at a node that has seen no answer of its own",
+        crashes: soakCrashes.map(crash => ({ ...crash, cleared: new Set(["a", "request:p"]) })),
+        quarantines: ["bad1", "bad2"],
+    },
+    {
+        name: "blames the path and body beside a part, once crashes without that part show it",
+        crashes: crashesOf(
+            ["a bad request:v request:1", "a request:w request:2"],
+            ["a bad request:v request:3"],
+            ["a bad request:v request:4"],
+            ["a request:w request:5"],
+            ["a request:w request:6"],
+            ["a request:w request:7"],
+        ),
+        answered: ["a"],
+        quarantines: ["request:w a", "request:v a bad"],
+    },
     { name: "finds nothing in crashes with different parts", crashes: crashesOf(["a b"], ["c d"], ["e f"], ["g h"]), quarantines: [] },
 ];
 
