--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -91,7 +91,7 @@
     }
     await Promise.all([...activeFaults, restores]);
     fleet.limits.end();
-    checker.words.end(fleet);
+    checker.words.end();
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
 
--- a/test/processSoak/upstreamWords.ts
+++ b/test/processSoak/upstreamWords.ts
@@ -117,10 +117,9 @@
         }
     }
 
-    /** Upstreams say nothing of the kind from now on; all requests must be served again after recovery. */
-    end(fleet: SoakFleet): void {
+    /** Upstreams say nothing new of the kind from now on, and quiet times end before the recovery does; all requests must be served again after recovery. */
+    end(): void {
         this.isEnded = true;
-        fleet.all().forEach(upstream => upstream.quietUntil = 0);
     }
 
     /** Lets upstreams leave and ask for quiet, alone and all together, until the end. */
@@ -134,7 +133,8 @@
             else {
                 const until = performance.now() + shortestQuietMs + (longestQuietMs - shortestQuietMs) * random() ** 2;
                 const upstreams = random() < allQuietShare ? fleet.all() : [pick(fleet.all(), random)!];
-                upstreams.forEach(upstream => upstream.quietUntil = until);
+                // One node may know of a shorter time that another one has not heard of: no time is shortened.
+                upstreams.forEach(upstream => upstream.quietUntil = Math.max(upstream.quietUntil, until));
             }
         }
         await Promise.all(leaves);
