--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -1,5 +1,6 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
+import { maxTurnWaitMs } from "../core/turnWait";
 import { EventId } from "../types/eventId";
 import { processKey } from "../types/upstreamServer";
 import { emit } from "../utils/events";
@@ -19,7 +20,7 @@
     }
     const { modelRequest } = call.caller;
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-    const maxWaitMs = Math.max(0, call.deadlineAt - performance.now() - neededMs);
+    const maxWaitMs = maxTurnWaitMs(call.deadlineAt - performance.now(), neededMs);
     const expectedWaitMs = runnerLimits.expectedWaitMs(runner);
     // A turn that is known to be too late is not asked for.
     const permit = expectedWaitMs > maxWaitMs
