--- a/src/core/peerChoice.ts
+++ b/src/core/peerChoice.ts
@@ -110,11 +110,6 @@
         return candidates.reduce<PeerNode | undefined>((best, peer) => best && takenAt(best) >= takenAt(peer) ? best : peer, undefined)?.address;
     }
 
-    /** Whether any peer is known that may be asked, as far as one choice shows. */
-    get hasAny(): boolean {
-        return this.choose(new Set()) !== undefined;
-    }
-
     /** A request is being sent to a peer. */
     onBegin(address: string): void {
         this.inProgress.set(address, this.inProgressAt(address) + 1);
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -204,8 +204,9 @@
             if (isStranded(gateway, call)) {
                 return true;
             }
-            if (!isRelayed && gateway.contact.state !== ContactState.Held && gateway.peers.choice.hasAny) {
-                this.leavesForPeer = gateway.budgetOf(call.service).withdraw();
+            const isReached = isRelayed || gateway.contact.state === ContactState.Held ? false : gateway.peers.reach.check();
+            if (isReached !== false) {
+                this.leavesForPeer = isReached === true && gateway.budgetOf(call.service).withdraw();
                 return this.leavesForPeer;
             }
             this.alternative = mayRunAgain ? findAlternative(gateway, call, this.tried) : undefined;
--- a/src/forward/peerProber.ts
+++ b/src/forward/peerProber.ts
@@ -5,6 +5,7 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { createPunctualConnector } from "../utils/punctualConnector";
+import { contactQuestion, relayHeader } from "./relayHeaders";
 
 const connectTimeoutMs = 300;
 /** Peers normally answer within a few milliseconds. */
@@ -36,6 +37,17 @@
         );
     }
 
+    /** Whether a peer says that it reaches upstreams over its own links. */
+    async reachesUpstreams(address: string): Promise<boolean> {
+        try {
+            return (await this.fetch(`http://${address}/`, { headers: { [relayHeader]: contactQuestion } })).ok;
+        }
+        catch (err) {
+            emit(EventId.PeerExchangeFailed, { peer: address, detail: toFailure(err).detail });
+            return false;
+        }
+    }
+
     private async probe(address: string): Promise<boolean> {
         try {
             await this.fetch(`http://${address}/`, {});
--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -4,6 +4,7 @@
 import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
 import { PeerProber } from "./peerProber";
+import { PeerReach } from "./peerReach";
 import { maxRelayHeaderBytes } from "./relayHeaders";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
@@ -21,6 +22,7 @@
 export class PeerRelays {
     readonly choice: PeerChoice;
     readonly prober = PeerProber.create();
+    readonly reach: PeerReach;
     private readonly poolByPeer = new Map<string, UpstreamConnectionPool>();
     /** Requests that were passed on and have not ended, and those that peers passed on to this node. */
     passedOn = 0;
@@ -36,6 +38,7 @@
             ownZone: () => gateway.settings.availabilityZone,
             random: () => gateway.random(),
         });
+        this.reach = PeerReach.create(this.choice, this.prober);
     }
 
     /** Creates the relays of a node that knows no peers yet. */
@@ -56,6 +59,7 @@
     /** A peer took a request. */
     onTaken(): void {
         this.untaken = 0;
+        this.reach.onTaken();
     }
 
     /** No peer took a request. */
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -14,6 +14,8 @@
 /** Header of a request that a node passes on to a peer, and of the peer's answer. */
 export const relayHeader = "jackdawtrail-relay";
 export const relayReportHeader = "jackdawtrail-relay-report";
+/** Value of the header by which a node asks whether the peer reaches upstreams. */
+export const contactQuestion = "contact";
 
 /** Longest name that a row of an upstream may have. */
 const maxNameLength = 1_024;
--- a/src/forward/relayIntake.ts
+++ b/src/forward/relayIntake.ts
@@ -8,13 +8,17 @@
 import { emit } from "../utils/events";
 import { answerFailure } from "./answerFailure";
 import type { Gateway } from "./gateway";
-import { decodeRelayed, relayHeader } from "./relayHeaders";
+import { contactQuestion, decodeRelayed, relayHeader } from "./relayHeaders";
 import { RequestProgress } from "./requestProgress";
 import type { RequestReception } from "./requestReception";
 
 /** A request whose header cannot be read, for the answer. */
 const unreadable: RelayedRequest = { node: "", elapsedMs: 0, remainingMs: 0, configVersion: 0, service: "", maxRuns: 1 };
 
+/** Answers to a peer that asks whether this node reaches upstreams. */
+const reachableStatus = 200;
+const unreachableStatus = 503;
+
 /** Prefix of an IPv4 address on a socket that takes both versions. */
 const mappedPrefix = "::ffff:";
 
@@ -38,8 +42,14 @@
         return headers[relayHeader] !== undefined;
     }
 
-    /** Answers a request that a peer passes on. */
+    /** Answers a request that a peer passes on, or its question whether this node reaches upstreams. */
     handle(req: IncomingMessage, res: ServerResponse): void {
+        if (req.headers[relayHeader] === contactQuestion && this.isKnown(req)) {
+            const { contact, isStopping } = this.gateway;
+            const isReaching = contact.state === ContactState.Held && !isStopping;
+            res.writeHead(isReaching ? reachableStatus : unreachableStatus, { "Content-Length": 0 }).end();
+            return;
+        }
         const relayed = decodeRelayed(req.headers);
         const refusal = this.refusalOf(req, relayed);
         if (!relayed || refusal) {
@@ -50,10 +60,14 @@
         void this.reception.handle(req, res, relayed);
     }
 
-    private refusalOf({ socket }: IncomingMessage, relayed: RelayedRequest | undefined): RelayRefusal | undefined {
-        const { gateway } = this;
+    private isKnown({ socket }: IncomingMessage): boolean {
         const host = (socket.remoteAddress ?? "").replace(mappedPrefix, "");
-        if (!gateway.peers.choice.isKnownHost(host) && !this.isReporting(host)) {
+        return this.gateway.peers.choice.isKnownHost(host) || this.isReporting(host);
+    }
+
+    private refusalOf(req: IncomingMessage, relayed: RelayedRequest | undefined): RelayRefusal | undefined {
+        const { gateway } = this;
+        if (!this.isKnown(req)) {
             return RelayRefusal.UnknownSender;
         }
         if (!relayed) {
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -50,15 +50,15 @@
 
     /** Whether the attempt should be moved to another upstream; called repeatedly. */
     isExhausted(): boolean {
-        const { relay, call, sentAt } = this;
+        const { gateway, relay, call, sentAt } = this;
         const lastProgressAt = relay.head ? relay.lastProgressAt : sentAt;
         if (lastProgressAt !== this.silentSince) {
             this.silentSince = lastProgressAt;
             this.isAlive = this.isProbed ? undefined : false;
         }
         const silentMs = performance.now() - this.silentSince;
-        if (isPathLost(this.gateway) && silentMs >= minLostSilenceMs) {
-            return true;
+        if (isPathLost(gateway) && silentMs >= minLostSilenceMs) {
+            return call.progress.relayed !== undefined || gateway.peers.reach.check() === true;
         }
         const action = decideOnSilence({
             silentMs,
--- a/test/contactPaths.test.ts
+++ b/test/contactPaths.test.ts
@@ -5,6 +5,7 @@
 import { sleep } from "../src/utils/time";
 import { callGateway } from "./fakes/gatewayHarness";
 import { withFleet } from "./fakes/relayFleet";
+import type { Script } from "./fakes/scriptedUpstream";
 import { answer } from "./fakes/upstreamScripts";
 
 /** A request is on its new path, and answered, within this time. */
@@ -22,6 +23,9 @@
     { state: ContactState.Lost, kind: RouteKind.Idempotent, isDirect: false },
 ];
 
+/** Answers after the time in which a request leaves an upstream once contact is lost. */
+const lateAnswer: Script = (socket, req, upstream) => void setTimeout(() => answer(socket, req, upstream), 900);
+
 describe("the path of a request", () => {
     for (const { state, kind, isDirect } of contactCases) {
         it(`is ${isDirect ? "direct" : "through a peer"} if contact is ${state} and the route ${kind}`, () =>
@@ -53,6 +57,18 @@
             assert.ok(afterMs < 200 + atOnceMs, `${afterMs} ms`);
         }));
 
+    it("stays direct for a request that was sent while no peer reaches upstreams either", () =>
+        withFleet({ nodes: 3, scripts: [answer], route: idempotent, cutScript: lateAnswer }, async ({ nodes, origin, cutUpstream, upstreams: [upstream] }) => {
+            origin.setContact(ContactState.Held);
+            const result = callGateway(origin.address, { headers: modelHeaders });
+            await sleep(200);
+            nodes.forEach(node => node.setContact(ContactState.Lost));
+            const { status } = await result;
+            assert.equal(status, 200);
+            assert.equal(cutUpstream.received.length, 1);
+            assert.equal(upstream!.received.length, 0);
+        }));
+
     it("stays direct for a request that must run once and may have been sent", () =>
         withFleet({ scripts: [answer] }, async ({ origin, upstreams: [upstream] }) => {
             origin.setContact(ContactState.Held);
--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -123,6 +123,15 @@
         this.proxies.forEach(proxy => proxy.setCut(CutFleet.addressOf(this.subnet, node), cut));
     }
 
+    /** Lets all upstreams, or those of one service, fall silent for a time. */
+    async silenceUpstreams(ms: number, service?: (typeof kinds)[number]): Promise<void> {
+        const serviceOf = (proxy: CutProxy): string => kinds[Math.floor(this.proxies.indexOf(proxy) / upstreamsPerService)]!;
+        const proxies = this.proxies.filter(proxy => service === undefined || serviceOf(proxy) === service);
+        proxies.forEach(proxy => proxy.setPaused(true));
+        await sleep(ms);
+        proxies.forEach(proxy => proxy.setPaused(false));
+    }
+
     /** Requests a planned stop of a node; resolves with the time until its process has ended. */
     async stop(node: number): Promise<number> {
         const startedAt = performance.now();
--- a/test/fakes/linkCut.ts
+++ b/test/fakes/linkCut.ts
@@ -37,6 +37,7 @@
 export class CutProxy {
     private readonly links = new Set<Link>();
     private readonly cuts = new Map<string, LinkCut>();
+    private isPaused = false;
 
     private constructor(private readonly server: ReturnType<typeof createServer>) {}
 
@@ -74,6 +75,12 @@
         });
     }
 
+    /** Lets the upstream fall silent for all nodes: what is sent meanwhile arrives once it goes on. */
+    setPaused(isPaused: boolean): void {
+        this.isPaused = isPaused;
+        this.links.forEach(({ sockets }) => sockets.forEach(socket => isPaused ? socket.pause() : socket.resume()));
+    }
+
     close(): void {
         this.server.close();
         this.links.forEach(({ sockets }) => sockets.forEach(socket => socket.destroy()));
@@ -101,6 +108,9 @@
                     to.destroy();
                 }
             });
+            if (this.isPaused) {
+                from.pause();
+            }
         }
     }
 }
--- a/test/relayIntake.test.ts
+++ b/test/relayIntake.test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { decodeReport, encodeRelayed, relayHeader, relayReportHeader } from "../src/forward/relayHeaders";
+import { contactQuestion, decodeReport, encodeRelayed, relayHeader, relayReportHeader } from "../src/forward/relayHeaders";
+import { ContactState } from "../src/types/contactState";
 import { EventId } from "../src/types/eventId";
 import { FailureKind } from "../src/types/failureKind";
 import type { RelayedRequest } from "../src/types/relayedRequest";
@@ -8,6 +9,7 @@
 import type { HeaderMap } from "../src/types/requestHeaderCodec";
 import { Verdict } from "../src/types/verdict";
 import { callGateway } from "./fakes/gatewayHarness";
+import type { RelayNode } from "./fakes/relayFleet";
 import { withFleet } from "./fakes/relayFleet";
 import { answer, neverAnswer } from "./fakes/upstreamScripts";
 
@@ -49,6 +51,28 @@
             assert.deepEqual(events.filter(({ event }) => event === EventId.RelayRefused).map(({ fields }) => fields.count), [1]);
         }));
 
+    const questions: readonly {
+        readonly name: string;
+        readonly prepare?: (peer: RelayNode) => void;
+        readonly localAddress?: string;
+        readonly status: number;
+    }[] = [
+        { name: "reaches upstreams", status: 200 },
+        { name: "is in doubt", prepare: peer => peer.setContact(ContactState.Doubted), status: 503 },
+        { name: "has lost its path", prepare: peer => peer.setContact(ContactState.Lost), status: 503 },
+        { name: "is stopping", prepare: peer => peer.stop(8_000), status: 503 },
+        { name: "is asked by a stranger", localAddress: "127.0.0.98", status: 503 },
+    ];
+    for (const { name, prepare, localAddress, status } of questions) {
+        it(`may be announced by a question, which runs nothing: the node ${name}`, () =>
+            withFleet({ scripts: [answer] }, async ({ peers: [peer], upstreams: [upstream] }) => {
+                prepare?.(peer!);
+                const result = await callGateway(peer!.peerAddress, { headers: { [relayHeader]: contactQuestion }, localAddress });
+                assert.equal(result.status, status);
+                assert.equal(upstream!.received.length, 0);
+            }));
+    }
+
     for (const { name, value } of malformedCases) {
         it(`are refused as not run if their header has ${name}`, () =>
             withFleet({ scripts: [answer] }, async ({ peers: [peer], upstreams: [upstream] }, events) => {
