--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -14,7 +14,8 @@
 import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./scriptedUpstream";
 import { sseEvents } from "./upstreamScripts";
 
-const nodeCount = 3;
+/** Availability zones of the nodes. */
+const defaultZones: readonly string[] = ["a", "a", "a"];
 const upstreamsPerService = 3;
 const routeTimeoutMs = 6_000;
 const deadlineMs = 4_000;
@@ -64,7 +65,7 @@
     ) {}
 
     /** Starts the nodes; `subnet` is the third part of their addresses on loopback. */
-    static async start(subnet: number, workMs = defaultWorkMs): Promise<CutFleet> {
+    static async start(subnet: number, workMs = defaultWorkMs, zones = defaultZones): Promise<CutFleet> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-cut-"));
         const runs = new Map<string, number>();
         const scripts: Readonly<Record<(typeof kinds)[number], Script>> = {
@@ -102,11 +103,11 @@
         };
         const closedPort = await reservePort();
         const nodes: PlatformProcess[] = [];
-        for (let index = 0; index < nodeCount; index++) {
+        for (const [index, zone] of zones.entries()) {
             const address = CutFleet.addressOf(subnet, index);
             const module = join(folder, `source-${index}.cjs`);
             writeFileSync(module, sourceAddressModule(address, join(folder, `cut-${index}.json`), closedPort));
-            nodes.push(await PlatformProcess.start(graceS, config, rows, nodes[0], undefined, [module], address));
+            nodes.push(await PlatformProcess.start(graceS, config, rows, nodes[0], undefined, [module], address, zone));
         }
         return new CutFleet(folder, subnet, runs, nodes, proxies, upstreams);
     }
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -45,6 +45,7 @@
         maxDescriptors?: number,
         modules: readonly string[] = [],
         ip = "127.0.0.1",
+        zone = "a",
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -55,7 +56,7 @@
         const settings: SettingsFileFields = {
             name: first ? `n2-${ports[0]}` : "n1",
             ip,
-            zone: "a",
+            zone,
             front: front!,
             ready: ready!,
             control: control!,
