--- a/test/fakes/cutFleet.ts
+++ b/test/fakes/cutFleet.ts
@@ -14,7 +14,8 @@
 import { answerOf, chunkOf, lastChunk, startScriptedUpstream, streamHeadOf } from "./scriptedUpstream";
 import { sseEvents } from "./upstreamScripts";
 
-const nodeCount = 3;
+/** Availability zones of the nodes. */
+const defaultZones: readonly string[] = ["a", "a", "a"];
 const upstreamsPerService = 3;
 const routeTimeoutMs = 6_000;
 const deadlineMs = 4_000;
@@ -64,7 +65,7 @@
     ) {}
 
     /** Starts the nodes; `subnet` is the third part of their addresses on loopback. */
-    static async start(subnet: number, workMs = defaultWorkMs): Promise<CutFleet> {
+    static async start(subnet: number, workMs = defaultWorkMs, zones = defaultZones): Promise<CutFleet> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-cut-"));
         const runs = new Map<string, number>();
         const scripts: Readonly<Record<(typeof kinds)[number], Script>> = {
@@ -102,11 +103,11 @@
         };
         const closedPort = await reservePort();
         const nodes: PlatformProcess[] = [];
-        for (let index = 0; index < nodeCount; index++) {
+        for (const [index, zone] of zones.entries()) {
             const address = CutFleet.addressOf(subnet, index);
             const module = join(folder, `source-${index}.cjs`);
             writeFileSync(module, sourceAddressModule(address, join(folder, `cut-${index}.json`), closedPort));
-            nodes.push(await PlatformProcess.start(graceS, config, rows, nodes[0], undefined, [module], address));
+            nodes.push(await PlatformProcess.start(graceS, config, rows, nodes[0], undefined, [module], address, zone));
         }
         return new CutFleet(folder, subnet, runs, nodes, proxies, upstreams);
     }
@@ -123,6 +124,15 @@
         this.proxies.forEach(proxy => proxy.setCut(CutFleet.addressOf(this.subnet, node), cut));
     }
 
+    /** Lets all upstreams, or those of one service, fall silent for a time. */
+    async silenceUpstreams(ms: number, service?: (typeof kinds)[number]): Promise<void> {
+        const serviceOf = (proxy: CutProxy): string => kinds[Math.floor(this.proxies.indexOf(proxy) / upstreamsPerService)]!;
+        const proxies = this.proxies.filter(proxy => service === undefined || serviceOf(proxy) === service);
+        proxies.forEach(proxy => proxy.setPaused(true));
+        await sleep(ms);
+        proxies.forEach(proxy => proxy.setPaused(false));
+    }
+
     /** Requests a planned stop of a node; resolves with the time until its process has ended. */
     async stop(node: number): Promise<number> {
         const startedAt = performance.now();
