--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -32,6 +32,7 @@
 import { createNodePlacement } from "./nodePlacement";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
+import type { SelfCheckItem } from "./selfCheck";
 import { startSelfCheck } from "./selfCheck";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
@@ -137,7 +138,7 @@
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
-        this.serveMetrics();
+        const metricsCheck = this.serveMetrics();
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
@@ -156,22 +157,34 @@
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening, mend: relisten(callerPort) },
             { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening, mend: relisten(readinessPort) },
             { name: "listener for peers", isSound: () => gateway.isStopping || peerPort.server.listening, mend: relisten(peerPort) },
+            metricsCheck,
         ], onUnable);
         startTimes.mark(StartStep.Started);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress, startMs: startTimes.summary });
         return true;
     }
 
-    /** Serves metrics as soon as their port can be used; callers do not wait for that. */
-    private serveMetrics(): void {
+    /** Serves metrics as soon as their port can be used; callers do not wait for that. Returns the check that they are still served. */
+    private serveMetrics(): SelfCheckItem {
         const address = this.settings.metricsAddress;
         const server = createMetricsServer(this.metrics);
-        this.stopped.signal.addEventListener("abort", () => {
+        const { signal } = this.stopped;
+        let wasOpened = false;
+        const open = async (): Promise<void> => {
+            try {
+                wasOpened = await listenOnAll([{ server, address }], PassingWaits.create(signal));
+            }
+            catch (err) {
+                wasOpened = false;
+                emit(EventId.MetricsUnserved, { address, reason: errorCodeOf(err) });
+            }
+        };
+        signal.addEventListener("abort", () => {
             server.close();
             server.closeAllConnections();
         });
-        listenOnAll([{ server, address }], PassingWaits.create(this.stopped.signal))
-            .catch((err: unknown) => emit(EventId.MetricsUnserved, { address, reason: errorCodeOf(err) }));
+        void open();
+        return { name: "listener for metrics", isSound: () => !wasOpened || signal.aborted || server.listening, mend: open, isOptional: true };
     }
 
     /** Applies reloaded settings; addresses keep their values from startup. */
--- a/src/node/selfCheck.ts
+++ b/src/node/selfCheck.ts
@@ -6,12 +6,14 @@
 /** Failed checks in a row after which the node is taken to be unable to serve. */
 const maxFailedChecks = 3;
 
-/** Something that a node cannot serve without. */
+/** Something that a node needs. */
 export interface SelfCheckItem {
     readonly name: string;
     readonly isSound: () => boolean;
     /** Tries to mend it for as long as that can succeed; throws if it cannot while the process lives. */
     readonly mend?: () => Promise<unknown>;
+    /** Whether the node serves without it. */
+    readonly isOptional?: boolean;
 }
 
 /** Checks now and then whether a node can still serve; calls `onUnable` once if it cannot and that cannot be mended. Returns a function that ends the checks. */
@@ -31,7 +33,7 @@
     };
     const timer = setInterval(() => {
         const failed = items.filter(item => !item.isSound() && !beingMended.has(item));
-        failedChecks = failed.length === 0 ? 0 : failedChecks + 1;
+        failedChecks = failed.every(item => item.isOptional) ? 0 : failedChecks + 1;
         if (failedChecks >= maxFailedChecks) {
             clearInterval(timer);
             emit(EventId.NodeUnableToServe, { failed: failed.map(({ name }) => name) });
--- a/test/lostListeners.test.ts
+++ b/test/lostListeners.test.ts
@@ -28,7 +28,7 @@
     const starts = NodeStarts.create();
     after(() => starts.close());
 
-    const ports: readonly (keyof NodeAddresses)[] = ["front", "ready", "control"];
+    const ports: readonly (keyof NodeAddresses)[] = ["front", "ready", "control", "metrics"];
     for (const lost of ports) {
         it(`listens again once the listener of the ${lost} port is lost`, async () => {
             const addresses = await reserveAddresses();
@@ -40,6 +40,7 @@
             child.kill("SIGUSR2");
             await waitFor("loss of the listener", async () => !await isListening(addresses[lost]), lostWithinMs, startPollMs);
             await waitFor("answers", () => isAnswering(addresses[lost]), mendedWithinMs, startPollMs);
+            await waitFor("line of the loss", () => log().includes("ListenerLost"), mendedWithinMs, startPollMs);
             child.kill("SIGTERM");
             assert.equal(await ended, ExitCode.Ok);
         });
