--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -54,7 +54,7 @@
 const msPerS = 1_000;
 
 /** Settings that hold from the start of a node to its end. */
-const fixedSettings = ["callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
+const fixedSettings = ["nodeId", "callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
 /** Interval at which the heap is checked, beside the checks of requests. */
 const heapCheckIntervalMs = 500;
 
@@ -63,7 +63,7 @@
     private lease: ControllerLease | undefined;
     private readonly stopped = new AbortController();
     private readonly stopping = new AbortController();
-    /** Aborts if the settings name other addresses before the node has started at those that it was created with. */
+    /** Aborts if the settings name another ID or other addresses before the node has started at those that it was created with. */
     private readonly outdated = new AbortController();
     private hasStarted = false;
 
@@ -89,7 +89,7 @@
 
     /**
      * Starts following the store and accepting requests, once all ports for callers, peers and the load balancer can be used; `onUnable` is called if the node can no
-     * longer serve. Returns false if it was stopped before, or if the settings have come to name other addresses: such a node is renewed.
+     * longer serve. Returns false if it was stopped before, or if the settings have come to name another ID or other addresses: such a node is renewed.
      */
     async start(onUnable: () => void = () => undefined): Promise<boolean> {
         const { settings, gateway, server, store } = this;
@@ -187,14 +187,14 @@
         return { name: "listener for metrics", isSound: () => !wasOpened || signal.aborted || server.listening, mend: open, isOptional: true };
     }
 
-    /** Applies reloaded settings; addresses keep their values from startup. */
+    /** Applies reloaded settings; the ID and the addresses keep their values from startup. */
     reload(next: PlatformNodeSettings): void {
-        const { callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
+        const { nodeId, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
         this.latestSettings = next;
         if (!this.hasStarted && fixedSettings.some(name => next[name] !== this.settings[name])) {
             this.outdated.abort();
         }
-        this.gateway.settings = { ...next, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
+        this.gateway.settings = { ...next, nodeId, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
         emit(EventId.SettingsReloaded, { retrySlack: next.retrySlack, seeds: next.seeds.length });
     }
 
--- a/src/node/platformNodeRun.ts
+++ b/src/node/platformNodeRun.ts
@@ -1,7 +1,7 @@
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import { PlatformNode } from "./platformNode";
 
-/** The node of a process. While its start waits for ports, the settings may name other addresses: a node at these then replaces it. */
+/** The node of a process. While its start waits for ports, the settings may name another ID or other addresses: a node with these then replaces it. */
 export class PlatformNodeRun {
     private isStopping = false;
 
--- a/test/fakes/nodeStart.ts
+++ b/test/fakes/nodeStart.ts
@@ -36,9 +36,9 @@
 const portOfAddress = (address: string): number => Number(address.split(":")[1]);
 
 /** The text of a settings file with these addresses; by default the store is away. */
-export const settingsOf = ({ front, ready, control, metrics }: NodeAddresses, storeAddress = "127.0.0.1:9"): string =>
+export const settingsOf = ({ front, ready, control, metrics }: NodeAddresses, storeAddress = "127.0.0.1:9", name = "n1"): string =>
     renderSettingsFile({
-        name: "n1",
+        name,
         zone: "a",
         front,
         ready,
--- a/test/heldPorts.test.ts
+++ b/test/heldPorts.test.ts
@@ -101,6 +101,21 @@
         });
     }
 
+    it("has the name that the settings say by then, while a port is taken", async () => {
+        const addresses = await reserveAddresses();
+        const free = await starts.takePort(addresses.control);
+        const file = join(starts.folder, "renamed.toml");
+        writeFileSync(file, settingsOf(addresses));
+        const { child, log } = starts.start(file);
+        await waitFor("line of the wait", () => log().includes("NodeStartRetried"), startTimeoutMs, startPollMs);
+        writeFileSync(file, settingsOf(addresses, undefined, "n2"));
+        child.kill("SIGHUP");
+        await waitFor("reload", () => log().includes("SettingsReloaded"), startTimeoutMs, startPollMs);
+        free();
+        await waitFor("start", () => log().includes("NodeStarted"), startTimeoutMs, startPollMs);
+        assert.match(log(), /"name":"NodeStarted".*"node":"n2@/);
+    });
+
     it("counts on, in the metrics, when the settings name other addresses while a port is taken", async () => {
         const addresses = await reserveAddresses();
         await starts.takePort(addresses.front);
