--- a/src/cli/readSettingsFile.ts
+++ b/src/cli/readSettingsFile.ts
@@ -5,6 +5,7 @@
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { TransportLimits } from "../types/transportLimits";
 import { errorCodeOf } from "../utils/transport";
+import { namedFaults } from "./namedFaults";
 
 /** What a settings file without faults says, with its text. */
 export interface SettingsReading {
@@ -26,5 +27,5 @@
 export const readSettingsFile = (file: string, limits: TransportLimits, waits: PassingWaits): Promise<SettingsReading | undefined> =>
     waits.run<SettingsReading>(`settings ${file}`, () => {
         const reading = readOnce(file, limits);
-        return Promise.resolve("settings" in reading ? { kind: "done", value: reading } : { kind: "waiting", reason: reading.faults.join("; ") });
+        return Promise.resolve("settings" in reading ? { kind: "done", value: reading } : { kind: "waiting", reason: namedFaults(reading.faults).join("; ") });
     });
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -13,6 +13,7 @@
 import type { CommandContext } from "./commandContext";
 import { ExitCode } from "./exitCode";
 import { logFlushMs } from "./logFlushMs";
+import { namedFaults } from "./namedFaults";
 import type { ProcessSignals } from "./processSignals";
 import { readSettingsFile } from "./readSettingsFile";
 import { serveUntilStopped } from "./serveUntilStopped";
@@ -81,7 +82,7 @@
             lastText = text;
             const result = parseSettingsFile(text, limits);
             if ("faults" in result) {
-                emit(EventId.SettingsRefused, { file, faults: result.faults });
+                emit(EventId.SettingsRefused, { file, faults: namedFaults(result.faults) });
                 return;
             }
             node.reload(result.settings);
