--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -94,6 +94,8 @@
     };
     private readonly eventCounts = new Map<EventId, number>();
 
+    private rendering: Promise<{ readonly text: string; readonly contentType: string; }> | undefined;
+
     private constructor() {
         observeEvents((event, fields) => {
             this.events.inc({ event });
@@ -172,8 +174,13 @@
         }
     }
 
-    /** Renders the metrics as text with its content type. */
-    async render(): Promise<{ readonly text: string; readonly contentType: string; }> {
+    /** Renders the metrics as text with its content type; readers that ask meanwhile share the text. */
+    render(): Promise<{ readonly text: string; readonly contentType: string; }> {
+        this.rendering ??= this.renderOnce().finally(() => this.rendering = undefined);
+        return this.rendering;
+    }
+
+    private async renderOnce(): Promise<{ readonly text: string; readonly contentType: string; }> {
         return { text: await this.registry.metrics(), contentType: this.registry.contentType };
     }
 
--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -92,6 +92,10 @@
         this.store.put({ table: "servers", part: "", key: id }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })));
     }
 
+    get metricsPort(): number {
+        return this.settings.metricsPort;
+    }
+
     /** Largest memory that the process has occupied so far, in MB. */
     get peakMemoryMb(): number {
         return this.readStatusMb("VmHWM");
