--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -38,6 +38,8 @@
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
 export class HeadWatch {
     private readonly readings = new Map<Socket, Reading>();
+    /** The runtime's own callback for bodies of each parser that was wrapped. The runtime uses parsers again, and resets the other callbacks. */
+    private readonly bodyCallbacks = new WeakMap<Parser, Parser[ParserCallback.Body]>();
 
     private constructor(private readonly heads: UnfinishedHeads<Socket>, private readonly close: (socket: Socket) => void) {}
 
@@ -54,7 +56,10 @@
         }
         const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
         this.readings.set(socket, reading);
-        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Body]: body, [ParserCallback.Execute]: execute } = parser;
+        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
+        // A parser that the runtime took back before the close of its connection still has the callback of that one.
+        const body = this.bodyCallbacks.has(parser) ? this.bodyCallbacks.get(parser) : parser[ParserCallback.Body];
+        this.bodyCallbacks.set(parser, body);
         const onBody = (...args: unknown[]): unknown => {
             reading.otherBytes += (args[0] as Buffer).length + chunkFramingBytes;
             return body?.apply(parser, args);
@@ -62,7 +67,6 @@
         socket.once("close", () => {
             this.readings.delete(socket);
             this.heads.release(socket);
-            // The runtime uses parsers again, and resets the other callbacks.
             if (parser[ParserCallback.Body] === onBody) {
                 parser[ParserCallback.Body] = body;
             }
