--- a/src/core/unfinishedHeads.ts
+++ b/src/core/unfinishedHeads.ts
@@ -39,6 +39,10 @@
     /** Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. */
     hold(connection: T, textBytes: number, headers: number): readonly T[] {
         const bytes = textBytes + headers * headerHeapBytes;
+        if (bytes === 0) {
+            this.release(connection);
+            return [];
+        }
         this.used += bytes - (this.held.get(connection) ?? 0);
         this.held.set(connection, bytes);
         const closed: T[] = [];
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -98,10 +98,8 @@
     }
 
     private forget(socket: Socket, reading: Reading): void {
-        if (reading.headBytes > 0) {
-            reading.headBytes = 0;
-            this.heads.release(socket);
-        }
+        reading.headBytes = 0;
+        this.heads.release(socket);
     }
 
     private onRead(socket: Socket, parser: Parser, reading: Reading): void {
--- a/test/unfinishedHeadsBudget.test.ts
+++ b/test/unfinishedHeadsBudget.test.ts
@@ -21,6 +21,7 @@
         { name: "keeps small ones, also old ones", steps: [["a", 1_000], ["b", 200_000], ["c", 150_000]], closed: ["b"], used: 151_000 },
         { name: "keeps a small one that begins when there is no room", steps: [["a", 299_500], ["b", 1_000]], closed: ["a"], used: 1_000 },
         { name: "closes a head that is too large by itself", steps: [["a", 300_001]], closed: ["a"], used: 0 },
+        { name: "counts the age of a head from its first byte", steps: [["a", 0], ["b", 160_000], ["a", 160_000]], closed: ["b"], used: 160_000 },
         { name: "has room again for what was released", steps: [["a", 300_000], ["a"], ["b", 300_000]], closed: [], used: 300_000 },
     ];
     for (const { name, steps, closed, used } of cases) {
