--- a/src/core/unfinishedHeads.ts
+++ b/src/core/unfinishedHeads.ts
@@ -36,8 +36,11 @@
         return this.held.size;
     }
 
-    /** Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. */
-    hold(connection: T, textBytes: number, headers: number): readonly T[] {
+    /**
+     * Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. Those on which `isBusy` knows of
+     * unanswered requests are closed last.
+     */
+    hold(connection: T, textBytes: number, headers: number, isBusy: (connection: T) => boolean = () => false): readonly T[] {
         const bytes = textBytes + headers * headerHeapBytes;
         if (bytes === 0) {
             this.release(connection);
@@ -47,7 +50,7 @@
         this.held.set(connection, bytes);
         const closed: T[] = [];
         while (this.used > this.limitBytes) {
-            const dispensable = this.mostDispensable;
+            const dispensable = this.findDispensable(isBusy);
             if (dispensable === undefined) {
                 break;
             }
@@ -65,13 +68,18 @@
     }
 
     /** The oldest head that is no smaller than the mean: a large one that has just begun may still end, and small ones make no room. */
-    private get mostDispensable(): T | undefined {
+    private findDispensable(isBusy: (connection: T) => boolean): T | undefined {
         const meanBytes = this.used / this.held.size;
+        let oldestBusy: T | undefined;
         for (const [connection, bytes] of this.held) {
-            if (bytes >= meanBytes) {
+            if (bytes < meanBytes) {
+                continue;
+            }
+            if (!isBusy(connection)) {
                 return connection;
             }
+            oldestBusy ??= connection;
         }
-        return undefined;
+        return oldestBusy;
     }
 }
--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -54,7 +54,11 @@
             upstreamConnections: () => gateway.upstreamConnections,
             close: socket => this.closeIdle(socket),
         });
-        this.headWatch = HeadWatch.create(gateway.unfinishedHeads, socket => this.giveUpHead(socket));
+        this.headWatch = HeadWatch.create(
+            gateway.unfinishedHeads,
+            socket => this.descriptors.requestsOn(socket) > 0,
+            socket => this.giveUpHead(socket),
+        );
         server.on("connection", (socket: Socket) => this.onOpened(socket));
         // Before the handler of requests, which asks whether a request is refused.
         server.prependListener("request", (req: IncomingMessage, res: ServerResponse) => this.onRequest(req, res));
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -41,11 +41,15 @@
     /** The runtime's own callback for bodies of each parser that was wrapped. The runtime uses parsers again, and resets the other callbacks. */
     private readonly bodyCallbacks = new WeakMap<Parser, Parser[ParserCallback.Body]>();
 
-    private constructor(private readonly heads: UnfinishedHeads<Socket>, private readonly close: (socket: Socket) => void) {}
+    private constructor(
+        private readonly heads: UnfinishedHeads<Socket>,
+        private readonly isBusy: (socket: Socket) => boolean,
+        private readonly close: (socket: Socket) => void,
+    ) {}
 
-    /** Creates a watch; `close` closes a connection for whose head there is no room. */
-    static create(heads: UnfinishedHeads<Socket>, close: (socket: Socket) => void): HeadWatch {
-        return new HeadWatch(heads, close);
+    /** Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room. */
+    static create(heads: UnfinishedHeads<Socket>, isBusy: (socket: Socket) => boolean, close: (socket: Socket) => void): HeadWatch {
+        return new HeadWatch(heads, isBusy, close);
     }
 
     /** Follows a connection that a server has just accepted. */
@@ -117,7 +121,7 @@
         if ((reading.isInHead || reading.chunked) && !socket.destroyed) {
             // Trailers begin anew after each part of the body.
             reading.headBytes = otherBytes > 0 ? Math.max(0, bytes - otherBytes) : reading.headBytes + bytes;
-            this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2).forEach(this.close);
+            this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2, this.isBusy).forEach(this.close);
         }
     }
 }
--- a/test/headWatch.test.ts
+++ b/test/headWatch.test.ts
@@ -12,7 +12,7 @@
     /** Guards against wrappers that pile up on parsers that the runtime takes back before their connection is closed, as it does at CONNECT. */
     it("leaves a parser that several connections used with the runtime's own callback", () => {
         const heads = UnfinishedHeads.create<Socket>({ heapLimitBytes: () => 1_000_000 });
-        const watch = HeadWatch.create(heads, () => undefined);
+        const watch = HeadWatch.create(heads, () => false, () => undefined);
         const original = (): void => undefined;
         const parser = { [bodyCallback]: original };
         const sockets = Array.from({ length: 5 }, () => Object.assign(new EventEmitter(), { parser, bytesRead: 0 }));
--- a/test/unfinishedHeadsBudget.test.ts
+++ b/test/unfinishedHeadsBudget.test.ts
@@ -8,6 +8,7 @@
 describe("the budget of heads that have not been read to their end", () => {
     /** Heads as they are read: connection, bytes of text, number of headers; connections without bytes are released. */
     type Step = readonly [connection: string, bytes?: number, headers?: number];
+    const busy = new Set(["busy", "busy2"]);
     const cases: readonly { readonly name: string; readonly steps: readonly Step[]; readonly closed: readonly string[]; readonly used: number; }[] = [
         { name: "keeps what fits", steps: [["a", 100_000], ["b", 200_000]], closed: [], used: 300_000 },
         { name: "counts a head once that grows", steps: [["a", 100_000], ["a", 200_000], ["a", 300_000]], closed: [], used: 300_000 },
@@ -21,6 +22,13 @@
         { name: "keeps small ones, also old ones", steps: [["a", 1_000], ["b", 200_000], ["c", 150_000]], closed: ["b"], used: 151_000 },
         { name: "keeps a small one that begins when there is no room", steps: [["a", 299_500], ["b", 1_000]], closed: ["a"], used: 1_000 },
         { name: "closes a head that is too large by itself", steps: [["a", 300_001]], closed: ["a"], used: 0 },
+        { name: "closes those with unanswered requests last", steps: [["busy", 100_000], ["b", 150_000], ["c", 100_000]], closed: ["b"], used: 200_000 },
+        {
+            name: "closes those with unanswered requests if there are no others",
+            steps: [["busy", 200_000], ["busy2", 150_000]],
+            closed: ["busy"],
+            used: 150_000,
+        },
         { name: "counts the age of a head from its first byte", steps: [["a", 0], ["b", 160_000], ["a", 160_000]], closed: ["b"], used: 160_000 },
         { name: "has room again for what was released", steps: [["a", 300_000], ["a"], ["b", 300_000]], closed: [], used: 300_000 },
     ];
@@ -33,7 +41,7 @@
                     heads.release(connection);
                 }
                 else {
-                    seen.push(...heads.hold(connection, bytes, headers));
+                    seen.push(...heads.hold(connection, bytes, headers, name => busy.has(name)));
                 }
             }
             assert.deepEqual(seen, closed);
