--- a/src/core/unfinishedHeads.ts
+++ b/src/core/unfinishedHeads.ts
@@ -13,7 +13,10 @@
 export class UnfinishedHeads<T> {
     /** Bytes by connection, in the order in which the heads began. */
     private readonly held = new Map<T, number>();
+    /** Bytes of connections that were given up: their memory is released only once they are closed. */
+    private readonly closing = new Map<T, number>();
     private used = 0;
+    private usedByClosing = 0;
     /** Heads that were given up so far, for want of room. */
     givenUp = 0;
 
@@ -36,9 +39,14 @@
         return this.held.size;
     }
 
+    /** Whether connections that are about to be closed hold as much as all others may: nothing more should be read until they are. */
+    get isAwaitingCloses(): boolean {
+        return this.usedByClosing > this.limitBytes;
+    }
+
     /**
-     * Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. Those on which `isBusy` knows of
-     * unanswered requests are closed last.
+     * Sets what a connection holds. Returns the connections to close, for which there is no room any more. Those on which `isBusy` knows of unanswered requests are
+     * closed last.
      */
     hold(connection: T, textBytes: number, headers: number, isBusy: (connection: T) => boolean = () => false): readonly T[] {
         const bytes = textBytes + headers * headerHeapBytes;
@@ -54,7 +62,7 @@
             if (dispensable === undefined) {
                 break;
             }
-            this.release(dispensable);
+            this.giveUp(dispensable);
             closed.push(dispensable);
         }
         this.givenUp += closed.length;
@@ -65,6 +73,15 @@
     release(connection: T): void {
         this.used -= this.held.get(connection) ?? 0;
         this.held.delete(connection);
+        this.usedByClosing -= this.closing.get(connection) ?? 0;
+        this.closing.delete(connection);
+    }
+
+    private giveUp(connection: T): void {
+        const bytes = this.held.get(connection) ?? 0;
+        this.release(connection);
+        this.closing.set(connection, bytes);
+        this.usedByClosing += bytes;
     }
 
     /** The oldest head that is no smaller than the mean: a large one that has just begun may still end, and small ones make no room. */
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -40,6 +40,7 @@
     private readonly readings = new Map<Socket, Reading>();
     /** The runtime's own callback for bodies of each parser that was wrapped. The runtime uses parsers again, and resets the other callbacks. */
     private readonly bodyCallbacks = new WeakMap<Parser, Parser[ParserCallback.Body]>();
+    private isPaused = false;
 
     private constructor(
         private readonly heads: UnfinishedHeads<Socket>,
@@ -122,6 +123,26 @@
             // Trailers begin anew after each part of the body.
             reading.headBytes = otherBytes > 0 ? Math.max(0, bytes - otherBytes) : reading.headBytes + bytes;
             this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2, this.isBusy).forEach(this.close);
+            if (this.heads.isAwaitingCloses) {
+                this.pauseReading();
+            }
+        }
+    }
+
+    /** Reads nothing more of heads in this turn of the event loop: connections that were given up are closed, and their memory released, only after all reads of a turn. */
+    private pauseReading(): void {
+        if (this.isPaused) {
+            return;
         }
+        this.isPaused = true;
+        const paused = [...this.readings].filter(([socket, { isInHead, headBytes }]) =>
+            !socket.destroyed && !socket.isPaused() && (isInHead || headBytes > 0 || !this.isBusy(socket))
+        ).map(([socket]) => socket);
+        paused.forEach(socket => socket.pause());
+        const resume = (): void => {
+            this.isPaused = false;
+            paused.filter(({ destroyed }) => !destroyed).forEach(socket => socket.resume());
+        };
+        setImmediate(() => setImmediate(resume));
     }
 }
--- a/test/fakes/headSenders.ts
+++ b/test/fakes/headSenders.ts
@@ -22,17 +22,27 @@
         return new HeadSenders(address, Buffer.from(bytes), comesAgain);
     }
 
-    /** Opens connections, some at a time. */
+    /** Opens connections and sends, some at a time. */
     async send(count: number): Promise<void> {
+        await this.open(count, true);
+    }
+
+    /** Sends on all open connections at once. */
+    sendAll(): void {
+        this.sockets.forEach(socket => socket.write(this.bytes));
+    }
+
+    /** Opens connections, some at a time. */
+    async open(count: number, sends = false): Promise<void> {
         for (let index = 1; index <= count; index++) {
-            this.sendOne();
+            this.openOne(sends);
             if (index % rampCount === 0) {
                 await sleep(rampPauseMs);
             }
         }
     }
 
-    private sendOne(): void {
+    private openOne(sends: boolean): void {
         const [host, port] = this.address.split(":");
         const socket = connect(Number(port), host!);
         this.sockets.add(socket);
@@ -45,10 +55,12 @@
             this.closed++;
             this.sockets.delete(socket);
             if (this.comesAgain && !this.hasLeft) {
-                setTimeout(() => this.hasLeft || this.sendOne(), retryAfterMs);
+                setTimeout(() => this.hasLeft || this.openOne(true), retryAfterMs);
             }
         });
-        socket.write(this.bytes);
+        if (sends) {
+            socket.write(this.bytes);
+        }
     }
 
     /** Closes all connections. */
--- a/test/unfinishedHeads.test.ts
+++ b/test/unfinishedHeads.test.ts
@@ -17,6 +17,7 @@
 /** For how long callers are served beside the others. */
 const besideMs = 4_000;
 const pauseMs = 100;
+const suspendedMs = 1_000;
 /** Deadline of a caller beside the others. */
 const maxAnswerMs = 3_000;
 
@@ -39,6 +40,8 @@
         readonly bytes: number;
         readonly headers: number;
         readonly comesAgain?: boolean;
+        /** Whether the node is suspended while the callers send, so that it reads all in one turn. */
+        readonly isSuspended?: boolean;
     }
     const cases: readonly Case[] = [
         { name: "60 KB in 1,000 headers", bytes: 60_000, headers: 1_000 },
@@ -47,10 +50,12 @@
         { name: "120 KB in 24 headers", bytes: 120_000, headers: 24 },
         { name: "60 KB in 40 headers, behind a request", start: wholeRequest + headStart, bytes: 60_000, headers: 40 },
         { name: "60 KB in 40 headers, from callers that come again", bytes: 60_000, headers: 40, comesAgain: true },
+        { name: "60 KB in 1,000 headers, read in one turn", bytes: 60_000, headers: 1_000, isSuspended: true },
+        { name: "120 KB in 24 headers, read in one turn", bytes: 120_000, headers: 24, isSuspended: true },
         { name: "trailers of 60 KB in 1,000 headers", start: headStart + chunkedBody, bytes: 60_000, headers: 1_000 },
         { name: "trailers of 120 KB in 24 headers", start: headStart + chunkedBody, bytes: 120_000, headers: 24 },
     ];
-    for (const { name, start = headStart, bytes, headers, comesAgain } of cases) {
+    for (const { name, start = headStart, bytes, headers, comesAgain, isSuspended } of cases) {
         it(`goes on, keeps within its memory and serves others: ${name}`, async () => {
             const upstream = await startScriptedUpstream((socket, { id }) => socket.write(answerOf(id, "done")));
             const node = await PlatformProcess.start(
@@ -84,7 +89,15 @@
             };
             try {
                 await waitFor("an answer", isServing, startTimeoutMs);
-                const sent = senders.send(callerCount);
+                const sendWhileSuspended = async (): Promise<void> => {
+                    await senders.open(callerCount);
+                    await sleep(pauseMs);
+                    node.process.kill("SIGSTOP");
+                    senders.sendAll();
+                    await sleep(suspendedMs);
+                    node.process.kill("SIGCONT");
+                };
+                const sent = isSuspended ? sendWhileSuspended() : senders.send(callerCount);
                 const calls: Promise<void>[] = [];
                 const until = performance.now() + besideMs;
                 while (performance.now() < until && (node.process.exitCode ?? node.process.signalCode ?? "runs") === "runs") {
--- a/test/unfinishedHeadsBudget.test.ts
+++ b/test/unfinishedHeadsBudget.test.ts
@@ -49,4 +49,15 @@
             assert.equal(heads.givenUp, closed.length);
         });
     }
+
+    it("knows when connections that are not closed yet hold as much as all others may", () => {
+        const heads = UnfinishedHeads.create<string>({ heapLimitBytes: () => heapLimitBytes });
+        const seen = ["a", "b", "c", "d"].map(name => {
+            heads.hold(name, 200_000, 0);
+            return heads.isAwaitingCloses;
+        });
+        assert.deepEqual(seen, [false, false, true, true]);
+        ["a", "b"].forEach(name => heads.release(name));
+        assert.equal(heads.isAwaitingCloses, false);
+    });
 });
