--- a/src/core/unfinishedHeads.ts
+++ b/src/core/unfinishedHeads.ts
@@ -13,7 +13,10 @@
 export class UnfinishedHeads<T> {
     /** Bytes by connection, in the order in which the heads began. */
     private readonly held = new Map<T, number>();
+    /** Bytes of connections that were given up: their memory is released only once they are closed. */
+    private readonly closing = new Map<T, number>();
     private used = 0;
+    private usedByClosing = 0;
     /** Heads that were given up so far, for want of room. */
     givenUp = 0;
 
@@ -36,18 +39,30 @@
         return this.held.size;
     }
 
-    /** Sets what a connection holds. Returns the connections to close, for which there is no room any more; they are forgotten. */
-    hold(connection: T, textBytes: number, headers: number): readonly T[] {
+    /** Whether connections that are about to be closed hold as much as all others may: nothing more should be read until they are. */
+    get isAwaitingCloses(): boolean {
+        return this.usedByClosing > this.limitBytes;
+    }
+
+    /**
+     * Sets what a connection holds. Returns the connections to close, for which there is no room any more. Those on which `isBusy` knows of unanswered requests are
+     * closed last.
+     */
+    hold(connection: T, textBytes: number, headers: number, isBusy: (connection: T) => boolean = () => false): readonly T[] {
         const bytes = textBytes + headers * headerHeapBytes;
+        if (bytes === 0) {
+            this.release(connection);
+            return [];
+        }
         this.used += bytes - (this.held.get(connection) ?? 0);
         this.held.set(connection, bytes);
         const closed: T[] = [];
         while (this.used > this.limitBytes) {
-            const dispensable = this.mostDispensable;
+            const dispensable = this.findDispensable(isBusy);
             if (dispensable === undefined) {
                 break;
             }
-            this.release(dispensable);
+            this.giveUp(dispensable);
             closed.push(dispensable);
         }
         this.givenUp += closed.length;
@@ -58,16 +73,30 @@
     release(connection: T): void {
         this.used -= this.held.get(connection) ?? 0;
         this.held.delete(connection);
+        this.usedByClosing -= this.closing.get(connection) ?? 0;
+        this.closing.delete(connection);
+    }
+
+    private giveUp(connection: T): void {
+        const bytes = this.held.get(connection) ?? 0;
+        this.release(connection);
+        this.closing.set(connection, bytes);
+        this.usedByClosing += bytes;
     }
 
     /** The oldest head that is no smaller than the mean: a large one that has just begun may still end, and small ones make no room. */
-    private get mostDispensable(): T | undefined {
+    private findDispensable(isBusy: (connection: T) => boolean): T | undefined {
         const meanBytes = this.used / this.held.size;
+        let oldestBusy: T | undefined;
         for (const [connection, bytes] of this.held) {
-            if (bytes >= meanBytes) {
+            if (bytes < meanBytes) {
+                continue;
+            }
+            if (!isBusy(connection)) {
                 return connection;
             }
+            oldestBusy ??= connection;
         }
-        return undefined;
+        return oldestBusy;
     }
 }
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -38,12 +38,19 @@
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
 export class HeadWatch {
     private readonly readings = new Map<Socket, Reading>();
+    /** The runtime's own callback for bodies of each parser that was wrapped. The runtime uses parsers again, and resets the other callbacks. */
+    private readonly bodyCallbacks = new WeakMap<Parser, Parser[ParserCallback.Body]>();
+    private isPaused = false;
 
-    private constructor(private readonly heads: UnfinishedHeads<Socket>, private readonly close: (socket: Socket) => void) {}
+    private constructor(
+        private readonly heads: UnfinishedHeads<Socket>,
+        private readonly isBusy: (socket: Socket) => boolean,
+        private readonly close: (socket: Socket) => void,
+    ) {}
 
-    /** Creates a watch; `close` closes a connection for whose head there is no room. */
-    static create(heads: UnfinishedHeads<Socket>, close: (socket: Socket) => void): HeadWatch {
-        return new HeadWatch(heads, close);
+    /** Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room. */
+    static create(heads: UnfinishedHeads<Socket>, isBusy: (socket: Socket) => boolean, close: (socket: Socket) => void): HeadWatch {
+        return new HeadWatch(heads, isBusy, close);
     }
 
     /** Follows a connection that a server has just accepted. */
@@ -54,7 +61,10 @@
         }
         const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
         this.readings.set(socket, reading);
-        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Body]: body, [ParserCallback.Execute]: execute } = parser;
+        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
+        // A parser that the runtime took back before the close of its connection still has the callback of that one.
+        const body = this.bodyCallbacks.has(parser) ? this.bodyCallbacks.get(parser) : parser[ParserCallback.Body];
+        this.bodyCallbacks.set(parser, body);
         const onBody = (...args: unknown[]): unknown => {
             reading.otherBytes += (args[0] as Buffer).length + chunkFramingBytes;
             return body?.apply(parser, args);
@@ -62,7 +72,6 @@
         socket.once("close", () => {
             this.readings.delete(socket);
             this.heads.release(socket);
-            // The runtime uses parsers again, and resets the other callbacks.
             if (parser[ParserCallback.Body] === onBody) {
                 parser[ParserCallback.Body] = body;
             }
@@ -94,10 +103,8 @@
     }
 
     private forget(socket: Socket, reading: Reading): void {
-        if (reading.headBytes > 0) {
-            reading.headBytes = 0;
-            this.heads.release(socket);
-        }
+        reading.headBytes = 0;
+        this.heads.release(socket);
     }
 
     private onRead(socket: Socket, parser: Parser, reading: Reading): void {
@@ -115,7 +122,27 @@
         if ((reading.isInHead || reading.chunked) && !socket.destroyed) {
             // Trailers begin anew after each part of the body.
             reading.headBytes = otherBytes > 0 ? Math.max(0, bytes - otherBytes) : reading.headBytes + bytes;
-            this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2).forEach(this.close);
+            this.heads.hold(socket, reading.headBytes, (parser._headers?.length ?? 0) / 2, this.isBusy).forEach(this.close);
+            if (this.heads.isAwaitingCloses) {
+                this.pauseReading();
+            }
+        }
+    }
+
+    /** Reads nothing more of heads in this turn of the event loop: connections that were given up are closed, and their memory released, only after all reads of a turn. */
+    private pauseReading(): void {
+        if (this.isPaused) {
+            return;
         }
+        this.isPaused = true;
+        const paused = [...this.readings].filter(([socket, { isInHead, headBytes }]) =>
+            !socket.destroyed && !socket.isPaused() && (isInHead || headBytes > 0 || !this.isBusy(socket))
+        ).map(([socket]) => socket);
+        paused.forEach(socket => socket.pause());
+        const resume = (): void => {
+            this.isPaused = false;
+            paused.filter(({ destroyed }) => !destroyed).forEach(socket => socket.resume());
+        };
+        setImmediate(() => setImmediate(resume));
     }
 }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -32,6 +32,7 @@
 import { createNodePlacement } from "./nodePlacement";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
+import type { SelfCheckItem } from "./selfCheck";
 import { startSelfCheck } from "./selfCheck";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
@@ -53,7 +54,7 @@
 const msPerS = 1_000;
 
 /** Settings that hold from the start of a node to its end. */
-const fixedSettings = ["callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
+const fixedSettings = ["nodeId", "callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
 /** Interval at which the heap is checked, beside the checks of requests. */
 const heapCheckIntervalMs = 500;
 
@@ -62,7 +63,7 @@
     private lease: ControllerLease | undefined;
     private readonly stopped = new AbortController();
     private readonly stopping = new AbortController();
-    /** Aborts if the settings name other addresses before the node has started at those that it was created with. */
+    /** Aborts if the settings name another ID or other addresses before the node has started at those that it was created with. */
     private readonly outdated = new AbortController();
     private hasStarted = false;
 
@@ -88,7 +89,7 @@
 
     /**
      * Starts following the store and accepting requests, once all ports for callers, peers and the load balancer can be used; `onUnable` is called if the node can no
-     * longer serve. Returns false if it was stopped before, or if the settings have come to name other addresses: such a node is renewed.
+     * longer serve. Returns false if it was stopped before, or if the settings have come to name another ID or other addresses: such a node is renewed.
      */
     async start(onUnable: () => void = () => undefined): Promise<boolean> {
         const { settings, gateway, server, store } = this;
@@ -137,7 +138,7 @@
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
-        this.serveMetrics();
+        const metricsCheck = this.serveMetrics();
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
@@ -156,32 +157,44 @@
             { name: "listener for callers", isSound: () => gateway.isStopping || server.isListening, mend: relisten(callerPort) },
             { name: "listener for readiness checks", isSound: () => gateway.isStopping || readiness.listening, mend: relisten(readinessPort) },
             { name: "listener for peers", isSound: () => gateway.isStopping || peerPort.server.listening, mend: relisten(peerPort) },
+            metricsCheck,
         ], onUnable);
         startTimes.mark(StartStep.Started);
         emit(EventId.NodeStarted, { node: settings.nodeId, zone: settings.availabilityZone, store: settings.storeAddress, startMs: startTimes.summary });
         return true;
     }
 
-    /** Serves metrics as soon as their port can be used; callers do not wait for that. */
-    private serveMetrics(): void {
+    /** Serves metrics as soon as their port can be used; callers do not wait for that. Returns the check that they are still served. */
+    private serveMetrics(): SelfCheckItem {
         const address = this.settings.metricsAddress;
         const server = createMetricsServer(this.metrics);
-        this.stopped.signal.addEventListener("abort", () => {
+        const { signal } = this.stopped;
+        let wasOpened = false;
+        const open = async (): Promise<void> => {
+            try {
+                wasOpened = await listenOnAll([{ server, address }], PassingWaits.create(signal));
+            }
+            catch (err) {
+                wasOpened = false;
+                emit(EventId.MetricsUnserved, { address, reason: errorCodeOf(err) });
+            }
+        };
+        signal.addEventListener("abort", () => {
             server.close();
             server.closeAllConnections();
         });
-        listenOnAll([{ server, address }], PassingWaits.create(this.stopped.signal))
-            .catch((err: unknown) => emit(EventId.MetricsUnserved, { address, reason: errorCodeOf(err) }));
+        void open();
+        return { name: "listener for metrics", isSound: () => !wasOpened || signal.aborted || server.listening, mend: open, isOptional: true };
     }
 
-    /** Applies reloaded settings; addresses keep their values from startup. */
+    /** Applies reloaded settings; the ID and the addresses keep their values from startup. */
     reload(next: PlatformNodeSettings): void {
-        const { callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
+        const { nodeId, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress } = this.settings;
         this.latestSettings = next;
         if (!this.hasStarted && fixedSettings.some(name => next[name] !== this.settings[name])) {
             this.outdated.abort();
         }
-        this.gateway.settings = { ...next, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
+        this.gateway.settings = { ...next, nodeId, callerAddress, readyAddress, peerAddress, metricsAddress, storeAddress };
         emit(EventId.SettingsReloaded, { retrySlack: next.retrySlack, seeds: next.seeds.length });
     }
 
