--- a/src/core/upstreamAvailability.ts
+++ b/src/core/upstreamAvailability.ts
@@ -4,6 +4,7 @@
 import type { IgnoredHeader } from "../types/upstreamWord";
 import type { LeavingUpstream, UpstreamProcess, UpstreamWord } from "../types/upstreamWord";
 import { emit } from "../utils/events";
+import { BrittleUpstreams } from "./brittleUpstreams";
 import { LeavingUpstreams } from "./leavingUpstreams";
 import { QuietTimes } from "./quietTimes";
 import type { RevisionCounter } from "./sharedLog";
@@ -42,6 +43,8 @@
 
 /** Decides which upstreams may get requests, from the directory and from what the upstreams say in their answers. */
 export class UpstreamAvailability {
+    /** The upstreams that said that they are brittle. */
+    readonly brittle: BrittleUpstreams;
     private readonly leaving: LeavingUpstreams;
     private readonly quiet: QuietTimes;
     private readonly ignored = new Map<IgnoredHeader, number>();
@@ -56,6 +59,7 @@
         private readonly now: () => number,
     ) {
         this.leaving = LeavingUpstreams.create(counter, id => directory.get(id) !== undefined);
+        this.brittle = BrittleUpstreams.create(counter, id => directory.get(id)?.service);
         this.quiet = QuietTimes.create(now);
     }
 
@@ -126,13 +130,20 @@
         return this.hasSaidLeaving(server) ? { ...server, state: UpstreamState.Draining } : server;
     }
 
-    /** Records what an answer says of the upstream that sent it; `request` is named in the log. */
-    onAnswer(addressed: AddressedUpstream, word: UpstreamWord, request?: string): void {
+    /**
+     * Records what an answer says of the upstream that sent it; `request` is named in the log, `sentAt` is when it was sent. Without that time, nothing follows from
+     * what the answer does not say.
+     */
+    onAnswer(addressed: AddressedUpstream, word: UpstreamWord, request?: string, sentAt?: number): void {
         word.ignoredHeaders.forEach(reason => this.onIgnored(reason, addressed.id));
-        if (!word.isLeaving && word.quietMs === undefined) {
+        const mayEndBrittle = sentAt !== undefined && this.brittle.size > 0;
+        if (!word.isLeaving && word.quietMs === undefined && word.maxRejectionsPerS === undefined && !mayEndBrittle) {
             return;
         }
         const speaker = this.speakerOf(addressed, word);
+        if (speaker) {
+            this.brittle.onAnswer(speaker, word, request, sentAt);
+        }
         if (speaker && word.isLeaving && this.leaving.add(speaker, ChangeOrigin.Below)) {
             this.logLeaving(speaker, ChangeOrigin.Below, request);
             this.onOutgoing();
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -9,10 +9,11 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming } from "./answerFraming";
 import { AnswerRelay } from "./answerRelay";
-import type { AttemptGuard, OutgoingRequest } from "./attempt";
+import type { OutgoingRequest } from "./attempt";
 import { sendAttempt } from "./attempt";
 import type { AttemptEnd } from "./attemptEnd";
 import { AttemptEndKind, unsentKinds } from "./attemptEnd";
+import { createAttemptGuard } from "./attemptGuard";
 import { AttemptOutcome } from "./attemptOutcome";
 import { AttemptTimers } from "./attemptTimers";
 import type { Call } from "./call";
@@ -119,11 +120,7 @@
         const { server } = choice.candidate;
         logSent(call, choice, send);
         const pool = gateway.connectionPoolOf(server.id, server.address);
-        const guard: AttemptGuard = {
-            mayStillSend: () => gateway.availability.mayStillSend(server),
-            onArrival: openedAt => gateway.contact.onWord(processKey(server), openedAt),
-            onAnyHead: decoded => gateway.availability.onAnswer(server, decoded, call.caller.requestId),
-        };
+        const guard = createAttemptGuard(gateway, call, server, this.sentAt);
         const toRequest = (): OutgoingRequest => {
             const req = toOutgoingRequest(gateway, call, this.relay, server.id);
             call.progress.mayHaveRun = true;
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -86,6 +86,7 @@
         crashLog.onOutgoing = exchangeSoon;
         runnerLimits.onOutgoing = exchangeSoon;
         availability.onOutgoing = exchangeSoon;
+        availability.brittle.onOutgoing = exchangeSoon;
         crashLog.isTrialNode = part => this.link.epoch !== undefined && ownerOf(part, this.pacerNodes.addresses) === this.pacerNodes.self;
     }
 
--- a/src/placement/factExchange.ts
+++ b/src/placement/factExchange.ts
@@ -69,10 +69,11 @@
         return { source: this.source, revision: this.counter.value, facts: this.factsSince(source === this.source ? knownRevision : 0, false) };
     }
 
-    private apply({ crashes, limits, leaving = [] }: SharedFacts, origin: ChangeOrigin): void {
+    private apply({ crashes, limits, leaving = [], brittle = [] }: SharedFacts, origin: ChangeOrigin): void {
         crashes.forEach(crash => this.crashLog.add(crash, origin));
         limits.forEach(limit => this.limits.add(limit, origin));
         leaving.forEach(upstream => this.availability.add(upstream, origin));
+        brittle.forEach(upstream => this.availability.brittle.add(upstream, origin));
     }
 
     private factsSince(revision: number, isOutgoing: boolean): SharedFacts {
@@ -80,6 +81,7 @@
             crashes: this.crashLog.changesSince(revision, isOutgoing),
             limits: this.limits.changesSince(revision, isOutgoing),
             leaving: this.availability.changesSince(revision, isOutgoing),
+            brittle: this.availability.brittle.changesSince(revision, isOutgoing),
         };
     }
 }
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -10,7 +10,7 @@
 import { UpstreamState } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
-import { age, count, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
+import { age, brittleUpstreams, count, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
 
 const texts = z.array(z.string());
 
@@ -40,6 +40,7 @@
         crashes: z.array(z.object({ id: z.string(), ageMs: age, suspects: z.array(texts), cleared: texts })),
         limits: z.array(z.object({ runner: z.string(), perSecond: quantity.optional(), ageMs: age })),
         leaving: leavingUpstreams.optional(),
+        brittle: brittleUpstreams.optional(),
     }),
 });
 
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -35,13 +35,14 @@
     }
 }
 
-const toMutableFacts = ({ source, knownRevision, facts: { crashes, limits, leaving } }: FactReport) => ({
+const toMutableFacts = ({ source, knownRevision, facts: { crashes, limits, leaving, brittle } }: FactReport) => ({
     source,
     knownRevision,
     facts: {
         crashes: crashes.map(({ id, ageMs, suspects, cleared }) => ({ id, ageMs, suspects: suspects.map(parts => [...parts]), cleared: [...cleared] })),
         limits: [...limits],
         leaving: leaving && [...leaving],
+        brittle: brittle && [...brittle],
     },
 });
 
--- a/src/placement/peerSchemas.ts
+++ b/src/placement/peerSchemas.ts
@@ -3,7 +3,7 @@
 import { EventId } from "../types/eventId";
 import { createStoreVersion, maxStoreCounter, maxStoreEra } from "../types/storeVersion";
 import { UpstreamFault } from "../types/upstreamFault";
-import type { LeavingUpstream } from "../types/upstreamWord";
+import type { BrittleUpstream, LeavingUpstream } from "../types/upstreamWord";
 import { emit } from "../utils/events";
 
 /** A number that is neither negative nor infinite. */
@@ -15,19 +15,25 @@
 export const storeVersion = count.max(createStoreVersion(maxStoreEra, maxStoreCounter));
 export const hostAddress = z.string().refine(isHostAddress, "must be IP:PORT");
 
-/** Limits on the upstreams that said that they are leaving, in one report or answer. */
-const maxLeavingUpstreams = 8_192;
+/** Limits on the upstreams that one list of a report or answer names. */
+const maxListedUpstreams = 8_192;
 const maxUpstreamIdLength = 200;
 const leavingUpstream = z.object({ id: z.string().min(1).max(maxUpstreamIdLength), bornAt: count, ageMs: age });
+const brittleUpstream = leavingUpstream.extend({ service: z.string().optional(), maxRejectionsPerS: count.optional() });
 
-const toLeavingUpstreams = (entries: readonly unknown[]): readonly LeavingUpstream[] =>
-    entries.slice(0, maxLeavingUpstreams).flatMap(entry => {
-        const result = leavingUpstream.safeParse(entry);
-        if (!result.success) {
-            emit(EventId.PeerEntryIgnored, { reason: UpstreamFault.Form });
-        }
-        return result.success ? [result.data] : [];
-    });
+/** A list whose entries are checked one by one, so that an odd one does not hide the others. */
+const listOf = <T>(entrySchema: z.ZodType<T>) =>
+    z.array(z.unknown()).transform(entries =>
+        entries.slice(0, maxListedUpstreams).flatMap(entry => {
+            const result = entrySchema.safeParse(entry);
+            if (!result.success) {
+                emit(EventId.PeerEntryIgnored, { reason: UpstreamFault.Form });
+            }
+            return result.success ? [result.data] : [];
+        })
+    );
 
-/** Upstreams that said that they are leaving. An entry is checked by itself, so that an odd one does not hide the others. */
-export const leavingUpstreams = z.array(z.unknown()).transform(toLeavingUpstreams);
+/** Upstreams that said that they are leaving. */
+export const leavingUpstreams = listOf<LeavingUpstream>(leavingUpstream);
+/** Upstreams that said that they are brittle, or no longer say so. */
+export const brittleUpstreams = listOf<BrittleUpstream>(brittleUpstream);
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -19,7 +19,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
-import { age, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
+import { age, brittleUpstreams, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
 import { VersionedPeers } from "./versionedPeers";
 
@@ -46,6 +46,7 @@
         })).max(maxReportedCrashes),
         limits: z.array(z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity.optional(), ageMs: age })),
         leaving: leavingUpstreams.optional(),
+        brittle: brittleUpstreams.optional(),
     }),
 });
 const peerNodeSchema = z.object({ address: hostAddress, zone: z.string(), cores: quantity });
--- a/src/platform/upstreamWordDecoder.ts
+++ b/src/platform/upstreamWordDecoder.ts
@@ -8,6 +8,12 @@
 /** Decimal seconds; a date, a sign or an exponent is not allowed. */
 const secondsPattern = /^(?:\d+(?:\.\d*)?|\.\d+)$/;
 
+const wholePattern = /^\d+$/;
+/** A larger number of rejections is not credible. */
+const maxBrittleValue = 1_000_000;
+
+const decodeBrittle = (text: string): number | undefined => wholePattern.test(text) && Number(text) <= maxBrittleValue ? Number(text) : undefined;
+
 const valuesOf = (headers: HeaderMap, name: string): readonly string[] => {
     const value = headers[name];
     return value === undefined ? [] : typeof value === "string" ? [value] : value;
@@ -36,5 +42,7 @@
             text => secondsPattern.test(text) ? Number(text) * msPerSecond : undefined,
         )
         : undefined;
-    return { isLeaving, quietMs, instanceId: valuesOf(headers, "instance-id")[0], isMisdirected: status === misdirectedStatus, ignoredHeaders };
+    const maxRejectionsPerS = decodeOnce("server-brittle", IgnoredHeader.BrittleRepeated, IgnoredHeader.BrittleValue, decodeBrittle);
+    const instanceId = valuesOf(headers, "instance-id")[0];
+    return { isLeaving, quietMs, maxRejectionsPerS, instanceId, isMisdirected: status === misdirectedStatus, ignoredHeaders };
 };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -49,6 +49,8 @@
     UpstreamContactDoubted = 321,
     UpstreamContactLost = 322,
     ContactProbeFailed = 323,
+    UpstreamBrittle = 324,
+    UpstreamBrittleEnded = 325,
     RequestRefused = 401,
     AttemptFailed = 402,
     StreamResumed = 403,
--- a/src/types/sharedFacts.ts
+++ b/src/types/sharedFacts.ts
@@ -1,6 +1,6 @@
 import type { RunnerCrash } from "./runnerCrash";
 import type { RunnerLimit } from "./runnerLimit";
-import type { LeavingUpstream } from "./upstreamWord";
+import type { BrittleUpstream, LeavingUpstream } from "./upstreamWord";
 
 /** What nodes observe and tell all others, with the reports and answers that they exchange anyway. */
 export interface SharedFacts {
@@ -8,6 +8,8 @@
     readonly limits: readonly RunnerLimit[];
     /** Absent from nodes of earlier versions. */
     readonly leaving?: readonly LeavingUpstream[];
+    /** Absent from nodes of earlier versions. */
+    readonly brittle?: readonly BrittleUpstream[];
 }
 
 /** A node's facts for the peer that it reports to. */
--- a/src/types/upstreamWord.ts
+++ b/src/types/upstreamWord.ts
@@ -1,5 +1,7 @@
 /** Why a header about an upstream's availability is ignored. */
 export enum IgnoredHeader {
+    BrittleRepeated = "brittle_repeated",
+    BrittleValue = "brittle_value",
     LeavingRepeated = "leaving_repeated",
     LeavingValue = "leaving_value",
     QuietRepeated = "quiet_repeated",
@@ -12,6 +14,10 @@
     readonly isLeaving: boolean;
     /** Time for which the upstream asks this node for no further requests. */
     readonly quietMs?: number;
+    /** Rejections in a second beyond which the upstream fails; undefined if it does not say that it is brittle. */
+    readonly maxRejectionsPerS?: number;
+    /** Whether the answer carries the signature of the upstream that ran the request; undefined where that is not known. */
+    readonly isSigned?: boolean;
     /** ID of the upstream that sent the answer, if it names itself. */
     readonly instanceId?: string;
     /** Whether the answer is from another upstream than the one that was addressed, or that one lacks what was asked for. */
@@ -25,6 +31,15 @@
     readonly bornAt: number;
 }
 
+/** What is known of an upstream that has said that it is brittle, as nodes tell each other. */
+export interface BrittleUpstream extends UpstreamProcess {
+    /** Undefined if its directory entry was not known. */
+    readonly service?: string;
+    /** Undefined once its answers no longer say that it is brittle. */
+    readonly maxRejectionsPerS?: number;
+    readonly ageMs: number;
+}
+
 /** What an upstream said of its leaving, as nodes tell each other. */
 export interface LeavingUpstream extends UpstreamProcess {
     readonly ageMs: number;
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -52,6 +52,10 @@
     [EventId.UpstreamSaidLeaving]:
         "an upstream stated in an answer to this node, or to the one that told it, that it is leaving; this process gets no new requests",
     [EventId.UpstreamQuiet]: "an upstream answered 503 and asked for no requests of this node for a time; `request` names the request, `leftMs` the time left",
+    [EventId.UpstreamBrittle]:
+        "an upstream said that it is brittle: it fails if it rejects more than `maxRejectionsPerS` requests in a second for want of room; `origin` says who heard it, `ageMs` how long ago",
+    [EventId.UpstreamBrittleEnded]:
+        "answers of an upstream no longer say that it is brittle, or none has said so for long (`reason`), `afterMs` after the first one that did",
     [EventId.UpstreamHeaderIgnored]:
         "a header of an answer about its upstream's availability is not valid and was ignored; `count` is the number of them since the start",
     [EventId.UpstreamContactHeld]:
--- a/test/upstreamWordDecoder.test.ts
+++ b/test/upstreamWordDecoder.test.ts
@@ -15,11 +15,14 @@
         { name: "quiet twice", headers: { "retry-after": ["1", "1"] }, reason: IgnoredHeader.QuietRepeated },
         ...["", " ", "-1", "+1", "1e3", "0x10", "NaN", "Infinity", "1,5", "1 s", ".", "Wed, 21 Oct 2026 07:28:00 GMT"]
             .map(text => ({ name: `quiet "${text}"`, headers: { "retry-after": text }, reason: IgnoredHeader.QuietValue })),
+        { name: "brittle twice", headers: { "server-brittle": ["8", "8"] }, reason: IgnoredHeader.BrittleRepeated },
+        ...["", " ", "-1", "+1", "1.5", "8, 8", "1e3", "0x10", "NaN", "many", "1000001", "99999999999999999999"]
+            .map(text => ({ name: `brittle "${text}"`, headers: { "server-brittle": text }, reason: IgnoredHeader.BrittleValue })),
     ];
     for (const { name, headers, reason } of invalid) {
         it(`is ignored with a reason: ${name}`, () => {
-            const { isLeaving, quietMs, ignoredHeaders } = decodeUpstreamWord(503, headers);
-            assert.deepEqual([isLeaving, quietMs, ignoredHeaders], [false, undefined, [reason]]);
+            const { isLeaving, quietMs, maxRejectionsPerS, ignoredHeaders } = decodeUpstreamWord(503, headers);
+            assert.deepEqual([isLeaving, quietMs, maxRejectionsPerS, ignoredHeaders], [false, undefined, undefined, [reason]]);
         });
     }
 
@@ -29,6 +32,7 @@
         readonly headers: HeaderMap;
         readonly isLeaving?: boolean;
         readonly quietMs?: number;
+        readonly maxRejectionsPerS?: number;
     }[] = [
         { name: "leaving", status: 200, headers: { "server-leaving": "1" }, isLeaving: true },
         { name: "whole seconds of quiet", status: 503, headers: { "retry-after": "2" }, quietMs: 2_000 },
@@ -36,11 +40,18 @@
         { name: "no quiet by another status", status: 429, headers: { "retry-after": "2" } },
         { name: "no quiet by a date in an answer of another status", status: 200, headers: { "retry-after": "Wed, 21 Oct 2026 07:28:00 GMT" } },
         { name: "leaving beside an invalid time", status: 200, headers: { "server-leaving": "1", "retry-after": "soon" }, isLeaving: true },
+        ...[200, 404, 421, 429, 500, 503].map(status => ({
+            name: `brittle in an answer ${status}`,
+            status,
+            headers: { "server-brittle": " 8 " },
+            maxRejectionsPerS: 8,
+        })),
+        { name: "brittle without any rejection", status: 200, headers: { "server-brittle": "0" }, maxRejectionsPerS: 0 },
     ];
-    for (const { name, status, headers, isLeaving = false, quietMs } of valid) {
+    for (const { name, status, headers, isLeaving = false, quietMs, maxRejectionsPerS } of valid) {
         it(`is decoded: ${name}`, () => {
             const word = decodeUpstreamWord(status, headers);
-            assert.deepEqual([word.isLeaving, word.quietMs, word.ignoredHeaders], [isLeaving, quietMs, []]);
+            assert.deepEqual([word.isLeaving, word.quietMs, word.maxRejectionsPerS, word.ignoredHeaders], [isLeaving, quietMs, maxRejectionsPerS, []]);
         });
     }
 });
