--- a/src/core/requestPacer.ts
+++ b/src/core/requestPacer.ts
@@ -1,4 +1,5 @@
 import type { Permit, PermitRequest } from "../types/sendPermit";
+import { UpstreamRooms } from "./upstreamRooms";
 
 /** Runners whose next turn is remembered; beyond this, those with the earliest turns are forgotten. */
 const maxRunners = 4_096;
@@ -6,8 +7,13 @@
 /** Turns at a runner that takes no requests, so that its answer tells when it does again. */
 const recheckPerS = 0.1;
 
-/** Gives turns at runners that have named a limit, evenly spaced. One node does so for each runner, so that the limit holds for all nodes together. */
+/**
+ * Gives turns at runners that have named a limit, evenly spaced, and places at those that are brittle. One node does so for each runner, so that the limit holds for
+ * all nodes together.
+ */
 export class RequestPacer {
+    /** The places of brittle runners. */
+    readonly rooms = UpstreamRooms.create();
     private readonly nextTurnAt = new Map<string, number>();
 
     private constructor() {}
@@ -21,8 +27,25 @@
         return this.nextTurnAt.size;
     }
 
+    /** Gives a place if the runner is brittle, and the next turn if it has named a limit. A place without a turn is given back. */
+    async acquire(req: PermitRequest): Promise<Permit> {
+        const { runner, place } = req;
+        const permit = place ? await this.rooms.take(runner, place) : undefined;
+        if (permit?.isGranted === false) {
+            return permit;
+        }
+        const turn = this.reserve(req);
+        if (place && !turn.isGranted) {
+            this.rooms.report({ node: place.node, returned: [{ runner, id: place.id, isRejected: false }], unplaced: [] });
+        }
+        return turn;
+    }
+
     /** Gives the next turn, unless it would be too late for the request. */
     reserve({ runner, perSecond, maxWaitMs }: PermitRequest): Permit {
+        if (perSecond === undefined) {
+            return { isGranted: true, waitMs: 0 };
+        }
         const now = performance.now();
         const turnAt = Math.max(now, this.nextTurnAt.get(runner) ?? now);
         const waitMs = turnAt - now;
--- a/src/core/requestQueue.ts
+++ b/src/core/requestQueue.ts
@@ -12,7 +12,7 @@
 const minFirstTokenMs = 60;
 
 /** Whether `a` is served before `b`: requests that can still meet their objective first, then by priority, then by due time. */
-const isServedBefore = (a: QueuedRequest, b: QueuedRequest, now: number): boolean => {
+export const isServedBefore = (a: QueuedRequest, b: QueuedRequest, now: number): boolean => {
     const aIsLate = a.firstTokenDueAt - now < minFirstTokenMs;
     const bIsLate = b.firstTokenDueAt - now < minFirstTokenMs;
     if (aIsLate !== bIsLate) {
--- a/src/core/runnerLimits.ts
+++ b/src/core/runnerLimits.ts
@@ -72,7 +72,12 @@
 
     /** Records how long the next turn at a runner takes. */
     onPermit(runner: string, waitMs: number): void {
+        this.nextTurnAt.delete(runner);
         this.nextTurnAt.set(runner, performance.now() + waitMs);
+        if (this.nextTurnAt.size > maxLimits) {
+            const [oldest] = this.nextTurnAt.keys();
+            this.nextTurnAt.delete(oldest!);
+        }
     }
 
     /** What the limit adds to the predicted time of a request at a runner; undefined without a limit. */
--- /dev/null
+++ b/src/core/runnerRoom.ts
@@ -0,0 +1,196 @@
+import type { PlaceRequest } from "../types/sendPermit";
+
+/** Time after the first request for a place within which what the nodes report of their load counts as well: they have not told yet which requests they have in progress. */
+const settleMs = 1_000;
+/** A node's count of its requests without a place is forgotten after this time. */
+const unplacedLifetimeMs = 1_500;
+/** Share of the rejections that an upstream bears in a second which may come from requests that are sent although it may be full. */
+const trialShare = 0.25;
+/** An upstream that bears no rejections gets such requests as one that bears this many. */
+const minRejectionsPerS = 0.2;
+/** Share of the rejections that an upstream bears in a second after which it gets no requests until that second is over. */
+const riskShare = 0.5;
+/** An upstream rejects a request within this time, or not for want of room. */
+const rejectedWithinMs = 250;
+/** Time after a rejection in which each request counts as one that the upstream may reject. */
+const cautionMs = 2_000;
+/** Shortest interval between two rises of the room. */
+const minRaiseIntervalMs = 100;
+/** Time for which a place is assumed to be held until one has been given back, and the weight of each that is. */
+const initialHoldMs = 200;
+const smoothingFactor = 0.2;
+/** A node that gives places of less than one to itself leaves as much time again between two. */
+const turnSpacingFactor = 2;
+const msPerSecond = 1_000;
+
+interface Place {
+    readonly since: number;
+    readonly expiresAt: number;
+}
+
+interface Unplaced {
+    readonly count: number;
+    readonly expiresAt: number;
+}
+
+/** What decides on the room of an upstream, of each request for a place. */
+export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load">;
+
+/** The places of one brittle upstream: no more requests than it has slots, and fewer after it has rejected some. */
+export class RunnerRoom {
+    private readonly places = new Map<string, Place>();
+    private readonly unplacedByNode = new Map<string, Unplaced>();
+    /** When the upstream rejected requests, within the last second. */
+    private rejectedAt: number[] = [];
+    private readonly createdAt = performance.now();
+    /** Requests in progress when a place was first asked for. */
+    private initialLoad: number | undefined;
+    /** Requests that the upstream is known to take at a time; undefined while it has rejected none. */
+    private learned: number | undefined;
+    private raiseAt = 0;
+    private cautiousUntil = 0;
+    private nextGrantAt = 0;
+    private averageHoldMs = initialHoldMs;
+
+    private constructor() {}
+
+    /** Creates the room of an upstream of which no request is known. */
+    static create(): RunnerRoom {
+        return new RunnerRoom();
+    }
+
+    /** Whether nothing is known that a new room would not know. */
+    get isIdle(): boolean {
+        this.removeExpired();
+        return this.places.size + this.unplacedByNode.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
+            this.learned === undefined;
+    }
+
+    /** Requests in progress at the upstream, as far as they are known for certain. */
+    get inUse(): number {
+        this.removeExpired();
+        return this.places.size + [...this.unplacedByNode.values()].reduce((sum, { count }) => sum + count, 0);
+    }
+
+    /** Takes a place if there is room; returns whether it did. */
+    take(id: string, holdMs: number, terms: RoomTerms): boolean {
+        const now = performance.now();
+        const inUse = this.usedBy(terms);
+        if (now < this.nextGrantAt || !this.mayRisk(terms) || !(inUse < this.roomOf(terms) || this.raise(inUse, terms))) {
+            return false;
+        }
+        this.places.set(id, { since: now, expiresAt: now + holdMs });
+        this.nextGrantAt = now + this.spacingMs(terms);
+        return true;
+    }
+
+    /** Estimated time until a place is free for a request with others ahead of it. */
+    expectedWaitMs(terms: RoomTerms, ahead: number): number {
+        const now = performance.now();
+        const room = this.roomOf(terms);
+        const excess = Math.max(0, this.usedBy(terms) - room);
+        const spacingMs = Math.max(this.expectedHoldMs / room, this.spacingMs(terms));
+        return Math.max(this.nextGrantAt - now, 0) + (ahead + excess + 1) * spacingMs;
+    }
+
+    /** Time for which a place is held: that of those given back, or the age of the others if they are held for longer. */
+    private get expectedHoldMs(): number {
+        const now = performance.now();
+        const ages = [...this.places.values()].reduce((sum, { since }) => sum + now - since, 0);
+        return Math.max(this.averageHoldMs, ages / Math.max(1, this.places.size));
+    }
+
+    /** Gives a place back. */
+    giveBack(id: string): void {
+        const place = this.places.get(id);
+        if (place) {
+            this.places.delete(id);
+            this.averageHoldMs += smoothingFactor * (performance.now() - place.since - this.averageHoldMs);
+        }
+    }
+
+    /** Records that the upstream rejected a request for want of room, which is no longer in use. */
+    onRejected(): void {
+        const now = performance.now();
+        this.learned = Math.max(1, Math.min(this.learned ?? Number.POSITIVE_INFINITY, this.inUse));
+        this.cautiousUntil = now + cautionMs;
+        this.rejectedAt.push(now);
+        this.raiseAt = Math.max(this.raiseAt, now + minRaiseIntervalMs);
+    }
+
+    /** Records how many requests without a place a node has in progress there. */
+    setUnplaced(node: string, count: number): void {
+        if (count > 0) {
+            this.unplacedByNode.set(node, { count, expiresAt: performance.now() + unplacedLifetimeMs });
+        }
+        else {
+            this.unplacedByNode.delete(node);
+        }
+    }
+
+    private get isSettling(): boolean {
+        return performance.now() - this.createdAt < settleMs;
+    }
+
+    private usedBy({ load }: RoomTerms): number {
+        if (!this.isSettling) {
+            return this.inUse;
+        }
+        this.initialLoad ??= load;
+        return Math.max(this.inUse, this.places.size + this.initialLoad);
+    }
+
+    private roomOf({ slots, share }: RoomTerms): number {
+        const ownSlots = Math.max(1, Math.floor(slots * share));
+        return Math.min(ownSlots, this.learned ?? ownSlots);
+    }
+
+    /** Raises a room that was learned by one, if that is due and the upstream may have more; returns whether it did. */
+    private raise(inUse: number, terms: RoomTerms): boolean {
+        const now = performance.now();
+        const { slots, share } = terms;
+        if (this.learned === undefined || inUse > this.learned || now < this.raiseAt || this.learned + 1 > Math.floor(slots * share)) {
+            return false;
+        }
+        this.learned++;
+        this.raiseAt = now + this.trialIntervalMs(terms);
+        if (this.learned >= slots) {
+            this.learned = undefined;
+        }
+        return true;
+    }
+
+    /** Whether the upstream may reject one more request. One that has taken requests for a while, and rejected none, is taken to have room. */
+    private mayRisk({ share, maxRejectionsPerS }: RoomTerms): boolean {
+        const now = performance.now();
+        this.rejectedAt = this.rejectedAt.filter(at => at > now - msPerSecond);
+        const rejected = this.rejectedAt.length;
+        if (rejected > 0) {
+            return rejected + 1 <= riskShare * share * maxRejectionsPerS;
+        }
+        const isTrusted = this.learned === undefined && !this.isSettling;
+        return isTrusted || this.youngPlaces < Math.max(1, share * maxRejectionsPerS);
+    }
+
+    /** Places of requests that the upstream may still reject. */
+    private get youngPlaces(): number {
+        const now = performance.now();
+        return [...this.places.values()].filter(({ since }) => now - since < rejectedWithinMs).length;
+    }
+
+    private trialIntervalMs({ share, maxRejectionsPerS }: RoomTerms): number {
+        return Math.max(minRaiseIntervalMs, msPerSecond / (trialShare * share * Math.max(minRejectionsPerS, maxRejectionsPerS)));
+    }
+
+    private spacingMs(terms: RoomTerms): number {
+        const ownSlots = terms.slots * terms.share;
+        const turnMs = ownSlots < 1 ? turnSpacingFactor * this.averageHoldMs / ownSlots : 0;
+        return Math.max(turnMs, performance.now() < this.cautiousUntil ? this.trialIntervalMs(terms) : 0);
+    }
+
+    private removeExpired(): void {
+        const now = performance.now();
+        this.places.forEach(({ expiresAt }, id) => expiresAt <= now && this.places.delete(id));
+        this.unplacedByNode.forEach(({ expiresAt }, node) => expiresAt <= now && this.unplacedByNode.delete(node));
+    }
+}
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -19,11 +19,15 @@
 import { recordDemand } from "./recordDemand";
 import type { Refusal } from "./refusal";
 import { SendTally } from "./sendTally";
+import { TurnTaker } from "./turnTaker";
 import { stoppingRefusal, untilExit } from "./untilExit";
-import { mayBeginAt, pinTakenUpStream } from "./versionPin";
-import { waitForTurn } from "./waitForTurn";
+import { pinTakenUpStream } from "./versionPin";
 import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
 
+const unavailableStatus = 503;
+/** Why there is no further attempt: the caller is told this and when to come back. */
+const relayedRefusals: ReadonlySet<FailureKind> = new Set([FailureKind.UpstreamsQuiet, FailureKind.UpstreamsBrittle, FailureKind.Stopping]);
+
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
     private readonly tried = new Set<string>();
@@ -32,6 +36,7 @@
     private readonly tally: SendTally;
     private readonly answer: FinalAnswer;
     private readonly peers: PeerForwarder;
+    private readonly turns: TurnTaker;
     /** Outcome of the latest attempt; undefined before the first one. */
     private outcome: AttemptOutcome | undefined;
     /** Upstream that was chosen while the latest attempt was still in progress. */
@@ -45,6 +50,7 @@
         this.tally = SendTally.create(call, this.gate);
         this.answer = FinalAnswer.create(gateway, call, this.attempts, this.tally);
         this.peers = PeerForwarder.create(gateway, call, this.attempts.relay, this.tally, this.gate);
+        this.turns = TurnTaker.create(gateway, call, { tried: this.tried, waitForUpstream: () => this.waitForUpstream() });
     }
 
     /** Creates the forwarder of a request. */
@@ -75,6 +81,7 @@
         }
         finally {
             gateway.quietWaiters.remove(call.service, call);
+            this.turns.close();
         }
     }
 
@@ -148,24 +155,14 @@
         return waitForUpstream(gateway, call, this.tried, this.gate);
     }
 
-    /** Waits until a request may be sent to the chosen upstream, or to another one that takes it sooner or is still available after the wait. */
+    /** Waits until a request may be sent to the chosen upstream, or to another one. */
     private async waitForTurn(choice: UpstreamChoice): Promise<UpstreamChoice | Refusal> {
         const { gateway, call } = this;
-        for (let next: UpstreamChoice | Refusal = choice;;) {
-            call.progress.step = RequestStep.Turn;
-            const denied = await waitForTurn(gateway, call, next);
-            const mayBegin = !denied && await mayBeginAt(gateway, call, next);
-            if (mayBegin && gateway.availability.mayTake(next.candidate.server)) {
-                return refuseQuarantined(gateway, this.gate) ?? (this.attempts.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? next : stoppingRefusal);
-            }
-            if (denied) {
-                this.tried.add(next.candidate.server.id);
-            }
-            next = await this.waitForUpstream();
-            if (isRefusal(next)) {
-                return denied && next.kind === undefined ? denied : next;
-            }
+        const next = await this.turns.take(choice);
+        if (isRefusal(next)) {
+            return next;
         }
+        return refuseQuarantined(gateway, this.gate) ?? (this.attempts.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? next : stoppingRefusal);
     }
 
     private async attempt(choice: UpstreamChoice): Promise<AttemptOutcome> {
@@ -176,6 +173,7 @@
         this.tried.add(server.id);
         tally.add(1, 0);
         const outcome = await this.attempts.run(choice, tally.sends, this.failOver());
+        this.turns.onAttemptEnd(server, outcome === AttemptOutcome.NotRun && this.attempts.relay.head?.status === unavailableStatus);
         if (unsentOutcomes.has(outcome)) {
             tally.add(-1, 0);
         }
@@ -237,7 +235,7 @@
 
     /** Answers a request for which there is no further upstream. */
     private refuseNext(outcome: AttemptOutcome, refusal: Refusal): void {
-        if (refusal.kind === FailureKind.UpstreamsQuiet || refusal.kind === FailureKind.Stopping) {
+        if (refusal.kind !== undefined && relayedRefusals.has(refusal.kind)) {
             this.answer.refuseOrFinish(outcome, refusal);
         }
         else {
--- a/src/forward/placement.ts
+++ b/src/forward/placement.ts
@@ -1,14 +1,16 @@
 import { RequestPacer } from "../core/requestPacer";
 import type { PlacementAnswer, PlacementRequest } from "../types/placement";
-import type { Permit, PermitRequest } from "../types/sendPermit";
+import type { Permit, PermitRequest, ReturnedPlace } from "../types/sendPermit";
 
 /** Places models and adapters on runners as requests need them. */
 export interface Placement {
     place(req: PlacementRequest): Promise<PlacementAnswer>;
     /** Adds a request's estimated work to the demand for an artifact, in milliseconds of a runner's time. */
     countWork(artifact: string, workMs: number): void;
-    /** Requests a turn at a runner that has named a limit. */
+    /** Requests a turn at a runner that has named a limit, or a place at one that is brittle. */
     acquirePermit(req: PermitRequest): Promise<Permit>;
+    /** Gives a place at a brittle runner back, or tells of a request without one that was rejected. */
+    returnPlace(place: ReturnedPlace): void;
     /** Whether this node is the controller. */
     readonly isController: boolean;
 }
@@ -19,6 +21,7 @@
 export const disabledPlacement: Placement = {
     place: () => Promise.resolve({ readyInMs: 0, isComing: false }),
     countWork: () => {},
-    acquirePermit: req => Promise.resolve(ownPacer.reserve(req)),
+    acquirePermit: req => ownPacer.acquire(req.place ? { ...req, place: { ...req.place, unplaced: 0 } } : req),
+    returnPlace: place => ownPacer.rooms.report({ node: "", returned: [place], unplaced: [] }),
     isController: false,
 };
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -18,11 +18,17 @@
 export const serversWithModel = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
     gateway.availability.servingOf(service).filter(server => gateway.residency.hasModel(server, model));
 
+/** What a limit that an upstream has named, or the wait for a place at a brittle one, adds to the predicted time; undefined if it is neither. */
+const turnDelayOf = ({ runnerLimits, availability }: Gateway, server: UpstreamServer): number | undefined => {
+    const runner = processKey(server);
+    return runnerLimits.delayOf(runner) ?? (availability.brittle.limitOf(server) === undefined ? undefined : runnerLimits.expectedWaitMs(runner));
+};
+
 /** Describes an upstream for the choice; `preferred` is the one that is assumed to have the prompt cached. */
 export const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
-    const turnDelayMs = gateway.runnerLimits.delayOf(processKey(server));
+    const turnDelayMs = turnDelayOf(gateway, server);
     if (!modelRequest) {
         return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1, turnDelayMs };
     }
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -1,39 +1,100 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
 import { EventId } from "../types/eventId";
+import type { PlaceRequest } from "../types/sendPermit";
 import { processKey } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { HeldPlace } from "./heldPlace";
 import type { Refusal } from "./refusal";
 
-/** Waits for a turn at an upstream if it has named a limit. Refuses at once if the turn would come too late for an answer. */
-export const waitForTurn = async (gateway: Gateway, call: Call, choice: UpstreamChoice): Promise<Refusal | undefined> => {
-    const { runnerLimits, placement } = gateway;
+/** A place is free again this long after the deadline of its request, if it has not been given back. */
+const placeMarginMs = 500;
+
+/** Why a request got neither a turn nor a place. */
+export interface TurnDenial extends Refusal {
+    /** Whether the upstream is brittle and has no room; `retryAfterMs` is an estimate then. */
+    readonly isFull: boolean;
+    /** Whether it was to be queued for a place. */
+    readonly wasQueued: boolean;
+}
+
+/** Time that an upstream needs for a request once it is sent. */
+export const neededMsOf = ({ caller: { modelRequest, lastEventId } }: Call, choice: UpstreamChoice): number =>
+    modelRequest && lastEventId === undefined ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
+
+const toPlaceRequest = (gateway: Gateway, call: Call, choice: UpstreamChoice, maxRejectionsPerS: number, maxQueueMs: number): PlaceRequest => {
+    const { server, traffic } = choice.candidate;
+    const now = performance.now();
+    return {
+        id: HeldPlace.createId(),
+        node: gateway.settings.peerAddress,
+        holdMs: Math.max(0, call.deadlineAt - now) + placeMarginMs,
+        slots: server.slots,
+        share: 1,
+        maxRejectionsPerS,
+        load: traffic.load,
+        unplaced: traffic.inFlight,
+        maxQueueMs,
+        dueInMs: call.startedAt + call.route.latencyObjectiveMs - now,
+        priority: call.route.priority,
+    };
+};
+
+/**
+ * Waits for a turn at an upstream if it has named a limit, and for a place if it is brittle, at most for `maxQueueMs`. Refuses at once if the turn would come too late
+ * for an answer.
+ */
+export const waitForTurn = async (
+    gateway: Gateway,
+    call: Call,
+    choice: UpstreamChoice,
+    held: HeldPlace,
+    maxQueueMs = 0,
+): Promise<TurnDenial | undefined> => {
+    const { runnerLimits, placement, availability } = gateway;
     const { server } = choice.candidate;
     const runner = processKey(server);
     const perSecond = runnerLimits.limitOf(runner);
-    if (perSecond === undefined) {
+    const maxRejectionsPerS = availability.brittle.limitOf(server);
+    if (perSecond === undefined && maxRejectionsPerS === undefined) {
         return undefined;
     }
     const { modelRequest } = call.caller;
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
     const maxWaitMs = Math.max(0, call.deadlineAt - performance.now() - neededMs);
     const expectedWaitMs = runnerLimits.expectedWaitMs(runner);
-    // A turn that is known to be too late is not asked for.
-    const permit = expectedWaitMs > maxWaitMs
-        ? { isGranted: false, waitMs: expectedWaitMs }
-        : await placement.acquirePermit({ runner, perSecond, maxWaitMs });
+    const place = maxRejectionsPerS === undefined ? undefined : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs));
+    // What is known to be too late is not asked for.
+    const isKnownToBeLate = place ? expectedWaitMs > 0 && maxQueueMs === 0 : expectedWaitMs > maxWaitMs;
+    const permit = isKnownToBeLate
+        ? { isGranted: false, waitMs: expectedWaitMs, isFull: place !== undefined }
+        : await placement.acquirePermit({ runner, perSecond, maxWaitMs, place });
+    runnerLimits.onPermit(runner, permit.waitMs);
     if (!permit.isGranted) {
-        runnerLimits.onPermit(runner, permit.waitMs);
-        emit(EventId.PermitDenied, { request: call.caller.requestId, upstream: server.id, perSecond, waitMs: Math.round(permit.waitMs) });
+        const isFull = permit.isFull === true;
+        emit(EventId.PermitDenied, {
+            request: call.caller.requestId,
+            upstream: server.id,
+            perSecond,
+            maxRejectionsPerS,
+            isFull,
+            waitMs: Math.round(permit.waitMs),
+        });
         return {
-            detail: `the upstream takes ${perSecond} requests a second, the next one in ${Math.round(permit.waitMs)} ms`,
+            detail: isFull
+                ? `the upstream is brittle and has no room, probably for ${Math.round(permit.waitMs)} ms`
+                : `the upstream takes ${perSecond} requests a second, the next one in ${Math.round(permit.waitMs)} ms`,
             retryAfterMs: permit.waitMs,
+            isFull,
+            wasQueued: maxQueueMs > 0,
         };
     }
-    runnerLimits.onPermit(runner, permit.waitMs);
+    if (place) {
+        held.hold(runner, place.id);
+    }
     await sleep(permit.waitMs, call.signal);
     return undefined;
 };
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -1,6 +1,7 @@
 import type { ControllerLease } from "../core/controllerLease";
 import { DemandReporter } from "../core/demandReporter";
 import { toFailure } from "../core/failures";
+import { brittleRequests } from "../forward/brittleRequests";
 import type { Gateway } from "../forward/gateway";
 import type { Placement } from "../forward/placement";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
@@ -8,7 +9,7 @@
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
-import type { Permit, PermitRequest } from "../types/sendPermit";
+import type { Permit, PermitRequest, ReturnedPlace } from "../types/sendPermit";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
@@ -17,10 +18,11 @@
 import type { ControllerLink } from "./controllerLink";
 import { applyDirectory } from "./directoryExchange";
 import type { LocalComponents } from "./localComponents";
+import type { PacerNodes } from "./pacerNodes";
+import { pacerNodesOf } from "./pacerNodes";
 import { decodePeerAnswer } from "./peerAnswerDecoder";
 import { PeerClients, toMutableReport } from "./peerClients";
 import { PeerDirectory } from "./peerDirectory";
-import type { PacerNodes } from "./permitClient";
 import { PermitClient } from "./permitClient";
 import { PlacementClient } from "./placementClient";
 import { addLoads } from "./reportedNodes";
@@ -87,6 +89,7 @@
         runnerLimits.onOutgoing = exchangeSoon;
         availability.onOutgoing = exchangeSoon;
         availability.brittle.onOutgoing = exchangeSoon;
+        this.permits.start(() => brittleRequests(this.gateway), signal);
         crashLog.isTrialNode = part => this.link.epoch !== undefined && ownerOf(part, this.pacerNodes.addresses) === this.pacerNodes.self;
     }
 
@@ -99,10 +102,8 @@
         this.demandReporter.count(artifact, workMs);
     }
 
-    /** Requests a turn at a runner that has named a limit. */
-    acquirePermit(req: PermitRequest): Promise<Permit> {
-        return this.permits.acquire(req);
-    }
+    readonly acquirePermit = (req: PermitRequest): Promise<Permit> => this.permits.acquire(req);
+    readonly returnPlace = (place: ReturnedPlace): void => this.permits.returnPlace(place);
 
     /** Requests a model or adapter from the controller. */
     place(req: PlacementRequest): Promise<PlacementAnswer> {
@@ -114,11 +115,9 @@
         return this.peers.largestCores;
     }
 
-    /** The nodes that share per-runner duties: all known ones, or the seeds before any are known. */
+    /** The nodes that share per-runner duties. */
     private get pacerNodes(): PacerNodes {
-        const { peerAddress, seeds } = this.gateway.settings;
-        const isFleetKnown = this.link.epoch !== undefined;
-        return { self: peerAddress, addresses: [...new Set(isFleetKnown ? [peerAddress, ...this.peers.addresses] : seeds)].sort() };
+        return pacerNodesOf(this.gateway.settings, this.link, this.peers);
     }
 
     private get self(): PeerNode {
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -71,7 +71,7 @@
     isUncertain: z.boolean().optional(),
 });
 
-const permitSchema = z.object({ isGranted: z.boolean(), waitMs: quantity });
+const permitSchema = z.object({ isGranted: z.boolean(), waitMs: quantity, isFull: z.boolean().optional() });
 
 const decodeWith = <T>(schema: z.ZodType<T>, answer: unknown): T => {
     const result = schema.safeParse(answer);
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -76,7 +76,26 @@
     unreachable: z.array(z.string()),
 });
 
-const permitSchema = z.object({ runner: z.string().max(maxPartIdLength), perSecond: quantity, maxWaitMs: z.number() });
+const runnerKey = z.string().max(maxPartIdLength);
+const placeSchema = z.object({
+    id: z.string().max(maxPartIdLength),
+    node: hostAddress,
+    holdMs: quantity,
+    slots: quantity,
+    share: z.number().positive().max(1),
+    maxRejectionsPerS: quantity,
+    load: quantity,
+    unplaced: quantity,
+    maxQueueMs: z.number(),
+    dueInMs: z.number(),
+    priority: z.number(),
+});
+const permitSchema = z.object({ runner: runnerKey, perSecond: quantity.optional(), maxWaitMs: z.number(), place: placeSchema.optional() });
+const placeReportSchema = z.object({
+    node: hostAddress,
+    returned: z.array(z.object({ runner: runnerKey, id: z.string().max(maxPartIdLength).optional(), isRejected: z.boolean() })),
+    unplaced: z.array(z.object({ runner: runnerKey, count: quantity })),
+});
 const announcementSchema = z.object({ peerAddress: hostAddress, epoch: storeVersion });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
@@ -213,8 +232,10 @@
         exchange: t.procedure.input(reportSchema).mutation(({ input }): PeerAnswer => peerServer.exchange(input)),
         /** Receives the announcement that another node has become controller. */
         announce: t.procedure.input(announcementSchema).mutation(({ input }) => peerServer.recordAnnouncement(input)),
-        /** Returns the next turn at a runner that has named a limit and that this node paces. */
-        permit: t.procedure.input(permitSchema).mutation(({ input }) => peerServer.pacer.reserve(input)),
+        /** Returns the next turn at a runner that has named a limit, or a place at a brittle one, which this node paces. */
+        permit: t.procedure.input(permitSchema).mutation(({ input }) => peerServer.pacer.acquire(input)),
+        /** Takes places of brittle runners back that this node paces. */
+        places: t.procedure.input(placeReportSchema).mutation(({ input }) => peerServer.pacer.rooms.report(input)),
         /** Returns where a model or adapter can be used. */
         place: t.procedure.input(placementSchema).mutation(({ input }) => controller.place(input)),
     });
--- a/src/placement/permitClient.ts
+++ b/src/placement/permitClient.ts
@@ -1,52 +1,119 @@
 import { toFailure } from "../core/failures";
 import type { RequestPacer } from "../core/requestPacer";
 import { EventId } from "../types/eventId";
-import type { Permit, PermitRequest } from "../types/sendPermit";
+import type { Permit, PermitRequest, ReturnedPlace } from "../types/sendPermit";
 import { emit } from "../utils/events";
 import { rankByHashCached } from "../utils/hash";
+import { repeat } from "../utils/time";
+import type { PacerNodes } from "./pacerNodes";
 import { decodePermit } from "./peerAnswerDecoder";
 import type { PeerClients } from "./peerClients";
+import { PlaceLedger } from "./placeLedger";
+import { PlaceReporter } from "./placeReporter";
 
+/** Interval at which requests in progress without a place are reported. */
+const reportIntervalMs = 400;
 /** Time for which a peer that did not answer is not asked. */
 const failedPeerMs = 2_000;
 /** Peers that are asked for one permit, in the order of their rank for the runner. */
 const maxAskedPeers = 2;
+/** Part of a brittle upstream that a node hands out in place of the first one, which others may still reach. */
+const deputyShare = 0.5;
 
-/** The nodes among which each runner's pacer is chosen. */
-export interface PacerNodes {
-    readonly self: string;
-    /** Addresses of all nodes including this one, or those of the seeds while only these are known. */
-    readonly addresses: readonly string[];
+/** This node's requests in progress at a brittle upstream. */
+interface RunnerRequests {
+    readonly runner: string;
+    readonly count: number;
 }
 
-/** Asks for turns at runners that have named a limit: at one node for each runner, which all nodes find by rendezvous hashing. */
+/** Asks for turns and places at runners: at one node for each runner, which all nodes find by rendezvous hashing. */
 export class PermitClient {
     private readonly failedUntil = new Map<string, number>();
+    private readonly ledger = PlaceLedger.create();
+    private readonly reporter: PlaceReporter;
+    /** Runners for which requests without a place were reported last. */
+    private reportedRunners: ReadonlySet<string> = new Set();
 
-    private constructor(private readonly clients: PeerClients, private readonly pacer: RequestPacer, private readonly nodes: () => PacerNodes) {}
+    private constructor(private readonly clients: PeerClients, private readonly pacer: RequestPacer, private readonly nodes: () => PacerNodes) {
+        this.reporter = PlaceReporter.create(clients, pacer.rooms, () => nodes().self);
+    }
 
-    /** Creates a client; the pacer gives the turns at the runners that this node paces itself. */
+    /** Creates a client; the pacer gives the turns and places at the runners that this node paces itself. */
     static create(clients: PeerClients, pacer: RequestPacer, nodes: () => PacerNodes): PermitClient {
         return new PermitClient(clients, pacer, nodes);
     }
 
-    /** The next turn at a runner. A node that reaches none of the pacers paces its own share of the limit. */
+    /** Reports this node's requests at brittle upstreams, as `requests` returns them, until the signal aborts. */
+    start(requests: () => readonly RunnerRequests[], signal: AbortSignal): void {
+        const onFailed = (err: unknown): void => emit(EventId.PeerExchangeFailed, { detail: toFailure(err).detail });
+        void repeat(() => Promise.resolve(this.reportRequests(requests())), () => reportIntervalMs, signal, onFailed);
+    }
+
+    /** The next turn, or a place, at a runner. A node that reaches none of the pacers paces its own share of the limit. */
     async acquire(req: PermitRequest): Promise<Permit> {
+        const { runner, perSecond } = req;
         const { self, addresses } = this.nodes();
-        const now = performance.now();
-        const ranked = rankByHashCached(req.runner, addresses).filter(address => (this.failedUntil.get(address) ?? 0) <= now);
-        for (const address of ranked.slice(0, maxAskedPeers)) {
+        const first = rankByHashCached(runner, addresses)[0];
+        for (const address of this.pacersOf(runner).slice(0, maxAskedPeers)) {
+            const asked = this.withPlaceOf(req, address, address === first ? 1 : deputyShare);
             if (address === self) {
-                return this.pacer.reserve(req);
+                return this.record(asked, address, await this.pacer.acquire(asked));
             }
             try {
-                return decodePermit(await this.clients.get(address).permit.mutate(req));
+                return this.record(asked, address, decodePermit(await this.clients.get(address).permit.mutate(asked)));
             }
             catch (err) {
                 this.failedUntil.set(address, performance.now() + failedPeerMs);
-                emit(EventId.PeerExchangeFailed, { peer: address, runner: req.runner, detail: toFailure(err).detail });
+                emit(EventId.PeerExchangeFailed, { peer: address, runner, detail: toFailure(err).detail });
+                if (asked.place) {
+                    // It may have been given all the same.
+                    this.reporter.onReturned(address, { runner, id: asked.place.id, isRejected: false });
+                }
+            }
+        }
+        const nodeCount = Math.max(1, addresses.length);
+        const own = this.withPlaceOf({ ...req, perSecond: perSecond === undefined ? undefined : perSecond / nodeCount }, self, 1 / nodeCount);
+        return this.record(own, self, await this.pacer.acquire(own));
+    }
+
+    /** Gives a place back, or tells of a request without one that was rejected. */
+    returnPlace(place: ReturnedPlace): void {
+        const known = place.id === undefined ? undefined : this.ledger.remove(place.id);
+        const address = known?.address ?? this.pacersOf(place.runner)[0] ?? this.nodes().self;
+        this.reporter.onReturned(address, place);
+    }
+
+    /** Tells the pacers of brittle upstreams which requests are in progress there without a place of theirs. */
+    reportRequests(requests: readonly RunnerRequests[]): void {
+        const reported = new Set<string>();
+        for (const { runner, count } of requests) {
+            const address = this.pacersOf(runner)[0] ?? this.nodes().self;
+            const unplaced = Math.max(0, count - this.ledger.countOf({ runner, address }));
+            if (unplaced > 0) {
+                reported.add(runner);
             }
+            if (unplaced > 0 || this.reportedRunners.has(runner)) {
+                this.reporter.onUnplaced(address, runner, unplaced);
+            }
+        }
+        this.reportedRunners = reported;
+    }
+
+    /** The nodes that may pace a runner, in their order, without those that failed lately. */
+    private pacersOf(runner: string): readonly string[] {
+        const now = performance.now();
+        return rankByHashCached(runner, this.nodes().addresses).filter(address => (this.failedUntil.get(address) ?? 0) <= now);
+    }
+
+    private withPlaceOf(req: PermitRequest, address: string, share: number): PermitRequest {
+        const { runner, place } = req;
+        return place ? { ...req, place: { ...place, share, unplaced: Math.max(0, place.unplaced - this.ledger.countOf({ runner, address })) } } : req;
+    }
+
+    private record({ runner, place }: PermitRequest, address: string, permit: Permit): Permit {
+        if (place && permit.isGranted) {
+            this.ledger.add(place.id, { runner, address });
         }
-        return this.pacer.reserve({ ...req, perSecond: req.perSecond / Math.max(1, addresses.length) });
+        return permit;
     }
 }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -79,6 +79,7 @@
     QuietDecided = 430,
     ConnectionStale = 431,
     RequestUnanswered = 432,
+    PlaceAwaited = 433,
     RequestPassedOn = 440,
     RelayEnded = 441,
     RequestTakenOver = 442,
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -17,6 +17,7 @@
     QueueFull = "queue-full",
     NoUpstream = "no-upstream",
     UpstreamsQuiet = "upstreams-quiet",
+    UpstreamsBrittle = "upstreams-brittle",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
     HeapShort = "heap-short",
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -1,15 +1,59 @@
-/** Request for the permission to send one request to a runner that has named a limit. */
+/** Request for one of the places of a brittle upstream. */
+export interface PlaceRequest {
+    /** Identifies the place until it is given back. */
+    readonly id: string;
+    /** The node that asks. */
+    readonly node: string;
+    /** Time after which the place is free again, if it has not been given back. */
+    readonly holdMs: number;
+    readonly slots: number;
+    /** Part of the upstream that the asked node hands out: less than 1 if others may do so at the same time. */
+    readonly share: number;
+    /** Rejections in a second beyond which the upstream fails. */
+    readonly maxRejectionsPerS: number;
+    /** Requests in progress at the upstream, of all nodes, as far as the asking node knows. */
+    readonly load: number;
+    /** The asking node's requests in progress there for which the asked node has given no place. */
+    readonly unplaced: number;
+    /** Time for which the request may be queued for a place. */
+    readonly maxQueueMs: number;
+    /** Time until the first token is due, and the priority of the route. */
+    readonly dueInMs: number;
+    readonly priority: number;
+}
+
+/** Request for the permission to send one request to a runner that has named a limit, or is brittle. */
 export interface PermitRequest {
     /** Identifies the runner's process. */
     readonly runner: string;
-    readonly perSecond: number;
+    /** Undefined if it has named no limit. */
+    readonly perSecond?: number;
     /** A later turn than this is of no use. */
     readonly maxWaitMs: number;
+    /** Undefined if it is not brittle. */
+    readonly place?: PlaceRequest;
 }
 
-/** The next turn at a runner that has named a limit. */
+/** The next turn at a runner that has named a limit, or a place at one that is brittle. */
 export interface Permit {
     /** Whether the turn was given to the request; otherwise it would be too late for it. */
     readonly isGranted: boolean;
     readonly waitMs: number;
+    /** Whether it was denied for want of room: `waitMs` is an estimate then. */
+    readonly isFull?: boolean;
+}
+
+/** A place that is given back, or the end of an attempt that had none. */
+export interface ReturnedPlace {
+    readonly runner: string;
+    readonly id?: string;
+    /** Whether the upstream rejected the request for want of room. */
+    readonly isRejected: boolean;
+}
+
+/** What a node tells the one that hands out places: those that it gives back, and its requests in progress without one. */
+export interface PlaceReport {
+    readonly node: string;
+    readonly returned: readonly ReturnedPlace[];
+    readonly unplaced: readonly { readonly runner: string; readonly count: number; }[];
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -84,7 +84,10 @@
         "a quarantine of prompt parts or of a request ended: answered elsewhere without a crash, expired, or replaced by a more precise one",
     [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether runners still crash on it",
     [EventId.RunnerLimitChanged]: "a runner named another limit on its requests, or none any more, to this node or another one",
-    [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
+    [EventId.PermitDenied]:
+        "a request got no turn in time at a runner that has named a limit, or no place at a brittle one; it goes to another runner, waits or is refused",
+    [EventId.PlaceAwaited]:
+        "all upstreams that could run a request are brittle and have no room; it waits for a place (`isWaiting`) or is refused; `upstream` has room first, in `waitMs`",
     [EventId.AnswerEndChecked]:
         "an answer without a length or chunks ended with its connection, and its upstream was asked for a connection: if it has ended, the answer was cut off",
     [EventId.StreamTakenUp]:
