--- a/src/core/brittleUpstreams.ts
+++ b/src/core/brittleUpstreams.ts
@@ -8,7 +8,7 @@
 /** A word that no answer has confirmed for this long is forgotten. */
 const wordLifetimeMs = 600_000;
 /** A word that is confirmed is told to other nodes at this interval, so that it does not expire there. */
-const confirmIntervalMs = 10_000;
+const confirmIntervalMs = 60_000;
 const maxEntries = 2_048;
 
 interface Known extends UpstreamProcess {
@@ -34,6 +34,8 @@
 export class BrittleUpstreams {
     private readonly entries: SharedLog<Known>;
     private readonly latestByService = new Map<string, Known>();
+    /** When this node last merged a word of each upstream; confirmations are told to others less often. */
+    private readonly confirmedAt = new Map<string, number>();
     /** Entries that say that their process is brittle. */
     private count = 0;
     /** Called when this node, or one that reports to it, heard of a change. */
@@ -76,7 +78,7 @@
         const service = this.serviceOf(id);
         const entry = this.findOwn(process) ?? (service === undefined ? undefined : this.latestByService.get(service));
         // An answer to a request from before the word may have been written before it.
-        const endsWord = sentAt !== undefined && entry?.maxRejectionsPerS !== undefined && sentAt > entry.at;
+        const endsWord = sentAt !== undefined && entry?.maxRejectionsPerS !== undefined && sentAt > this.latestAt(entry);
         if (maxRejectionsPerS !== undefined || endsWord) {
             this.merge({ id, bornAt, service, maxRejectionsPerS, ageMs: 0 }, ChangeOrigin.Below, request);
         }
@@ -95,6 +97,10 @@
         return changes.map(({ id, bornAt, service, maxRejectionsPerS, at }) => ({ id, bornAt, service, maxRejectionsPerS, ageMs: performance.now() - at }));
     }
 
+    private latestAt({ id, at }: Known): number {
+        return Math.max(at, this.confirmedAt.get(id) ?? at);
+    }
+
     private findOwn({ id, bornAt }: UpstreamProcess): Known | undefined {
         const known = this.entries.get(id);
         return known && known.bornAt >= bornAt ? known : undefined;
@@ -103,9 +109,10 @@
     private merge({ id, bornAt, service = this.serviceOf(id), maxRejectionsPerS, ageMs }: BrittleUpstream, origin: ChangeOrigin, request?: string): void {
         const at = performance.now() - ageMs;
         const latest = this.entries.get(id);
-        if (latest && (bornAt < latest.bornAt || (bornAt === latest.bornAt && at <= latest.at))) {
+        if (latest && (bornAt < latest.bornAt || (bornAt === latest.bornAt && at <= this.latestAt(latest)))) {
             return;
         }
+        this.confirmedAt.set(id, at);
         const known = latest?.bornAt === bornAt ? latest : undefined;
         const isChanged = known ? known.maxRejectionsPerS !== maxRejectionsPerS : true;
         if (!isChanged && known && at - known.at < confirmIntervalMs) {
@@ -140,7 +147,10 @@
     private removeSurplus(): void {
         if (this.entries.size > maxEntries) {
             const byAge = [...this.entries.values()].sort((a, b) => a.at - b.at);
-            byAge.slice(0, this.entries.size - maxEntries).forEach(({ id }) => this.entries.delete(id));
+            for (const { id } of byAge.slice(0, this.entries.size - maxEntries)) {
+                this.entries.delete(id);
+                this.confirmedAt.delete(id);
+            }
         }
     }
 }
--- a/test/brittleUpstreams.test.ts
+++ b/test/brittleUpstreams.test.ts
@@ -172,6 +172,17 @@
             limits: [undefined, undefined, undefined, undefined],
             outgoing: 1,
         },
+        {
+            name: "an end that is older than a confirmation is ignored",
+            act: () => {
+                answerIn(5, brittle);
+                clock.tick(1_000);
+                answerIn(5, brittle);
+                known.add({ ...first, maxRejectionsPerS: undefined, ageMs: 500 });
+            },
+            limits: [8, 8, undefined, 8],
+            outgoing: 1,
+        },
         {
             name: "a word from the uplink is not sent back",
             act: () => known.add({ ...first, maxRejectionsPerS: 8, ageMs: 100 }, ChangeOrigin.Uplink),
