--- a/src/forward/contactMonitor.ts
+++ b/src/forward/contactMonitor.ts
@@ -18,6 +18,9 @@
 /** Sends a probe over a new connection and calls `onOpened` once that is open; resolves with what any answer says of its upstream. */
 export type AskUpstream = (server: UpstreamServer, service: ServiceSpec, signal: AbortSignal, onOpened: () => void) => Promise<UpstreamWord>;
 
+/** Brittle upstreams are probed only if there are fewer others than this. */
+const minSturdyTargets = 6;
+
 /** Probes upstreams to find out whether this node reaches any of them over its own links. */
 export class ContactMonitor {
     private constructor(private readonly gateway: Gateway, private readonly ask: AskUpstream) {}
@@ -51,7 +54,10 @@
 
     private targets(): readonly UpstreamServer[] {
         const { directory, availability, config } = this.gateway;
-        return directory.all().filter(server => config?.services.has(server.service) && availability.mayCall(server));
+        const targets = directory.all().filter(server => config?.services.has(server.service) && availability.mayCall(server));
+        // A health check may be rejected for want of room, as a request is.
+        const sturdy = availability.brittle.size === 0 ? targets : targets.filter(server => availability.brittle.limitOf(server) === undefined);
+        return sturdy.length >= minSturdyTargets ? sturdy : targets;
     }
 
     private async probe(server: UpstreamServer): Promise<void> {
--- a/src/forward/findAlternative.ts
+++ b/src/forward/findAlternative.ts
@@ -1,17 +1,23 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
 import { isSaturated } from "../core/saturation";
+import { processKey } from "../types/upstreamServer";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
 import { selectUpstream } from "./selectUpstream";
 
-/** Finds an upstream that can take a request now while it is in progress elsewhere, and takes a retry of the budget for it. */
+/** Finds an upstream that can take a request now while it is in progress elsewhere: one without a limit, and not a brittle one that had no room lately. */
 export const findAlternative = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): UpstreamChoice | undefined => {
     const { modelRequest } = call.caller;
     const choice = selectUpstream(gateway, call, tried);
-    if (!choice || choice.candidate.turnDelayMs !== undefined || (modelRequest && isSaturated(choice, call.route))) {
+    if (!choice) {
+        return undefined;
+    }
+    const { server, turnDelayMs } = choice.candidate;
+    const isBrittle = gateway.availability.brittle.limitOf(server) !== undefined && gateway.runnerLimits.limitOf(processKey(server)) === undefined;
+    if ((isBrittle ? turnDelayMs! > 0 : turnDelayMs !== undefined) || (modelRequest && isSaturated(choice, call.route))) {
         return undefined;
     }
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-    return neededMs <= call.deadlineAt - performance.now() && gateway.budgetOf(call.service).withdraw() ? choice : undefined;
+    return neededMs <= call.deadlineAt - performance.now() ? choice : undefined;
 };
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -11,7 +11,6 @@
 import { mayRepeat } from "./call";
 import { canFinishBeforeExit, mayFinishBeforeExit } from "./canFinishBeforeExit";
 import { FinalAnswer, refusedRetryAfterMs } from "./finalAnswer";
-import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { PeerForwarder } from "./peerForwarder";
 import { goesOnThroughPeer, goesThroughPeer, isStranded, strandedRefusal, unreachableRefusal } from "./peerPath";
@@ -50,7 +49,7 @@
         this.tally = SendTally.create(call, this.gate);
         this.answer = FinalAnswer.create(gateway, call, this.attempts, this.tally);
         this.peers = PeerForwarder.create(gateway, call, this.attempts.relay, this.tally, this.gate);
-        this.turns = TurnTaker.create(gateway, call, { tried: this.tried, waitForUpstream: () => this.waitForUpstream() });
+        this.turns = TurnTaker.create(gateway, call, this.tried, () => this.waitForUpstream());
     }
 
     /** Creates the forwarder of a request. */
@@ -206,7 +205,7 @@
                 this.leavesForPeer = gateway.budgetOf(call.service).withdraw();
                 return this.leavesForPeer;
             }
-            this.alternative = mayRunAgain ? findAlternative(gateway, call, this.tried) : undefined;
+            this.alternative = mayRunAgain ? this.turns.takeAlternative() : undefined;
             return this.alternative !== undefined;
         };
     }
--- a/src/forward/heldPlace.ts
+++ b/src/forward/heldPlace.ts
@@ -1,21 +1,14 @@
-import { randomUUID } from "node:crypto";
-import type { Placement } from "./placement";
+import type { Gateway } from "./gateway";
 
 /** The place at a brittle upstream that a request holds, if any. */
 export class HeldPlace {
     private held: { readonly runner: string; readonly id: string; } | undefined;
-    private isClosed = false;
 
-    private constructor(private readonly placement: () => Placement) {}
+    private constructor(private readonly gateway: Gateway) {}
 
     /** Creates the holder of a request that needs no place yet. */
-    static create(placement: () => Placement): HeldPlace {
-        return new HeldPlace(placement);
-    }
-
-    /** An ID for the next place. */
-    static createId(): string {
-        return randomUUID();
+    static create(gateway: Gateway): HeldPlace {
+        return new HeldPlace(gateway);
     }
 
     /** Whether a place at a process is held. */
@@ -23,13 +16,10 @@
         return this.held?.runner === runner;
     }
 
-    /** Holds a place that was given; one that comes after the request's end is given back at once. */
+    /** Holds a place that was given, instead of the one before. */
     hold(runner: string, id: string): void {
         this.giveBack();
         this.held = { runner, id };
-        if (this.isClosed) {
-            this.giveBack();
-        }
     }
 
     /** Takes over the place of another holder. */
@@ -46,14 +36,8 @@
         const { held } = this;
         this.held = undefined;
         if (held) {
-            this.placement().returnPlace({ ...held, isRejected });
+            this.gateway.placement.returnPlace({ ...held, isRejected });
         }
         return held !== undefined;
     }
-
-    /** Gives the place back, and any that is still to come. */
-    close(): void {
-        this.isClosed = true;
-        this.giveBack();
-    }
 }
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -9,7 +9,9 @@
 import { processKey } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
+import { describeError } from "../utils/transport";
 import type { Call } from "./call";
+import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { HeldPlace } from "./heldPlace";
 import { isPathLost, unreachableRefusal } from "./peerPath";
@@ -23,6 +25,8 @@
 const maxAskedUpstreams = 3;
 /** Time for which a request is queued at one upstream before it looks at the others again. */
 const queueMs = 400;
+/** A place for an upstream that is to take over from a silent one is given back after this time, if the other one has answered by then. */
+const spareHoldMs = 400;
 /** Pause of a request that was queued in vain: the queue itself may be full. */
 const pauseMs = 25;
 
@@ -31,50 +35,64 @@
     readonly neededMs: number;
 }
 
-/** What a request needs besides its call to look for an upstream. */
-interface TurnContext {
-    readonly tried: Set<string>;
-    readonly waitForUpstream: () => Promise<UpstreamChoice | Refusal>;
-}
-
 /** Gets a request its turn and its place at an upstream, or at another one that has them sooner. */
 export class TurnTaker {
-    private readonly held: HeldPlace;
+    /** The place of the next attempt, or of the one in progress. */
+    private held: HeldPlace | undefined;
+    /** The place for an upstream that takes the request over from a silent one. */
+    private spare: HeldPlace | undefined;
+    private spareChoice: UpstreamChoice | undefined;
+    private isAskingForSpare = false;
     /** Brittle upstreams that had no room, since the request was queued last. */
-    private readonly full = new Map<string, FullUpstream>();
+    private full: Map<string, FullUpstream> | undefined;
     private hasWaited = false;
+    private isClosed = false;
+
+    private constructor(
+        private readonly gateway: Gateway,
+        private readonly call: Call,
+        private readonly tried: Set<string>,
+        private readonly waitForUpstream: () => Promise<UpstreamChoice | Refusal>,
+    ) {}
 
-    private constructor(private readonly gateway: Gateway, private readonly call: Call, private readonly context: TurnContext) {
-        this.held = HeldPlace.create(() => gateway.placement);
+    /** Creates the taker of a request that has not been sent yet; `tried` are the upstreams that it is not sent to again. */
+    static create(gateway: Gateway, call: Call, tried: Set<string>, waitForUpstream: () => Promise<UpstreamChoice | Refusal>): TurnTaker {
+        return new TurnTaker(gateway, call, tried, waitForUpstream);
     }
 
-    static create(gateway: Gateway, call: Call, context: TurnContext): TurnTaker {
-        return new TurnTaker(gateway, call, context);
+    /** Holds a place that was given; one that comes after the request's end is given back at once. */
+    hold(runner: string, id: string): void {
+        this.held ??= HeldPlace.create(this.gateway);
+        this.held.hold(runner, id);
+        if (this.isClosed) {
+            this.held.giveBack();
+        }
     }
 
     /** Waits until the request may be sent to the chosen upstream, or to another one that takes it sooner or is still available after the wait. */
     async take(choice: UpstreamChoice): Promise<UpstreamChoice | Refusal> {
-        const { gateway, call, context, held, full } = this;
-        full.clear();
+        const { gateway, call, tried } = this;
+        this.full?.clear();
         let maxQueueMs = 0;
         for (let next: UpstreamChoice | Refusal = choice;;) {
             const { server } = next.candidate;
             call.progress.step = RequestStep.Turn;
-            const denied = await waitForTurn(gateway, call, next, held, maxQueueMs);
+            const denied = this.holdsSpareAt(server) ? undefined : await waitForTurn(gateway, call, next, this, maxQueueMs);
             maxQueueMs = 0;
             const mayBegin = !denied && await mayBeginAt(gateway, call, next);
             if (mayBegin && gateway.availability.mayTake(server)) {
                 return next;
             }
-            held.giveBack();
+            this.held?.giveBack();
             if (denied?.isFull) {
+                const full: Map<string, FullUpstream> = this.full ??= new Map<string, FullUpstream>();
                 full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, neededMs: neededMsOf(call, next) });
-                const other: UpstreamChoice | undefined = this.chooseWithRoom();
+                const other: UpstreamChoice | undefined = this.chooseWithRoom(full);
                 if (other) {
                     next = other;
                     continue;
                 }
-                const refusal = this.refuseFull();
+                const refusal = this.refuseFull(full);
                 if (refusal) {
                     return refusal;
                 }
@@ -83,13 +101,13 @@
                 }
                 full.clear();
                 maxQueueMs = queueMs;
-                next = selectUpstream(gateway, call, context.tried) ?? await context.waitForUpstream();
+                next = selectUpstream(gateway, call, tried) ?? await this.waitForUpstream();
             }
             else {
                 if (denied) {
-                    context.tried.add(server.id);
+                    tried.add(server.id);
                 }
-                next = await context.waitForUpstream();
+                next = await this.waitForUpstream();
             }
             if (isRefusal(next)) {
                 return denied && !denied.isFull && next.kind === undefined ? denied : next;
@@ -97,35 +115,92 @@
         }
     }
 
+    /**
+     * Another upstream for a request whose upstream is silent, with a retry of the budget. A brittle one takes it over only once it has given a place, which is asked
+     * for meanwhile: this is called again as long as the silence lasts.
+     */
+    takeAlternative(): UpstreamChoice | undefined {
+        const { gateway, call, tried } = this;
+        const choice = this.spareChoice ?? findAlternative(gateway, call, tried);
+        if (!choice) {
+            return undefined;
+        }
+        const { server } = choice.candidate;
+        if (gateway.availability.brittle.limitOf(server) !== undefined && this.spare?.isAt(processKey(server)) !== true) {
+            this.spareChoice = undefined;
+            this.askForSpare(choice);
+            return undefined;
+        }
+        this.spareChoice = undefined;
+        return gateway.availability.mayTake(server) && gateway.budgetOf(call.service).withdraw() ? choice : undefined;
+    }
+
     /** Gives the place back after an attempt. */
     onAttemptEnd(server: UpstreamServer, isRejected: boolean): void {
-        const { gateway, held } = this;
-        if (!held.giveBack(isRejected) && isRejected && gateway.availability.brittle.limitOf(server) !== undefined) {
+        const { gateway } = this;
+        if (this.held?.giveBack(isRejected) !== true && isRejected && gateway.availability.brittle.limitOf(server) !== undefined) {
             gateway.placement.returnPlace({ runner: processKey(server), isRejected });
         }
     }
 
     /** Gives back what the request still holds, at its end. */
     close(): void {
-        this.held.close();
+        this.isClosed = true;
+        this.held?.giveBack();
+        this.spare?.giveBack();
+    }
+
+    private askForSpare(choice: UpstreamChoice): void {
+        if (this.isAskingForSpare) {
+            return;
+        }
+        const { gateway, call } = this;
+        const spare = this.spare ??= HeldPlace.create(gateway);
+        this.isAskingForSpare = true;
+        const onGranted = (): void => {
+            if (this.isClosed) {
+                spare.giveBack();
+                return;
+            }
+            this.spareChoice = choice;
+            setTimeout(() => {
+                this.spareChoice = undefined;
+                spare.giveBack();
+            }, spareHoldMs);
+        };
+        waitForTurn(gateway, call, choice, spare)
+            .then(denied => denied ? undefined : onGranted())
+            .catch((err: unknown) => emit(EventId.AttemptStepFailed, { request: call.caller.requestId, step: RequestStep.Turn, detail: describeError(err) }))
+            .finally(() => this.isAskingForSpare = false);
+    }
+
+    /** Whether the place for an upstream is held already; it becomes that of the next attempt. */
+    private holdsSpareAt(server: UpstreamServer): boolean {
+        const { spare } = this;
+        if (spare?.isAt(processKey(server)) !== true) {
+            return false;
+        }
+        this.held ??= HeldPlace.create(this.gateway);
+        this.held.takeFrom(spare);
+        return true;
     }
 
-    private chooseWithRoom(): UpstreamChoice | undefined {
-        const { gateway, call, full, context } = this;
+    private chooseWithRoom(full: ReadonlyMap<string, FullUpstream>): UpstreamChoice | undefined {
+        const { gateway, call, tried } = this;
         if (full.size >= maxAskedUpstreams) {
             return undefined;
         }
-        const other = selectUpstream(gateway, call, new Set([...context.tried, ...full.keys()]));
+        const other = selectUpstream(gateway, call, new Set([...tried, ...full.keys()]));
         return other && call.caller.modelRequest && isSaturated(other, call.route) ? undefined : other;
     }
 
     /** Decides whether a request for which no upstream has room waits; undefined if it does. */
-    private refuseFull(): Refusal | undefined {
+    private refuseFull(full: ReadonlyMap<string, FullUpstream>): Refusal | undefined {
         const { gateway, call } = this;
         if (isPathLost(gateway)) {
             return unreachableRefusal;
         }
-        const upstreams = [...this.full.values()];
+        const upstreams = [...full.values()];
         const now = performance.now();
         const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
         const objectiveMs = Math.min(remainingMs, call.startedAt + call.route.latencyObjectiveMs - now);
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -1,3 +1,4 @@
+import { randomUUID } from "node:crypto";
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
 import { EventId } from "../types/eventId";
@@ -7,7 +8,6 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
-import { HeldPlace } from "./heldPlace";
 import type { Refusal } from "./refusal";
 
 /** A place is free again this long after the deadline of its request, if it has not been given back. */
@@ -21,6 +21,11 @@
     readonly wasQueued: boolean;
 }
 
+/** What keeps a place that was given to a request. */
+export interface PlaceHolder {
+    hold(runner: string, id: string): void;
+}
+
 /** Time that an upstream needs for a request once it is sent. */
 export const neededMsOf = ({ caller: { modelRequest, lastEventId } }: Call, choice: UpstreamChoice): number =>
     modelRequest && lastEventId === undefined ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
@@ -29,7 +34,7 @@
     const { server, traffic } = choice.candidate;
     const now = performance.now();
     return {
-        id: HeldPlace.createId(),
+        id: randomUUID(),
         node: gateway.settings.peerAddress,
         holdMs: Math.max(0, call.deadlineAt - now) + placeMarginMs,
         slots: server.slots,
@@ -51,7 +56,7 @@
     gateway: Gateway,
     call: Call,
     choice: UpstreamChoice,
-    held: HeldPlace,
+    holder: PlaceHolder,
     maxQueueMs = 0,
 ): Promise<TurnDenial | undefined> => {
     const { runnerLimits, placement, availability } = gateway;
@@ -93,7 +98,7 @@
         };
     }
     if (place) {
-        held.hold(runner, place.id);
+        holder.hold(runner, place.id);
     }
     await sleep(permit.waitMs, call.signal);
     return undefined;
--- a/test/brittleCalls.test.ts
+++ b/test/brittleCalls.test.ts
@@ -36,9 +36,10 @@
 };
 
 /** Gives the gateway a pacer of its own. */
-const pace = ({ gateway }: TestGateway): { readonly asked: () => number; readonly held: () => number; } => {
+const pace = ({ gateway }: TestGateway): { readonly pacer: RequestPacer; readonly asked: () => number; readonly held: () => number; } => {
     const self = gateway.settings.peerAddress;
-    const client = PermitClient.create(PeerClients.create(0), RequestPacer.create(), () => ({ self, addresses: [self] }));
+    const pacer = RequestPacer.create();
+    const client = PermitClient.create(PeerClients.create(0), pacer, () => ({ self, addresses: [self] }));
     const granted = new Set<string | undefined>();
     let asked = 0;
     gateway.placement = {
@@ -57,7 +58,7 @@
             client.returnPlace(place);
         },
     };
-    return { asked: () => asked, held: () => granted.size };
+    return { pacer, asked: () => asked, held: () => granted.size };
 };
 
 const say = ({ gateway }: TestGateway, count: number): void => {
@@ -83,6 +84,8 @@
         readonly calls: number;
         readonly call?: CallerRequest;
         readonly isBrittle?: boolean;
+        /** Whether all places of the second upstream are taken. */
+        readonly isFull?: boolean;
         readonly check: (situation: Situation) => void;
     }
     const countOf = (results: readonly CallerResult[], status: number): number => results.filter(result => result.status === status).length;
@@ -153,6 +156,22 @@
             call: { abortAfterMs: 100 },
             check: ({ results }) => assert.ok(results.length === slots + 2),
         },
+        {
+            name: "leave a silent one for another one that gives them a place",
+            scripts: [() => neverAnswer, load => answerIn(50, load)],
+            route: { kind: RouteKind.Idempotent, maxAttempts: 3, timeoutMs: 5_000 },
+            calls: 1,
+            call: { headers: { "deadline-ms": "5000" } },
+            check: ({ results: [result], asked, received }) => assert.deepEqual([result!.status, asked, received], [200, 2, [1, 1]]),
+        },
+        {
+            name: "stay with a silent one while the other one has no room",
+            scripts: [() => neverAnswer, load => answerIn(50, load)],
+            route: { kind: RouteKind.Idempotent, maxAttempts: 3, timeoutMs: 3_000 },
+            calls: 1,
+            isFull: true,
+            check: ({ results: [result], received }) => assert.deepEqual([result!.status, received], [504, [1, 0]]),
+        },
         {
             name: "ask for nothing while none is brittle",
             scripts: [load => answerIn(20, load)],
@@ -161,13 +180,17 @@
             check: ({ results, asked }) => assert.deepEqual([countOf(results, 200), asked], [20, 0]),
         },
     ];
-    for (const { name, scripts, route, calls, call = {}, isBrittle = true, check } of cases) {
+    for (const { name, scripts, route, calls, call = {}, isBrittle = true, isFull, check } of cases) {
         it(name, async () => {
             const loads = scripts.map(() => ({ now: 0, most: 0, rejectedAt: [] }));
             const toScript = isBrittle ? scripts : [(): Script => (socket, { id }) => void socket.write(answerOf(id, "done"))];
             const upstreams = await Promise.all(toScript.map((script, index) => startScriptedUpstream(script(loads[index]!))));
             const node = await startGateway(upstreams.map(({ address }) => address), route);
-            const { asked, held } = pace(node);
+            const { pacer, asked, held } = pace(node);
+            // The first upstream is preferred.
+            upstreams.forEach((upstream, index) => node.gateway.trafficOf(`up-${index}`).onFirstByte(upstream === upstreams[0] ? 1 : 2));
+            const fill = (): void => pacer.rooms.report({ node: "127.0.0.1:1", returned: [], unplaced: [{ runner: "up-1@1", count: slots }] });
+            const filler = isFull ? setInterval(fill, 100) : undefined;
             if (isBrittle) {
                 say(node, upstreams.length);
             }
@@ -176,6 +199,7 @@
             );
             await new Promise(resolve => setTimeout(resolve, 500));
             assert.equal(held(), 0, "places that are not given back");
+            clearInterval(filler);
             node.close();
             upstreams.forEach(upstream => upstream.close());
             check({ results, loads, received: upstreams.map(({ received }) => received.length), asked: asked() });
