--- a/src/core/upstreamRooms.ts
+++ b/src/core/upstreamRooms.ts
@@ -49,6 +49,7 @@
             const endsAt = now + Math.min(maxQueueMs, queued.waiters.length < maxQueued ? place.maxQueueMs : 0);
             queued.waiters.push({ place, endsAt, resolve, firstTokenDueAt: now + place.dueInMs, priority: place.priority });
             this.drain(queued);
+            this.denyHopeless(queued, place);
         });
     }
 
@@ -80,6 +81,16 @@
         return getOrCreate(this.rooms, runner, (): QueuedRoom => ({ room: RunnerRoom.create(), waiters: [], timer: undefined }));
     }
 
+    /** Ends the wait of a request at once if no place is expected in time. */
+    private denyHopeless(queued: QueuedRoom, place: PlaceRequest): void {
+        const ahead = queued.waiters.findIndex(waiter => waiter.place === place);
+        const waitMs = ahead < 0 ? 0 : queued.room.expectedWaitMs(place, ahead);
+        if (waitMs > place.maxQueueMs) {
+            const [waiter] = queued.waiters.splice(ahead, 1);
+            waiter!.resolve({ isGranted: false, waitMs, isFull: true });
+        }
+    }
+
     /** Gives free places to queued requests, and ends the wait of those whose time is over. */
     private drain(queued: QueuedRoom): void {
         const now = performance.now();
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -23,10 +23,10 @@
 
 /** Upstreams that are asked for a place before a request is queued for one. */
 const maxAskedUpstreams = 3;
-/** Time for which a request is queued at one upstream before it looks at the others again. */
-const queueMs = 400;
 /** A place for an upstream that is to take over from a silent one is given back after this time, if the other one has answered by then. */
 const spareHoldMs = 400;
+/** A request that was queued for at least this time has waited: it is not refused then as long as it can be answered. */
+const minWaitMs = 100;
 /** Pause of a request that was queued in vain: the queue itself may be full. */
 const pauseMs = 25;
 
@@ -77,6 +77,7 @@
         for (let next: UpstreamChoice | Refusal = choice;;) {
             const { server } = next.candidate;
             call.progress.step = RequestStep.Turn;
+            const askedAt = performance.now();
             const denied = this.holdsSpareAt(server) ? undefined : await waitForTurn(gateway, call, next, this, maxQueueMs);
             maxQueueMs = 0;
             const mayBegin = !denied && await mayBeginAt(gateway, call, next);
@@ -85,6 +86,7 @@
             }
             this.held?.giveBack();
             if (denied?.isFull) {
+                this.hasWaited ||= denied.wasQueued && performance.now() - askedAt >= minWaitMs;
                 const full: Map<string, FullUpstream> = this.full ??= new Map<string, FullUpstream>();
                 full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, neededMs: neededMsOf(call, next) });
                 const other: UpstreamChoice | undefined = this.chooseWithRoom(full);
@@ -92,15 +94,15 @@
                     next = other;
                     continue;
                 }
-                const refusal = this.refuseFull(full);
-                if (refusal) {
-                    return refusal;
+                const decision = this.decideOnFull(full);
+                if (typeof decision !== "number") {
+                    return decision;
                 }
                 if (denied.wasQueued) {
                     await sleep(pauseMs, call.signal);
                 }
                 full.clear();
-                maxQueueMs = queueMs;
+                maxQueueMs = decision;
                 next = selectUpstream(gateway, call, tried) ?? await this.waitForUpstream();
             }
             else {
@@ -194,9 +196,9 @@
         return other && call.caller.modelRequest && isSaturated(other, call.route) ? undefined : other;
     }
 
-    /** Decides whether a request for which no upstream has room waits; undefined if it does. */
-    private refuseFull(full: ReadonlyMap<string, FullUpstream>): Refusal | undefined {
-        const { gateway, call } = this;
+    /** Decides whether a request for which no upstream has room waits, and within which time a place is of use then. */
+    private decideOnFull(full: ReadonlyMap<string, FullUpstream>): Refusal | number {
+        const { gateway, call, hasWaited } = this;
         if (isPathLost(gateway)) {
             return unreachableRefusal;
         }
@@ -205,16 +207,15 @@
         const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
         const objectiveMs = Math.min(remainingMs, call.startedAt + call.route.latencyObjectiveMs - now);
         const neededMs = Math.min(...upstreams.map(upstream => upstream.neededMs));
-        const decision = decideOnQuiet({ upstreams, hasWaited: this.hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs }, gateway.random);
+        const decision = decideOnQuiet({ upstreams, hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs }, gateway.random);
         const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
         const isWaiting = decision.mayWait && !call.signal.aborted;
-        if (!this.hasWaited || !isWaiting) {
+        if (!hasWaited || !isWaiting) {
             const fields = { request: call.caller.requestId, upstream: first.id, waitMs: Math.round(first.quietMs), upstreams: upstreams.length };
             emit(EventId.PlaceAwaited, { ...fields, isWaiting });
         }
-        this.hasWaited = true;
         if (isWaiting) {
-            return undefined;
+            return (first.quietMs + neededMs <= objectiveMs ? objectiveMs : remainingMs) - neededMs;
         }
         return {
             kind: FailureKind.UpstreamsBrittle,
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -15,7 +15,7 @@
     readonly load: number;
     /** The asking node's requests in progress there for which the asked node has given no place. */
     readonly unplaced: number;
-    /** Time for which the request may be queued for a place. */
+    /** Time within which a place is of use; the request is queued only if one is expected by then. */
     readonly maxQueueMs: number;
     /** Time until the first token is due, and the priority of the route. */
     readonly dueInMs: number;
