--- a/src/core/explainRequest.ts
+++ b/src/core/explainRequest.ts
@@ -24,7 +24,7 @@
     EventId.StoreRegained,
 ]);
 /** What an upstream said of itself counts for as long as it is in force. */
-const wordEvents: ReadonlySet<number> = new Set([EventId.UpstreamSaidLeaving, EventId.UpstreamQuiet]);
+const wordEvents: ReadonlySet<number> = new Set([EventId.UpstreamSaidLeaving, EventId.UpstreamQuiet, EventId.UpstreamBrittle, EventId.UpstreamBrittleEnded]);
 /** Time before a request's first line and after its last one in which context events are included. */
 const contextMs = 5_000;
 
--- a/src/forward/availabilityGauges.ts
+++ b/src/forward/availabilityGauges.ts
@@ -17,6 +17,7 @@
         help: "Longest time left for which an upstream asked for no requests",
         read: () => Math.max(0, ...availability.quietTimesLeft) / msPerSecond,
     },
+    { name: "upstreams_brittle", help: "Upstreams that say that they fail if they reject many requests", read: () => availability.brittle.size },
     { name: "requests_awaiting_quiet", help: "Requests that wait for the end of a quiet time", read: () => quietWaiters.size },
     ...Object.values(IgnoredHeader).map(reason => ({
         name: `upstream_headers_ignored_${reason}`,
