--- a/test/fakes/factNetwork.ts
+++ b/test/fakes/factNetwork.ts
@@ -19,6 +19,7 @@
 interface FactNode {
     readonly peer: PeerNode;
     crashLog: CrashLog;
+    availability: UpstreamAvailability;
     exchange: FactExchange;
     isReachable: boolean;
     isNewsScheduled: boolean;
@@ -61,7 +62,7 @@
     }
 
     private listen(node: FactNode): void {
-        node.crashLog.onOutgoing = () => {
+        node.crashLog.onOutgoing = node.availability.brittle.onOutgoing = () => {
             if (!node.isNewsScheduled) {
                 node.isNewsScheduled = true;
                 setTimeout(() => {
@@ -91,16 +92,9 @@
     }
 }
 
-const createFacts = (): { readonly crashLog: CrashLog; readonly exchange: FactExchange; } => {
+const createFacts = (): Pick<FactNode, "crashLog" | "availability" | "exchange"> => {
     const counter = { value: 0 };
     const crashLog = CrashLog.create(counter);
-    return {
-        crashLog,
-        exchange: FactExchange.create(
-            counter,
-            crashLog,
-            RunnerLimits.create(counter),
-            UpstreamAvailability.create(UpstreamDirectory.create(), () => 0, counter),
-        ),
-    };
+    const availability = UpstreamAvailability.create(UpstreamDirectory.create(), () => 0, counter);
+    return { crashLog, availability, exchange: FactExchange.create(counter, crashLog, RunnerLimits.create(counter), availability) };
 };
--- a/test/sharedBrittle.test.ts
+++ b/test/sharedBrittle.test.ts
@@ -1,3 +1,4 @@
+import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
 import { CrashLog } from "../src/core/crashLog";
@@ -11,7 +12,10 @@
 import { UpstreamState } from "../src/types/upstreamServer";
 import type { UpstreamWord } from "../src/types/upstreamWord";
 import { setupLogs } from "../src/utils/events";
+import { FactNetwork } from "./fakes/factNetwork";
 
+/** Time after the first word within which the upstreams may let fewer requests wait. */
+const contactMs = 3_000;
 const process = { id: "u1", bornAt: 5, service: "svc" };
 const silent: UpstreamWord = { isLeaving: false, isMisdirected: false, isSigned: true, ignoredHeaders: [] };
 const brittle: UpstreamWord = { ...silent, maxRejectionsPerS: 8 };
@@ -55,6 +59,33 @@
         assert.deepEqual([a, b].map(({ availability }) => availability.brittle.limitOf(server)), [undefined, undefined]);
     });
 
+    interface FleetCase {
+        readonly nodeCount: number;
+        readonly hasController: boolean;
+    }
+    const fleetCases: readonly FleetCase[] = [6, 30, 195].flatMap(nodeCount => [true, false].map(hasController => ({ nodeCount, hasController })));
+    for (const { nodeCount, hasController } of fleetCases) {
+        it(`are known to ${nodeCount} nodes ${hasController ? "with" : "without"} a controller within contactMs of the first answer, as is their end`, () => {
+            const clock = install({ toFake: ["performance", "setTimeout"] });
+            try {
+                const network = FactNetwork.create(nodeCount);
+                network.hasController = hasController;
+                clock.tick(2_000);
+                const last = network.nodes.at(-1)!.availability.brittle;
+                const known = (): number => network.nodes.filter(({ availability }) => availability.brittle.limitOf(process) === 8).length;
+                last.add({ ...process, maxRejectionsPerS: 8, ageMs: 0 });
+                clock.tick(contactMs);
+                const knownAfter = known();
+                last.add({ ...process, maxRejectionsPerS: undefined, ageMs: 0 });
+                clock.tick(contactMs);
+                assert.deepEqual([knownAfter, known()], [nodeCount, 0]);
+            }
+            finally {
+                clock.uninstall();
+            }
+        });
+    }
+
     const answerWith = (facts: unknown): unknown => ({
         peersVersion: 0,
         nodeCount: 1,
