--- a/src/core/runnerRoom.ts
+++ b/src/core/runnerRoom.ts
@@ -100,11 +100,11 @@
         return Math.max(this.averageHoldMs, ages / Math.max(1, this.places.size));
     }
 
-    /** Gives a place back. */
-    giveBack(id: string): void {
+    /** Gives a place back. A request that was rejected says nothing of how long places are held. */
+    giveBack(id: string, isRejected = false): void {
         const place = this.places.get(id);
-        if (place) {
-            this.places.delete(id);
+        this.places.delete(id);
+        if (place && !isRejected) {
             this.averageHoldMs += smoothingFactor * (performance.now() - place.since - this.averageHoldMs);
         }
     }
@@ -114,7 +114,7 @@
         const now = performance.now();
         this.learned = Math.max(1, Math.min(this.learned ?? Number.POSITIVE_INFINITY, this.inUse));
         this.cautiousUntil = now + cautionMs;
-        this.rejectedAt.push(now);
+        this.rejectedAt = [...this.rejectedAt.filter(at => at > now - msPerSecond), now];
         this.raiseAt = Math.max(this.raiseAt, now + minRaiseIntervalMs);
     }
 
--- a/src/core/upstreamRooms.ts
+++ b/src/core/upstreamRooms.ts
@@ -64,7 +64,7 @@
         for (const { runner, id, isRejected } of returned) {
             const queued = this.roomOf(runner);
             if (id !== undefined) {
-                queued.room.giveBack(id);
+                queued.room.giveBack(id, isRejected);
             }
             if (isRejected) {
                 queued.room.onRejected();
--- a/test/runnerRoom.test.ts
+++ b/test/runnerRoom.test.ts
@@ -32,7 +32,7 @@
     };
     const reject = (count: number): void => {
         for (let index = 0; index < count; index++) {
-            room.giveBack(`p${--nextId}`);
+            room.giveBack(`p${--nextId}`, true);
             room.onRejected();
         }
     };
@@ -154,6 +154,20 @@
         });
     }
 
+    it("expects places to be held as long as those of requests that were not rejected", () => {
+        takeAll();
+        clock.tick(1_000);
+        for (let index = 0; index < 4; index++) {
+            room.giveBack(`p${index}`);
+        }
+        const terms = { ...usual, maxRejectionsPerS: 1_000 };
+        const heldMs = room.expectedWaitMs(terms, 0) * usual.slots;
+        takeAll(terms);
+        clock.tick(5);
+        reject(3);
+        assert.ok(room.expectedWaitMs(terms, 0) >= heldMs, `${room.expectedWaitMs(terms, 0)}, ${heldMs} ms`);
+    });
+
     for (const maxRejectionsPerS of [0, 1, 2, 8, 40]) {
         it(`is found out with few rejections in any second by an upstream that bears ${maxRejectionsPerS} and takes none`, () => {
             const terms = { ...usual, slots: 16, maxRejectionsPerS };
