--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -54,6 +54,10 @@
     [EventId.UpstreamSaidLeaving]:
         "an upstream stated in an answer to this node, or to the one that told it, that it is leaving; this process gets no new requests",
     [EventId.UpstreamQuiet]: "an upstream answered 503 and asked for no requests of this node for a time; `request` names the request, `leftMs` the time left",
+    [EventId.UpstreamBrittle]:
+        "an upstream said that it is brittle: it fails if it rejects more than `maxRejectionsPerS` requests in a second for want of room; `origin` says who heard it, `ageMs` how long ago",
+    [EventId.UpstreamBrittleEnded]:
+        "answers of an upstream no longer say that it is brittle, or none has said so for long (`reason`), `afterMs` after the first one that did",
     [EventId.UpstreamHeaderIgnored]:
         "a header of an answer about its upstream's availability is not valid and was ignored; `count` is the number of them since the start",
     [EventId.UpstreamContactHeld]:
@@ -82,7 +86,10 @@
         "a quarantine of prompt parts or of a request ended: answered elsewhere without a crash, expired, or replaced by a more precise one",
     [EventId.PromptTried]: "a request is sent in spite of a quarantine, to find out whether runners still crash on it",
     [EventId.RunnerLimitChanged]: "a runner named another limit on its requests, or none any more, to this node or another one",
-    [EventId.PermitDenied]: "a request got no turn in time at a runner that has named a limit; it goes to another runner or is refused",
+    [EventId.PermitDenied]:
+        "a request got no turn in time at a runner that has named a limit, or no place at a brittle one; it goes to another runner, waits or is refused",
+    [EventId.PlaceAwaited]:
+        "all upstreams that could run a request are brittle and have no room; it waits for a place (`isWaiting`) or is refused; `upstream` has room first, in `waitMs`",
     [EventId.AnswerEndChecked]:
         "an answer without a length or chunks ended with its connection, and its upstream was asked for a connection: if it has ended, the answer was cut off",
     [EventId.StreamTakenUp]:
