--- a/test/fakes/brittleUpstream.ts
+++ b/test/fakes/brittleUpstream.ts
@@ -133,7 +133,7 @@
     }
 
     private reject(requestId: string, res: ServerResponse): void {
-        this.writeHead(res, 503, { "Not-Executed": "1" });
+        this.writeHead(res, 503, { "Not-Executed": "1", ...(requestId === noCaller ? {} : { "Attempt-Id": requestId }) });
         res.end();
         if (!this.isInForce) {
             return;
