--- a/test/fakes/steadyCallers.ts
+++ b/test/fakes/steadyCallers.ts
@@ -65,7 +65,8 @@
             req.destroy();
         }, deadlineMs);
         req.on("error", () => finish(SteadyOutcome.Failed));
-        req.end();
+        // Requests with the same body would be suspected of the crashes.
+        req.end(id);
     });
 };
 
@@ -98,13 +99,14 @@
     };
 };
 
-/** Outcomes in one line, with the time that 95 in 100 refusals took at most. */
+/** Outcomes in one line, with the time that 95 in 100 refusals took at most, and the statuses of what failed. */
 export const describeCalls = (calls: readonly SteadyCall[]): string => {
     const refused = calls.filter(({ outcome }) => outcome === SteadyOutcome.Refused);
     const times = refused.map(({ afterMs }) => afterMs).sort((a, b) => a - b);
     const withTime = refused.filter(({ retryAfterMs }) => retryAfterMs !== undefined).length;
+    const inTime = `${refused.length} (in ${Math.round(times[Math.floor(0.95 * times.length)] ?? 0)} ms, ${withTime} with Retry-After)`;
     const { served, late, failed } = countOutcomes(calls);
-    return `served ${served}, refused ${refused.length} (in ${
-        Math.round(times[Math.floor(0.95 * times.length)] ?? 0)
-    } ms, ${withTime} with Retry-After), late ${late}, failed ${failed}`;
+    const statuses = calls.filter(({ outcome }) => outcome === SteadyOutcome.Failed).map(({ status }) => status ?? "none");
+    const byStatus = [...new Set(statuses)].map(status => `${statuses.filter(other => other === status).length} with ${status}`);
+    return `served ${served}, refused ${inTime}, late ${late}, failed ${failed}${byStatus.length > 0 ? ` (${byStatus.join(", ")})` : ""}`;
 };
