--- a/src/core/contactEvidence.ts
+++ b/src/core/contactEvidence.ts
@@ -106,6 +106,11 @@
         return Math.max(this.openedAt, this.newPathProvenAt) > at;
     }
 
+    /** Whether connections were opened after a time on the monotonic clock, and none has failed since. */
+    hasOnlyReachedSince(time: number): boolean {
+        return !this.hasFailedSince(time) && this.hasReachedSince(time);
+    }
+
     /** Whether a connection that was opened after a time on the monotonic clock was answered. */
     hasAnsweredSince(time: number): boolean {
         return this.newPathProvenAt > time;
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -53,6 +53,7 @@
     /** Processes that were probed in the present state. */
     private readonly asked = new Set<string>();
     private failedProbes = 0;
+    private isLostBySilence = false;
     /** Probes sent since the start, and how often the path was lost. */
     probeCount = 0;
     lossCount = 0;
@@ -96,6 +97,11 @@
         return this.current === ContactState.Held && this.evidence.silentMs < maxTrustedSilenceMs;
     }
 
+    /** Whether a lost path may be sound: the hosts of upstreams accept connections, and all upstreams may be suspended. */
+    get mayBeSuspension(): boolean {
+        return this.isLostBySilence && !this.evidence.hasFailedSince(this.changedAtMs);
+    }
+
     /** Calls the observer after each change. */
     observe(observer: (state: ContactState, previous: ContactState) => void): void {
         this.observers.push(observer);
@@ -177,16 +183,11 @@
         return targets;
     }
 
-    /** Whether upstreams are only slow to answer probes: connections open, none failed, and answers arrive on those that were open before. */
-    private get areProbesSlow(): boolean {
-        return this.failedProbes === 0 && !this.evidence.hasFailedSince(this.changedAtMs) && this.evidence.hasReachedSince(this.changedAtMs) &&
-            this.evidence.quietMs < this.clock.nowMs - this.changedAt;
-    }
-
     private whileDoubted(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
         const ageMs = this.clock.nowMs - this.changedAt;
         if (ageMs >= decisionMs && this.asked.size > 0) {
-            if (this.areProbesSlow) {
+            this.isLostBySilence = this.failedProbes === 0 && this.evidence.hasOnlyReachedSince(this.changedAtMs);
+            if (this.isLostBySilence && this.evidence.quietMs < ageMs) {
                 this.change(ContactState.Held, "answers on open connections, and new ones that open");
                 return [];
             }
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -19,6 +19,8 @@
 
 /** Silence after which an attempt is given up once no upstream answers over the node's links. */
 const minLostSilenceMs = 100;
+/** The same if all upstreams may only be suspended: they go on within this time. */
+const maxSuspensionMs = 2_000;
 
 /** Watches one attempt for silence, and probes its runner before the attempt is given up. */
 export class SilenceWatch implements AttemptWatch {
@@ -57,7 +59,8 @@
             this.isAlive = this.isProbed ? undefined : false;
         }
         const silentMs = performance.now() - this.silentSince;
-        if (isPathLost(this.gateway) && silentMs >= minLostSilenceMs) {
+        const minLostMs = this.gateway.contact.mayBeSuspension ? maxSuspensionMs : minLostSilenceMs;
+        if (isPathLost(this.gateway) && silentMs >= minLostMs) {
             return true;
         }
         const action = decideOnSilence({
