--- a/test/brittleUpstreams.test.ts
+++ b/test/brittleService.test.ts
@@ -1,8 +1,8 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
 import { sleep } from "../src/utils/time";
-import { BrittleFleet } from "./fakes/brittleFleet";
 import { judgeBrittleTime } from "./fakes/brittleJudge";
+import { BrittleProcesses } from "./fakes/brittleProcesses";
 import { waitFor } from "./fakes/processes";
 import { countOutcomes, describeCalls, SteadyOutcome } from "./fakes/steadyCallers";
 
@@ -27,7 +27,7 @@
     ];
     for (const [index, { name, load, allowedPerS }] of cases.entries()) {
         it(`keeps its upstreams up: ${name}`, async t => {
-            const fleet = await BrittleFleet.start(upstreamCount, contactMs, index + 1);
+            const fleet = await BrittleProcesses.start(upstreamCount, contactMs, index + 1);
             const stopped = new AbortController();
             try {
                 const isServing = async (): Promise<boolean> => {
--- a/test/fakes/brittleFleet.ts
+++ b/test/fakes/brittleProcesses.ts
@@ -22,14 +22,14 @@
 const kinds = ["idempotent", "non_idempotent"] as const;
 
 /** Nodes as processes, in front of a busy service whose upstreams can be brittle. */
-export class BrittleFleet {
+export class BrittleProcesses {
     readonly falls: BrittleFall[] = [];
     readonly upstreams: BrittleUpstream[] = [];
 
     private constructor(private readonly nodes: readonly PlatformProcess[]) {}
 
     /** Starts the nodes and upstreams. */
-    static async start(upstreamCount: number, contactMs: number, seed: number): Promise<BrittleFleet> {
+    static async start(upstreamCount: number, contactMs: number, seed: number): Promise<BrittleProcesses> {
         const config = {
             routes: kinds.map(kind => ({
                 name: kind,
@@ -47,7 +47,7 @@
         for (let index = 0; index < nodeCount; index++) {
             nodes.push(await PlatformProcess.start(graceS, config, {}, nodes[0]));
         }
-        const fleet = new BrittleFleet(nodes);
+        const fleet = new BrittleProcesses(nodes);
         for (let index = 0; index < upstreamCount; index++) {
             const random = createMixedRandom(seed + index);
             fleet.upstreams.push(
