--- a/test/fakes/brittleNodes.ts
+++ b/test/fakes/brittleNodes.ts
@@ -88,7 +88,7 @@
         const calls = await Promise.all(this.nodes.map(({ address }, index) =>
             runSteadyLoad({
                 front: address,
-                name: `c${index}`,
+                name: `s${seed}-c${index}`,
                 perSecond: perSecond / this.nodes.length,
                 paths: routes.map(({ prefix }) => `${prefix}x`),
                 deadlineMs,
--- a/test/fakes/brittleProcesses.ts
+++ b/test/fakes/brittleProcesses.ts
@@ -78,7 +78,7 @@
         const calls = await Promise.all(this.nodes.map(({ front }, index) =>
             runSteadyLoad({
                 front,
-                name: `c${index}`,
+                name: `s${seed}-c${index}`,
                 perSecond: perSecond / nodeCount,
                 paths: kinds.map(kind => `/${kind}/x`),
                 deadlineMs,
