--- a/test/processSoak/namedLimits.ts
+++ b/test/processSoak/namedLimits.ts
@@ -35,6 +35,11 @@
         this.nodeByRequest.set(id, node);
     }
 
+    /** The node that a caller sent a request to. */
+    nodeOf(id: string): SoakNode | undefined {
+        return this.nodeByRequest.get(id);
+    }
+
     /** Records a request that reached a runner; returns the limit that its answer names. */
     onArrival(runner: string, id: string): number | undefined {
         const limit = this.limits.get(runner);
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -27,6 +27,7 @@
 const crashingRequestSalt = 0xb0d7;
 const limitSalt = 0x11317;
 const wordSalt = 0x3a71;
+const brittleSalt = 0xb217;
 const maxPromptDelayMs = 3_000;
 
 /** Result of a run. */
@@ -77,6 +78,7 @@
 
     const limitRun = fleet.limits.run(() => fleet.all(), createRandom(seed ^ limitSalt));
     const wordRun = checker.words.run(fleet, createRandom(seed ^ wordSalt));
+    const brittleRun = fleet.brittle.run(fleet, createRandom(seed ^ brittleSalt));
     const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
     const restores = restoreStore(seed, store, fleet, nodes, abort.signal);
     const injectedFaults: string[] = [];
@@ -91,6 +93,7 @@
     }
     await Promise.all([...activeFaults, restores]);
     fleet.limits.end();
+    fleet.brittle.end();
     checker.words.end(fleet);
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
@@ -101,7 +104,7 @@
         checker.violations.push(`${checker.servedCount - servedBefore} of ${checker.requestCount - requestsBefore} requests served after the faults`);
     }
     abort.abort();
-    await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun]);
+    await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun, brittleRun]);
     clearInterval(probeTimer);
     await Promise.all(nodes.map(node => node.terminate()));
     fleet.terminate();
@@ -112,6 +115,7 @@
         ...fleet.overcommitViolations(),
         ...fleet.prompts.violations(),
         ...fleet.limits.violations(),
+        ...fleet.brittle.violations(),
         ...nodes.flatMap(({ unexpectedExits }) => unexpectedExits),
     ];
     if (violations.length === 0) {
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -3,6 +3,7 @@
 import { pick } from "../../src/utils/random";
 import { sleep } from "../../src/utils/time";
 import type { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
+import { BrittleTimes } from "./brittleTimes";
 import { CrashingPrompts } from "./crashingPrompts";
 import type { InvariantChecker } from "./invariantChecker";
 import { NamedLimits } from "./namedLimits";
@@ -74,6 +75,7 @@
     /** Prompt parts that crash the runners. */
     readonly limits = NamedLimits.create();
     readonly prompts = CrashingPrompts.create(runner => this.replaceCrashed(runner));
+    readonly brittle = BrittleTimes.create(id => this.limits.nodeOf(id), upstream => this.replaceCrashed(upstream));
 
     private constructor(private readonly store: MemoryPlatformStore, readonly checker: InvariantChecker, readonly random: Random) {
         this.timer = setInterval(() => this.writeEngineRows(), directoryUpdateMs);
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -11,6 +11,7 @@
 import { portOf } from "../fakes/jsonServer";
 import { reservePort } from "../fakes/ports";
 import { SimulatedPlatformRunner } from "../fakes/simulatedPlatformRunner";
+import type { BrittleTimes } from "./brittleTimes";
 import type { CrashingPrompts } from "./crashingPrompts";
 import { FaultProxy } from "./faultProxy";
 import type { InvariantChecker } from "./invariantChecker";
@@ -53,6 +54,7 @@
     readonly random: Random;
     readonly prompts: CrashingPrompts;
     readonly limits: NamedLimits;
+    readonly brittle: BrittleTimes;
 }
 
 /** Whether the answer to a request has neither a length nor chunks and ends with its connection; one in three does. */
@@ -83,13 +85,14 @@
         private readonly random: Random,
         private readonly prompts: CrashingPrompts,
         private readonly limits: NamedLimits,
+        private readonly brittle: BrittleTimes,
     ) {}
 
     static async create(
         id: string,
         service: string,
         engine: EngineSpec | undefined,
-        { checker, random, prompts, limits }: SoakUpstreamContext,
+        { checker, random, prompts, limits, brittle }: SoakUpstreamContext,
     ): Promise<SoakUpstream> {
         const server = createServer((req, res) => void upstream.handle(req, res).catch(() => res.destroy()));
         const port = await reservePort();
@@ -97,7 +100,7 @@
         const initialModels = engine && [...engine.models.keys()].filter(() => random() < 0.3).slice(0, 2);
         const simulatedRunner = engine && SimulatedPlatformRunner.create(id, engine, random, initialModels!);
         const proxy = await FaultProxy.create(portOf(server));
-        const upstream: SoakUpstream = new SoakUpstream(id, service, proxy, simulatedRunner, server, checker, random, prompts, limits);
+        const upstream: SoakUpstream = new SoakUpstream(id, service, proxy, simulatedRunner, server, checker, random, prompts, limits, brittle);
         return upstream;
     }
 
@@ -133,6 +136,7 @@
         if (this.saysLeaving) {
             res.setHeader("Server-Leaving", "1");
         }
+        Object.entries(this.brittle.headersOf(this)).forEach(([name, value]) => res.setHeader(name, value));
         const expected = req.headers["expect-instance"];
         if (expected !== undefined && expected !== this.id) {
             res.writeHead(421, { "Instance-Id": this.id }).end();
@@ -151,7 +155,22 @@
             this.handleOrder(body, res);
             return;
         }
-        await this.handleRequest(req, res);
+        await this.handleInRoom(req, res);
+    }
+
+    /** Handles a request if there is room for it. */
+    private async handleInRoom(req: IncomingMessage, res: ServerResponse): Promise<void> {
+        const id = String(req.headers["attempt-id"]);
+        if (!this.brittle.onArrival(this, id)) {
+            res.writeHead(503, { "Not-Executed": "1", "Attempt-Id": id }).end();
+            return;
+        }
+        try {
+            await this.handleRequest(req, res);
+        }
+        finally {
+            this.brittle.onEnd(this);
+        }
     }
 
     private handleOrder(body: string, res: ServerResponse): void {
