--- a/src/platform/configDecoder.ts
+++ b/src/platform/configDecoder.ts
@@ -1,4 +1,6 @@
 import { z } from "zod";
+import type { CustomerSpec } from "../types/customer";
+import { UsageUnit } from "../types/customer";
 import type { EngineSpec, ServiceRoute, ServingConfig } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
 import { maxTimerMs } from "../utils/time";
@@ -26,6 +28,20 @@
     split: z.array(z.object({ service: z.string(), weight: z.number().min(0) })).optional(),
     attempts: z.number().int().default(1),
     resumable: z.boolean().default(false),
+    public: z.boolean().default(false),
+});
+
+const tokenUnit = "token_budget";
+const tenantSchema = z.object({
+    name: z.string().min(1),
+    apiKeys: z.array(z.string().min(1)).default([]),
+    priority: z.number().min(0).optional(),
+    /** Requests are counted without it. */
+    unit: z.literal(tokenUnit).optional(),
+    /** Tokens that a request without `Token-Count` counts as. */
+    plainTokens: z.number().min(0).default(0),
+    ratePerS: z.number().min(0).default(0),
+    burst: z.number().min(0).default(0),
 });
 
 const modelSchema = z.object({
@@ -55,8 +71,17 @@
     routes: z.array(routeSchema),
     services: z.array(z.object({ name: z.string(), healthPath: z.string(), maxConns: z.number(), engine: engineSchema.optional() })),
     limits: z.object({ maxHeaderBytes: z.number(), maxBodyBytes: z.number(), headerTimeoutMs: duration, idleTimeoutMs: duration }),
+    tenants: z.array(tenantSchema).optional(),
 });
 
+/** Callers give a stream up after the longest of these: a fixed time, and multiples of the latency objective and of the allowed gap between events. */
+const minPatienceMs = 2_000;
+const patiencePerObjective = 4;
+const patiencePerGap = 8;
+
+const patienceMsOf = ({ routeKind, sloMs, gapAimMs = 0 }: z.infer<typeof routeSchema>): number | undefined =>
+    routeKindOf[routeKind] === RouteKind.Streaming ? Math.max(minPatienceMs, patiencePerObjective * sloMs, patiencePerGap * gapAimMs) : undefined;
+
 const toRoute = (route: z.infer<typeof routeSchema>): ServiceRoute => ({
     name: route.name,
     host: route.host.toLowerCase(),
@@ -66,10 +91,12 @@
     timeoutMs: route.timeoutMs,
     latencyObjectiveMs: route.sloMs,
     eventGapObjectiveMs: route.gapAimMs,
+    patienceMs: patienceMsOf(route),
     priority: route.priority,
     targets: route.split ?? (route.service === undefined ? [] : [{ service: route.service, weight: 1 }]),
     maxAttempts: route.attempts,
     isResumable: route.resumable,
+    isPublic: route.public,
 });
 
 const msPerS = 1_000;
@@ -92,6 +119,15 @@
     }])),
 });
 
+const toCustomer = ({ name, apiKeys, priority, unit, plainTokens, ratePerS, burst }: z.infer<typeof tenantSchema>): CustomerSpec => ({
+    name,
+    apiKeys,
+    priority,
+    limit: ratePerS === 0 && burst === 0
+        ? undefined
+        : { unit: unit === tokenUnit ? UsageUnit.Tokens : UsageUnit.Requests, perSecond: ratePerS, burst, plainTokens },
+});
+
 /** Outcome of decoding a configuration. */
 export type ConfigDecodeResult = { readonly config: ServingConfig; } | { readonly faults: readonly string[]; };
 
@@ -101,7 +137,7 @@
     if ("faults" in result) {
         return result;
     }
-    const { version, routes, services, limits } = result.value;
+    const { version, routes, services, limits, tenants } = result.value;
     return {
         config: {
             version,
@@ -113,6 +149,7 @@
                 engine: engine && toEngine(engine),
             }])),
             limits,
+            customers: tenants?.map(toCustomer),
         },
     };
 };
--- a/src/platform/settingsFile.ts
+++ b/src/platform/settingsFile.ts
@@ -8,6 +8,10 @@
 
 /** Descriptors of a process where the platform states no limit. */
 const defaultMaxDescriptors = 4_096;
+/** Bounds that only deployments with customers state. */
+const defaultRevokeMs = 5_000;
+const defaultUsageWindowS = 10;
+const pressureContract = "pressure";
 const bytesPerMegabyte = 1_048_576;
 
 /** The platform's settings file; other fields are ignored. */
@@ -18,6 +22,8 @@
     portRange: z.tuple([z.number().int(), z.number().int()]),
     seeds: z.array(address).default([]),
     heartbeatMs: z.number().positive(),
+    /** Parts of the platform's rules that are in force. */
+    contracts: z.array(z.string()).default([]),
     /** `control` is the address for calls from peers. */
     listen: z.object({ front: address, ready: address, control: address }),
     /** `cpuShare` is the share of one core's time, of a core that is `cores` times as fast. */
@@ -41,6 +47,12 @@
         fencing: z.boolean(),
         ceilingWindowS: z.number(),
         ceilingOverrun: z.number(),
+        strictRevoke: z.boolean().default(false),
+        revokeMs: z.number().positive().default(defaultRevokeMs),
+        /** Bounds of customers' usage limits (`quota`). */
+        quotaWindowS: z.number().positive().default(defaultUsageWindowS),
+        quotaOverrun: z.number().min(0).default(0),
+        quotaSlack: z.number().min(0).default(0),
     }),
     platform: z.object({ addr: address }),
 });
@@ -63,7 +75,7 @@
     if ("faults" in result) {
         return result;
     }
-    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, listen, bounds, platform, limits: vm } = result.value;
+    const { nodeName, ip, zone, portRange, seeds, heartbeatMs, contracts, listen, bounds, platform, limits: vm } = result.value;
     return {
         settings: {
             nodeId: `${nodeName}@${ip}`,
@@ -81,6 +93,12 @@
             maxDescriptors: vm.maxFds,
             drainMs: bounds.drainMs,
             applyMs: bounds.applyMs,
+            isRevocationStrict: bounds.strictRevoke,
+            revokeMs: bounds.revokeMs,
+            usageWindowMs: bounds.quotaWindowS * msPerS,
+            usageOverrun: bounds.quotaOverrun,
+            usageSlack: bounds.quotaSlack,
+            hasRunnerPressure: contracts.includes(pressureContract),
             graceMs: bounds.graceS * msPerS,
             retryRatio: bounds.budgetRatio,
             retryWindowMs: bounds.budgetWindowS * msPerS,
--- a/src/types/platformNodeSettings.ts
+++ b/src/types/platformNodeSettings.ts
@@ -24,6 +24,15 @@
     readonly drainMs: number;
     /** Time within which a configuration must be in effect. */
     readonly applyMs: number;
+    /** Whether the keys of a request must be confirmed: none is accepted that may have been withdrawn longer than `revokeMs` ago. */
+    readonly isRevocationStrict: boolean;
+    readonly revokeMs: number;
+    /** Window over which a customer's use is judged, and what is tolerated beyond its limit: a share of it, and a number of units. */
+    readonly usageWindowMs: number;
+    readonly usageOverrun: number;
+    readonly usageSlack: number;
+    /** Whether runners fail if the requests that they hold exceed their memory, so that nodes admit requests by it. */
+    readonly hasRunnerPressure: boolean;
     /** Time between SIGTERM and SIGKILL. */
     readonly graceMs: number;
     /** Retries that all nodes together may send to a service: a share of its requests in a window, plus a fixed number. */
--- a/src/types/servingConfig.ts
+++ b/src/types/servingConfig.ts
@@ -1,3 +1,5 @@
+import type { CustomerSpec } from "./customer";
+
 /** How the requests of a route may be retried. */
 export enum RouteKind {
     Idempotent = "idempotent",
@@ -24,6 +26,8 @@
     readonly latencyObjectiveMs: number;
     /** Objective for the gap between two events of a stream; undefined for other routes. */
     readonly eventGapObjectiveMs?: number;
+    /** Longest gap, also before the first event, after which callers give a stream up; undefined for other routes. */
+    readonly patienceMs?: number;
     /** Priority of the route's requests; 0 is served first. */
     readonly priority: number;
     readonly targets: readonly RouteTarget[];
@@ -31,6 +35,8 @@
     readonly maxAttempts: number;
     /** Whether a stream may be resumed on another upstream after its last event. */
     readonly isResumable: boolean;
+    /** Whether requests need no API key where customers are declared. */
+    readonly isPublic?: boolean;
 }
 
 /** A model that an engine service offers. */
@@ -82,4 +88,6 @@
     readonly routes: readonly ServiceRoute[];
     readonly services: ReadonlyMap<string, ServiceSpec>;
     readonly limits: CallerLimits;
+    /** Undefined if operators declare none: then no request needs an API key. */
+    readonly customers?: readonly CustomerSpec[];
 }
