--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -1,9 +1,11 @@
 // Bundles the program into two CommonJS files, by default build/jackdawtrail.cjs, the entry, and beside it the rest of the program, which the entry
-// loads. Another path of the entry may be given as the argument.
+// loads. Another path of the entry may be given as the first argument; the others are the flags of Node.js that processes are run with, for the code cache.
 import { build } from "esbuild";
+import { execFile } from "node:child_process";
 import { createHash } from "node:crypto";
 import { mkdir, readdir, rename, rm, stat, writeFile } from "node:fs/promises";
-import { basename, dirname, join } from "node:path";
+import { basename, dirname, join, resolve } from "node:path";
+import { promisify } from "node:util";
 
 /** Build options that all bundles share. */
 export const common = { bundle: true, platform: "node", target: "node20", format: "cjs", logLevel: "error", legalComments: "none" };
@@ -44,19 +46,33 @@
     const files = (await readdir(folder)).filter(file => file.startsWith(prefix) && file.endsWith(".cjs")).map(file => join(folder, file));
     const programs = (await Promise.all(files.map(async file => ({ file, builtAt: await builtAtOf(file) })))).filter(({ builtAt }) => builtAt !== undefined);
     programs.sort((a, b) => b.builtAt - a.builtAt);
-    await Promise.all(programs.slice(keptPrograms).map(({ file }) => rm(file, { force: true })));
+    await Promise.all(programs.slice(keptPrograms).flatMap(({ file }) => [rm(file, { force: true }), rm(`${file}.cache`, { force: true })]));
 };
 
-/** Bundles the program to a path. The name of the second file has a hash of it, so that an entry always loads the program that it was built with. */
-export const bundleProgram = async outfile => {
+/** Makes the entry load the program by its name, with its code cache. */
+const loaderOf = name => ({
+    name: "program",
+    setup: ({ onResolve, onLoad }) => {
+        onResolve({ filter: /^\.\/main$/ }, () => ({ path: name, namespace: "program" }));
+        onLoad({ filter: /./, namespace: "program" }, () => ({
+            contents: `import { loadProgram } from "./loadProgram"; export const { run } = loadProgram("./${name}", __filename);`,
+            resolveDir: "src/cli",
+        }));
+    },
+});
+
+/** Bundles the program to a path, with a code cache for processes that run with the given flags. The name of the second file has a hash of it, so that an entry always loads the program that it was built with. */
+export const bundleProgram = async (outfile, flags = []) => {
     const folder = dirname(outfile);
     const prefix = `${basename(outfile, ".cjs")}-`;
     await mkdir(folder, { recursive: true });
     const program = await buildText({ ...common, define, ...minified, entryPoints: ["src/cli/main.ts"] });
     const name = `${prefix}${createHash("sha256").update(program).digest("hex").slice(0, 16)}.cjs`;
     await writeWhole(join(folder, name), program);
-    const loadProgram = { name: "program", setup: ({ onResolve }) => onResolve({ filter: /^\.\/main$/ }, () => ({ path: `./${name}`, external: true })) };
-    await writeWhole(outfile, await buildText({ ...entryOptions, plugins: [loadProgram] }));
+    if (flags.length > 0) {
+        await promisify(execFile)(process.execPath, [...flags, "scripts/writeCodeCache.mjs", resolve(folder, name)]);
+    }
+    await writeWhole(outfile, await buildText({ ...entryOptions, plugins: [loaderOf(name)] }));
     await removeOldPrograms(folder, prefix);
 };
 
@@ -64,5 +80,6 @@
 export const bundleProgramWhole = outfile => build({ ...entryOptions, outfile });
 
 if (process.argv[1]?.endsWith("bundleProgram.mjs")) {
-    await bundleProgram(process.argv[2] ?? "build/jackdawtrail.cjs");
+    const [outfile = "build/jackdawtrail.cjs", ...flags] = process.argv.slice(2);
+    await bundleProgram(outfile, flags);
 }
