--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -19,6 +19,7 @@
     [FailureKind.MethodNotAllowed]: { status: 405, title: "the method is not allowed here" },
     [FailureKind.MissingKey]: { status: 401, title: "no key was given" },
     [FailureKind.WrongKey]: { status: 401, title: "the key is not known" },
+    [FailureKind.ConfigUnconfirmed]: { status: 503, title: "the node does not know whether the key is valid" },
     [FailureKind.NotOffered]: { status: 403, title: "this is not offered to the caller" },
     [FailureKind.UnknownModel]: { status: 404, title: "the model is unknown" },
     [FailureKind.UnknownAdapter]: { status: 404, title: "the adapter is unknown" },
--- a/src/core/peerChoice.ts
+++ b/src/core/peerChoice.ts
@@ -75,6 +75,11 @@
         }
     }
 
+    /** Whether any peer is known. */
+    get hasPeers(): boolean {
+        return this.all.length > 0;
+    }
+
     /** Whether a known peer has this host. */
     isKnownHost(host: string): boolean {
         return this.hosts.has(host);
--- a/src/core/requestQueue.ts
+++ b/src/core/requestQueue.ts
@@ -4,7 +4,7 @@
 export interface QueuedRequest {
     /** When the first token is due under the route's latency objective. */
     readonly firstTokenDueAt: number;
-    /** Priority of its route; 0 is served first. */
+    /** Priority of its customer and route; 0 is served first. */
     readonly priority: number;
 }
 
--- a/src/core/tableFollower.ts
+++ b/src/core/tableFollower.ts
@@ -3,9 +3,12 @@
 import { FeedKind } from "../types/rowStore";
 import type { StoreVersion } from "../types/storeVersion";
 import { eraOf } from "../types/storeVersion";
+import type { ClockReading } from "../utils/clockReading";
+import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import type { Random } from "../utils/random";
 import { sleep } from "../utils/time";
+import type { ConfigConfirmation } from "./configConfirmation";
 import type { MonitoredStore } from "./monitoredStore";
 import type { StoreFreshness } from "./storeFreshness";
 
@@ -37,6 +40,8 @@
     readonly knownVersion: () => StoreVersion;
     /** Decides when the store need not be read; it is notified of the store's answers. */
     readonly freshness?: StoreFreshness;
+    /** Requires reads for the sake of API keys, beside those for changes; of the configuration's table only. */
+    readonly confirmation?: ConfigConfirmation;
 }
 
 const defaultOptions: FollowerOptions = { pauseMs: () => 0, waitMs: () => feedWaitMs, maxRetryDelayMs: () => minRetryDelayMs, knownVersion: () => 0 };
@@ -86,14 +91,15 @@
 
     private async poll(signal: AbortSignal): Promise<void> {
         if (this.version === undefined) {
+            const askedAt = readClocks();
             const { rows, version } = await this.store.readTable(this.table);
             this.onSuccess();
             this.version = version;
             this.observer.onSnapshot(rows, version, this.graceMs);
-            this.options.freshness?.onConfirmed(this.table);
+            this.onRead(askedAt, version);
             return;
         }
-        while (this.options.freshness?.isFresh && !signal.aborted) {
+        while (this.options.freshness?.isFresh && this.options.confirmation?.needsRead !== true && !signal.aborted) {
             await sleep(freshnessPollMs, signal);
         }
         const knownVersion = this.options.knownVersion();
@@ -102,7 +108,10 @@
             return;
         }
         this.version = Math.max(this.version, knownVersion);
-        const result = await this.store.feed(this.table, this.version, this.options.waitMs(), signal);
+        const askedAt = readClocks();
+        const maxWaitMs = this.options.waitMs();
+        const waitMs = Math.round(this.options.confirmation?.readWaitMs(maxWaitMs) ?? maxWaitMs);
+        const result = await this.store.feed(this.table, this.version, waitMs, signal);
         this.onSuccess();
         if (result.kind === FeedKind.HistoryGone) {
             this.version = undefined;
@@ -110,12 +119,17 @@
         }
         this.version = Math.max(this.version, result.version);
         this.observer.onChanges(result.rows, result.version, this.graceMs);
-        this.options.freshness?.onConfirmed(this.table);
+        this.onRead(askedAt, result.version);
         if (result.rows.length > 0) {
             await sleep(this.options.pauseMs(), signal);
         }
     }
 
+    private onRead(askedAt: ClockReading, version: StoreVersion): void {
+        this.options.freshness?.onConfirmed(this.table);
+        this.options.confirmation?.onStoreRead(askedAt, eraOf(version));
+    }
+
     private get graceMs(): number {
         return this.store.availability.graceMs;
     }
--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -23,6 +23,8 @@
     FailureKind.HeadersTooLarge,
     FailureKind.SlowSender,
     FailureKind.UnknownPath,
+    FailureKind.MissingKey,
+    FailureKind.WrongKey,
 ]);
 
 /** Status 503 states that a request has not run, so only requests with that verdict get it. */
--- a/src/forward/attemptGuard.ts
+++ b/src/forward/attemptGuard.ts
@@ -3,10 +3,11 @@
 import type { AttemptGuard } from "./attempt";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { isKeyValid } from "./refuseKey";
 
 /** Connects an attempt that began at a time with what this node knows of its upstream. */
 export const createAttemptGuard = (gateway: Gateway, call: Call, server: UpstreamServer, sentAt: number): AttemptGuard => ({
-    mayStillSend: () => gateway.availability.mayStillSend(server),
+    mayStillSend: () => gateway.availability.mayStillSend(server) && isKeyValid(gateway, call),
     onArrival: openedAt => gateway.contact.onWord(processKey(server), openedAt),
     onAnyHead: decoded => {
         const { requestId } = call.caller;
--- a/src/forward/call.ts
+++ b/src/forward/call.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import type { Customer } from "../types/customer";
 import type { CallerHeaders } from "../types/requestHeaderCodec";
 import type { ServiceRoute } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
@@ -13,6 +14,12 @@
     readonly res: ServerResponse;
     readonly caller: CallerHeaders;
     readonly route: ServiceRoute;
+    /** The customer that the key named when the request was read; undefined on public routes and where no customers are declared. */
+    readonly customer: Customer | undefined;
+    /** SHA-256 of the key, also where none is needed yet. It is sent to peers and must not be logged. */
+    readonly keyDigest: string | undefined;
+    /** Order in queues, 0 first: the customer's priority before the route's; the route's alone where no customers are declared. */
+    readonly priority: number;
     readonly service: string;
     readonly configVersion: number;
     /** Headers to forward, names and values alternating. */
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -17,11 +17,13 @@
 import { QuarantineGate } from "./quarantineGate";
 import { recordDemand } from "./recordDemand";
 import type { Refusal } from "./refusal";
+import { isKeyValid } from "./refuseKey";
+import { refuseSend } from "./refuseSend";
 import { SendTally } from "./sendTally";
 import { TurnTaker } from "./turnTaker";
 import { stoppingRefusal, untilExit } from "./untilExit";
 import { pinTakenUpStream } from "./versionPin";
-import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
+import { isRefusal, waitForUpstream } from "./waitForUpstream";
 
 const unavailableStatus = 503;
 /** Why there is no further attempt: the caller is told this and when to come back. */
@@ -161,7 +163,7 @@
         if (isRefusal(next)) {
             return next;
         }
-        return refuseQuarantined(gateway, this.gate) ?? (this.attempts.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? next : stoppingRefusal);
+        return refuseSend(gateway, call, this.gate) ?? (this.attempts.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? next : stoppingRefusal);
     }
 
     private async attempt(choice: UpstreamChoice): Promise<AttemptOutcome> {
@@ -201,8 +203,8 @@
             return undefined;
         }
         return () => {
-            if (isStranded(gateway, call)) {
-                return true;
+            if (!isKeyValid(gateway, call) || isStranded(gateway, call)) {
+                return isKeyValid(gateway, call);
             }
             const isReached = isRelayed || gateway.contact.state === ContactState.Held ? false : gateway.peers.reach.check();
             if (isReached !== false) {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,14 +1,18 @@
 import type { Socket } from "node:net";
+import type { ActiveConfig } from "../core/activeConfig";
+import { createActiveConfig } from "../core/activeConfig";
 import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
+import type { CustomerTable } from "../core/customerTable";
 import { HeapWatch } from "../core/heapWatch";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
+import type { PriorityLevels } from "../core/priorityLevels";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestHeap } from "../core/requestHeap";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
-import { RouteTable } from "../core/routeTable";
+import type { RouteTable } from "../core/routeTable";
 import { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
@@ -20,35 +24,28 @@
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { WaitingRequests } from "../core/waitingRequests";
-import { EventId } from "../types/eventId";
 import { MemoryHolder } from "../types/memoryHolder";
 import type { RunnerLoads } from "../types/placement";
 import type { PlatformNodeSettings } from "../types/platformNodeSettings";
 import type { RequestHeaderCodec } from "../types/requestHeaderCodec";
 import type { RowStore } from "../types/rowStore";
 import type { EngineSpec, ServingConfig } from "../types/servingConfig";
-import type { UpstreamServer } from "../types/upstreamServer";
-import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { MemoryGauge } from "../utils/memoryGauge";
 import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
 import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
+import { createConfirmation } from "./createConfirmation";
 import { Departures } from "./departures";
 import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
+import { logUpstreamChange } from "./logUpstreamChange";
 import { PeerRelays } from "./peerRelays";
 import { disabledPlacement } from "./placement";
 import type { Placement } from "./placement";
 import { UpstreamConnectionPool } from "./upstreamConnectionPool";
 import type { UpstreamProber } from "./upstreamProber";
 
-/** The active configuration and its route table. */
-interface ActiveConfig {
-    readonly config: ServingConfig;
-    readonly routes: RouteTable;
-}
-
 /** Charge for a connection to an upstream. */
 const upstreamConnectionBytes = 32_768;
 /** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
@@ -60,10 +57,6 @@
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
 
-/** What a log line says of an upstream. */
-const summaryOf = (server: UpstreamServer | undefined): string | undefined =>
-    server && [server.service, server.state, server.bornAt, server.remainingMs, ...server.models.map(({ name }) => name)].join(" ");
-
 /** Shared state of the components of a node that forwards requests. */
 export class Gateway {
     readonly directory = UpstreamDirectory.create();
@@ -97,6 +90,8 @@
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
     /** Tracks whether the controller's reads of the store make this node's own reads unnecessary. */
     readonly freshness = StoreFreshness.create(() => this.placement.isController, () => Math.min(this.settings.drainMs, this.settings.applyMs));
+    /** How long ago the configuration was known to be the newest. */
+    readonly confirmation = createConfirmation(this);
     readonly memoryGauge = MemoryGauge.create();
     /** Memory of the process for its callers and upstreams. */
     readonly memory = MemoryBudget.create({
@@ -145,17 +140,7 @@
         this.streamVersions = StreamVersions.create(this.directory, settings.nodeId, () => this.streamLifetimeMs, store, firstWriteDelayMs, isInContact);
         forgetFailuresOnRegain(this.contact, this.trafficByUpstream, this.poolByUpstream);
         this.directory.observe(({ id, server, version }, previous) => {
-            // Rows also change with each adapter: such changes are not logged, as every node would log each.
-            if (summaryOf(server) !== summaryOf(previous)) {
-                emit(EventId.UpstreamChanged, {
-                    upstream: id,
-                    rowVersion: version,
-                    service: (server ?? previous)?.service,
-                    state: server?.state ?? "gone",
-                    softwareVersion: (server ?? previous)?.softwareVersion,
-                    models: server?.models.map(({ name }) => name),
-                });
-            }
+            logUpstreamChange({ id, server, version }, previous);
             this.residency.onDirectoryChange(id);
             // A request that had been waiting may have asked for an upstream's pool after its removal.
             if (!server || previous?.bornAt !== server.bornAt || previous.address !== server.address) {
@@ -183,13 +168,23 @@
         return this.active?.routes;
     }
 
+    /** The customers of the active configuration; undefined if it declares none, so that no request needs a key. */
+    get customers(): CustomerTable | undefined {
+        return this.active?.customers;
+    }
+
+    /** How runners are told the priorities of requests; undefined without customers. */
+    get priorityLevels(): PriorityLevels | undefined {
+        return this.active?.priorityLevels;
+    }
+
     /** Activates a configuration if it is newer than the active one; returns whether it did. */
     applyConfig(config: ServingConfig, bytes: Buffer): boolean {
         if (this.active && config.version <= this.active.config.version) {
             return false;
         }
         this.configBytes = bytes;
-        this.active = { config, routes: RouteTable.create(config) };
+        this.active = createActiveConfig(config);
         return true;
     }
 
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -12,7 +12,7 @@
 
 /** Whether the load balancer should send new connections to the node. */
 export const isReady = (gateway: Gateway): boolean =>
-    gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0 && canServe(gateway);
+    gateway.config !== undefined && !gateway.isStopping && gateway.directory.all().length > 0 && canServe(gateway) && gateway.confirmation.isRecent;
 
 /** Creates the server that answers readiness checks of the load balancer with status 200 or 503. */
 export const createReadinessServer = (gateway: Gateway, isListening: () => boolean): Server => {
@@ -27,6 +27,7 @@
                 upstreams: gateway.directory.all().length,
                 stopping: gateway.isStopping,
                 contact: gateway.contact.state,
+                configAgeMs: gateway.confirmation.roundedAgeMs,
                 listening: isListening(),
             });
         }
--- a/src/forward/outgoingRequest.ts
+++ b/src/forward/outgoingRequest.ts
@@ -11,23 +11,31 @@
 const mostUrgentPriority = 3;
 const leastUrgentPriority = 9;
 
-const dropHeader = (headers: readonly string[], name: string): string[] => {
+const dropHeaders = (headers: readonly string[], isDropped: (name: string) => boolean): string[] => {
     const kept: string[] = [];
     for (let index = 0; index < headers.length; index += 2) {
-        if (headers[index]!.toLowerCase() !== name) {
+        if (!isDropped(headers[index]!.toLowerCase())) {
             kept.push(headers[index]!, headers[index + 1]!);
         }
     }
     return kept;
 };
 
+/** Headers of the caller that are forwarded: where customers are declared, none of its own names a customer or a key. */
+const forwardedHeaders = ({ customers, wire }: Gateway, { headers }: Call): readonly string[] =>
+    customers ? dropHeaders(headers, wire.isCustomerHeader) : headers;
+
+const runnerPriorityOf = ({ priorityLevels }: Gateway, { priority, route }: Call): number =>
+    priorityLevels?.levelOf(priority) ?? Math.min(leastUrgentPriority, mostUrgentPriority + route.priority);
+
 const remainingMsOf = ({ deadlineAt }: Call): number => deadlineAt - performance.now() - returnMarginMs;
 
 /** The request with the headers of one attempt: a stream that has begun goes on after the last event that the caller has received. */
 const toRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string | undefined, priority?: number): OutgoingRequest => {
-    const { req, route, caller } = call;
+    const { req, route, caller, keyDigest } = call;
     const isResumed = relay.lastEventId !== undefined && relay.lastEventId !== caller.lastEventId;
-    const forwarded = isResumed ? dropHeader(call.headers, "last-event-id") : call.headers;
+    const headers = forwardedHeaders(gateway, call);
+    const forwarded = isResumed ? dropHeaders(headers, name => name === "last-event-id") : headers;
     return {
         requestId: caller.requestId,
         method: req.method ?? "GET",
@@ -39,6 +47,7 @@
                 remainingMs: remainingMsOf(call),
                 priority,
                 lastEventId: isResumed ? relay.lastEventId : undefined,
+                customer: route.isPublic === true ? undefined : gateway.customers?.find(keyDigest)?.name,
             }),
         ],
         body: call.body,
@@ -49,7 +58,7 @@
 
 /** The request as it is sent to an upstream. */
 export const toOutgoingRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, upstreamId: string): OutgoingRequest =>
-    toRequest(gateway, call, relay, upstreamId, call.caller.modelRequest ? Math.min(leastUrgentPriority, mostUrgentPriority + call.route.priority) : undefined);
+    toRequest(gateway, call, relay, upstreamId, call.caller.modelRequest ? runnerPriorityOf(gateway, call) : undefined);
 
 /** The request as it is passed on to a peer, which may run it up to a number of times. */
 export const toRelayedRequest = (gateway: Gateway, call: Call, relay: AnswerRelay, maxRuns: number): OutgoingRequest => {
@@ -62,6 +71,7 @@
         service: call.service,
         maxRuns,
         streamVersion: call.versionPin.version,
+        keyDigest: gateway.customers ? call.keyDigest : undefined,
     });
     return { ...req, headers: [...req.headers, name, value] };
 };
--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -16,11 +16,16 @@
 import type { Gateway } from "./gateway";
 import { toRelayedRequest } from "./outgoingRequest";
 import { PeerSilence } from "./peerSilence";
+import { isKeyValid } from "./refuseKey";
 import { decodeReport, withoutReport } from "./relayHeaders";
 
 const minServerErrorStatus = 500;
 
-const peerGuard: AttemptGuard = { mayStillSend: () => true, onAnyHead: () => undefined, onArrival: () => undefined };
+const createPeerGuard = (gateway: Gateway, call: Call): AttemptGuard => ({
+    mayStillSend: () => isKeyValid(gateway, call),
+    onAnyHead: () => undefined,
+    onArrival: () => undefined,
+});
 
 /** The peer of an attempt, and what it may do. */
 export interface PeerAttemptTarget {
@@ -121,7 +126,7 @@
         if (mayMove) {
             timers.watchSilence(PeerSilence.create(gateway.peers.prober, address, relay), mayMove);
         }
-        return await sendAttempt(gateway.peers.poolOf(address), toRequest, gateway.wire, sink, peerGuard, call.presence, abort.signal);
+        return await sendAttempt(gateway.peers.poolOf(address), toRequest, gateway.wire, sink, createPeerGuard(gateway, call), call.presence, abort.signal);
     }
     catch (err) {
         // Once the request is sent, its attempt has an end and no error.
--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -11,9 +11,9 @@
 import { runPeerAttempt } from "./peerAttempt";
 import type { QuarantineGate } from "./quarantineGate";
 import type { Refusal } from "./refusal";
+import { refuseSend } from "./refuseSend";
 import type { SendTally } from "./sendTally";
 import { stoppingRefusal } from "./untilExit";
-import { refuseQuarantined } from "./waitForUpstream";
 
 /** Peers that are asked for one request. */
 const maxPeers = 5;
@@ -94,7 +94,7 @@
     /** Why the request must not be sent (again) by anybody. */
     private refuse(): Refusal | undefined {
         const { gateway, call, tally } = this;
-        const refusal = refuseQuarantined(gateway, this.gate) ?? (this.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? undefined : stoppingRefusal);
+        const refusal = refuseSend(gateway, call, this.gate) ?? (this.relay.hasBegun || mayFinishBeforeExit(gateway, call) ? undefined : stoppingRefusal);
         if (refusal || tally.sends === 0 || tally.isRetryPaid) {
             return refusal;
         }
--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -56,6 +56,11 @@
         });
     }
 
+    /** Whether other nodes are known. */
+    get hasPeers(): boolean {
+        return this.choice.hasPeers;
+    }
+
     /** A peer took a request. */
     onTaken(): void {
         this.untaken = 0;
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -34,6 +34,7 @@
     service: name,
     maxRuns: count.min(1).max(maxSends),
     streamVersion: name.optional(),
+    keyDigest: z.string().regex(/^[0-9a-f]{64}$/).optional(),
 });
 
 const reportSchema = z.object({
@@ -82,6 +83,9 @@
     return typeof value === "string" ? relayHeader.length + value.length + addedHeaderBytes : 0;
 };
 
+/** Kinds that nodes of the last release do not know: they would take an answer with one for unreadable, and the request for one that may have run. */
+const reportedKinds: Readonly<Partial<Record<FailureKind, FailureKind>>> = { [FailureKind.ConfigUnconfirmed]: FailureKind.NotReady };
+
 /** Adds what the node says of a request to the answer, if a peer passed it on; `running` counts an attempt whose answer has begun. */
 export const addReport = (
     res: ServerResponse,
@@ -98,7 +102,8 @@
         runs: runs + running,
         upstream,
         softwareVersion,
-        failure: failure && { kind: failure.kind, detail: failure.detail.slice(0, maxDetailLength), retryAfterMs: failure.retryAfterMs },
+        failure: failure &&
+            { kind: reportedKinds[failure.kind] ?? failure.kind, detail: failure.detail.slice(0, maxDetailLength), retryAfterMs: failure.retryAfterMs },
     };
     res.setHeader(relayReportHeader, encode(report));
 };
--- a/src/forward/relayIntake.ts
+++ b/src/forward/relayIntake.ts
@@ -56,7 +56,13 @@
             this.refuse(req, res, relayed ?? unreadable, refusal ?? RelayRefusal.Malformed);
             return;
         }
-        emit(EventId.RequestTakenOver, { request: this.gateway.wire.decodeCaller(req.headers).requestId, ...relayed, peer: req.socket.remoteAddress });
+        const { keyDigest, ...logged } = relayed;
+        emit(EventId.RequestTakenOver, {
+            request: this.gateway.wire.decodeCaller(req.headers).requestId,
+            ...logged,
+            hasKey: keyDigest !== undefined,
+            peer: req.socket.remoteAddress,
+        });
         void this.reception.handle(req, res, relayed);
     }
 
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -1,4 +1,5 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
+import { combinedPriorityOf } from "../core/requestPriority";
 import { chooseTarget } from "../core/routeTable";
 import { EventId } from "../types/eventId";
 import type { Failure } from "../types/failure";
@@ -19,6 +20,8 @@
 import { ConnectionTurns } from "./connectionTurns";
 import { Forwarder } from "./forwarder";
 import type { Gateway } from "./gateway";
+import { readKey } from "./readKey";
+import { refuseReadKey } from "./refuseKey";
 import { relayHeaderBytes } from "./relayHeaders";
 import { readRequestBody } from "./requestBody";
 import { RequestEnds } from "./requestEnds";
@@ -133,6 +136,15 @@
         if (!route) {
             return refuse(refusalOf(FailureKind.UnknownPath, "no route matches this host and path"));
         }
+        const key = readKey(gateway.wire, req.rawHeaders, relayed);
+        const keyRefusal = refuseReadKey(gateway, route, key, caller.requestId);
+        if (keyRefusal) {
+            const { kind = FailureKind.WrongKey, detail, retryAfterMs } = keyRefusal;
+            return refuse(refusalOf(kind, detail, retryAfterMs), { route: route.name, configAgeMs: gateway.confirmation.roundedAgeMs });
+        }
+        const keyDigest = "digest" in key ? key.digest : undefined;
+        const customer = route.isPublic === true ? undefined : gateway.customers?.find(keyDigest);
+        const priority = gateway.customers ? combinedPriorityOf(customer, route) : route.priority;
         const timeoutMs = Math.min(relayed?.remainingMs ?? caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
         const suspects = SuspectParts.create(req, caller.modelRequest);
         const bodyResult = await readRequestBody(req, res, gateway.memory, {
@@ -170,6 +182,9 @@
             res,
             caller,
             route: relayed ? { ...route, maxAttempts: Math.min(route.maxAttempts, relayed.maxRuns) } : route,
+            customer,
+            keyDigest,
+            priority,
             service: chooseService(route, relayed, gateway.random),
             configVersion: config.version,
             headers: headersToForward(req, gateway.wire),
--- a/src/forward/storeObservers.ts
+++ b/src/forward/storeObservers.ts
@@ -12,25 +12,46 @@
 /** Decodes a row of the directory; undefined if it names no upstream to use, and `onFault` is then called with the reason. */
 export type ServerDecoder = (id: string, bytes: Buffer, onFault: (fault: UpstreamFault) => void) => UpstreamServer | undefined;
 
-/** Decodes and activates a published configuration; the active one stays if it cannot be decoded. Returns whether it was activated. */
-export const decodeAndApplyConfig = (gateway: Gateway, bytes: Buffer, decode: ConfigDecoder, source: string): boolean => {
+/** What became of a published configuration. */
+export enum ConfigResult {
+    Activated = "activated",
+    /** It was in force already, or a newer one is. */
+    Known = "known",
+    /** It cannot be decoded: the active one stays. */
+    Invalid = "invalid",
+}
+
+/** Decodes a published configuration and activates it if it is newer than the active one. */
+export const decodeAndApplyConfig = (gateway: Gateway, bytes: Buffer, decode: ConfigDecoder, source: string): ConfigResult => {
     const decoded = decode(bytes);
     if ("faults" in decoded) {
         emit(EventId.ConfigUnreadableRecord, { source, faults: decoded.faults.slice(0, 5) });
-        return false;
+        return ConfigResult.Invalid;
     }
-    const isNewer = gateway.applyConfig(decoded.config, bytes);
-    if (isNewer) {
-        emit(EventId.ConfigAdvanced, { version: decoded.config.version, routes: decoded.config.routes.length, source });
+    const { config } = decoded;
+    if (!gateway.applyConfig(config, bytes)) {
+        return ConfigResult.Known;
     }
-    return isNewer;
+    emit(EventId.ConfigAdvanced, {
+        version: config.version,
+        routes: config.routes.length,
+        source,
+        customers: gateway.customers?.size,
+        keys: gateway.customers?.keys,
+    });
+    return ConfigResult.Activated;
 };
 
 /** Creates an observer that activates configurations as operators publish them. */
 export const createConfigObserver = (gateway: Gateway, key: string, decode: ConfigDecoder, onApplied: () => void): TableObserver => {
     const applyLatest = (rows: readonly StoredRow[]): void => {
         const row = rows.findLast(candidate => candidate.key === key && candidate.value);
-        if (row?.value && decodeAndApplyConfig(gateway, row.value, decode, "store")) {
+        if (!row?.value) {
+            return;
+        }
+        const result = decodeAndApplyConfig(gateway, row.value, decode, "store");
+        gateway.confirmation.onStoredVersion(result !== ConfigResult.Invalid);
+        if (result === ConfigResult.Activated) {
             onApplied();
         }
     };
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -45,7 +45,7 @@
         unplaced: traffic.inFlight,
         maxQueueMs,
         dueInMs: call.startedAt + call.route.latencyObjectiveMs - now,
-        priority: call.route.priority,
+        priority: call.priority,
     };
 };
 
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -71,7 +71,7 @@
     tried: ReadonlySet<string>,
     gate: QuarantineGate,
 ): Promise<UpstreamChoice | Refusal | undefined> => {
-    const queuedRequest = { firstTokenDueAt: call.startedAt + call.route.latencyObjectiveMs, priority: call.route.priority };
+    const queuedRequest = { firstTokenDueAt: call.startedAt + call.route.latencyObjectiveMs, priority: call.priority };
     try {
         while (!call.signal.aborted) {
             const refusal = isPathLost(gateway) ? unreachableRefusal : refuseQuarantined(gateway, gate);
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -117,6 +117,7 @@
             maxRetryDelayMs,
             knownVersion: () => 0,
             freshness,
+            confirmation: gateway.confirmation,
         });
         const directory = TableFollower.create(store, platformTables.directory, createDirectoryObserver(gateway, decodeServer), gateway.random, {
             pauseMs: () => controllerClient.isController ? directoryPauseMs : ownReadPauseShare * Math.min(settings.drainMs, settings.applyMs),
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -3,9 +3,17 @@
 import type { GaugeSpec } from "../plugins/metrics";
 import { MemoryHolder } from "../types/memoryHolder";
 
+const msPerS = 1_000;
+
 /** Gauges of a node's state, beside those of its runtime. */
 export const platformNodeGauges = (gateway: Gateway, server: CallerServer, heldEpoch: () => number | undefined): readonly GaugeSpec[] => [
     { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
+    { name: "customers", help: "Customers in the configuration in force, 0 without any", read: () => gateway.customers?.size ?? 0 },
+    {
+        name: "config_age_seconds",
+        help: "Time since the configuration in force was known to be the newest, infinite before that",
+        read: () => gateway.confirmation.ageMs / msPerS,
+    },
     { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
     { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
     { name: "requests_passed_on", help: "Requests in progress that were passed on to peers", read: () => gateway.peers.passedOn },
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -4,16 +4,17 @@
 import { brittleRequests } from "../forward/brittleRequests";
 import type { Gateway } from "../forward/gateway";
 import type { Placement } from "../forward/placement";
-import { decodeAndApplyConfig } from "../forward/storeObservers";
 import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { Permit, PermitRequest, ReturnedPlace } from "../types/sendPermit";
+import type { ClockReading } from "../utils/clockReading";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
 import { coalesce, repeat } from "../utils/time";
+import { applyConfigPart } from "./applyConfigPart";
 import { ControllerAnnouncer } from "./controllerAnnouncer";
 import type { ControllerLink } from "./controllerLink";
 import { applyDirectory } from "./directoryExchange";
@@ -126,12 +127,11 @@
     }
 
     private async exchange(): Promise<void> {
-        const requestedAt = performance.now();
         const askedAt = readClocks();
         const report = this.toReport();
         if (this.local.controller.isActive) {
             this.announcer.announce(this.lease.heldEpoch, this.peers.addresses);
-            this.applyAnswer(this.local.peerServer.exchange(report), this.gateway.settings.peerAddress, report.work, requestedAt);
+            this.applyAnswer(this.local.peerServer.exchange(report), this.gateway.settings.peerAddress, report.work, askedAt);
             return;
         }
         const address = this.chooseTarget();
@@ -148,7 +148,7 @@
             if (answer.facts) {
                 facts.onAnswer(prepared, answer.facts);
             }
-            this.applyAnswer(answer, address, report.work, requestedAt);
+            this.applyAnswer(answer, address, report.work, askedAt);
             this.gateway.freshness.onContact(askedAt);
         }
         catch (err) {
@@ -198,7 +198,7 @@
         };
     }
 
-    private applyAnswer(answer: PeerAnswer, address: string, reportedWork: NodeReport["work"], requestedAt: number): void {
+    private applyAnswer(answer: PeerAnswer, address: string, reportedWork: NodeReport["work"], askedAt: ClockReading): void {
         const { gateway } = this;
         if (answer.yielding) {
             this.lease.onYield(answer.yielding);
@@ -211,14 +211,9 @@
             this.local.peerServer.recordAnnouncement(answer.announced);
         }
         if (answer.epoch !== undefined) {
-            this.applyControllerPart(answer, answer.epoch, reportedWork, requestedAt);
-        }
-        if (answer.config !== undefined && decodeAndApplyConfig(gateway, Buffer.from(answer.config, "base64"), this.local.decodeConfig, "peer")) {
-            this.local.onConfig();
-        }
-        if (answer.confirmedAgoMs !== undefined) {
-            gateway.freshness.onPeerConfirmed(answer.confirmedAgoMs, requestedAt);
+            this.applyControllerPart(answer, answer.epoch, reportedWork, askedAt.monotonicMs);
         }
+        applyConfigPart(gateway, this.local, answer, address, askedAt);
         applyDirectory(gateway.directory, answer);
     }
 
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -56,6 +56,7 @@
     controllerAgoMs: quantity.optional(),
     announced: z.object({ peerAddress: hostAddress, epoch: storeVersion }).optional(),
     confirmedAgoMs: quantity.optional(),
+    configAgeMs: quantity.optional(),
     yielding: z.object({ version: storeVersion }).optional(),
     changes: z.array(changeSchema),
     isWholeDirectory: z.boolean().optional(),
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -171,7 +171,10 @@
     exchange(report: NodeReport): PeerAnswer {
         const { gateway, controller } = this;
         this.nodes.add(report);
-        const { config, configBytes, directory } = gateway;
+        const { config, configBytes, confirmation, directory } = gateway;
+        if (report.peerAddress !== gateway.settings.peerAddress) {
+            confirmation.onPeerReport(report.configVersion);
+        }
         const isNewer = config !== undefined && config.version > report.configVersion;
         return {
             configVersion: config?.version ?? 0,
@@ -179,6 +182,7 @@
             ...serveDirectory(directory, report.directoryVersion),
             announced: this.latestAnnouncement,
             confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : gateway.freshness.knownAgoMs,
+            configAgeMs: Number.isFinite(confirmation.ageMs) ? confirmation.ageMs : undefined,
             yielding: controller.yielding,
             facts: report.facts && this.facts.serve(report.facts),
             ...this.controllerPart(report),
--- a/src/platform/configDecoder.ts
+++ b/src/platform/configDecoder.ts
@@ -33,7 +33,8 @@
 
 const tokenUnit = "token_budget";
 const tenantSchema = z.object({
-    name: z.string().min(1),
+    /** It is sent to upstreams in a header. */
+    name: z.string().regex(/^[\x21-\x7e\x80-\xff](?:[\x20-\x7e\x80-\xff]*[\x21-\x7e\x80-\xff])?$/, "must be a non-empty header value"),
     apiKeys: z.array(z.string().min(1)).default([]),
     priority: z.number().min(0).optional(),
     /** Requests are counted without it. */
@@ -128,16 +129,52 @@
         : { unit: unit === tokenUnit ? UsageUnit.Tokens : UsageUnit.Requests, perSecond: ratePerS, burst, plainTokens },
 });
 
+/** Longest name of a customer in a fault. */
+const maxLoggedNameLength = 100;
+const namedTenantsSchema = z.object({ tenants: z.array(z.unknown()) });
+const namedTenantSchema = z.object({ name: z.string() });
+const tenantFaultPath = /^tenants\.(\d+)/;
+
+/** Adds the customer's name to a fault of its entry. */
+const withTenantName = (fault: string, document: unknown): string => {
+    const index = tenantFaultPath.exec(fault)?.[1];
+    const entry = index === undefined ? undefined : namedTenantsSchema.safeParse(document).data?.tenants[Number(index)];
+    const name = namedTenantSchema.safeParse(entry).data?.name;
+    return name === undefined ? fault : `${fault} (customer ${JSON.stringify(name.slice(0, maxLoggedNameLength))})`;
+};
+
+/** Faults of keys that several customers have; the keys themselves are not named. */
+const findSharedKeys = (tenants: readonly z.infer<typeof tenantSchema>[]): readonly string[] => {
+    const ownerByKey = new Map<string, number>();
+    const faults = new Set<string>();
+    for (const [index, { name, apiKeys }] of tenants.entries()) {
+        for (const key of apiKeys) {
+            const owner = ownerByKey.get(key) ?? index;
+            if (owner !== index) {
+                const names = [tenants[owner]!.name, name].map(text => JSON.stringify(text.slice(0, maxLoggedNameLength)));
+                faults.add(`tenants.${index}.apiKeys: customers ${names.join(" and ")} have the same key`);
+            }
+            ownerByKey.set(key, owner);
+        }
+    }
+    return [...faults];
+};
+
 /** Outcome of decoding a configuration. */
 export type ConfigDecodeResult = { readonly config: ServingConfig; } | { readonly faults: readonly string[]; };
 
 /** Decodes the configuration that operators publish. */
 export const decodeConfig = (bytes: Buffer): ConfigDecodeResult => {
-    const result = parseWith(configSchema, parseJson(bytes));
+    const document = parseJson(bytes);
+    const result = parseWith(configSchema, document);
     if ("faults" in result) {
-        return result;
+        return { faults: result.faults.map(fault => withTenantName(fault, document)) };
     }
     const { version, routes, services, limits, tenants } = result.value;
+    const sharedKeyFaults = findSharedKeys(tenants ?? []);
+    if (sharedKeyFaults.length > 0) {
+        return { faults: sharedKeyFaults };
+    }
     return {
         config: {
             version,
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -4,6 +4,8 @@
 import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
 const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
+const keyHeader = "x-api-key";
+const customerHeaders: ReadonlySet<string> = new Set([keyHeader, "tenant"]);
 const kvHeaderPrefix = "kv-";
 
 const endToEndHeaders: ReadonlySet<string> = new Set([
@@ -90,13 +92,16 @@
         };
     },
     isSystemHeader: name => systemHeaders.has(name) || name.startsWith(kvHeaderPrefix),
+    decodeKeys: rawHeaders => rawHeaders.flatMap((text, index) => index % 2 === 0 && text.toLowerCase() === keyHeader ? [rawHeaders[index + 1] ?? ""] : []),
+    isCustomerHeader: name => customerHeaders.has(name),
     isEndToEndHeader: name => endToEndHeaders.has(name),
-    encodeAttempt: ({ upstreamId, remainingMs, priority, lastEventId }) => [
+    encodeAttempt: ({ upstreamId, remainingMs, priority, lastEventId, customer }) => [
         "Deadline-Ms",
         String(Math.max(1, Math.floor(remainingMs))),
         ...(upstreamId === undefined ? [] : ["Expect-Instance", upstreamId]),
         ...(priority === undefined ? [] : ["Request-Priority", String(priority)]),
         ...(lastEventId === undefined ? [] : ["Last-Event-Id", lastEventId]),
+        ...(customer === undefined ? [] : ["Tenant", customer]),
     ],
     decodeAnswer: (status, headers) => ({
         requestId: firstValueOf(headers, "attempt-id"),
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -52,6 +52,12 @@
         labelNames: ["reason"],
         registers: this.registers,
     });
+    private readonly refusedKeys = new Counter({
+        name: "jackdawtrail_refused_keys_total",
+        help: "Requests refused for their API key, by reason; `unconfirmed` if the configuration is too old to know",
+        labelNames: ["reason"],
+        registers: this.registers,
+    });
     private readonly internalErrors = new Counter({
         name: "jackdawtrail_internal_errors_total",
         help: "Internal errors on a request's way, by step and by whether they ended the request or one attempt",
@@ -122,6 +128,9 @@
             else if (event === EventId.RelayRefused) {
                 this.refusedRelays.inc({ reason: String(fields.reason) });
             }
+            else if (event === EventId.KeyRefused || event === EventId.KeyUnconfirmed) {
+                this.refusedKeys.inc({ reason: event === EventId.KeyRefused ? String(fields.reason) : "unconfirmed" });
+            }
             else if (event === EventId.RequestFailed || event === EventId.AttemptStepFailed) {
                 this.internalErrors.inc({ step: String(fields.step), ended: event === EventId.RequestFailed ? "request" : "attempt" });
             }
--- a/src/types/customer.ts
+++ b/src/types/customer.ts
@@ -15,12 +15,16 @@
     readonly plainTokens: number;
 }
 
-/** A customer, as operators declare it. Its keys are secrets: they appear in no log, metric or message between nodes. */
-export interface CustomerSpec {
+/** A customer, without its keys. */
+export interface Customer {
     readonly name: string;
-    readonly apiKeys: readonly string[];
     /** Compared before the priority of a route; 0 is served first. Undefined for a customer without one. */
     readonly priority?: number;
     /** Undefined without a limit. */
     readonly limit?: UsageLimit;
 }
+
+/** A customer, as operators declare it. Its keys are secrets: they appear in no log, metric or message between nodes. */
+export interface CustomerSpec extends Customer {
+    readonly apiKeys: readonly string[];
+}
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -9,6 +9,7 @@
     MethodNotAllowed = "method-not-allowed",
     MissingKey = "missing-key",
     WrongKey = "wrong-key",
+    ConfigUnconfirmed = "config-unconfirmed",
     NotOffered = "not-offered",
     UnknownModel = "unknown-model",
     UnknownAdapter = "unknown-adapter",
--- a/src/types/placement.ts
+++ b/src/types/placement.ts
@@ -101,6 +101,8 @@
     readonly announced?: ControllerAnnouncement;
     /** Time since the store confirmed the configuration and directory that the peer knows. */
     readonly confirmedAgoMs?: number;
+    /** Time since the peer's configuration was known to be the newest; missing from nodes of earlier releases and before the first confirmation. */
+    readonly configAgeMs?: number;
     /** From a peer that was the controller and could not renew its lease in time. */
     readonly yielding?: LeaseYield;
     /** Directory changes after the version that the node reported, or the whole directory. */
--- a/src/types/relayedRequest.ts
+++ b/src/types/relayedRequest.ts
@@ -12,4 +12,6 @@
     readonly maxRuns: number;
     /** Software version that began the stream; undefined before it began. */
     readonly streamVersion?: string;
+    /** SHA-256 of the caller's key, in hexadecimal; missing from nodes of earlier releases and without a key. It must not be logged. */
+    readonly keyDigest?: string;
 }
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -21,6 +21,8 @@
     readonly priority?: number;
     /** ID of the last event that the caller has received, for a resumed stream. */
     readonly lastEventId?: string;
+    /** Name of the customer; undefined without one. */
+    readonly customer?: string;
 }
 
 /** Load that an upstream reports with an answer. */
@@ -51,6 +53,10 @@
     decodeCaller(headers: HeaderMap): CallerHeaders;
     /** Whether the header is reserved for the system; a caller's value is not forwarded. */
     isSystemHeader(name: string): boolean;
+    /** The keys that a request names, one for each header with one, from names and values alternating. */
+    decodeKeys(rawHeaders: readonly string[]): readonly string[];
+    /** Whether the header names a customer or its key; a caller's value is not forwarded where customers are declared. */
+    isCustomerHeader(name: string): boolean;
     /** Whether the header is forwarded even if the Connection header names it. */
     isEndToEndHeader(name: string): boolean;
     /** Header names and values, alternating. */
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -17,7 +17,7 @@
     readonly unplaced: number;
     /** Time within which a place is of use; the request is queued only if one is expected by then. */
     readonly maxQueueMs: number;
-    /** Time until the first token is due, and the priority of the route. */
+    /** Time until the first token is due, and the priority of the request. */
     readonly dueInMs: number;
     readonly priority: number;
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -40,6 +40,9 @@
     [EventId.ConfigFromSnapshot]: "the node started from the stored configuration snapshot because neither the table nor a peer answered",
     [EventId.RecordsCommitted]: "an operator's records were committed through this node",
     [EventId.SnapshotFailed]: "the configuration snapshot could not be stored",
+    [EventId.KeyedRequestsRefused]:
+        "the configuration is too old (`configAgeMs`) to know which API keys are valid, as neither the store nor a peer confirmed it: requests with a key are refused (445) and the node reports that it is not ready",
+    [EventId.KeyedRequestsServed]: "the configuration is confirmed again, and requests with a key are served",
     [EventId.PeerExchangeFailed]: "a digest exchange or another call to a peer failed",
     [EventId.VmListFailed]: "the VM list could not be read; the last one read stays in use",
     [EventId.UpstreamLeaving]: "an upstream reported that it is leaving; it gets no new requests",
@@ -111,6 +114,10 @@
         "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
     [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
     [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
+    [EventId.KeyRefused]:
+        "a request was refused for its API key, which is missing, empty, repeated, unknown, or was withdrawn while the request waited (`reason`); with the version and the age of the configuration that was asked, and the `customer` of a withdrawn key",
+    [EventId.KeyUnconfirmed]:
+        "a request was refused as the configuration is too old to know whether its API key is valid: `isKnown` says whether it has the key, `isSending` whether the request was about to be sent",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
