--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -34,6 +34,7 @@
 import { platformNodeGauges } from "./platformNodeGauges";
 import type { SelfCheckItem } from "./selfCheck";
 import { startSelfCheck } from "./selfCheck";
+import { startWatches } from "./startWatches";
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
@@ -55,8 +56,6 @@
 
 /** Settings that hold from the start of a node to its end. */
 const fixedSettings = ["nodeId", "callerAddress", "readyAddress", "peerAddress", "metricsAddress", "storeAddress"] as const;
-/** Interval at which the heap is checked, beside the checks of requests. */
-const heapCheckIntervalMs = 500;
 
 /** A node on the platform: forwards callers' requests and takes part in model placement. */
 export class PlatformNode {
@@ -126,8 +125,7 @@
             knownVersion: () => gateway.directory.version,
             freshness,
         });
-        const heapTimer = setInterval(() => gateway.heapWatch.check(), heapCheckIntervalMs);
-        this.stopped.signal.addEventListener("abort", () => clearInterval(heapTimer), { once: true });
+        startWatches(gateway, this.stopped.signal);
         void config.run(this.stopped.signal);
         void directory.run(this.stopped.signal);
         followStreamVersions(gateway, this.stopped.signal);
--- a/test/fakes/keptConnection.ts
+++ b/test/fakes/keptConnection.ts
@@ -33,6 +33,13 @@
         );
     }
 
+    /** Sends requests in one write, each with the key given. */
+    sendKeyed(...requests: readonly { readonly id: string; readonly key: string | undefined; }[]): void {
+        const toText = ({ id, key }: { readonly id: string; readonly key: string | undefined; }): string =>
+            `POST /desk/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${id}\r\n${key === undefined ? "" : `X-Api-Key: ${key}\r\n`}Content-Length: 0\r\n\r\n`;
+        this.socket.write(requests.map(toText).join(""));
+    }
+
     /** Status codes of the answers whose heads have arrived. */
     get statuses(): readonly number[] {
         return [...this.bytes.matchAll(answerPattern)].map(([, status]) => Number(status));
