Use the pace that upstreams report, and draw among upstreams that report one

Cause: nodes chose the lowest predicted cost by figures of the same age, so that all chose the same upstream until its figures changed, and a machine that was slow at the moment was not known. Change: the fourth figure of Server-Load is decoded alone; invalid ones are ignored with a counted reason (pace_value, pace_range). Predictions of work are multiplied by the pace, which decays to the usual one with a half-life of 300 ms. Where a candidate has reported a pace, the choice is the better of two that are drawn by slots and closeness to the lowest cost; otherwise it is as before.

--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -1,5 +1,7 @@
 import type { ModelRequest } from "../types/modelRequest";
 import type { UpstreamServer } from "../types/upstreamServer";
+import type { Random } from "../utils/random";
+import { drawBetterOfTwo } from "./drawBetterOfTwo";
 import type { UpstreamTraffic } from "./upstreamTraffic";
 
 /** Round-trip time added by a request to another availability zone. */
@@ -54,9 +56,9 @@
     { maxOutputTokens }: ModelRequest,
     ahead: number,
 ): number => {
-    const eventGapMs = traffic.eventGapMs ?? idleGapFactor * tokensPerEvent * stepMs;
+    const eventGapMs = traffic.eventGapMs ?? idleGapFactor * tokensPerEvent * stepMs * traffic.pace;
     const streamMs = averageOutputShare * maxOutputTokens / tokensPerEvent * eventGapMs;
-    return predictedMs + ahead * prefillMs + streamMs;
+    return predictedMs + ahead * prefillMs * traffic.pace + streamMs;
 };
 
 /** Average share of a prompt that is not in its runner's prefix cache and has to be prefilled. */
@@ -69,30 +71,66 @@
 export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest): number =>
     estimatePrefillMs(promptTokens * uncachedShare, 1) + maxOutputTokens * outputTokenMs;
 
+/** Predicted time to the first byte. Times of work at the upstream are multiplied by its pace; an event gap is measured and contains it. */
 const predictFirstByteMs = ({ server, traffic, prefillTokens, tokensPerEvent, timeFactor }: UpstreamCandidate, zone: string): UpstreamChoice["predictedMs"] => {
     const crossZoneDelayMs = server.availabilityZone === zone ? 0 : crossZoneMs;
+    const { pace } = traffic;
     if (prefillTokens === 0) {
-        const latency = traffic.firstByteMs ?? defaultLatencyMs;
+        const latency = (traffic.firstByteMs ?? defaultLatencyMs) * pace;
         return crossZoneDelayMs + latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) +
             latency * 0.1 * traffic.load / Math.max(1, server.slots);
     }
-    const firstEventMs = Math.max(tokensPerEvent * (stepMs + stepMsPerRequest * traffic.load) * timeFactor, traffic.eventGapMs ?? 0);
-    return crossZoneDelayMs + traffic.waitingPrefillMs + estimatePrefillMs(prefillTokens, timeFactor) + firstEventMs + queuedRequestMs * traffic.waiting;
+    const firstEventMs = Math.max(tokensPerEvent * (stepMs + stepMsPerRequest * traffic.load) * timeFactor * pace, traffic.eventGapMs ?? 0);
+    return crossZoneDelayMs + firstEventMs +
+        pace * (traffic.waitingPrefillMs + estimatePrefillMs(prefillTokens, timeFactor) + queuedRequestMs * traffic.waiting);
 };
 
-/** Chooses the upstream with the shortest predicted time to the first byte. Recent failures and unreachability add a penalty. */
-export const chooseUpstream = (candidates: readonly UpstreamCandidate[], zone: string): UpstreamChoice | undefined => {
-    let best: UpstreamChoice | undefined;
-    let bestCost = Number.POSITIVE_INFINITY;
-    for (const candidate of candidates) {
-        const predictedMs = predictFirstByteMs(candidate, zone);
-        const { traffic } = candidate;
-        const cost = predictedMs + failurePenaltyMs * traffic.recentFailures + (traffic.isUnreachable ? 10 * failurePenaltyMs : 0) +
-            (candidate.turnDelayMs ?? 0);
-        if (cost < bestCost) {
-            bestCost = cost;
-            best = { candidate, predictedMs, prefillMs: estimatePrefillMs(candidate.prefillTokens, candidate.timeFactor) };
+/** Predicted time to the first byte with what is added for recent failures, unreachability and named limits. */
+const costOf = (candidate: UpstreamCandidate, predictedMs: number): number =>
+    predictedMs + failurePenaltyMs * candidate.traffic.recentFailures + (candidate.traffic.isUnreachable ? 10 * failurePenaltyMs : 0) +
+    (candidate.turnDelayMs ?? 0);
+
+/** Predictions and costs of the candidates of one choice, kept so that a choice allocates nothing for each candidate. */
+const scratch = { predicted: new Float64Array(0), costs: new Float64Array(0) };
+
+const reserveScratch = (size: number): void => {
+    if (scratch.costs.length < size) {
+        scratch.predicted = new Float64Array(2 * size);
+        scratch.costs = new Float64Array(2 * size);
+    }
+};
+
+/** Index of the candidate with the lowest cost. */
+const findBest = (count: number): number => {
+    let best = 0;
+    for (let index = 1; index < count; index++) {
+        if (scratch.costs[index]! < scratch.costs[best]!) {
+            best = index;
         }
     }
     return best;
 };
+
+/**
+ * Chooses the upstream with the shortest predicted time to the first byte. Recent failures and unreachability add a penalty. Where upstreams report a pace and `random` is
+ * given, it is the better of two that are drawn, so that nodes with the same figures do not all choose the same one.
+ */
+export const chooseUpstream = (candidates: readonly UpstreamCandidate[], zone: string, random?: Random): UpstreamChoice | undefined => {
+    const count = candidates.length;
+    if (count === 0) {
+        return undefined;
+    }
+    reserveScratch(count);
+    let hasPace = false;
+    for (let index = 0; index < count; index++) {
+        const candidate = candidates[index]!;
+        const predictedMs = predictFirstByteMs(candidate, zone);
+        scratch.predicted[index] = predictedMs;
+        scratch.costs[index] = costOf(candidate, predictedMs);
+        hasPace ||= candidate.traffic.reportsPace;
+    }
+    const best = findBest(count);
+    const chosen = hasPace && random ? drawBetterOfTwo(candidates, scratch.costs, scratch.costs[best]!, random) : best;
+    const candidate = candidates[chosen]!;
+    return { candidate, predictedMs: scratch.predicted[chosen]!, prefillMs: estimatePrefillMs(candidate.prefillTokens, candidate.timeFactor) };
+};
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -8,6 +8,8 @@
 const eventGapLifetimeMs = 1_000;
 /** A reported load is ignored after this time. */
 const reportLifetimeMs = 1_500;
+/** Half-life of a reported pace's distance from the usual one: a pace changes many times a second. */
+const paceHalfLifeMs = 300;
 /** Time for which an upstream counts as unreachable after a failed connection; it doubles with each further failure. */
 const initialUnreachableMs = 1_000;
 const maxUnreachableMs = 8_000;
@@ -18,7 +20,7 @@
     inFlight = 0;
     /** Estimated prefill of own requests that have not received a first token. */
     pendingPrefillMs = 0;
-    /** Moving average of the time to the first byte of an answer; undefined before the first answer. */
+    /** Moving average of the time to the first byte of an answer at the usual pace; undefined before the first answer. */
     firstByteMs: number | undefined;
     /** When the head of an answer, or an event of a stream, last arrived. */
     lastAnswerAt = Number.NEGATIVE_INFINITY;
@@ -84,6 +86,21 @@
         return this.reported && this.now() - this.reportedAt < reportLifetimeMs ? this.reported.waiting : 0;
     }
 
+    /**
+     * Time that work takes at the upstream now, relative to its usual time: the last reported pace, which decays to the usual one (1) with its age; 1 if it reports
+     * none.
+     */
+    get pace(): number {
+        const reported = this.reported?.pace;
+        const ageMs = this.now() - this.reportedAt;
+        return reported === undefined || ageMs >= reportLifetimeMs ? 1 : 1 + (reported - 1) * 2 ** (-ageMs / paceHalfLifeMs);
+    }
+
+    /** Whether the upstream's last reported load had a pace. */
+    get reportsPace(): boolean {
+        return this.reported?.pace !== undefined;
+    }
+
     /** Age of the last reported load. */
     get reportAgeMs(): number {
         return this.now() - this.reportedAt;
@@ -95,11 +112,13 @@
         this.inFlightWhenReported = this.inFlight;
     }
 
-    onFirstByte(ms: number): void {
+    /** Records the time to the first byte of an answer, which took place at a pace: what is averaged is the usual time. */
+    onFirstByte(ms: number, pace = 1): void {
         this.lastAnswerAt = this.now();
         this.unreachableCount = 0;
-        const average = this.firstByteMs ?? ms;
-        this.firstByteMs = average + smoothingFactor * (ms - average);
+        const usualMs = ms / pace;
+        const average = this.firstByteMs ?? usualMs;
+        this.firstByteMs = average + smoothingFactor * (usualMs - average);
     }
 
     /** Moving average of the gaps between events of this node's streams; undefined without a recent sample. */
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -152,7 +152,7 @@
             this.gateway.runnerLimits.onAnswer(processKey(server), decoded.limitPerS, this.sentAt);
         }
         if (!decoded.isNotExecuted) {
-            traffic.onFirstByte(performance.now() - this.sentAt);
+            traffic.onFirstByte(performance.now() - this.sentAt, decoded.load?.pace);
             if (call.caller.modelRequest) {
                 this.gateway.cache.record(server.id, call.caller.modelRequest);
             }
--- a/src/forward/logSent.ts
+++ b/src/forward/logSent.ts
@@ -14,5 +14,6 @@
         predictedMs: Math.round(predictedMs),
         load: Math.round(traffic.load),
         loadAgeMs: Math.round(traffic.reportAgeMs),
+        pace: traffic.reportsPace ? Math.round(traffic.pace * 100) / 100 : undefined,
         configVersion,
     });
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -56,5 +56,5 @@
     const { modelRequest } = call.caller;
     const sharedPartId = modelRequest && sharedPartIds(modelRequest).at(-1);
     const preferred = sharedPartId === undefined ? undefined : rankByHashCached(sharedPartId, servers.map(({ id }) => id).sort())[0];
-    return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), gateway.settings.availabilityZone);
+    return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), gateway.settings.availabilityZone, gateway.random);
 };
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -1,6 +1,8 @@
 import type { ModelRequest, PromptPart } from "../types/modelRequest";
 import type { HeaderMap, ReportedLoad, RequestHeaderCodec } from "../types/requestHeaderCodec";
+import type { IgnoredHeader } from "../types/upstreamWord";
 import { maxTimerMs } from "../utils/time";
+import { decodePace } from "./paceDecoder";
 import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
 const systemHeaders: ReadonlySet<string> = new Set(["hold", "pin-ms", "request-priority", "expect-instance", "expect-version", "deadline-ms"]);
@@ -20,6 +22,8 @@
 
 /** Larger counts of tokens, requests and slots are not those of any runner. */
 const maxCount = 1_000_000_000;
+/** Figures of a load; further ones are not looked at. */
+const loadFigures = 4;
 /** Parts of a prompt beyond these are not looked at: each is kept while its request is in progress. */
 const maxPromptParts = 256;
 /** A lower limit is one on requests that no caller waits for. */
@@ -63,10 +67,15 @@
     };
 };
 
-/** Decodes `RUNNING,WAITING,SLOTS`; undefined if a number is missing or invalid. */
-const decodeLoad = (text: string | undefined): ReportedLoad | undefined => {
-    const [running = -1, waiting = -1, slots = -1] = (text ?? "").split(",").map(decodeNumber);
-    return [running, waiting, slots].every(value => value >= 0 && value <= maxCount) ? { running, waiting, slots } : undefined;
+/** Decodes `RUNNING,WAITING,SLOTS` or `RUNNING,WAITING,SLOTS,PACE`; undefined if one of the first three is missing or invalid. */
+const decodeLoad = (text: string | undefined, onIgnored: (reason: IgnoredHeader) => void): ReportedLoad | undefined => {
+    if (text === undefined) {
+        return undefined;
+    }
+    const figures = text.split(",", loadFigures);
+    const [running = -1, waiting = -1, slots = -1] = figures.slice(0, 3).map(decodeNumber);
+    const pace = decodePace(figures[3], onIgnored);
+    return [running, waiting, slots].every(value => value >= 0 && value <= maxCount) ? { running, waiting, slots, pace } : undefined;
 };
 
 /** Decodes a limit in requests per second; undefined if it is missing or invalid. */
@@ -98,12 +107,17 @@
         ...(priority === undefined ? [] : ["Request-Priority", String(priority)]),
         ...(lastEventId === undefined ? [] : ["Last-Event-Id", lastEventId]),
     ],
-    decodeAnswer: (status, headers) => ({
-        requestId: firstValueOf(headers, "attempt-id"),
-        isSigned: headers["server-seal"] !== undefined,
-        isNotExecuted: headers["not-executed"] !== undefined || status === misdirectedStatus,
-        ...decodeUpstreamWord(status, headers),
-        load: decodeLoad(firstValueOf(headers, "server-load")),
-        limitPerS: decodeLimit(firstValueOf(headers, "server-limit")),
-    }),
+    decodeAnswer: (status, headers) => {
+        const word = decodeUpstreamWord(status, headers);
+        const ignoredHeaders = [...word.ignoredHeaders];
+        return {
+            requestId: firstValueOf(headers, "attempt-id"),
+            isSigned: headers["server-seal"] !== undefined,
+            isNotExecuted: headers["not-executed"] !== undefined || status === misdirectedStatus,
+            ...word,
+            load: decodeLoad(firstValueOf(headers, "server-load"), reason => ignoredHeaders.push(reason)),
+            limitPerS: decodeLimit(firstValueOf(headers, "server-limit")),
+            ignoredHeaders,
+        };
+    },
 };
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -28,6 +28,8 @@
     readonly running: number;
     readonly waiting: number;
     readonly slots: number;
+    /** Time that work takes on the machine at this moment, relative to the usual time; undefined if the upstream does not say. */
+    readonly pace?: number;
 }
 
 /** Decoded headers of an upstream's answer. */
--- a/src/types/upstreamWord.ts
+++ b/src/types/upstreamWord.ts
@@ -1,9 +1,13 @@
-/** Why a header about an upstream's availability is ignored. */
+/** Why a header about an upstream's availability, or a figure of its load, is ignored. */
 export enum IgnoredHeader {
     BrittleRepeated = "brittle_repeated",
     BrittleValue = "brittle_value",
     LeavingRepeated = "leaving_repeated",
     LeavingValue = "leaving_value",
+    /** The fourth figure of the load is no positive decimal number. */
+    PaceValue = "pace_value",
+    /** The fourth figure of the load is beyond what any machine's pace can be. */
+    PaceRange = "pace_range",
     QuietRepeated = "quiet_repeated",
     QuietValue = "quiet_value",
 }
