Decide when requests leave the zone

Cause: crossing zones counted 3 ms and nothing for bytes, whatever the way and the figures were; where a zone had too few upstreams, its nodes all chose the same upstreams of the others. Change: core/zoneSpill.ts adds the measured way and the cost of the request's bytes (--cross-zone-cost, 20 ms per MB; at least the 3 ms from before) to upstreams of other zones. It keeps a request in its zone if a peer passed it on, if the other zone's figures are older than 1.5 s, if the other zone would take more than 0.7 of the latency objective, or if the share that may leave is used up. The share is bounded while the zones differ by more than a quarter and leaving made the other zone slower; meanwhile nodes draw. Events 470 and 471, gauges by reason.

--- a/scripts/docs.ts
+++ b/scripts/docs.ts
@@ -1,5 +1,6 @@
 // Generates docs/CONFIGURATION.md and docs/EVENTS.md. With `--check` it writes nothing and exits with code 1 if a page is out of date.
 import { readFileSync, writeFileSync } from "node:fs";
+import { crossZoneDefinitions } from "../src/node/crossZoneSettings";
 import { settingDefinitions } from "../src/node/standaloneNodeSettings";
 import { transportLimitDefinitions } from "../src/node/transportLimitSettings";
 import { EventId } from "../src/types/eventId";
@@ -24,7 +25,7 @@
     "",
     "| flag | variable | unit | default | allowed | meaning |",
     "| --- | --- | --- | --- | --- | --- |",
-    ...Object.values(transportLimitDefinitions).map(({ flag, env, unit, defaultValue, allowed, description }) =>
+    ...Object.values({ ...transportLimitDefinitions, ...crossZoneDefinitions }).map(({ flag, env, unit, defaultValue, allowed, description }) =>
         `| \`${flag}\` | \`${env}\` | ${unit} | ${defaultValue ?? ""} | ${allowed} | ${description} |`
     ),
     "",
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -1,6 +1,7 @@
 import { Command, Option } from "clipanion";
 import { readFileSync } from "node:fs";
 import { PassingWaits } from "../core/passingWaits";
+import { crossZoneDefinitions, readCrossZoneSettings } from "../node/crossZoneSettings";
 import { PlatformNodeRun } from "../node/platformNodeRun";
 import { readTransportLimits, transportLimitDefinitions } from "../node/transportLimitSettings";
 import { parseSettingsFile } from "../platform/settingsFile";
@@ -25,6 +26,12 @@
 /** Poll interval for the settings file, which may change without a signal. */
 const settingsPollMs = 2_000;
 
+/** Settings that come from flags and variables, and hold until the process ends. */
+interface OwnSettings {
+    readonly limits: TransportLimits;
+    readonly crossZoneMsPerMb: number;
+}
+
 /** `jackdawtrail serve-platform`: runs a node on the platform until SIGTERM or SIGINT. */
 export class ServePlatformCommand extends Command<CommandContext> {
     static override paths = [["serve-platform"]];
@@ -39,6 +46,7 @@
     constructor() {
         super();
         addSettingOptions(this, transportLimitDefinitions);
+        addSettingOptions(this, crossZoneDefinitions);
     }
 
     override async execute(): Promise<number> {
@@ -50,12 +58,15 @@
             return ExitCode.Usage;
         }
         const transport = readTransportLimits(settingValuesOf(this, transportLimitDefinitions));
-        if ("faults" in transport) {
-            emit(EventId.SettingsRefused, { faults: transport.faults });
-            transport.faults.forEach(fault => this.context.stderr.write(`${describeFault(fault)}\n`));
+        const crossZone = readCrossZoneSettings(settingValuesOf(this, crossZoneDefinitions));
+        if ("faults" in transport || "faults" in crossZone) {
+            const faults = [transport, crossZone].flatMap(reading => "faults" in reading ? reading.faults : []);
+            emit(EventId.SettingsRefused, { faults });
+            faults.forEach(fault => this.context.stderr.write(`${describeFault(fault)}\n`));
             return ExitCode.Usage;
         }
         const { limits } = transport;
+        const { crossZoneMsPerMb } = crossZone;
         const { signals } = this.context;
         const stopped = new AbortController();
         const reading = await unlessStopped(readSettingsFile(this.settingsFile, limits, PassingWaits.create(stopped.signal)), signals);
@@ -66,13 +77,13 @@
             return ExitCode.Ok;
         }
         startTimes.mark(StartStep.Settings);
-        const node = PlatformNodeRun.create(reading.settings, () => errors.total);
-        this.watchSettings(this.settingsFile, reading.text, node, limits, signals);
+        const node = PlatformNodeRun.create({ ...reading.settings, crossZoneMsPerMb }, () => errors.total);
+        this.watchSettings(this.settingsFile, reading.text, node, { limits, crossZoneMsPerMb }, signals);
         return serveUntilStopped(node, signals);
     }
 
     /** Reads the settings again on SIGHUP and when the file has changed without a signal. */
-    private watchSettings(file: string, firstText: string, node: PlatformNodeRun, limits: TransportLimits, signals: ProcessSignals): void {
+    private watchSettings(file: string, firstText: string, node: PlatformNodeRun, own: OwnSettings, signals: ProcessSignals): void {
         let lastText = firstText;
         const reread = (): void => {
             const text = readFileSync(file, "utf8");
@@ -80,12 +91,12 @@
                 return;
             }
             lastText = text;
-            const result = parseSettingsFile(text, limits);
+            const result = parseSettingsFile(text, own.limits);
             if ("faults" in result) {
                 emit(EventId.SettingsRefused, { file, faults: namedFaults(result.faults) });
                 return;
             }
-            node.reload(result.settings);
+            node.reload({ ...result.settings, crossZoneMsPerMb: own.crossZoneMsPerMb });
         };
         const rereadSafely = (): void => {
             try {
--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -3,9 +3,9 @@
 import type { Random } from "../utils/random";
 import { drawBetterOfTwo } from "./drawBetterOfTwo";
 import type { UpstreamTraffic } from "./upstreamTraffic";
+import type { LeavingRequest, ZoneSpill } from "./zoneSpill";
+import { assumedCrossZoneMs } from "./zoneSpill";
 
-/** Round-trip time added by a request to another availability zone. */
-const crossZoneMs = 3;
 /** Latency assumed for an upstream that has not answered yet. */
 const defaultLatencyMs = 60;
 /** Added to the predicted time for each recent failure. */
@@ -71,24 +71,22 @@
 export const estimateWorkMs = ({ promptTokens, maxOutputTokens }: ModelRequest): number =>
     estimatePrefillMs(promptTokens * uncachedShare, 1) + maxOutputTokens * outputTokenMs;
 
-/** Predicted time to the first byte. Times of work at the upstream are multiplied by its pace; an event gap is measured and contains it. */
-const predictFirstByteMs = ({ server, traffic, prefillTokens, tokensPerEvent, timeFactor }: UpstreamCandidate, zone: string): UpstreamChoice["predictedMs"] => {
-    const crossZoneDelayMs = server.availabilityZone === zone ? 0 : crossZoneMs;
+/** Predicted time to the first byte within the zone of the upstream. Times of work at the upstream are multiplied by its pace; an event gap is measured and contains it. */
+const predictFirstByteMs = ({ server, traffic, prefillTokens, tokensPerEvent, timeFactor }: UpstreamCandidate): UpstreamChoice["predictedMs"] => {
     const { pace } = traffic;
     if (prefillTokens === 0) {
         const latency = (traffic.firstByteMs ?? defaultLatencyMs) * pace;
-        return crossZoneDelayMs + latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) +
+        return latency * Math.max(1, (traffic.load + 1) / Math.max(1, server.slots)) +
             latency * 0.1 * traffic.load / Math.max(1, server.slots);
     }
     const firstEventMs = Math.max(tokensPerEvent * (stepMs + stepMsPerRequest * traffic.load) * timeFactor * pace, traffic.eventGapMs ?? 0);
-    return crossZoneDelayMs + firstEventMs +
+    return firstEventMs +
         pace * (traffic.waitingPrefillMs + estimatePrefillMs(prefillTokens, timeFactor) + queuedRequestMs * traffic.waiting);
 };
 
-/** Predicted time to the first byte with what is added for recent failures, unreachability and named limits. */
-const costOf = (candidate: UpstreamCandidate, predictedMs: number): number =>
-    predictedMs + failurePenaltyMs * candidate.traffic.recentFailures + (candidate.traffic.isUnreachable ? 10 * failurePenaltyMs : 0) +
-    (candidate.turnDelayMs ?? 0);
+/** What is added to the predicted time for recent failures, unreachability and named limits. */
+const penaltyMsOf = ({ traffic, turnDelayMs = 0 }: UpstreamCandidate): number =>
+    failurePenaltyMs * traffic.recentFailures + (traffic.isUnreachable ? 10 * failurePenaltyMs : 0) + turnDelayMs;
 
 /** Predictions and costs of the candidates of one choice, kept so that a choice allocates nothing for each candidate. */
 const scratch = { predicted: new Float64Array(0), costs: new Float64Array(0) };
@@ -111,26 +109,44 @@
     return best;
 };
 
+/** Which zones the request may leave for, and at which cost. */
+export interface ZoneChoice {
+    readonly request: LeavingRequest;
+    readonly spill: ZoneSpill;
+}
+
 /**
- * Chooses the upstream with the shortest predicted time to the first byte. Recent failures and unreachability add a penalty. Where upstreams report a pace and `random` is
- * given, it is the better of two that are drawn, so that nodes with the same figures do not all choose the same one.
+ * Chooses the upstream with the shortest predicted time to the first byte. Recent failures and unreachability add a penalty. Where upstreams report a pace, or the zones are uneven, and `random` is given, it is the better of two that are drawn, so that nodes with the same figures do not all choose the
+ * same one. Without `zones`, any zone may be chosen.
  */
-export const chooseUpstream = (candidates: readonly UpstreamCandidate[], zone: string, random?: Random): UpstreamChoice | undefined => {
+export const chooseUpstream = (candidates: readonly UpstreamCandidate[], zone: string, random?: Random, zones?: ZoneChoice): UpstreamChoice | undefined => {
     const count = candidates.length;
     if (count === 0) {
         return undefined;
     }
     reserveScratch(count);
+    const { predicted, costs } = scratch;
     let hasPace = false;
     for (let index = 0; index < count; index++) {
-        const candidate = candidates[index]!;
-        const predictedMs = predictFirstByteMs(candidate, zone);
-        scratch.predicted[index] = predictedMs;
-        scratch.costs[index] = costOf(candidate, predictedMs);
-        hasPace ||= candidate.traffic.reportsPace;
+        predicted[index] = predictFirstByteMs(candidates[index]!);
+        hasPace ||= candidates[index]!.traffic.reportsPace;
+    }
+    zones?.spill.begin(zones.request, candidates, predicted);
+    for (let index = 0; index < count; index++) {
+        const { server } = candidates[index]!;
+        const crossingMs = zones ? zones.spill.costMsOf(server.availabilityZone) : server.availabilityZone === zone ? 0 : assumedCrossZoneMs;
+        costs[index] = predicted[index]! + crossingMs + penaltyMsOf(candidates[index]!);
     }
     const best = findBest(count);
-    const chosen = hasPace && random ? drawBetterOfTwo(candidates, scratch.costs, scratch.costs[best]!, random) : best;
+    const draws = hasPace || zones?.spill.areZonesUneven === true;
+    const chosen = draws && random ? drawBetterOfTwo(candidates, costs, costs[best]!, zone, random) : best;
     const candidate = candidates[chosen]!;
-    return { candidate, predictedMs: scratch.predicted[chosen]!, prefillMs: estimatePrefillMs(candidate.prefillTokens, candidate.timeFactor) };
+    const { availabilityZone } = candidate.server;
+    zones?.spill.end(availabilityZone);
+    const delayMs = zones ? zones.spill.delayMsOf(availabilityZone) : availabilityZone === zone ? 0 : assumedCrossZoneMs;
+    return {
+        candidate,
+        predictedMs: predicted[chosen]! + delayMs,
+        prefillMs: estimatePrefillMs(candidate.prefillTokens, candidate.timeFactor),
+    };
 };
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -106,6 +106,11 @@
         return this.now() - this.reportedAt;
     }
 
+    /** Age of the newest figures about its load, by its own report or by other nodes. */
+    get figuresAgeMs(): number {
+        return this.now() - Math.max(this.reportedAt, this.peerLoadAt);
+    }
+
     onReportedLoad(reported: ReportedLoad): void {
         this.reported = reported;
         this.reportedAt = this.now();
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -35,6 +35,7 @@
 import type { Random } from "../utils/random";
 import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
+import { createZoneSpill } from "./createZoneSpill";
 import { Departures } from "./departures";
 import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
 import { PeerRelays } from "./peerRelays";
@@ -122,6 +123,7 @@
     );
     /** Whether this node reaches upstreams over its own links. */
     readonly contact = UpstreamContact.create(() => this.random(), process => this.runnerLimits.limitOf(process) !== undefined);
+    readonly zoneSpill = createZoneSpill(this);
     /** The peers through which callers are served while it does not. */
     readonly peers = PeerRelays.create(this);
     /** Connections to upstreams that are open or being opened. */
@@ -212,6 +214,8 @@
                     this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
                 },
                 this.contact,
+                undefined,
+                connectMs => this.zoneSpill.delays.record(this.directory.get(id)?.availabilityZone, connectMs),
             ));
     }
 
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -56,5 +56,12 @@
     const { modelRequest } = call.caller;
     const sharedPartId = modelRequest && sharedPartIds(modelRequest).at(-1);
     const preferred = sharedPartId === undefined ? undefined : rankByHashCached(sharedPartId, servers.map(({ id }) => id).sort())[0];
-    return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), gateway.settings.availabilityZone, gateway.random);
+    const { random, zoneSpill: spill, settings: { availabilityZone } } = gateway;
+    const request = {
+        service: call.service,
+        latencyObjectiveMs: call.route.latencyObjectiveMs,
+        bytes: call.body.length,
+        isPassedOn: call.progress.relayed !== undefined,
+    };
+    return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), availabilityZone, random, { request, spill });
 };
--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -31,6 +31,8 @@
     socket: Socket | undefined;
     /** When it was opened, on the monotonic clock. */
     openedAt = Number.NEGATIVE_INFINITY;
+    /** How long it took to open. */
+    connectMs = 0;
     private hasConnected = false;
     private isReset = false;
     /** How long the connection had been idle before its present request; undefined at its first. */
@@ -108,8 +110,10 @@
             return;
         }
         this.hasConnected = true;
+        const startedAt = performance.now();
         const socket: unknown = createPunctualConnector({ timeout: this.connectTimeoutMs })(options, (...result) => {
             this.openedAt = performance.now();
+            this.connectMs = this.openedAt - startedAt;
             this.recordReset(result[1] ?? undefined);
             void (result[0] ? Promise.resolve() : this.confirm()).then(() => callback(...unlessClosed(result)));
         });
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -27,17 +27,19 @@
         private readonly onCount: (change: number) => void,
         private readonly contact: PathContact,
         private readonly connectTimeoutMs: number | undefined,
+        private readonly onConnected: (connectMs: number) => void,
     ) {}
 
-    /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number, and `contact` with each one that was opened. */
+    /** Creates an empty pool of connections to an address; `onCount` is called with each change of their number, `contact` is told of each one that was opened, and `onConnected` how long that took. */
     static create(
         address: string,
         maxHeadBytes: number,
         onCount: (change: number) => void = () => {},
         contact: PathContact = UpstreamContact.create(),
         connectTimeoutMs?: number,
+        onConnected: (connectMs: number) => void = () => {},
     ): UpstreamConnectionPool {
-        return new UpstreamConnectionPool(address, maxHeadBytes, onCount, contact, connectTimeoutMs);
+        return new UpstreamConnectionPool(address, maxHeadBytes, onCount, contact, connectTimeoutMs, onConnected);
     }
 
     /** Number of connections that are open or being opened. */
@@ -123,6 +125,7 @@
     private connect(confirm: () => Promise<unknown>): UpstreamConnection {
         const connection = UpstreamConnection.create(this.address, this.maxHeadBytes, () => {
             this.contact.onOpened();
+            this.onConnected(connection.connectMs);
             return confirm();
         }, this.connectTimeoutMs);
         this.open.add(connection);
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -11,6 +11,7 @@
 import { createMetricsServer, createReadinessServer } from "../forward/monitoringServers";
 import { RelayIntake } from "../forward/relayIntake";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
+import { zoneGauges } from "../forward/zoneGauges";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { platformTables } from "../platform/platformTables";
@@ -135,6 +136,7 @@
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
             ...contactGauges(gateway),
+            ...zoneGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -85,6 +85,8 @@
     RelayEnded = 441,
     RequestTakenOver = 442,
     RelayRefused = 443,
+    ZonesUneven = 470,
+    ZonesEven = 471,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -111,6 +111,9 @@
         "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
     [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
     [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
+    [EventId.ZonesUneven]:
+        "a service's upstreams in another zone are much faster or slower than those of the own zone: at most `share` of the requests leave for it; with the predicted times, the gain relative to `ownMs` and the age of the figures",
+    [EventId.ZonesEven]: "the zones are even again: requests of the service leave for the other zone wherever they are predicted to be answered first",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
