--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -5,6 +5,7 @@
 import { CrashLog } from "../core/crashLog";
 import type { CustomerTable } from "../core/customerTable";
 import { HeapWatch } from "../core/heapWatch";
+import { LearnedSpeeds } from "../core/learnedSpeeds";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
 import type { PriorityLevels } from "../core/priorityLevels";
@@ -37,6 +38,7 @@
 import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
 import { createConfirmation } from "./createConfirmation";
+import { createZoneSpill } from "./createZoneSpill";
 import { Departures } from "./departures";
 import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
 import { logUpstreamChange } from "./logUpstreamChange";
@@ -81,6 +83,8 @@
     readonly factCounter: RevisionCounter = { value: 0 };
     /** Crashes of runners, and the prompt parts that are in quarantine for them. */
     readonly crashLog = CrashLog.create(this.factCounter);
+    /** Speeds of upstreams that the nodes learned. */
+    readonly learnedSpeeds = LearnedSpeeds.create(this.factCounter);
     /** Limits that runners name in their answers. */
     readonly runnerLimits = RunnerLimits.create(this.factCounter);
     /** Which upstreams may get requests, by the directory and by their own word. */
@@ -117,6 +121,7 @@
     );
     /** Whether this node reaches upstreams over its own links. */
     readonly contact = UpstreamContact.create(() => this.random(), process => this.runnerLimits.limitOf(process) !== undefined);
+    readonly zoneSpill = createZoneSpill(this);
     /** The peers through which callers are served while it does not. */
     readonly peers = PeerRelays.create(this);
     /** Connections to upstreams that are open or being opened. */
@@ -207,6 +212,8 @@
                     this.memory.charge(MemoryHolder.UpstreamConnections, change * upstreamConnectionBytes);
                 },
                 this.contact,
+                undefined,
+                connectMs => this.zoneSpill.delays.record(this.directory.get(id)?.availabilityZone, connectMs),
             ));
     }
 
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -118,6 +118,11 @@
         "a request was refused for its API key, which is missing, empty, repeated, unknown, or was withdrawn while the request waited (`reason`); with the version and the age of the configuration that was asked, and the `customer` of a withdrawn key",
     [EventId.KeyUnconfirmed]:
         "a request was refused as the configuration is too old to know whether its API key is valid: `isKnown` says whether it has the key, `isSending` whether the request was about to be sent",
+    [EventId.ZonesUneven]:
+        "a service's upstreams in another zone are much faster or slower than those of the own zone: at most `share` of the requests leave for it; with the predicted times, the gain relative to `ownMs` and the age of the figures",
+    [EventId.ZonesEven]: "the zones are even again: requests of the service leave for the other zone wherever they are predicted to be answered first",
+    [EventId.SpeedLearned]:
+        "a speed of a service's upstreams was learned from responses and is told to the other nodes; `before` and `beforeAgeMs` are what was known, `kind` says what the line of `base` and `slope` describes",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
