--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -25,6 +25,8 @@
     [FailureKind.UnknownService]: { status: 404, title: "the service is unknown" },
     [FailureKind.DeadlineExpired]: { status: 408, title: "the deadline passed" },
     [FailureKind.QueueFull]: { status: 429, title: "the queue is full" },
+    [FailureKind.UsageLimit]: { status: 429, title: "the customer's usage limit is reached" },
+    [FailureKind.UsageUnknown]: { status: 503, title: "the node cannot tell whether the customer's usage limit is reached" },
     [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
     [FailureKind.UpstreamsQuiet]: { status: 503, title: "all upstreams asked for a pause" },
     [FailureKind.UpstreamsBrittle]: { status: 503, title: "all upstreams are brittle and have no room" },
--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -25,13 +25,18 @@
     FailureKind.UnknownPath,
 ]);
 
+/** Statuses of failures of requests that have not run, where they say more than 503; callers know that they guarantee the same. */
+const notRunStatuses: Readonly<Partial<Record<FailureKind, number>>> = { [FailureKind.UsageLimit]: failureClasses[FailureKind.UsageLimit].status };
+/** Statuses that tell callers when to come back. */
+const retryStatuses: ReadonlySet<number> = new Set([unavailable, ...Object.values(notRunStatuses)]);
+
 /** Status 503 states that a request has not run, so only requests with that verdict get it. */
 const statusOf = ({ kind, verdict }: Failure): number => {
     if (callerErrorKinds.has(kind)) {
         return failureClasses[kind].status;
     }
     if (verdict === Verdict.NotRun) {
-        return unavailable;
+        return notRunStatuses[kind] ?? unavailable;
     }
     return kind === FailureKind.DeadlineExpired ? gatewayTimeout : badGateway;
 };
@@ -71,7 +76,7 @@
     }
     // Headers of an upstream's answer that could not be relayed.
     res.getHeaderNames().filter(name => name !== "connection").forEach(name => res.removeHeader(name));
-    if (failure.retryAfterMs !== undefined && status === unavailable) {
+    if (failure.retryAfterMs !== undefined && retryStatuses.has(status)) {
         res.setHeader("Retry-After", (failure.retryAfterMs / msPerSecond).toFixed(2));
     }
     addReport(res, progress, failure);
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -19,6 +19,7 @@
 import { UpstreamContact } from "../core/upstreamContact";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
+import { UsageCounters } from "../core/usageCounters";
 import { WaitingRequests } from "../core/waitingRequests";
 import { EventId } from "../types/eventId";
 import { MemoryHolder } from "../types/memoryHolder";
@@ -80,6 +81,8 @@
     /** The active configuration as it was published, for peers. */
     configBytes: Buffer | undefined;
     placement: Placement = disabledPlacement;
+    /** Called when a newer configuration has been activated. */
+    onConfig: () => void = () => undefined;
     /** Probes silent runners; without it, silence alone counts, and no crash is recorded. */
     prober: UpstreamProber | undefined;
     /** Without it, this node takes its path to the upstreams for granted. */
@@ -92,6 +95,8 @@
     readonly runnerLimits = RunnerLimits.create(this.factCounter);
     /** Which upstreams may get requests, by the directory and by their own word. */
     readonly availability = UpstreamAvailability.create(this.directory, id => this.trafficByUpstream.get(id)?.inFlight ?? 0, this.factCounter);
+    /** Units of customers that this node's requests took. */
+    readonly usage = UsageCounters.create();
     /** Requests that wait until an upstream that asked for quiet takes requests again. */
     readonly quietWaiters = WaitingRequests.create();
     readonly crashWatch = CrashWatch.create(this.crashLog, () => this.prober, async (...args) => await this.contactMonitor?.confirm(...args) ?? true);
@@ -190,6 +195,7 @@
         }
         this.configBytes = bytes;
         this.active = { config, routes: RouteTable.create(config) };
+        this.onConfig();
         return true;
     }
 
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -5,11 +5,13 @@
 import type { Gateway } from "../forward/gateway";
 import type { Placement } from "../forward/placement";
 import { decodeAndApplyConfig } from "../forward/storeObservers";
-import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { PeerNode } from "../types/peerNode";
 import type { NodeReport, PeerAnswer, PlacementAnswer, PlacementRequest } from "../types/placement";
 import type { Permit, PermitRequest, ReturnedPlace } from "../types/sendPermit";
+import type { UsageAnswer } from "../types/usageAnswer";
+import type { UsageCharge } from "../types/usageCharge";
+import type { UsageNodes } from "../types/usageNodes";
 import { readClocks } from "../utils/clockReading";
 import { emit } from "../utils/events";
 import { ownerOf } from "../utils/hash";
@@ -18,6 +20,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { applyDirectory } from "./directoryExchange";
 import type { LocalComponents } from "./localComponents";
+import { createNodeReport } from "./nodeReport";
 import type { PacerNodes } from "./pacerNodes";
 import { pacerNodesOf } from "./pacerNodes";
 import { decodePeerAnswer } from "./peerAnswerDecoder";
@@ -25,7 +28,7 @@
 import { PeerDirectory } from "./peerDirectory";
 import { PermitClient } from "./permitClient";
 import { PlacementClient } from "./placementClient";
-import { addLoads } from "./reportedNodes";
+import { UsageService } from "./usageService";
 
 /** Interval between two reports; relays bound the number of nodes that report to one. */
 const exchangeIntervalMs = 400;
@@ -38,6 +41,7 @@
 export class ControllerClient implements Placement {
     private readonly clients: PeerClients;
     private readonly permits: PermitClient;
+    private readonly usage: UsageService;
     private readonly announcer: ControllerAnnouncer;
     private readonly placements: PlacementClient;
     private readonly peers: PeerDirectory;
@@ -64,6 +68,9 @@
             err => this.onExchangeFailed(err),
         );
         this.permits = PermitClient.create(this.clients, local.peerServer.pacer, () => this.pacerNodes);
+        this.usage = UsageService.create(gateway, this.clients, this.usageNodes);
+        local.peerServer.usage = this.usage;
+        gateway.onConfig = () => this.usage.onConfig();
         this.announcer = ControllerAnnouncer.create(gateway, local.peerServer, this.clients);
     }
 
@@ -103,6 +110,8 @@
     }
 
     readonly acquirePermit = (req: PermitRequest): Promise<Permit> => this.permits.acquire(req);
+    readonly chargeUsage = (charge: UsageCharge): Promise<UsageAnswer> => this.usage.charge(charge);
+    readonly returnUsage = (charge: UsageCharge, answer: UsageAnswer): void => this.usage.onNotRun(charge, answer);
     readonly returnPlace = (place: ReturnedPlace): void => this.permits.returnPlace(place);
 
     /** Requests a model or adapter from the controller. */
@@ -120,6 +129,11 @@
         return pacerNodesOf(this.gateway.settings, this.link, this.peers);
     }
 
+    /** The nodes among which the home nodes of customers are chosen. */
+    private get usageNodes(): UsageNodes {
+        return { self: this.self, nodes: [this.self, ...this.peers.nodes], isFleetKnown: this.link.epoch !== undefined };
+    }
+
     private get self(): PeerNode {
         const { peerAddress, availabilityZone, cores } = this.gateway.settings;
         return { address: peerAddress, zone: availabilityZone, cores };
@@ -128,10 +142,13 @@
     private async exchange(): Promise<void> {
         const requestedAt = performance.now();
         const askedAt = readClocks();
-        const report = this.toReport();
+        const { source, adaptersRevision, peersVersion } = this;
+        const known = { source, adaptersRevision, peersVersion };
+        const report = createNodeReport(this.gateway, this.link, this.local, known, this.demandReporter.take());
         if (this.local.controller.isActive) {
             this.announcer.announce(this.lease.heldEpoch, this.peers.addresses);
             this.applyAnswer(this.local.peerServer.exchange(report), this.gateway.settings.peerAddress, report.work, requestedAt);
+            this.usage.onController(askedAt, 0);
             return;
         }
         const address = this.chooseTarget();
@@ -150,6 +167,10 @@
             }
             this.applyAnswer(answer, address, report.work, requestedAt);
             this.gateway.freshness.onContact(askedAt);
+            this.usage.onPeer(address, askedAt);
+            if (answer.epoch !== undefined) {
+                this.usage.onController(askedAt, answer.controllerAgoMs ?? 0);
+            }
         }
         catch (err) {
             this.peers.onFailed(address);
@@ -175,29 +196,6 @@
         return latestAnnouncement && latestAnnouncement.epoch > (this.lease.seenVersion ?? 0) ? latestAnnouncement.peerAddress : this.lease.holderAddress;
     }
 
-    private toReport(): NodeReport {
-        const { gateway, link, local } = this;
-        const isRelaying = link.isRelaying && !local.controller.isActive;
-        const loads: Record<string, [number, number]> = isRelaying ? local.peerServer.nodes.loadsExcluding() : {};
-        addLoads(loads, gateway.ownLoads());
-        return {
-            node: gateway.settings.nodeId,
-            peerAddress: gateway.settings.peerAddress,
-            zone: gateway.settings.availabilityZone,
-            cores: gateway.settings.cores,
-            reachesUpstreams: gateway.contact.state === ContactState.Held,
-            members: isRelaying ? local.peerServer.nodes.members.filter(({ address }) => address !== gateway.settings.peerAddress) : [],
-            source: this.source,
-            peersVersion: this.peersVersion,
-            configVersion: gateway.config?.version ?? 0,
-            directoryVersion: gateway.directory.version,
-            adaptersEpoch: link.epoch,
-            adaptersRevision: this.adaptersRevision,
-            work: [...this.demandReporter.take(), ...link.takeMemberWork()],
-            loads,
-        };
-    }
-
     private applyAnswer(answer: PeerAnswer, address: string, reportedWork: NodeReport["work"], requestedAt: number): void {
         const { gateway } = this;
         if (answer.yielding) {
@@ -233,6 +231,7 @@
             this.peers.setPeers(answer.peers);
             this.gateway.peers.setPeers(this.peers.nodes);
         }
+        this.usage.setNodes(this.usageNodes);
         this.peersVersion = answer.peersVersion;
         if (answer.adapters) {
             this.adaptersRevision = answer.adapters.revision;
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -10,7 +10,7 @@
 import { UpstreamState } from "../types/upstreamServer";
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
-import { age, brittleUpstreams, count, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
+import { age, brittleUpstreams, count, hostAddress, leavingUpstreams, quantity, storeVersion, usageAnswers } from "./peerSchemas";
 
 const texts = z.array(z.string());
 
@@ -72,7 +72,7 @@
     isUncertain: z.boolean().optional(),
 });
 
-const permitSchema = z.object({ isGranted: z.boolean(), waitMs: quantity, isFull: z.boolean().optional() });
+const permitSchema = z.object({ isGranted: z.boolean(), waitMs: quantity, isFull: z.boolean().optional(), usage: usageAnswers.optional() });
 
 const decodeWith = <T>(schema: z.ZodType<T>, answer: unknown): T => {
     const result = schema.safeParse(answer);
--- a/src/placement/peerSchemas.ts
+++ b/src/placement/peerSchemas.ts
@@ -4,6 +4,7 @@
 import { createStoreVersion, maxStoreCounter, maxStoreEra } from "../types/storeVersion";
 import { UpstreamFault } from "../types/upstreamFault";
 import type { BrittleUpstream, LeavingUpstream } from "../types/upstreamWord";
+import { UsageOutcome } from "../types/usageOutcome";
 import { emit } from "../utils/events";
 
 /** A number that is neither negative nor infinite. */
@@ -15,6 +16,28 @@
 export const storeVersion = count.max(createStoreVersion(maxStoreEra, maxStoreCounter));
 export const hostAddress = z.string().refine(isHostAddress, "must be IP:PORT");
 
+/** Limits on the charges of one message. */
+const maxCharges = 2_048;
+const maxCustomerLength = 1_024;
+const maxBucketLength = 64;
+const customer = z.string().max(maxCustomerLength);
+
+/** Charges that the asked node is to admit. */
+export const usageRequest = z.object({
+    zone: z.string(),
+    charges: z.array(z.object({ customer, units: quantity, perSecond: quantity, burst: quantity, configVersion: z.number() })).max(maxCharges),
+    isFinal: z.boolean(),
+});
+/** Answers to charges, in their order. */
+export const usageAnswers = z.array(z.object({
+    outcome: z.enum(UsageOutcome),
+    retryAfterMs: quantity.optional(),
+    node: hostAddress.optional(),
+    bucket: z.string().max(maxBucketLength).optional(),
+})).max(maxCharges);
+/** Charges that are returned. */
+export const returnedUsage = z.array(z.object({ customer, bucket: z.string().max(maxBucketLength), units: quantity })).max(maxCharges);
+
 /** Limits on the upstreams that one list of a report or answer names. */
 const maxListedUpstreams = 8_192;
 const maxUpstreamIdLength = 200;
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -12,6 +12,7 @@
 import { maxPartIdLength, maxSuspectParts } from "../forward/suspectParts";
 import { EventId } from "../types/eventId";
 import type { ControllerAnnouncement, NodeReport, PeerAnswer } from "../types/placement";
+import type { PeerPermitRequest, Permit, PlaceReport } from "../types/sendPermit";
 import { emit } from "../utils/events";
 import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
@@ -20,7 +21,9 @@
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
 import { age, brittleUpstreams, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
+import { permitSchema, placeReportSchema } from "./permitSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
+import type { UsageService } from "./usageService";
 import { VersionedPeers } from "./versionedPeers";
 
 /** Limits on a peer's request. */
@@ -76,26 +79,6 @@
     unreachable: z.array(z.string()),
 });
 
-const runnerKey = z.string().max(maxPartIdLength);
-const placeSchema = z.object({
-    id: z.string().max(maxPartIdLength),
-    node: hostAddress,
-    holdMs: quantity,
-    slots: quantity,
-    share: z.number().positive().max(1),
-    maxRejectionsPerS: quantity,
-    load: quantity,
-    unplaced: quantity,
-    maxQueueMs: z.number(),
-    dueInMs: z.number(),
-    priority: z.number(),
-});
-const permitSchema = z.object({ runner: runnerKey, perSecond: quantity.optional(), maxWaitMs: z.number(), place: placeSchema.optional() });
-const placeReportSchema = z.object({
-    node: hostAddress,
-    returned: z.array(z.object({ runner: runnerKey, id: z.string().max(maxPartIdLength).optional(), isRejected: z.boolean() })),
-    unplaced: z.array(z.object({ runner: runnerKey, count: quantity })),
-});
 const announcementSchema = z.object({ peerAddress: hostAddress, epoch: storeVersion });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
@@ -114,6 +97,8 @@
     latestAnnouncement: ControllerAnnouncement | undefined;
     /** Takes callers' requests that peers pass on; without it, they are refused. */
     relayIntake: RelayIntake | undefined;
+    /** Decides on the charges of customers; without it, they are not decided. */
+    usage: UsageService | undefined;
     /** Called when a controller with a higher epoch becomes known. */
     onNewController: () => void = () => undefined;
 
@@ -167,10 +152,22 @@
         this.httpServer?.closeAllConnections();
     }
 
+    /** Gives a turn or a place, or decides on charges of customers. */
+    async permit(req: PeerPermitRequest): Promise<Permit> {
+        return req.usage ? { isGranted: true, waitMs: 0, usage: await this.usage?.answer(req.usage) } : this.pacer.acquire(req);
+    }
+
+    /** Takes places and charges back. */
+    takeBack(report: PlaceReport): void {
+        this.pacer.rooms.report(report);
+        report.usage?.forEach(returned => this.usage?.giveBack(returned));
+    }
+
     /** Records a node's report and returns what the node has not seen. */
     exchange(report: NodeReport): PeerAnswer {
         const { gateway, controller } = this;
         this.nodes.add(report);
+        this.usage?.onReport(report.zone);
         const { config, configBytes, directory } = gateway;
         const isNewer = config !== undefined && config.version > report.configVersion;
         return {
@@ -232,10 +229,10 @@
         exchange: t.procedure.input(reportSchema).mutation(({ input }): PeerAnswer => peerServer.exchange(input)),
         /** Receives the announcement that another node has become controller. */
         announce: t.procedure.input(announcementSchema).mutation(({ input }) => peerServer.recordAnnouncement(input)),
-        /** Returns the next turn at a runner that has named a limit, or a place at a brittle one, which this node paces. */
-        permit: t.procedure.input(permitSchema).mutation(({ input }) => peerServer.pacer.acquire(input)),
-        /** Takes places of brittle runners back that this node paces. */
-        places: t.procedure.input(placeReportSchema).mutation(({ input }) => peerServer.pacer.rooms.report(input)),
+        /** Returns the next turn at a runner that has named a limit, or a place at a brittle one, which this node paces; or decides on charges of customers. */
+        permit: t.procedure.input(permitSchema).mutation(({ input }) => peerServer.permit(input)),
+        /** Takes places of brittle runners back that this node paces, and charges of customers whose home it is. */
+        places: t.procedure.input(placeReportSchema).mutation(({ input }) => peerServer.takeBack(input)),
         /** Returns where a model or adapter can be used. */
         place: t.procedure.input(placementSchema).mutation(({ input }) => controller.place(input)),
     });
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -15,6 +15,8 @@
     UnknownService = "unknown-service",
     DeadlineExpired = "deadline-expired",
     QueueFull = "queue-full",
+    UsageLimit = "usage-limit",
+    UsageUnknown = "usage-unknown",
     NoUpstream = "no-upstream",
     UpstreamsQuiet = "upstreams-quiet",
     UpstreamsBrittle = "upstreams-brittle",
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -1,3 +1,7 @@
+import type { ReturnedUsage } from "./returnedUsage";
+import type { UsageAnswer } from "./usageAnswer";
+import type { UsageRequest } from "./usageRequest";
+
 /** Request for one of the places of a brittle upstream. */
 export interface PlaceRequest {
     /** Identifies the place until it is given back. */
@@ -34,6 +38,11 @@
     readonly place?: PlaceRequest;
 }
 
+/** What one node asks another one for: a permit, or the admission of charges, which is for no runner. */
+export interface PeerPermitRequest extends PermitRequest {
+    readonly usage?: UsageRequest;
+}
+
 /** The next turn at a runner that has named a limit, or a place at one that is brittle. */
 export interface Permit {
     /** Whether the turn was given to the request; otherwise it would be too late for it. */
@@ -41,6 +50,8 @@
     readonly waitMs: number;
     /** Whether it was denied for want of room: `waitMs` is an estimate then. */
     readonly isFull?: boolean;
+    /** Answers to the charges, in their order; undefined from a node of an earlier release. */
+    readonly usage?: readonly UsageAnswer[];
 }
 
 /** A place that is given back, or the end of an attempt that had none. */
@@ -56,4 +67,6 @@
     readonly node: string;
     readonly returned: readonly ReturnedPlace[];
     readonly unplaced: readonly { readonly runner: string; readonly count: number; }[];
+    /** Charges of requests that did not run. */
+    readonly usage?: readonly ReturnedUsage[];
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -111,6 +111,19 @@
         "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
     [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
     [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
+    [EventId.UsageRefused]:
+        "a request was refused with 429, as its customer's limit is reached: `units` of the request, the limit, its configuration, and the node that decided",
+    [EventId.UsageUnknown]:
+        "a request was refused with 503, as neither the home node of its customer nor a reserve admitted it: `home` and `deputy` are the nodes that were to decide",
+    [EventId.UsageNodeUnreached]: "a node did not admit or refuse charges of customers in time, or is of an earlier release; it is not asked for `avoidedMs`",
+    [EventId.UsageReserveUsed]:
+        "a request was admitted from a reserve, as its customer's home node was not reached: of this node's zone, or of this node alone",
+    [EventId.UsageHomeBegun]:
+        "this node began to count a customer's usage as its home node: `sinceMs` ago it became so, `level` is what may be used since then, `perSecond` and `burst` the limit",
+    [EventId.UsageLimitApplied]: "a customer's home node applied another limit; `level` is what may be used now",
+    [EventId.UsageContactChanged]:
+        "this node lost or gained the contact with the controller, or with all zones, without which it does not act as a home node: another one may have taken over",
+    [EventId.UsageReturned]: "charges of requests that did not run were returned to a home node",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
