--- a/src/forward/answerFailure.ts
+++ b/src/forward/answerFailure.ts
@@ -23,6 +23,8 @@
     FailureKind.HeadersTooLarge,
     FailureKind.SlowSender,
     FailureKind.UnknownPath,
+    FailureKind.MissingKey,
+    FailureKind.WrongKey,
 ]);
 
 /** Statuses of failures of requests that have not run, where they say more than 503; callers know that they guarantee the same. */
