--- a/src/forward/outgoingRequest.ts
+++ b/src/forward/outgoingRequest.ts
@@ -72,6 +72,7 @@
         maxRuns,
         streamVersion: call.versionPin.version,
         keyDigest: gateway.customers ? call.keyDigest : undefined,
+        isUsageCharged: call.customer?.limit ? true : undefined,
     });
     return { ...req, headers: [...req.headers, name, value] };
 };
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -35,6 +35,7 @@
     maxRuns: count.min(1).max(maxSends),
     streamVersion: name.optional(),
     keyDigest: z.string().regex(/^[0-9a-f]{64}$/).optional(),
+    isUsageCharged: z.boolean().optional(),
 });
 
 const reportSchema = z.object({
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -18,7 +18,7 @@
 import type { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
 import { ConnectionTurns } from "./connectionTurns";
-import { Forwarder } from "./forwarder";
+import { forwardCharged } from "./forwardCharged";
 import type { Gateway } from "./gateway";
 import { readKey } from "./readKey";
 import { refuseReadKey } from "./refuseKey";
@@ -91,7 +91,7 @@
         try {
             const call = await this.toCall(req, res, progress, presence);
             if (call && !presence.signal.aborted) {
-                await Forwarder.create(this.gateway, call).run();
+                await forwardCharged(this.gateway, call);
             }
         }
         catch (err) {
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -11,6 +11,7 @@
 import { createMetricsServer, createReadinessServer } from "../forward/monitoringServers";
 import { RelayIntake } from "../forward/relayIntake";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
+import { usageMetrics } from "../forward/usageMetrics";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { platformTables } from "../platform/platformTables";
@@ -139,6 +140,7 @@
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
+        this.metrics.registerLabelled(usageMetrics(gateway, controllerClient.usageLevels));
         const metricsCheck = this.serveMetrics();
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -111,6 +111,8 @@
     }
 
     readonly acquirePermit = (req: PermitRequest): Promise<Permit> => this.permits.acquire(req);
+    /** Levels of the buckets of the customers whose home this node is. */
+    readonly usageLevels = (): ReadonlyMap<string, number> => this.usage.levels;
     readonly chargeUsage = (charge: UsageCharge): Promise<UsageAnswer> => this.usage.charge(charge);
     readonly returnUsage = (charge: UsageCharge, answer: UsageAnswer): void => this.usage.onNotRun(charge, answer);
     readonly returnPlace = (place: ReturnedPlace): void => this.permits.returnPlace(place);
--- a/src/platform/requestHeaderCodec.ts
+++ b/src/platform/requestHeaderCodec.ts
@@ -41,6 +41,14 @@
 /** Decodes a count of tokens; 0 if it is missing or invalid. */
 const decodeTokens = (text: string | undefined): number => Math.min(maxCount, Math.max(0, decodeNumber(text) ?? 0));
 
+/** Decodes `PROMPT,OUTPUT` to the sum; undefined if it is missing or of another form, so that it counts as a request without it. */
+const decodeTokenCount = (text: string | undefined): number | undefined => {
+    const counts = (text ?? "").split(",").map(decodeNumber);
+    return counts.length === 2 && counts.every(count => count !== undefined && count >= 0)
+        ? counts.reduce<number>((sum, count = 0) => sum + Math.min(maxCount, count), 0)
+        : undefined;
+};
+
 /** Decodes `ID:TOKENS`; the ID is hexadecimal. */
 const decodePart = (text: string): PromptPart => {
     const [id = "", tokens] = text.trim().split(":");
@@ -89,6 +97,7 @@
             lastEventId: firstValueOf(headers, "last-event-id"),
             resumedRequestId: firstValueOf(headers, "resumes"),
             modelRequest: decodeModelRequest(headers),
+            tokenCount: decodeTokenCount(firstValueOf(headers, "token-count")),
         };
     },
     isSystemHeader: name => systemHeaders.has(name) || name.startsWith(kvHeaderPrefix),
--- a/src/plugins/metrics.ts
+++ b/src/plugins/metrics.ts
@@ -16,6 +16,16 @@
     readonly read: () => number;
 }
 
+/** A metric with a value for each of a bounded number of label values, read at each scrape. */
+export interface LabelledMetricSpec {
+    readonly name: string;
+    readonly help: string;
+    readonly label: string;
+    readonly read: () => ReadonlyMap<string, number>;
+    /** Whether the values only grow. */
+    readonly isCounter: boolean;
+}
+
 /** Metrics of a node: counters by reason for refusals and failed attempts, and by number for events and broken invariants; gauges of its state. */
 export class Metrics implements NodePlugin {
     readonly name = "metrics";
@@ -183,6 +193,22 @@
         }
     }
 
+    /** Registers metrics with labels, in place of earlier ones of the same names. */
+    registerLabelled(specs: readonly LabelledMetricSpec[]): void {
+        for (const { name: ownName, help, label, read, isCounter } of specs) {
+            const name = `jackdawtrail_${ownName}`;
+            this.registry.removeSingleMetric(name);
+            const options = { name, help, labelNames: [label], registers: this.registers };
+            const collect = (metric: Counter | Gauge): void => {
+                metric.reset();
+                read().forEach((value, key) => metric.inc({ [label]: key }, value));
+            };
+            const metric: Counter | Gauge = isCounter
+                ? new Counter({ ...options, collect: () => collect(metric) })
+                : new Gauge({ ...options, collect: () => collect(metric) });
+        }
+    }
+
     /** Renders the metrics as text with its content type; readers that ask meanwhile share the text. */
     render(): Promise<{ readonly text: string; readonly contentType: string; }> {
         this.rendering ??= this.renderOnce().finally(() => this.rendering = undefined);
--- a/src/types/relayedRequest.ts
+++ b/src/types/relayedRequest.ts
@@ -14,4 +14,6 @@
     readonly streamVersion?: string;
     /** SHA-256 of the caller's key, in hexadecimal; missing from nodes of earlier releases and without a key. It must not be logged. */
     readonly keyDigest?: string;
+    /** Whether its usage was charged to its customer; missing from nodes of earlier releases, and where the customer has no limit. */
+    readonly isUsageCharged?: boolean;
 }
--- a/src/types/requestHeaderCodec.ts
+++ b/src/types/requestHeaderCodec.ts
@@ -10,6 +10,8 @@
     /** ID of the request that brought the first event of the stream which this request resumes. */
     readonly resumedRequestId?: string;
     readonly modelRequest?: ModelRequest;
+    /** Tokens that the request states, of its prompt and output together; undefined if it states none that can be read. */
+    readonly tokenCount?: number;
 }
 
 /** Values that a node sends to an upstream in the headers of an attempt. */
--- a/src/types/requestStep.ts
+++ b/src/types/requestStep.ts
@@ -7,6 +7,8 @@
     /** Waiting for memory for its body, and reading it. */
     Memory = "memory",
     Body = "body",
+    /** Waiting until its usage is charged to its customer. */
+    Charge = "charge",
     /** Finding the software version at which a stream goes on. */
     Pin = "pin",
     /** Choosing an upstream, and waiting for one. */
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -1,6 +1,7 @@
 import { CallerServer } from "../../src/forward/callerServer";
 import { RelayIntake } from "../../src/forward/relayIntake";
 import { ContactState } from "../../src/types/contactState";
+import type { CustomerSpec } from "../../src/types/customer";
 import type { EventId } from "../../src/types/eventId";
 import type { ServiceRoute } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
@@ -22,6 +23,9 @@
     /** Software versions of the upstreams. */
     readonly versions?: readonly string[];
     readonly route?: Partial<ServiceRoute>;
+    readonly customers?: readonly CustomerSpec[];
+    /** Whether the first node reaches the upstreams as well. */
+    readonly isOriginHeld?: boolean;
     /** What the first node, which is cut off, gets from the first upstream instead. */
     readonly cutScript?: Script;
 }
@@ -39,7 +43,7 @@
     isResumable: false,
 };
 
-const startNode = async (store: MemoryPlatformStore, name: string, signal: AbortSignal, route: Partial<ServiceRoute>) => {
+const startNode = async (store: MemoryPlatformStore, name: string, signal: AbortSignal, route: Partial<ServiceRoute>, customers?: readonly CustomerSpec[]) => {
     const node = await createNode(store, name, [], signal);
     const { gateway, peerServer } = node;
     const applyConfig = (version: number): void =>
@@ -48,6 +52,7 @@
             routes: [{ ...baseRoute, ...route }],
             services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
             limits: { maxHeaderBytes: 4_096, maxBodyBytes: 400_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+            customers,
         }, Buffer.from(""));
     applyConfig(1);
     const server = CallerServer.create(gateway);
@@ -80,20 +85,22 @@
 
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
 
-    static async create({ nodes = 2, scripts, versions = [], route = {}, cutScript = neverAnswer }: RelayFleetOptions): Promise<RelayFleet> {
+    static async create(
+        { nodes = 2, scripts, versions = [], route = {}, cutScript = neverAnswer, customers, isOriginHeld = false }: RelayFleetOptions,
+    ): Promise<RelayFleet> {
         const fleet = new RelayFleet(await startScriptedUpstream(cutScript));
         const store = MemoryPlatformStore.create(createRandom(1));
         store.lossShare = 0;
         fleet.upstreams.push(...await Promise.all(scripts.map(script => startScriptedUpstream(script))));
         for (let index = 0; index < nodes; index++) {
-            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, route));
+            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, route, customers));
         }
         const peers = fleet.nodes.map(({ peerAddress: address }) => ({ address, zone: "a", cores: 1 }));
         fleet.nodes.forEach((node, index) => {
             node.gateway.peers.setPeers(peers);
-            fleet.listUpstreams(node, index === 0, versions);
+            fleet.listUpstreams(node, index === 0 && !isOriginHeld, versions);
         });
-        fleet.origin.setContact(ContactState.Lost);
+        fleet.origin.setContact(isOriginHeld ? ContactState.Held : ContactState.Lost);
         return fleet;
     }
 
