--- a/src/core/usageContact.ts
+++ b/src/core/usageContact.ts
@@ -35,6 +35,9 @@
 
     /** Records when a node of a zone was heard. */
     onZone(zone: string, at: ClockReading): void {
+        if (!this.otherZones().includes(zone)) {
+            return;
+        }
         this.check();
         this.zoneAt.set(zone, at);
         this.check();
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -228,7 +228,9 @@
             this.peers.setPeers(answer.peers);
             this.gateway.peers.setPeers(this.peers.nodes);
         }
-        this.usage.setNodes(this.usageNodes);
+        if (answer.peers || !this.usage.isFleetKnown) {
+            this.usage.setNodes(this.usageNodes);
+        }
         this.peersVersion = answer.peersVersion;
         if (answer.adapters) {
             this.adaptersRevision = answer.adapters.revision;
--- a/src/placement/usageRoles.ts
+++ b/src/placement/usageRoles.ts
@@ -34,6 +34,10 @@
         return this.known.self.address;
     }
 
+    get isFleetKnown(): boolean {
+        return this.known.isFleetKnown;
+    }
+
     /** Zone of a node; undefined if it is not known. */
     zoneOf(address: string): string | undefined {
         return this.known.nodes.find(node => node.address === address)?.zone;
--- a/src/placement/usageService.ts
+++ b/src/placement/usageService.ts
@@ -65,6 +65,11 @@
         return new UsageService(host, clients, nodes);
     }
 
+    /** Whether the controller has listed the nodes. */
+    get isFleetKnown(): boolean {
+        return this.roles.isFleetKnown;
+    }
+
     /** Levels of the buckets of the customers whose home this node is. */
     get levels(): ReadonlyMap<string, number> {
         return this.homes.levels;
--- a/test/fakes/usageFleet.ts
+++ b/test/fakes/usageFleet.ts
@@ -44,6 +44,8 @@
     /** Calls between nodes: charges and returns. */
     permitCalls = 0;
     returnedEntries = 0;
+    /** Whether a node holds the lease, which takes the store. */
+    hasController = true;
     /** Time that a message between nodes takes. */
     delayMs = linkMs;
     /** Whether a message between two nodes is lost. */
@@ -219,7 +221,7 @@
     private report(): void {
         const now = performance.now();
         const live = this.nodes.filter(({ isEnded }) => !isEnded);
-        const controller = live[0];
+        const controller = this.hasController ? live[0] : undefined;
         for (const node of live) {
             const { peer, service } = node;
             if (controller && (controller === node || !this.isCut(peer, controller.peer))) {
--- a/test/usageFleet.test.ts
+++ b/test/usageFleet.test.ts
@@ -171,6 +171,15 @@
             usedAfter: 0.9,
         },
         { name: "no node reaches another", act: fleet => void (fleet.isCut = () => true), undo: endCut, usedAfter: 0 },
+        { name: "the store is down and the nodes reach each other", act: fleet => void (fleet.hasController = false), usedAfter: 0.85 },
+        {
+            name: "the store is down and no zone reaches another",
+            act: fleet => {
+                fleet.hasController = false;
+                fleet.isCut = (from, to) => from.zone !== to.zone;
+            },
+            usedAfter: 0,
+        },
         { name: "the home node is of the last release", act: fleet => void (fleet.home.isOfLastRelease = true), usedAfter: 0 },
     ];
     for (const { name, nodeCount = 30, act, undo, bounds: own = bounds, usedAfter } of faultCases) {
