--- a/src/placement/usageSender.ts
+++ b/src/placement/usageSender.ts
@@ -5,6 +5,7 @@
 import { UsageCallResult } from "../types/usageCallResult";
 import type { UsageCharge } from "../types/usageCharge";
 import { UsageOutcome } from "../types/usageOutcome";
+import { startAttentiveTimeout } from "../utils/attentiveTimeout";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { decodePermit } from "./peerAnswerDecoder";
@@ -15,7 +16,7 @@
 const batchMs = 2;
 /** Charges of one call at most. */
 export const maxUsageCharges = 512;
-/** A node that does not answer within this time is taken not to be reached. */
+/** A node that does not answer within this time, while this process can read its answer, is taken not to be reached. */
 const homeTimeoutMs = 150;
 /** A deputy may have to wait for the home node first. */
 const deputyTimeoutMs = 350;
@@ -80,11 +81,11 @@
         this.batches.delete(key);
         const { address, isDeputy } = target;
         let isLate = false;
-        const timer = setTimeout(() => {
+        const stopWaiting = startAttentiveTimeout(isDeputy ? deputyTimeoutMs : homeTimeoutMs, () => {
             isLate = true;
             this.onUnreached(address, UsageCallResult.Late, batch.length, "no answer in time");
             batch.forEach(({ resolve }) => resolve(undefined));
-        }, isDeputy ? deputyTimeoutMs : homeTimeoutMs);
+        });
         try {
             const answers = await this.call(target, batch);
             if (isLate) {
@@ -105,7 +106,7 @@
             batch.forEach(({ resolve }) => resolve(undefined));
         }
         finally {
-            clearTimeout(timer);
+            stopWaiting();
         }
     }
 
--- a/test/usageNodes.test.ts
+++ b/test/usageNodes.test.ts
@@ -28,6 +28,17 @@
             assert.ok(most <= allowed, `${most} in a window, ${allowed} are allowed`);
             assert.equal(countOf(results, 200), fleet.ranAt.length);
             assert.ok(countOf(results, 200) >= 0.9 * limit.perSecond * 5, `${countOf(results, 200)} of ${results.length} in 5 s`);
+        }
+        finally {
+            fleet.close();
+        }
+    });
+
+    /** Guards against requests that are refused though the home node lives: all calls to it are answered in time. */
+    it("refuses with 429 only, while all nodes reach the home node", async () => {
+        const fleet = await UsageNodes.create(6, limit);
+        try {
+            const results = await fleet.runLoad(80, 5_000);
             const others = results.filter(({ status }) => status !== 200 && status !== 429);
             assert.deepEqual(others.map(({ status, body, afterMs }) => `${status} after ${Math.round(afterMs)} ms: ${body}`), [], "nothing else");
             assert.deepEqual(results.filter(({ status, headers }) => status === 429 && !(Number(headers["retry-after"]) <= 2)), []);
