--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -3,16 +3,13 @@
 import { MonitoredStore } from "../core/monitoredStore";
 import { PassingWaits } from "../core/passingWaits";
 import { feedWaitMs, TableFollower } from "../core/tableFollower";
-import { availabilityGauges } from "../forward/availabilityGauges";
 import { CallerServer } from "../forward/callerServer";
-import { contactGauges } from "../forward/contactGauges";
 import { ContactMonitor } from "../forward/contactMonitor";
 import { Gateway } from "../forward/gateway";
 import { createMetricsServer, createReadinessServer } from "../forward/monitoringServers";
 import { RelayIntake } from "../forward/relayIntake";
-import { speedGauges } from "../forward/speedGauges";
 import { createConfigObserver, createDirectoryObserver } from "../forward/storeObservers";
-import { zoneGauges } from "../forward/zoneGauges";
+import { usageMetrics } from "../forward/usageMetrics";
 import { decodeConfig } from "../platform/configDecoder";
 import { decodeServer } from "../platform/directoryDecoder";
 import { platformTables } from "../platform/platformTables";
@@ -134,13 +131,10 @@
         const waits = PassingWaits.create(AbortSignal.any([this.stopping.signal, this.outdated.signal]));
         this.metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
-            ...availabilityGauges(gateway),
-            ...contactGauges(gateway),
-            ...zoneGauges(gateway),
-            ...speedGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
+        this.metrics.registerLabelled(usageMetrics(gateway, controllerClient.usageLevels));
         const metricsCheck = this.serveMetrics();
         const readiness = createReadinessServer(gateway, () => server.isListening);
         const callerPort = server.port(settings.callerAddress);
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -1,5 +1,9 @@
+import { availabilityGauges } from "../forward/availabilityGauges";
 import type { CallerServer } from "../forward/callerServer";
+import { contactGauges } from "../forward/contactGauges";
 import type { Gateway } from "../forward/gateway";
+import { speedGauges } from "../forward/speedGauges";
+import { zoneGauges } from "../forward/zoneGauges";
 import type { GaugeSpec } from "../plugins/metrics";
 import { MemoryHolder } from "../types/memoryHolder";
 
@@ -7,6 +11,10 @@
 
 /** Gauges of a node's state, beside those of its runtime. */
 export const platformNodeGauges = (gateway: Gateway, server: CallerServer, heldEpoch: () => number | undefined): readonly GaugeSpec[] => [
+    ...availabilityGauges(gateway),
+    ...contactGauges(gateway),
+    ...zoneGauges(gateway),
+    ...speedGauges(gateway),
     { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
     { name: "customers", help: "Customers in the configuration in force, 0 without any", read: () => gateway.customers?.size ?? 0 },
     {
