--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -18,11 +18,13 @@
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
 import { StoreFreshness } from "../core/storeFreshness";
+import { streamLifetimeMsOf } from "../core/streamLifetime";
 import { StreamVersions } from "../core/streamVersions";
 import { UnfinishedHeads } from "../core/unfinishedHeads";
 import { UpstreamAvailability } from "../core/upstreamAvailability";
 import { UpstreamContact } from "../core/upstreamContact";
 import { UpstreamDirectory } from "../core/upstreamDirectory";
+import { applyPeerLoads, ownLoadsOf } from "../core/upstreamLoads";
 import { UpstreamTraffic } from "../core/upstreamTraffic";
 import { UsageCounters } from "../core/usageCounters";
 import { WaitingRequests } from "../core/waitingRequests";
@@ -51,12 +53,8 @@
 
 /** Charge for a connection to an upstream. */
 const upstreamConnectionBytes = 32_768;
-/** A stream may be taken up for this multiple of the longest timeout of its routes: a caller's own deadline may be later. */
-const streamLifetimeFactor = 2;
-const minStreamLifetimeMs = 20_000;
 /** Time within which a node stores the base version of a service, if the controller has not done so before. */
 const maxFirstWriteDelayMs = 1_000;
-const noLoad: RunnerLoads[string] = [0, 0];
 /** Number of nodes assumed to share a budget until the controller reports how many there are. */
 const defaultNodeCount = 12;
 
@@ -166,8 +164,7 @@
 
     /** Time for which callers may take a stream up. */
     get streamLifetimeMs(): number {
-        const timeouts = this.config?.routes.filter(({ isResumable }) => isResumable).map(({ timeoutMs }) => timeoutMs) ?? [];
-        return Math.max(minStreamLifetimeMs, streamLifetimeFactor * Math.max(0, ...timeouts));
+        return streamLifetimeMsOf(this.config);
     }
 
     get config(): ServingConfig | undefined {
@@ -229,19 +226,12 @@
 
     /** Load that this node's own requests put on upstreams. */
     ownLoads(): RunnerLoads {
-        const loads: Record<string, readonly [number, number]> = {};
-        this.trafficByUpstream.forEach(({ pendingPrefillMs, inFlight }, id) => {
-            if (inFlight > 0) {
-                loads[id] = [Math.round(pendingPrefillMs), inFlight];
-            }
-        });
-        return loads;
+        return ownLoadsOf(this.trafficByUpstream);
     }
 
     /** Records the load that other nodes put on upstreams; those that are not listed have none. */
     applyPeerLoads(loads: RunnerLoads): void {
-        this.trafficByUpstream.forEach((traffic, id) => traffic.onPeerLoad(...(Object.hasOwn(loads, id) ? loads[id]! : noLoad)));
-        Object.entries(loads).filter(([id]) => !this.trafficByUpstream.has(id)).forEach(([id, load]) => this.trafficOf(id).onPeerLoad(...load));
+        applyPeerLoads(loads, this.trafficByUpstream, id => this.trafficOf(id));
     }
 
     private removeUpstream(id: string): void {
