--- a/src/core/chooseUpstream.ts
+++ b/src/core/chooseUpstream.ts
@@ -48,15 +48,19 @@
 /** Average output of a generation as a share of its maximum output tokens. */
 const averageOutputShare = 0.5;
 
+/** Predicted time until a generation's first event, with `ahead` requests served before it. */
+export const predictFirstEventMs = ({ predictedMs, prefillMs }: UpstreamChoice, ahead: number): number => predictedMs + ahead * prefillMs;
+
 /** Predicted time until a generation's last token, with `ahead` requests served before it. */
 export const predictCompletionMs = (
-    { candidate: { traffic, tokensPerEvent }, predictedMs, prefillMs }: UpstreamChoice,
+    choice: UpstreamChoice,
     { maxOutputTokens }: ModelRequest,
     ahead: number,
 ): number => {
+    const { traffic, tokensPerEvent } = choice.candidate;
     const eventGapMs = traffic.eventGapMs ?? idleGapFactor * tokensPerEvent * stepMs;
     const streamMs = averageOutputShare * maxOutputTokens / tokensPerEvent * eventGapMs;
-    return predictedMs + ahead * prefillMs + streamMs;
+    return predictFirstEventMs(choice, ahead) + streamMs;
 };
 
 /** Average share of a prompt that is not in its runner's prefix cache and has to be prefilled. */
--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -28,6 +28,8 @@
     [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
     [FailureKind.UpstreamsQuiet]: { status: 503, title: "all upstreams asked for a pause" },
     [FailureKind.UpstreamsBrittle]: { status: 503, title: "all upstreams are brittle and have no room" },
+    [FailureKind.CapacityShort]: { status: 503, title: "no upstream can begin the answer before the caller gives up" },
+    [FailureKind.ModelLate]: { status: 503, title: "the model will be ready only after the caller gives up" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
     [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
     [FailureKind.HeapShort]: { status: 503, title: "the node has no memory for the request" },
--- a/src/core/quietWait.ts
+++ b/src/core/quietWait.ts
@@ -17,9 +17,11 @@
     readonly ahead: number;
     /** Time that an upstream needs for the request. */
     readonly neededMs: number;
-    /** Time left until the latency objective, and until the deadline. */
+    /** Time left until the latency objective, and until the answer is of no more use: at the deadline, or before if the caller gives up. */
     readonly objectiveMs: number;
     readonly remainingMs: number;
+    /** Time left until the deadline, if it differs from `remainingMs`: callers follow a Retry-After up to a share of it. */
+    readonly deadlineMs?: number;
 }
 
 /** Whether a request waits until its upstreams take requests again, or its caller is told when to come back. */
@@ -37,8 +39,8 @@
 const minPauseMs = 15;
 
 /** A time shortly after the end of a quiet time: callers are spread over the ends that they can await, and over some time after each. */
-const drawRetryAfterMs = ({ upstreams, remainingMs }: QuietSituation, earliestMs: number, random: Random): number => {
-    const awaitable = upstreams.filter(({ quietMs }) => quietMs <= maxRetryShare * remainingMs);
+const drawRetryAfterMs = ({ upstreams, remainingMs, deadlineMs = remainingMs }: QuietSituation, earliestMs: number, random: Random): number => {
+    const awaitable = upstreams.filter(({ quietMs }) => quietMs <= maxRetryShare * deadlineMs);
     const totalSlots = awaitable.reduce((sum, { slots }) => sum + slots, 0);
     let drawn = random() * totalSlots;
     const chosen = awaitable.find(({ slots }) => (drawn -= slots) < 0);
@@ -51,11 +53,11 @@
  * refused at once.
  */
 export const decideOnQuiet = (situation: QuietSituation, random: Random): QuietDecision => {
-    const { upstreams, hasWaited, ahead, neededMs, objectiveMs, remainingMs } = situation;
+    const { upstreams, hasWaited, ahead, neededMs, objectiveMs, remainingMs, deadlineMs = remainingMs } = situation;
     const earliestMs = Math.min(...upstreams.map(({ quietMs }) => quietMs));
     const slots = Math.max(1, upstreams.reduce((sum, upstream) => sum + upstream.slots, 0));
     const answeredInMs = earliestMs + neededMs * (1 + ahead / slots);
-    const isCallerTooEarly = earliestMs > maxRetryShare * remainingMs;
+    const isCallerTooEarly = earliestMs > maxRetryShare * deadlineMs;
     if (answeredInMs <= objectiveMs || ((hasWaited || isCallerTooEarly) && answeredInMs <= remainingMs)) {
         return { mayWait: true, waitMs: Math.min(maxPauseMs, earliestMs + minPauseMs * (1 + random())) };
     }
--- a/src/core/saturation.ts
+++ b/src/core/saturation.ts
@@ -34,3 +34,9 @@
     return prefillMs >= minDelayingShare * eventGapObjectiveMs &&
         (waitingPrefillMs > Math.min(maxBacklogMs, maxBacklogShare * latencyObjectiveMs) || eventGapMs > maxGapMs);
 };
+
+/** Whether a runner can begin a request at once: it has a free slot, nothing is queued there, and no prefill is pending. A request is never refused for lack of capacity then. */
+export const isFree = (choice: UpstreamChoice, objectives: StreamObjectives): boolean => {
+    const { server, traffic } = choice.candidate;
+    return traffic.load < server.slots && traffic.waiting === 0 && traffic.waitingPrefillMs <= 0 && !isSaturated(choice, objectives);
+};
--- a/src/forward/findAlternative.ts
+++ b/src/forward/findAlternative.ts
@@ -1,8 +1,9 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { predictCompletionMs } from "../core/chooseUpstream";
 import { isSaturated } from "../core/saturation";
+import { completionLeftMs } from "../core/servableTime";
 import { processKey } from "../types/upstreamServer";
 import type { Call } from "./call";
+import { servableTimeOfCall, servingNeedOf } from "./callPatience";
 import type { Gateway } from "./gateway";
 import { selectUpstream } from "./selectUpstream";
 
@@ -18,6 +19,6 @@
     if ((isBrittle ? turnDelayMs! > 0 : turnDelayMs !== undefined) || (modelRequest && isSaturated(choice, call.route))) {
         return undefined;
     }
-    const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-    return neededMs <= call.deadlineAt - performance.now() ? choice : undefined;
+    const need = servingNeedOf(call, choice);
+    return need.completionMs <= completionLeftMs(servableTimeOfCall(gateway, call), need, performance.now()) ? choice : undefined;
 };
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -7,6 +7,7 @@
 import type { AnswerRelay } from "./answerRelay";
 import type { AttemptWatch } from "./attemptTimers";
 import type { Call } from "./call";
+import { takesStreamUp } from "./callPatience";
 import type { Gateway } from "./gateway";
 import { isPathLost } from "./peerPath";
 
@@ -28,6 +29,8 @@
     private silentSince = this.sentAt;
     private isAlive: boolean | undefined;
     private isProbing = false;
+    private isCutShort = false;
+    private readonly typicalMs: number;
 
     private constructor(
         private readonly gateway: Gateway,
@@ -37,8 +40,8 @@
     ) {
         const { candidate: { traffic }, predictedMs } = choice;
         const { modelRequest } = call.caller;
-        const typicalMs = Math.max(predictedMs, traffic.firstByteMs ?? 0);
-        this.firstByteTimeoutMs = Math.max(modelRequest ? maxSilenceMs : minFirstByteTimeoutMs, firstByteTimeoutFactor * typicalMs);
+        this.typicalMs = Math.max(predictedMs, traffic.firstByteMs ?? 0);
+        this.firstByteTimeoutMs = Math.max(modelRequest ? maxSilenceMs : minFirstByteTimeoutMs, firstByteTimeoutFactor * this.typicalMs);
         this.isProbed = modelRequest !== undefined && gateway.prober !== undefined;
         this.isAlive = this.isProbed ? undefined : false;
     }
@@ -65,13 +68,35 @@
             maxSilenceMs: relay.head ? maxSilenceMs : this.firstByteTimeoutMs,
             allowedMs: call.deadlineAt - sentAt,
             isAlive: this.isAlive,
+            firstEventMs: this.firstEventLeftMs,
+            typicalMs: this.typicalMs,
         });
+        if (action === SilenceAction.FailOver && this.firstEventLeftMs !== undefined && !this.isCutShort) {
+            this.isCutShort = true;
+            const { candidate: { server, traffic } } = this.choice;
+            emit(EventId.SilenceCutShort, {
+                request: call.caller.requestId,
+                upstream: server.id,
+                silentMs: Math.round(silentMs),
+                allowedMs: Math.round(this.firstEventLeftMs),
+                typicalMs: Math.round(this.typicalMs),
+                isAlive: this.isAlive,
+                loadAgeMs: Number.isFinite(traffic.reportAgeMs) ? Math.round(traffic.reportAgeMs) : undefined,
+            });
+        }
         if (action === SilenceAction.Probe) {
             this.probe();
         }
         return action === SilenceAction.FailOver;
     }
 
+    /** How long the caller waits for the first event of its stream, from the begin of the silence; undefined once it has had one. */
+    private get firstEventLeftMs(): number | undefined {
+        const { call, relay } = this;
+        const { patienceMs } = call.route;
+        return patienceMs === undefined || takesStreamUp(call) || relay.firstEventAt > 0 ? undefined : call.startedAt + patienceMs - this.silentSince;
+    }
+
     private probe(): void {
         const { prober } = this.gateway;
         if (!prober || this.isProbing) {
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -2,6 +2,8 @@
 import type { QuietUpstream } from "../core/quietWait";
 import { decideOnQuiet } from "../core/quietWait";
 import { isSaturated } from "../core/saturation";
+import type { ServingNeed } from "../core/servableTime";
+import { completionLeftMs } from "../core/servableTime";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
 import { RequestStep } from "../types/requestStep";
@@ -11,6 +13,7 @@
 import { sleep } from "../utils/time";
 import { describeError } from "../utils/transport";
 import type { Call } from "./call";
+import { servableTimeOfCall, servingNeedOf } from "./callPatience";
 import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { HeldPlace } from "./heldPlace";
@@ -18,7 +21,7 @@
 import type { Refusal } from "./refusal";
 import { selectUpstream } from "./selectUpstream";
 import { mayBeginAt } from "./versionPin";
-import { neededMsOf, waitForTurn } from "./waitForTurn";
+import { waitForTurn } from "./waitForTurn";
 import { isRefusal } from "./waitForUpstream";
 
 /** Upstreams that are asked for a place before a request is queued for one. */
@@ -32,7 +35,7 @@
 
 /** A brittle upstream that had no room for a request. */
 interface FullUpstream extends QuietUpstream {
-    readonly neededMs: number;
+    readonly need: ServingNeed;
 }
 
 /** Gets a request its turn and its place at an upstream, or at another one that has them sooner. */
@@ -88,7 +91,7 @@
             if (denied?.isFull) {
                 this.hasWaited ||= denied.wasQueued && performance.now() - askedAt >= minWaitMs;
                 const full: Map<string, FullUpstream> = this.full ??= new Map<string, FullUpstream>();
-                full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, neededMs: neededMsOf(call, next) });
+                full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, need: servingNeedOf(call, next) });
                 const other: UpstreamChoice | undefined = this.chooseWithRoom(full);
                 if (other) {
                     next = other;
@@ -204,10 +207,13 @@
         }
         const upstreams = [...full.values()];
         const now = performance.now();
-        const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
+        const { need } = upstreams.reduce((best, upstream) => upstream.need.completionMs < best.need.completionMs ? upstream : best);
+        const neededMs = need.completionMs;
+        const time = servableTimeOfCall(gateway, call);
+        const remainingMs = completionLeftMs(time, need, now);
         const objectiveMs = Math.min(remainingMs, call.startedAt + call.route.latencyObjectiveMs - now);
-        const neededMs = Math.min(...upstreams.map(upstream => upstream.neededMs));
-        const decision = decideOnQuiet({ upstreams, hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs }, gateway.random);
+        const situation = { upstreams, hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs, deadlineMs: time.completeBy - now };
+        const decision = decideOnQuiet(situation, gateway.random);
         const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
         const isWaiting = decision.mayWait && !call.signal.aborted;
         if (!hasWaited || !isWaiting) {
--- a/src/forward/waitForQuiet.ts
+++ b/src/forward/waitForQuiet.ts
@@ -1,11 +1,14 @@
-import { chooseUpstream, predictCompletionMs } from "../core/chooseUpstream";
+import { chooseUpstream } from "../core/chooseUpstream";
 import type { QuietUpstream } from "../core/quietWait";
 import { decideOnQuiet } from "../core/quietWait";
+import type { ServingNeed } from "../core/servableTime";
+import { completionLeftMs } from "../core/servableTime";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
+import { servableTimeOfCall, servingNeedOf } from "./callPatience";
 import type { Gateway } from "./gateway";
 import type { Refusal } from "./refusal";
 import { candidatesFor, toCandidate } from "./selectUpstream";
@@ -20,12 +23,10 @@
 
 const noQuiet: QuietOutcome = { hasWaited: false };
 
-/** Time that the best of the upstreams needs for the request once it may be sent. */
-const neededMsOf = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): number => {
+/** What the best of the upstreams needs for the request once it may be sent. */
+const needOf = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): ServingNeed => {
     const candidates = candidatesFor(gateway, call, tried).map(server => toCandidate(gateway, call, server, undefined));
-    const choice = chooseUpstream(candidates, gateway.settings.availabilityZone)!;
-    const { modelRequest, lastEventId } = call.caller;
-    return modelRequest && lastEventId === undefined ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
+    return servingNeedOf(call, chooseUpstream(candidates, gateway.settings.availabilityZone)!);
 };
 
 /** Waits a little if all upstreams that can run the request asked for quiet and one of them will take it in time; otherwise says when to come back. */
@@ -38,10 +39,13 @@
     }
     const now = performance.now();
     const ahead = quietWaiters.countAhead(call.service, call);
-    const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
+    const time = servableTimeOfCall(gateway, call);
+    const need = needOf(gateway, call, tried);
+    const remainingMs = completionLeftMs(time, need, now);
     const objectiveMs = Math.min(remainingMs, call.startedAt + call.route.latencyObjectiveMs - now);
     const hasWaited = quietWaiters.has(call.service, call);
-    const decision = decideOnQuiet({ upstreams, hasWaited, ahead, neededMs: neededMsOf(gateway, call, tried), objectiveMs, remainingMs }, random);
+    const situation = { upstreams, hasWaited, ahead, neededMs: need.completionMs, objectiveMs, remainingMs, deadlineMs: time.completeBy - now };
+    const decision = decideOnQuiet(situation, random);
     const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
     if (!hasWaited || !decision.mayWait) {
         const fields = { request: call.caller.requestId, upstream: first.id, quietMs: Math.round(first.quietMs), upstreams: upstreams.length, ahead };
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -1,6 +1,6 @@
 import { randomUUID } from "node:crypto";
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { predictCompletionMs } from "../core/chooseUpstream";
+import { completionLeftMs } from "../core/servableTime";
 import { maxTurnWaitMs } from "../core/turnWait";
 import { EventId } from "../types/eventId";
 import type { PlaceRequest } from "../types/sendPermit";
@@ -8,6 +8,7 @@
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
+import { servableTimeOfCall, servingNeedOf } from "./callPatience";
 import type { Gateway } from "./gateway";
 import type { Refusal } from "./refusal";
 
@@ -27,10 +28,6 @@
     hold(runner: string, id: string): void;
 }
 
-/** Time that an upstream needs for a request once it is sent. */
-export const neededMsOf = ({ caller: { modelRequest, lastEventId } }: Call, choice: UpstreamChoice): number =>
-    modelRequest && lastEventId === undefined ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-
 const toPlaceRequest = (gateway: Gateway, call: Call, choice: UpstreamChoice, maxRejectionsPerS: number, maxQueueMs: number): PlaceRequest => {
     const { server, traffic } = choice.candidate;
     const now = performance.now();
@@ -68,9 +65,8 @@
     if (perSecond === undefined && maxRejectionsPerS === undefined) {
         return undefined;
     }
-    const { modelRequest } = call.caller;
-    const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
-    const maxWaitMs = maxTurnWaitMs(call.deadlineAt - performance.now(), neededMs);
+    const need = servingNeedOf(call, choice);
+    const maxWaitMs = maxTurnWaitMs(completionLeftMs(servableTimeOfCall(gateway, call), need, performance.now()), need.completionMs);
     const expectedWaitMs = runnerLimits.expectedWaitMs(runner);
     const place = maxRejectionsPerS === undefined ? undefined : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs));
     // What is known to be too late is not asked for.
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -1,12 +1,13 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { predictCompletionMs } from "../core/chooseUpstream";
-import { isSaturated } from "../core/saturation";
+import { isFree, isSaturated } from "../core/saturation";
+import { firstEventLeftMs, isFirstEventTooLate } from "../core/servableTime";
 import { FailureKind } from "../types/failureKind";
 import type { ModelRequest } from "../types/modelRequest";
 import { artifactKey } from "../types/modelRequest";
 import type { PlacementAnswer } from "../types/placement";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
+import { LateStep, refuseLate, servableTimeOfCall, servingNeedOf, takesStreamUp } from "./callPatience";
 import type { Gateway } from "./gateway";
 import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { QuarantineGate } from "./quarantineGate";
@@ -34,9 +35,6 @@
 /** Minimum retry delay given to callers whose request is in quarantine. */
 const minQuarantineRetryAfterMs = 10_000;
 
-/** Time until the final answer is due; a stopping node refuses waiting requests before it exits. */
-const remainingMsOf = (gateway: Gateway, call: Call): number => Math.min(call.deadlineAt, gateway.exitDeadlineAt - maxPollIntervalMs) - performance.now();
-
 /** Whether no upstream was found. */
 export const isRefusal = (result: UpstreamChoice | Refusal): result is Refusal => "detail" in result;
 
@@ -50,16 +48,6 @@
     };
 };
 
-/** Whether the caller takes up a stream that it has received in part. */
-const takesStreamUp = ({ caller }: Call): boolean => caller.lastEventId !== undefined;
-
-/**
- * Time until an answer is complete. How much of a stream that is taken up remains is not known, and the caller loses what it has if the stream is refused: it goes on
- * as long as its next event is expected in time.
- */
-const neededMsOf = (call: Call, choice: UpstreamChoice, modelRequest: ModelRequest, ahead: number): number =>
-    takesStreamUp(call) ? choice.predictedMs : predictCompletionMs(choice, modelRequest, ahead);
-
 /**
  * Waits in the request queue until the selected runner has free capacity; a request that cannot be answered in time is refused immediately. A stream that is taken
  * up is not queued: it began before those in the queue.
@@ -80,11 +68,26 @@
                 return refusal;
             }
             const ahead = gateway.queue.countAhead(modelRequest.model, queuedRequest);
-            const remainingMs = remainingMsOf(gateway, call);
-            const neededMs = neededMsOf(call, choice, modelRequest, ahead);
-            if (neededMs > remainingMs && choice.predictedMs > call.route.latencyObjectiveMs) {
+            // A stopping node refuses waiting requests before it exits.
+            const time = servableTimeOfCall(gateway, call, maxPollIntervalMs);
+            const need = servingNeedOf(call, choice, ahead);
+            const now = performance.now();
+            const isLate = isFirstEventTooLate(time, need, 0, now);
+            if (isLate && !isFree(choice, call.route)) {
+                return refuseLate(gateway, call, {
+                    step: LateStep.Queue,
+                    expectedMs: need.firstEventMs,
+                    allowedMs: firstEventLeftMs(time, now),
+                    roomInMs: Math.max(minCapacityRetryAfterMs, need.firstEventMs - call.route.latencyObjectiveMs),
+                    upstream: choice.candidate.server.id,
+                    model: modelRequest.model,
+                    ahead,
+                    loadAgeMs: choice.candidate.traffic.reportAgeMs,
+                });
+            }
+            if (!isLate && need.completionMs > time.completeBy - now && choice.predictedMs > call.route.latencyObjectiveMs) {
                 return {
-                    detail: `an answer would take ${Math.round(neededMs)} ms, longer than the request allows`,
+                    detail: `an answer would take ${Math.round(need.completionMs)} ms, longer than the request allows`,
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
                 };
             }
@@ -102,14 +105,17 @@
     }
 };
 
-/** Whether a request may wait for its model or adapter. A stream that is taken up waits as long as one can be ready in time: its caller loses what it has if it is refused. */
-const mayWait = (call: Call, { isComing, isUncertain, readyInMs }: PlacementAnswer, remainingMs: number): boolean => {
+/**
+ * Whether a request may wait for its model or adapter, with the time left until its first event is due. A stream that is taken up waits as long as one can be ready in
+ * time: its caller loses what it has if it is refused.
+ */
+const mayWait = (call: Call, { isComing, isUncertain, readyInMs }: PlacementAnswer, remainingMs: number, firstEventMs: number): boolean => {
     if (takesStreamUp(call)) {
         return (isComing || isUncertain === true) && readyInMs + minTakeUpServeMs <= remainingMs;
     }
     return isUncertain
-        ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt)
-        : isComing && readyInMs + minServeMs <= remainingMs;
+        ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt) && minServeMs <= firstEventMs
+        : isComing && readyInMs + minServeMs <= firstEventMs;
 };
 
 /** Whether a placement names a runner of another software version, as controllers of earlier releases may. */
@@ -156,7 +162,15 @@
         const { runner, readyInMs } = answer;
         const isComing = answer.isComing && !isOfOtherVersion(gateway, call, runner);
         const isUncertain = answer.isUncertain === true && !quiet.refusal;
-        if (!mayWait(call, { readyInMs, isComing, isUncertain }, remainingMsOf(gateway, call))) {
+        const time = servableTimeOfCall(gateway, call, maxPollIntervalMs);
+        const now = performance.now();
+        const allowedMs = firstEventLeftMs(time, now);
+        if (!mayWait(call, { readyInMs, isComing, isUncertain }, time.completeBy - now, allowedMs)) {
+            if (!quiet.refusal && isFirstEventTooLate(time, { firstEventMs: minServeMs, completionMs: minServeMs }, isComing ? readyInMs : 0, now)) {
+                const { model } = modelRequest;
+                const roomInMs = readyInMs || defaultRetryAfterMs;
+                return refuseLate(gateway, call, { step: LateStep.Model, expectedMs: readyInMs + minServeMs, allowedMs, roomInMs, upstream: runner, model });
+            }
             return quiet.refusal ?? {
                 detail: isComing
                     ? `the model or adapter would be ready in ${Math.round(readyInMs)} ms, too late for the request`
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -85,6 +85,8 @@
     RelayEnded = 441,
     RequestTakenOver = 442,
     RelayRefused = 443,
+    FirstEventTooLate = 460,
+    SilenceCutShort = 461,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -18,6 +18,8 @@
     NoUpstream = "no-upstream",
     UpstreamsQuiet = "upstreams-quiet",
     UpstreamsBrittle = "upstreams-brittle",
+    CapacityShort = "capacity-short",
+    ModelLate = "model-late",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
     HeapShort = "heap-short",
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -111,6 +111,10 @@
         "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
     [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
     [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
+    [EventId.FirstEventTooLate]:
+        "a request was refused as not run, because its first event would come in `expectedMs` and its caller gives up in `allowedMs`; `step` says what it would have waited for, `ahead` how many requests are served before it, `loadAgeMs` how old the upstream's last stated load is",
+    [EventId.SilenceCutShort]:
+        "an upstream was silent for so long with a stream without an event that its caller may give up: after `silentMs` of `allowedMs` the request goes to another upstream, if one can take it; `isAlive` is the result of the probe",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
