--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -17,6 +17,7 @@
 import { QuarantineGate } from "./quarantineGate";
 import { recordDemand } from "./recordDemand";
 import type { Refusal } from "./refusal";
+import { relayedRefusals } from "./relayedRefusals";
 import { SendTally } from "./sendTally";
 import { TurnTaker } from "./turnTaker";
 import { stoppingRefusal, untilExit } from "./untilExit";
@@ -24,14 +25,6 @@
 import { isRefusal, refuseQuarantined, waitForUpstream } from "./waitForUpstream";
 
 const unavailableStatus = 503;
-/** Why there is no further attempt: the caller is told this and when to come back. */
-const relayedRefusals: ReadonlySet<FailureKind> = new Set([
-    FailureKind.UpstreamsQuiet,
-    FailureKind.UpstreamsBrittle,
-    FailureKind.CapacityShort,
-    FailureKind.ModelLate,
-    FailureKind.Stopping,
-]);
 
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
--- a/src/forward/silenceWatch.ts
+++ b/src/forward/silenceWatch.ts
@@ -1,4 +1,5 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
+import type { SilentAttempt } from "../core/failOver";
 import { decideOnSilence, SilenceAction } from "../core/failOver";
 import { EventId } from "../types/eventId";
 import { RequestStep } from "../types/requestStep";
@@ -63,22 +64,23 @@
         if (isPathLost(gateway) && silentMs >= minLostSilenceMs) {
             return call.progress.relayed !== undefined || gateway.peers.reach.check() === true;
         }
-        const action = decideOnSilence({
+        const attempt: SilentAttempt = {
             silentMs,
             maxSilenceMs: relay.head ? maxSilenceMs : this.firstByteTimeoutMs,
             allowedMs: call.deadlineAt - sentAt,
             isAlive: this.isAlive,
             firstEventMs: this.firstEventLeftMs,
             typicalMs: this.typicalMs,
-        });
-        if (action === SilenceAction.FailOver && this.firstEventLeftMs !== undefined && !this.isCutShort) {
+        };
+        const action = decideOnSilence(attempt);
+        if (action === SilenceAction.FailOver && !this.isCutShort && decideOnSilence({ ...attempt, firstEventMs: undefined }) !== SilenceAction.FailOver) {
             this.isCutShort = true;
             const { candidate: { server, traffic } } = this.choice;
             emit(EventId.SilenceCutShort, {
                 request: call.caller.requestId,
                 upstream: server.id,
                 silentMs: Math.round(silentMs),
-                allowedMs: Math.round(this.firstEventLeftMs),
+                allowedMs: Math.round(attempt.firstEventMs ?? 0),
                 typicalMs: Math.round(this.typicalMs),
                 isAlive: this.isAlive,
                 loadAgeMs: Number.isFinite(traffic.reportAgeMs) ? Math.round(traffic.reportAgeMs) : undefined,
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -1,5 +1,6 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { isFree, isSaturated } from "../core/saturation";
+import type { ServableTime, ServingNeed } from "../core/servableTime";
 import { firstEventLeftMs, isFirstEventTooLate } from "../core/servableTime";
 import { FailureKind } from "../types/failureKind";
 import type { ModelRequest } from "../types/modelRequest";
@@ -22,6 +23,8 @@
 const minPollIntervalMs = 20;
 /** Minimum time that a request needs once its model is ready, and that a stream needs which is taken up: only its next event has to come in time. */
 const minServeMs = 300;
+/** What a request needs at least once its model is ready. */
+const serveNeed: ServingNeed = { firstEventMs: minServeMs, completionMs: minServeMs };
 const minTakeUpServeMs = 100;
 /** Minimum share of a request's time that must remain for it to wait for a new controller, which takes over within seconds. */
 const minRemainingShareWithoutController = 0.55;
@@ -85,7 +88,8 @@
                     loadAgeMs: choice.candidate.traffic.reportAgeMs,
                 });
             }
-            if (!isLate && need.completionMs > time.completeBy - now && choice.predictedMs > call.route.latencyObjectiveMs) {
+            const isRefusable = time.firstEventBy === undefined || !isFree(choice, call.route);
+            if (isRefusable && need.completionMs > time.completeBy - now && choice.predictedMs > call.route.latencyObjectiveMs) {
                 return {
                     detail: `an answer would take ${Math.round(need.completionMs)} ms, longer than the request allows`,
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
@@ -106,16 +110,17 @@
 };
 
 /**
- * Whether a request may wait for its model or adapter, with the time left until its first event is due. A stream that is taken up waits as long as one can be ready in
- * time: its caller loses what it has if it is refused.
+ * Whether a request may wait for its model or adapter. A stream that is taken up waits as long as one can be ready in time: its caller loses what it has if it is
+ * refused.
  */
-const mayWait = (call: Call, { isComing, isUncertain, readyInMs }: PlacementAnswer, remainingMs: number, firstEventMs: number): boolean => {
+const mayWait = (call: Call, { isComing, isUncertain, readyInMs }: PlacementAnswer, time: ServableTime, now: number): boolean => {
+    const remainingMs = time.completeBy - now;
     if (takesStreamUp(call)) {
         return (isComing || isUncertain === true) && readyInMs + minTakeUpServeMs <= remainingMs;
     }
     return isUncertain
-        ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt) && minServeMs <= firstEventMs
-        : isComing && readyInMs + minServeMs <= firstEventMs;
+        ? remainingMs > minRemainingShareWithoutController * (call.deadlineAt - call.startedAt) && !isFirstEventTooLate(time, serveNeed, 0, now)
+        : isComing && readyInMs + minServeMs <= firstEventLeftMs(time, now);
 };
 
 /** Whether a placement names a runner of another software version, as controllers of earlier releases may. */
@@ -164,12 +169,16 @@
         const isUncertain = answer.isUncertain === true && !quiet.refusal;
         const time = servableTimeOfCall(gateway, call, maxPollIntervalMs);
         const now = performance.now();
-        const allowedMs = firstEventLeftMs(time, now);
-        if (!mayWait(call, { readyInMs, isComing, isUncertain }, time.completeBy - now, allowedMs)) {
-            if (!quiet.refusal && isFirstEventTooLate(time, { firstEventMs: minServeMs, completionMs: minServeMs }, isComing ? readyInMs : 0, now)) {
-                const { model } = modelRequest;
-                const roomInMs = readyInMs || defaultRetryAfterMs;
-                return refuseLate(gateway, call, { step: LateStep.Model, expectedMs: readyInMs + minServeMs, allowedMs, roomInMs, upstream: runner, model });
+        if (!mayWait(call, { readyInMs, isComing, isUncertain }, time, now)) {
+            if (!quiet.refusal && isFirstEventTooLate(time, serveNeed, isComing ? readyInMs : 0, now)) {
+                return refuseLate(gateway, call, {
+                    step: LateStep.Model,
+                    expectedMs: readyInMs + minServeMs,
+                    allowedMs: firstEventLeftMs(time, now),
+                    roomInMs: readyInMs || defaultRetryAfterMs,
+                    upstream: runner,
+                    model: modelRequest.model,
+                });
             }
             return quiet.refusal ?? {
                 detail: isComing
--- a/test/failOver.test.ts
+++ b/test/failOver.test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { after, before, describe, it } from "node:test";
+import type { SilentAttempt } from "../src/core/failOver";
 import { decideOnSilence, SilenceAction } from "../src/core/failOver";
 import { UpstreamProber } from "../src/forward/upstreamProber";
 import type { RunnerControl } from "../src/types/runner";
@@ -11,13 +12,36 @@
 import { answer, sseEvents } from "./fakes/upstreamScripts";
 
 describe("decision on a silent attempt", () => {
-    const base = { silentMs: 2_000, maxSilenceMs: 1_500, allowedMs: 6_000, isAlive: undefined as boolean | undefined };
-    const cases: readonly { readonly name: string; readonly attempt: Partial<typeof base>; readonly action: SilenceAction; }[] = [
+    const base: SilentAttempt = { silentMs: 2_000, maxSilenceMs: 1_500, allowedMs: 6_000, isAlive: undefined };
+    const patient = { firstEventMs: 2_000 };
+    const cases: readonly { readonly name: string; readonly attempt: Partial<SilentAttempt>; readonly action: SilenceAction; }[] = [
         { name: "waits below the limit", attempt: { silentMs: 1_400, isAlive: false }, action: SilenceAction.Wait },
         { name: "probes an upstream that is silent for longer", attempt: {}, action: SilenceAction.Probe },
         { name: "fails over from an upstream that does not respond", attempt: { isAlive: false }, action: SilenceAction.FailOver },
         { name: "waits for an upstream that is alive", attempt: { isAlive: true }, action: SilenceAction.Wait },
         { name: "gives up an upstream that is alive after half of the time", attempt: { isAlive: true, silentMs: 3_100 }, action: SilenceAction.FailOver },
+        { name: "waits for a first event below 0.4 of the caller's patience", attempt: { ...patient, silentMs: 750 }, action: SilenceAction.Wait },
+        {
+            name: "probes an upstream without a first event after 0.4 of the caller's patience",
+            attempt: { ...patient, silentMs: 850 },
+            action: SilenceAction.Probe,
+        },
+        {
+            name: "leaves an upstream that is alive time for the first event",
+            attempt: { ...patient, silentMs: 1_150, isAlive: true },
+            action: SilenceAction.Wait,
+        },
+        {
+            name: "gives up an upstream that is alive after 0.6 of the caller's patience, as it may have lost the response",
+            attempt: { ...patient, silentMs: 1_250, isAlive: true },
+            action: SilenceAction.FailOver,
+        },
+        {
+            name: "does not give a first event up before its predicted time",
+            attempt: { ...patient, silentMs: 1_250, typicalMs: 1_400, isAlive: true },
+            action: SilenceAction.Wait,
+        },
+        { name: "is not later than without a patience limit", attempt: { firstEventMs: 60_000, isAlive: false }, action: SilenceAction.FailOver },
     ];
     for (const { name, attempt, action } of cases) {
         it(name, () => assert.equal(decideOnSilence({ ...base, ...attempt }), action));
--- a/test/quietWait.test.ts
+++ b/test/quietWait.test.ts
@@ -12,6 +12,16 @@
     const cases: readonly { readonly name: string; readonly situation: Partial<QuietSituation>; readonly mayWait: boolean; }[] = [
         { name: "waits if the objective can be met", situation: {}, mayWait: true },
         { name: "waits for the first of several ends", situation: { upstreams: upstreamsOf(9_000, 200) }, mayWait: true },
+        {
+            name: "is refused if its caller gives up before the end",
+            situation: { upstreams: upstreamsOf(900), remainingMs: 800, deadlineMs: 3_000 },
+            mayWait: false,
+        },
+        {
+            name: "is refused if its caller, which gives up soon, can come back before the deadline",
+            situation: { upstreams: upstreamsOf(700), remainingMs: 800, deadlineMs: 3_000 },
+            mayWait: false,
+        },
         { name: "is refused if its caller can come back in time", situation: { upstreams: upstreamsOf(900) }, mayWait: false },
         { name: "waits if its caller would come back before the end", situation: { upstreams: upstreamsOf(1_100) }, mayWait: true },
         { name: "is refused if the end is too late for an answer", situation: { upstreams: upstreamsOf(2_990) }, mayWait: false },
--- a/test/saturation.test.ts
+++ b/test/saturation.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { isSaturated } from "../src/core/saturation";
+import { isFree, isSaturated } from "../src/core/saturation";
 import { UpstreamTraffic } from "../src/core/upstreamTraffic";
 import type { UpstreamServer } from "../src/types/upstreamServer";
 
@@ -40,3 +40,20 @@
         });
     }
 });
+
+describe("a runner that is free", () => {
+    const free = { load: 3, waiting: 0, waitingPrefillMs: 0 };
+    const freeCases: readonly { readonly name: string; readonly traffic: Partial<typeof free>; readonly isFree: boolean; }[] = [
+        { name: "has a slot, and nothing is queued there", traffic: {}, isFree: true },
+        { name: "is not one without a free slot", traffic: { load: 8 }, isFree: false },
+        { name: "is not one where requests wait", traffic: { waiting: 1 }, isFree: false },
+        { name: "is not one where a prefill is pending", traffic: { waitingPrefillMs: 40 }, isFree: false },
+    ];
+    for (const { name, traffic, isFree: expected } of freeCases) {
+        it(name, () => {
+            const server = { slots: 8 } as UpstreamServer;
+            const candidate = { server, traffic: { ...free, ...traffic } as unknown as UpstreamTraffic, prefillTokens: 1, tokensPerEvent: 4, timeFactor: 1 };
+            assert.equal(isFree({ candidate, predictedMs: 0, prefillMs: 100 }, { latencyObjectiveMs: 1_000 }), expected);
+        });
+    }
+});
