--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -5,9 +5,9 @@
 import type { CopyPlanInputs } from "./copyPlanInputs";
 import type { CopyOption, CopyStep } from "./copyStep";
 import { toStep } from "./copyStep";
-import { anyModelValue, awaitedModelValue } from "./copyValues";
+import { FirstCopyValues } from "./firstCopyValues";
 import { loadCost } from "./loadCost";
-import { queueCost, valuePerRunner } from "./queueCost";
+import { queueCost } from "./queueCost";
 import type { RunnerTracker } from "./runnerTracker";
 import { busyUnloadCost, estimateUnloadMs } from "./unloadTime";
 import { victimSets } from "./victimSets";
@@ -32,6 +32,7 @@
     /** Runners with a planned load. */
     private readonly plannedTrackers = new Set<RunnerTracker>();
     private readonly needs: CopyNeeds;
+    private readonly firstCopies: FirstCopyValues;
 
     private constructor(private readonly inputs: CopyPlanInputs) {
         this.usable = inputs.trackers.filter(isUsable);
@@ -52,6 +53,8 @@
         for (const [model, trackers] of this.trackersByModel) {
             trackers.forEach(tracker => this.addLoad(tracker, this.loadOf(model) / trackers.size));
         }
+        const heldModels = [...this.trackersByModel.keys()].filter(model => this.copyCount(model) > 0);
+        this.firstCopies = FirstCopyValues.create(inputs, model => this.loadOf(model), this.usable.length, heldModels);
     }
 
     /** Creates a plan for the present state; it does not follow later changes. */
@@ -63,8 +66,9 @@
     steps(): readonly CopyStep[] {
         const steps: CopyStep[] = [];
         const chosen = new Set<RunnerTracker>(this.plannedTrackers);
-        for (const model of this.modelsByUrgency()) {
-            for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
+        const hasFree = (): boolean => this.usable.some(tracker => tracker.canOrder && !chosen.has(tracker));
+        for (const model of hasFree() ? this.modelsByUrgency() : []) {
+            for (let copies = 0; copies < maxCopiesAtOnce && hasFree(); copies++) {
                 const best = this.bestOption(model, chosen) ?? this.optionBesidePlan(model, chosen);
                 if (!best) {
                     break;
@@ -94,7 +98,8 @@
             const needed = this.needs.has(model.name) ? this.needs.maxGain(model.name, this.presentHoldersOf(model.name)) : 0;
             if (load > 0 || this.inputs.awaitedModels.has(model.name) || needed > 0) {
                 const copyCount = this.copyCount(model.name);
-                urgencies.set(model, needed + (copyCount === 0 ? this.costWithoutCopy(model.name) : copyCount * queueCost(load / copyCount)));
+                const own = copyCount === 0 ? this.firstCopies.urgencyOf(model.name) : copyCount * queueCost(load / copyCount);
+                urgencies.set(model, needed + own);
             }
         }
         return [...urgencies.keys()].sort((a, b) => urgencies.get(b)! - urgencies.get(a)!);
@@ -118,10 +123,6 @@
         return this.holdersOf(model).size;
     }
 
-    private costWithoutCopy(model: string): number {
-        return (this.inputs.awaitedModels.has(model) ? awaitedModelValue : 0) + anyModelValue + valuePerRunner * this.loadOf(model);
-    }
-
     private addLoad(tracker: RunnerTracker, load: number): void {
         this.utilisation.set(tracker, (this.utilisation.get(tracker) ?? 0) + load);
     }
@@ -177,7 +178,7 @@
     private maxOwnGain(model: string): number {
         const copyCount = this.copyCount(model);
         if (copyCount === 0) {
-            return this.costWithoutCopy(model);
+            return this.firstCopies.of(model);
         }
         const relief = this.loadOf(model) / copyCount - this.loadOf(model) / (copyCount + 1);
         let gain = 0;
@@ -232,13 +233,13 @@
             const isLastServing = ![...this.holdersOf(victim)].some(other => other !== tracker && serves(other, victim));
             const victimLoad = this.loadOf(victim);
             loss += busyUnloadCost(this.inputs.demand.idleMs(victim));
-            loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.costWithoutCopy(victim) : 0);
+            loss += lostCacheCost * victimLoad / Math.max(1, copiesBefore) + (isLastServing ? this.firstCopies.lossOf(victim) : 0);
             loss += this.needs.lossAt(victim, tracker, this.holdersOf(victim));
             this.trackersByModel.get(victim)?.forEach(other =>
                 change(other, other === tracker ? -victimLoad / copiesBefore : victimLoad / (copiesBefore - 1) - victimLoad / copiesBefore)
             );
         }
-        const gain = (copyCount === 0 ? this.costWithoutCopy(model.name) : 0) + this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
+        const gain = (copyCount === 0 ? this.firstCopies.of(model.name) : 0) + this.needs.gainAt(model.name, tracker, this.holdersOf(model.name));
         let queueCostChange = 0;
         changes.forEach((delta, target) => {
             const current = this.utilisation.get(target) ?? 0;
--- a/src/core/copyPlanInputs.ts
+++ b/src/core/copyPlanInputs.ts
@@ -10,6 +10,8 @@
     readonly demand: ModelDemand;
     /** Models that requests are waiting for. */
     readonly awaitedModels: ReadonlySet<string>;
+    /** Time since the first request for each model that no runner has served since. */
+    readonly awaitedMs?: ReadonlyMap<string, number>;
     /** Copies that are needed at some of the runners, such as those of one software version. */
     readonly needs: readonly CopyNeed[];
     /** Whether the rate limit admits a load from the weight store. */
--- a/src/core/runnerTracker.ts
+++ b/src/core/runnerTracker.ts
@@ -36,7 +36,8 @@
     failedReports = 0;
     /** When each model appeared, on the monotonic clock. Those of the first report were loaded at a time that is not known: they count as held for long. */
     private readonly heldSince = new Map<string, number>();
-    private hasReported = false;
+    /** Whether a report has been received since the takeover and the runner's start. */
+    hasReported = false;
     private bornAt: number;
     /** The load in flight, as it was recorded. */
     private sentLoad: LoadName | undefined;
--- a/src/placement/controller.ts
+++ b/src/placement/controller.ts
@@ -18,17 +18,15 @@
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec } from "../types/servingConfig";
 import { emit } from "../utils/events";
+import { Adoption } from "./adoption";
 import { CopyDemand } from "./copyDemand";
+import { logTurn } from "./logTurn";
 import { findOvertakenLoads } from "./overtakenLoads";
 import { PlannedLoads } from "./plannedLoads";
+import { roundGapMs, roundIntervalMs } from "./roundTimes";
 import { dueReportIntervalMs, orderResendMs, RunnerManager } from "./runnerManager";
 import { findUsableRunners } from "./usableRunners";
 
-/** Interval between two planning rounds. */
-const roundIntervalMs = 100;
-/** Minimum gap between two rounds, and maximum share of CPU time that rounds may take: the same thread forwards requests. */
-const minRoundGapMs = 30;
-const maxRoundCpuShare = 0.1;
 /** Estimated time until an adapter is loaded, including delivery of the order. */
 const estimatedAdapterLoadMs = 10;
 /** Maximum attempts to load an adapter before the node has to retry its request. */
@@ -40,6 +38,7 @@
 export class Controller {
     private readonly demand: CopyDemand;
     private readonly plannedLoads = PlannedLoads.create();
+    private readonly adoption = Adoption.create();
     private readonly manager: RunnerManager;
     private storeLimiter: WeightStoreLimiter;
     private activeEpoch = 0;
@@ -102,7 +101,7 @@
         const { admitted, usable, bound, isSuspected } = findUsableRunners(req, trackers);
         if (!usable.some(tracker => serves(tracker, req.model))) {
             this.demand.await(req, bound, trackers);
-            return this.round() ? this.estimateReady(req, engine) : { readyInMs: roundIntervalMs, isComing: true };
+            return this.round() && !this.adoption.isPending(req.service) ? this.estimateReady(req, engine) : { readyInMs: roundIntervalMs, isComing: true };
         }
         if (req.adapter === undefined) {
             const ready = admitted.find(tracker => serves(tracker, req.model) && !req.avoid.includes(tracker.server.id));
@@ -182,7 +181,7 @@
             }
         }
         const endedAt = performance.now();
-        this.nextRoundAt = endedAt + Math.max(minRoundGapMs, (endedAt - startedAt) / maxRoundCpuShare);
+        this.nextRoundAt = endedAt + roundGapMs(endedAt - startedAt);
         return true;
     }
 
@@ -190,6 +189,7 @@
     private takeOver(epoch: number): void {
         this.activeEpoch = epoch;
         this.manager.clear();
+        this.adoption.begin();
         this.plannedLoads.clear();
         this.storeLimiter = WeightStoreLimiter.create(this.gateway.settings.loadWindowMs);
         this.lease.weightStoreLoadAges.forEach(ageMs => this.storeLimiter.count(ageMs));
@@ -197,6 +197,9 @@
 
     private planService(service: string, engine: EngineSpec): void {
         const trackers = this.manager.trackersOf(service);
+        if (!this.adoption.update(service, trackers)) {
+            return;
+        }
         const demand = this.demand.inputsFor(service, trackers);
         this.plannedLoads.removeEnded(id => this.manager.get(id));
         findOvertakenLoads(this.plannedLoads.models, trackers, demand.needs).forEach(id => this.plannedLoads.remove(id));
@@ -223,6 +226,7 @@
         for (const step of plan.steps()) {
             const tracker = this.manager.get(step.runner);
             if (tracker?.canOrder) {
+                logTurn(step, demand);
                 this.execute(tracker, engine, step);
             }
         }
--- a/src/placement/copyDemand.ts
+++ b/src/placement/copyDemand.ts
@@ -1,5 +1,6 @@
 import { AwaitedCopies } from "../core/awaitedCopies";
 import type { CopyPlanInputs } from "../core/copyPlanInputs";
+import { CopyTurns } from "../core/copyTurns";
 import { ModelDemand } from "../core/modelDemand";
 import type { RunnerBound } from "../core/runnerBound";
 import type { RunnerTracker } from "../core/runnerTracker";
@@ -13,12 +14,13 @@
 import { getOrCreate } from "../utils/maps";
 
 /** What the copy plan knows of callers' demand. */
-type DemandInputs = Pick<CopyPlanInputs, "demand" | "awaitedModels" | "needs">;
+type DemandInputs = Pick<CopyPlanInputs, "demand" | "awaitedModels" | "awaitedMs" | "needs">;
 
 /** The demand for copies of models: work, requests that wait, and streams that may return to a software version. */
 export class CopyDemand {
     readonly work = ModelDemand.create();
     private readonly awaited = AwaitedCopies.create();
+    private readonly turns = CopyTurns.create();
     private readonly versionUses = new Map<string, VersionUse>();
 
     private constructor(private readonly gateway: Gateway) {}
@@ -35,6 +37,9 @@
     /** Records that a request waits for a model of which the runners that it may use have no copy. */
     await({ service, model }: PlacementRequest, bound: RunnerBound, trackers: readonly RunnerTracker[]): void {
         const isBound = !trackers.every(bound.admits);
+        if (!isBound) {
+            this.turns.add(service, model);
+        }
         if (this.awaited.add(service, model, isBound ? bound : undefined) && isBound) {
             emit(EventId.CopyAwaitedAtVersion, { service, model, runners: bound.key, ready: trackers.filter(bound.admits).length });
         }
@@ -44,9 +49,11 @@
     inputsFor(service: string, trackers: readonly RunnerTracker[]): DemandInputs {
         const versionUse = getOrCreate(this.versionUses, service, () => VersionUse.create(() => this.streamLifetimeMs(service)));
         versionUse.observe(trackers, this.work);
+        const awaitedMs = this.turns.awaitedMsOf(service, trackers);
         return {
             demand: this.work,
-            awaitedModels: this.awaited.modelsOf(service),
+            awaitedModels: new Set([...this.awaited.modelsOf(service), ...awaitedMs.keys()]),
+            awaitedMs,
             needs: [...this.awaited.needsOf(service), ...versionUse.needsAt(trackers)],
         };
     }
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -87,6 +87,8 @@
     RelayRefused = 443,
     FirstEventTooLate = 460,
     SilenceCutShort = 461,
+    RunnersAdopted = 462,
+    CopyTurnGiven = 463,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -115,6 +115,10 @@
         "a request was refused as not run, because its first event would come in `expectedMs` and its caller gives up in `allowedMs`; `step` says what it would have waited for, `ahead` how many requests are served before it, `loadAgeMs` how old the upstream's last stated load is",
     [EventId.SilenceCutShort]:
         "an upstream was silent for so long with a stream without an event that its caller may give up: after `silentMs` of `allowedMs` the request goes to another upstream, if one can take it; `isAlive` is the result of the probe",
+    [EventId.RunnersAdopted]:
+        "a new controller knows what a service's runners hold and begins to order loads, `waitedMs` after its takeover: `models` is the number of models held, `unreported` the number of runners that it did not wait for",
+    [EventId.CopyTurnGiven]:
+        "a model is unloaded for one that has been requested for `awaitedMs` without a copy: `load` and `unloadedLoad` are their demand as shares of a runner's time, `unloadedIdleMs` the time since the last request for the former",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/placementFixture.ts
+++ b/test/fakes/placementFixture.ts
@@ -10,6 +10,7 @@
 import { createRandom } from "../../src/utils/random";
 import { platformTestSettings } from "./gatewayHarness";
 import { MemoryPlatformStore } from "./memoryPlatformStore";
+import type { StoredWeights } from "./simulatedPlatformRunner";
 import { FaultyRunnerControl, SimulatedPlatformRunner } from "./simulatedPlatformRunner";
 
 export const placementTestService = "desk";
@@ -52,6 +53,8 @@
 export interface PlacementFixtureOptions {
     readonly softwareVersionOf?: (index: number) => string | undefined;
     readonly isResumable?: boolean;
+    readonly engine?: EngineSpec;
+    readonly storedWeights?: StoredWeights;
 }
 
 /** A controller that holds the lease, and simulated runners that it places models on. */
@@ -71,15 +74,16 @@
         heldBy: (index: number) => readonly string[],
         private readonly options: PlacementFixtureOptions,
     ) {
+        const { engine = placementTestEngine, storedWeights } = options;
         this.gateway = Gateway.create(platformTestSettings, requestHeaderCodec, random);
         this.gateway.applyConfig({
             version: 1,
             routes: options.isResumable ? [resumableRoute] : [],
-            services: new Map([[placementTestService, { name: placementTestService, healthPath: "/h", maxConnections: 10, engine: placementTestEngine }]]),
+            services: new Map([[placementTestService, { name: placementTestService, healthPath: "/h", maxConnections: 10, engine }]]),
             limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
         }, Buffer.from(""));
         this.runners = new Map(
-            [...Array(count).keys()].map(index => [`r${index}`, SimulatedPlatformRunner.create(`r${index}`, placementTestEngine, random, heldBy(index))]),
+            [...Array(count).keys()].map(index => [`r${index}`, SimulatedPlatformRunner.create(`r${index}`, engine, random, heldBy(index), storedWeights)]),
         );
         this.runners.forEach(runner => this.publish(runner));
         this.store = MemoryPlatformStore.create(random);
--- a/test/fakes/simulatedPlatformRunner.ts
+++ b/test/fakes/simulatedPlatformRunner.ts
@@ -16,6 +16,12 @@
     readonly adapters: Set<string>;
 }
 
+/** Room for weights that a runner keeps beside its accelerators; the least recently loaded ones make room for others. */
+export interface StoredWeights {
+    readonly hostMemoryMb: number;
+    readonly diskMb: number;
+}
+
 /** State of a runner of the platform: carries out orders to load and unload, and records a violation when one overcommits the runner. */
 export class SimulatedPlatformRunner {
     readonly models = new Map<string, LoadedModel>();
@@ -25,14 +31,20 @@
     acceptedOrders = 0;
     isBusy = false;
     bornAt = 1;
+    /** In the order of their last loads. */
     private readonly onDisk = new Set<string>();
+    private readonly inMemory = new Set<string>();
     private reportHistory: { readonly at: number; readonly report: RunnerReport; }[] = [];
 
-    private constructor(readonly id: string, private readonly engine: EngineSpec, private readonly random: Random) {}
+    private constructor(readonly id: string, private readonly engine: EngineSpec, private readonly random: Random, private readonly stored?: StoredWeights) {}
 
-    static create(id: string, engine: EngineSpec, random: Random, models: readonly string[]): SimulatedPlatformRunner {
-        const runner = new SimulatedPlatformRunner(id, engine, random);
+    /** Creates a runner that holds some models; without `stored` it keeps all weights on its disk, and none in host memory. */
+    static create(id: string, engine: EngineSpec, random: Random, models: readonly string[], stored?: StoredWeights): SimulatedPlatformRunner {
+        const runner = new SimulatedPlatformRunner(id, engine, random, stored);
         models.forEach(name => runner.models.set(name, { adapters: new Set() }));
+        if (stored) {
+            models.forEach(name => runner.keepWeights(name));
+        }
         runner.recordReport();
         return runner;
     }
@@ -93,13 +105,31 @@
         if (this.usedMb() + spec.memoryMb > this.engine.memoryMb) {
             this.violations.push(`memory overcommitted by the load of ${model} beside ${[...this.models.keys()].join(" ")}`);
         }
-        completeAfter(this.onDisk.has(model) ? spec.diskLoadMs : spec.loadMs, () => {
+        completeAfter(this.inMemory.has(model) ? spec.warmLoadMs : this.onDisk.has(model) ? spec.diskLoadMs : spec.loadMs, () => {
             this.models.set(model, { adapters: new Set() });
-            this.onDisk.add(model);
+            this.keepWeights(model);
         });
         return RunnerOrderAnswer.Accepted;
     }
 
+    private keepWeights(model: string): void {
+        const keepIn = (held: Set<string>, limitMb: number): void => {
+            held.delete(model);
+            held.add(model);
+            const usedMb = (): number => [...held].reduce((sum, name) => sum + this.engine.models.get(name)!.memoryMb, 0);
+            for (const oldest of held) {
+                if (usedMb() <= limitMb) {
+                    return;
+                }
+                held.delete(oldest);
+            }
+        };
+        keepIn(this.onDisk, this.stored?.diskMb ?? Number.POSITIVE_INFINITY);
+        if (this.stored) {
+            keepIn(this.inMemory, this.stored.hostMemoryMb);
+        }
+    }
+
     private applyAdapterOrder({ kind, model }: RunnerOrder, adapter: string): RunnerOrderAnswer {
         const loadedModel = this.models.get(model);
         if (!loadedModel) {
@@ -132,7 +162,7 @@
             at: performance.now(),
             report: {
                 models,
-                inMemory: [],
+                inMemory: [...this.inMemory],
                 onDisk: [...this.onDisk],
                 loadingAdapters: [],
                 isBusy: this.isBusy,
