--- a/src/core/copyPlan.ts
+++ b/src/core/copyPlan.ts
@@ -66,9 +66,9 @@
     steps(): readonly CopyStep[] {
         const steps: CopyStep[] = [];
         const chosen = new Set<RunnerTracker>(this.plannedTrackers);
-        const hasFree = (): boolean => this.usable.some(tracker => tracker.canOrder && !chosen.has(tracker));
-        for (const model of hasFree() ? this.modelsByUrgency() : []) {
-            for (let copies = 0; copies < maxCopiesAtOnce && hasFree(); copies++) {
+        const isAnyFree = this.usable.some(tracker => tracker.canOrder && !chosen.has(tracker));
+        for (const model of isAnyFree ? this.modelsByUrgency() : []) {
+            for (let copies = 0; copies < maxCopiesAtOnce; copies++) {
                 const best = this.bestOption(model, chosen) ?? this.optionBesidePlan(model, chosen);
                 if (!best) {
                     break;
--- a/src/core/firstCopyValues.ts
+++ b/src/core/firstCopyValues.ts
@@ -1,3 +1,4 @@
+import { getOrCreate } from "../utils/maps";
 import type { CopyPlanInputs } from "./copyPlanInputs";
 import { anyModelValue, awaitedModelValue, turnUrgency, turnValue } from "./copyValues";
 import { valuePerRunner } from "./queueCost";
@@ -13,6 +14,10 @@
  * turns, so that the callers of all models lose little by them.
  */
 export class FirstCopyValues {
+    /** Computed once for each model: a plan compares many options with the same models. */
+    private readonly values = new Map<string, number>();
+    private readonly losses = new Map<string, number>();
+
     private constructor(
         private readonly inputs: FirstCopyInputs,
         private readonly loadOf: (model: string) => number,
@@ -33,6 +38,10 @@
 
     /** Value of a first copy of a model. */
     of(model: string): number {
+        return getOrCreate(this.values, model, () => this.valueOf(model));
+    }
+
+    private valueOf(model: string): number {
         const waitValue = (this.inputs.awaitedModels.has(model) ? awaitedModelValue : 0) + turnValue(this.awaitedMsOf(model));
         return waitValue + anyModelValue + valuePerRunner * this.loadOf(model);
     }
@@ -44,6 +53,10 @@
 
     /** What is lost with the last copy of a model. One that waits has to have more demand to replace a model that takes no part in turns. */
     lossOf(model: string): number {
+        return getOrCreate(this.losses, model, () => this.computeLoss(model));
+    }
+
+    private computeLoss(model: string): number {
         const isExempt = this.exemptionValue > 0 && this.loadOf(model) > this.exemptLoad && this.inputs.demand.idleMs(model) < maxCallerIdleMs;
         return this.of(model) + (isExempt ? this.exemptionValue : 0);
     }
