--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -19,6 +19,7 @@
 import type { Refusal } from "./refusal";
 import { isKeyValid } from "./refuseKey";
 import { refuseSend } from "./refuseSend";
+import { relayedRefusals } from "./relayedRefusals";
 import { SendTally } from "./sendTally";
 import { TurnTaker } from "./turnTaker";
 import { stoppingRefusal, untilExit } from "./untilExit";
@@ -26,8 +27,6 @@
 import { isRefusal, waitForUpstream } from "./waitForUpstream";
 
 const unavailableStatus = 503;
-/** Why there is no further attempt: the caller is told this and when to come back. */
-const relayedRefusals: ReadonlySet<FailureKind> = new Set([FailureKind.UpstreamsQuiet, FailureKind.UpstreamsBrittle, FailureKind.Stopping]);
 
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
