--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -28,6 +28,7 @@
     [FailureKind.NoUpstream]: { status: 503, title: "no upstream can take the request" },
     [FailureKind.UpstreamsQuiet]: { status: 503, title: "all upstreams asked for a pause" },
     [FailureKind.UpstreamsBrittle]: { status: 503, title: "all upstreams are brittle and have no room" },
+    [FailureKind.UpstreamsFull]: { status: 503, title: "no runner with the model has room in time" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
     [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
     [FailureKind.HeapShort]: { status: 503, title: "the node has no memory for the request" },
--- /dev/null
+++ b/src/core/generationLoad.ts
@@ -0,0 +1,110 @@
+import type { GenerationTerms } from "../types/sendPermit";
+import { PlaceLack } from "../types/sendPermit";
+import type { ScheduledPrefill } from "./prefillSchedule";
+import { isShortPrefill, maxPrefillShare, prefillWaitMs, removePastPrefills } from "./prefillSchedule";
+
+/**
+ * Part of a runner's memory that is given away. The rest covers outputs that are longer than expected, short prompts of urgent routes that are sent without waiting, and
+ * requests that nodes have not reported yet.
+ */
+export const maxMemoryShare = 0.85;
+/** Allowed gap between events, assumed while no stream with an objective is in progress. */
+const defaultGapMs = 600;
+/** Longest gap that is planned for; prompts count for no longer than this, unless they take more than their part of it. */
+const maxGapMs = 2_000;
+/** A node that gives itself less memory than a request needs leaves as much time again between two. */
+const turnSpacingFactor = 2;
+
+/** Generations whose places were given, and what is known of the others. */
+export interface KnownGenerations {
+    readonly placed: Iterable<GenerationTerms>;
+    /** Tokens in progress without a place, as nodes reported them, and an estimate of requests that no node has reported yet. */
+    readonly unplacedTokens: number;
+    readonly unreported: number;
+}
+
+/** State of a runner's terms, for logs and gauges. */
+export interface GenerationUse {
+    readonly tokens: number;
+    readonly limitTokens: number;
+    readonly gapMs: number;
+}
+
+/** Whether a generation does not wait until other prompts are read. */
+const mayPass = ({ isUrgent, prefillMs }: GenerationTerms, gapMs: number): boolean => isUrgent && isShortPrefill(prefillMs, gapMs);
+
+/** What decides on a generation at one runner beside its slots: tokens in memory, and the time for which it reads prompts. */
+export class GenerationLoad {
+    private prefills: readonly ScheduledPrefill[] = [];
+    private nextTurnAt = 0;
+
+    private constructor() {}
+
+    /** Creates the load of a runner that no generation was sent to. */
+    static create(): GenerationLoad {
+        return new GenerationLoad();
+    }
+
+    /** Whether nothing is known that a new one would not know. */
+    get isIdle(): boolean {
+        const now = performance.now();
+        return now >= this.nextTurnAt && removePastPrefills(this.prefills, maxGapMs, now).length === 0;
+    }
+
+    /** Tokens in use, and what the streams in progress and the new request allow. */
+    useOf(terms: GenerationTerms, share: number, known: KnownGenerations): GenerationUse {
+        let placedTokens = 0;
+        let placed = 0;
+        let gapMs = Math.min(maxGapMs, terms.gapMs ?? defaultGapMs);
+        for (const generation of known.placed) {
+            placedTokens += generation.tokens;
+            placed++;
+            gapMs = Math.min(gapMs, generation.gapMs ?? defaultGapMs);
+        }
+        const meanTokens = placed === 0 ? terms.tokens : Math.max(terms.tokens, placedTokens / placed);
+        return {
+            tokens: placedTokens + known.unplacedTokens + known.unreported * meanTokens,
+            limitTokens: maxMemoryShare * terms.kvTokens * share,
+            gapMs,
+        };
+    }
+
+    /** Whether a generation does not wait until other prompts are read. */
+    mayPass(terms: GenerationTerms, known: KnownGenerations): boolean {
+        return mayPass(terms, this.useOf(terms, 1, known).gapMs);
+    }
+
+    /** What is lacking for a generation now; undefined if it may be sent. */
+    lackOf(terms: GenerationTerms, share: number, known: KnownGenerations): PlaceLack | undefined {
+        const now = performance.now();
+        const { tokens, limitTokens, gapMs } = this.useOf(terms, share, known);
+        if (now < this.nextTurnAt || (tokens > 0 && tokens + terms.tokens > limitTokens)) {
+            return PlaceLack.Memory;
+        }
+        // A node that gives itself a part of a runner allows the reading of prompts the same part of the time.
+        return mayPass(terms, gapMs) || prefillWaitMs(this.prefills, terms.prefillMs / share, gapMs, now) === 0 ? undefined : PlaceLack.Prefill;
+    }
+
+    /** Time until the prompt may be read, with others ahead of it that are as long. */
+    prefillWaitMs(terms: GenerationTerms, share: number, known: KnownGenerations, ahead: number): number {
+        const { gapMs } = this.useOf(terms, share, known);
+        const now = performance.now();
+        return Math.max(0, this.nextTurnAt - now, mayPass(terms, gapMs) ? 0 : this.waitedMs(terms.prefillMs / share, gapMs, ahead, now));
+    }
+
+    private waitedMs(prefillMs: number, gapMs: number, ahead: number, now: number): number {
+        return prefillWaitMs(this.prefills, prefillMs, gapMs, now) + ahead * prefillMs / maxPrefillShare;
+    }
+
+    /** Counts a generation that is sent; `holdMs` is the time for which it is expected to take its memory. */
+    add(terms: GenerationTerms, share: number, holdMs: number): void {
+        const now = performance.now();
+        const limitTokens = maxMemoryShare * terms.kvTokens * share;
+        const isPassing = mayPass(terms, terms.gapMs ?? defaultGapMs);
+        const prefill = { startedAt: now, prefillMs: terms.prefillMs / share, isPassing };
+        this.prefills = [...removePastPrefills(this.prefills, maxGapMs, now), prefill];
+        if (share < 1 && terms.tokens > limitTokens) {
+            this.nextTurnAt = now + turnSpacingFactor * holdMs * terms.tokens / limitTokens;
+        }
+    }
+}
--- a/src/core/memoryBudget.ts
+++ b/src/core/memoryBudget.ts
@@ -108,6 +108,13 @@
         return Math.max((1 - bodyShare - smallBodyShare) * limitBytes, limitBytes - others) / 2;
     }
 
+    /** Bytes that events which slow readers have not taken may use: what bodies leave, as far as the other holders do not use it. */
+    get untakenLimitBytes(): number {
+        const { limitBytes } = this;
+        const others = this.usedBytes - this.usedBy(MemoryHolder.UntakenEvents);
+        return Math.max(0, Math.min((1 - bodyShare - smallBodyShare) * limitBytes, limitBytes - others));
+    }
+
     /** Counts bytes that cannot be refused, or gives them back if negative. */
     charge(holder: MemoryHolder, bytes: number): void {
         this.add(holder, bytes);
--- a/src/core/requestQueue.ts
+++ b/src/core/requestQueue.ts
@@ -6,19 +6,36 @@
     readonly firstTokenDueAt: number;
     /** Priority of its route; 0 is served first. */
     readonly priority: number;
+    /** Priority of its customer, which is compared before that of the route; undefined if customers have none. */
+    readonly customerPriority?: number;
+    /** Work that its customer had lately; among requests of one priority the one with less is served first. */
+    readonly customerWork?: number;
 }
 
 /** Least possible time to the first token: a request whose first token is due sooner can no longer meet its objective. */
 const minFirstTokenMs = 60;
 
-/** Whether `a` is served before `b`: requests that can still meet their objective first, then by priority, then by due time. */
+/** Priority of a customer that has none. */
+export const defaultCustomerPriority = 5;
+
+/** Whether `a` is served before `b`: requests that can still meet their objective first, then by priority, by their customer's recent work, and by due time. */
 export const isServedBefore = (a: QueuedRequest, b: QueuedRequest, now: number): boolean => {
     const aIsLate = a.firstTokenDueAt - now < minFirstTokenMs;
     const bIsLate = b.firstTokenDueAt - now < minFirstTokenMs;
     if (aIsLate !== bIsLate) {
         return bIsLate;
     }
-    return a.priority === b.priority ? a.firstTokenDueAt < b.firstTokenDueAt : a.priority < b.priority;
+    const aCustomer = a.customerPriority ?? defaultCustomerPriority;
+    const bCustomer = b.customerPriority ?? defaultCustomerPriority;
+    if (aCustomer !== bCustomer) {
+        return aCustomer < bCustomer;
+    }
+    if (a.priority !== b.priority) {
+        return a.priority < b.priority;
+    }
+    const { customerWork: aWork = 0 } = a;
+    const { customerWork: bWork = 0 } = b;
+    return aWork === bWork ? a.firstTokenDueAt < b.firstTokenDueAt : aWork < bWork;
 };
 
 /**
--- a/src/core/runnerRoom.ts
+++ b/src/core/runnerRoom.ts
@@ -1,4 +1,7 @@
-import type { PlaceRequest } from "../types/sendPermit";
+import type { GenerationTerms, PlaceRequest } from "../types/sendPermit";
+import { PlaceLack } from "../types/sendPermit";
+import type { GenerationUse, KnownGenerations } from "./generationLoad";
+import { GenerationLoad } from "./generationLoad";
 
 /** Time after the first request for a place within which what the nodes report of their load counts as well: they have not told yet which requests they have in progress. */
 const settleMs = 1_000;
@@ -21,24 +24,40 @@
 const smoothingFactor = 0.2;
 /** A node that gives places of less than one to itself leaves as much time again between two. */
 const turnSpacingFactor = 2;
+/** An upstream that bears at least as many rejections in a second as this is not brittle. */
+export const notBrittleRejectionsPerS = 1_000;
+/** A refused caller was refused by up to this many upstreams, of which it returns to one. */
+const refusingUpstreams = 3;
+/** Refused callers are told to return within this time, or when there is room if that is later. */
+const maxReturnAheadMs = 2_000;
+/** A place that is returned before it is given, as messages overtake each other, is not given within this time. */
+const overtakenMs = 2_000;
 const msPerSecond = 1_000;
 
 interface Place {
     readonly since: number;
     readonly expiresAt: number;
+    readonly generation: GenerationTerms | undefined;
 }
 
 interface Unplaced {
     readonly count: number;
+    readonly tokens: number;
     readonly expiresAt: number;
 }
 
 /** What decides on the room of an upstream, of each request for a place. */
-export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load">;
+export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load" | "generation">;
 
-/** The places of one brittle upstream: no more requests than it has slots, and fewer after it has rejected some. */
+/**
+ * The places of one upstream: no more requests than it has slots, and fewer after it has rejected some. A runner that fails beyond its memory gets no more tokens than that
+ * holds either, and prompts at intervals.
+ */
 export class RunnerRoom {
     private readonly places = new Map<string, Place>();
+    private readonly load = GenerationLoad.create();
+    /** IDs of places that were returned before they were given, with the time until which they are not given. */
+    private readonly overtaken = new Map<string, number>();
     private readonly unplacedByNode = new Map<string, Unplaced>();
     /** When the upstream rejected requests, within the last second. */
     private rejectedAt: number[] = [];
@@ -50,6 +69,8 @@
     private raiseAt = 0;
     private cautiousUntil = 0;
     private nextGrantAt = 0;
+    /** Until when the places that become free are meant for callers that were refused. */
+    private promisedUntil = 0;
     private averageHoldMs = initialHoldMs;
 
     private constructor() {}
@@ -62,8 +83,8 @@
     /** Whether nothing is known that a new room would not know. */
     get isIdle(): boolean {
         this.removeExpired();
-        return this.places.size + this.unplacedByNode.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
-            this.learned === undefined;
+        return this.places.size + this.unplacedByNode.size + this.overtaken.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
+            this.learned === undefined && this.load.isIdle;
     }
 
     /** Requests in progress at the upstream, as far as they are known for certain. */
@@ -74,14 +95,77 @@
 
     /** Takes a place if there is room; returns whether it did. */
     take(id: string, holdMs: number, terms: RoomTerms): boolean {
+        const isGiven = terms.generation?.isSent === true || this.lackOf(terms) === undefined;
+        if (isGiven) {
+            this.add(id, holdMs, terms);
+        }
+        return isGiven;
+    }
+
+    /** What the upstream lacks for a request now; undefined if it has a place, which must be taken then. */
+    lackOf(terms: RoomTerms): PlaceLack | undefined {
         const now = performance.now();
+        const { generation, share } = terms;
         const inUse = this.usedBy(terms);
-        if (now < this.nextGrantAt || !this.mayRisk(terms) || !(inUse < this.roomOf(terms) || this.raise(inUse, terms))) {
-            return false;
+        if (now < this.nextGrantAt || !this.mayRisk(terms)) {
+            return PlaceLack.Slots;
         }
-        this.places.set(id, { since: now, expiresAt: now + holdMs });
+        const lack = generation && this.load.lackOf(generation, share, this.knownBy(terms));
+        if (lack !== undefined) {
+            return lack;
+        }
+        return inUse < this.roomOf(terms) || this.raise(inUse, terms) ? undefined : PlaceLack.Slots;
+    }
+
+    /** Whether the place of a request was returned already, so that it must not be given. */
+    wasOvertaken(id: string): boolean {
+        return (this.overtaken.get(id) ?? 0) > performance.now();
+    }
+
+    /** What a generation would find in use. */
+    useOf(terms: RoomTerms): GenerationUse | undefined {
+        return terms.generation && this.load.useOf(terms.generation, terms.share, this.knownBy(terms));
+    }
+
+    /** Whether a request does not wait until other prompts are read. */
+    mayPass(terms: RoomTerms): boolean {
+        return terms.generation !== undefined && this.load.mayPass(terms.generation, this.knownBy(terms));
+    }
+
+    /** Share of the memory that is in use; 0 if no generation has a place. */
+    get memoryShare(): number {
+        this.removeExpired();
+        let tokens = [...this.unplacedByNode.values()].reduce((sum, unplaced) => sum + unplaced.tokens, 0);
+        let kvTokens = Number.POSITIVE_INFINITY;
+        this.places.forEach(({ generation }) => {
+            tokens += generation?.tokens ?? 0;
+            kvTokens = generation?.kvTokens ?? kvTokens;
+        });
+        return tokens / kvTokens;
+    }
+
+    /** Age of the oldest report that counts; 0 without one. */
+    get oldestReportMs(): number {
+        const now = performance.now();
+        return Math.round(Math.max(0, ...[...this.unplacedByNode.values()].map(({ expiresAt }) => now + unplacedLifetimeMs - expiresAt)));
+    }
+
+    /** Gives a place whether or not there is room. */
+    add(id: string, holdMs: number, terms: RoomTerms): void {
+        const now = performance.now();
+        const { generation, share } = terms;
+        this.places.set(id, { since: now, expiresAt: now + holdMs, generation });
         this.nextGrantAt = now + this.spacingMs(terms);
-        return true;
+        if (generation) {
+            this.load.add(generation, share, this.averageHoldMs);
+        }
+    }
+
+    private knownBy(terms: RoomTerms): KnownGenerations {
+        const generations: GenerationTerms[] = [];
+        this.places.forEach(({ generation }) => generation && generations.push(generation));
+        const unplacedTokens = [...this.unplacedByNode.values()].reduce((sum, { tokens }) => sum + tokens, 0);
+        return { placed: generations, unplacedTokens, unreported: Math.max(0, this.usedBy(terms) - this.inUse) };
     }
 
     /** Estimated time until a place is free for a request with others ahead of it. */
@@ -90,7 +174,28 @@
         const room = this.roomOf(terms);
         const excess = Math.max(0, this.usedBy(terms) - room);
         const spacingMs = Math.max(this.expectedHoldMs / room, this.spacingMs(terms));
-        return Math.max(this.nextGrantAt - now, 0) + (ahead + excess + 1) * spacingMs;
+        const slotWaitMs = Math.max(this.nextGrantAt - now, 0) + (ahead + excess + 1) * spacingMs;
+        return terms.generation ? this.generationWaitMs(terms, terms.generation, ahead, slotWaitMs) : slotWaitMs;
+    }
+
+    /** When a caller that is refused finds room, given the time until there is some: callers return one after the other, as fast as places become free. */
+    promiseReturnMs(waitMs: number): number {
+        const now = performance.now();
+        const returnsAt = Math.max(now + waitMs, Math.min(this.promisedUntil, now + maxReturnAheadMs));
+        this.promisedUntil = returnsAt + this.expectedHoldMs / Math.max(1, this.places.size) / refusingUpstreams;
+        return returnsAt - now;
+    }
+
+    /** Estimated time until a generation finds all that it needs; the wait for a slot counts only if all are in use. */
+    private generationWaitMs(terms: RoomTerms, generation: GenerationTerms, ahead: number, slotWaitMs: number): number {
+        const known = this.knownBy(terms);
+        const { tokens, limitTokens } = this.load.useOf(generation, terms.share, known);
+        const prefillWaitMs = this.load.prefillWaitMs(generation, terms.share, known, ahead);
+        // Memory becomes free as evenly as the places that hold it are given back.
+        const lackingTokens = Math.max(0, tokens + (ahead + 1) * generation.tokens - limitTokens);
+        const memoryWaitMs = tokens === 0 ? 0 : lackingTokens / Math.max(1, tokens) * this.expectedHoldMs;
+        const isSlotFree = this.usedBy(terms) + ahead < this.roomOf(terms);
+        return Math.max(prefillWaitMs, memoryWaitMs, isSlotFree ? Math.max(this.nextGrantAt - performance.now(), 0) : slotWaitMs);
     }
 
     /** Time for which a place is held: that of those given back, or the age of the others if they are held for longer. */
@@ -104,6 +209,9 @@
     giveBack(id: string, isRejected = false): void {
         const place = this.places.get(id);
         this.places.delete(id);
+        if (!place) {
+            this.overtaken.set(id, performance.now() + overtakenMs);
+        }
         if (place && !isRejected) {
             this.averageHoldMs += smoothingFactor * (performance.now() - place.since - this.averageHoldMs);
         }
@@ -118,10 +226,10 @@
         this.raiseAt = Math.max(this.raiseAt, now + minRaiseIntervalMs);
     }
 
-    /** Records how many requests without a place a node has in progress there. */
-    setUnplaced(node: string, count: number): void {
+    /** Records how many requests without a place a node has in progress there, and the tokens of its generations among them. */
+    setUnplaced(node: string, count: number, tokens = 0): void {
         if (count > 0) {
-            this.unplacedByNode.set(node, { count, expiresAt: performance.now() + unplacedLifetimeMs });
+            this.unplacedByNode.set(node, { count, tokens, expiresAt: performance.now() + unplacedLifetimeMs });
         }
         else {
             this.unplacedByNode.delete(node);
@@ -185,12 +293,14 @@
     private spacingMs(terms: RoomTerms): number {
         const ownSlots = terms.slots * terms.share;
         const turnMs = ownSlots < 1 ? turnSpacingFactor * this.averageHoldMs / ownSlots : 0;
-        return Math.max(turnMs, performance.now() < this.cautiousUntil ? this.trialIntervalMs(terms) : 0);
+        const isCautious = performance.now() < this.cautiousUntil && terms.maxRejectionsPerS < notBrittleRejectionsPerS;
+        return Math.max(turnMs, isCautious ? this.trialIntervalMs(terms) : 0);
     }
 
     private removeExpired(): void {
         const now = performance.now();
         this.places.forEach(({ expiresAt }, id) => expiresAt <= now && this.places.delete(id));
         this.unplacedByNode.forEach(({ expiresAt }, node) => expiresAt <= now && this.unplacedByNode.delete(node));
+        this.overtaken.forEach((until, id) => until <= now && this.overtaken.delete(id));
     }
 }
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -16,6 +16,8 @@
 export class UpstreamTraffic {
     /** Own requests in progress. */
     inFlight = 0;
+    /** Tokens of own generations in progress: prompts and expected outputs. */
+    tokensInFlight = 0;
     /** Estimated prefill of own requests that have not received a first token. */
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer; undefined before the first answer. */
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,6 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerHold } from "../core/answerMemory";
 import { goOnAfter, holdEvent } from "../core/eventOrder";
+import type { SlowReaders, UnreadStream } from "../core/slowReaders";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
@@ -22,6 +23,9 @@
 
 const mediaTypeOf = (contentType: unknown): string => String(contentType ?? "").split(";", 1)[0]!.trim().toLowerCase();
 
+/** Number of events that end in the text: each ends with an empty line. */
+const countEvents = (text: string): number => text.match(/\n\r?\n/g)?.length ?? 0;
+
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** Receives notifications while answers arrive. */
@@ -58,6 +62,10 @@
     firstEventAt = 0;
     /** Longest time between two events of the stream. */
     maxEventGapMs = 0;
+    /** Events that were relayed, of all attempts. */
+    eventCount = 0;
+    private readonly unread: UnreadStream;
+    private isDraining = false;
     private isStreaming = false;
     private bufferedBytes = 0;
     private kept: KeptAnswer | undefined;
@@ -67,16 +75,23 @@
         private readonly limits: TransportLimits,
         private readonly hold: AnswerHold,
         private readonly observer: AnswerObserver,
+        private readonly slowReaders: SlowReaders | undefined,
     ) {
-        call.res.once("close", () => {
+        const { res, caller } = call;
+        this.unread = { request: caller.requestId, unreadBytes: () => res.writableLength, cut: () => res.destroy() };
+        res.once("close", () => {
             hold.release();
             hold.countUntaken(0);
+            slowReaders?.remove(this.unread);
         });
     }
 
-    /** Creates the relay of one request; what it keeps of answers is taken from `hold`. */
-    static create(call: Call, limits: TransportLimits, hold: AnswerHold, observer: AnswerObserver): AnswerRelay {
-        return new AnswerRelay(call, limits, hold, observer);
+    /**
+     * Creates the relay of one request; what it keeps of answers is taken from `hold`. With `slowReaders` the upstream is read on if the caller is slow, otherwise it is
+     * paused.
+     */
+    static create(call: Call, limits: TransportLimits, hold: AnswerHold, observer: AnswerObserver, slowReaders?: SlowReaders): AnswerRelay {
+        return new AnswerRelay(call, limits, hold, observer, slowReaders);
     }
 
     /** Whether part of an answer has been sent to the caller. */
@@ -176,6 +191,10 @@
             this.onFirstEvent(now);
         }
         this.lastProgressAt = now;
+        this.eventCount += countEvents(text);
+        if (this.slowReaders) {
+            return this.readOn(this.slowReaders, events);
+        }
         if (this.call.res.write(events)) {
             return SinkState.Ready;
         }
@@ -187,6 +206,27 @@
         return SinkState.Full;
     }
 
+    /** Writes events without pausing the upstream; what the caller has not taken is counted. */
+    private readOn(slowReaders: SlowReaders, events: Buffer): SinkState {
+        const { res } = this.call;
+        // A caller that keeps up is not counted. One that was cut leaves with its next event, which ends the attempt.
+        const isBehind = res.writableLength + events.length >= res.writableHighWaterMark;
+        if (res.destroyed || (isBehind && !slowReaders.admit(this.unread, events.length))) {
+            return SinkState.Ready;
+        }
+        if (!res.write(events)) {
+            slowReaders.count(this.unread, res.writableLength);
+            if (!this.isDraining) {
+                this.isDraining = true;
+                res.once("drain", () => {
+                    this.isDraining = false;
+                    slowReaders.remove(this.unread);
+                });
+            }
+        }
+        return SinkState.Ready;
+    }
+
     private onFirstEvent(now: number): void {
         this.attemptEventAt = now;
         if (this.firstEventAt === 0) {
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -20,6 +20,7 @@
 import { CrashObserver } from "./crashObserver";
 import { isCutOffWithUpstream } from "./endCheck";
 import type { Gateway } from "./gateway";
+import { admitsGenerations, expectedTokensOf } from "./generationTerms";
 import { logSent } from "./logSent";
 import { toOutgoingRequest } from "./outgoingRequest";
 import { recordFailedConnection } from "./recordFailedConnection";
@@ -51,7 +52,7 @@
                 this.choice?.candidate.traffic.onEventGap(ms);
                 this.crashObserver.onEvent();
             },
-        });
+        }, admitsGenerations(gateway, call.service) ? gateway.slowReaders : undefined);
         this.crashObserver = CrashObserver.create(gateway, call, this.relay);
     }
 
@@ -72,7 +73,9 @@
         this.choice = choice;
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
+        const tokens = expectedTokensOf(gateway, call);
         traffic.inFlight++;
+        traffic.tokensInFlight += tokens;
         gateway.contact.countInProgress(1);
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
@@ -99,6 +102,7 @@
             timers.stop();
             call.signal.removeEventListener("abort", onCallerAbort);
             traffic.inFlight--;
+            traffic.tokensInFlight -= tokens;
             gateway.contact.countInProgress(-1);
             this.removePendingPrefill(choice);
         }
@@ -210,6 +214,7 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
+            this.recordOutput();
             this.crashObserver.onAnswered(candidate, endsWithConnection);
             return AttemptOutcome.Answered;
         }
@@ -220,6 +225,15 @@
         return AttemptOutcome.RanAndFailed;
     }
 
+    /** Records how much of its maximum a generation used, if its whole stream was received. */
+    private recordOutput(): void {
+        const { call: { caller, service }, gateway, relay } = this;
+        const engine = gateway.engineOf(service);
+        if (gateway.settings.hasRunnerPressure && engine && caller.modelRequest && caller.lastEventId === undefined && relay.eventCount > 0) {
+            gateway.outputShareOf(service).add(relay.eventCount * engine.tokensPerEvent, caller.modelRequest.maxOutputTokens);
+        }
+    }
+
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
         if (!this.gateway.contact.wasLostSince(this.sentAt)) {
             countFailure(traffic, this.relay.head?.decoded);
--- a/src/forward/brittleRequests.ts
+++ b/src/forward/brittleRequests.ts
@@ -1,9 +1,24 @@
 import { processKey } from "../types/upstreamServer";
 import type { Gateway } from "./gateway";
+import { admitsGenerations } from "./generationTerms";
 
-/** This node's requests in progress at brittle upstreams, by process. */
-export const brittleRequests = (gateway: Gateway): readonly { readonly runner: string; readonly count: number; }[] => {
+/** This node's requests in progress at one upstream. */
+interface RequestsInProgress {
+    readonly runner: string;
+    readonly count: number;
+    /** Tokens of the generations among them. */
+    readonly tokens: number;
+}
+
+/** This node's requests in progress at upstreams that need places, by process. */
+export const brittleRequests = (gateway: Gateway): readonly RequestsInProgress[] => {
     const { availability: { brittle }, directory } = gateway;
-    const servers = brittle.size === 0 ? [] : directory.all().filter(server => brittle.limitOf(server) !== undefined);
-    return servers.map(server => ({ runner: processKey(server), count: gateway.trafficOf(server.id).inFlight }));
+    const needsPlaces = brittle.size > 0 || gateway.settings.hasRunnerPressure;
+    const servers = needsPlaces
+        ? directory.all().filter(server => brittle.limitOf(server) !== undefined || admitsGenerations(gateway, server.service))
+        : [];
+    return servers.map(server => {
+        const { inFlight, tokensInFlight } = gateway.trafficOf(server.id);
+        return { runner: processKey(server), count: inFlight, tokens: tokensInFlight };
+    });
 };
--- a/src/forward/findAlternative.ts
+++ b/src/forward/findAlternative.ts
@@ -4,9 +4,10 @@
 import { processKey } from "../types/upstreamServer";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { needsPlace } from "./generationTerms";
 import { selectUpstream } from "./selectUpstream";
 
-/** Finds an upstream that can take a request now while it is in progress elsewhere: one without a limit, and not a brittle one that had no room lately. */
+/** Finds an upstream that can take a request now while it is in progress elsewhere: one without a limit, and not one without room lately. */
 export const findAlternative = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): UpstreamChoice | undefined => {
     const { modelRequest } = call.caller;
     const choice = selectUpstream(gateway, call, tried);
@@ -14,8 +15,8 @@
         return undefined;
     }
     const { server, turnDelayMs } = choice.candidate;
-    const isBrittle = gateway.availability.brittle.limitOf(server) !== undefined && gateway.runnerLimits.limitOf(processKey(server)) === undefined;
-    if ((isBrittle ? turnDelayMs! > 0 : turnDelayMs !== undefined) || (modelRequest && isSaturated(choice, call.route))) {
+    const takesPlace = needsPlace(gateway, call, server) && gateway.runnerLimits.limitOf(processKey(server)) === undefined;
+    if ((takesPlace ? turnDelayMs! > 0 : turnDelayMs !== undefined) || (modelRequest && isSaturated(choice, call.route))) {
         return undefined;
     }
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -25,7 +25,12 @@
 
 const unavailableStatus = 503;
 /** Why there is no further attempt: the caller is told this and when to come back. */
-const relayedRefusals: ReadonlySet<FailureKind> = new Set([FailureKind.UpstreamsQuiet, FailureKind.UpstreamsBrittle, FailureKind.Stopping]);
+const relayedRefusals: ReadonlySet<FailureKind> = new Set([
+    FailureKind.UpstreamsQuiet,
+    FailureKind.UpstreamsBrittle,
+    FailureKind.UpstreamsFull,
+    FailureKind.Stopping,
+]);
 
 /** Forwards one request until it has a final answer. */
 export class Forwarder {
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -4,6 +4,7 @@
 import { HeapWatch } from "../core/heapWatch";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
+import { OutputShare } from "../core/outputShare";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestHeap } from "../core/requestHeap";
 import { RequestQueue } from "../core/requestQueue";
@@ -12,6 +13,7 @@
 import { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
+import { SlowReaders } from "../core/slowReaders";
 import { StoreFreshness } from "../core/storeFreshness";
 import { StreamVersions } from "../core/streamVersions";
 import { UnfinishedHeads } from "../core/unfinishedHeads";
@@ -74,6 +76,7 @@
     private active: ActiveConfig | undefined;
     private readonly trafficByUpstream = new Map<string, UpstreamTraffic>();
     private readonly poolByUpstream = new Map<string, UpstreamConnectionPool>();
+    private readonly outputShareByService = new Map<string, OutputShare>();
     private readonly budgetByService = new Map<string, SharedRetryBudget>();
     /** Estimated number of nodes that share the budgets. */
     knownNodes = defaultNodeCount;
@@ -120,6 +123,8 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Events that slow readers have not taken, where runners must be read on. */
+    readonly slowReaders = SlowReaders.create(() => this.memory.untakenLimitBytes, bytes => this.memory.charge(MemoryHolder.UntakenEvents, bytes));
     /** Whether this node reaches upstreams over its own links. */
     readonly contact = UpstreamContact.create(() => this.random(), process => this.runnerLimits.limitOf(process) !== undefined);
     /** The peers through which callers are served while it does not. */
@@ -215,6 +220,11 @@
             ));
     }
 
+    /** Output of a service's generations as a share of the maximum that they allow. */
+    outputShareOf(service: string): OutputShare {
+        return getOrCreate(this.outputShareByService, service, () => OutputShare.create());
+    }
+
     budgetOf(service: string): SharedRetryBudget {
         return getOrCreate(this.budgetByService, service, () => SharedRetryBudget.create(() => this.settings, () => this.knownNodes));
     }
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -6,6 +6,7 @@
 import { rankByHashCached } from "../utils/hash";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { needsPlace } from "./generationTerms";
 import { allowsUpstream } from "./versionPin";
 
 /** Share of a prompt's shared parts that their preferred runner is assumed to have cached, even if this node has not sent them there. */
@@ -18,17 +19,18 @@
 export const serversWithModel = (gateway: Gateway, service: string, model: string): readonly UpstreamServer[] =>
     gateway.availability.servingOf(service).filter(server => gateway.residency.hasModel(server, model));
 
-/** What a limit that an upstream has named, or the wait for a place at a brittle one, adds to the predicted time; undefined if it is neither. */
-const turnDelayOf = ({ runnerLimits, availability }: Gateway, server: UpstreamServer): number | undefined => {
+/** What a limit that an upstream has named, or the wait for a place, adds to the predicted time; undefined if it needs neither. */
+const turnDelayOf = (gateway: Gateway, call: Call, server: UpstreamServer): number | undefined => {
+    const { runnerLimits } = gateway;
     const runner = processKey(server);
-    return runnerLimits.delayOf(runner) ?? (availability.brittle.limitOf(server) === undefined ? undefined : runnerLimits.expectedWaitMs(runner));
+    return runnerLimits.delayOf(runner) ?? (needsPlace(gateway, call, server) ? runnerLimits.expectedWaitMs(runner) : undefined);
 };
 
 /** Describes an upstream for the choice; `preferred` is the one that is assumed to have the prompt cached. */
 export const toCandidate = (gateway: Gateway, call: Call, server: UpstreamServer, preferred: string | undefined): UpstreamCandidate => {
     const { modelRequest } = call.caller;
     const traffic = gateway.trafficOf(server.id);
-    const turnDelayMs = turnDelayOf(gateway, server);
+    const turnDelayMs = turnDelayOf(gateway, call, server);
     if (!modelRequest) {
         return { server, traffic, prefillTokens: 0, tokensPerEvent: 1, timeFactor: 1, turnDelayMs };
     }
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -13,6 +13,7 @@
 import type { Call } from "./call";
 import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
+import { admitsGenerations, needsPlace } from "./generationTerms";
 import { HeldPlace } from "./heldPlace";
 import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { Refusal } from "./refusal";
@@ -30,9 +31,14 @@
 /** Pause of a request that was queued in vain: the queue itself may be full. */
 const pauseMs = 25;
 
-/** A brittle upstream that had no room for a request. */
+/** An upstream that had no room for a request. */
 interface FullUpstream extends QuietUpstream {
     readonly neededMs: number;
+    /** Time until the first byte, once the request is sent. */
+    readonly firstByteMs: number;
+    /** For a generation, when a caller that is refused now finds room. */
+    readonly returnMs: number | undefined;
+    readonly loadAgeMs: number;
 }
 
 /** Gets a request its turn and its place at an upstream, or at another one that has them sooner. */
@@ -88,7 +94,15 @@
             if (denied?.isFull) {
                 this.hasWaited ||= denied.wasQueued && performance.now() - askedAt >= minWaitMs;
                 const full: Map<string, FullUpstream> = this.full ??= new Map<string, FullUpstream>();
-                full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, neededMs: neededMsOf(call, next) });
+                full.set(server.id, {
+                    id: server.id,
+                    quietMs: denied.retryAfterMs,
+                    slots: server.slots,
+                    neededMs: neededMsOf(call, next),
+                    firstByteMs: next.predictedMs,
+                    returnMs: denied.returnMs,
+                    loadAgeMs: next.candidate.traffic.reportAgeMs,
+                });
                 const other: UpstreamChoice | undefined = this.chooseWithRoom(full);
                 if (other) {
                     next = other;
@@ -128,7 +142,7 @@
             return undefined;
         }
         const { server } = choice.candidate;
-        if (gateway.availability.brittle.limitOf(server) !== undefined && this.spare?.isAt(processKey(server)) !== true) {
+        if (needsPlace(gateway, call, server) && this.spare?.isAt(processKey(server)) !== true) {
             this.spareChoice = undefined;
             this.askForSpare(choice);
             return undefined;
@@ -139,8 +153,8 @@
 
     /** Gives the place back after an attempt. */
     onAttemptEnd(server: UpstreamServer, isRejected: boolean): void {
-        const { gateway } = this;
-        if (this.held?.giveBack(isRejected) !== true && isRejected && gateway.availability.brittle.limitOf(server) !== undefined) {
+        const { gateway, call } = this;
+        if (this.held?.giveBack(isRejected) !== true && isRejected && needsPlace(gateway, call, server)) {
             gateway.placement.returnPlace({ runner: processKey(server), isRejected });
         }
     }
@@ -193,7 +207,7 @@
             return undefined;
         }
         const other = selectUpstream(gateway, call, new Set([...tried, ...full.keys()]));
-        return other && call.caller.modelRequest && isSaturated(other, call.route) ? undefined : other;
+        return other && call.caller.modelRequest && !admitsGenerations(gateway, call.service) && isSaturated(other, call.route) ? undefined : other;
     }
 
     /** Decides whether a request for which no upstream has room waits, and within which time a place is of use then. */
@@ -203,6 +217,9 @@
             return unreachableRefusal;
         }
         const upstreams = [...full.values()];
+        if (upstreams.some(({ returnMs }) => returnMs !== undefined)) {
+            return this.decideOnFullRunners(upstreams);
+        }
         const now = performance.now();
         const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
         const objectiveMs = Math.min(remainingMs, call.startedAt + call.route.latencyObjectiveMs - now);
@@ -224,4 +241,45 @@
             isSpread: true,
         };
     }
+
+    /**
+     * Decides for a generation. It waits for a place as long as its first event can come within the objective; beyond this if its caller would come back before there is
+     * room, and then until the caller gives up.
+     */
+    private decideOnFullRunners(upstreams: readonly FullUpstream[]): Refusal | number {
+        const { gateway, call, hasWaited } = this;
+        const { route, startedAt } = call;
+        const now = performance.now();
+        const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
+        const neededMs = first.firstByteMs;
+        const streamMs = Math.max(0, first.neededMs - neededMs);
+        const endsInMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now - streamMs;
+        const remainingMs = Math.min(endsInMs, startedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - now);
+        const objectiveMs = Math.min(remainingMs, startedAt + route.latencyObjectiveMs - now);
+        const decision = decideOnQuiet({ upstreams, hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs }, gateway.random);
+        const isWaiting = decision.mayWait && !call.signal.aborted;
+        const returnMs = Math.min(...upstreams.map(upstream => upstream.returnMs ?? upstream.quietMs));
+        if (!hasWaited || !isWaiting) {
+            emit(EventId.GenerationRefused, {
+                request: call.caller.requestId,
+                upstream: first.id,
+                isWaiting,
+                waitMs: Math.round(first.quietMs),
+                returnMs: Math.round(returnMs),
+                neededMs: Math.round(neededMs),
+                remainingMs: Math.round(remainingMs),
+                upstreams: upstreams.length,
+                loadAgeMs: Number.isFinite(first.loadAgeMs) ? Math.round(first.loadAgeMs) : undefined,
+            });
+        }
+        if (isWaiting) {
+            return Math.max(0, (first.quietMs + neededMs <= objectiveMs ? objectiveMs : remainingMs) - neededMs);
+        }
+        return {
+            kind: FailureKind.UpstreamsFull,
+            detail: `${upstreams.length} runners have no room, ${first.id} probably has some first, in ${Math.round(first.quietMs)} ms`,
+            retryAfterMs: decision.mayWait ? 0 : returnMs,
+            isSpread: true,
+        };
+    }
 }
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -1,14 +1,16 @@
 import { randomUUID } from "node:crypto";
 import type { UpstreamChoice } from "../core/chooseUpstream";
 import { predictCompletionMs } from "../core/chooseUpstream";
+import { notBrittleRejectionsPerS } from "../core/runnerRoom";
 import { maxTurnWaitMs } from "../core/turnWait";
 import { EventId } from "../types/eventId";
-import type { PlaceRequest } from "../types/sendPermit";
+import type { GenerationTerms, Permit, PlaceRequest } from "../types/sendPermit";
 import { processKey } from "../types/upstreamServer";
 import { emit } from "../utils/events";
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { generationTermsOf } from "./generationTerms";
 import type { Refusal } from "./refusal";
 
 /** A place is free again this long after the deadline of its request, if it has not been given back. */
@@ -18,6 +20,8 @@
 export interface TurnDenial extends Refusal {
     /** Whether the upstream is brittle and has no room; `retryAfterMs` is an estimate then. */
     readonly isFull: boolean;
+    /** For a generation, when a caller that is refused now finds room; undefined for other requests. */
+    readonly returnMs?: number;
     /** Whether it was to be queued for a place. */
     readonly wasQueued: boolean;
 }
@@ -31,7 +35,14 @@
 export const neededMsOf = ({ caller: { modelRequest, lastEventId } }: Call, choice: UpstreamChoice): number =>
     modelRequest && lastEventId === undefined ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
 
-const toPlaceRequest = (gateway: Gateway, call: Call, choice: UpstreamChoice, maxRejectionsPerS: number, maxQueueMs: number): PlaceRequest => {
+const toPlaceRequest = (
+    gateway: Gateway,
+    call: Call,
+    choice: UpstreamChoice,
+    maxRejectionsPerS: number,
+    maxQueueMs: number,
+    generation: GenerationTerms | undefined,
+): PlaceRequest => {
     const { server, traffic } = choice.candidate;
     const now = performance.now();
     return {
@@ -46,11 +57,12 @@
         maxQueueMs,
         dueInMs: call.startedAt + call.route.latencyObjectiveMs - now,
         priority: call.route.priority,
+        generation,
     };
 };
 
 /**
- * Waits for a turn at an upstream if it has named a limit, and for a place if it is brittle, at most for `maxQueueMs`. Refuses at once if the turn would come too late
+ * Waits for a turn at an upstream if it has named a limit, and for a place if it needs one, at most for `maxQueueMs`. Refuses at once if the turn would come too late
  * for an answer.
  */
 export const waitForTurn = async (
@@ -64,7 +76,8 @@
     const { server } = choice.candidate;
     const runner = processKey(server);
     const perSecond = runnerLimits.limitOf(runner);
-    const maxRejectionsPerS = availability.brittle.limitOf(server);
+    const generation = generationTermsOf(gateway, call, choice);
+    const maxRejectionsPerS = availability.brittle.limitOf(server) ?? (generation && notBrittleRejectionsPerS);
     if (perSecond === undefined && maxRejectionsPerS === undefined) {
         return undefined;
     }
@@ -72,10 +85,10 @@
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
     const maxWaitMs = maxTurnWaitMs(call.deadlineAt - performance.now(), neededMs);
     const expectedWaitMs = runnerLimits.expectedWaitMs(runner);
-    const place = maxRejectionsPerS === undefined ? undefined : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs));
+    const place = maxRejectionsPerS === undefined ? undefined : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs), generation);
     // What is known to be too late is not asked for.
     const isKnownToBeLate = place ? expectedWaitMs > 0 && maxQueueMs === 0 : expectedWaitMs > maxWaitMs;
-    const permit = isKnownToBeLate
+    const permit: Permit = isKnownToBeLate
         ? { isGranted: false, waitMs: expectedWaitMs, isFull: place !== undefined }
         : await placement.acquirePermit({ runner, perSecond, maxWaitMs, place });
     runnerLimits.onPermit(runner, permit.waitMs);
@@ -87,14 +100,16 @@
             perSecond,
             maxRejectionsPerS,
             isFull,
+            lack: permit.lack,
             waitMs: Math.round(permit.waitMs),
         });
         return {
             detail: isFull
-                ? `the upstream is brittle and has no room, probably for ${Math.round(permit.waitMs)} ms`
+                ? `the upstream ${generation ? "" : "is brittle and "}has no room, probably for ${Math.round(permit.waitMs)} ms`
                 : `the upstream takes ${perSecond} requests a second, the next one in ${Math.round(permit.waitMs)} ms`,
             retryAfterMs: permit.waitMs,
             isFull,
+            returnMs: generation && (permit.retryAfterMs ?? permit.waitMs),
             wasQueued: maxQueueMs > 0,
         };
     }
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -8,6 +8,7 @@
 import { sleep } from "../utils/time";
 import type { Call } from "./call";
 import type { Gateway } from "./gateway";
+import { admitsGenerations } from "./generationTerms";
 import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { QuarantineGate } from "./quarantineGate";
 import type { Refusal } from "./refusal";
@@ -88,7 +89,7 @@
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
                 };
             }
-            if (takesStreamUp(call) || (ahead === 0 && !isSaturated(choice, call.route))) {
+            if (takesStreamUp(call) || admitsGenerations(gateway, call.service) || (ahead === 0 && !isSaturated(choice, call.route))) {
                 return choice;
             }
             gateway.queue.add(modelRequest.model, queuedRequest);
--- a/src/placement/peerAnswerDecoder.ts
+++ b/src/placement/peerAnswerDecoder.ts
@@ -5,6 +5,7 @@
 import { FailureKind } from "../types/failureKind";
 import type { PeerAnswer, PlacementAnswer } from "../types/placement";
 import type { Permit } from "../types/sendPermit";
+import { PlaceLack } from "../types/sendPermit";
 import { UpstreamFault } from "../types/upstreamFault";
 import type { DirectoryChange, UpstreamServer } from "../types/upstreamServer";
 import { UpstreamState } from "../types/upstreamServer";
@@ -72,7 +73,15 @@
     isUncertain: z.boolean().optional(),
 });
 
-const permitSchema = z.object({ isGranted: z.boolean(), waitMs: quantity, isFull: z.boolean().optional() });
+const permitSchema = z.object({
+    isGranted: z.boolean(),
+    waitMs: quantity,
+    isFull: z.boolean().optional(),
+    retryAfterMs: quantity.optional(),
+    // A value that a later release adds is no reason to drop the answer.
+    lack: z.enum(PlaceLack).optional().catch(undefined),
+    hasTerms: z.boolean().optional(),
+});
 
 const decodeWith = <T>(schema: z.ZodType<T>, answer: unknown): T => {
     const result = schema.safeParse(answer);
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -77,6 +77,17 @@
 });
 
 const runnerKey = z.string().max(maxPartIdLength);
+const generationSchema = z.object({
+    tokens: quantity,
+    kvTokens: quantity,
+    prefillMs: quantity,
+    gapMs: z.number().positive().optional(),
+    isUrgent: z.boolean(),
+    isSent: z.boolean(),
+    customer: z.string().max(maxPartIdLength).optional(),
+    customerPriority: z.number().optional(),
+    unplacedTokens: quantity,
+});
 const placeSchema = z.object({
     id: z.string().max(maxPartIdLength),
     node: hostAddress,
@@ -89,12 +100,13 @@
     maxQueueMs: z.number(),
     dueInMs: z.number(),
     priority: z.number(),
+    generation: generationSchema.optional(),
 });
 const permitSchema = z.object({ runner: runnerKey, perSecond: quantity.optional(), maxWaitMs: z.number(), place: placeSchema.optional() });
 const placeReportSchema = z.object({
     node: hostAddress,
     returned: z.array(z.object({ runner: runnerKey, id: z.string().max(maxPartIdLength).optional(), isRejected: z.boolean() })),
-    unplaced: z.array(z.object({ runner: runnerKey, count: quantity })),
+    unplaced: z.array(z.object({ runner: runnerKey, count: quantity, tokens: quantity.optional() })),
 });
 const announcementSchema = z.object({ peerAddress: hostAddress, epoch: storeVersion });
 
--- a/src/placement/placeLedger.ts
+++ b/src/placement/placeLedger.ts
@@ -2,12 +2,23 @@
     readonly runner: string;
     /** Address of the node that gave it. */
     readonly address: string;
+    /** Tokens of a generation; undefined for other requests. */
+    readonly tokens?: number;
+    /** Whether this node gave a place as well, because the other one knows slots alone. */
+    readonly isOwnToo?: boolean;
 }
 
+interface Counted {
+    readonly count: number;
+    readonly tokens: number;
+}
+
+const nothing: Counted = { count: 0, tokens: 0 };
+
 /** The places that this node holds at brittle upstreams. */
 export class PlaceLedger {
     private readonly places = new Map<string, LedgerPlace>();
-    private readonly counts = new Map<string, number>();
+    private readonly counts = new Map<string, Counted>();
 
     private constructor() {}
 
@@ -16,8 +27,18 @@
     }
 
     /** Number of places at a runner that one node gave. */
-    countOf({ runner, address }: LedgerPlace): number {
-        return this.counts.get(`${address} ${runner}`) ?? 0;
+    countOf(place: LedgerPlace): number {
+        return this.countedOf(place).count;
+    }
+
+    /** Tokens of the generations with a place at a runner that one node gave. */
+    tokensOf(place: LedgerPlace): number {
+        return this.countedOf(place).tokens;
+    }
+
+    /** Whether a place is held. */
+    has(id: string): boolean {
+        return this.places.has(id);
     }
 
     add(id: string, place: LedgerPlace): void {
@@ -35,11 +56,16 @@
         return place;
     }
 
+    private countedOf({ runner, address }: LedgerPlace): Counted {
+        return this.counts.get(`${address} ${runner}`) ?? nothing;
+    }
+
     private count(place: LedgerPlace, change: number): void {
         const key = `${place.address} ${place.runner}`;
-        const count = this.countOf(place) + change;
+        const counted = this.countedOf(place);
+        const count = counted.count + change;
         if (count > 0) {
-            this.counts.set(key, count);
+            this.counts.set(key, { count, tokens: counted.tokens + change * (place.tokens ?? 0) });
         }
         else {
             this.counts.delete(key);
--- a/src/placement/placeReporter.ts
+++ b/src/placement/placeReporter.ts
@@ -13,8 +13,8 @@
 
 interface Batch {
     readonly returned: ReturnedPlace[];
-    /** Requests in progress without a place, by runner. */
-    readonly unplaced: Map<string, number>;
+    /** Requests in progress without a place, and their tokens, by runner. */
+    readonly unplaced: Map<string, { readonly count: number; readonly tokens: number; }>;
 }
 
 /** Tells the nodes that hand out places which of them are free again. */
@@ -32,14 +32,14 @@
         this.batchOf(address).returned.push(place);
     }
 
-    onUnplaced(address: string, runner: string, count: number): void {
-        this.batchOf(address).unplaced.set(runner, count);
+    onUnplaced(address: string, runner: string, count: number, tokens: number): void {
+        this.batchOf(address).unplaced.set(runner, { count, tokens });
     }
 
     private batchOf(address: string): Batch {
         return getOrCreate(this.batches, address, () => {
             setTimeout(() => this.send(address), batchMs);
-            return { returned: [], unplaced: new Map<string, number>() };
+            return { returned: [], unplaced: new Map<string, { count: number; tokens: number; }>() };
         });
     }
 
@@ -47,7 +47,7 @@
         const { returned, unplaced } = this.batches.get(address)!;
         this.batches.delete(address);
         const node = this.self();
-        const counts = [...unplaced].map(([runner, count]) => ({ runner, count }));
+        const counts = [...unplaced].map(([runner, { count, tokens }]) => tokens > 0 ? { runner, count, tokens } : { runner, count });
         const report: PlaceReport = { node, returned: returned.slice(0, maxEntries), unplaced: counts.slice(0, maxEntries) };
         if (address === node) {
             this.rooms.report(report);
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -18,6 +18,7 @@
     NoUpstream = "no-upstream",
     UpstreamsQuiet = "upstreams-quiet",
     UpstreamsBrittle = "upstreams-brittle",
+    UpstreamsFull = "upstreams-full",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
     HeapShort = "heap-short",
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -1,4 +1,25 @@
-/** Request for one of the places of a brittle upstream. */
+/** What a generation takes of its runner, beside a slot. */
+export interface GenerationTerms {
+    /** Prompt and expected output. */
+    readonly tokens: number;
+    /** Tokens that the runner's memory holds. */
+    readonly kvTokens: number;
+    /** Predicted time for which the runner reads the prompt. */
+    readonly prefillMs: number;
+    /** Longest gap that the generation's own stream allows between two events; undefined for an answer without events. */
+    readonly gapMs?: number;
+    /** Whether its route is among the most urgent ones; short prompts of these do not wait until others are read. */
+    readonly isUrgent: boolean;
+    /** Whether the asking node sends it without waiting for the answer: its place is given in any case. */
+    readonly isSent: boolean;
+    /** Whose request it is, and the priority of that customer; 0 is served first. */
+    readonly customer?: string;
+    readonly customerPriority?: number;
+    /** Tokens of the asking node's requests in progress there for which the asked node has given no place. */
+    readonly unplacedTokens: number;
+}
+
+/** Request for one of the places of a brittle upstream, or of a runner that fails beyond its memory. */
 export interface PlaceRequest {
     /** Identifies the place until it is given back. */
     readonly id: string;
@@ -20,6 +41,8 @@
     /** Time until the first token is due, and the priority of the route. */
     readonly dueInMs: number;
     readonly priority: number;
+    /** For generations, at runners that fail beyond their memory. Nodes of earlier releases give places by slots alone. */
+    readonly generation?: GenerationTerms;
 }
 
 /** Request for the permission to send one request to a runner that has named a limit, or is brittle. */
@@ -41,6 +64,19 @@
     readonly waitMs: number;
     /** Whether it was denied for want of room: `waitMs` is an estimate then. */
     readonly isFull?: boolean;
+    /** When a caller that is refused now finds room, after those that were refused before it. */
+    readonly retryAfterMs?: number;
+    /** What a generation lacked; undefined for other requests. */
+    readonly lack?: PlaceLack;
+    /** Whether a generation was admitted by all its terms: a node of an earlier release knows slots alone. */
+    readonly hasTerms?: boolean;
+}
+
+/** What a runner lacks for a request. */
+export enum PlaceLack {
+    Slots = "slots",
+    Memory = "memory",
+    Prefill = "prefill",
 }
 
 /** A place that is given back, or the end of an attempt that had none. */
@@ -55,5 +91,5 @@
 export interface PlaceReport {
     readonly node: string;
     readonly returned: readonly ReturnedPlace[];
-    readonly unplaced: readonly { readonly runner: string; readonly count: number; }[];
+    readonly unplaced: readonly { readonly runner: string; readonly count: number; readonly tokens?: number; }[];
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -111,6 +111,14 @@
         "an attempt through a peer ended; `reason` says why the peer did not take the request or how its answer ended; `sends` and `runs` are the peer's",
     [EventId.RequestTakenOver]: "a peer passed its caller's request on to this node, which forwards it; the following lines of `request` are this node's",
     [EventId.RelayRefused]: "a peer's request was refused as not run: `reason` says why, `count` is the number of them since the start",
+    [EventId.RunnerFull]:
+        "a runner that this node gives the places of had none for a generation: what it lacks (`lack`), what is in use, the age of the oldest report that counts (`oldestReportMs`), and how many were denied since the last line (at most one line a second and runner)",
+    [EventId.GenerationRefused]:
+        "no runner with the model has a place for a generation in time: it waits (`isWaiting`) or is refused; `upstream` has room first, in `waitMs`; `loadAgeMs` is the age of its load figures",
+    [EventId.GenerationSentUnasked]:
+        "a short prompt of an urgent route was sent to a runner that is known to have room, as the node that gives its places did not answer in time; `loadAgeMs` is the age of the load figures",
+    [EventId.SlowReaderCut]:
+        "a stream was cut because its caller reads too slowly and the memory for unread events is full: it held the most (`bytes`) of all (`totalBytes` of `limitBytes`), and has not read all of it for `unreadForMs`",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
