--- a/src/core/runnerRoom.ts
+++ b/src/core/runnerRoom.ts
@@ -30,6 +30,7 @@
 const refusingUpstreams = 3;
 /** Refused callers are told to return within this time, or when there is room if that is later. */
 const maxReturnAheadMs = 2_000;
+const minReturnSpreadMs = 200;
 /** A place that is returned before it is given, as messages overtake each other, is not given within this time. */
 const overtakenMs = 2_000;
 const msPerSecond = 1_000;
@@ -181,7 +182,10 @@
     /** When a caller that is refused finds room, given the time until there is some: callers return one after the other, as fast as places become free. */
     promiseReturnMs(waitMs: number): number {
         const now = performance.now();
-        const returnsAt = Math.max(now + waitMs, Math.min(this.promisedUntil, now + maxReturnAheadMs));
+        const aheadMs = this.promisedUntil - now - waitMs;
+        // Beyond the last time callers are spread over the same times once more.
+        const spreadMs = Math.max(minReturnSpreadMs, maxReturnAheadMs - waitMs);
+        const returnsAt = now + waitMs + Math.max(0, aheadMs) % spreadMs;
         this.promisedUntil = returnsAt + this.expectedHoldMs / Math.max(1, this.places.size) / refusingUpstreams;
         return returnsAt - now;
     }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -31,6 +31,7 @@
 import { followStreamVersions } from "./followStreamVersions";
 import { createNodePlacement } from "./nodePlacement";
 import { PlannedStop } from "./plannedStop";
+import { placeGauges } from "./placeGauges";
 import { platformNodeGauges } from "./platformNodeGauges";
 import type { SelfCheckItem } from "./selfCheck";
 import { startSelfCheck } from "./selfCheck";
@@ -134,6 +135,7 @@
         this.metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
             ...availabilityGauges(gateway),
+            ...placeGauges(peerServer.pacer),
             ...contactGauges(gateway),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -4,7 +4,7 @@
 import { defaultTransportLimits } from "../../src/node/transportLimitSettings";
 import { requestHeaderCodec } from "../../src/platform/requestHeaderCodec";
 import type { PlatformNodeSettings } from "../../src/types/platformNodeSettings";
-import type { ServiceRoute } from "../../src/types/servingConfig";
+import type { EngineSpec, ServiceRoute } from "../../src/types/servingConfig";
 import { RouteKind } from "../../src/types/servingConfig";
 import { UpstreamState } from "../../src/types/upstreamServer";
 import { createRandom } from "../../src/utils/random";
@@ -69,13 +69,14 @@
     upstreams: readonly string[],
     route: Partial<ServiceRoute> = {},
     softwareVersions: readonly string[] = [],
+    { settings = {}, engine }: { readonly settings?: Partial<PlatformNodeSettings>; readonly engine?: EngineSpec; } = {},
 ): Promise<TestGateway> => {
-    const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, createRandom(1));
+    const gateway = Gateway.create({ ...platformTestSettings, ...settings }, requestHeaderCodec, createRandom(1));
     const limits = { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
     gateway.applyConfig({
         version: 1,
         routes: [{ ...baseRoute, ...route }],
-        services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
+        services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100, engine }]]),
         limits,
     }, Buffer.from(""));
     upstreams.forEach((address, index) =>
