--- a/src/core/generationLoad.ts
+++ b/src/core/generationLoad.ts
@@ -9,6 +9,11 @@
  * requests that nodes have not reported yet.
  */
 export const maxMemoryShare = 0.85;
+/**
+ * Part of a runner's memory up to which a short prompt of an urgent route may be sent before its place is known. Several nodes may do so at the same time: seven such fit into
+ * what is not given away.
+ */
+const maxUnaskedShare = 0.02;
 /** Allowed gap between events, assumed while no stream with an objective is in progress. */
 const defaultGapMs = 600;
 /** Longest gap that is planned for; prompts count for no longer than this, unless they take more than their part of it. */
@@ -20,6 +25,10 @@
 const turnSpacingFactor = 2;
 const turnHoldMs = 4_000;
 
+/** Whether a generation may be sent before its place is known. */
+export const maySendUnasked = ({ isUrgent, tokens, kvTokens }: Pick<GenerationTerms, "isUrgent" | "tokens" | "kvTokens">): boolean =>
+    isUrgent && tokens <= maxUnaskedShare * kvTokens;
+
 /** Generations whose places were given, and what is known of the others. */
 export interface KnownGenerations {
     readonly placed: Iterable<GenerationTerms>;
--- a/src/core/outputShare.ts
+++ b/src/core/outputShare.ts
@@ -5,11 +5,14 @@
 /** Deviations that are added to the average, as the requests of one runner may be of one kind. */
 const deviations = 1;
 
-/** Output of generations as a share of the maximum that they allow, learned from complete streams. */
+/** What generations of a service take: their output as a share of the maximum that they allow, learned from complete streams, and their size. */
 export class OutputShare {
     private samples = 0;
     private average = 0;
     private deviation = 0;
+    private requests = 0;
+    /** Average tokens of a generation: prompt and expected output. */
+    meanTokens = 0;
 
     private constructor() {}
 
@@ -22,6 +25,12 @@
         return this.samples < minSamples ? 1 : Math.min(1, this.average + deviations * this.deviation);
     }
 
+    /** Records the tokens of a generation that is to be sent. */
+    onRequest(tokens: number): void {
+        this.requests++;
+        this.meanTokens += Math.max(smoothingFactor, 1 / this.requests) * (tokens - this.meanTokens);
+    }
+
     /** Records the output of a complete generation. */
     add(outputTokens: number, maxOutputTokens: number): void {
         if (maxOutputTokens <= 0) {
--- a/src/forward/generationTerms.ts
+++ b/src/forward/generationTerms.ts
@@ -1,4 +1,5 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
+import { maySendUnasked } from "../core/generationLoad";
 import { isShortPrefill } from "../core/prefillSchedule";
 import type { GenerationTerms } from "../types/sendPermit";
 import type { ServingConfig } from "../types/servingConfig";
@@ -11,8 +12,8 @@
 /** Allowed gap between events of a route that sets none. */
 const defaultGapMs = 600;
 /**
- * Share of a runner's slots up to which it is taken to have room, by load figures that are up to 1.5 s old. What is sent without waiting is small, and memory beyond that
- * which is given away is kept for it.
+ * Share of a runner's slots and of its memory up to which it is taken to have room, by load figures that are up to 1.5 s old and the usual size of a generation. What is sent
+ * without waiting is small, and memory beyond that which is given away is kept for it.
  */
 const maxKnownLoadShare = 0.5;
 
@@ -30,7 +31,9 @@
     if (known !== undefined) {
         return known;
     }
-    const tokens = modelRequest.promptTokens + Math.ceil(gateway.outputShareOf(call.service).expected * modelRequest.maxOutputTokens);
+    const outputShare = gateway.outputShareOf(call.service);
+    const tokens = modelRequest.promptTokens + Math.ceil(outputShare.expected * modelRequest.maxOutputTokens);
+    outputShare.onRequest(tokens);
     tokensByCall.set(call, tokens);
     return tokens;
 };
@@ -77,14 +80,17 @@
     const gapMs = route.kind === RouteKind.Streaming ? route.eventGapObjectiveMs : undefined;
     const isUrgent = route.kind === RouteKind.Streaming && route.priority <= urgentPriorityOf(gateway.config, call.service) &&
         isShortPrefill(prefillMs, gapMs ?? defaultGapMs);
-    const isRoomKnown = traffic.load <= maxKnownLoadShare * server.slots && gateway.runnerLimits.expectedWaitMs(processKey(server)) === 0;
+    const tokens = expectedTokensOf(gateway, call);
+    const knownTokens = (traffic.load + 1) * Math.max(tokens, gateway.outputShareOf(call.service).meanTokens);
+    const isRoomKnown = traffic.load <= maxKnownLoadShare * server.slots && knownTokens <= maxKnownLoadShare * kvTokens &&
+        gateway.runnerLimits.expectedWaitMs(processKey(server)) === 0;
     return {
-        tokens: expectedTokensOf(gateway, call),
+        tokens,
         kvTokens,
         prefillMs,
         gapMs,
         isUrgent,
-        isSent: isUrgent && isRoomKnown,
+        isSent: maySendUnasked({ isUrgent, tokens, kvTokens }) && isRoomKnown,
         unplacedTokens: traffic.tokensInFlight,
     };
 };
--- a/src/placement/permitClient.ts
+++ b/src/placement/permitClient.ts
@@ -1,4 +1,5 @@
 import { toFailure } from "../core/failures";
+import { maySendUnasked } from "../core/generationLoad";
 import type { RequestPacer } from "../core/requestPacer";
 import { EventId } from "../types/eventId";
 import type { Permit, PermitRequest, PlaceRequest, ReturnedPlace } from "../types/sendPermit";
@@ -71,7 +72,7 @@
                 return this.record(asked, address, await this.pacer.acquire(asked));
             }
             this.asked += asked.place?.generation ? 1 : 0;
-            if (asked.place?.generation?.isUrgent === true && asked.place.maxQueueMs === 0) {
+            if (asked.place?.generation && maySendUnasked(asked.place.generation) && asked.place.maxQueueMs === 0) {
                 const permit = await this.acquireUrgent(asked, asked.place, address);
                 if (permit) {
                     return permit;
