--- a/src/core/generationLoad.ts
+++ b/src/core/generationLoad.ts
@@ -108,10 +108,28 @@
     }
 
     /** Time until the prompt may be read, with others ahead of it that are as long. */
-    prefillWaitMs(terms: GenerationTerms, share: number, known: KnownGenerations, ahead: number): number {
+    private prefillWaitMs(terms: GenerationTerms, share: number, known: KnownGenerations, ahead: number): number {
         const { gapMs, limitTokens } = this.useOf(terms, share, known);
         const now = performance.now();
-        return Math.max(0, terms.tokens > limitTokens ? (this.nextTurnAt ?? now) - now : 0, mayPass(terms, gapMs) ? 0 : this.waitedMs(terms.prefillMs / share, gapMs, ahead, now));
+        return Math.max(
+            0,
+            terms.tokens > limitTokens ? (this.nextTurnAt ?? now) - now : 0,
+            mayPass(terms, gapMs) ? 0 : this.waitedMs(terms.prefillMs / share, gapMs, ahead, now),
+        );
+    }
+
+    /** Estimated time until the runner has memory for a generation and may read its prompt. Memory becomes free as evenly as the places that hold it are given back. */
+    waitMs(terms: GenerationTerms, share: number, known: KnownGenerations, ahead: number, holdMs: number): number {
+        const { tokens, limitTokens } = this.useOf(terms, share, known);
+        const lackingTokens = Math.max(0, tokens + (ahead + 1) * terms.tokens - limitTokens);
+        const memoryWaitMs = tokens === 0 ? 0 : lackingTokens / Math.max(1, tokens) * holdMs;
+        return Math.max(this.prefillWaitMs(terms, share, known, ahead), memoryWaitMs);
+    }
+
+    /** Share of the memory that is in use; 0 if no generation has a place. */
+    memoryShareOf(placed: readonly GenerationTerms[], unplacedTokens: number): number {
+        const tokens = placed.reduce((sum, generation) => sum + generation.tokens, unplacedTokens);
+        return placed.length === 0 ? 0 : tokens / placed[0]!.kvTokens;
     }
 
     private waitedMs(prefillMs: number, gapMs: number, ahead: number, now: number): number {
--- a/src/core/requestQueue.ts
+++ b/src/core/requestQueue.ts
@@ -4,10 +4,8 @@
 export interface QueuedRequest {
     /** When the first token is due under the route's latency objective. */
     readonly firstTokenDueAt: number;
-    /** Priority of its route; 0 is served first. */
+    /** Priority of its customer and route; 0 is served first. */
     readonly priority: number;
-    /** Priority of its customer, which is compared before that of the route; undefined if customers have none. */
-    readonly customerPriority?: number;
     /** Work that its customer had lately; among requests of one priority the one with less is served first. */
     readonly customerWork?: number;
 }
@@ -15,9 +13,6 @@
 /** Least possible time to the first token: a request whose first token is due sooner can no longer meet its objective. */
 const minFirstTokenMs = 60;
 
-/** Priority of a customer that has none. */
-export const defaultCustomerPriority = 5;
-
 /** Whether `a` is served before `b`: requests that can still meet their objective first, then by priority, by their customer's recent work, and by due time. */
 export const isServedBefore = (a: QueuedRequest, b: QueuedRequest, now: number): boolean => {
     const aIsLate = a.firstTokenDueAt - now < minFirstTokenMs;
@@ -25,11 +20,6 @@
     if (aIsLate !== bIsLate) {
         return bIsLate;
     }
-    const aCustomer = a.customerPriority ?? defaultCustomerPriority;
-    const bCustomer = b.customerPriority ?? defaultCustomerPriority;
-    if (aCustomer !== bCustomer) {
-        return aCustomer < bCustomer;
-    }
     if (a.priority !== b.priority) {
         return a.priority < b.priority;
     }
--- a/src/core/runnerRoom.ts
+++ b/src/core/runnerRoom.ts
@@ -1,12 +1,14 @@
 import type { GenerationTerms, PlaceRequest } from "../types/sendPermit";
 import { PlaceLack } from "../types/sendPermit";
-import type { GenerationUse, KnownGenerations } from "./generationLoad";
+import type { KnownGenerations } from "./generationLoad";
 import { GenerationLoad } from "./generationLoad";
+import { GivenPlaces } from "./givenPlaces";
+import { OvertakenReturns } from "./overtakenReturns";
+import { ReturnTimes } from "./returnTimes";
+import { UnplacedRequests } from "./unplacedRequests";
 
 /** Time after the first request for a place within which what the nodes report of their load counts as well: they have not told yet which requests they have in progress. */
 const settleMs = 1_000;
-/** A node's count of its requests without a place is forgotten after this time. */
-const unplacedLifetimeMs = 1_500;
 /** Share of the rejections that an upstream bears in a second which may come from requests that are sent although it may be full. */
 const trialShare = 0.25;
 /** An upstream that bears no rejections gets such requests as one that bears this many. */
@@ -26,27 +28,8 @@
 const turnSpacingFactor = 2;
 /** An upstream that bears at least as many rejections in a second as this is not brittle. */
 export const notBrittleRejectionsPerS = 1_000;
-/** A refused caller was refused by up to this many upstreams, of which it returns to one. */
-const refusingUpstreams = 3;
-/** Refused callers are told to return within this time, or when there is room if that is later. */
-const maxReturnAheadMs = 2_000;
-const minReturnSpreadMs = 200;
-/** A place that is returned before it is given, as messages overtake each other, is not given within this time. */
-const overtakenMs = 2_000;
 const msPerSecond = 1_000;
 
-interface Place {
-    readonly since: number;
-    readonly expiresAt: number;
-    readonly generation: GenerationTerms | undefined;
-}
-
-interface Unplaced {
-    readonly count: number;
-    readonly tokens: number;
-    readonly expiresAt: number;
-}
-
 /** What decides on the room of an upstream, of each request for a place. */
 export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load" | "generation"> & Partial<Pick<PlaceRequest, "node">>;
 
@@ -55,11 +38,11 @@
  * holds either, and prompts at intervals.
  */
 export class RunnerRoom {
-    private readonly places = new Map<string, Place>();
+    private readonly places = GivenPlaces.create();
     private readonly load = GenerationLoad.create();
-    /** IDs of places that were returned before they were given, with the time until which they are not given. */
-    private readonly overtaken = new Map<string, number>();
-    private readonly unplacedByNode = new Map<string, Unplaced>();
+    private readonly unplaced = UnplacedRequests.create();
+    private readonly overtaken = OvertakenReturns.create();
+    private readonly returnTimes = ReturnTimes.create();
     /** When the upstream rejected requests, within the last second. */
     private rejectedAt: number[] = [];
     private readonly createdAt = performance.now();
@@ -70,8 +53,6 @@
     private raiseAt = 0;
     private cautiousUntil = 0;
     private nextGrantAt = 0;
-    /** Until when the places that become free are meant for callers that were refused. */
-    private promisedUntil = 0;
     private averageHoldMs = initialHoldMs;
 
     private constructor() {}
@@ -84,23 +65,19 @@
     /** Whether nothing is known that a new room would not know. */
     get isIdle(): boolean {
         this.removeExpired();
-        return this.places.size + this.unplacedByNode.size + this.overtaken.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
+        return this.places.size + this.unplaced.size + this.overtaken.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
             this.learned === undefined && this.load.isIdle;
     }
 
     /** Requests in progress at the upstream, as far as they are known for certain. */
     get inUse(): number {
         this.removeExpired();
-        return this.places.size + [...this.unplacedByNode.values()].reduce((sum, { count }) => sum + count, 0);
+        return this.places.size + this.unplaced.count;
     }
 
     /** Takes a place if there is room; returns whether it did. */
     take(id: string, holdMs: number, terms: RoomTerms): boolean {
-        const isGiven = terms.generation?.isSent === true || this.lackOf(terms) === undefined;
-        if (isGiven) {
-            this.add(id, holdMs, terms);
-        }
-        return isGiven;
+        return this.lackOf(terms) === undefined && this.add(id, holdMs, terms);
     }
 
     /** What the upstream lacks for a request now; undefined if it has a place, which must be taken then. */
@@ -120,12 +97,15 @@
 
     /** Whether the place of a request was returned already, so that it must not be given. */
     wasOvertaken(id: string): boolean {
-        return (this.overtaken.get(id) ?? 0) > performance.now();
+        return this.overtaken.has(id);
     }
 
-    /** What a generation would find in use. */
-    useOf(terms: RoomTerms): GenerationUse | undefined {
-        return terms.generation && this.load.useOf(terms.generation, terms.share, this.knownBy(terms));
+    /** What a generation finds in use and asks for, for the log. */
+    describe(terms: RoomTerms): Readonly<Record<string, number | undefined>> {
+        const { slots, share, generation } = terms;
+        const use = generation && this.load.useOf(generation, share, this.knownBy(terms));
+        const { tokens: askedTokens, prefillMs } = generation ?? {};
+        return { inUse: this.inUse, slots, share, ...use, askedTokens, prefillMs, oldestReportMs: this.unplaced.oldestReportMs };
     }
 
     /** Whether a request does not wait until other prompts are read. */
@@ -136,37 +116,22 @@
     /** Share of the memory that is in use; 0 if no generation has a place. */
     get memoryShare(): number {
         this.removeExpired();
-        let tokens = [...this.unplacedByNode.values()].reduce((sum, unplaced) => sum + unplaced.tokens, 0);
-        let kvTokens = Number.POSITIVE_INFINITY;
-        this.places.forEach(({ generation }) => {
-            tokens += generation?.tokens ?? 0;
-            kvTokens = generation?.kvTokens ?? kvTokens;
-        });
-        return tokens / kvTokens;
-    }
-
-    /** Age of the oldest report that counts; 0 without one. */
-    get oldestReportMs(): number {
-        const now = performance.now();
-        return Math.round(Math.max(0, ...[...this.unplacedByNode.values()].map(({ expiresAt }) => now + unplacedLifetimeMs - expiresAt)));
+        return this.load.memoryShareOf(this.places.generations, this.unplaced.tokens);
     }
 
     /** Gives a place whether or not there is room. */
-    add(id: string, holdMs: number, terms: RoomTerms): void {
-        const now = performance.now();
+    add(id: string, holdMs: number, terms: RoomTerms): true {
         const { generation, share } = terms;
-        this.places.set(id, { since: now, expiresAt: now + holdMs, generation });
-        this.nextGrantAt = now + this.spacingMs(terms);
+        this.places.add(id, holdMs, generation);
+        this.nextGrantAt = performance.now() + this.spacingMs(terms);
         if (generation) {
             this.load.add(generation, share);
         }
+        return true;
     }
 
     private knownBy(terms: RoomTerms): KnownGenerations {
-        const generations: GenerationTerms[] = [];
-        this.places.forEach(({ generation }) => generation && generations.push(generation));
-        const unplacedTokens = [...this.unplacedByNode.values()].reduce((sum, { tokens }) => sum + tokens, 0);
-        return { placed: generations, unplacedTokens, unreported: Math.max(0, this.usedBy(terms) - this.inUse) };
+        return { placed: this.places.generations, unplacedTokens: this.unplaced.tokens, unreported: Math.max(0, this.usedBy(terms) - this.inUse) };
     }
 
     /** Estimated time until a place is free for a request with others ahead of it. */
@@ -181,43 +146,29 @@
 
     /** When a caller that is refused finds room, given the time until there is some: callers return one after the other, as fast as places become free. */
     promiseReturnMs(waitMs: number): number {
-        const now = performance.now();
-        const aheadMs = this.promisedUntil - now - waitMs;
-        // Beyond the last time callers are spread over the same times once more.
-        const spreadMs = Math.max(minReturnSpreadMs, maxReturnAheadMs - waitMs);
-        const returnsAt = now + waitMs + Math.max(0, aheadMs) % spreadMs;
-        this.promisedUntil = returnsAt + this.expectedHoldMs / Math.max(1, this.places.size) / refusingUpstreams;
-        return returnsAt - now;
+        return this.returnTimes.next(waitMs, this.expectedHoldMs / Math.max(1, this.places.size));
     }
 
     /** Estimated time until a generation finds all that it needs; the wait for a slot counts only if all are in use. */
     private generationWaitMs(terms: RoomTerms, generation: GenerationTerms, ahead: number, slotWaitMs: number): number {
-        const known = this.knownBy(terms);
-        const { tokens, limitTokens } = this.load.useOf(generation, terms.share, known);
-        const prefillWaitMs = this.load.prefillWaitMs(generation, terms.share, known, ahead);
-        // Memory becomes free as evenly as the places that hold it are given back.
-        const lackingTokens = Math.max(0, tokens + (ahead + 1) * generation.tokens - limitTokens);
-        const memoryWaitMs = tokens === 0 ? 0 : lackingTokens / Math.max(1, tokens) * this.expectedHoldMs;
+        const otherWaitMs = this.load.waitMs(generation, terms.share, this.knownBy(terms), ahead, this.expectedHoldMs);
         const isSlotFree = this.usedBy(terms) + ahead < this.roomOf(terms);
-        return Math.max(prefillWaitMs, memoryWaitMs, isSlotFree ? Math.max(this.nextGrantAt - performance.now(), 0) : slotWaitMs);
+        return Math.max(otherWaitMs, isSlotFree ? Math.max(this.nextGrantAt - performance.now(), 0) : slotWaitMs);
     }
 
     /** Time for which a place is held: that of those given back, or the age of the others if they are held for longer. */
     private get expectedHoldMs(): number {
-        const now = performance.now();
-        const ages = [...this.places.values()].reduce((sum, { since }) => sum + now - since, 0);
-        return Math.max(this.averageHoldMs, ages / Math.max(1, this.places.size));
+        return Math.max(this.averageHoldMs, this.places.averageAgeMs);
     }
 
     /** Gives a place back. A request that was rejected says nothing of how long places are held. */
     giveBack(id: string, isRejected = false): void {
-        const place = this.places.get(id);
-        this.places.delete(id);
-        if (!place) {
-            this.overtaken.set(id, performance.now() + overtakenMs);
+        const heldMs = this.places.remove(id);
+        if (heldMs === undefined) {
+            this.overtaken.add(id);
         }
-        if (place && !isRejected) {
-            this.averageHoldMs += smoothingFactor * (performance.now() - place.since - this.averageHoldMs);
+        else if (!isRejected) {
+            this.averageHoldMs += smoothingFactor * (heldMs - this.averageHoldMs);
         }
     }
 
@@ -232,12 +183,7 @@
 
     /** Records how many requests without a place a node has in progress there, and the tokens of its generations among them. */
     setUnplaced(node: string, count: number, tokens = 0): void {
-        if (count > 0) {
-            this.unplacedByNode.set(node, { count, tokens, expiresAt: performance.now() + unplacedLifetimeMs });
-        }
-        else {
-            this.unplacedByNode.delete(node);
-        }
+        this.unplaced.set(node, count, tokens);
     }
 
     private get isSettling(): boolean {
@@ -281,13 +227,7 @@
             return rejected + 1 <= riskShare * share * maxRejectionsPerS;
         }
         const isTrusted = this.learned === undefined && !this.isSettling;
-        return isTrusted || this.youngPlaces < Math.max(1, share * maxRejectionsPerS);
-    }
-
-    /** Places of requests that the upstream may still reject. */
-    private get youngPlaces(): number {
-        const now = performance.now();
-        return [...this.places.values()].filter(({ since }) => now - since < rejectedWithinMs).length;
+        return isTrusted || this.places.countYounger(rejectedWithinMs) < Math.max(1, share * maxRejectionsPerS);
     }
 
     private trialIntervalMs({ share, maxRejectionsPerS }: RoomTerms): number {
@@ -303,8 +243,8 @@
 
     private removeExpired(): void {
         const now = performance.now();
-        this.places.forEach(({ expiresAt }, id) => expiresAt <= now && this.places.delete(id));
-        this.unplacedByNode.forEach(({ expiresAt }, node) => expiresAt <= now && this.unplacedByNode.delete(node));
-        this.overtaken.forEach((until, id) => until <= now && this.overtaken.delete(id));
+        this.places.removeExpired(now);
+        this.unplaced.removeExpired(now);
+        this.overtaken.removeExpired(now);
     }
 }
--- a/src/core/slowReaders.ts
+++ b/src/core/slowReaders.ts
@@ -1,5 +1,7 @@
 import { EventId } from "../types/eventId";
+import { MemoryHolder } from "../types/memoryHolder";
 import { emit } from "../utils/events";
+import type { MemoryBudget } from "./memoryBudget";
 
 /** A stream of which its caller has not taken all that has been written. */
 export interface UnreadStream {
@@ -10,6 +12,9 @@
     readonly cut: () => void;
 }
 
+/** Memory of the process, as far as it concerns unread events. */
+export type UnreadMemory = Pick<MemoryBudget, "untakenLimitBytes" | "charge">;
+
 interface Tracked {
     bytes: number;
     readonly since: number;
@@ -25,11 +30,11 @@
     private readonly streams = new Map<UnreadStream, Tracked>();
     private totalBytes = 0;
 
-    private constructor(private readonly limitBytes: () => number, private readonly charge: (bytes: number) => void) {}
+    private constructor(private readonly memory: UnreadMemory) {}
 
-    /** Creates the account of a process without slow readers; what it counts is charged as well. */
-    static create(limitBytes: () => number, charge: (bytes: number) => void): SlowReaders {
-        return new SlowReaders(limitBytes, charge);
+    /** Creates the account of a process without slow readers; what it counts is charged to the memory. */
+    static create(memory: UnreadMemory): SlowReaders {
+        return new SlowReaders(memory);
     }
 
     /** Bytes that are counted for all streams. */
@@ -44,12 +49,12 @@
 
     /** Makes room for more bytes of a stream before they are written, by cutting those that hold the most; false if that is this one. */
     admit(stream: UnreadStream, bytes: number): boolean {
-        const limitBytes = this.limitBytes();
+        const limitBytes = this.memory.untakenLimitBytes;
         if (this.totalBytes + bytes <= limitBytes) {
             return true;
         }
-        this.streams.forEach((_, other) => this.count(other, other.unreadBytes()));
-        while (this.totalBytes + bytes > this.limitBytes()) {
+        [...this.streams.keys()].forEach(other => this.count(other, other.unreadBytes()));
+        while (this.totalBytes + bytes > this.memory.untakenLimitBytes) {
             const largest = this.largestOf(stream, bytes);
             const tracked = this.streams.get(largest);
             this.cutCount++;
@@ -106,6 +111,6 @@
 
     private add(bytes: number): void {
         this.totalBytes += bytes;
-        this.charge(bytes);
+        this.memory.charge(MemoryHolder.UntakenEvents, bytes);
     }
 }
--- a/src/core/upstreamRooms.ts
+++ b/src/core/upstreamRooms.ts
@@ -4,7 +4,6 @@
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
 import { CustomerWork } from "./customerWork";
-import type { GenerationUse } from "./generationLoad";
 import type { QueuedRequest } from "./requestQueue";
 import { isServedBefore } from "./requestQueue";
 import { RunnerRoom } from "./runnerRoom";
@@ -88,9 +87,7 @@
         return new Promise(resolve => {
             const now = performance.now();
             const endsAt = now + Math.min(maxQueueMs, queued.waiters.length < maxQueued ? place.maxQueueMs : 0);
-            const { customerPriority } = place.generation ?? {};
-            const firstTokenDueAt = now + place.dueInMs;
-            queued.waiters.push({ place, endsAt, resolve, firstTokenDueAt, priority: place.priority, customerPriority, customerWork: 0 });
+            queued.waiters.push({ place, endsAt, resolve, firstTokenDueAt: now + place.dueInMs, priority: place.priority, customerWork: 0 });
             this.drain(queued);
             this.denyHopeless(queued, place);
         });
@@ -182,23 +179,7 @@
             return;
         }
         const { room, runner, waiters, denied } = queued;
-        const { tokens, limitTokens, gapMs }: Partial<GenerationUse> = room.useOf(place) ?? {};
-        emit(EventId.RunnerFull, {
-            runner,
-            lack,
-            waitMs: Math.round(waitMs),
-            denied,
-            queued: waiters.length,
-            inUse: room.inUse,
-            slots: place.slots,
-            share: place.share,
-            tokens,
-            limitTokens,
-            askedTokens: place.generation?.tokens,
-            prefillMs: place.generation?.prefillMs,
-            gapMs,
-            oldestReportMs: room.oldestReportMs,
-        });
+        emit(EventId.RunnerFull, { runner, lack, waitMs: Math.round(waitMs), denied, queued: waiters.length, ...room.describe(place) });
         queued.loggedAt = now;
         queued.denied = 0;
     }
@@ -241,7 +222,8 @@
         const { room } = queued;
         do {
             this.sort(queued, now);
-        } while (this.giveNext(queued));
+        }
+        while (this.giveNext(queued));
         queued.waiters = queued.waiters.filter(({ place, endsAt, resolve }, ahead) => {
             if (endsAt > now) {
                 return true;
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -61,6 +61,18 @@
         return this.pendingPrefillMs + Math.max(0, this.peerPrefillMs - (this.now() - this.peerLoadAt));
     }
 
+    /** Counts an own request that is sent; `tokens` is 0 but for generations. */
+    begin(tokens: number): void {
+        this.inFlight++;
+        this.tokensInFlight += tokens;
+    }
+
+    /** Ends the count of an own request. */
+    end(tokens: number): void {
+        this.inFlight--;
+        this.tokensInFlight -= tokens;
+    }
+
     /** Records the prefill and requests in flight of other nodes at the upstream. */
     onPeerLoad(prefillMs: number, inFlight: number): void {
         this.peerPrefillMs = prefillMs;
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -5,7 +5,7 @@
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
-import { SseSplitter } from "../utils/sseSplitter";
+import { countEvents, SseSplitter } from "../utils/sseSplitter";
 import type { AnswerHead, AnswerSink } from "./attempt";
 import { SinkState } from "./attempt";
 import type { Call } from "./call";
@@ -23,9 +23,6 @@
 
 const mediaTypeOf = (contentType: unknown): string => String(contentType ?? "").split(";", 1)[0]!.trim().toLowerCase();
 
-/** Number of events that end in the text: each ends with an empty line. */
-const countEvents = (text: string): number => text.match(/\n\r?\n/g)?.length ?? 0;
-
 const isSuccess = (status: number): boolean => status >= 200 && status < 300;
 
 /** Receives notifications while answers arrive. */
@@ -65,7 +62,7 @@
     /** Events that were relayed, of all attempts. */
     eventCount = 0;
     private readonly unread: UnreadStream;
-    private isDraining = false;
+    private onDrain: (() => void) | undefined;
     private isStreaming = false;
     private bufferedBytes = 0;
     private kept: KeptAnswer | undefined;
@@ -77,8 +74,8 @@
         private readonly observer: AnswerObserver,
         private readonly slowReaders: SlowReaders | undefined,
     ) {
-        const { res, caller } = call;
-        this.unread = { request: caller.requestId, unreadBytes: () => res.writableLength, cut: () => res.destroy() };
+        const { res } = call;
+        this.unread = { request: call.caller.requestId, unreadBytes: () => res.writableLength, cut: () => res.destroy() };
         res.once("close", () => {
             hold.release();
             hold.countUntaken(0);
@@ -209,20 +206,15 @@
     /** Writes events without pausing the upstream; what the caller has not taken is counted. */
     private readOn(slowReaders: SlowReaders, events: Buffer): SinkState {
         const { res } = this.call;
-        // A caller that keeps up is not counted. One that was cut leaves with its next event, which ends the attempt.
+        // A caller that keeps up is not counted; the close of one that was cut ends the attempt.
         const isBehind = res.writableLength + events.length >= res.writableHighWaterMark;
         if (res.destroyed || (isBehind && !slowReaders.admit(this.unread, events.length))) {
             return SinkState.Ready;
         }
         if (!res.write(events)) {
             slowReaders.count(this.unread, res.writableLength);
-            if (!this.isDraining) {
-                this.isDraining = true;
-                res.once("drain", () => {
-                    this.isDraining = false;
-                    slowReaders.remove(this.unread);
-                });
-            }
+            this.onDrain ??= () => slowReaders.remove(this.unread);
+            res.off("drain", this.onDrain).once("drain", this.onDrain);
         }
         return SinkState.Ready;
     }
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -24,6 +24,7 @@
 import { logSent } from "./logSent";
 import { toOutgoingRequest } from "./outgoingRequest";
 import { recordFailedConnection } from "./recordFailedConnection";
+import { recordOutput } from "./recordOutput";
 import { countFailure, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 
@@ -73,9 +74,7 @@
         this.choice = choice;
         this.sentAt = performance.now();
         this.isAwaitingFirstByte = true;
-        const tokens = expectedTokensOf(gateway, call);
-        traffic.inFlight++;
-        traffic.tokensInFlight += tokens;
+        traffic.begin(expectedTokensOf(gateway, call));
         gateway.contact.countInProgress(1);
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
@@ -101,8 +100,7 @@
         finally {
             timers.stop();
             call.signal.removeEventListener("abort", onCallerAbort);
-            traffic.inFlight--;
-            traffic.tokensInFlight -= tokens;
+            traffic.end(expectedTokensOf(gateway, call));
             gateway.contact.countInProgress(-1);
             this.removePendingPrefill(choice);
         }
@@ -214,7 +212,7 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
-            this.recordOutput();
+            recordOutput(this.gateway, this.call, relay.eventCount);
             this.crashObserver.onAnswered(candidate, endsWithConnection);
             return AttemptOutcome.Answered;
         }
@@ -225,15 +223,6 @@
         return AttemptOutcome.RanAndFailed;
     }
 
-    /** Records how much of its maximum a generation used, if its whole stream was received. */
-    private recordOutput(): void {
-        const { call: { caller, service }, gateway, relay } = this;
-        const engine = gateway.engineOf(service);
-        if (gateway.settings.hasRunnerPressure && engine && caller.modelRequest && caller.lastEventId === undefined && relay.eventCount > 0) {
-            gateway.outputShareOf(service).add(relay.eventCount * engine.tokensPerEvent, caller.modelRequest.maxOutputTokens);
-        }
-    }
-
     private recordLost(upstream: string, traffic: UpstreamTraffic, reason: string): AttemptOutcome {
         if (!this.gateway.contact.wasLostSince(this.sentAt)) {
             countFailure(traffic, this.relay.head?.decoded);
--- a/src/forward/generationTerms.ts
+++ b/src/forward/generationTerms.ts
@@ -31,7 +31,7 @@
     if (known !== undefined) {
         return known;
     }
-    const outputShare = gateway.outputShareOf(call.service);
+    const outputShare = gateway.outputShares.of(call.service);
     const tokens = modelRequest.promptTokens + Math.ceil(outputShare.expected * modelRequest.maxOutputTokens);
     outputShare.onRequest(tokens);
     tokensByCall.set(call, tokens);
@@ -81,7 +81,7 @@
     const isUrgent = route.kind === RouteKind.Streaming && route.priority <= urgentPriorityOf(gateway.config, call.service) &&
         isShortPrefill(prefillMs, gapMs ?? defaultGapMs);
     const tokens = expectedTokensOf(gateway, call);
-    const knownTokens = (traffic.load + 1) * Math.max(tokens, gateway.outputShareOf(call.service).meanTokens);
+    const knownTokens = (traffic.load + 1) * Math.max(tokens, gateway.outputShares.of(call.service).meanTokens);
     const isRoomKnown = traffic.load <= maxKnownLoadShare * server.slots && knownTokens <= maxKnownLoadShare * kvTokens &&
         gateway.runnerLimits.expectedWaitMs(processKey(server)) === 0;
     return {
@@ -91,6 +91,7 @@
         gapMs,
         isUrgent,
         isSent: maySendUnasked({ isUrgent, tokens, kvTokens }) && isRoomKnown,
+        customer: call.customer?.name,
         unplacedTokens: traffic.tokensInFlight,
     };
 };
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -1,5 +1,4 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import type { QuietUpstream } from "../core/quietWait";
 import { decideOnQuiet } from "../core/quietWait";
 import { isSaturated } from "../core/saturation";
 import { EventId } from "../types/eventId";
@@ -11,6 +10,8 @@
 import { sleep } from "../utils/time";
 import { describeError } from "../utils/transport";
 import type { Call } from "./call";
+import type { FullUpstream } from "./decideOnFullRunners";
+import { decideOnFullRunners } from "./decideOnFullRunners";
 import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
 import { admitsGenerations, needsPlace } from "./generationTerms";
@@ -31,16 +32,6 @@
 /** Pause of a request that was queued in vain: the queue itself may be full. */
 const pauseMs = 25;
 
-/** An upstream that had no room for a request. */
-interface FullUpstream extends QuietUpstream {
-    readonly neededMs: number;
-    /** Time until the first byte, once the request is sent. */
-    readonly firstByteMs: number;
-    /** For a generation, when a caller that is refused now finds room. */
-    readonly returnMs: number | undefined;
-    readonly loadAgeMs: number;
-}
-
 /** Gets a request its turn and its place at an upstream, or at another one that has them sooner. */
 export class TurnTaker {
     /** The place of the next attempt, or of the one in progress. */
@@ -218,7 +209,7 @@
         }
         const upstreams = [...full.values()];
         if (upstreams.some(({ returnMs }) => returnMs !== undefined)) {
-            return this.decideOnFullRunners(upstreams);
+            return decideOnFullRunners(gateway, call, upstreams, hasWaited);
         }
         const now = performance.now();
         const remainingMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now;
@@ -241,45 +232,4 @@
             isSpread: true,
         };
     }
-
-    /**
-     * Decides for a generation. It waits for a place as long as its first event can come within the objective; beyond this if its caller would come back before there is
-     * room, and then until the caller gives up.
-     */
-    private decideOnFullRunners(upstreams: readonly FullUpstream[]): Refusal | number {
-        const { gateway, call, hasWaited } = this;
-        const { route, startedAt } = call;
-        const now = performance.now();
-        const first = upstreams.reduce((earliest, upstream) => upstream.quietMs < earliest.quietMs ? upstream : earliest);
-        const neededMs = first.firstByteMs;
-        const streamMs = Math.max(0, first.neededMs - neededMs);
-        const endsInMs = Math.min(call.deadlineAt, gateway.exitDeadlineAt) - now - streamMs;
-        const remainingMs = Math.min(endsInMs, startedAt + (route.patienceMs ?? Number.POSITIVE_INFINITY) - now);
-        const objectiveMs = Math.min(remainingMs, startedAt + route.latencyObjectiveMs - now);
-        const decision = decideOnQuiet({ upstreams, hasWaited, ahead: 0, neededMs, objectiveMs, remainingMs }, gateway.random);
-        const isWaiting = decision.mayWait && !call.signal.aborted;
-        const returnMs = Math.min(...upstreams.map(upstream => upstream.returnMs ?? upstream.quietMs));
-        if (!hasWaited || !isWaiting) {
-            emit(EventId.GenerationRefused, {
-                request: call.caller.requestId,
-                upstream: first.id,
-                isWaiting,
-                waitMs: Math.round(first.quietMs),
-                returnMs: Math.round(returnMs),
-                neededMs: Math.round(neededMs),
-                remainingMs: Math.round(remainingMs),
-                upstreams: upstreams.length,
-                loadAgeMs: Number.isFinite(first.loadAgeMs) ? Math.round(first.loadAgeMs) : undefined,
-            });
-        }
-        if (isWaiting) {
-            return Math.max(0, (first.quietMs + neededMs <= objectiveMs ? objectiveMs : remainingMs) - neededMs);
-        }
-        return {
-            kind: FailureKind.UpstreamsFull,
-            detail: `${upstreams.length} runners have no room, ${first.id} probably has some first, in ${Math.round(first.quietMs)} ms`,
-            retryAfterMs: decision.mayWait ? 0 : returnMs,
-            isSpread: true,
-        };
-    }
 }
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -56,7 +56,7 @@
         unplaced: traffic.inFlight,
         maxQueueMs,
         dueInMs: call.startedAt + call.route.latencyObjectiveMs - now,
-        priority: call.route.priority,
+        priority: call.priority,
         generation,
     };
 };
@@ -85,7 +85,9 @@
     const neededMs = modelRequest ? predictCompletionMs(choice, modelRequest, 0) : choice.predictedMs;
     const maxWaitMs = maxTurnWaitMs(call.deadlineAt - performance.now(), neededMs);
     const expectedWaitMs = runnerLimits.expectedWaitMs(runner);
-    const place = maxRejectionsPerS === undefined ? undefined : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs), generation);
+    const place = maxRejectionsPerS === undefined
+        ? undefined
+        : toPlaceRequest(gateway, call, choice, maxRejectionsPerS, Math.min(maxWaitMs, maxQueueMs), generation);
     // What is known to be too late is not asked for.
     const isKnownToBeLate = place ? expectedWaitMs > 0 && maxQueueMs === 0 : expectedWaitMs > maxWaitMs;
     const permit: Permit = isKnownToBeLate
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -3,16 +3,28 @@
 import type { GaugeSpec } from "../plugins/metrics";
 import { MemoryHolder } from "../types/memoryHolder";
 
+const msPerS = 1_000;
+
 /** Gauges of a node's state, beside those of its runtime. */
 export const platformNodeGauges = (gateway: Gateway, server: CallerServer, heldEpoch: () => number | undefined): readonly GaugeSpec[] => [
     { name: "config_version", help: "Version of the configuration in force", read: () => gateway.config?.version ?? 0 },
+    { name: "customers", help: "Customers in the configuration in force, 0 without any", read: () => gateway.customers?.size ?? 0 },
+    {
+        name: "config_age_seconds",
+        help: "Time since the configuration in force was known to be the newest, infinite before that",
+        read: () => gateway.confirmation.ageMs / msPerS,
+    },
     { name: "directory_version", help: "Version of the store up to which the directory is known", read: () => gateway.directory.version },
     { name: "requests_in_progress", help: "Requests in progress", read: () => gateway.inProgress },
     { name: "requests_passed_on", help: "Requests in progress that were passed on to peers", read: () => gateway.peers.passedOn },
     { name: "requests_taken_over", help: "Requests in progress that peers passed on to this node", read: () => gateway.peers.takenOver },
     { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
     { name: "slow_readers", help: "Streams of runners whose callers have not taken all that was written", read: () => gateway.slowReaders.size },
-    { name: "slow_readers_cut", help: "Streams that were cut because their callers read too slowly, since the start", read: () => gateway.slowReaders.cutCount },
+    {
+        name: "slow_readers_cut",
+        help: "Streams that were cut because their callers read too slowly, since the start",
+        read: () => gateway.slowReaders.cutCount,
+    },
     { name: "caller_connections", help: "Open connections of callers", read: () => server.openConnections },
     { name: "upstream_connections", help: "Connections to upstreams that are open or being opened", read: () => gateway.upstreamConnections },
     { name: "memory_limit_bytes", help: "Memory that bodies, answers and connections together may use", read: () => gateway.memory.limitBytes },
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -20,6 +20,7 @@
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
 import { age, brittleUpstreams, hostAddress, leavingUpstreams, quantity, storeVersion } from "./peerSchemas";
+import { permitSchema, placeReportSchema } from "./placeSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
 import { VersionedPeers } from "./versionedPeers";
 
@@ -76,38 +77,6 @@
     unreachable: z.array(z.string()),
 });
 
-const runnerKey = z.string().max(maxPartIdLength);
-const generationSchema = z.object({
-    tokens: quantity,
-    kvTokens: quantity,
-    prefillMs: quantity,
-    gapMs: z.number().positive().optional(),
-    isUrgent: z.boolean(),
-    isSent: z.boolean(),
-    customer: z.string().max(maxPartIdLength).optional(),
-    customerPriority: z.number().optional(),
-    unplacedTokens: quantity,
-});
-const placeSchema = z.object({
-    id: z.string().max(maxPartIdLength),
-    node: hostAddress,
-    holdMs: quantity,
-    slots: quantity,
-    share: z.number().positive().max(1),
-    maxRejectionsPerS: quantity,
-    load: quantity,
-    unplaced: quantity,
-    maxQueueMs: z.number(),
-    dueInMs: z.number(),
-    priority: z.number(),
-    generation: generationSchema.optional(),
-});
-const permitSchema = z.object({ runner: runnerKey, perSecond: quantity.optional(), maxWaitMs: z.number(), place: placeSchema.optional() });
-const placeReportSchema = z.object({
-    node: hostAddress,
-    returned: z.array(z.object({ runner: runnerKey, id: z.string().max(maxPartIdLength).optional(), isRejected: z.boolean() })),
-    unplaced: z.array(z.object({ runner: runnerKey, count: quantity, tokens: quantity.optional() })),
-});
 const announcementSchema = z.object({ peerAddress: hostAddress, epoch: storeVersion });
 
 /** Serves this node's peers: shares its configuration and directory and, as controller, the state of the runners. */
@@ -183,7 +152,10 @@
     exchange(report: NodeReport): PeerAnswer {
         const { gateway, controller } = this;
         this.nodes.add(report);
-        const { config, configBytes, directory } = gateway;
+        const { config, configBytes, confirmation, directory } = gateway;
+        if (report.peerAddress !== gateway.settings.peerAddress) {
+            confirmation.onPeerReport(report.configVersion);
+        }
         const isNewer = config !== undefined && config.version > report.configVersion;
         return {
             configVersion: config?.version ?? 0,
@@ -191,6 +163,7 @@
             ...serveDirectory(directory, report.directoryVersion),
             announced: this.latestAnnouncement,
             confirmedAgoMs: controller.isActive ? gateway.freshness.confirmedAgoMs : gateway.freshness.knownAgoMs,
+            configAgeMs: Number.isFinite(confirmation.ageMs) ? confirmation.ageMs : undefined,
             yielding: controller.yielding,
             facts: report.facts && this.facts.serve(report.facts),
             ...this.controllerPart(report),
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -12,9 +12,8 @@
     readonly isUrgent: boolean;
     /** Whether the asking node sends it without waiting for the answer: its place is given in any case. */
     readonly isSent: boolean;
-    /** Whose request it is, and the priority of that customer; 0 is served first. */
+    /** Whose request it is; undefined where no customers are declared. */
     readonly customer?: string;
-    readonly customerPriority?: number;
     /** Tokens of the asking node's requests in progress there for which the asked node has given no place. */
     readonly unplacedTokens: number;
 }
@@ -38,7 +37,7 @@
     readonly unplaced: number;
     /** Time within which a place is of use; the request is queued only if one is expected by then. */
     readonly maxQueueMs: number;
-    /** Time until the first token is due, and the priority of the route. */
+    /** Time until the first token is due, and the priority of the request. */
     readonly dueInMs: number;
     readonly priority: number;
     /** For generations, at runners that fail beyond their memory. Nodes of earlier releases give places by slots alone. */
--- a/test/fakes/generationFleet.ts
+++ b/test/fakes/generationFleet.ts
@@ -7,47 +7,9 @@
 import type { Random } from "../../src/utils/random";
 import { createRandom, pick } from "../../src/utils/random";
 import { sleep } from "../../src/utils/time";
+import type { GenerationFleetTerms, GenerationKind, KindResult } from "./generationKinds";
 import { ModelRunner } from "./modelRunner";
 
-/** A kind of request, of one customer. */
-export interface GenerationKind {
-    readonly name: string;
-    readonly customer: string;
-    readonly priority: number;
-    readonly promptTokens: number;
-    readonly events: number;
-    readonly objectiveMs: number;
-    readonly gapMs: number;
-    /** Requests in a second, of all nodes together. */
-    readonly perSecond: number;
-}
-
-/** What became of the requests of one kind. */
-export interface KindResult {
-    sent: number;
-    /** Served with the first event and all gaps within what the kind allows, and all that were served. */
-    inTime: number;
-    served: number;
-    refused: number;
-    tokens: number;
-    /** Times until requests were refused, and longest gap between two events. */
-    longestWaitMs: number;
-    longestGapMs: number;
-}
-
-export interface GenerationFleetTerms {
-    readonly nodeCount: number;
-    readonly runnerCount: number;
-    readonly kvTokens: number;
-    readonly kinds: readonly GenerationKind[];
-    /** Whether nodes ask for places. */
-    readonly asks: boolean;
-    /** When a tenth of the nodes end. */
-    readonly nodesEndAtMs?: number;
-    /** Nodes that reach no other node. */
-    readonly cutOff?: number;
-}
-
 interface FleetNode {
     readonly address: string;
     readonly permits: PermitClient;
@@ -180,7 +142,11 @@
         }
     }
 
-    private async choose(node: FleetNode, kind: GenerationKind, startedAt: number): Promise<{ readonly runner: ModelRunner; readonly id?: string; } | undefined> {
+    private async choose(
+        node: FleetNode,
+        kind: GenerationKind,
+        startedAt: number,
+    ): Promise<{ readonly runner: ModelRunner; readonly id?: string; } | undefined> {
         if (!this.terms.asks) {
             return { runner: pick(this.runners, this.random)! };
         }
--- a/test/generationCalls.test.ts
+++ b/test/generationCalls.test.ts
@@ -158,7 +158,13 @@
         }
         const granted: Permit = { isGranted: true, waitMs: 0, hasTerms: true };
         const homeCases: readonly HomeCase[] = [
-            { name: "is slow does not delay a short prompt of an urgent route", answer: () => sleep(400).then(() => granted), isGranted: true, maxMs: 150, asked: [home] },
+            {
+                name: "is slow does not delay a short prompt of an urgent route",
+                answer: () => sleep(400).then(() => granted),
+                isGranted: true,
+                maxMs: 150,
+                asked: [home],
+            },
             {
                 name: "is told of a short prompt of an urgent route does not delay it",
                 answer: () => sleep(400).then(() => granted),
@@ -174,7 +180,12 @@
                 isGranted: false,
                 asked: [home],
             },
-            { name: "denies a short prompt of an urgent route is obeyed", answer: () => Promise.resolve({ isGranted: false, waitMs: 5, isFull: true }), isGranted: false, asked: [home] },
+            {
+                name: "denies a short prompt of an urgent route is obeyed",
+                answer: () => Promise.resolve({ isGranted: false, waitMs: 5, isFull: true }),
+                isGranted: false,
+                asked: [home],
+            },
             { name: "is cut off leaves it to its deputy", answer: () => Promise.reject(new Error("ECONNREFUSED")), isGranted: true, asked: [home, deputy] },
             {
                 name: "is of an earlier release gives slots, and the node its share of the rest",
--- a/test/generationFleet.test.ts
+++ b/test/generationFleet.test.ts
@@ -2,8 +2,8 @@
 import assert from "node:assert/strict";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
 import { setupLogs } from "../src/utils/events";
-import type { GenerationFleetTerms, GenerationKind, KindResult } from "./fakes/generationFleet";
 import { GenerationFleet } from "./fakes/generationFleet";
+import type { GenerationFleetTerms, GenerationKind, KindResult } from "./fakes/generationKinds";
 
 const kvTokens = 187_043;
 const runnerCount = 4;
--- a/test/prefillSchedule.test.ts
+++ b/test/prefillSchedule.test.ts
@@ -28,7 +28,12 @@
         { name: "waits longer after one that took more than its part of a gap", prefills: [began(100, 600)], prefillMs: 10, waitMs: 1_100 },
         { name: "waits for a longer time where gaps are shorter", prefills: [began(100, 60)], prefillMs: 60, gapMs: 200, waitMs: 100 },
         { name: "leaves part of a gap to short ones that did not wait", prefills: [began(100, 140), began(50, 100, true)], prefillMs: 100, waitMs: 500 },
-        { name: "is not held up by short ones that did not wait alone", prefills: [0, 1, 2, 3].map(index => began(index, 200, true)), prefillMs: 500, waitMs: 0 },
+        {
+            name: "is not held up by short ones that did not wait alone",
+            prefills: [0, 1, 2, 3].map(index => began(index, 200, true)),
+            prefillMs: 500,
+            waitMs: 0,
+        },
         { name: "counts nothing that began longer ago than a gap", prefills: [began(600, 300)], prefillMs: 300, waitMs: 0 },
     ];
     for (const { name, prefills, prefillMs, gapMs: caseGapMs = gapMs, waitMs } of cases) {
--- a/test/slowReaders.test.ts
+++ b/test/slowReaders.test.ts
@@ -32,7 +32,7 @@
     for (const { name, writes, taken = {}, cut: expected } of cases) {
         it(name, () => {
             let charged = 0;
-            const readers = SlowReaders.create(() => limitBytes, bytes => charged += bytes);
+            const readers = SlowReaders.create({ untakenLimitBytes: limitBytes, charge: (...[, bytes]) => charged += bytes });
             const held = new Map<number, number>();
             const cut: number[] = [];
             const streams = [0, 1, 2, 3].map((index): UnreadStream => ({
