--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -123,7 +123,7 @@
     [EventId.GenerationRefused]:
         "no runner with the model has a place for a generation in time: it waits (`isWaiting`) or is refused; `upstream` has room first, in `waitMs`; `loadAgeMs` is the age of its load figures",
     [EventId.GenerationSentUnasked]:
-        "a short prompt of an urgent route was sent to a runner that is known to have room, as the node that gives its places did not answer in time; `loadAgeMs` is the age of the load figures",
+        "a short prompt of an urgent route was sent to a runner although the node that gives its places (`peer`) had not answered within `waitedMs`; `load` is the requests in progress there, as far as this node knows",
     [EventId.SlowReaderCut]:
         "a stream was cut because its caller reads too slowly and the memory for unread events is full: it held the most (`bytes`) of all (`totalBytes` of `limitBytes`), and has not read all of it for `unreadForMs`",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
