--- a/src/core/failures.ts
+++ b/src/core/failures.ts
@@ -33,6 +33,7 @@
     [FailureKind.UpstreamsBrittle]: { status: 503, title: "all upstreams are brittle and have no room" },
     [FailureKind.CapacityShort]: { status: 503, title: "no upstream can begin the answer before the caller gives up" },
     [FailureKind.ModelLate]: { status: 503, title: "the model will be ready only after the caller gives up" },
+    [FailureKind.UpstreamsFull]: { status: 503, title: "no runner with the model has room in time" },
     [FailureKind.NotReady]: { status: 503, title: "the node has no configuration yet" },
     [FailureKind.MemoryShort]: { status: 503, title: "the node has no memory for the body" },
     [FailureKind.HeapShort]: { status: 503, title: "the node has no memory for the request" },
--- a/src/core/runnerRoom.ts
+++ b/src/core/runnerRoom.ts
@@ -1,9 +1,14 @@
-import type { PlaceRequest } from "../types/sendPermit";
+import type { GenerationTerms, PlaceRequest } from "../types/sendPermit";
+import { PlaceLack } from "../types/sendPermit";
+import type { KnownGenerations } from "./generationLoad";
+import { GenerationLoad } from "./generationLoad";
+import { GivenPlaces } from "./givenPlaces";
+import { OvertakenReturns } from "./overtakenReturns";
+import { ReturnTimes } from "./returnTimes";
+import { UnplacedRequests } from "./unplacedRequests";
 
 /** Time after the first request for a place within which what the nodes report of their load counts as well: they have not told yet which requests they have in progress. */
 const settleMs = 1_000;
-/** A node's count of its requests without a place is forgotten after this time. */
-const unplacedLifetimeMs = 1_500;
 /** Share of the rejections that an upstream bears in a second which may come from requests that are sent although it may be full. */
 const trialShare = 0.25;
 /** An upstream that bears no rejections gets such requests as one that bears this many. */
@@ -21,25 +26,23 @@
 const smoothingFactor = 0.2;
 /** A node that gives places of less than one to itself leaves as much time again between two. */
 const turnSpacingFactor = 2;
+/** An upstream that bears at least as many rejections in a second as this is not brittle. */
+export const notBrittleRejectionsPerS = 1_000;
 const msPerSecond = 1_000;
 
-interface Place {
-    readonly since: number;
-    readonly expiresAt: number;
-}
-
-interface Unplaced {
-    readonly count: number;
-    readonly expiresAt: number;
-}
-
 /** What decides on the room of an upstream, of each request for a place. */
-export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load">;
+export type RoomTerms = Pick<PlaceRequest, "slots" | "share" | "maxRejectionsPerS" | "load" | "generation"> & Partial<Pick<PlaceRequest, "node">>;
 
-/** The places of one brittle upstream: no more requests than it has slots, and fewer after it has rejected some. */
+/**
+ * The places of one upstream: no more requests than it has slots, and fewer after it has rejected some. A runner that fails beyond its memory gets no more tokens than that
+ * holds either, and prompts at intervals.
+ */
 export class RunnerRoom {
-    private readonly places = new Map<string, Place>();
-    private readonly unplacedByNode = new Map<string, Unplaced>();
+    private readonly places = GivenPlaces.create();
+    private readonly load = GenerationLoad.create();
+    private readonly unplaced = UnplacedRequests.create();
+    private readonly overtaken = OvertakenReturns.create();
+    private readonly returnTimes = ReturnTimes.create();
     /** When the upstream rejected requests, within the last second. */
     private rejectedAt: number[] = [];
     private readonly createdAt = performance.now();
@@ -62,50 +65,110 @@
     /** Whether nothing is known that a new room would not know. */
     get isIdle(): boolean {
         this.removeExpired();
-        return this.places.size + this.unplacedByNode.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
-            this.learned === undefined;
+        return this.places.size + this.unplaced.size + this.overtaken.size === 0 && performance.now() >= Math.max(this.cautiousUntil, this.nextGrantAt) &&
+            this.learned === undefined && this.load.isIdle;
     }
 
     /** Requests in progress at the upstream, as far as they are known for certain. */
     get inUse(): number {
         this.removeExpired();
-        return this.places.size + [...this.unplacedByNode.values()].reduce((sum, { count }) => sum + count, 0);
+        return this.places.size + this.unplaced.count;
     }
 
     /** Takes a place if there is room; returns whether it did. */
     take(id: string, holdMs: number, terms: RoomTerms): boolean {
+        return this.lackOf(terms) === undefined && this.add(id, holdMs, terms);
+    }
+
+    /** What the upstream lacks for a request now; undefined if it has a place, which must be taken then. */
+    lackOf(terms: RoomTerms): PlaceLack | undefined {
         const now = performance.now();
+        const { generation, share } = terms;
         const inUse = this.usedBy(terms);
-        if (now < this.nextGrantAt || !this.mayRisk(terms) || !(inUse < this.roomOf(terms) || this.raise(inUse, terms))) {
-            return false;
+        if (now < this.nextGrantAt || !this.mayRisk(terms)) {
+            return PlaceLack.Slots;
+        }
+        const lack = generation && this.load.lackOf(generation, share, this.knownBy(terms), terms.node);
+        if (lack !== undefined) {
+            return lack;
+        }
+        return inUse < this.roomOf(terms) || this.raise(inUse, terms) ? undefined : PlaceLack.Slots;
+    }
+
+    /** Whether the place of a request was returned already, so that it must not be given. */
+    wasOvertaken(id: string): boolean {
+        return this.overtaken.has(id);
+    }
+
+    /** What a generation finds in use and asks for, for the log. */
+    describe(terms: RoomTerms): Readonly<Record<string, number | undefined>> {
+        const { slots, share, generation } = terms;
+        const use = generation && this.load.useOf(generation, share, this.knownBy(terms));
+        const { tokens: askedTokens, prefillMs } = generation ?? {};
+        return { inUse: this.inUse, slots, share, ...use, askedTokens, prefillMs, oldestReportMs: this.unplaced.oldestReportMs };
+    }
+
+    /** Whether a request does not wait until other prompts are read. */
+    mayPass(terms: RoomTerms): boolean {
+        return terms.generation !== undefined && this.load.mayPass(terms.generation, this.knownBy(terms));
+    }
+
+    /** Share of the memory that is in use; 0 if no generation has a place. */
+    get memoryShare(): number {
+        this.removeExpired();
+        return this.load.memoryShareOf(this.places.generations, this.unplaced.tokens);
+    }
+
+    /** Gives a place whether or not there is room. */
+    add(id: string, holdMs: number, terms: RoomTerms): true {
+        const { generation, share } = terms;
+        this.places.add(id, holdMs, generation);
+        this.nextGrantAt = performance.now() + this.spacingMs(terms);
+        if (generation) {
+            this.load.add(generation, share);
         }
-        this.places.set(id, { since: now, expiresAt: now + holdMs });
-        this.nextGrantAt = now + this.spacingMs(terms);
         return true;
     }
 
+    private knownBy(terms: RoomTerms): KnownGenerations {
+        return { placed: this.places.generations, unplacedTokens: this.unplaced.tokens, unreported: Math.max(0, this.usedBy(terms) - this.inUse) };
+    }
+
     /** Estimated time until a place is free for a request with others ahead of it. */
     expectedWaitMs(terms: RoomTerms, ahead: number): number {
         const now = performance.now();
         const room = this.roomOf(terms);
         const excess = Math.max(0, this.usedBy(terms) - room);
         const spacingMs = Math.max(this.expectedHoldMs / room, this.spacingMs(terms));
-        return Math.max(this.nextGrantAt - now, 0) + (ahead + excess + 1) * spacingMs;
+        const slotWaitMs = Math.max(this.nextGrantAt - now, 0) + (ahead + excess + 1) * spacingMs;
+        return terms.generation ? this.generationWaitMs(terms, terms.generation, ahead, slotWaitMs) : slotWaitMs;
+    }
+
+    /** When a caller that is refused finds room, given the time until there is some: callers return one after the other, as fast as places become free. */
+    promiseReturnMs(waitMs: number): number {
+        return this.returnTimes.next(waitMs, this.expectedHoldMs / Math.max(1, this.places.size));
+    }
+
+    /** Estimated time until a generation finds all that it needs; the wait for a slot counts only if all are in use. */
+    private generationWaitMs(terms: RoomTerms, generation: GenerationTerms, ahead: number, slotWaitMs: number): number {
+        const otherWaitMs = this.load.waitMs(generation, terms.share, this.knownBy(terms), ahead, this.expectedHoldMs);
+        const isSlotFree = this.usedBy(terms) + ahead < this.roomOf(terms);
+        return Math.max(otherWaitMs, isSlotFree ? Math.max(this.nextGrantAt - performance.now(), 0) : slotWaitMs);
     }
 
     /** Time for which a place is held: that of those given back, or the age of the others if they are held for longer. */
     private get expectedHoldMs(): number {
-        const now = performance.now();
-        const ages = [...this.places.values()].reduce((sum, { since }) => sum + now - since, 0);
-        return Math.max(this.averageHoldMs, ages / Math.max(1, this.places.size));
+        return Math.max(this.averageHoldMs, this.places.averageAgeMs);
     }
 
     /** Gives a place back. A request that was rejected says nothing of how long places are held. */
     giveBack(id: string, isRejected = false): void {
-        const place = this.places.get(id);
-        this.places.delete(id);
-        if (place && !isRejected) {
-            this.averageHoldMs += smoothingFactor * (performance.now() - place.since - this.averageHoldMs);
+        const heldMs = this.places.remove(id);
+        if (heldMs === undefined) {
+            this.overtaken.add(id);
+        }
+        else if (!isRejected) {
+            this.averageHoldMs += smoothingFactor * (heldMs - this.averageHoldMs);
         }
     }
 
@@ -118,14 +181,9 @@
         this.raiseAt = Math.max(this.raiseAt, now + minRaiseIntervalMs);
     }
 
-    /** Records how many requests without a place a node has in progress there. */
-    setUnplaced(node: string, count: number): void {
-        if (count > 0) {
-            this.unplacedByNode.set(node, { count, expiresAt: performance.now() + unplacedLifetimeMs });
-        }
-        else {
-            this.unplacedByNode.delete(node);
-        }
+    /** Records how many requests without a place a node has in progress there, and the tokens of its generations among them. */
+    setUnplaced(node: string, count: number, tokens = 0): void {
+        this.unplaced.set(node, count, tokens);
     }
 
     private get isSettling(): boolean {
@@ -169,13 +227,7 @@
             return rejected + 1 <= riskShare * share * maxRejectionsPerS;
         }
         const isTrusted = this.learned === undefined && !this.isSettling;
-        return isTrusted || this.youngPlaces < Math.max(1, share * maxRejectionsPerS);
-    }
-
-    /** Places of requests that the upstream may still reject. */
-    private get youngPlaces(): number {
-        const now = performance.now();
-        return [...this.places.values()].filter(({ since }) => now - since < rejectedWithinMs).length;
+        return isTrusted || this.places.countYounger(rejectedWithinMs) < Math.max(1, share * maxRejectionsPerS);
     }
 
     private trialIntervalMs({ share, maxRejectionsPerS }: RoomTerms): number {
@@ -185,12 +237,14 @@
     private spacingMs(terms: RoomTerms): number {
         const ownSlots = terms.slots * terms.share;
         const turnMs = ownSlots < 1 ? turnSpacingFactor * this.averageHoldMs / ownSlots : 0;
-        return Math.max(turnMs, performance.now() < this.cautiousUntil ? this.trialIntervalMs(terms) : 0);
+        const isCautious = performance.now() < this.cautiousUntil && terms.maxRejectionsPerS < notBrittleRejectionsPerS;
+        return Math.max(turnMs, isCautious ? this.trialIntervalMs(terms) : 0);
     }
 
     private removeExpired(): void {
         const now = performance.now();
-        this.places.forEach(({ expiresAt }, id) => expiresAt <= now && this.places.delete(id));
-        this.unplacedByNode.forEach(({ expiresAt }, node) => expiresAt <= now && this.unplacedByNode.delete(node));
+        this.places.removeExpired(now);
+        this.unplaced.removeExpired(now);
+        this.overtaken.removeExpired(now);
     }
 }
--- a/src/core/upstreamTraffic.ts
+++ b/src/core/upstreamTraffic.ts
@@ -18,6 +18,8 @@
 export class UpstreamTraffic {
     /** Own requests in progress. */
     inFlight = 0;
+    /** Tokens of own generations in progress: prompts and expected outputs. */
+    tokensInFlight = 0;
     /** Estimated prefill of own requests that have not received a first token. */
     pendingPrefillMs = 0;
     /** Moving average of the time to the first byte of an answer at the usual pace; undefined before the first answer. */
@@ -61,6 +63,18 @@
         return this.pendingPrefillMs + Math.max(0, this.peerPrefillMs - (this.now() - this.peerLoadAt));
     }
 
+    /** Counts an own request that is sent; `tokens` is 0 but for generations. */
+    begin(tokens: number): void {
+        this.inFlight++;
+        this.tokensInFlight += tokens;
+    }
+
+    /** Ends the count of an own request. */
+    end(tokens: number): void {
+        this.inFlight--;
+        this.tokensInFlight -= tokens;
+    }
+
     /** Records the prefill and requests in flight of other nodes at the upstream. */
     onPeerLoad(prefillMs: number, inFlight: number): void {
         this.peerPrefillMs = prefillMs;
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -20,9 +20,12 @@
 import { CrashObserver } from "./crashObserver";
 import { isCutOffWithUpstream } from "./endCheck";
 import type { Gateway } from "./gateway";
+import { admitsGenerations, expectedTokensOf } from "./generationTerms";
+import { logAttemptFailed } from "./logAttemptFailed";
 import { logSent } from "./logSent";
 import { toOutgoingRequest } from "./outgoingRequest";
 import { recordFailedConnection } from "./recordFailedConnection";
+import { recordOutput } from "./recordOutput";
 import { countFailure, failedRunWeight, minServerErrorStatus, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 import { SpeedObserver } from "./speedObserver";
@@ -52,7 +55,7 @@
                 this.speedObserver.onEventGap(ms);
                 this.crashObserver.onEvent();
             },
-        });
+        }, admitsGenerations(gateway, call.service) ? gateway.slowReaders : undefined);
         this.crashObserver = CrashObserver.create(gateway, call, this.relay);
     }
 
@@ -74,7 +77,7 @@
         this.sentAt = performance.now();
         this.speedObserver.onSend(choice);
         this.isAwaitingFirstByte = true;
-        traffic.inFlight++;
+        traffic.begin(expectedTokensOf(gateway, call));
         gateway.contact.countInProgress(1);
         traffic.pendingPrefillMs += choice.prefillMs;
         const abort = new AbortController();
@@ -100,7 +103,7 @@
         finally {
             timers.stop();
             call.signal.removeEventListener("abort", onCallerAbort);
-            traffic.inFlight--;
+            traffic.end(expectedTokensOf(gateway, call));
             gateway.contact.countInProgress(-1);
             this.removePendingPrefill(choice);
         }
@@ -213,6 +216,7 @@
         }
         if (head.status < minServerErrorStatus) {
             traffic.onSuccess();
+            recordOutput(this.gateway, this.call, relay.eventCount);
             this.crashObserver.onAnswered(candidate, endsWithConnection);
             return AttemptOutcome.Answered;
         }
@@ -232,18 +236,6 @@
     }
 
     private logFailed(upstream: string, reason: string, verdict: Verdict): void {
-        const afterMs = Math.round(performance.now() - this.sentAt);
-        const { caller: { requestId }, suspectParts } = this.call;
-        emit(EventId.AttemptFailed, {
-            request: requestId,
-            upstream,
-            kind: reason,
-            verdict,
-            afterMs,
-            framing: this.framing,
-            lastEvent: this.relay.lastEventId,
-            hasAnswered: this.relay.attemptEventAt !== undefined,
-            suspectParts,
-        });
+        logAttemptFailed(this.call, this.relay, { upstream, reason, verdict, sentAt: this.sentAt, framing: this.framing });
     }
 }
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -8,6 +8,7 @@
 import { LearnedSpeeds } from "../core/learnedSpeeds";
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
+import { OutputShares } from "../core/outputShares";
 import type { PriorityLevels } from "../core/priorityLevels";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { RequestHeap } from "../core/requestHeap";
@@ -17,6 +18,7 @@
 import { RunnerLimits } from "../core/runnerLimits";
 import type { RevisionCounter } from "../core/sharedLog";
 import { SharedRetryBudget } from "../core/sharedRetryBudget";
+import { SlowReaders } from "../core/slowReaders";
 import { StoreFreshness } from "../core/storeFreshness";
 import { streamLifetimeMsOf } from "../core/streamLifetime";
 import { StreamVersions } from "../core/streamVersions";
@@ -100,6 +102,7 @@
     /** How long ago the configuration was known to be the newest. */
     readonly confirmation = createConfirmation(this);
     readonly memoryGauge = MemoryGauge.create();
+    readonly outputShares = OutputShares.create();
     /** Memory of the process for its callers and upstreams. */
     readonly memory = MemoryBudget.create({
         limitBytes: () => memoryLimitOf(this.settings.memoryBytes, this.memoryGauge.read()),
@@ -122,6 +125,8 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Events that slow readers have not taken, where runners must be read on. */
+    readonly slowReaders = SlowReaders.create(this.memory);
     /** Whether this node reaches upstreams over its own links. */
     readonly contact = UpstreamContact.create(() => this.random(), process => this.runnerLimits.limitOf(process) !== undefined);
     readonly zoneSpill = createZoneSpill(this);
--- a/src/forward/relayedRefusals.ts
+++ b/src/forward/relayedRefusals.ts
@@ -6,5 +6,6 @@
     FailureKind.UpstreamsBrittle,
     FailureKind.CapacityShort,
     FailureKind.ModelLate,
+    FailureKind.UpstreamsFull,
     FailureKind.Stopping,
 ]);
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -1,8 +1,6 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import type { QuietUpstream } from "../core/quietWait";
 import { decideOnQuiet } from "../core/quietWait";
 import { isSaturated } from "../core/saturation";
-import type { ServingNeed } from "../core/servableTime";
 import { completionLeftMs } from "../core/servableTime";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
@@ -14,8 +12,11 @@
 import { describeError } from "../utils/transport";
 import type { Call } from "./call";
 import { servableTimeOfCall, servingNeedOf } from "./callPatience";
+import type { FullUpstream } from "./decideOnFullRunners";
+import { decideOnFullRunners } from "./decideOnFullRunners";
 import { findAlternative } from "./findAlternative";
 import type { Gateway } from "./gateway";
+import { admitsGenerations, needsPlace } from "./generationTerms";
 import { HeldPlace } from "./heldPlace";
 import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { Refusal } from "./refusal";
@@ -33,11 +34,6 @@
 /** Pause of a request that was queued in vain: the queue itself may be full. */
 const pauseMs = 25;
 
-/** A brittle upstream that had no room for a request. */
-interface FullUpstream extends QuietUpstream {
-    readonly need: ServingNeed;
-}
-
 /** Gets a request its turn and its place at an upstream, or at another one that has them sooner. */
 export class TurnTaker {
     /** The place of the next attempt, or of the one in progress. */
@@ -91,7 +87,14 @@
             if (denied?.isFull) {
                 this.hasWaited ||= denied.wasQueued && performance.now() - askedAt >= minWaitMs;
                 const full: Map<string, FullUpstream> = this.full ??= new Map<string, FullUpstream>();
-                full.set(server.id, { id: server.id, quietMs: denied.retryAfterMs, slots: server.slots, need: servingNeedOf(call, next) });
+                full.set(server.id, {
+                    id: server.id,
+                    quietMs: denied.retryAfterMs,
+                    slots: server.slots,
+                    need: servingNeedOf(call, next),
+                    returnMs: denied.returnMs,
+                    loadAgeMs: next.candidate.traffic.reportAgeMs,
+                });
                 const other: UpstreamChoice | undefined = this.chooseWithRoom(full);
                 if (other) {
                     next = other;
@@ -131,7 +134,7 @@
             return undefined;
         }
         const { server } = choice.candidate;
-        if (gateway.availability.brittle.limitOf(server) !== undefined && this.spare?.isAt(processKey(server)) !== true) {
+        if (needsPlace(gateway, call, server) && this.spare?.isAt(processKey(server)) !== true) {
             this.spareChoice = undefined;
             this.askForSpare(choice);
             return undefined;
@@ -142,8 +145,8 @@
 
     /** Gives the place back after an attempt. */
     onAttemptEnd(server: UpstreamServer, isRejected: boolean): void {
-        const { gateway } = this;
-        if (this.held?.giveBack(isRejected) !== true && isRejected && gateway.availability.brittle.limitOf(server) !== undefined) {
+        const { gateway, call } = this;
+        if (this.held?.giveBack(isRejected) !== true && isRejected && needsPlace(gateway, call, server)) {
             gateway.placement.returnPlace({ runner: processKey(server), isRejected });
         }
     }
@@ -196,7 +199,7 @@
             return undefined;
         }
         const other = selectUpstream(gateway, call, new Set([...tried, ...full.keys()]));
-        return other && call.caller.modelRequest && isSaturated(other, call.route) ? undefined : other;
+        return other && call.caller.modelRequest && !admitsGenerations(gateway, call.service) && isSaturated(other, call.route) ? undefined : other;
     }
 
     /** Decides whether a request for which no upstream has room waits, and within which time a place is of use then. */
@@ -206,6 +209,9 @@
             return unreachableRefusal;
         }
         const upstreams = [...full.values()];
+        if (upstreams.some(({ returnMs }) => returnMs !== undefined)) {
+            return decideOnFullRunners(gateway, call, upstreams, hasWaited);
+        }
         const now = performance.now();
         const { need } = upstreams.reduce((best, upstream) => upstream.need.completionMs < best.need.completionMs ? upstream : best);
         const neededMs = need.completionMs;
--- a/src/forward/waitForUpstream.ts
+++ b/src/forward/waitForUpstream.ts
@@ -10,6 +10,7 @@
 import type { Call } from "./call";
 import { LateStep, refuseLate, servableTimeOfCall, servingNeedOf, takesStreamUp } from "./callPatience";
 import type { Gateway } from "./gateway";
+import { admitsGenerations } from "./generationTerms";
 import { isPathLost, unreachableRefusal } from "./peerPath";
 import type { QuarantineGate } from "./quarantineGate";
 import type { Refusal } from "./refusal";
@@ -95,7 +96,7 @@
                     retryAfterMs: Math.max(minCapacityRetryAfterMs, choice.predictedMs - call.route.latencyObjectiveMs),
                 };
             }
-            if (takesStreamUp(call) || (ahead === 0 && !isSaturated(choice, call.route))) {
+            if (takesStreamUp(call) || admitsGenerations(gateway, call.service) || (ahead === 0 && !isSaturated(choice, call.route))) {
                 return choice;
             }
             gateway.queue.add(modelRequest.model, queuedRequest);
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -29,6 +29,7 @@
 import { errorCodeOf } from "../utils/transport";
 import { followStreamVersions } from "./followStreamVersions";
 import { createNodePlacement } from "./nodePlacement";
+import { placeGauges } from "./placeGauges";
 import { PlannedStop } from "./plannedStop";
 import { platformNodeGauges } from "./platformNodeGauges";
 import type { SelfCheckItem } from "./selfCheck";
@@ -131,6 +132,7 @@
         const waits = PassingWaits.create(AbortSignal.any([this.stopping.signal, this.outdated.signal]));
         this.metrics.registerGauges([
             ...platformNodeGauges(gateway, server, () => this.lease?.heldEpoch),
+            ...placeGauges(peerServer.pacer),
             { name: "unexpected_errors", help: "Errors that no handler caught, since the start", read: this.unexpectedErrors },
             { name: "port_wait_seconds", help: "How long the node has waited for its ports, 0 if it has them", read: () => waits.longestMs / msPerS },
         ]);
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -27,6 +27,12 @@
     { name: "requests_passed_on", help: "Requests in progress that were passed on to peers", read: () => gateway.peers.passedOn },
     { name: "requests_taken_over", help: "Requests in progress that peers passed on to this node", read: () => gateway.peers.takenOver },
     { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
+    { name: "slow_readers", help: "Streams of runners whose callers have not taken all that was written", read: () => gateway.slowReaders.size },
+    {
+        name: "slow_readers_cut",
+        help: "Streams that were cut because their callers read too slowly, since the start",
+        read: () => gateway.slowReaders.cutCount,
+    },
     { name: "caller_connections", help: "Open connections of callers", read: () => server.openConnections },
     { name: "upstream_connections", help: "Connections to upstreams that are open or being opened", read: () => gateway.upstreamConnections },
     { name: "memory_limit_bytes", help: "Memory that bodies, answers and connections together may use", read: () => gateway.memory.limitBytes },
--- a/src/types/failureKind.ts
+++ b/src/types/failureKind.ts
@@ -23,6 +23,7 @@
     UpstreamsBrittle = "upstreams-brittle",
     CapacityShort = "capacity-short",
     ModelLate = "model-late",
+    UpstreamsFull = "upstreams-full",
     NotReady = "not-ready",
     MemoryShort = "memory-short",
     HeapShort = "heap-short",
--- a/src/types/sendPermit.ts
+++ b/src/types/sendPermit.ts
@@ -2,7 +2,27 @@
 import type { UsageAnswer } from "./usageAnswer";
 import type { UsageRequest } from "./usageRequest";
 
-/** Request for one of the places of a brittle upstream. */
+/** What a generation takes of its runner, beside a slot. */
+export interface GenerationTerms {
+    /** Prompt and expected output. */
+    readonly tokens: number;
+    /** Tokens that the runner's memory holds. */
+    readonly kvTokens: number;
+    /** Predicted time for which the runner reads the prompt. */
+    readonly prefillMs: number;
+    /** Longest gap that the generation's own stream allows between two events; undefined for an answer without events. */
+    readonly gapMs?: number;
+    /** Whether its route is among the most urgent ones; short prompts of these do not wait until others are read. */
+    readonly isUrgent: boolean;
+    /** Whether the asking node sends it without waiting for the answer: its place is given in any case. */
+    readonly isSent: boolean;
+    /** Whose request it is; undefined where no customers are declared. */
+    readonly customer?: string;
+    /** Tokens of the asking node's requests in progress there for which the asked node has given no place. */
+    readonly unplacedTokens: number;
+}
+
+/** Request for one of the places of a brittle upstream, or of a runner that fails beyond its memory. */
 export interface PlaceRequest {
     /** Identifies the place until it is given back. */
     readonly id: string;
@@ -24,6 +44,8 @@
     /** Time until the first token is due, and the priority of the request. */
     readonly dueInMs: number;
     readonly priority: number;
+    /** For generations, at runners that fail beyond their memory. Nodes of earlier releases give places by slots alone. */
+    readonly generation?: GenerationTerms;
 }
 
 /** Request for the permission to send one request to a runner that has named a limit, or is brittle. */
@@ -52,6 +74,19 @@
     readonly isFull?: boolean;
     /** Answers to the charges, in their order; undefined from a node of an earlier release. */
     readonly usage?: readonly UsageAnswer[];
+    /** When a caller that is refused now finds room, after those that were refused before it. */
+    readonly retryAfterMs?: number;
+    /** What a generation lacked; undefined for other requests. */
+    readonly lack?: PlaceLack;
+    /** Whether a generation was admitted by all its terms: a node of an earlier release knows slots alone. */
+    readonly hasTerms?: boolean;
+}
+
+/** What a runner lacks for a request. */
+export enum PlaceLack {
+    Slots = "slots",
+    Memory = "memory",
+    Prefill = "prefill",
 }
 
 /** A place that is given back, or the end of an attempt that had none. */
@@ -66,7 +101,7 @@
 export interface PlaceReport {
     readonly node: string;
     readonly returned: readonly ReturnedPlace[];
-    readonly unplaced: readonly { readonly runner: string; readonly count: number; }[];
+    readonly unplaced: readonly { readonly runner: string; readonly count: number; readonly tokens?: number; }[];
     /** Charges of requests that did not run. */
     readonly usage?: readonly ReturnedUsage[];
 }
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -144,6 +144,14 @@
         "a new controller knows what a service's runners hold and begins to order loads, `waitedMs` after its takeover: `models` is the number of models held, `unreported` the number of runners that it did not wait for",
     [EventId.CopyTurnGiven]:
         "a model is unloaded for one that has been requested for `awaitedMs` without a copy: `load` and `unloadedLoad` are their demand as shares of a runner's time, `unloadedIdleMs` the time since the last request for the former",
+    [EventId.RunnerFull]:
+        "a runner that this node gives the places of had none for a generation: what it lacks (`lack`), what is in use, the age of the oldest report that counts (`oldestReportMs`), and how many were denied since the last line (at most one line a second and runner)",
+    [EventId.GenerationRefused]:
+        "no runner with the model has a place for a generation in time: it waits (`isWaiting`) or is refused; `upstream` has room first, in `waitMs`; `loadAgeMs` is the age of its load figures",
+    [EventId.GenerationSentUnasked]:
+        "a short prompt of an urgent route was sent to a runner although the node that gives its places (`peer`) had not answered within `waitedMs`; `load` is the requests in progress there, as far as this node knows",
+    [EventId.SlowReaderCut]:
+        "a stream was cut because its caller reads too slowly and the memory for unread events is full: it held the most (`bytes`) of all (`totalBytes` of `limitBytes`), and has not read all of it for `unreadForMs`",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/src/utils/sseSplitter.ts
+++ b/src/utils/sseSplitter.ts
@@ -5,6 +5,9 @@
 /** Parts of an event that arrives in many small pieces are joined. */
 const maxParts = 64;
 
+/** Number of events that end in a text: each ends with an empty line. */
+export const countEvents = (text: string): number => text.match(/\n\r?\n/g)?.length ?? 0;
+
 const noBytes: Buffer = Buffer.alloc(0);
 
 const lastBytesOf = (bytes: Buffer): Buffer => bytes.subarray(Math.max(0, bytes.length - tailBytes));
