--- a/src/placement/usageSender.ts
+++ b/src/placement/usageSender.ts
@@ -16,12 +16,17 @@
 const batchMs = 2;
 /** Charges of one call at most. */
 export const maxUsageCharges = 512;
-/** A node that does not answer within this time, while this process can read its answer, is taken not to be reached. */
-const homeTimeoutMs = 150;
+/**
+ * A node that does not answer within this time, while this process can read its answer, is taken not to be reached. The event loop of a busy node on a small VM has
+ * turns of 250 to 540 ms, and a request that waits for it is served late instead of refused.
+ */
+const homeTimeoutMs = 550;
 /** A deputy may have to wait for the home node first. */
-const deputyTimeoutMs = 350;
+const deputyTimeoutMs = 650;
 /** Time for which a node that was not reached is not asked: short, as a pause of its process may be the cause. */
 const avoidedMs = 500;
+/** Late answers without one in time between them after which a node is taken not to be reached. */
+const maxLateCalls = 2;
 
 /** Whom charges are sent to, and in which role. */
 export interface UsageTarget {
@@ -40,6 +45,8 @@
 export class UsageSender {
     private readonly batches = new Map<string, PendingCharge[]>();
     private readonly failedUntil = new Map<string, number>();
+    /** Calls in a row that were not answered in time, by node. */
+    private readonly lateCalls = new Map<string, number>();
 
     private constructor(
         private readonly clients: PeerClients,
@@ -92,6 +99,7 @@
                 this.returnLate(batch, answers);
             }
             else if (answers) {
+                this.lateCalls.delete(address);
                 this.counters.onCall(UsageCallResult.Answered);
             }
             else {
@@ -132,7 +140,15 @@
         this.counters.onCall(result);
         const now = performance.now();
         this.failedUntil.forEach((until, other) => until <= now && this.failedUntil.delete(other));
-        this.failedUntil.set(address, now + avoidedMs);
-        emit(EventId.UsageNodeUnreached, { peer: address, result, charges, avoidedMs, detail });
+        const lateCalls = result === UsageCallResult.Late ? (this.lateCalls.get(address) ?? 0) + 1 : maxLateCalls;
+        const isAvoided = lateCalls >= maxLateCalls;
+        if (isAvoided) {
+            this.lateCalls.delete(address);
+            this.failedUntil.set(address, now + avoidedMs);
+        }
+        else {
+            this.lateCalls.set(address, lateCalls);
+        }
+        emit(EventId.UsageNodeUnreached, { peer: address, result, charges, avoidedMs: isAvoided ? avoidedMs : 0, detail });
     }
 }
