--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -29,7 +29,7 @@
 /** Settings that come from flags and variables, and hold until the process ends. */
 interface OwnSettings {
     readonly limits: TransportLimits;
-    readonly crossZoneMsPerMb: number;
+    readonly crossZoneMsPerMb: number | undefined;
 }
 
 /** `jackdawtrail serve-platform`: runs a node on the platform until SIGTERM or SIGINT. */
--- a/src/forward/selectUpstream.ts
+++ b/src/forward/selectUpstream.ts
@@ -55,6 +55,10 @@
     );
 };
 
+/** Whether the node decides which requests leave its zone: where upstreams tell how fast they are, or for all services if operators state what leaving costs. */
+const decidesOnZones = ({ settings }: Gateway, candidates: readonly UpstreamCandidate[]): boolean =>
+    settings.crossZoneMsPerMb !== undefined || candidates.some(({ traffic }) => traffic.reportsPace);
+
 /** Chooses one of the upstreams that can run the request now. */
 export const selectUpstream = (gateway: Gateway, call: Call, tried: ReadonlySet<string>): UpstreamChoice | undefined => {
     const servers = candidatesFor(gateway, call, tried).filter(server => gateway.availability.mayTake(server));
@@ -68,5 +72,6 @@
         bytes: call.body.length,
         isPassedOn: call.progress.relayed !== undefined,
     };
-    return chooseUpstream(servers.map(server => toCandidate(gateway, call, server, preferred)), availabilityZone, random, { request, spill });
+    const candidates = servers.map(server => toCandidate(gateway, call, server, preferred));
+    return chooseUpstream(candidates, availabilityZone, random, decidesOnZones(gateway, candidates) ? { request, spill } : undefined);
 };
--- a/src/node/crossZoneSettings.ts
+++ b/src/node/crossZoneSettings.ts
@@ -16,14 +16,14 @@
         unit: "ms/MB",
         defaultValue: String(defaultCrossZoneMsPerMb),
         description:
-            "time of a caller that the transfer of one MB of a request to another availability zone may cost; a higher value keeps more requests in their zone",
+            "time of a caller that the transfer of one MB of a request to another availability zone may cost; a higher value keeps more requests in their zone. Requests leave by this rule where upstreams report a pace, or for all services if the setting is given",
     }),
 });
 
-/** Validates the settings and lists every fault. */
+/** Validates the settings and lists every fault. The cost is undefined if it is not given: then the default holds where upstreams report a pace. */
 export const readCrossZoneSettings = (
     values: Readonly<Partial<Record<CrossZoneSettingName, string>>>,
-): { readonly crossZoneMsPerMb: number; } | { readonly faults: readonly SettingFault[]; } => {
+): { readonly crossZoneMsPerMb: number | undefined; } | { readonly faults: readonly SettingFault[]; } => {
     const { settings, faults } = validateSettings(crossZoneDefinitions, values);
-    return faults.length > 0 ? { faults } : { crossZoneMsPerMb: settings.crossZoneCost as number };
+    return faults.length > 0 ? { faults } : { crossZoneMsPerMb: values.crossZoneCost === undefined ? undefined : settings.crossZoneCost as number };
 };
--- a/src/types/platformNodeSettings.ts
+++ b/src/types/platformNodeSettings.ts
@@ -42,7 +42,7 @@
     /** Minimum time between the orders of two holders to one runner. */
     readonly turnGapMs: number;
     readonly limits: TransportLimits;
-    /** Time of a caller that the transfer of one MB to another zone may cost; the default if it is missing. */
+    /** Time of a caller that the transfer of one MB to another zone may cost. If it is missing, the default holds for services whose upstreams report a pace. */
     readonly crossZoneMsPerMb?: number;
     /** Window over which model loads from the weight store are counted. */
     readonly loadWindowMs: number;
