--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -8,7 +8,15 @@
 import { promisify } from "node:util";
 
 /** Build options that all bundles share. */
-export const common = { bundle: true, platform: "node", target: "node20", format: "cjs", logLevel: "error", legalComments: "none" };
+export const common = {
+    bundle: true,
+    platform: "node",
+    target: "node20",
+    format: "cjs",
+    logLevel: "error",
+    legalComments: "none",
+    alias: { "node:assert": resolve("scripts/plainAssert.cjs") },
+};
 export const define = { "import.meta.url": "undefined" };
 const minified = { minifySyntax: true, minifyWhitespace: true, keepNames: true };
 /** Options of a file that loads another one: at once, by `require`. */
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -7,9 +7,10 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind } from "./attemptEnd";
+import { AttemptEndKind, withdrawn } from "./attemptEnd";
 import type { CallerPresence } from "./callerPresence";
 import { FramingWatch } from "./framingWatch";
+import { isInvalidStatus } from "./isInvalidStatus";
 import type { UpstreamConnection } from "./upstreamConnection";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
@@ -159,6 +160,10 @@
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 framingWatch?.onProgress();
                 guard.onArrival(connection.openedAt);
+                if (isInvalidStatus(status, req.requestId, pool.address)) {
+                    giveUp(current, "invalid status");
+                    return;
+                }
                 const decoded = wire.decodeAnswer(status, headers);
                 guard.onAnyHead(decoded);
                 if (status < 200) {
@@ -169,8 +174,7 @@
                 }
                 // On a connection that has carried requests before, an answer without an ID may be an earlier one once more.
                 const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && connection.isReused);
-                const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
-                if (isOther) {
+                if (decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId) {
                     giveUp(current, "answer to another request");
                     return;
                 }
@@ -218,8 +222,6 @@
         contain(RequestStep.Send, () => void connection.client.dispatch(outgoing, handlers))();
     });
 
-const withdrawn: AttemptEnd = { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
-
 /**
  * Sends a request over one connection, if its caller is still there, and passes the answer to the sink. The connection is reused only after a complete answer
  * to this request. If a kept connection turns out to have been closed before the request was sent, a new one is opened.
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -28,6 +28,9 @@
     readonly framing: AnswerFraming | undefined;
 }
 
+/** The end of an attempt that was given up before a connection was asked for. */
+export const withdrawn: AttemptEnd = { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
+
 /** Ends of attempts of which no byte was sent. */
 export const unsentKinds: ReadonlySet<AttemptEndKind> = new Set([
     AttemptEndKind.Withdrawn,
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -89,6 +89,7 @@
     RelayRefused = 443,
     KeyRefused = 444,
     KeyUnconfirmed = 445,
+    AnswerInvalid = 480,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -118,6 +118,8 @@
         "a request was refused for its API key, which is missing, empty, repeated, unknown, or was withdrawn while the request waited (`reason`); with the version and the age of the configuration that was asked, and the `customer` of a withdrawn key",
     [EventId.KeyUnconfirmed]:
         "a request was refused as the configuration is too old to know whether its API key is valid: `isKnown` says whether it has the key, `isSending` whether the request was about to be sent",
+    [EventId.AnswerInvalid]:
+        "an upstream or peer answered a request with a `status` outside 100 to 599; the answer counts as none, its connection is closed, and the request may have run",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
