--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -8,7 +8,9 @@
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AttemptEnd } from "./attemptEnd";
 import { AttemptEndKind, withdrawn } from "./attemptEnd";
+import { abortReason, invalidRequestCode } from "./attemptErrors";
 import type { CallerPresence } from "./callerPresence";
+import { cutReasonOf } from "./cutReasonOf";
 import { FramingWatch } from "./framingWatch";
 import { isInvalidStatus } from "./isInvalidStatus";
 import type { UpstreamConnection } from "./upstreamConnection";
@@ -70,11 +72,6 @@
 /** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
 const maxInformationalAnswers = 32;
 
-/** Code of the client's errors about a request that it does not send. */
-const invalidRequestCode = "UND_ERR_INVALID_ARG";
-
-const abortReason = new Error("attempt aborted by the node");
-
 const exchange = (
     pool: UpstreamConnectionPool,
     acquire: () => UpstreamConnection,
@@ -97,7 +94,7 @@
         let isSent = false;
         let isWithheld = false;
         let informationalAnswers = 0;
-        let hasHead = false;
+        let head: AnswerHead | undefined;
         let framing: AnswerFraming | undefined;
         /** Whether the rest of the answer is ignored. */
         let isDropped = false;
@@ -178,9 +175,9 @@
                     giveUp(current, "answer to another request");
                     return;
                 }
-                hasHead = true;
+                head = { status, headers, decoded };
                 framing = framingOf(headers);
-                sink.onHead({ status, headers, decoded });
+                sink.onHead(head);
             }),
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 framingWatch?.onProgress();
@@ -200,8 +197,8 @@
             onResponseEnd: contain(RequestStep.End, () => {
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
-                    const isReset = framing === AnswerFraming.Connection && connection.wasReset;
-                    finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
+                    const cutReason = framing === AnswerFraming.Connection ? cutReasonOf(connection, head) : undefined;
+                    finish(cutReason === undefined ? AttemptEndKind.Complete : AttemptEndKind.Lost, cutReason ?? "whole");
                 }
             }),
             // The controller is undefined if no connection was established.
@@ -209,7 +206,7 @@
                 if (isDropped) {
                     return;
                 }
-                if (isSent && !hasHead && !current?.aborted) {
+                if (isSent && !head && !current?.aborted) {
                     pool.onEndedUnanswered(connection);
                 }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -75,6 +75,11 @@
         return this.isReset;
     }
 
+    /** Whether part of a request has not been handed to the system yet. */
+    get isSending(): boolean {
+        return this.socket !== undefined && this.socket.writableLength > 0;
+    }
+
     /** How long the connection has been idle by now. */
     get idleForMs(): number {
         return performance.now() - this.idleSince;
--- a/src/forward/upstreamConnectionPool.ts
+++ b/src/forward/upstreamConnectionPool.ts
@@ -74,11 +74,11 @@
         return performance.now() - this.learnedAt < learnedLimitLifetimeMs ? this.learnedIdleMs : Number.POSITIVE_INFINITY;
     }
 
-    /** Returns a connection to the pool after a complete answer, unless the answer ends the connection. */
+    /** Returns a connection to the pool after a complete answer, unless the answer ends the connection or came before the end of the upload: the next request would wait behind the rest of it. */
     release(connection: UpstreamConnection): void {
         // The client closes a connection that an answer ends only after it has reported the end of the answer.
         queueMicrotask(() => {
-            if (this.inUse.delete(connection) && connection.isOpen && !this.isClosed) {
+            if (this.inUse.delete(connection) && connection.isOpen && !connection.isSending && !this.isClosed) {
                 connection.onIdle();
                 this.idle.push(connection);
             }
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -64,14 +64,15 @@
     close(): void;
 }
 
-/** Starts a gateway in this process; the upstreams have the software versions given, or none. */
+/** Starts a gateway in this process; the upstreams have the software versions given, or none, and bodies of requests may have a size. */
 export const startGateway = async (
     upstreams: readonly string[],
     route: Partial<ServiceRoute> = {},
     softwareVersions: readonly string[] = [],
+    maxBodyBytes = 10_000,
 ): Promise<TestGateway> => {
     const gateway = Gateway.create(platformTestSettings, requestHeaderCodec, createRandom(1));
-    const limits = { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
+    const limits = { maxHeaderBytes: 4_096, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
     gateway.applyConfig({
         version: 1,
         routes: [{ ...baseRoute, ...route }],
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -24,6 +24,8 @@
     readonly route?: Partial<ServiceRoute>;
     /** What the first node, which is cut off, gets from the first upstream instead. */
     readonly cutScript?: Script;
+    /** Largest body of a request. */
+    readonly maxBodyBytes?: number;
 }
 
 const baseRoute: ServiceRoute = {
@@ -39,7 +41,7 @@
     isResumable: false,
 };
 
-const startNode = async (store: MemoryPlatformStore, name: string, signal: AbortSignal, route: Partial<ServiceRoute>) => {
+const startNode = async (store: MemoryPlatformStore, name: string, signal: AbortSignal, route: Partial<ServiceRoute>, maxBodyBytes: number) => {
     const node = await createNode(store, name, [], signal);
     const { gateway, peerServer } = node;
     const applyConfig = (version: number): void =>
@@ -47,7 +49,7 @@
             version,
             routes: [{ ...baseRoute, ...route }],
             services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
-            limits: { maxHeaderBytes: 4_096, maxBodyBytes: 400_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
+            limits: { maxHeaderBytes: 4_096, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
         }, Buffer.from(""));
     applyConfig(1);
     const server = CallerServer.create(gateway);
@@ -80,13 +82,15 @@
 
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
 
-    static async create({ nodes = 2, scripts, versions = [], route = {}, cutScript = neverAnswer }: RelayFleetOptions): Promise<RelayFleet> {
+    static async create(
+        { nodes = 2, scripts, versions = [], route = {}, cutScript = neverAnswer, maxBodyBytes = 400_000 }: RelayFleetOptions,
+    ): Promise<RelayFleet> {
         const fleet = new RelayFleet(await startScriptedUpstream(cutScript));
         const store = MemoryPlatformStore.create(createRandom(1));
         store.lossShare = 0;
         fleet.upstreams.push(...await Promise.all(scripts.map(script => startScriptedUpstream(script))));
         for (let index = 0; index < nodes; index++) {
-            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, route));
+            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, route, maxBodyBytes));
         }
         const peers = fleet.nodes.map(({ peerAddress: address }) => ({ address, zone: "a", cores: 1 }));
         fleet.nodes.forEach((node, index) => {
@@ -97,6 +101,14 @@
         return fleet;
     }
 
+    /** Makes all nodes find the first upstream at another address. */
+    moveFirstUpstream(address: string): void {
+        this.nodes.forEach(({ gateway }) => {
+            const server = gateway.directory.get("up-0")!;
+            gateway.directory.apply({ id: "up-0", version: 1_000, server: { ...server, address } });
+        });
+    }
+
     /** The node that is cut off. */
     get origin(): RelayNode {
         return this.nodes[0]!;
