--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -36,7 +36,7 @@
         private readonly settings: SettingsFileFields,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, and have another address on loopback. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, have another address on loopback, and state a memory limit. */
     static async start(
         graceS: number,
         config: object,
@@ -46,6 +46,7 @@
         modules: readonly string[] = [],
         ip = "127.0.0.1",
         zone = "a",
+        memoryMb?: number,
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -66,6 +67,7 @@
             graceS,
             budgetSlack: 10,
             maxDescriptors,
+            memoryMb,
         };
         writeFileSync(file, renderSettingsFile(settings));
         if (!first) {
--- a/test/fakes/platformSettingsFile.ts
+++ b/test/fakes/platformSettingsFile.ts
@@ -12,6 +12,7 @@
     readonly budgetSlack: number;
     readonly maxDescriptors?: number;
     readonly ip?: string;
+    readonly memoryMb?: number;
 }
 
 /** Renders the settings file (TOML) that the platform writes for a node. */
@@ -28,7 +29,7 @@
 ready = "${fields.ready}"
 control = "${fields.control}"
 [limits]
-memoryMb = 350
+memoryMb = ${fields.memoryMb ?? 350}
 maxFds = ${fields.maxDescriptors ?? 4_100}
 [bounds]
 contactMs = 3000
