--- a/src/forward/requestBody.ts
+++ b/src/forward/requestBody.ts
@@ -8,6 +8,7 @@
 import { TurnPacer } from "../utils/turnPacer";
 import type { BodyCutoff } from "./bodyCutoff";
 import { BodyMemory } from "./bodyMemory";
+import { BodyStart } from "./bodyStart";
 import type { RequestProgress } from "./requestProgress";
 
 /** Longest pause of a sender while other bodies wait for the memory that its own has been granted. */
@@ -113,18 +114,13 @@
             return this.denied(first);
         }
         releaseAtEnd(this.res, first);
-        const firstChunks: Buffer[] = [];
-        let bytes = 0;
-        const firstEnd = await this.read(chunk => {
-            firstChunks.push(chunk);
-            bytes += chunk.length;
-            return bytes <= firstBytes;
-        });
+        const firstPart = BodyStart.create(firstBytes);
+        const firstEnd = await this.read(chunk => firstPart.take(chunk));
         if (firstEnd === "whole") {
-            first.shrinkTo(bytes);
-            return { kind: firstEnd, body: Buffer.concat(firstChunks) };
+            first.shrinkTo(firstPart.length);
+            return { kind: firstEnd, body: firstPart.bytes };
         }
-        if (firstEnd !== "full" || bytes > maxBytes) {
+        if (firstEnd !== "full" || firstPart.length > maxBytes) {
             return { kind: failedKinds[firstEnd] };
         }
         const whole = await this.requestMemory(maxBytes);
@@ -133,7 +129,7 @@
         }
         const memory = BodyMemory.create(this.res, whole, maxBytes);
         this.buffer = memory.bytes;
-        firstChunks.forEach(chunk => this.take(chunk));
+        this.take(firstPart.bytes);
         first.release();
         const end = await this.fill();
         if (end !== "whole") {
