--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -7,9 +7,12 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind } from "./attemptEnd";
+import { AttemptEndKind, withdrawn } from "./attemptEnd";
+import { abortReason, invalidRequestCode } from "./attemptErrors";
 import type { CallerPresence } from "./callerPresence";
+import { cutReasonOf } from "./cutReasonOf";
 import { FramingWatch } from "./framingWatch";
+import { isInvalidStatus } from "./isInvalidStatus";
 import type { UpstreamConnection } from "./upstreamConnection";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
@@ -69,11 +72,6 @@
 /** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
 const maxInformationalAnswers = 32;
 
-/** Code of the client's errors about a request that it does not send. */
-const invalidRequestCode = "UND_ERR_INVALID_ARG";
-
-const abortReason = new Error("attempt aborted by the node");
-
 const exchange = (
     pool: UpstreamConnectionPool,
     acquire: () => UpstreamConnection,
@@ -96,7 +94,7 @@
         let isSent = false;
         let isWithheld = false;
         let informationalAnswers = 0;
-        let hasHead = false;
+        let head: AnswerHead | undefined;
         let framing: AnswerFraming | undefined;
         /** Whether the rest of the answer is ignored. */
         let isDropped = false;
@@ -159,6 +157,10 @@
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 framingWatch?.onProgress();
                 guard.onArrival(connection.openedAt);
+                if (isInvalidStatus(status, req.requestId, pool.address)) {
+                    giveUp(current, "invalid status");
+                    return;
+                }
                 const decoded = wire.decodeAnswer(status, headers);
                 guard.onAnyHead(decoded);
                 if (status < 200) {
@@ -169,14 +171,13 @@
                 }
                 // On a connection that has carried requests before, an answer without an ID may be an earlier one once more.
                 const mayBeEarlier = decoded.isSigned || (decoded.isNotExecuted && connection.isReused);
-                const isOther = decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId;
-                if (isOther) {
+                if (decoded.requestId === undefined ? mayBeEarlier : decoded.requestId !== req.requestId) {
                     giveUp(current, "answer to another request");
                     return;
                 }
-                hasHead = true;
+                head = { status, headers, decoded };
                 framing = framingOf(headers);
-                sink.onHead({ status, headers, decoded });
+                sink.onHead(head);
             }),
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 framingWatch?.onProgress();
@@ -196,8 +197,8 @@
             onResponseEnd: contain(RequestStep.End, () => {
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
-                    const isReset = framing === AnswerFraming.Connection && connection.wasReset;
-                    finish(isReset ? AttemptEndKind.Lost : AttemptEndKind.Complete, isReset ? "reset" : "whole");
+                    const cutReason = framing === AnswerFraming.Connection ? cutReasonOf(connection, head) : undefined;
+                    finish(cutReason === undefined ? AttemptEndKind.Complete : AttemptEndKind.Lost, cutReason ?? "whole");
                 }
             }),
             // The controller is undefined if no connection was established.
@@ -205,7 +206,7 @@
                 if (isDropped) {
                     return;
                 }
-                if (isSent && !hasHead && !current?.aborted) {
+                if (isSent && !head && !current?.aborted) {
                     pool.onEndedUnanswered(connection);
                 }
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
@@ -218,8 +219,6 @@
         contain(RequestStep.Send, () => void connection.client.dispatch(outgoing, handlers))();
     });
 
-const withdrawn: AttemptEnd = { kind: AttemptEndKind.Withdrawn, reason: "aborted", framing: undefined };
-
 /**
  * Sends a request over one connection, if its caller is still there, and passes the answer to the sink. The connection is reused only after a complete answer
  * to this request. If a kept connection turns out to have been closed before the request was sent, a new one is opened.
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -108,6 +108,7 @@
     GenerationRefused = 466,
     GenerationSentUnasked = 467,
     SlowReaderCut = 468,
+    AnswerInvalid = 480,
     LeaseTaken = 501,
     LeaseLost = 502,
     OrderSent = 503,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -152,6 +152,8 @@
         "a short prompt of an urgent route was sent to a runner although the node that gives its places (`peer`) had not answered within `waitedMs`; `load` is the requests in progress there, as far as this node knows",
     [EventId.SlowReaderCut]:
         "a stream was cut because its caller reads too slowly and the memory for unread events is full: it held the most (`bytes`) of all (`totalBytes` of `limitBytes`), and has not read all of it for `unreadForMs`",
+    [EventId.AnswerInvalid]:
+        "an upstream or peer answered a request with a `status` outside 100 to 599; the answer counts as none, its connection is closed, and the request may have run",
     [EventId.LeaseTaken]: "this node became the controller of the runners, or the zone controller of its availability zone",
     [EventId.LeaseLost]: "this node is no longer the controller or zone controller",
     [EventId.OrderSent]: "an order was sent to a runner",
--- a/test/fakes/gatewayHarness.ts
+++ b/test/fakes/gatewayHarness.ts
@@ -64,15 +64,22 @@
     close(): void;
 }
 
-/** Starts a gateway in this process; the upstreams have the software versions given, or none. */
+/** What a test changes of the settings and the configuration. */
+interface GatewayOptions {
+    readonly settings?: Partial<PlatformNodeSettings>;
+    readonly engine?: EngineSpec;
+    readonly maxBodyBytes?: number;
+}
+
+/** Starts a gateway in this process; the upstreams have the software versions given, or none, and bodies of requests may have a size. */
 export const startGateway = async (
     upstreams: readonly string[],
     route: Partial<ServiceRoute> = {},
     softwareVersions: readonly string[] = [],
-    { settings = {}, engine }: { readonly settings?: Partial<PlatformNodeSettings>; readonly engine?: EngineSpec; } = {},
+    { settings = {}, engine, maxBodyBytes = 10_000 }: GatewayOptions = {},
 ): Promise<TestGateway> => {
     const gateway = Gateway.create({ ...platformTestSettings, ...settings }, requestHeaderCodec, createRandom(1));
-    const limits = { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
+    const limits = { maxHeaderBytes: 4_096, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 };
     gateway.applyConfig({
         version: 1,
         routes: [{ ...baseRoute, ...route }],
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -28,6 +28,8 @@
     readonly isOriginHeld?: boolean;
     /** What the first node, which is cut off, gets from the first upstream instead. */
     readonly cutScript?: Script;
+    /** Largest body of a request. */
+    readonly maxBodyBytes?: number;
 }
 
 const baseRoute: ServiceRoute = {
@@ -43,7 +45,12 @@
     isResumable: false,
 };
 
-const startNode = async (store: MemoryPlatformStore, name: string, signal: AbortSignal, route: Partial<ServiceRoute>, customers?: readonly CustomerSpec[]) => {
+const startNode = async (
+    store: MemoryPlatformStore,
+    name: string,
+    signal: AbortSignal,
+    { route = {}, customers, maxBodyBytes = 400_000 }: Pick<RelayFleetOptions, "route" | "customers" | "maxBodyBytes">,
+) => {
     const node = await createNode(store, name, [], signal);
     const { gateway, peerServer } = node;
     const applyConfig = (version: number): void =>
@@ -51,8 +58,8 @@
             version,
             routes: [{ ...baseRoute, ...route }],
             services: new Map([["desk", { name: "desk", healthPath: "/healthz", maxConnections: 100 }]]),
-            limits: { maxHeaderBytes: 4_096, maxBodyBytes: 400_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
             customers,
+            limits: { maxHeaderBytes: 4_096, maxBodyBytes, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
         }, Buffer.from(""));
     applyConfig(1);
     const server = CallerServer.create(gateway);
@@ -86,14 +93,14 @@
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
 
     static async create(
-        { nodes = 2, scripts, versions = [], route = {}, cutScript = neverAnswer, customers, isOriginHeld = false }: RelayFleetOptions,
+        { nodes = 2, scripts, versions = [], route, cutScript = neverAnswer, customers, isOriginHeld = false, maxBodyBytes }: RelayFleetOptions,
     ): Promise<RelayFleet> {
         const fleet = new RelayFleet(await startScriptedUpstream(cutScript));
         const store = MemoryPlatformStore.create(createRandom(1));
         store.lossShare = 0;
         fleet.upstreams.push(...await Promise.all(scripts.map(script => startScriptedUpstream(script))));
         for (let index = 0; index < nodes; index++) {
-            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, route, customers));
+            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, { route, customers, maxBodyBytes }));
         }
         const peers = fleet.nodes.map(({ peerAddress: address }) => ({ address, zone: "a", cores: 1 }));
         fleet.nodes.forEach((node, index) => {
@@ -104,6 +111,14 @@
         return fleet;
     }
 
+    /** Makes all nodes find the first upstream at another address. */
+    moveFirstUpstream(address: string): void {
+        this.nodes.forEach(({ gateway }) => {
+            const server = gateway.directory.get("up-0")!;
+            gateway.directory.apply({ id: "up-0", version: 1_000, server: { ...server, address } });
+        });
+    }
+
     /** The node that is cut off. */
     get origin(): RelayNode {
         return this.nodes[0]!;
