--- a/src/core/generationLoad.ts
+++ b/src/core/generationLoad.ts
@@ -13,7 +13,7 @@
  * Part of a runner's memory up to which a short prompt of an urgent route may be sent before its place is known. Several nodes may do so at the same time: seven such fit into
  * what is not given away.
  */
-const maxUnaskedShare = 0.02;
+export const maxUnaskedShare = 0.02;
 /** Allowed gap between events, assumed while no stream with an objective is in progress. */
 const defaultGapMs = 600;
 /** Longest gap that is planned for; prompts count for no longer than this, unless they take more than their part of it. */
--- a/src/forward/brittleRequests.ts
+++ b/src/forward/brittleRequests.ts
@@ -1,3 +1,4 @@
+import { maxUnaskedShare } from "../core/generationLoad";
 import { processKey } from "../types/upstreamServer";
 import type { Gateway } from "./gateway";
 import { admitsGenerations } from "./generationTerms";
@@ -8,6 +9,8 @@
     readonly count: number;
     /** Tokens of the generations among them. */
     readonly tokens: number;
+    /** Tokens without a place below which they need not be told: the runner's memory that is not given away covers them. */
+    readonly minToldTokens: number;
 }
 
 /** This node's requests in progress at upstreams that need places, by process. */
@@ -19,6 +22,7 @@
         : [];
     return servers.map(server => {
         const { inFlight, tokensInFlight } = gateway.trafficOf(server.id);
-        return { runner: processKey(server), count: inFlight, tokens: tokensInFlight };
+        const minToldTokens = brittle.limitOf(server) === undefined ? maxUnaskedShare * (gateway.engineOf(server.service)?.kvTokens ?? 0) : 0;
+        return { runner: processKey(server), count: inFlight, tokens: tokensInFlight, minToldTokens };
     });
 };
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -74,7 +74,9 @@
     const runner = processKey(server);
     const perSecond = runnerLimits.limitOf(runner);
     const generation = generationTermsOf(gateway, call, choice);
-    const maxRejectionsPerS = availability.brittle.limitOf(server) ?? (generation && notBrittleRejectionsPerS);
+    // A small one at a runner that is known to have room costs no message: nodes report those in progress if they add up.
+    const needsRoom = generation !== undefined && !generation.isSent;
+    const maxRejectionsPerS = availability.brittle.limitOf(server) ?? (needsRoom ? notBrittleRejectionsPerS : undefined);
     if (perSecond === undefined && maxRejectionsPerS === undefined) {
         return undefined;
     }
--- a/src/placement/permitClient.ts
+++ b/src/placement/permitClient.ts
@@ -33,6 +33,8 @@
     readonly count: number;
     /** Tokens of the generations among them. */
     readonly tokens?: number;
+    /** Tokens without a place below which they need not be told; 0 if all are. */
+    readonly minToldTokens?: number;
 }
 
 /** Asks for turns and places at runners: at one node for each runner, which all nodes find by rendezvous hashing. */
@@ -168,14 +170,15 @@
     /** Tells the pacers of brittle upstreams which requests are in progress there without a place of theirs. */
     reportRequests(requests: readonly RunnerRequests[]): void {
         const reported = new Set<string>();
-        for (const { runner, count, tokens = 0 } of requests) {
+        for (const { runner, count, tokens = 0, minToldTokens = 0 } of requests) {
             const address = this.pacersOf(runner)[0] ?? this.nodes().self;
-            const unplaced = Math.max(0, count - this.ledger.countOf({ runner, address }));
+            const unplacedTokens = Math.max(0, tokens - this.ledger.tokensOf({ runner, address }));
+            const unplaced = unplacedTokens < minToldTokens ? 0 : Math.max(0, count - this.ledger.countOf({ runner, address }));
             if (unplaced > 0) {
                 reported.add(runner);
             }
             if (unplaced > 0 || this.reportedRunners.has(runner)) {
-                this.reporter.onUnplaced(address, runner, unplaced, Math.max(0, tokens - this.ledger.tokensOf({ runner, address })));
+                this.reporter.onUnplaced(address, runner, unplaced, unplaced > 0 ? unplacedTokens : 0);
             }
         }
         this.reportedRunners = reported;
