--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -29,6 +29,8 @@
             keepAliveTimeout: defaultIdleTimeoutMs,
             connectionsCheckingInterval: checkIntervalMs,
             noDelay: true,
+            // The runtime would answer such requests without announcing them, and count none of those that are pipelined.
+            requireHostHeader: false,
         }, (req, res) => void this.reception.handle(req, res));
         this.gracefulClose = GracefulClose.create(this.server);
         this.connections = CallerConnections.create(this.server, gateway);
--- a/src/forward/requestHead.ts
+++ b/src/forward/requestHead.ts
@@ -42,5 +42,8 @@
 /** Size of a request's headers. */
 export const headerBytes = (req: IncomingMessage): number => req.rawHeaders.reduce((sum, text) => sum + text.length + 2, 0);
 
+/** Whether a request lacks the Host header that HTTP/1.1 demands. */
+export const lacksHost = ({ httpVersion, headers }: IncomingMessage): boolean => httpVersion === "1.1" && headers.host === undefined;
+
 /** Host that a request names, without its port. */
 export const hostOf = (req: IncomingMessage): string => (req.headers.host ?? "").replace(/:\d+$/, "");
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -25,7 +25,7 @@
 import { relayHeaderBytes } from "./relayHeaders";
 import { readRequestBody } from "./requestBody";
 import { RequestEnds } from "./requestEnds";
-import { headerBytes, headersToForward, hostOf } from "./requestHead";
+import { headerBytes, headersToForward, hostOf, lacksHost } from "./requestHead";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
 import { createVersionPin } from "./versionPin";
@@ -123,6 +123,10 @@
             res.setHeader("Connection", "close");
             return refuse(refusalOf(kind, detail, retryAfterMs), { memory });
         }
+        if (lacksHost(req)) {
+            res.setHeader("Connection", "close");
+            return refuse(refusalOf(FailureKind.BadRequest, "the request has no Host header"));
+        }
         const { config, routes } = gateway;
         if (!config || !routes) {
             return refuse(refusalOf(FailureKind.NotReady, "the node has not received a configuration yet", startingRetryAfterMs));
