--- /dev/null
+++ b/test/fakes/unrulyCallers.ts
@@ -0,0 +1,179 @@
+import assert from "node:assert/strict";
+import { readdirSync } from "node:fs";
+import type { Socket } from "node:net";
+import { connect } from "node:net";
+import { describe, it } from "node:test";
+import { sleep } from "../../src/utils/time";
+import { callGateway } from "./gatewayHarness";
+import { PlatformProcess } from "./platformProcess";
+import { waitFor } from "./processes";
+import { startScriptedUpstream } from "./scriptedUpstream";
+
+const startTimeoutMs = 15_000;
+/** How long the callers misbehave. */
+const misbehaveMs = 5_000;
+/** After the callers have left, one ordinary request must be answered within this time. */
+const recoveryMs = 30_000;
+const samplePauseMs = 100;
+const limits = { maxHeaderBytes: 8_192, maxBodyBytes: 4_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 4_000 };
+const maxDescriptors = 1_000;
+const largestAnswerBytes = 4_000_000;
+
+const largeAnswer = "x".repeat(largestAnswerBytes);
+const filling = "y".repeat(65_536);
+
+const requestOf = (path: string, headers = "Attempt-Id: id-1\r\nDeadline-Ms: 4000\r\n", version = "1.1"): string =>
+    `GET ${path} HTTP/${version}\r\nHost: shop.example\r\n${headers}\r\n`;
+
+interface Form {
+    readonly name: string;
+    readonly callers: number;
+    /** Whether it is tried at the larger node, too. */
+    readonly isAtLarger?: boolean;
+    /** Begins to misbehave on an open connection. */
+    readonly begin: (socket: Socket) => void;
+}
+
+/** Writes a text and then pieces without an end, as fast as they are taken. */
+const flood = (first: string, piece: string) => (socket: Socket): void => {
+    const write = (): void => {
+        while (!socket.destroyed && socket.write(piece)) {
+            // The socket's buffer takes more.
+        }
+    };
+    socket.pause();
+    socket.write(first);
+    socket.on("drain", write);
+    write();
+};
+
+/** Reads one byte a second. */
+const readSlowly = (text: string) => (socket: Socket): void => {
+    socket.on("readable", () => undefined);
+    socket.write(text);
+    const timer = setInterval(() => socket.destroyed ? clearInterval(timer) : socket.read(1), 1_000);
+};
+
+const writeUnread = (text: string) => (socket: Socket): void => {
+    socket.pause();
+    socket.write(text);
+};
+
+const bodyHead = (framing: string, size: string): string => `POST /small/x HTTP/1.1\r\nHost: shop.example\r\n${framing}: ${size}\r\n\r\n`;
+const largestBody = "z".repeat(limits.maxBodyBytes);
+
+const forms: readonly Form[] = [
+    {
+        name: "pipelined requests, unread, without Host, ID and deadline",
+        isAtLarger: true,
+        callers: 60,
+        begin: writeUnread("GET /small/x HTTP/1.1\r\n\r\n".repeat(2_000)),
+    },
+    { name: "pipelined requests, unread, without ID and deadline", callers: 60, begin: writeUnread(requestOf("/small/x", "").repeat(2_000)) },
+    { name: "pipelined requests for the largest answers, unread", isAtLarger: true, callers: 60, begin: writeUnread(requestOf("/large/x").repeat(200)) },
+    { name: "pipelined requests without end, unread", callers: 60, begin: flood("", requestOf("/small/x", "").repeat(100)) },
+    {
+        name: "pipelined requests of HTTP/1.0, unread",
+        callers: 60,
+        begin: writeUnread(requestOf("/small/x", "Connection: keep-alive\r\n", "1.0").repeat(2_000)),
+    },
+    { name: "one byte a second of the largest answers", isAtLarger: true, callers: 100, begin: readSlowly(requestOf("/large/x")) },
+    { name: "one byte a second of the largest answers, HTTP/1.0", callers: 100, begin: readSlowly(requestOf("/large/x", "", "1.0")) },
+    { name: "one byte a second of streams", callers: 100, begin: readSlowly(requestOf("/stream/x")) },
+    {
+        name: "the largest bodies by length, unread",
+        isAtLarger: true,
+        callers: 60,
+        begin: writeUnread(bodyHead("Content-Length", String(limits.maxBodyBytes)) + largestBody),
+    },
+    {
+        name: "the largest bodies in chunks of one byte, unread",
+        isAtLarger: true,
+        callers: 60,
+        begin: flood(bodyHead("Transfer-Encoding", "chunked"), "1\r\nx\r\n".repeat(5_000)),
+    },
+    { name: "chunk extensions without end", callers: 60, begin: flood(`${bodyHead("Transfer-Encoding", "chunked")}1;`, filling) },
+    { name: "many small connections that send nothing", callers: 3_000, begin: () => undefined },
+    { name: "many small connections with one request each", callers: 3_000, begin: writeUnread(requestOf("/small/x", "")) },
+    { name: "bytes that are no request", callers: 60, begin: flood("", filling) },
+];
+
+const stateOf = ({ process: { exitCode, signalCode } }: PlatformProcess): string => String(exitCode ?? signalCode ?? "runs");
+
+const startUpstream = () =>
+    startScriptedUpstream((socket, { head, id }) => {
+        const body = head.includes(" /large/") ? largeAnswer : "done";
+        const start = `HTTP/1.1 200 OK\r\nAttempt-Id: ${id}\r\nServer-Seal: s\r\n`;
+        if (head.includes(" /stream/")) {
+            const event = `id: 1\ndata: ${"s".repeat(10_000)}\n\n`;
+            socket.write(`${start}Content-Type: text/event-stream\r\nContent-Length: ${event.length * 400}\r\n\r\n`);
+            socket.write(event.repeat(400));
+            return;
+        }
+        socket.write(`${start}Content-Length: ${body.length}\r\n\r\n${body}`);
+    });
+
+const routeOf = (name: string, routeKind: string): object => ({
+    name,
+    host: "shop.example",
+    prefix: `/${name}/`,
+    routeKind,
+    timeoutMs: 4_000,
+    service: "s",
+    attempts: 1,
+});
+
+/** Runs the forms at a node process of a size; at a larger one only those that are for it. */
+export const testUnrulyCallers = (memoryMb: number, isLarger: boolean): void => {
+    describe(`a node process of ${memoryMb} MB with misbehaving callers`, () => {
+        for (const { name, callers, begin } of forms.filter(({ isAtLarger }) => !isLarger || isAtLarger)) {
+            it(`lives, keeps within its memory and answers afterwards: ${memoryMb} MB, ${name}`, async () => {
+                const upstream = await startUpstream();
+                const node = await PlatformProcess.start(
+                    8,
+                    {
+                        limits,
+                        routes: [routeOf("small", "non_idempotent"), routeOf("large", "idempotent"), routeOf("stream", "streaming")],
+                        services: [{ name: "s", healthPath: "/h", maxConns: 500 }],
+                    },
+                    { u1: { service: "s", addr: upstream.address, slots: 400 } },
+                    undefined,
+                    maxDescriptors,
+                    [],
+                    "127.0.0.1",
+                    "a",
+                    memoryMb,
+                );
+                const sockets: Socket[] = [];
+                const isAnswered = async (): Promise<boolean> => (await callGateway(node.front, { path: "/small/x" })).status === 200;
+                try {
+                    await waitFor("an answer", isAnswered, startTimeoutMs);
+                    const [host, port] = node.front.split(":");
+                    for (let index = 0; index < callers; index++) {
+                        const socket = connect(Number(port), host);
+                        sockets.push(socket);
+                        socket.on("error", () => undefined);
+                        socket.once("connect", () => begin(socket));
+                    }
+                    let mostDescriptors = 0;
+                    const until = performance.now() + misbehaveMs;
+                    while (performance.now() < until && stateOf(node) === "runs") {
+                        mostDescriptors = Math.max(mostDescriptors, readdirSync(`/proc/${node.process.pid}/fd`).length);
+                        await sleep(samplePauseMs);
+                    }
+                    assert.equal(stateOf(node), "runs", "the process ended");
+                    assert.ok(mostDescriptors < maxDescriptors, `${mostDescriptors} descriptors`);
+                    sockets.forEach(socket => socket.destroy());
+                    await waitFor("an answer to an ordinary request", isAnswered, recoveryMs);
+                    assert.equal(stateOf(node), "runs", "the process ended");
+                    assert.ok(node.peakMemoryMb <= memoryMb, `${Math.round(node.peakMemoryMb)} MB`);
+                }
+                finally {
+                    sockets.forEach(socket => socket.destroy());
+                    node.close();
+                    upstream.close();
+                }
+            });
+        }
+    });
+};
