--- a/src/forward/brittleRequests.ts
+++ b/src/forward/brittleRequests.ts
@@ -1,7 +1,7 @@
 import { maxUnaskedShare } from "../core/generationLoad";
 import { processKey } from "../types/upstreamServer";
 import type { Gateway } from "./gateway";
-import { admitsGenerations } from "./generationTerms";
+import { admitsGenerations, hasKnownRoom } from "./generationTerms";
 
 /** This node's requests in progress at one upstream. */
 interface RequestsInProgress {
@@ -9,7 +9,7 @@
     readonly count: number;
     /** Tokens of the generations among them. */
     readonly tokens: number;
-    /** Tokens without a place below which they need not be told: the runner's memory that is not given away covers them. */
+    /** Tokens without a place below which they need not be told: the runner has room, or its memory that is not given away covers them. */
     readonly minToldTokens: number;
 }
 
@@ -22,7 +22,12 @@
         : [];
     return servers.map(server => {
         const { inFlight, tokensInFlight } = gateway.trafficOf(server.id);
-        const minToldTokens = brittle.limitOf(server) === undefined ? maxUnaskedShare * (gateway.engineOf(server.service)?.kvTokens ?? 0) : 0;
+        const kvTokens = gateway.engineOf(server.service)?.kvTokens ?? 0;
+        const minToldTokens = brittle.limitOf(server) !== undefined
+            ? 0
+            : hasKnownRoom(gateway, server, kvTokens)
+            ? Number.POSITIVE_INFINITY
+            : maxUnaskedShare * kvTokens;
         return { runner: processKey(server), count: inFlight, tokens: tokensInFlight, minToldTokens };
     });
 };
--- a/src/forward/generationTerms.ts
+++ b/src/forward/generationTerms.ts
@@ -1,6 +1,5 @@
 import type { UpstreamChoice } from "../core/chooseUpstream";
-import { maySendUnasked } from "../core/generationLoad";
-import { isShortPrefill } from "../core/prefillSchedule";
+import { isShortPrefill, maxPrefillShare } from "../core/prefillSchedule";
 import type { GenerationTerms } from "../types/sendPermit";
 import type { ServingConfig } from "../types/servingConfig";
 import { RouteKind } from "../types/servingConfig";
@@ -12,10 +11,12 @@
 /** Allowed gap between events of a route that sets none. */
 const defaultGapMs = 600;
 /**
- * Share of a runner's slots and of its memory up to which it is taken to have room, by load figures that are up to 1.5 s old and the usual size of a generation. What is sent
- * without waiting is small, and memory beyond that which is given away is kept for it.
+ * Share of a runner's slots and of its memory up to which it is taken to have room, by load figures that are up to 1.5 s old and the usual size of a generation. The rest
+ * covers what other nodes send meanwhile.
  */
 const maxKnownLoadShare = 0.5;
+/** Largest generation, as a share of a runner's memory, that is sent without a place to one that has room. */
+const maxUnplacedShare = 0.1;
 
 /** The expected tokens of each call, which must not change between its places. */
 const tokensByCall = new WeakMap<Call, number>();
@@ -65,6 +66,14 @@
 /** Whether generations need a place at the runners of a service. */
 export const admitsGenerations = (gateway: Gateway, service: string): boolean => kvTokensOf(gateway, service) !== undefined;
 
+/** Whether a runner has room by the figures that this node knows, also for a generation of some tokens. */
+export const hasKnownRoom = (gateway: Gateway, server: UpstreamServer, kvTokens: number, tokens = 0): boolean => {
+    const { load } = gateway.trafficOf(server.id);
+    const knownTokens = (load + 1) * Math.max(tokens, gateway.outputShares.of(server.service).meanTokens);
+    return load <= maxKnownLoadShare * server.slots && knownTokens <= maxKnownLoadShare * kvTokens &&
+        gateway.runnerLimits.expectedWaitMs(processKey(server)) === 0;
+};
+
 /** Whether a request needs a place at an upstream. */
 export const needsPlace = (gateway: Gateway, call: Call, server: UpstreamServer): boolean =>
     gateway.availability.brittle.limitOf(server) !== undefined || (call.caller.modelRequest !== undefined && admitsGenerations(gateway, call.service));
@@ -81,16 +90,14 @@
     const isUrgent = route.kind === RouteKind.Streaming && route.priority <= urgentPriorityOf(gateway.config, call.service) &&
         isShortPrefill(prefillMs, gapMs ?? defaultGapMs);
     const tokens = expectedTokensOf(gateway, call);
-    const knownTokens = (traffic.load + 1) * Math.max(tokens, gateway.outputShares.of(call.service).meanTokens);
-    const isRoomKnown = traffic.load <= maxKnownLoadShare * server.slots && knownTokens <= maxKnownLoadShare * kvTokens &&
-        gateway.runnerLimits.expectedWaitMs(processKey(server)) === 0;
+    const isReadInTime = traffic.waitingPrefillMs + prefillMs <= maxPrefillShare * (gapMs ?? defaultGapMs);
     return {
         tokens,
         kvTokens,
         prefillMs,
         gapMs,
         isUrgent,
-        isSent: maySendUnasked({ isUrgent, tokens, kvTokens }) && isRoomKnown,
+        isSent: isReadInTime && tokens <= maxUnplacedShare * kvTokens && hasKnownRoom(gateway, server, kvTokens, tokens),
         customer: call.customer?.name,
         unplacedTokens: traffic.tokensInFlight,
     };
--- a/src/forward/turnTaker.ts
+++ b/src/forward/turnTaker.ts
@@ -134,7 +134,8 @@
             return undefined;
         }
         const { server } = choice.candidate;
-        if (needsPlace(gateway, call, server) && this.spare?.isAt(processKey(server)) !== true) {
+        // A runner with room grants without a place.
+        if (!this.spareChoice && needsPlace(gateway, call, server) && this.spare?.isAt(processKey(server)) !== true) {
             this.spareChoice = undefined;
             this.askForSpare(choice);
             return undefined;
--- a/src/forward/waitForTurn.ts
+++ b/src/forward/waitForTurn.ts
@@ -74,7 +74,7 @@
     const runner = processKey(server);
     const perSecond = runnerLimits.limitOf(runner);
     const generation = generationTermsOf(gateway, call, choice);
-    // A small one at a runner that is known to have room costs no message: nodes report those in progress if they add up.
+    // A runner that is known to have room costs no message: nodes report what they have in progress there once it may be short.
     const needsRoom = generation !== undefined && !generation.isSent;
     const maxRejectionsPerS = availability.brittle.limitOf(server) ?? (needsRoom ? notBrittleRejectionsPerS : undefined);
     if (perSecond === undefined && maxRejectionsPerS === undefined) {
