--- a/src/core/copyTurns.ts
+++ b/src/core/copyTurns.ts
@@ -6,6 +6,11 @@
  * after a second or more, and a planned load must not lapse once its victim is unloaded.
  */
 const awaitedTtlMs = 6_000;
+/**
+ * Time without a copy after which a model takes its turn. Loads from the weight store take up to 6 s: a model that gets one in the usual order needs no turn, and where all models get one so, nothing
+ * is evicted for turns.
+ */
+const minAbsenceMs = 8_000;
 /** Time after the last request at which a model loses the time that it has been without a copy. */
 const forgetMs = 30_000;
 
@@ -44,7 +49,7 @@
             if (now - absence.lastAt >= forgetMs || trackers.some(tracker => serves(tracker, absence.model))) {
                 this.byKey.delete(key);
             }
-            else if (now - absence.lastAt < awaitedTtlMs) {
+            else if (now - absence.lastAt < awaitedTtlMs && now - absence.since >= minAbsenceMs) {
                 awaitedMs.set(absence.model, now - absence.since);
             }
         }
