--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -23,6 +23,9 @@
     return [store, await servePlatformStore(store)];
 };
 
+const putConfiguration = (store: MemoryPlatformStore, config: object): void =>
+    store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
+
 /** One node of the platform as a process, with a store of its own or that of an earlier node. */
 export class PlatformProcess {
     private constructor(
@@ -36,7 +39,7 @@
         private readonly settings: SettingsFileFields,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, have another address on loopback, and state a memory limit. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, have another address on loopback, state a memory limit, and run with further options of the runtime. */
     static async start(
         graceS: number,
         config: object,
@@ -47,6 +50,7 @@
         ip = "127.0.0.1",
         zone = "a",
         memoryMb?: number,
+        runtimeOptions: readonly string[] = [],
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -71,9 +75,10 @@
         };
         writeFileSync(file, renderSettingsFile(settings));
         if (!first) {
-            store.put({ table: "op", part: "", key: "config" }, Buffer.from(JSON.stringify({ version: 3, ...configDefaults, ...config })));
+            putConfiguration(store, config);
         }
-        const command = [process.execPath, ...nodeOptions, ...modules.flatMap(module => ["--require", module]), "build/jackdawtrail.cjs", "serve-platform"];
+        const options = [...nodeOptions, ...runtimeOptions, ...modules.flatMap(module => ["--require", module])];
+        const command = [process.execPath, ...options, "build/jackdawtrail.cjs", "serve-platform"];
         const limited = maxDescriptors === undefined ? command : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
         const node = spawn(limited[0]!, limited.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
@@ -90,6 +95,11 @@
         writeFileSync(join(this.folder, "boot.toml"), isHalfWritten ? text.slice(0, text.length / 2) : text);
     }
 
+    /** Writes a configuration, which is of version 3 unless it says otherwise. */
+    putConfiguration(config: object): void {
+        putConfiguration(this.store, config);
+    }
+
     /** Writes the row of an upstream. */
     putUpstream(id: string, row: object): void {
         this.store.put({ table: "servers", part: "", key: id }, Buffer.from(JSON.stringify({ zone: "a", state: "ready", born: 1, ...row })));
@@ -99,6 +109,14 @@
         return this.settings.metricsPort;
     }
 
+    get ready(): string {
+        return this.settings.ready;
+    }
+
+    get metricsAddress(): string {
+        return this.metrics;
+    }
+
     /** Largest memory that the process has occupied so far, in MB. */
     get peakMemoryMb(): number {
         return this.readStatusMb("VmHWM");
--- a/test/fakes/unrulyCallers.ts
+++ b/test/fakes/unrulyCallers.ts
@@ -1,17 +1,25 @@
 import assert from "node:assert/strict";
 import { readdirSync } from "node:fs";
 import type { Socket } from "node:net";
-import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { sleep } from "../../src/utils/time";
 import { callGateway } from "./gatewayHarness";
 import { PlatformProcess } from "./platformProcess";
 import { waitFor } from "./processes";
 import { startScriptedUpstream } from "./scriptedUpstream";
+import { UnrulyCrowd } from "./unrulyCrowd";
+import type { UnrulyForm } from "./unrulyForm";
+import { UnrulyChange, UnrulyPort } from "./unrulyForm";
 
 const startTimeoutMs = 15_000;
-/** How long the callers misbehave. */
+/** How long the callers misbehave, unless a form says otherwise. */
 const misbehaveMs = 5_000;
+/** Interval of new configurations. */
+const configureMs = 500;
+/** A process that has not ended this long after its grace period hangs. */
+const maxStopMs = 60_000;
+/** Time that the slow route's upstream takes. */
+const slowAnswerMs = 4_000;
 /** After the callers have left, one ordinary request must be answered within this time. */
 const recoveryMs = 30_000;
 const samplePauseMs = 100;
@@ -25,13 +33,9 @@
 const requestOf = (path: string, headers = "Attempt-Id: id-1\r\nDeadline-Ms: 4000\r\n", version = "1.1"): string =>
     `GET ${path} HTTP/${version}\r\nHost: shop.example\r\n${headers}\r\n`;
 
-interface Form {
-    readonly name: string;
-    readonly callers: number;
-    /** Whether it is tried at the larger node, too. */
+/** Forms that are tried at a small node, and some of them at a larger one, too. */
+interface Form extends UnrulyForm {
     readonly isAtLarger?: boolean;
-    /** Begins to misbehave on an open connection. */
-    readonly begin: (socket: Socket) => void;
 }
 
 /** Writes a text and then pieces without an end, as fast as they are taken. */
@@ -98,6 +102,13 @@
     { name: "bytes that are no request", callers: 60, begin: flood("", filling) },
 ];
 
+const addressOf: Readonly<Record<UnrulyPort, (node: PlatformProcess) => string>> = {
+    [UnrulyPort.Callers]: node => node.front,
+    [UnrulyPort.Peers]: node => node.control,
+    [UnrulyPort.Readiness]: node => node.ready,
+    [UnrulyPort.Metrics]: node => node.metricsAddress,
+};
+
 const stateOf = ({ process: { exitCode, signalCode } }: PlatformProcess): string => String(exitCode ?? signalCode ?? "runs");
 
 const startUpstream = () =>
@@ -110,70 +121,118 @@
             socket.write(event.repeat(400));
             return;
         }
-        socket.write(`${start}Content-Length: ${body.length}\r\n\r\n${body}`);
+        const answer = (): boolean => socket.write(`${start}Content-Length: ${body.length}\r\n\r\n${body}`);
+        if (head.includes(" /slow/")) {
+            setTimeout(answer, slowAnswerMs);
+            return;
+        }
+        answer();
     });
 
-const routeOf = (name: string, routeKind: string): object => ({
+const routeOf = (name: string, routeKind: string, timeoutMs = 4_000): object => ({
     name,
     host: "shop.example",
     prefix: `/${name}/`,
     routeKind,
-    timeoutMs: 4_000,
+    timeoutMs,
     service: "s",
     attempts: 1,
 });
 
-/** Runs the forms at a node process of a size; at a larger one only those that are for it. */
-export const testUnrulyCallers = (memoryMb: number, isLarger: boolean): void => {
+const config = {
+    limits,
+    routes: [
+        routeOf("small", "non_idempotent"),
+        routeOf("large", "idempotent"),
+        routeOf("stream", "streaming"),
+        routeOf("slow", "non_idempotent", 2 * slowAnswerMs),
+    ],
+    services: [{ name: "s", healthPath: "/h", maxConns: 500 }],
+};
+
+/** Puts newer configurations until the callback that is returned is called. */
+const putConfigurations = (node: PlatformProcess): () => void => {
+    let version = 3;
+    const timer = setInterval(() => node.putConfiguration({ ...config, version: ++version }), configureMs);
+    return () => clearInterval(timer);
+};
+
+const changes: Readonly<Record<UnrulyChange, (node: PlatformProcess) => () => void>> = {
+    [UnrulyChange.Configurations]: putConfigurations,
+    [UnrulyChange.Stop]: () => () => undefined,
+};
+
+/** Most descriptors and memory of a process, as far as it was there to be looked at. */
+const watchProcess = (node: PlatformProcess): { readonly descriptors: () => number; readonly memoryMb: () => number; look(): void; } => {
+    let descriptors = 0;
+    let memoryMb = 0;
+    const look = (): void => {
+        try {
+            descriptors = Math.max(descriptors, readdirSync(`/proc/${node.process.pid}/fd`).length);
+            memoryMb = Math.max(memoryMb, node.peakMemoryMb);
+        }
+        catch {
+            // The process has ended since its state was asked.
+        }
+    };
+    return { descriptors: () => descriptors, memoryMb: () => memoryMb, look };
+};
+
+const tryForm = async (memoryMb: number, form: UnrulyForm): Promise<void> => {
+    const { port = UnrulyPort.Callers, heapMb, change, forMs = misbehaveMs } = form;
+    const upstream = await startUpstream();
+    const options = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
+    const rows = { u1: { service: "s", addr: upstream.address, slots: 400 } };
+    const node = await PlatformProcess.start(8, config, rows, undefined, maxDescriptors, [], "127.0.0.1", "a", memoryMb, options);
+    const isAnswered = async (): Promise<boolean> => (await callGateway(node.front, { path: "/small/x" })).status === 200;
+    const watch = watchProcess(node);
+    const lookWhile = async (condition: () => boolean): Promise<void> => {
+        while (condition() && stateOf(node) === "runs") {
+            watch.look();
+            await sleep(samplePauseMs);
+        }
+    };
+    let crowd: UnrulyCrowd | undefined;
+    let endChange: (() => void) | undefined;
+    try {
+        await waitFor("an answer", isAnswered, startTimeoutMs);
+        crowd = UnrulyCrowd.create(form, addressOf[port](node));
+        endChange = change && changes[change](node);
+        const until = performance.now() + forMs;
+        await lookWhile(() => performance.now() < until);
+        assert.equal(stateOf(node), "runs", "the process ended");
+        if (change === UnrulyChange.Stop) {
+            node.process.kill("SIGTERM");
+            const stopUntil = performance.now() + maxStopMs;
+            await lookWhile(() => performance.now() < stopUntil);
+            assert.equal(stateOf(node), "0", "the process did not end as asked");
+        }
+        else {
+            crowd.leave();
+            await waitFor("an answer to an ordinary request", isAnswered, recoveryMs);
+            assert.equal(stateOf(node), "runs", "the process ended");
+            watch.look();
+        }
+        assert.ok(watch.descriptors() < maxDescriptors, `${watch.descriptors()} descriptors`);
+        assert.ok(watch.memoryMb() <= memoryMb, `${Math.round(watch.memoryMb())} MB`);
+    }
+    finally {
+        endChange?.();
+        crowd?.leave();
+        node.close();
+        upstream.close();
+    }
+};
+
+/** Runs forms, one after the other, each at a node process of its own with the given memory. */
+export const testUnrulyForms = (memoryMb: number, tried: readonly UnrulyForm[]): void => {
     describe(`a node process of ${memoryMb} MB with misbehaving callers`, () => {
-        for (const { name, callers, begin } of forms.filter(({ isAtLarger }) => !isLarger || isAtLarger)) {
-            it(`lives, keeps within its memory and answers afterwards: ${memoryMb} MB, ${name}`, async () => {
-                const upstream = await startUpstream();
-                const node = await PlatformProcess.start(
-                    8,
-                    {
-                        limits,
-                        routes: [routeOf("small", "non_idempotent"), routeOf("large", "idempotent"), routeOf("stream", "streaming")],
-                        services: [{ name: "s", healthPath: "/h", maxConns: 500 }],
-                    },
-                    { u1: { service: "s", addr: upstream.address, slots: 400 } },
-                    undefined,
-                    maxDescriptors,
-                    [],
-                    "127.0.0.1",
-                    "a",
-                    memoryMb,
-                );
-                const sockets: Socket[] = [];
-                const isAnswered = async (): Promise<boolean> => (await callGateway(node.front, { path: "/small/x" })).status === 200;
-                try {
-                    await waitFor("an answer", isAnswered, startTimeoutMs);
-                    const [host, port] = node.front.split(":");
-                    for (let index = 0; index < callers; index++) {
-                        const socket = connect(Number(port), host);
-                        sockets.push(socket);
-                        socket.on("error", () => undefined);
-                        socket.once("connect", () => begin(socket));
-                    }
-                    let mostDescriptors = 0;
-                    const until = performance.now() + misbehaveMs;
-                    while (performance.now() < until && stateOf(node) === "runs") {
-                        mostDescriptors = Math.max(mostDescriptors, readdirSync(`/proc/${node.process.pid}/fd`).length);
-                        await sleep(samplePauseMs);
-                    }
-                    assert.equal(stateOf(node), "runs", "the process ended");
-                    assert.ok(mostDescriptors < maxDescriptors, `${mostDescriptors} descriptors`);
-                    sockets.forEach(socket => socket.destroy());
-                    await waitFor("an answer to an ordinary request", isAnswered, recoveryMs);
-                    assert.equal(stateOf(node), "runs", "the process ended");
-                    assert.ok(node.peakMemoryMb <= memoryMb, `${Math.round(node.peakMemoryMb)} MB`);
-                }
-                finally {
-                    sockets.forEach(socket => socket.destroy());
-                    node.close();
-                    upstream.close();
-                }
-            });
+        for (const form of tried) {
+            it(`lives, keeps within its memory and answers afterwards: ${memoryMb} MB, ${form.name}`, () => tryForm(memoryMb, form));
         }
     });
 };
+
+/** Runs the forms at a node process of a size; at a larger one only those that are for it. */
+export const testUnrulyCallers = (memoryMb: number, isLarger: boolean): void =>
+    testUnrulyForms(memoryMb, forms.filter(({ isAtLarger }) => !isLarger || isAtLarger));
