--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -1,27 +1,14 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
+import { ChunkJoiner } from "./chunkJoiner";
 import { headerBytes } from "./requestHead";
+import type { RuntimeParser } from "./runtimeParser";
+import { ParserCallback, ParserCallbacks } from "./runtimeParser";
 
 /** Bytes around a chunk of a body. */
 const chunkFramingBytes = 8;
 
-/** Callbacks of the runtime's parser, by their numbers. */
-enum ParserCallback {
-    MessageBegin = 0,
-    Body = 3,
-    Execute = 5,
-}
-
-/** The runtime's parser of a connection, which is not documented. */
-interface Parser {
-    [ParserCallback.MessageBegin]?: ((...args: unknown[]) => unknown) | null;
-    [ParserCallback.Body]?: ((...args: unknown[]) => unknown) | null;
-    [ParserCallback.Execute]?: ((...args: unknown[]) => unknown) | null;
-    /** Headers that have been read, names and values alternating. */
-    _headers?: readonly string[];
-}
-
 /** What is being read on a connection. */
 interface Reading {
     isInHead: boolean;
@@ -38,8 +25,7 @@
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
 export class HeadWatch {
     private readonly readings = new Map<Socket, Reading>();
-    /** The runtime's own callback for bodies of each parser that was wrapped. The runtime uses parsers again, and resets the other callbacks. */
-    private readonly bodyCallbacks = new WeakMap<Parser, Parser[ParserCallback.Body]>();
+    private readonly callbacks = ParserCallbacks.create();
     private isPaused = false;
 
     private constructor(
@@ -55,33 +41,42 @@
 
     /** Follows a connection that a server has just accepted. */
     open(socket: Socket): void {
-        const { parser } = socket as Socket & { readonly parser?: Parser; };
+        const { parser } = socket as Socket & { readonly parser?: RuntimeParser; };
         if (!parser) {
             return;
         }
         const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
         this.readings.set(socket, reading);
         const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
-        // A parser that the runtime took back before the close of its connection still has the callback of that one.
-        const body = this.bodyCallbacks.has(parser) ? this.bodyCallbacks.get(parser) : parser[ParserCallback.Body];
-        this.bodyCallbacks.set(parser, body);
-        const onBody = (...args: unknown[]): unknown => {
-            reading.otherBytes += (args[0] as Buffer).length + chunkFramingBytes;
-            return body?.apply(parser, args);
-        };
+        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = this.callbacks.ownOf(parser);
+        const joiner = ChunkJoiner.create(bytes => body?.call(parser, bytes));
+        const unwrap = this.callbacks.wrap(parser, {
+            [ParserCallback.Body]: (...args) => {
+                const chunk = args[0] as Buffer;
+                reading.otherBytes += chunk.length + chunkFramingBytes;
+                if (parser._consumed) {
+                    joiner.add(chunk);
+                    return undefined;
+                }
+                return body?.apply(parser, args);
+            },
+            [ParserCallback.MessageEnd]: (...args) => {
+                joiner.flush();
+                return end?.apply(parser, args);
+            },
+        });
         socket.once("close", () => {
             this.readings.delete(socket);
             this.heads.release(socket);
-            if (parser[ParserCallback.Body] === onBody) {
-                parser[ParserCallback.Body] = body;
-            }
+            joiner.drop();
+            unwrap();
         });
-        parser[ParserCallback.Body] = onBody;
         parser[ParserCallback.MessageBegin] = (...args) => {
             reading.isInHead = true;
             return begin?.(...args);
         };
         parser[ParserCallback.Execute] = (...args) => {
+            joiner.flush();
             const result = execute?.(...args);
             this.onRead(socket, parser, reading);
             return result;
@@ -107,7 +102,7 @@
         this.heads.release(socket);
     }
 
-    private onRead(socket: Socket, parser: Parser, reading: Reading): void {
+    private onRead(socket: Socket, parser: RuntimeParser, reading: Reading): void {
         const { bytesRead } = socket;
         const { otherBytes } = reading;
         const bytes = bytesRead - reading.receivedBytes;
--- a/test/fakes/unrulyCallers.ts
+++ b/test/fakes/unrulyCallers.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { readdirSync } from "node:fs";
 import type { Socket } from "node:net";
+import type { TestContext } from "node:test";
 import { describe, it } from "node:test";
 import { sleep } from "../../src/utils/time";
 import { callGateway } from "./gatewayHarness";
@@ -178,7 +179,7 @@
     return { descriptors: () => descriptors, memoryMb: () => memoryMb, look };
 };
 
-const tryForm = async (memoryMb: number, form: UnrulyForm): Promise<void> => {
+const tryForm = async (memoryMb: number, form: UnrulyForm, context: TestContext): Promise<void> => {
     const { port = UnrulyPort.Callers, heapMb, change, forMs = misbehaveMs } = form;
     const upstream = await startUpstream();
     const options = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
@@ -213,6 +214,7 @@
             assert.equal(stateOf(node), "runs", "the process ended");
             watch.look();
         }
+        context.diagnostic(`${Math.round(watch.memoryMb())} MB, ${watch.descriptors()} descriptors at most`);
         assert.ok(watch.descriptors() < maxDescriptors, `${watch.descriptors()} descriptors`);
         assert.ok(watch.memoryMb() <= memoryMb, `${Math.round(watch.memoryMb())} MB`);
     }
@@ -228,7 +230,7 @@
 export const testUnrulyForms = (memoryMb: number, tried: readonly UnrulyForm[]): void => {
     describe(`a node process of ${memoryMb} MB with misbehaving callers`, () => {
         for (const form of tried) {
-            it(`lives, keeps within its memory and answers afterwards: ${memoryMb} MB, ${form.name}`, () => tryForm(memoryMb, form));
+            it(`lives, keeps within its memory and answers afterwards: ${memoryMb} MB, ${form.name}`, context => tryForm(memoryMb, form, context));
         }
     });
 };
