--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -9,6 +9,7 @@
 import { getOrCreate } from "../utils/maps";
 import type { Gateway } from "./gateway";
 import { HeadWatch } from "./headWatch";
+import { ReadAhead } from "./readAhead";
 
 /** Charge for a connection of a caller with what it holds of an incomplete head. */
 const connectionBytes = 16_384;
@@ -44,6 +45,7 @@
     private readonly heapGrants = new Map<Socket, Set<HeapGrant>>();
     private readonly cut = new WeakSet<Socket>();
     private readonly headWatch: HeadWatch;
+    private readonly readAhead: ReadAhead;
     private closedCount = 0;
     private cutCount = 0;
     private givenUpCount = 0;
@@ -54,10 +56,12 @@
             upstreamConnections: () => gateway.upstreamConnections,
             close: socket => this.closeIdle(socket),
         });
+        this.readAhead = ReadAhead.create(gateway.memory, socket => this.cutConnection(socket), () => gateway.isStopping);
         this.headWatch = HeadWatch.create(
             gateway.unfinishedHeads,
             socket => this.descriptors.requestsOn(socket) > 0,
             socket => this.giveUpHead(socket),
+            socket => this.readAhead.onRead(socket),
         );
         server.on("connection", (socket: Socket) => this.onOpened(socket));
         // Before the handler of requests, which asks whether a request is refused.
@@ -84,6 +88,11 @@
         return this.cut.has(socket);
     }
 
+    /** A request's turn has come: all those ahead of it on its connection have been answered. Returns false if its body will not be read, as the node stops. */
+    beginTurn(req: IncomingMessage): boolean {
+        return this.readAhead.begin(req);
+    }
+
     /** Counts the connection of a peer while it carries a request that was passed on. */
     takeOver(req: IncomingMessage, res: ServerResponse): void {
         const { memory, peers } = this.gateway;
@@ -115,6 +124,7 @@
             this.descriptors.remove(socket);
         });
         this.headWatch.open(socket);
+        this.readAhead.open(socket);
         if (!this.descriptors.open(socket)) {
             this.closeIdle(socket);
         }
@@ -130,6 +140,9 @@
         gateway.heapWatch.check();
         const hasDescriptor = descriptors.begin(socket);
         const isFarAhead = descriptors.requestsOn(socket) > minFarAhead;
+        if (descriptors.requestsOn(socket) > 1) {
+            this.readAhead.wait(req);
+        }
         const heap = gateway.requestHeap.request(req.rawHeaders, isFarAhead);
         res.once("close", () => descriptors.end(socket));
         if (!heap.isGranted) {
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -32,11 +32,20 @@
         private readonly heads: UnfinishedHeads<Socket>,
         private readonly isBusy: (socket: Socket) => boolean,
         private readonly close: (socket: Socket) => void,
+        private readonly onParsed: (socket: Socket) => void,
     ) {}
 
-    /** Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room. */
-    static create(heads: UnfinishedHeads<Socket>, isBusy: (socket: Socket) => boolean, close: (socket: Socket) => void): HeadWatch {
-        return new HeadWatch(heads, isBusy, close);
+    /**
+     * Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room, `onParsed` is called after each
+     * read of a connection.
+     */
+    static create(
+        heads: UnfinishedHeads<Socket>,
+        isBusy: (socket: Socket) => boolean,
+        close: (socket: Socket) => void,
+        onParsed: (socket: Socket) => void = () => undefined,
+    ): HeadWatch {
+        return new HeadWatch(heads, isBusy, close, onParsed);
     }
 
     /** Follows a connection that a server has just accepted. */
@@ -79,6 +88,7 @@
             joiner.flush();
             const result = execute?.(...args);
             this.onRead(socket, parser, reading);
+            this.onParsed(socket);
             return result;
         };
     }
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -81,6 +81,7 @@
             return;
         }
         this.ends.begin(res);
+        const isBodyTaken = this.connections.beginTurn(req);
         const presence = CallerPresence.watch(req, res, this.gateway.departures);
         this.gateway.inProgress++;
         res.on("error", err => emit(EventId.CallerWriteFailed, { request: progress.requestId, detail: errorCodeOf(err) }));
@@ -89,7 +90,7 @@
             res.setHeader("Connection", "close");
         }
         try {
-            const call = await this.toCall(req, res, progress, presence);
+            const call = await this.toCall(req, res, progress, presence, isBodyTaken);
             if (call && !presence.signal.aborted) {
                 await forwardCharged(this.gateway, call);
             }
@@ -105,6 +106,7 @@
         res: ServerResponse,
         progress: RequestProgress,
         presence: CallerPresence,
+        isBodyTaken: boolean,
     ): Promise<Call | undefined> {
         const { gateway } = this;
         const caller = gateway.wire.decodeCaller(req.headers);
@@ -123,6 +125,9 @@
             res.setHeader("Connection", "close");
             return refuse(refusalOf(kind, detail, retryAfterMs), { memory });
         }
+        if (!isBodyTaken) {
+            return refuse(refusalOf(FailureKind.Stopping, "the node is shutting down and reads no more of what was sent far ahead", stoppingRetryAfterMs));
+        }
         if (lacksHost(req)) {
             res.setHeader("Connection", "close");
             return refuse(refusalOf(FailureKind.BadRequest, "the request has no Host header"));
--- a/src/types/memoryHolder.ts
+++ b/src/types/memoryHolder.ts
@@ -4,6 +4,8 @@
     Bodies = "bodies",
     /** Bytes of bodies that wait for memory; the runtime reads some ahead. */
     UnreadBodies = "unread_bodies",
+    /** Bodies of requests that others on their connection are ahead of, as far as they were read. */
+    AheadBodies = "ahead_bodies",
     /** Answers that are kept until they are complete, and incomplete events. */
     Answers = "answers",
     /** Events of streams that their callers have not taken yet. */
--- a/test/fakes/unrulyCallers.ts
+++ b/test/fakes/unrulyCallers.ts
@@ -206,7 +206,7 @@
             node.process.kill("SIGTERM");
             const stopUntil = performance.now() + maxStopMs;
             await lookWhile(() => performance.now() < stopUntil);
-            assert.equal(stateOf(node), "0", "the process did not end as asked");
+            assert.equal(stateOf(node), "0", `the process did not end as asked: ${stateOf(node)}`);
         }
         else {
             crowd.leave();
