--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -7,6 +7,7 @@
 import { MemoryHolder } from "../types/memoryHolder";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
+import { cutParsing } from "./cutParsing";
 import type { Gateway } from "./gateway";
 import { HeadWatch } from "./headWatch";
 import { ReadAhead } from "./readAhead";
@@ -25,9 +26,6 @@
 /** Closed connections are logged together, at this interval. */
 const logIntervalMs = 1_000;
 
-/** A connection with the runtime's parser of it, which is not documented. */
-type ParsedSocket = Socket & { readonly parser?: { onIncoming: () => number; }; };
-
 /** Why a request is refused before it is looked at. */
 export interface ConnectionRefusal {
     readonly kind: FailureKind;
@@ -172,12 +170,7 @@
     /** Closes a connection on which more was sent ahead than there is memory for: refusals have to wait for the answers ahead of them. */
     private cutConnection(socket: Socket): void {
         this.cut.add(socket);
-        // The parser goes on to the end of what has been received, and all that it announces would stay until the turn of the event loop ends.
-        const { parser } = socket as ParsedSocket;
-        if (parser) {
-            parser.onIncoming = () => 0;
-        }
-        socket.destroy();
+        cutParsing(socket);
         this.cutCount++;
         if (this.cutCount === 1) {
             setTimeout(() => this.logCut(), logIntervalMs).unref();
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -3,9 +3,15 @@
 import { toFailure } from "../core/failures";
 import type { Metrics } from "../plugins/metrics";
 import { EventId } from "../types/eventId";
+import { GuardedPort } from "../types/guardedPort";
 import { emit } from "../utils/events";
 import type { Gateway } from "./gateway";
 import { isPathLost } from "./peerPath";
+import type { PortLimits } from "./portGuard";
+import { PortGuard } from "./portGuard";
+
+/** Limits of the ports for readiness and metrics, whose clients are a few and send no bodies. */
+const monitoringLimits: PortLimits = { maxConnections: 64, maxBodyBytes: 1_048_576 };
 
 /** Whether the node can serve callers: one that is cut off from the upstreams can as long as peers take its requests. */
 const canServe = (gateway: Gateway): boolean => !isPathLost(gateway) || !gateway.peers.takeNone;
@@ -17,7 +23,7 @@
 /** Creates the server that answers readiness checks of the load balancer with status 200 or 503. */
 export const createReadinessServer = (gateway: Gateway, isListening: () => boolean): Server => {
     let lastReady: boolean | undefined;
-    return createServer((req, res) => {
+    const server = createServer((req, res) => {
         const ready = isReady(gateway) && isListening();
         if (ready !== lastReady) {
             lastReady = ready;
@@ -35,11 +41,13 @@
         res.writeHead(ready ? 200 : 503, { "Content-Length": 0 });
         res.end();
     });
+    PortGuard.create(server, gateway, GuardedPort.Readiness, monitoringLimits);
+    return server;
 };
 
 /** Creates the server that answers every path with the metrics as text. */
-export const createMetricsServer = (metrics: Metrics): Server =>
-    createServer((req, res) => {
+export const createMetricsServer = (gateway: Gateway, metrics: Metrics): Server => {
+    const server = createServer((req, res) => {
         req.resume();
         metrics.render().then(({ text, contentType }) => {
             res.writeHead(200, { "Content-Type": contentType });
@@ -49,3 +57,6 @@
             res.destroy();
         });
     });
+    PortGuard.create(server, gateway, GuardedPort.Metrics, monitoringLimits);
+    return server;
+};
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -166,7 +166,7 @@
     /** Serves metrics as soon as their port can be used; callers do not wait for that. Returns the check that they are still served. */
     private serveMetrics(): SelfCheckItem {
         const address = this.settings.metricsAddress;
-        const server = createMetricsServer(this.metrics);
+        const server = createMetricsServer(this.gateway, this.metrics);
         const { signal } = this.stopped;
         let wasOpened = false;
         const open = async (): Promise<void> => {
--- a/src/placement/peerServer.ts
+++ b/src/placement/peerServer.ts
@@ -20,6 +20,7 @@
 import type { ControllerLink } from "./controllerLink";
 import { serveDirectory } from "./directoryExchange";
 import { FactExchange } from "./factExchange";
+import { guardPeerPort } from "./guardPeerPort";
 import { age, brittleUpstreams, hostAddress, leavingUpstreams, quantity, sharedSpeeds, storeVersion } from "./peerSchemas";
 import { permitSchema, placeReportSchema } from "./permitSchemas";
 import { addLoads, ReportedNodes } from "./reportedNodes";
@@ -141,6 +142,7 @@
                 res.destroy();
             });
         });
+        guardPeerPort(this.httpServer, this.gateway, maxReportBytes, req => this.relayIntake?.isRelayed(req) === true);
         this.httpServer.headersTimeout = peerRequestTimeoutMs;
         // A body that a peer passes on may wait for memory: it has limits of its own.
         this.httpServer.requestTimeout = 0;
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -23,6 +23,7 @@
     HeapNearLimit = 123,
     ConnectionsCut = 124,
     HeadsGivenUp = 125,
+    PortConnectionsClosed = 126,
     WaitPassed = 130,
     MetricsUnserved = 131,
     ListenerLost = 132,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -32,6 +32,8 @@
         "connections of callers were closed with requests unanswered: more were sent ahead on them than the heap has room for (counted each second)",
     [EventId.HeadsGivenUp]:
         "connections of callers were closed, with 503 where no other request was on them: heads or trailers that have not been read to their end hold more than their part of the memory (counted each second)",
+    [EventId.PortConnectionsClosed]:
+        "connections to a port that is not for callers were closed, by reason: unfinished heads or bodies hold too much, a request before the answer to another one, or too many connections (counted each second)",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
--- a/src/utils/events.ts
+++ b/src/utils/events.ts
@@ -12,6 +12,7 @@
     EventId.HeapNearLimit,
     EventId.ConnectionsCut,
     EventId.HeadsGivenUp,
+    EventId.PortConnectionsClosed,
     EventId.StoreLost,
     EventId.UpstreamRowIgnored,
     EventId.PeerEntryIgnored,
