--- a/test/fakes/unrulyCallers.ts
+++ b/test/fakes/unrulyCallers.ts
@@ -25,13 +25,14 @@
 const recoveryMs = 30_000;
 const samplePauseMs = 100;
 const limits = { maxHeaderBytes: 8_192, maxBodyBytes: 4_000_000, headerTimeoutMs: 3_000, idleTimeoutMs: 4_000 };
-const maxDescriptors = 1_000;
+const usualDescriptors = 1_000;
 const largestAnswerBytes = 4_000_000;
 
 const largeAnswer = "x".repeat(largestAnswerBytes);
 const filling = "y".repeat(65_536);
 
-const requestOf = (path: string, headers = "Attempt-Id: id-1\r\nDeadline-Ms: 4000\r\n", version = "1.1"): string =>
+/** A request without a body. */
+export const requestOf = (path: string, headers = "Attempt-Id: id-1\r\nDeadline-Ms: 4000\r\n", version = "1.1"): string =>
     `GET ${path} HTTP/${version}\r\nHost: shop.example\r\n${headers}\r\n`;
 
 /** Forms that are tried at a small node, and some of them at a larger one, too. */
@@ -59,7 +60,7 @@
     const timer = setInterval(() => socket.destroyed ? clearInterval(timer) : socket.read(1), 1_000);
 };
 
-const writeUnread = (text: string) => (socket: Socket): void => {
+export const writeUnread = (text: string) => (socket: Socket): void => {
     socket.pause();
     socket.write(text);
 };
@@ -180,7 +181,7 @@
 };
 
 const tryForm = async (memoryMb: number, form: UnrulyForm, context: TestContext): Promise<void> => {
-    const { port = UnrulyPort.Callers, heapMb, change, forMs = misbehaveMs } = form;
+    const { port = UnrulyPort.Callers, heapMb, change, descriptors: maxDescriptors = usualDescriptors, forMs = misbehaveMs } = form;
     const upstream = await startUpstream();
     const options = heapMb === undefined ? [] : [`--max-old-space-size=${heapMb}`];
     const rows = { u1: { service: "s", addr: upstream.address, slots: 400 } };
@@ -210,7 +211,12 @@
         }
         else {
             crowd.leave();
+            const left = performance.now();
             await waitFor("an answer to an ordinary request", isAnswered, recoveryMs);
+            assert.ok(
+                performance.now() - left <= recoveryMs,
+                `an ordinary request was answered ${Math.round(performance.now() - left)} ms after the callers had left`,
+            );
             assert.equal(stateOf(node), "runs", "the process ended");
             watch.look();
         }
--- a/test/fakes/unrulyForm.ts
+++ b/test/fakes/unrulyForm.ts
@@ -22,6 +22,8 @@
     readonly callers: number;
     /** The port to which they connect; that of callers by default. */
     readonly port?: UnrulyPort;
+    /** Descriptors of the node, if not the usual number. */
+    readonly descriptors?: number;
     /** Heap of the node, if not that of the deploy file. */
     readonly heapMb?: number;
     /** How long the callers misbehave. */
