--- a/src/forward/callerConnections.ts
+++ b/src/forward/callerConnections.ts
@@ -19,6 +19,8 @@
 const minParserHeaderBytes = 16_384;
 /** A request behind as many others of its connection, all unanswered, was sent far ahead. */
 const minFarAhead = 4;
+/** A connection with more unanswered requests is closed: one read may hold thousands, and other callers would wait until all of them have been handled. */
+const maxUnansweredRequests = 100;
 /** Mean Retry-After while connections are short. */
 const connectionsRetryAfterMs = 1_000;
 /** Answer to a head for which there is no room. */
@@ -137,6 +139,10 @@
         }
         gateway.heapWatch.check();
         const hasDescriptor = descriptors.begin(socket);
+        if (descriptors.requestsOn(socket) > maxUnansweredRequests) {
+            this.cutConnection(socket);
+            return;
+        }
         const isFarAhead = descriptors.requestsOn(socket) > minFarAhead;
         if (descriptors.requestsOn(socket) > 1) {
             this.readAhead.wait(req);
--- a/src/forward/cutParsing.ts
+++ b/src/forward/cutParsing.ts
@@ -1,13 +1,15 @@
 import type { Socket } from "node:net";
+import type { RuntimeParser } from "./runtimeParser";
+import { muteParser } from "./runtimeParser";
 
-/** A connection with the runtime's parser of it, which is not documented. */
-type ParsedSocket = Socket & { readonly parser?: { onIncoming: () => number; }; };
-
-/** Closes a connection at once. The parser goes on to the end of what has been received, and all that it announces would stay until the turn of the event loop ends. */
+/**
+ * Closes a connection at once. The parser goes on to the end of what has been received: thousands of further requests would be announced, and stay until the turn of
+ * the event loop ends, which they would delay.
+ */
 export const cutParsing = (socket: Socket): void => {
-    const { parser } = socket as ParsedSocket;
+    const { parser } = socket as Socket & { readonly parser?: RuntimeParser; };
     if (parser) {
-        parser.onIncoming = () => 0;
+        muteParser(parser);
     }
     socket.destroy();
 };
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -4,7 +4,7 @@
 import { ChunkJoiner } from "./chunkJoiner";
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
-import { ParserCallback, ParserCallbacks } from "./runtimeParser";
+import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
 
 /** Bytes around a chunk of a body. */
 const chunkFramingBytes = 8;
@@ -25,7 +25,6 @@
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
 export class HeadWatch {
     private readonly readings = new Map<Socket, Reading>();
-    private readonly callbacks = ParserCallbacks.create();
     private isPaused = false;
 
     private constructor(
@@ -57,9 +56,9 @@
         const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
         this.readings.set(socket, reading);
         const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
-        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = this.callbacks.ownOf(parser);
+        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
         const joiner = ChunkJoiner.create(bytes => body?.call(parser, bytes));
-        const unwrap = this.callbacks.wrap(parser, {
+        const unwrap = wrapCallbacks(parser, {
             [ParserCallback.Body]: (...args) => {
                 const chunk = args[0] as Buffer;
                 reading.otherBytes += chunk.length + chunkFramingBytes;
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -29,7 +29,7 @@
     [EventId.HeapNearLimit]:
         "the JavaScript heap is near its limit, at which the runtime ends the process without a line: its size, the limit, and what callers and upstreams hold, by holder",
     [EventId.ConnectionsCut]:
-        "connections of callers were closed with requests unanswered: more were sent ahead on them than the heap has room for (counted each second)",
+        "connections of callers were closed with requests unanswered: more than 100 were sent ahead on one, or more than the memory has room for (counted each second)",
     [EventId.HeadsGivenUp]:
         "connections of callers were closed, with 503 where no other request was on them: heads or trailers that have not been read to their end hold more than their part of the memory (counted each second)",
     [EventId.PortConnectionsClosed]:
