--- a/src/forward/readAhead.ts
+++ b/src/forward/readAhead.ts
@@ -71,6 +71,10 @@
             return true;
         }
         line.waiting.delete(req);
+        if (line.newest === req) {
+            // An idle connection must not keep the head of its last request.
+            line.newest = undefined;
+        }
         this.charge(line, -bytes);
         if (!line.isPaused || this.isFarAhead(line)) {
             return true;
