--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -1,5 +1,6 @@
 import type { Server } from "node:http";
 import { createServer } from "node:http";
+import type { DrainedBacklog } from "../utils/gracefulClose";
 import { GracefulClose } from "../utils/gracefulClose";
 import type { ServerPort } from "../utils/listenOn";
 import { listenOn } from "../utils/listenOn";
@@ -60,6 +61,11 @@
         return this.server.listening;
     }
 
+    /** What a stop has taken from the listen backlog so far. */
+    get drainedBacklog(): DrainedBacklog {
+        return this.gracefulClose.drainedBacklog;
+    }
+
     /** Applies the limits of the active configuration. */
     applyLimits(): void {
         const { limits } = this.gateway.config ?? {};
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -238,7 +238,7 @@
         gateway.exitDeadlineAt = performance.now();
         server.logCutAtExit();
         this.stopped.abort();
-        emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress, ...stop.summary });
+        emit(inProgress > 0 ? EventId.NodeCutOff : EventId.NodeStopped, { inProgress, ...stop.summary, backlog: server.drainedBacklog });
         await stop.pause(flushMs);
         return inProgress;
     }
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -12,6 +12,14 @@
 /** Connections of the backlog are accepted for this long at most; new ones may come without end. */
 const maxAcceptMs = 1_000;
 
+/** What a server that stops listening has taken from its listen backlog. */
+export interface DrainedBacklog {
+    /** Connections that were accepted since the server was told to stop listening. */
+    readonly accepted: number;
+    /** Whether no connection was left that the close of the listener resets. */
+    readonly isEmpty: boolean;
+}
+
 interface Connection {
     /** Requests whose responses have not been closed: a response is closed once it was written out. */
     openRequests: number;
@@ -29,6 +37,7 @@
 export class GracefulClose {
     private readonly connections = new Map<Socket, Connection>();
     private acceptedCount = 0;
+    private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
     private constructor(private readonly server: Server) {
         server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
@@ -40,13 +49,20 @@
         return new GracefulClose(server);
     }
 
+    /** What has been taken from the listen backlog so far. */
+    get drainedBacklog(): DrainedBacklog {
+        return this.drained;
+    }
+
     /** Accepts the connections in the listen backlog, which would be reset, and stops listening, by the deadline on the monotonic clock at the latest. */
     async stopListening(deadlineAt: number): Promise<void> {
         const acceptsUntil = Math.min(deadlineAt, performance.now() + maxAcceptMs);
+        const before = this.acceptedCount;
         for (let quiet = 0; quiet < quietTurns && performance.now() < acceptsUntil;) {
             const { acceptedCount } = this;
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
+            this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns };
         }
         // The HTTP server's own method closes connections, too.
         NetServer.prototype.close.call(this.server);
--- a/test/callerLoad/loadCaller.ts
+++ b/test/callerLoad/loadCaller.ts
@@ -21,19 +21,20 @@
 const chunked = (bytes: Buffer): Buffer =>
     bytes.length === 0 ? bytes : Buffer.concat([Buffer.from(`${bytes.length.toString(16)}\r\n`), bytes, Buffer.from("\r\n")]);
 
-const headOf = ({ id, route, deadlineMs, bodyBytes, isBodyChunked }: RequestPlan): string =>
+const headOf = ({ id, route, deadlineMs, bodyBytes, isBodyChunked }: RequestPlan, isConnectionPerRequest: boolean): string =>
     `POST /${route.name}/x HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: ${id}\r\nDeadline-Ms: ${deadlineMs}\r\n${
-        isBodyChunked ? "Transfer-Encoding: chunked" : `Content-Length: ${bodyBytes}`
-    }\r\n\r\n`;
+        isConnectionPerRequest ? "Connection: close\r\n" : ""
+    }${isBodyChunked ? "Transfer-Encoding: chunked" : `Content-Length: ${bodyBytes}`}\r\n\r\n`;
 
-const piecesOf = (plan: RequestPlan): readonly Buffer[] => {
+const piecesOf = (plan: RequestPlan, isConnectionPerRequest: boolean): readonly Buffer[] => {
     const body = requestBodyOf(plan);
     const size = Math.max(1, Math.ceil(body.length / (plan.bodyMs > 0 ? bodyPieces : 2)));
     const parts = [...Array(Math.ceil(body.length / size)).keys()].map(index => body.subarray(index * size, (index + 1) * size));
-    return [Buffer.from(headOf(plan)), ...(plan.isBodyChunked ? [...parts.map(chunked), Buffer.from("0\r\n\r\n")] : parts)];
+    const pieces = [Buffer.from(headOf(plan, isConnectionPerRequest)), ...(plan.isBodyChunked ? [...parts.map(chunked), Buffer.from("0\r\n\r\n")] : parts)];
+    return isConnectionPerRequest ? [Buffer.concat(pieces)] : pieces;
 };
 
-/** A caller that sends one request after the other on a connection that it keeps until its node closes it. */
+/** A caller that sends one request after the other, on a connection that it keeps until its node closes it, or on one each. */
 export class LoadCaller {
     private socket: Socket | undefined;
     private node: LoadNode | undefined;
@@ -67,7 +68,7 @@
     }
 
     private async open(): Promise<Socket | undefined> {
-        this.node = pick(this.nodes.filter(({ isReady }) => isReady), this.random);
+        this.node = pick(this.nodes.filter(({ isReady }) => isReady || this.options.isConnectionPerRequest), this.random);
         if (!this.node) {
             return undefined;
         }
@@ -102,7 +103,7 @@
                 socket.off("data", onData);
                 socket.off("close", onClose);
                 // An answer may come before the body is sent; the connection is of no use then.
-                if (end !== CallerEnd.Whole || record.sentAt === undefined || answer?.endsConnection) {
+                if (this.options.isConnectionPerRequest || end !== CallerEnd.Whole || record.sentAt === undefined || answer?.endsConnection) {
                     socket.destroy();
                     this.socket = undefined;
                 }
@@ -127,7 +128,7 @@
     }
 
     private async send(socket: Socket, record: LoadRecord): Promise<void> {
-        const pieces = piecesOf(record.plan);
+        const pieces = piecesOf(record.plan, this.options.isConnectionPerRequest);
         for (const [index, piece] of pieces.entries()) {
             if (!socket.writable || record.end !== undefined) {
                 return;
--- a/test/callerLoad/loadOptions.ts
+++ b/test/callerLoad/loadOptions.ts
@@ -15,6 +15,10 @@
     readonly faultyPercent: number;
     /** Whether all nodes run on one core. */
     readonly isOneCore: boolean;
+    /** Processes that never wait, on the same core. */
+    readonly busyProcesses: number;
+    /** Whether callers open a connection for each request, send it at once, and come back to any node that accepts connections, ready or not. */
+    readonly isConnectionPerRequest: boolean;
     /** Whether nodes are stopped and started again. */
     readonly hasStops: boolean;
 }
@@ -28,6 +32,7 @@
     "max-answer": { default: 64_000, min: 1_000, max: 4_000_000 },
     "max-work": { default: 2_800, min: 300, max: 60_000 },
     "faulty": { default: 0, min: 0, max: 100 },
+    "busy": { default: 0, min: 0, max: 16 },
 } as const;
 
 const toInteger = (name: keyof typeof integers, text: string | undefined): number => {
@@ -53,6 +58,8 @@
             "max-answer": text,
             "max-work": text,
             "faulty": text,
+            "busy": text,
+            "connection-per-request": flag,
             "one-core": flag,
             "no-stops": flag,
         },
@@ -66,6 +73,8 @@
         maxWorkMs: toInteger("max-work", values["max-work"]),
         faultyPercent: toInteger("faulty", values.faulty),
         isOneCore: values["one-core"],
+        busyProcesses: toInteger("busy", values.busy),
+        isConnectionPerRequest: values["connection-per-request"],
         hasStops: !values["no-stops"],
     };
 };
--- a/test/callerLoad/runCallerLoad.ts
+++ b/test/callerLoad/runCallerLoad.ts
@@ -1,3 +1,4 @@
+import { spawn } from "node:child_process";
 import { setMaxListeners } from "node:events";
 import { mkdtempSync } from "node:fs";
 import { tmpdir } from "node:os";
@@ -65,7 +66,7 @@
 
 /** Plays callers on kept connections against nodes as processes, which are stopped in turn, and judges what became of each request. */
 export const runCallerLoad = async (options: LoadOptions): Promise<LoadResult> => {
-    const { seed, seconds, callers, maxBodyBytes, isOneCore, hasStops } = options;
+    const { seed, seconds, callers, maxBodyBytes, isOneCore, busyProcesses, hasStops } = options;
     const logFolder = mkdtempSync(join(tmpdir(), `load-${seed}-`));
     const store = MemoryPlatformStore.create(createRandom(seed));
     store.lossShare = 0;
@@ -82,6 +83,7 @@
     const nodes = await Promise.all([...Array(nodeCount).keys()].map(index => LoadNode.create(`n${index}`, portOf(storeServer), logFolder, core)));
     const seeds = nodes.map(({ peerAddress }) => peerAddress);
     nodes.forEach(node => node.start(seeds));
+    const busy = [...Array(busyProcesses)].map(() => spawn("taskset", ["-c", String(sharedCore), process.execPath, "-e", "for (;;);"], { stdio: "ignore" }));
     const probeTimer = setInterval(() => nodes.forEach(node => void node.probe()), probeIntervalMs);
     const abort = new AbortController();
     setMaxListeners(0, abort.signal);
@@ -98,6 +100,7 @@
     finally {
         clearInterval(probeTimer);
         nodes.forEach(node => node.kill());
+        busy.forEach(child => child.kill("SIGKILL"));
         upstreams.forEach(upstream => upstream.close());
         storeServer.closeAllConnections();
         storeServer.close();
