--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -76,9 +76,9 @@
         }
     }
 
-    /** Stops accepting connections, by the deadline on the monotonic clock at the latest. */
-    stopListening(deadlineAt: number): Promise<void> {
-        this.reception.setExit(deadlineAt);
+    /** Stops accepting connections once none waits, by the deadline on the monotonic clock at the latest. */
+    stopListening(deadlineAt: () => number): Promise<void> {
+        this.reception.setExit(deadlineAt());
         return this.gracefulClose.stopListening(deadlineAt);
     }
 
@@ -94,7 +94,7 @@
 
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
-        await this.stopListening(deadlineAt);
+        await this.stopListening(() => deadlineAt);
         await this.finishRequests(deadlineAt);
         this.logCutAtExit();
     }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -228,7 +228,7 @@
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
         await stop.run("notice", sleep(this.hasStarted ? stopNoticeMs : 0));
-        await stop.run("accept", server.stopListening(stop.latestDeadlineAt));
+        await stop.run("accept", server.stopListening(() => stop.deadlineAt));
         await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
         await stop.run("release", released ?? Promise.resolve());
         await this.answerLast(stop);
--- a/src/plugins/standaloneNodeServer.ts
+++ b/src/plugins/standaloneNodeServer.ts
@@ -57,7 +57,7 @@
 
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
-        await this.gracefulClose.stopListening(deadlineAt);
+        await this.gracefulClose.stopListening(() => deadlineAt);
         await this.gracefulClose.finishRequests(() => this.node.inProgress, deadlineAt);
     }
 
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -9,8 +9,6 @@
 const pollMs = 20;
 /** The listen backlog counts as empty after this many turns of the event loop without a new connection; a turn accepts at most one. */
 const quietTurns = 3;
-/** Connections of the backlog are accepted for this long at most; new ones may come without end. */
-const maxAcceptMs = 1_000;
 
 /** What a server that stops listening has taken from its listen backlog. */
 export interface DrainedBacklog {
@@ -54,11 +52,13 @@
         return this.drained;
     }
 
-    /** Accepts the connections in the listen backlog, which would be reset, and stops listening, by the deadline on the monotonic clock at the latest. */
-    async stopListening(deadlineAt: number): Promise<void> {
-        const acceptsUntil = Math.min(deadlineAt, performance.now() + maxAcceptMs);
+    /**
+     * Accepts the connections in the listen backlog, which would be reset, and stops listening. New ones may come without end: it stops while those accepted last
+     * still have time to send their requests before the deadline, which may move, on the monotonic clock.
+     */
+    async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
-        for (let quiet = 0; quiet < quietTurns && performance.now() < acceptsUntil;) {
+        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - quietMs;) {
             const { acceptedCount } = this;
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
--- a/test/callerLoadRun.test.ts
+++ b/test/callerLoadRun.test.ts
@@ -11,6 +11,27 @@
 /** Options of runs that failed before, with the cause. */
 const runs: readonly { readonly args: readonly string[]; readonly cause: string; }[] = [
     { args: ["--seed", "1", "--seconds", "12", "--callers", "60", "--one-core"], cause: "whole answers counted as reset; chunked bodies were never answered" },
+    {
+        args: [
+            "--seed",
+            "1",
+            "--seconds",
+            "20",
+            "--callers",
+            "120",
+            "--one-core",
+            "--busy",
+            "4",
+            "--connection-per-request",
+            "--max-body",
+            "60000",
+            "--max-work",
+            "300",
+            "--max-answer",
+            "1000",
+        ],
+        cause: "a stopping node closed its listener while requests waited in the backlog",
+    },
 ];
 
 describe("callers on kept connections while nodes as processes are stopped in turn", () => {
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -9,6 +9,7 @@
 
 const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n";
 const graceMs = 3_000;
+const longGraceMs = 8_000;
 /** Time of a request that keeps a stop going. */
 const slowMs = 1_200;
 
@@ -22,7 +23,7 @@
         socket.on("close", () => resolve(answer));
     });
 
-const startServer = async (body = "done"): Promise<{ readonly server: Server; readonly port: number; readonly close: () => Promise<void>; }> => {
+const startServer = async (body = "done"): Promise<{ readonly server: Server; readonly port: number; readonly close: (forMs?: number) => Promise<void>; }> => {
     let inProgress = 0;
     const server = createServer((req, res) => {
         req.resume();
@@ -32,17 +33,26 @@
     });
     const gracefulClose = GracefulClose.create(server);
     await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
-    const close = async (): Promise<void> => {
-        const deadlineAt = performance.now() + graceMs;
-        await gracefulClose.stopListening(deadlineAt);
+    const close = async (forMs = graceMs): Promise<void> => {
+        const deadlineAt = performance.now() + forMs;
+        await gracefulClose.stopListening(() => deadlineAt);
         await gracefulClose.finishRequests(() => inProgress, deadlineAt);
         server.closeAllConnections();
     };
     return { server, port: (server.address() as AddressInfo).port, close };
 };
 
+/** Keeps the event loop busy. */
+const stall = (ms: number): void => {
+    const until = performance.now() + ms;
+    while (performance.now() < until) {
+        /* busy */
+    }
+};
+
 describe("closing a server gracefully", () => {
     const connectionCount = 40;
+    const longTurnMs = 50;
     const cases: readonly { readonly name: string; readonly sendAfterMs: number; }[] = [
         { name: "connections that wait in the listen backlog", sendAfterMs: 0 },
         { name: "connections that have not sent their request yet", sendAfterMs: 200 },
@@ -62,6 +72,21 @@
         });
     }
 
+    /** Guards against a listener that is closed, and resets the requests in its backlog, because accepting them took longer than a second. */
+    it("answers all that wait in the listen backlog of a server whose turns are long", async () => {
+        const { server, port, close } = await startServer();
+        server.prependListener("request", () => stall(longTurnMs));
+        let closed: Promise<void> | undefined;
+        const answers = await Promise.all([...Array(connectionCount).keys()].map(() =>
+            sendOnNewConnection(port, request, () => {
+                closed ??= close(longGraceMs);
+                return Promise.resolve();
+            })
+        ));
+        await closed;
+        assert.deepEqual(answers.filter(answer => !answer.startsWith("HTTP/1.1 200") || !answer.endsWith("done")), []);
+    });
+
     it("does not wait for idle connections, and ends at the deadline", async () => {
         const { port, close } = await startServer();
         const idle = sendOnNewConnection(port, request, () => Promise.resolve());
@@ -134,7 +159,7 @@
         staying.once("end", () => staying.write(request));
         await sleep(100);
         const startedAt = performance.now();
-        await gracefulClose.stopListening(startedAt + graceMs);
+        await gracefulClose.stopListening(() => startedAt + graceMs);
         await gracefulClose.finishRequests(() => inProgress, startedAt + graceMs);
         const tookMs = performance.now() - startedAt;
         staying.destroy();
