--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -28,17 +28,29 @@
     activeAt: number;
 }
 
+const callerOf = ({ remoteAddress, remotePort }: Socket): string => `${remoteAddress} ${remotePort}`;
+
 /**
  * Closes an HTTP server without cutting answers that are not written out, connections that callers have just opened, and requests that have arrived but were not read
  * yet. The runtime's own idle connections are not used: it takes a connection for idle as soon as its answer was ended, though its bytes still wait for the reader.
  */
 export class GracefulClose {
     private readonly connections = new Map<Socket, Connection>();
+    /** Connections on which TLS has not begun, by the address of their caller. */
+    private readonly insecure = new Map<string, Socket>();
     private acceptedCount = 0;
     private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
     private constructor(private readonly server: Server) {
-        server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
+        const isTls = server instanceof TlsServer;
+        server.on("connection", (socket: Socket) => {
+            this.acceptedCount++;
+            this.onConnection(socket);
+            if (isTls) {
+                this.onInsecure(socket);
+            }
+        });
+        server.on("secureConnection", (socket: Socket) => this.onSecure(socket));
         server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
 
@@ -85,8 +97,28 @@
         }
     }
 
+    private onInsecure(socket: Socket): void {
+        const caller = callerOf(socket);
+        this.insecure.set(caller, socket);
+        socket.once("close", () => {
+            if (this.insecure.get(caller) === socket) {
+                this.insecure.delete(caller);
+            }
+        });
+    }
+
+    /** From now on the bytes that TLS has decoded count. */
+    private onSecure(socket: Socket): void {
+        const caller = callerOf(socket);
+        const insecure = this.insecure.get(caller);
+        if (insecure) {
+            this.insecure.delete(caller);
+            this.connections.delete(insecure);
+        }
+        this.onConnection(socket);
+    }
+
     private onConnection(socket: Socket): void {
-        this.acceptedCount++;
         this.connections.set(socket, { openRequests: 0, requestBytes: undefined, receivedBytes: socket.bytesRead, activeAt: performance.now() });
         socket.once("close", () => this.connections.delete(socket));
     }
