--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -9,6 +9,8 @@
 const pollMs = 20;
 /** The listen backlog counts as empty after this many turns of the event loop without a new connection; a turn accepts at most one. */
 const quietTurns = 3;
+/** Greatest share of the remaining time that is left to the connections accepted last. */
+const maxSendShare = 0.5;
 
 /** What a server that stops listening has taken from its listen backlog. */
 export interface DrainedBacklog {
@@ -70,7 +72,8 @@
      */
     async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
-        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - quietMs;) {
+        const sendMs = Math.max(0, Math.min(quietMs, maxSendShare * (deadlineAt() - performance.now())));
+        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - sendMs;) {
             const { acceptedCount } = this;
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
--- a/test/drainedBacklog.test.ts
+++ b/test/drainedBacklog.test.ts
@@ -23,6 +23,7 @@
 
 const cases: readonly Case[] = [
     { name: "of a server with TLS, whose callers begin it later", graceMs: 3_000, isTls: true },
+    { name: "of a server with little time left", graceMs: 450 },
 ];
 
 const startTls = (raw: Socket): Promise<Socket> =>
