--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -73,9 +73,13 @@
     async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
         const sendMs = Math.max(0, Math.min(quietMs, maxSendShare * (deadlineAt() - performance.now())));
-        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - sendMs;) {
+        // The next turn may take as long as the last one.
+        let turnMs = 0;
+        for (let quiet = 0; quiet < quietTurns && performance.now() + turnMs < deadlineAt() - sendMs;) {
             const { acceptedCount } = this;
+            const startedAt = performance.now();
             await nextTurn();
+            turnMs = performance.now() - startedAt;
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
             this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns };
         }
--- a/test/drainedBacklog.test.ts
+++ b/test/drainedBacklog.test.ts
@@ -2,8 +2,8 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { createServer } from "node:http";
 import { createServer as createTlsServer } from "node:https";
-import type { AddressInfo, Socket } from "node:net";
-import { connect } from "node:net";
+import type { AddressInfo } from "node:net";
+import { connect, Socket } from "node:net";
 import { describe, it } from "node:test";
 import { connect as connectTls } from "node:tls";
 import { GracefulClose } from "../src/utils/gracefulClose";
@@ -78,3 +78,37 @@
         });
     }
 });
+
+/** The time until the deadline does not end with a turn. */
+const turnsUntilDeadline = 5.5;
+const maxLateTurns = 0.25;
+/** Time for the connections accepted last. */
+const sendMs = 500;
+
+/** Guards against a listener that is still open, and accepts connections that nobody reads, when the time of its stop is over. */
+describe("a server that stops listening while new connections come without end", () => {
+    for (const turnMs of [100, 250, 400]) {
+        it(`does so in time for those accepted last, on turns of ${turnMs} ms`, async () => {
+            const server = createServer();
+            const gracefulClose = GracefulClose.create(server);
+            await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+            let isBusy = true;
+            const turn = (): void => {
+                const until = performance.now() + turnMs;
+                while (performance.now() < until) {
+                    /* busy */
+                }
+                server.emit("connection", new Socket());
+                if (isBusy) {
+                    setImmediate(turn);
+                }
+            };
+            setImmediate(turn);
+            const endsAt = performance.now() + turnsUntilDeadline * turnMs;
+            await gracefulClose.stopListening(() => endsAt + sendMs);
+            const lateMs = performance.now() - endsAt;
+            isBusy = false;
+            assert.ok(lateMs < maxLateTurns * turnMs && !server.listening, `${lateMs} ms late`);
+        });
+    }
+});
