--- a/src/node/plannedStop.ts
+++ b/src/node/plannedStop.ts
@@ -37,14 +37,15 @@
         return this.requestedAt + this.graceMs - exitMarginMs(0, this.graceMs);
     }
 
-    /** Runs a step, at most until the deadline. One that fails is logged, and the next one may run. */
-    async run(name: string, step: Promise<unknown>): Promise<void> {
+    /** Runs a step, at most until the deadline, less the time that later steps need. One that fails is logged, and the next one may run. */
+    async run(name: string, step: Promise<unknown>, laterStepsMs = 0): Promise<void> {
         const startedAt = performance.now();
         let isDone = false;
         const logFailure = (err: unknown): void => emit(EventId.UnexpectedError, { origin: `step ${name} of the stop`, detail: describeError(err) });
         const done = step.catch(logFailure).finally(() => isDone = true);
-        while (!isDone && performance.now() < this.deadlineAt) {
-            await Promise.race([done, sleep(Math.max(0, Math.min(pollMs, this.deadlineAt - performance.now())))]);
+        const endsInMs = (): number => this.deadlineAt - laterStepsMs - performance.now();
+        while (!isDone && endsInMs() > 0) {
+            await Promise.race([done, sleep(Math.max(0, Math.min(pollMs, endsInMs())))]);
         }
         this.stepsMs[name] = Math.round(performance.now() - startedAt);
     }
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -38,6 +38,8 @@
 
 /** A stopping node accepts new connections for this long: the load balancer removes it after two failed readiness checks, one second apart. */
 const stopNoticeMs = 2_600;
+/** Time of the grace period that is left after that at least: to accept the connections that wait, and to answer their requests. */
+const acceptMs = 1_000;
 /** Requests that still wait to be sent are refused this long before the last answers are given, and these are written within a time. */
 const waitsEndMs = 250;
 const lastAnswersMs = 50;
@@ -227,7 +229,7 @@
         gateway.stopRequestedAt = stop.requestedAt;
         emit(EventId.NodeStopping, { inProgress: gateway.inProgress });
         const released = this.lease?.release().catch((err: unknown) => emit(EventId.ControllerRoundFailed, { detail: toFailure(err).detail }));
-        await stop.run("notice", sleep(this.hasStarted ? stopNoticeMs : 0));
+        await stop.run("notice", sleep(this.hasStarted ? stopNoticeMs : 0), acceptMs);
         await stop.run("accept", server.stopListening(() => stop.deadlineAt));
         await stop.run("finish", server.finishRequests(stop.latestDeadlineAt));
         await stop.run("release", released ?? Promise.resolve());
