--- a/test/stopInTime.test.ts
+++ b/test/stopInTime.test.ts
@@ -39,6 +39,7 @@
     { name: "with a request to the last, on turns of 100 ms", hasEndlessRequest: true, turnMs: 100 },
     { name: "with a request to the last, on turns of 250 ms", hasEndlessRequest: true, turnMs: 250 },
     { name: "while new connections arrive without end, on turns of 250 ms", hasNewConnections: true, turnMs: 250 },
+    { name: "while new connections arrive without end, on turns of 400 ms", hasNewConnections: true, turnMs: 400 },
     { name: "with a request to the last and a silent store, on turns of 400 ms", hasEndlessRequest: true, isStoreSilent: true, turnMs: 400 },
 ];
 
