--- a/src/plugins/standaloneNodeServer.ts
+++ b/src/plugins/standaloneNodeServer.ts
@@ -16,6 +16,8 @@
 const headersTimeoutMs = 10_000;
 const idleTimeoutMs = 65_000;
 const maxHeaderBytes = 32_768;
+/** Time in which a stopping node accepts the connections that wait; the grace period may be long, and new ones may come without end. */
+const maxAcceptMs = 5_000;
 
 const findRoute = (routes: readonly HttpRoute[], path: string): HttpRoute | undefined =>
     routes.find(route => route.path.endsWith("/") ? path.startsWith(route.path) : path === route.path);
@@ -57,7 +59,8 @@
 
     /** Stops accepting connections and finishes requests until the deadline on the monotonic clock. */
     async close(deadlineAt: number): Promise<void> {
-        await this.gracefulClose.stopListening(() => deadlineAt);
+        const acceptsUntil = Math.min(deadlineAt, performance.now() + maxAcceptMs);
+        await this.gracefulClose.stopListening(() => acceptsUntil);
         await this.gracefulClose.finishRequests(() => this.node.inProgress, deadlineAt);
     }
 
