--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -9,6 +9,8 @@
 const pollMs = 20;
 /** The listen backlog counts as empty after this many turns of the event loop without a new connection; a turn accepts at most one. */
 const quietTurns = 3;
+/** Greatest share of the remaining time that is left to the connections accepted last. */
+const maxSendShare = 0.5;
 
 /** What a server that stops listening has taken from its listen backlog. */
 export interface DrainedBacklog {
@@ -28,17 +30,29 @@
     activeAt: number;
 }
 
+const callerOf = ({ remoteAddress, remotePort }: Socket): string => `${remoteAddress} ${remotePort}`;
+
 /**
  * Closes an HTTP server without cutting answers that are not written out, connections that callers have just opened, and requests that have arrived but were not read
  * yet. The runtime's own idle connections are not used: it takes a connection for idle as soon as its answer was ended, though its bytes still wait for the reader.
  */
 export class GracefulClose {
     private readonly connections = new Map<Socket, Connection>();
+    /** Connections on which TLS has not begun, by the address of their caller. */
+    private readonly insecure = new Map<string, Socket>();
     private acceptedCount = 0;
     private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
     private constructor(private readonly server: Server) {
-        server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
+        const isTls = server instanceof TlsServer;
+        server.on("connection", (socket: Socket) => {
+            this.acceptedCount++;
+            this.onConnection(socket);
+            if (isTls) {
+                this.onInsecure(socket);
+            }
+        });
+        server.on("secureConnection", (socket: Socket) => this.onSecure(socket));
         server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
 
@@ -58,9 +72,14 @@
      */
     async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
-        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - quietMs;) {
+        const sendMs = Math.max(0, Math.min(quietMs, maxSendShare * (deadlineAt() - performance.now())));
+        // The next turn may take as long as the last one.
+        let turnMs = 0;
+        for (let quiet = 0; quiet < quietTurns && performance.now() + turnMs < deadlineAt() - sendMs;) {
             const { acceptedCount } = this;
+            const startedAt = performance.now();
             await nextTurn();
+            turnMs = performance.now() - startedAt;
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
             this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns };
         }
@@ -85,8 +104,28 @@
         }
     }
 
+    private onInsecure(socket: Socket): void {
+        const caller = callerOf(socket);
+        this.insecure.set(caller, socket);
+        socket.once("close", () => {
+            if (this.insecure.get(caller) === socket) {
+                this.insecure.delete(caller);
+            }
+        });
+    }
+
+    /** From now on the bytes that TLS has decoded count. */
+    private onSecure(socket: Socket): void {
+        const caller = callerOf(socket);
+        const insecure = this.insecure.get(caller);
+        if (insecure) {
+            this.insecure.delete(caller);
+            this.connections.delete(insecure);
+        }
+        this.onConnection(socket);
+    }
+
     private onConnection(socket: Socket): void {
-        this.acceptedCount++;
         this.connections.set(socket, { openRequests: 0, requestBytes: undefined, receivedBytes: socket.bytesRead, activeAt: performance.now() });
         socket.once("close", () => this.connections.delete(socket));
     }
