--- a/src/forward/canFinishBeforeExit.ts
+++ b/src/forward/canFinishBeforeExit.ts
@@ -21,13 +21,9 @@
 export const mayFinishBeforeExit = (gateway: Gateway, call: Call): boolean =>
     call.deadlineAt <= gateway.exitDeadlineAt || performance.now() + expectedMs(gateway, call) < gateway.exitDeadlineAt;
 
+/** Whether a request that arrives now comes too late in a planned stop to be certain of an answer before the process exits; its head tells. */
+export const isTooLateInStop = ({ exitDeadlineAt, stopRequestedAt }: Gateway, { caller, deadlineAt }: Pick<Call, "caller" | "deadlineAt">): boolean =>
+    performance.now() - stopRequestedAt > noOtherNodeMs && (caller.modelRequest !== undefined || deadlineAt > exitDeadlineAt);
+
 /** Whether a request that arrives now is answered before the process exits: certainly if it arrives late in a planned stop, otherwise likely. */
-export const canFinishBeforeExit = (gateway: Gateway, call: Call): boolean => {
-    const { exitDeadlineAt, stopRequestedAt } = gateway;
-    const now = performance.now();
-    const isLate = now - stopRequestedAt > noOtherNodeMs;
-    if (isLate && call.caller.modelRequest) {
-        return false;
-    }
-    return call.deadlineAt <= exitDeadlineAt || (!isLate && now + expectedMs(gateway, call) < exitDeadlineAt);
-};
+export const canFinishBeforeExit = (gateway: Gateway, call: Call): boolean => !isTooLateInStop(gateway, call) && mayFinishBeforeExit(gateway, call);
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -17,6 +17,7 @@
 import type { Call } from "./call";
 import type { CallerConnections } from "./callerConnections";
 import { CallerPresence } from "./callerPresence";
+import { isTooLateInStop } from "./canFinishBeforeExit";
 import { ConnectionTurns } from "./connectionTurns";
 import { forwardCharged } from "./forwardCharged";
 import type { Gateway } from "./gateway";
@@ -28,6 +29,7 @@
 import { headerBytes, headersToForward, hostOf, lacksHost } from "./requestHead";
 import { RequestProgress } from "./requestProgress";
 import { SuspectParts } from "./suspectParts";
+import { stoppingRefusal } from "./untilExit";
 import { createVersionPin } from "./versionPin";
 
 /** Retry-After while the node has no configuration. */
@@ -145,6 +147,12 @@
         if (!route) {
             return refuse(refusalOf(FailureKind.UnknownPath, "no route matches this host and path"));
         }
+        const timeoutMs = Math.min(relayed?.remainingMs ?? caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
+        const deadlineAt = progress.startedAt + timeoutMs;
+        if (isTooLateInStop(gateway, { caller, deadlineAt })) {
+            const { detail, retryAfterMs } = stoppingRefusal;
+            return refuse(refusalOf(FailureKind.Stopping, detail, retryAfterMs * (0.75 + gateway.random() / 2)), { route: route.name });
+        }
         const key = readKey(gateway.wire, req.rawHeaders, relayed);
         const keyRefusal = refuseReadKey(gateway, route, key, caller.requestId);
         if (keyRefusal) {
@@ -154,7 +162,6 @@
         const keyDigest = "digest" in key ? key.digest : undefined;
         const customer = route.isPublic === true ? undefined : gateway.customers?.find(keyDigest);
         const priority = gateway.customers ? combinedPriorityOf(customer, route) : route.priority;
-        const timeoutMs = Math.min(relayed?.remainingMs ?? caller.deadlineMs ?? route.timeoutMs, route.timeoutMs);
         const suspects = SuspectParts.create(req, caller.modelRequest);
         const bodyResult = await readRequestBody(req, res, gateway.memory, {
             maxBytes: config.limits.maxBodyBytes,
@@ -201,7 +208,7 @@
             bodyMemory: bodyResult.memory,
             suspectParts: suspects.finish(),
             startedAt: progress.startedAt - (relayed?.elapsedMs ?? 0),
-            deadlineAt: progress.startedAt + timeoutMs,
+            deadlineAt,
             versionPin: createVersionPin(relayed?.streamVersion),
             progress,
             presence,
