--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -5,7 +5,8 @@
     [EventId.NodeStarted]: "the node is listening; `startMs` says when each step of the start was complete, in ms since the process began",
     [EventId.NodeReady]: "a configuration is in force and the fleet is known",
     [EventId.NodeStopping]: "a graceful shutdown started",
-    [EventId.NodeStopped]: "the node stopped without cutting off requests",
+    [EventId.NodeStopped]:
+        "the node stopped without cutting off requests; `backlog` says how many connections it accepted before it closed its listener, whether none was left to accept, and whether new ones were kept out at last (`isLimited`)",
     [EventId.NodeCutOff]: "the node stopped and cut off requests in progress",
     [EventId.SettingsRefused]: "settings are missing or invalid",
     [EventId.SettingsReloaded]: "the settings file was reloaded; settings that can change without a restart are in force",
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -16,8 +16,16 @@
     readonly accepted: number;
     /** Whether no connection was left that the close of the listener resets. */
     readonly isEmpty: boolean;
+    /** Whether new connections were kept out at the end; undefined if that was not needed. */
+    readonly isLimited?: boolean;
 }
 
+/** A server with the runtime's undocumented handle of its listener. */
+type HandledServer = Server & { readonly _handle?: { listen?(backlog: number): number; }; };
+
+/** Has the kernel ignore the handshakes of new connections while one waits in the backlog: their callers repeat them after a second. Returns whether it does. */
+const limitBacklog = (server: Server): boolean => (server as HandledServer)._handle?.listen?.(0) === 0;
+
 interface Connection {
     /** Requests whose responses have not been closed: a response is closed once it was written out. */
     openRequests: number;
@@ -53,19 +61,35 @@
     }
 
     /**
-     * Accepts the connections in the listen backlog, which would be reset, and stops listening. New ones may come without end: it stops while those accepted last
-     * still have time to send their requests before the deadline, which may move, on the monotonic clock.
+     * Accepts the connections in the listen backlog, which would be reset, and stops listening. New ones may come without end: for the second half of the time they are
+     * kept out while one waits, and it stops while those accepted last still have time to send their requests before the deadline, which may move, on the monotonic clock.
      */
     async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
-        for (let quiet = 0; quiet < quietTurns && performance.now() < deadlineAt() - quietMs;) {
+        const startedAt = performance.now();
+        const remainingMs = (): number => deadlineAt() - quietMs - performance.now();
+        let isLimited: boolean | undefined;
+        for (let quiet = 0; quiet < quietTurns && remainingMs() > 0;) {
+            if (isLimited === undefined && performance.now() - startedAt > remainingMs()) {
+                isLimited = limitBacklog(this.server);
+            }
             const { acceptedCount } = this;
             await nextTurn();
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
-            this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns };
+            this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns, isLimited };
+        }
+        const stop = (): unknown => NetServer.prototype.close.call(this.server);
+        if (isLimited && !this.drained.isEmpty) {
+            // One may wait: the listener is closed as it is accepted, before another one takes its place.
+            this.server.once("connection", stop);
+            await nextTurn();
+            this.server.off("connection", stop);
+            this.drained = { ...this.drained, accepted: this.acceptedCount - before };
+        }
+        if (this.server.listening) {
+            // The HTTP server's own method closes connections, too.
+            stop();
         }
-        // The HTTP server's own method closes connections, too.
-        NetServer.prototype.close.call(this.server);
     }
 
     /**
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
-import type { AddressInfo } from "node:net";
+import type { AddressInfo, Socket } from "node:net";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
 import { GracefulClose } from "../src/utils/gracefulClose";
@@ -53,6 +53,8 @@
 describe("closing a server gracefully", () => {
     const connectionCount = 40;
     const longTurnMs = 50;
+    /** Connections that wait in the listen backlog while callers come without end. */
+    const waitingCount = 10;
     const cases: readonly { readonly name: string; readonly sendAfterMs: number; }[] = [
         { name: "connections that wait in the listen backlog", sendAfterMs: 0 },
         { name: "connections that have not sent their request yet", sendAfterMs: 200 },
@@ -87,6 +89,33 @@
         assert.deepEqual(answers.filter(answer => !answer.startsWith("HTTP/1.1 200") || !answer.endsWith("done")), []);
     });
 
+    /** Guards against callers that come without end and whose requests are reset in the listen backlog, which is never empty, when the listener is closed at the deadline. */
+    it("answers all whose connections are established though a caller comes for each that is accepted", async () => {
+        const { server, port, close } = await startServer();
+        const callers: { readonly socket: Socket; isConnected: boolean; answer: string; }[] = [];
+        const call = (): void => {
+            const socket = connect(port, "127.0.0.1", () => {
+                caller.isConnected = true;
+                socket.write(request);
+            });
+            const caller = { socket, isConnected: false, answer: "" };
+            callers.push(caller);
+            socket.on("data", chunk => caller.answer += chunk.toString());
+            socket.on("error", () => undefined);
+        };
+        server.prependListener("request", () => {
+            stall(longTurnMs);
+            call();
+        });
+        [...Array(waitingCount)].forEach(call);
+        await close();
+        await sleep(longTurnMs);
+        callers.forEach(({ socket }) => socket.destroy());
+        const unanswered = callers.filter(({ isConnected, answer }) => isConnected && !answer.endsWith("done"));
+        assert.ok(callers.length > 2 * waitingCount, `${callers.length} callers`);
+        assert.equal(unanswered.length, 0, `of ${callers.length}`);
+    });
+
     it("does not wait for idle connections, and ends at the deadline", async () => {
         const { port, close } = await startServer();
         const idle = sendOnNewConnection(port, request, () => Promise.resolve());
