--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -43,9 +43,15 @@
 export class GracefulClose {
     private readonly connections = new Map<Socket, Connection>();
     private acceptedCount = 0;
+    /** When the last connection was accepted, on the monotonic clock. */
+    private acceptedAt = Number.NEGATIVE_INFINITY;
     private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
     private constructor(private readonly server: Server) {
+        server.on("connection", () => {
+            this.acceptedCount++;
+            this.acceptedAt = performance.now();
+        });
         server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
         server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
@@ -100,7 +106,7 @@
         for (;;) {
             // Requests that have arrived are read first, so that their connections do not count as idle.
             await nextTurn();
-            const isAwaiting = this.closeIdle(quietMs);
+            const isAwaiting = this.closeIdle(quietMs) || this.isInHandshake();
             if (performance.now() >= deadlineAt || (inProgress() === 0 && !isAwaiting)) {
                 this.closeIdle(0);
                 return;
@@ -110,11 +116,15 @@
     }
 
     private onConnection(socket: Socket): void {
-        this.acceptedCount++;
         this.connections.set(socket, { openRequests: 0, requestBytes: undefined, receivedBytes: socket.bytesRead, activeAt: performance.now() });
         socket.once("close", () => this.connections.delete(socket));
     }
 
+    /** Whether a connection may still be in its handshake. */
+    private isInHandshake(): boolean {
+        return this.server instanceof TlsServer && performance.now() - this.acceptedAt < quietMs;
+    }
+
     private onRequest(socket: Socket, res: ServerResponse): void {
         const connection = this.connections.get(socket);
         if (!connection) {
--- a/test/gracefulClose.test.ts
+++ b/test/gracefulClose.test.ts
@@ -1,9 +1,11 @@
 import assert from "node:assert/strict";
 import type { Server } from "node:http";
 import { createServer } from "node:http";
+import { createServer as createTlsServer } from "node:https";
 import type { AddressInfo, Socket } from "node:net";
 import { connect } from "node:net";
 import { describe, it } from "node:test";
+import { connect as connectTls } from "node:tls";
 import { GracefulClose } from "../src/utils/gracefulClose";
 import { sleep } from "../src/utils/time";
 
@@ -53,6 +55,7 @@
 describe("closing a server gracefully", () => {
     const connectionCount = 40;
     const longTurnMs = 50;
+    const handshakeAfterMs = 100;
     /** Connections that wait in the listen backlog while callers come without end. */
     const waitingCount = 10;
     const cases: readonly { readonly name: string; readonly sendAfterMs: number; }[] = [
@@ -116,6 +119,53 @@
         assert.equal(unanswered.length, 0, `of ${callers.length}`);
     });
 
+    /** Guards against a listener over TLS that is closed, and a stop that ends, while connections are accepted whose handshakes are not complete. */
+    it("answers callers over TLS whose handshakes begin after the stop", async () => {
+        let inProgress = 0;
+        const psk = Buffer.alloc(32, "k");
+        const tls = { ciphers: "PSK", maxVersion: "TLSv1.2" } as const;
+        const server = createTlsServer({ ...tls, pskCallback: () => psk }, (req, res) => {
+            req.resume();
+            inProgress++;
+            res.once("close", () => inProgress--);
+            res.end("done");
+        });
+        const gracefulClose = GracefulClose.create(server);
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", resolve));
+        const { port } = server.address() as AddressInfo;
+        let closed: Promise<void> | undefined;
+        const close = async (): Promise<void> => {
+            const deadlineAt = performance.now() + graceMs;
+            await gracefulClose.stopListening(() => deadlineAt);
+            await gracefulClose.finishRequests(() => inProgress, deadlineAt);
+            server.closeAllConnections();
+        };
+        const call = async (): Promise<string> => {
+            let answer = "";
+            const raw = connect(port, "127.0.0.1");
+            raw.on("error", () => undefined);
+            await new Promise(resolve => raw.once("connect", resolve));
+            closed ??= close();
+            await sleep(handshakeAfterMs);
+            if (raw.destroyed) {
+                return "reset";
+            }
+            return new Promise(resolve => {
+                const client = { psk, identity: "caller" };
+                const socket = connectTls(
+                    { ...tls, socket: raw, pskCallback: () => client, checkServerIdentity: () => undefined },
+                    () => socket.write(request),
+                );
+                socket.on("data", chunk => answer += chunk.toString());
+                socket.on("error", err => answer += `${(err as NodeJS.ErrnoException).code}`);
+                socket.on("close", () => resolve(answer));
+            });
+        };
+        const answers = await Promise.all([...Array(connectionCount)].map(call));
+        await closed;
+        assert.deepEqual(answers.filter(answer => !answer.startsWith("HTTP/1.1 200") || !answer.endsWith("done")), []);
+    });
+
     it("does not wait for idle connections, and ends at the deadline", async () => {
         const { port, close } = await startServer();
         const idle = sendOnNewConnection(port, request, () => Promise.resolve());
