--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -18,8 +18,16 @@
     readonly accepted: number;
     /** Whether no connection was left that the close of the listener resets. */
     readonly isEmpty: boolean;
+    /** Whether new connections were kept out at the end; undefined if that was not needed. */
+    readonly isLimited?: boolean;
 }
 
+/** A server with the runtime's undocumented handle of its listener. */
+type HandledServer = Server & { readonly _handle?: { listen?(backlog: number): number; }; };
+
+/** Has the kernel ignore the handshakes of new connections while one waits in the backlog: their callers repeat them after a second. Returns whether it does. */
+const limitBacklog = (server: Server): boolean => (server as HandledServer)._handle?.listen?.(0) === 0;
+
 interface Connection {
     /** Requests whose responses have not been closed: a response is closed once it was written out. */
     openRequests: number;
@@ -30,29 +38,23 @@
     activeAt: number;
 }
 
-const callerOf = ({ remoteAddress, remotePort }: Socket): string => `${remoteAddress} ${remotePort}`;
-
 /**
  * Closes an HTTP server without cutting answers that are not written out, connections that callers have just opened, and requests that have arrived but were not read
  * yet. The runtime's own idle connections are not used: it takes a connection for idle as soon as its answer was ended, though its bytes still wait for the reader.
  */
 export class GracefulClose {
     private readonly connections = new Map<Socket, Connection>();
-    /** Connections on which TLS has not begun, by the address of their caller. */
-    private readonly insecure = new Map<string, Socket>();
     private acceptedCount = 0;
+    /** When the last connection was accepted, on the monotonic clock. */
+    private acceptedAt = Number.NEGATIVE_INFINITY;
     private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
     private constructor(private readonly server: Server) {
-        const isTls = server instanceof TlsServer;
-        server.on("connection", (socket: Socket) => {
+        server.on("connection", () => {
             this.acceptedCount++;
-            this.onConnection(socket);
-            if (isTls) {
-                this.onInsecure(socket);
-            }
+            this.acceptedAt = performance.now();
         });
-        server.on("secureConnection", (socket: Socket) => this.onSecure(socket));
+        server.on(server instanceof TlsServer ? "secureConnection" : "connection", (socket: Socket) => this.onConnection(socket));
         server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
 
@@ -67,24 +69,40 @@
     }
 
     /**
-     * Accepts the connections in the listen backlog, which would be reset, and stops listening. New ones may come without end: it stops while those accepted last
-     * still have time to send their requests before the deadline, which may move, on the monotonic clock.
+     * Accepts the connections in the listen backlog, which would be reset, and stops listening. New ones may come without end: for the second half of the time they are
+     * kept out while one waits, and it stops while those accepted last still have time to send their requests before the deadline, which may move, on the monotonic clock.
      */
     async stopListening(deadlineAt: () => number): Promise<void> {
         const before = this.acceptedCount;
-        const sendMs = Math.max(0, Math.min(quietMs, maxSendShare * (deadlineAt() - performance.now())));
+        const beganAt = performance.now();
+        const sendMs = Math.max(0, Math.min(quietMs, maxSendShare * (deadlineAt() - beganAt)));
+        const remainingMs = (): number => deadlineAt() - sendMs - performance.now();
         // The next turn may take as long as the last one.
         let turnMs = 0;
-        for (let quiet = 0; quiet < quietTurns && performance.now() + turnMs < deadlineAt() - sendMs;) {
+        let isLimited: boolean | undefined;
+        for (let quiet = 0; quiet < quietTurns && remainingMs() > turnMs;) {
+            if (isLimited === undefined && performance.now() - beganAt > remainingMs()) {
+                isLimited = limitBacklog(this.server);
+            }
             const { acceptedCount } = this;
             const startedAt = performance.now();
             await nextTurn();
             turnMs = performance.now() - startedAt;
             quiet = this.acceptedCount === acceptedCount ? quiet + 1 : 0;
-            this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns };
+            this.drained = { accepted: this.acceptedCount - before, isEmpty: quiet === quietTurns, isLimited };
+        }
+        const stop = (): unknown => NetServer.prototype.close.call(this.server);
+        if (isLimited && !this.drained.isEmpty) {
+            // One may wait: the listener is closed as it is accepted, before another one takes its place.
+            this.server.once("connection", stop);
+            await nextTurn();
+            this.server.off("connection", stop);
+            this.drained = { ...this.drained, accepted: this.acceptedCount - before };
+        }
+        if (this.server.listening) {
+            // The HTTP server's own method closes connections, too.
+            stop();
         }
-        // The HTTP server's own method closes connections, too.
-        NetServer.prototype.close.call(this.server);
     }
 
     /**
@@ -95,7 +113,7 @@
         for (;;) {
             // Requests that have arrived are read first, so that their connections do not count as idle.
             await nextTurn();
-            const isAwaiting = this.closeIdle(quietMs);
+            const isAwaiting = this.closeIdle(quietMs) || this.isInHandshake();
             if (performance.now() >= deadlineAt || (inProgress() === 0 && !isAwaiting)) {
                 this.closeIdle(0);
                 return;
@@ -104,32 +122,16 @@
         }
     }
 
-    private onInsecure(socket: Socket): void {
-        const caller = callerOf(socket);
-        this.insecure.set(caller, socket);
-        socket.once("close", () => {
-            if (this.insecure.get(caller) === socket) {
-                this.insecure.delete(caller);
-            }
-        });
-    }
-
-    /** From now on the bytes that TLS has decoded count. */
-    private onSecure(socket: Socket): void {
-        const caller = callerOf(socket);
-        const insecure = this.insecure.get(caller);
-        if (insecure) {
-            this.insecure.delete(caller);
-            this.connections.delete(insecure);
-        }
-        this.onConnection(socket);
-    }
-
     private onConnection(socket: Socket): void {
         this.connections.set(socket, { openRequests: 0, requestBytes: undefined, receivedBytes: socket.bytesRead, activeAt: performance.now() });
         socket.once("close", () => this.connections.delete(socket));
     }
 
+    /** Whether a connection may still be in its handshake. */
+    private isInHandshake(): boolean {
+        return this.server instanceof TlsServer && performance.now() - this.acceptedAt < quietMs;
+    }
+
     private onRequest(socket: Socket, res: ServerResponse): void {
         const connection = this.connections.get(socket);
         if (!connection) {
