--- a/src/core/streamRecorder.ts
+++ b/src/core/streamRecorder.ts
@@ -79,6 +79,15 @@
         this.hasUnwritten = true;
     }
 
+    /** Replaces a record of another version, if there is one. */
+    replace(record: PendingRecord): void {
+        const recorded = this.versionOf(record.requestId);
+        if (recorded !== undefined && recorded !== record.version) {
+            this.recordLater(record);
+            void this.flush();
+        }
+    }
+
     /** Writes all records again, as the store was restored from a copy that may lack some. */
     onRestored(): void {
         this.hasUnwritten = true;
--- a/src/core/streamVersions.ts
+++ b/src/core/streamVersions.ts
@@ -32,7 +32,7 @@
 export class StreamVersions {
     readonly versions: ServiceVersions;
     private readonly begun: StreamRecords;
-    private readonly recorder: StreamRecorder | undefined;
+    readonly recorder: StreamRecorder | undefined;
     table: StreamTable | undefined;
     private tableReadAt = Number.NEGATIVE_INFINITY;
     /** When this node last saw that the store had been restored from an older copy. */
@@ -84,13 +84,13 @@
         return this.table?.bases.get(service);
     }
 
-    /** Whether a stream may begin at a software version; it is recorded if necessary. */
-    async mayBegin(service: string, requestId: string, version: string): Promise<boolean> {
+    /** Whether a stream may begin at a software version; it is recorded if necessary. `recordedElsewhere` is the version that another node may have recorded. */
+    async mayBegin(service: string, requestId: string, version: string, recordedElsewhere?: string): Promise<boolean> {
         const base = await this.currentBase(service);
-        const recorded = this.recorder?.versionOf(requestId);
-        const needsRecord = (base !== undefined && base !== version) || (recorded !== undefined && recorded !== version);
+        const isOtherRecorded = [this.recorder?.versionOf(requestId), recordedElsewhere].some(recorded => recorded !== undefined && recorded !== version);
+        const needsRecord = (base !== undefined && base !== version) || isOtherRecorded;
         // Without an upstream of the base version, a stream without a record is refused when it is taken up.
-        const isBaseGone = base !== undefined && !this.versions.of(service).includes(base) && (recorded === undefined || recorded === version);
+        const isBaseGone = base !== undefined && !this.versions.of(service).includes(base) && !isOtherRecorded;
         const record = { service, requestId, version };
         const isRecorded = !needsRecord || await this.recorder?.record(record) === true;
         if (!isRecorded && !isBaseGone) {
@@ -99,10 +99,15 @@
         if (!isRecorded) {
             this.recorder?.recordLater(record);
         }
-        this.begun.set(requestId, version);
         return true;
     }
 
+    /** The first event of a stream has come, here or through a peer: a record of an attempt at another version is replaced. */
+    onBegun(service: string, requestId: string, version: string): void {
+        this.begun.set(requestId, version);
+        this.recorder?.replace({ service, requestId, version });
+    }
+
     /** The software version that began a stream. */
     async originOf(service: string, requestId: string | undefined): Promise<StreamOrigin> {
         const own = requestId === undefined ? undefined : this.begun.get(requestId);
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -29,10 +29,12 @@
 import { countFailure, failedRunWeight, minServerErrorStatus, recordRefusal } from "./recordRefusal";
 import { SilenceWatch } from "./silenceWatch";
 import { SpeedObserver } from "./speedObserver";
+import { pinToBegun } from "./versionPin";
 
 /** Executes the attempts of one request, one after the other, and updates the upstream's traffic statistics after each. */
 export class AttemptExecutor {
     readonly relay: AnswerRelay;
+    /** Undefined outside this node's own attempts: what the relay observes then comes through a peer. */
     private choice: UpstreamChoice | undefined;
     private sentAt = 0;
     /** How the latest attempt's answer was framed; undefined if no head arrived. */
@@ -47,12 +49,16 @@
         this.relay = AnswerRelay.create(call, gateway.settings.limits, gateway.answerMemory.open(), {
             onHead: () => this.onHead(),
             onFirstEvent: () => {
-                this.speedObserver.onFirstEvent();
-                call.versionPin.version ??= this.choice && softwareVersionOf(this.choice.candidate.server);
+                if (this.choice) {
+                    this.speedObserver.onFirstEvent();
+                    pinToBegun(gateway, call, softwareVersionOf(this.choice.candidate.server));
+                }
             },
             onEventGap: ms => {
-                this.choice?.candidate.traffic.onEventGap(ms);
-                this.speedObserver.onEventGap(ms);
+                if (this.choice) {
+                    this.choice.candidate.traffic.onEventGap(ms);
+                    this.speedObserver.onEventGap(ms);
+                }
                 this.crashObserver.onEvent();
             },
         }, admitsGenerations(gateway, call.service) ? gateway.slowReaders : undefined);
@@ -106,6 +112,7 @@
             traffic.end(expectedTokensOf(gateway, call));
             gateway.contact.countInProgress(-1);
             this.removePendingPrefill(choice);
+            this.choice = undefined;
         }
         this.framing = end.framing;
         recordFailedConnection(gateway.contact, server, end.reason);
--- a/src/forward/outgoingRequest.ts
+++ b/src/forward/outgoingRequest.ts
@@ -4,6 +4,7 @@
 import { mayRepeat } from "./call";
 import type { Gateway } from "./gateway";
 import { encodeRelayed } from "./relayHeaders";
+import { recordedVersionOf } from "./versionPin";
 
 /** Margin by which the deadline sent to upstreams precedes the real one, so that their answer still arrives in time. */
 const returnMarginMs = 8;
@@ -71,6 +72,7 @@
         service: call.service,
         maxRuns,
         streamVersion: call.versionPin.version,
+        recordedVersion: recordedVersionOf(gateway, call),
         keyDigest: gateway.customers ? call.keyDigest : undefined,
         isUsageCharged: call.customer?.limit ? true : undefined,
     });
--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -18,6 +18,7 @@
 import { PeerSilence } from "./peerSilence";
 import { isKeyValid } from "./refuseKey";
 import { decodeReport, withoutReport } from "./relayHeaders";
+import { pinToBegun } from "./versionPin";
 
 const minServerErrorStatus = 500;
 
@@ -53,7 +54,7 @@
     report: RelayReport | undefined;
     head: AnswerHead | undefined;
 
-    constructor(private readonly call: Call, private readonly relay: AnswerRelay) {}
+    constructor(private readonly gateway: Gateway, private readonly call: Call, private readonly relay: AnswerRelay) {}
 
     /** Whether the answer is an upstream's. */
     get isAnswer(): boolean {
@@ -76,7 +77,7 @@
         }
         const state = this.relay.onData(chunk, resume);
         if (this.relay.attemptEventAt !== undefined) {
-            this.call.versionPin.version ??= this.report?.softwareVersion;
+            pinToBegun(this.gateway, this.call, this.report?.softwareVersion);
         }
         return state;
     }
@@ -144,7 +145,7 @@
     const { progress } = call;
     const { address: peer, maxRuns } = target;
     const sentAt = performance.now();
-    const sink = new PeerAnswerSink(call, relay);
+    const sink = new PeerAnswerSink(gateway, call, relay);
     progress.step = RequestStep.Send;
     progress.peer = peer;
     gateway.peers.passedOn++;
--- a/src/forward/peerForwarder.ts
+++ b/src/forward/peerForwarder.ts
@@ -127,6 +127,7 @@
         tally.add(sends, runs);
         tally.isRetryPaid &&= sends === 0;
         call.progress.mayHaveRun = tally.possibleRuns > 0;
+        call.versionPin.recordedElsewhere = report?.softwareVersion ?? call.versionPin.recordedElsewhere;
         this.outcome = outcome;
         if (outcome === AttemptOutcome.RanAndFailed) {
             this.relay.keep(call.progress.upstream ?? peer);
--- a/src/forward/relayHeaders.ts
+++ b/src/forward/relayHeaders.ts
@@ -34,6 +34,7 @@
     service: name,
     maxRuns: count.min(1).max(maxSends),
     streamVersion: name.optional(),
+    recordedVersion: name.optional(),
     keyDigest: z.string().regex(/^[0-9a-f]{64}$/).optional(),
     isUsageCharged: z.boolean().optional(),
 });
--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -202,7 +202,7 @@
             suspectParts: suspects.finish(),
             startedAt: progress.startedAt - (relayed?.elapsedMs ?? 0),
             deadlineAt: progress.startedAt + timeoutMs,
-            versionPin: createVersionPin(relayed?.streamVersion),
+            versionPin: createVersionPin(relayed?.streamVersion, relayed?.recordedVersion),
             progress,
             presence,
             signal: presence.signal,
--- a/src/forward/versionPin.ts
+++ b/src/forward/versionPin.ts
@@ -21,10 +21,12 @@
     version: string | undefined;
     /** Versions at which it may not begin, as that could not be recorded. */
     readonly excluded: Set<string>;
+    /** Version at which another node may have recorded the stream. */
+    recordedElsewhere: string | undefined;
 }
 
 /** Creates the pin of a stream that has not begun, or was begun by a version. */
-export const createVersionPin = (version?: string): VersionPin => ({ version, excluded: new Set() });
+export const createVersionPin = (version?: string, recordedElsewhere?: string): VersionPin => ({ version, excluded: new Set(), recordedElsewhere });
 
 /** Whether a request may be sent to an upstream. */
 export const allowsUpstream = ({ version, excluded }: VersionPin, server: UpstreamServer): boolean => {
@@ -43,13 +45,28 @@
         return true;
     }
     const version = softwareVersionOf(candidate.server);
-    const mayBegin = await gateway.streamVersions.mayBegin(service, caller.requestId, version);
+    const mayBegin = await gateway.streamVersions.mayBegin(service, caller.requestId, version, versionPin.recordedElsewhere);
     if (!mayBegin) {
         versionPin.excluded.add(version);
     }
     return mayBegin;
 };
 
+/** Pins a stream to the version that wrote its first event. */
+export const pinToBegun = ({ streamVersions }: Gateway, { route, service, caller, versionPin }: Call, version: string | undefined): void => {
+    if (version === undefined || versionPin.version !== undefined) {
+        return;
+    }
+    versionPin.version = version;
+    if (mayBeTakenUp(route)) {
+        streamVersions.onBegun(service, caller.requestId, version);
+    }
+};
+
+/** Version at which the stream may have been recorded, for the peer that the request is passed on to. */
+export const recordedVersionOf = ({ streamVersions }: Gateway, { caller, versionPin }: Call): string | undefined =>
+    streamVersions.recorder?.versionOf(caller.requestId) ?? versionPin.recordedElsewhere;
+
 /** Finds the version that began a stream that its caller takes up; refuses it if that is not known. */
 const pinToOrigin = async (gateway: Gateway, { service, caller, versionPin }: Call): Promise<Refusal | undefined> => {
     const { streamVersions } = gateway;
--- a/src/types/relayedRequest.ts
+++ b/src/types/relayedRequest.ts
@@ -12,6 +12,8 @@
     readonly maxRuns: number;
     /** Software version that began the stream; undefined before it began. */
     readonly streamVersion?: string;
+    /** Software version at which a node may have recorded the stream; missing from nodes of earlier releases. */
+    readonly recordedVersion?: string;
     /** SHA-256 of the caller's key, in hexadecimal; missing from nodes of earlier releases and without a key. It must not be logged. */
     readonly keyDigest?: string;
     /** Whether its usage was charged to its customer; missing from nodes of earlier releases, and where the customer has no limit. */
--- a/test/fakes/relayFleet.ts
+++ b/test/fakes/relayFleet.ts
@@ -30,6 +30,8 @@
     readonly cutScript?: Script;
     /** Largest body of a request. */
     readonly maxBodyBytes?: number;
+    /** Whether nodes record the versions that begin streams. */
+    readonly recordsStreams?: boolean;
 }
 
 const baseRoute: ServiceRoute = {
@@ -49,9 +51,9 @@
     store: MemoryPlatformStore,
     name: string,
     signal: AbortSignal,
-    { route = {}, customers, maxBodyBytes = 400_000 }: Pick<RelayFleetOptions, "route" | "customers" | "maxBodyBytes">,
+    { route = {}, customers, maxBodyBytes = 400_000, recordsStreams }: Pick<RelayFleetOptions, "route" | "customers" | "maxBodyBytes" | "recordsStreams">,
 ) => {
-    const node = await createNode(store, name, [], signal);
+    const node = await createNode(store, name, [], signal, undefined, { recordsStreams });
     const { gateway, peerServer } = node;
     const applyConfig = (version: number): void =>
         void gateway.applyConfig({
@@ -93,14 +95,14 @@
     private constructor(readonly cutUpstream: ScriptedUpstream) {}
 
     static async create(
-        { nodes = 2, scripts, versions = [], route, cutScript = neverAnswer, customers, isOriginHeld = false, maxBodyBytes }: RelayFleetOptions,
+        { nodes = 2, scripts, versions = [], route, cutScript = neverAnswer, customers, isOriginHeld = false, maxBodyBytes, recordsStreams }: RelayFleetOptions,
     ): Promise<RelayFleet> {
         const fleet = new RelayFleet(await startScriptedUpstream(cutScript));
         const store = MemoryPlatformStore.create(createRandom(1));
         store.lossShare = 0;
         fleet.upstreams.push(...await Promise.all(scripts.map(script => startScriptedUpstream(script))));
         for (let index = 0; index < nodes; index++) {
-            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, { route, customers, maxBodyBytes }));
+            fleet.nodes.push(await startNode(store, `n${index}`, fleet.abort.signal, { route, customers, maxBodyBytes, recordsStreams }));
         }
         const peers = fleet.nodes.map(({ peerAddress: address }) => ({ address, zone: "a", cores: 1 }));
         fleet.nodes.forEach((node, index) => {
--- a/test/fakes/versionNetwork.ts
+++ b/test/fakes/versionNetwork.ts
@@ -76,6 +76,7 @@
     async begin(node: number, softwareVersion: string): Promise<void> {
         const requestId = `r${++this.sequence}`;
         if (await this.nodes[node]!.streams.mayBegin(versionService, requestId, softwareVersion)) {
+            this.nodes[node]!.streams.onBegun(versionService, requestId, softwareVersion);
             this.begun.set(requestId, softwareVersion);
         }
     }
