--- a/test/processSoak/invariantChecker.ts
+++ b/test/processSoak/invariantChecker.ts
@@ -33,6 +33,7 @@
     servedCount = 0;
     requestCount = 0;
     private readonly runnersByRequest = new Map<string, string[]>();
+    private readonly brokenOff = new Set<string>();
     private readonly refusalStatuses = new Map<string, number>();
     private readonly requests = new Map<string, SoakRequest>();
     private readonly orders = new Map<string, ReceivedOrder[]>();
@@ -61,6 +62,19 @@
         }
     }
 
+    /** Records that an upstream ended with the request, or broke its answer off. */
+    onBrokenOff(id: string): void {
+        this.brokenOff.add(id);
+    }
+
+    wasBrokenOff(id: string): boolean {
+        return this.brokenOff.has(id);
+    }
+
+    hasRun(id: string): boolean {
+        return this.runnersByRequest.has(id);
+    }
+
     onAnswer(req: SoakRequest, status: number, body: string, isComplete: boolean): void {
         if (notRunStatuses.has(status)) {
             this.refusalStatuses.set(req.id, status);
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -7,6 +7,8 @@
 import { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
 import { servePlatformStore } from "../fakes/platformStoreServer";
 import { InvariantChecker } from "./invariantChecker";
+import { LossChecker } from "./lossChecker";
+import { runPlannedWork } from "./plannedWork";
 import { SoakCaller } from "./soakCaller";
 import { soakFaults } from "./soakFaults";
 import { SoakFleet } from "./soakFleet";
@@ -38,6 +40,8 @@
     readonly servedCount: number;
     /** Runs that went on with a stream at another runner. */
     readonly resumedCount: number;
+    /** Whole requests that were sent during planned work. */
+    readonly plannedCount: number;
     /** Folder of the nodes' logs, which is kept if a check failed. */
     readonly logFolder: string;
 }
@@ -66,6 +70,7 @@
     store.lossShare = 0;
     const storeServer = await servePlatformStore(store);
     const checker = InvariantChecker.create();
+    const losses = LossChecker.create();
     const nodes = await Promise.all([...Array(nodeCount).keys()].map(index => SoakNode.create(`n${index}`, portOf(storeServer), logFolder)));
     const fleet = await SoakFleet.create(store, checker, random);
     const abort = new AbortController();
@@ -103,6 +108,7 @@
     if (checker.servedCount - servedBefore < minServedShare * (checker.requestCount - requestsBefore) || checker.requestCount === requestsBefore) {
         checker.violations.push(`${checker.servedCount - servedBefore} of ${checker.requestCount - requestsBefore} requests served after the faults`);
     }
+    await runPlannedWork(seed, { nodes, fleet, checker, losses, seeds });
     abort.abort();
     await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun, brittleRun]);
     clearInterval(probeTimer);
@@ -112,6 +118,7 @@
     storeServer.close();
     const violations = [
         ...checker.checkAtEnd(),
+        ...losses.violations(checker),
         ...fleet.overcommitViolations(),
         ...fleet.prompts.violations(),
         ...fleet.limits.violations(),
@@ -127,6 +134,7 @@
         requestCount: checker.requestCount,
         servedCount: checker.servedCount,
         resumedCount: checker.streamRuns.resumedCount,
+        plannedCount: losses.sentCount,
         logFolder,
     };
 };
--- a/test/processSoak/soakFaults.ts
+++ b/test/processSoak/soakFaults.ts
@@ -26,15 +26,21 @@
 /** The row of a crashed upstream is removed after this time. */
 const rowExpiryMs = 1_200;
 /** The platform kills a stopping process this long after SIGTERM. */
-const graceMs = 6_000;
+export const graceMs = 6_000;
 
 const drawDurationMs = (random: Random): number => 400 + random() * 3_500;
 
-/** Suspends the guarantees of a node that have time bounds until it has recovered from a fault. */
-export const suspendChecks = (node: SoakNode, ms: number): void => {
+/** Suspends the guarantees of a node that have time bounds while it is stopped and started as planned. */
+const suspendTimeChecks = (node: SoakNode, ms: number): void => {
     node.checksSuspendedUntil = Math.max(node.checksSuspendedUntil, performance.now() + ms + recoveryMs);
 };
 
+/** Suspends the guarantees of a node that have time bounds, and that it loses no request, until it has recovered from a fault. */
+export const suspendChecks = (node: SoakNode, ms: number): void => {
+    suspendTimeChecks(node, ms);
+    node.impairedUntil = Math.max(node.impairedUntil, performance.now() + ms + recoveryMs);
+};
+
 /** Picks a running node, if at least two others keep running. */
 const pickNode = ({ nodes, random }: SoakContext): SoakNode | undefined => {
     const running = nodes.filter(({ isRunning, isStopRequested }) => isRunning && !isStopRequested);
@@ -98,7 +104,7 @@
     "node stopped": async context => {
         const node = pickNode(context);
         if (node) {
-            suspendChecks(node, graceMs);
+            suspendTimeChecks(node, graceMs);
             node.signal("SIGTERM");
             await sleep(graceMs);
             node.signal("SIGKILL");
--- a/test/processSoak/soakNode.ts
+++ b/test/processSoak/soakNode.ts
@@ -1,5 +1,5 @@
 import type { ChildProcess } from "node:child_process";
-import { spawn } from "node:child_process";
+import { spawn, spawnSync } from "node:child_process";
 import { createWriteStream, writeFileSync } from "node:fs";
 import { get } from "node:http";
 import { join } from "node:path";
@@ -19,7 +19,12 @@
     /** When it was last started, stopped or paused, and when its link to the store was last disturbed. */
     disturbedAt = Number.NEGATIVE_INFINITY;
     cutAt = Number.NEGATIVE_INFINITY;
+    /** Until this time a fault that no operator planned, or its aftermath, excuses the loss of a request. */
+    impairedUntil = Number.NEGATIVE_INFINITY;
     isStopRequested = false;
+    /** When signals that operators send were sent. */
+    readonly signalsAt: { readonly SIGTERM: number[]; readonly SIGHUP: number[]; } = { SIGTERM: [], SIGHUP: [] };
+    private core: string | undefined;
     private child: ChildProcess | undefined;
     /** Exits that did not follow a signal to stop. */
     readonly unexpectedExits: string[] = [];
@@ -57,7 +62,8 @@
             file,
             renderSettingsFile({ name, zone: "a", front, ready, control, metricsPort, seeds, storeAddress: storeProxy.address, graceS, budgetSlack: 50 }),
         );
-        const child = spawn(process.execPath, [programPath, "serve-platform"], {
+        const command = [...this.core === undefined ? [] : ["taskset", "-c", this.core], process.execPath, programPath, "serve-platform"];
+        const child = spawn(command[0]!, command.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: ["ignore", "pipe", "pipe"],
         });
@@ -77,7 +83,18 @@
         });
     }
 
+    /** Binds it and its later processes to a core, if there is one. */
+    bind(core: string | undefined): void {
+        this.core = core;
+        if (core !== undefined && this.child) {
+            spawnSync("taskset", ["-a", "-c", "-p", core, String(this.child.pid)]);
+        }
+    }
+
     signal(signal: NodeJS.Signals): void {
+        if ((signal === "SIGTERM" || signal === "SIGHUP") && this.child) {
+            this.signalsAt[signal].push(performance.now());
+        }
         if (signal !== "SIGHUP") {
             this.disturbedAt = performance.now();
         }
--- a/test/processSoak/soakUpstream.ts
+++ b/test/processSoak/soakUpstream.ts
@@ -17,6 +17,7 @@
 import type { InvariantChecker } from "./invariantChecker";
 import { streamBody, streamEventCount } from "./invariantChecker";
 import type { NamedLimits } from "./namedLimits";
+import type { UpstreamFaults } from "./upstreamFaults";
 import { isLinkSound } from "./upstreamWords";
 
 const processingMs = 40;
@@ -41,13 +42,6 @@
     fence: z.number(),
 });
 
-/** Faults of an upstream, as shares of its requests or orders. */
-export interface UpstreamFaults {
-    lostAnswers: number;
-    refusals: number;
-    lateOrders: number;
-}
-
 /** What upstreams share. */
 interface SoakUpstreamContext {
     readonly checker: InvariantChecker;
@@ -169,6 +163,9 @@
             await this.handleRequest(req, res);
         }
         finally {
+            if (this.isGone) {
+                this.checker.onBrokenOff(id);
+            }
             this.brittle.onEnd(this);
         }
     }
@@ -211,6 +208,7 @@
         const isAnswerLost = this.random() < this.faults.lostAnswers;
         await sleep(processingMs);
         if (isAnswerLost) {
+            this.checker.onBrokenOff(id);
             req.socket.resetAndDestroy();
             return;
         }
