--- a/src/forward/requestReception.ts
+++ b/src/forward/requestReception.ts
@@ -209,7 +209,7 @@
             suspectParts: suspects.finish(),
             startedAt: progress.startedAt - (relayed?.elapsedMs ?? 0),
             deadlineAt,
-            versionPin: createVersionPin(relayed?.streamVersion),
+            versionPin: createVersionPin(relayed?.streamVersion, relayed?.recordedVersion),
             progress,
             presence,
             signal: presence.signal,
