--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -144,7 +144,8 @@
         const callerPort = server.port(settings.callerAddress);
         const readinessPort = { server: readiness, address: settings.readyAddress };
         const peerPort = peerServer.port(settings.peerAddress);
-        const ports = [peerPort, callerPort, readinessPort];
+        // That of callers last: closing it because another one is taken would reset what callers have sent.
+        const ports = [peerPort, readinessPort, callerPort];
         if (!await listenOnAll(ports, waits)) {
             this.stopped.abort();
             // The runtime's timer of a server that has listened would keep the node.
