--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -3,9 +3,10 @@
 import { build } from "esbuild";
 import { execFile } from "node:child_process";
 import { createHash } from "node:crypto";
-import { mkdir, readdir, rename, rm, stat, writeFile } from "node:fs/promises";
+import { mkdir, readdir, rm, stat } from "node:fs/promises";
 import { basename, dirname, join, resolve } from "node:path";
 import { promisify } from "node:util";
+import { writeWhole } from "./writeWhole.mjs";
 
 /** Build options that all bundles share. */
 export const common = {
@@ -25,13 +26,6 @@
 /** Number of programs that are kept: the newest, and those of earlier builds for processes that have just read an earlier entry. */
 const keptPrograms = 3;
 
-/** Writes a temporary file and renames it, so that a process that starts meanwhile never reads a partial file. */
-const writeWhole = async (file, contents) => {
-    const temporaryFile = `${file}.${process.pid}`;
-    await writeFile(temporaryFile, contents);
-    await rename(temporaryFile, file);
-};
-
 const buildText = async options => {
     const { outputFiles: [{ contents }] } = await build({ ...options, write: false });
     return contents;
@@ -57,13 +51,15 @@
     await Promise.all(programs.slice(keptPrograms).flatMap(({ file }) => [rm(file, { force: true }), rm(`${file}.cache`, { force: true })]));
 };
 
-/** Makes the entry load the program by its name, with its code cache. */
-const loaderOf = name => ({
+/** Makes the entry load the program by its name and SHA-256, with its code cache. */
+const loaderOf = (name, sha256) => ({
     name: "program",
     setup: ({ onResolve, onLoad }) => {
         onResolve({ filter: /^\.\/main$/ }, () => ({ path: name, namespace: "program" }));
         onLoad({ filter: /./, namespace: "program" }, () => ({
-            contents: `import { loadProgram } from "./loadProgram"; export const { run } = loadProgram("./${name}", __filename);`,
+            contents: `import { loadProgram } from "./loadProgram";
+                const { exports: { run: start }, codeCache } = loadProgram("./${name}", "${sha256}", __filename);
+                export const run = signals => start(signals, codeCache);`,
             resolveDir: "src/cli",
         }));
     },
@@ -75,12 +71,14 @@
     const prefix = `${basename(outfile, ".cjs")}-`;
     await mkdir(folder, { recursive: true });
     const program = await buildText({ ...common, define, ...minified, entryPoints: ["src/cli/main.ts"] });
-    const name = `${prefix}${createHash("sha256").update(program).digest("hex").slice(0, 16)}.cjs`;
+    const sha256 = createHash("sha256").update(program).digest("hex");
+    const name = `${prefix}${sha256.slice(0, 16)}.cjs`;
     await writeWhole(join(folder, name), program);
     if (flags.length > 0) {
         await promisify(execFile)(process.execPath, [...flags, "scripts/writeCodeCache.mjs", resolve(folder, name)]);
     }
-    await writeWhole(outfile, await buildText({ ...entryOptions, plugins: [loaderOf(name)] }));
+    // The entry comes last: what it names is whole on the disk by then.
+    await writeWhole(outfile, await buildText({ ...entryOptions, plugins: [loaderOf(name, sha256)] }));
     await removeOldPrograms(folder, prefix);
 };
 
--- a/src/cli/entry.ts
+++ b/src/cli/entry.ts
@@ -8,4 +8,4 @@
     signals.listen();
 }
 // The program is a file of its own: reading and compiling it takes most of the start, and a signal meanwhile would end the process.
-void import("./main").then(({ run }) => run(signals));
+void import("./main").then(({ run }) => run(signals), async (err: unknown) => (await import("./endWithoutProgram")).endWithoutProgram(err));
--- a/src/cli/exitCode.ts
+++ b/src/cli/exitCode.ts
@@ -11,4 +11,6 @@
     ReplayMismatch = 4,
     /** The node cut off requests in progress when it stopped. */
     RequestsAborted = 5,
+    /** The file of the program is missing or is not the one that was built. */
+    ProgramUnusable = 6,
 }
--- a/src/cli/loadProgram.ts
+++ b/src/cli/loadProgram.ts
@@ -1,26 +1,33 @@
-import { existsSync, readFileSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import nodeModule from "node:module";
 import { dirname, join } from "node:path";
 import { Script } from "node:vm";
-
-/** Appended to the path of a program for its code cache, which the build writes. */
-const cacheSuffix = ".cache";
+import { readCodeCache, sha256Of } from "./codeCache";
+import { CodeCacheUse } from "./codeCacheUse";
 
 type ModuleFunction = (exports: object, require: NodeJS.Require, module: { exports: object; }, filename: string, dirname: string) => void;
 
+/** A program that was loaded. */
+export interface LoadedProgram {
+    readonly exports: object;
+    readonly codeCache: CodeCacheUse;
+}
+
 /**
- * Loads a CommonJS file beside the entry. With its code cache the file is not compiled again, which takes a third of the processor time of a start.
- * V8 ignores a cache of another version, or of a process that runs with other flags.
+ * Loads a CommonJS file beside the entry, which must have the given SHA-256. With its code cache the file is not compiled again, which takes a third of the processor
+ * time of a start. Damaged code ends a process in unknown ways, so both files are compared with what the build wrote before any of them is executed.
  */
-export const loadProgram = (name: string, entry: string): object => {
-    const require = nodeModule.createRequire(entry);
+export const loadProgram = (name: string, sha256: string, entry: string): LoadedProgram => {
     const filename = join(dirname(entry), name);
-    const cacheFile = filename + cacheSuffix;
-    if (!existsSync(cacheFile)) {
-        return require(filename) as object;
+    const source = readFileSync(filename);
+    if (sha256Of(source) !== sha256) {
+        throw new Error(`${filename} (${source.length} bytes) is not the file that was built`);
     }
-    const script = new Script(nodeModule.wrap(readFileSync(filename, "utf8")), { filename, cachedData: readFileSync(cacheFile) });
+    const cache = readCodeCache(filename, sha256);
+    const script = new Script(nodeModule.wrap(source.toString()), { filename, ...("data" in cache ? { cachedData: cache.data } : {}) });
     const module = { exports: {} };
+    const require = nodeModule.createRequire(entry);
     (script.runInThisContext() as ModuleFunction).call(module.exports, module.exports, require, module, filename, dirname(filename));
-    return module.exports;
+    const use = script.cachedDataRejected === true ? CodeCacheUse.Rejected : CodeCacheUse.Used;
+    return { exports: module.exports, codeCache: "unusable" in cache ? cache.unusable : use };
 };
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import type { CommandClass } from "clipanion";
 import { Builtins, Cli } from "clipanion";
 import { StartStep, startTimes } from "../utils/startTimes";
+import { CodeCacheUse } from "./codeCacheUse";
 import type { CommandContext } from "./commandContext";
 import { EventsCommand, ExplainCommand, StatusCommand } from "./inspect";
 import { CheckSettingsCommand, ExplainRequestCommand } from "./platformTools";
@@ -31,9 +32,9 @@
 ].forEach(command => cli.register(command as CommandClass as CommandClass<CommandContext>));
 
 /** Runs the command that the arguments name, and ends the process with its exit code. */
-export const run = async (signals: ProcessSignals): Promise<void> => {
+export const run = async (signals: ProcessSignals, codeCache = CodeCacheUse.None): Promise<void> => {
     startTimes.mark(StartStep.Program);
-    const code = await cli.run(process.argv.slice(2), { ...Cli.defaultContext, signals });
+    const code = await cli.run(process.argv.slice(2), { ...Cli.defaultContext, signals, codeCache });
     // Idle connections would keep the process alive.
     process.exit(process.exitCode ?? code);
 };
--- a/src/cli/serve.ts
+++ b/src/cli/serve.ts
@@ -38,6 +38,7 @@
             return ExitCode.Usage;
         }
         setupLogs(result.settings.logLevel);
+        emit(EventId.ProgramLoaded, { codeCache: this.context.codeCache });
         surviveUnexpectedErrors();
         startTimes.mark(StartStep.Settings);
         const { signals } = this.context;
--- a/src/cli/servePlatform.ts
+++ b/src/cli/servePlatform.ts
@@ -52,6 +52,7 @@
     override async execute(): Promise<number> {
         this.context.signals.listen();
         setupLogs("info", process.stdout);
+        emit(EventId.ProgramLoaded, { codeCache: this.context.codeCache });
         const errors = surviveUnexpectedErrors();
         if (this.settingsFile === undefined) {
             this.context.stderr.write("--settings-file (JACKDAWTRAIL_NODE_FILE): missing; allowed: a file path\n");
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -27,6 +27,8 @@
     WaitPassed = 130,
     MetricsUnserved = 131,
     ListenerLost = 132,
+    ProgramLoaded = 140,
+    ProgramUnusable = 141,
     ConfigAdvanced = 201,
     ConfigSourceFailed = 202,
     ConfigUnreadableRecord = 203,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -35,6 +35,10 @@
     [EventId.PortConnectionsClosed]:
         "connections to a port that is not for callers were closed, by reason: unfinished heads or bodies hold too much, a request before the answer to another one, or too many connections (counted each second)",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
+    [EventId.ProgramLoaded]:
+        "the program was loaded; `codeCache` says whether its code cache was used, and if not, why: missing, unreadable, damaged, made from another program, for another runtime or processor, or rejected by V8; the program is compiled then, which takes longer",
+    [EventId.ProgramUnusable]:
+        "the file of the program cannot be loaded, such as one that is missing or differs from the one that was built; the process exits with code 6, and a build mends it",
     [EventId.ConfigAdvanced]: "a newer configuration is in force",
     [EventId.ConfigSourceFailed]: "the configuration could not be read from the table or a peer; the one in force stays",
     [EventId.ConfigUnreadableRecord]:
