--- /dev/null
+++ b/scripts/buildSystem.mjs
@@ -0,0 +1,38 @@
+// Builds the system as the platform runs it: installs what the build needs, unless it is proved to be installed, and bundles the program. The arguments are those of
+// bundleProgram.mjs. It uses only modules of Node.js, as nothing else may be installed yet.
+import { spawnSync } from "node:child_process";
+import { lockFolder } from "./buildLock.mjs";
+import { findInstallFault, removeInstallRecord, writeInstallRecord } from "./installRecord.mjs";
+
+/** Runs a program; returns whether it succeeded. */
+const run = (command, args) => {
+    const { status, signal, error } = spawnSync(command, args, { stdio: "inherit" });
+    if (status === 0) {
+        return true;
+    }
+    console.error(`${command} ${args.join(" ")}: ${error?.message ?? signal ?? `exit code ${status}`}`);
+    return false;
+};
+
+const install = async reason => {
+    console.error(`installing: ${reason}`);
+    removeInstallRecord();
+    if (!run("npm", ["ci", "--silent", "--no-audit", "--no-fund"])) {
+        process.exit(1);
+    }
+    await writeInstallRecord();
+};
+const bundle = () => run(process.execPath, ["scripts/bundleProgram.mjs", ...process.argv.slice(2)]);
+
+await lockFolder(".");
+const fault = findInstallFault();
+if (fault) {
+    await install(fault);
+}
+let isBuilt = bundle();
+if (!isBuilt && !fault) {
+    await install("the build failed on an earlier install");
+    isBuilt = bundle();
+}
+// The lock, and connections of those who wait for it, would keep the process alive.
+process.exit(isBuilt ? 0 : 1);
