--- a/test/platformDecoders.test.ts
+++ b/test/platformDecoders.test.ts
@@ -65,6 +65,23 @@
             faults.forEach((fault, index) => assert.ok(reading.faults[index]!.startsWith(fault), reading.faults[index]));
         });
     }
+
+    // Guards against a node that starts with defaults in place of what the rest of its file says. The fields are in the platform's order, those that may be missing included.
+    it("refuses a file that was cut anywhere before the last field that it uses", () => {
+        const text = settingsText.replace("memoryMb = 350", "cpuShare = 0.675\ncores = 2\nmemoryMb = 350\nmaxFds = 4100").replace(
+            "unknownField = 1",
+            'contracts = ["pressure"]',
+        )
+            .replace("[platform]", "strictRevoke = true\nrevokeMs = 4000\nquotaWindowS = 5\nquotaOverrun = 0.1\nquotaSlack = 3\n[platform]");
+        const whole = parseSettingsFile(text, defaultTransportLimits);
+        assert.ok("settings" in whole);
+        for (let length = 0; length < text.length; length++) {
+            const reading = parseSettingsFile(text.slice(0, length), defaultTransportLimits);
+            if ("settings" in reading) {
+                assert.deepEqual(reading, whole, `cut after ${length} characters`);
+            }
+        }
+    });
 });
 
 const route = {
