--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -44,11 +44,21 @@
     }
 };
 
+/** Removes a file. The build is complete without that, so an error is only reported. */
+const removeFile = async file => {
+    try {
+        await rm(file, { force: true });
+    }
+    catch (err) {
+        console.error(`an old file is not removed: ${err.message}`);
+    }
+};
+
 const removeOldPrograms = async (folder, prefix) => {
     const files = (await readdir(folder)).filter(file => file.startsWith(prefix) && file.endsWith(".cjs")).map(file => join(folder, file));
     const programs = (await Promise.all(files.map(async file => ({ file, builtAt: await builtAtOf(file) })))).filter(({ builtAt }) => builtAt !== undefined);
     programs.sort((a, b) => b.builtAt - a.builtAt);
-    await Promise.all(programs.slice(keptPrograms).flatMap(({ file }) => [rm(file, { force: true }), rm(`${file}.cache`, { force: true })]));
+    await Promise.all(programs.slice(keptPrograms).flatMap(({ file }) => [removeFile(file), removeFile(`${file}.cache`)]));
 };
 
 /** Makes the entry load the program by its name and SHA-256, with its code cache. */
