--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -1,4 +1,4 @@
-import type { ContactFailure } from "../types/contactFailure";
+import { ContactFailure } from "../types/contactFailure";
 import { ContactState } from "../types/contactState";
 import type { UpstreamServer } from "../types/upstreamServer";
 import { processKey } from "../types/upstreamServer";
@@ -6,26 +6,10 @@
 import type { Random } from "../utils/random";
 import { AttentiveClock } from "./attentiveClock";
 import { chooseProbeTargets } from "./chooseProbeTargets";
+import { firstProbes, lostProbes, maxDoubtProbes, minFailedProcesses } from "./contactCounts";
 import { contactEvents } from "./contactEvents";
 import { ContactEvidence } from "./contactEvidence";
-
-/** Time after which the probe of a held path counts as unanswered. */
-const checkTimeoutMs = 200;
-/** Failed connections to this many processes, without a new one that worked in between, raise a doubt. */
-const minFailedProcesses = 2;
-/** Minimum time between an answered probe and the next conclusion from failures: crashes of many upstreams cost no more probes than this allows. */
-const minDoubtPauseMs = 700;
-/** Time in which one of the probes must be answered. */
-const decisionMs = 500;
-/** Probes at the beginning of a doubt, the most in all, and the time after which all of them are used. */
-const firstProbes = 3;
-const maxDoubtProbes = 6;
-const moreProbesAfterMs = 250;
-/** While the path is lost, so many upstreams are probed at this interval. */
-const lostProbeIntervalMs = 300;
-const lostProbes = 2;
-/** A request that must not be repeated is not sent on a kept connection while nothing has arrived for this long. */
-const maxTrustedSilenceMs = 200;
+import { checkTimeoutMs, decisionMs, lostProbeIntervalMs, maxTrustedSilenceMs, minDoubtPauseMs, moreProbesAfterMs } from "./contactTimes";
 
 /**
  * What this node believes of its own path to the upstreams. One upstream that fails or is silent says nothing of it. Failures at several, or silence of all, raise
@@ -47,6 +31,8 @@
     /** Processes that were probed in the present state. */
     private readonly asked = new Set<string>();
     private failedProbes = 0;
+    /** How the latest probe failed whose failure says something of the path; undefined if one was answered since. */
+    private probeFailure: ContactFailure | undefined;
     /** Probes sent since the start, and how often the path was lost. */
     probeCount = 0;
     lossCount = 0;
@@ -63,6 +49,11 @@
         return this.current;
     }
 
+    /** Whether the path is lost as this node itself cannot send anything: it may not reach peers either. */
+    get cannotSend(): boolean {
+        return this.current === ContactState.Lost && this.probeFailure === ContactFailure.Own;
+    }
+
     /** Whether a failure of an upstream at a time on the monotonic clock is its own: the path held, and a new connection to another one worked since. */
     vouchesFor(failedAt: number): boolean {
         return this.current === ContactState.Held && this.evidence.failedProcesses.size < minFailedProcesses && this.evidence.hasReachedSince(failedAt);
@@ -127,6 +118,7 @@
     /** Records that a probe was answered; any HTTP answer shows that the path is there. */
     onProbeAnswered(process: string, sentAt: number): void {
         this.checkedAt = undefined;
+        this.probeFailure = undefined;
         this.mayConcludeAt = this.clock.nowMs + minDoubtPauseMs;
         this.evidence.onWord(process, sentAt);
         if (this.current !== ContactState.Held) {
@@ -137,7 +129,11 @@
     /** Records that the connection of a probe failed; one that is not answered in time is no event. */
     onProbeFailed(process: string, kind: ContactFailure): void {
         this.failedProbes++;
+        this.probeFailure = kind;
         this.onFailure(process, kind);
+        if (kind === ContactFailure.Own && this.current === ContactState.Held) {
+            this.change(ContactState.Doubted, "a probe that could not be sent");
+        }
     }
 
     /** Draws conclusions from the time that has passed; returns the upstreams to probe now. Called regularly, after all that has arrived was read. */
@@ -241,6 +237,7 @@
         this.failedProbes = 0;
         this.asked.clear();
         if (state === ContactState.Held) {
+            this.probeFailure = undefined;
             this.mayConcludeAt = this.changedAt + minDoubtPauseMs;
             this.evidence.forgetFailures();
         }
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -4,11 +4,11 @@
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { RequestStep } from "../types/requestStep";
 import { emit } from "../utils/events";
-import { describeError, errorCodeOf } from "../utils/transport";
+import { describeError, errorCodeOf, isOwnError } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind, withdrawn } from "./attemptEnd";
-import { abortReason, invalidRequestCode } from "./attemptErrors";
+import { AttemptEndKind, OwnFault, withdrawn } from "./attemptEnd";
+import { abortReason, invalidRequestCode, maxInformationalAnswers } from "./attemptErrors";
 import type { CallerPresence } from "./callerPresence";
 import { cutReasonOf } from "./cutReasonOf";
 import { FramingWatch } from "./framingWatch";
@@ -69,9 +69,6 @@
     onArrival(connectionOpenedAt: number): void;
 }
 
-/** A server that sends more informational answers than this for one request is in trouble, and no answer follows. */
-const maxInformationalAnswers = 32;
-
 const exchange = (
     pool: UpstreamConnectionPool,
     acquire: () => UpstreamConnection,
@@ -82,13 +79,15 @@
     signal: AbortSignal,
 ): Promise<AttemptEnd> =>
     new Promise(resolve => {
+        const logError = (step: RequestStep, err: unknown): void =>
+            emit(EventId.AttemptStepFailed, { request: req.requestId, step, detail: describeError(err) });
         let connection: UpstreamConnection;
         try {
             connection = acquire();
         }
         catch (err) {
-            emit(EventId.AttemptStepFailed, { request: req.requestId, step: RequestStep.Send, detail: describeError(err) });
-            resolve({ kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined });
+            logError(RequestStep.Send, err);
+            resolve({ kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined, own: OwnFault.Request });
             return;
         }
         let isSent = false;
@@ -100,7 +99,7 @@
         let isDropped = false;
         let controller: Dispatcher.DispatchController | undefined;
         let framingWatch: FramingWatch | undefined;
-        const finish = (kind: AttemptEndKind, reason: string): void => {
+        const finish = (kind: AttemptEndKind, reason: string, own?: OwnFault): void => {
             signal.removeEventListener("abort", onAbort);
             framingWatch?.stop();
             if (kind === AttemptEndKind.Complete) {
@@ -109,7 +108,7 @@
             else {
                 pool.discard(connection);
             }
-            resolve({ kind, reason, framing });
+            resolve({ kind, reason, framing, own });
         };
         const giveUp = (current: Dispatcher.DispatchController, reason: string): void => {
             isDropped = true;
@@ -127,9 +126,9 @@
                 handle(...args);
             }
             catch (err) {
-                emit(EventId.AttemptStepFailed, { request: req.requestId, step, detail: describeError(err) });
+                logError(step, err);
                 isDropped = true;
-                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `internal error at step "${step}"`);
+                finish(isSent ? AttemptEndKind.Lost : AttemptEndKind.Unsent, `internal error at step "${step}"`, isSent ? undefined : OwnFault.Request);
                 controller?.abort(abortReason);
             }
         };
@@ -212,7 +211,11 @@
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
                 const unopened = connection.isReused ? AttemptEndKind.Stale : AttemptEndKind.Unsent;
                 const unsent = errorCodeOf(err) === invalidRequestCode ? AttemptEndKind.Unsendable : unopened;
-                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason);
+                const isOwn = !isSent && !isWithheld && !current?.aborted && isOwnError(err);
+                if (isOwn) {
+                    logError(RequestStep.Send, err);
+                }
+                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason, isOwn ? OwnFault.Client : undefined);
             },
         };
         const outgoing = { method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body };
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -20,12 +20,22 @@
     Withheld = "withheld",
 }
 
+/** What of this node kept an attempt from being sent. */
+export enum OwnFault {
+    /** The handling of this request, of which others know nothing. */
+    Request = "request",
+    /** The HTTP client or the system, which would fail for other requests, too. */
+    Client = "client",
+}
+
 /** How and why an attempt ended. */
 export interface AttemptEnd {
     readonly kind: AttemptEndKind;
     readonly reason: string;
     /** What marks the end of the answer; undefined if no head arrived. */
     readonly framing: AnswerFraming | undefined;
+    /** Whether this node itself is why nothing was sent. */
+    readonly own?: OwnFault;
 }
 
 /** The end of an attempt that was given up before a connection was asked for. */
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -12,7 +12,7 @@
 import type { OutgoingRequest } from "./attempt";
 import { sendAttempt } from "./attempt";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind, unsentKinds } from "./attemptEnd";
+import { AttemptEndKind, OwnFault, unsentKinds } from "./attemptEnd";
 import { createAttemptGuard } from "./attemptGuard";
 import { AttemptOutcome } from "./attemptOutcome";
 import { AttemptTimers } from "./attemptTimers";
@@ -98,7 +98,7 @@
         catch (err) {
             // Once the request is sent, its attempt has an end and no error.
             emit(EventId.AttemptStepFailed, { request: call.caller.requestId, step: call.progress.step, detail: describeError(err) });
-            end = { kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined };
+            end = { kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined, own: OwnFault.Request };
         }
         finally {
             timers.stop();
@@ -108,7 +108,7 @@
             this.removePendingPrefill(choice);
         }
         this.framing = end.framing;
-        recordFailedConnection(gateway.contact, server, end.reason);
+        recordFailedConnection(gateway.contact, server, end);
         if (unsentKinds.has(end.kind)) {
             call.progress.mayHaveRun = mayHaveRunBefore;
         }
@@ -185,7 +185,7 @@
             return AttemptOutcome.Unsendable;
         }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
-            if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
+            if (end.kind === AttemptEndKind.Unsent && end.own === undefined && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
                 traffic.onUnreachable();
             }
             this.logFailed(server.id, end.reason, Verdict.NotRun);
--- a/src/forward/contactMonitor.ts
+++ b/src/forward/contactMonitor.ts
@@ -1,3 +1,4 @@
+import { ContactFailure } from "../types/contactFailure";
 import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
 import type { ServiceSpec } from "../types/servingConfig";
@@ -6,9 +7,9 @@
 import type { UpstreamWord } from "../types/upstreamWord";
 import { emit } from "../utils/events";
 import { nextTurn, repeat } from "../utils/time";
-import { errorCodeOf } from "../utils/transport";
+import { describeError, errorCodeOf } from "../utils/transport";
 import type { Gateway } from "./gateway";
-import { contactFailureOf } from "./recordFailedConnection";
+import { probeFailureOf } from "./recordFailedConnection";
 
 /** Interval at which the belief is brought up to date. */
 const tickIntervalMs = 100;
@@ -35,7 +36,11 @@
         const step = async (): Promise<void> => {
             // What has arrived by now counts, also if this process is late to read it.
             await nextTurn();
-            this.gateway.contact.tick(() => this.targets()).forEach(server => void this.probe(server));
+            const { contact, peers } = this.gateway;
+            contact.tick(() => this.targets()).forEach(server => void this.probe(server));
+            if (contact.cannotSend) {
+                peers.reach.check();
+            }
         };
         void repeat(step, () => tickIntervalMs, signal, err => emit(EventId.ContactProbeFailed, { detail: errorCodeOf(err) }));
     }
@@ -73,9 +78,9 @@
             contact.onProbeAnswered(processKey(server), sentAt);
         }
         catch (err) {
-            const reason = errorCodeOf(err);
-            emit(EventId.ContactProbeFailed, { upstream: server.id, detail: reason, afterMs: Math.round(performance.now() - sentAt) });
-            const failure = contactFailureOf(reason);
+            const failure = probeFailureOf(err);
+            const detail = failure === ContactFailure.Own ? describeError(err) : errorCodeOf(err);
+            emit(EventId.ContactProbeFailed, { upstream: server.id, detail, failure, afterMs: Math.round(performance.now() - sentAt) });
             if (failure !== undefined) {
                 contact.onProbeFailed(processKey(server), failure);
             }
--- a/src/forward/monitoringServers.ts
+++ b/src/forward/monitoringServers.ts
@@ -13,8 +13,14 @@
 /** Limits of the ports for readiness and metrics, whose clients are a few and send no bodies. */
 const monitoringLimits: PortLimits = { maxConnections: 64, maxBodyBytes: 1_048_576 };
 
-/** Whether the node can serve callers: one that is cut off from the upstreams can as long as peers take its requests. */
-const canServe = (gateway: Gateway): boolean => !isPathLost(gateway) || !gateway.peers.takeNone;
+/**
+ * Whether the node can serve callers: one that is cut off from the upstreams can as long as peers take its requests. If it cannot send anything itself, a peer must
+ * have answered.
+ */
+const canServe = (gateway: Gateway): boolean => {
+    const { contact, peers } = gateway;
+    return !isPathLost(gateway) || (!peers.takeNone && (!contact.cannotSend || peers.reach.check() === true));
+};
 
 /** Whether the load balancer should send new connections to the node. */
 export const isReady = (gateway: Gateway): boolean =>
--- a/src/types/contactFailure.ts
+++ b/src/types/contactFailure.ts
@@ -4,4 +4,6 @@
     Connect = "connect",
     /** It ended before an answer to what was sent over it. */
     Ended = "ended",
+    /** Nothing was sent for an error of this node: its client failed, or the system refused it a socket. It says nothing of the upstream. */
+    Own = "own",
 }
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -22,6 +22,16 @@
     return code ?? cause?.code ?? (err instanceof Error ? err.name : "unknown");
 };
 
+/** Error codes with which the system refuses a connection for want of something that this node has too little of, or is not allowed. */
+const ownCodes: ReadonlySet<string> = new Set(["EMFILE", "ENFILE", "ENOMEM", "ENOBUFS", "EADDRNOTAVAIL", "EACCES", "EPERM"]);
+
+/** Whether an error that kept a request from being sent is this node's own: errors of the client and of the system that concern the other side have other codes. */
+export const isOwnError = (err: unknown): boolean => {
+    const { code, cause } = (err ?? {}) as { code?: unknown; cause?: { code?: unknown; }; };
+    const named = code ?? cause?.code;
+    return named === undefined || ownCodes.has(String(named));
+};
+
 /** An error with its stack, for a log line. */
 export const describeError = (err: unknown): string => err instanceof Error ? err.stack ?? err.message : errorCodeOf(err);
 
--- a/test/internalErrors.test.ts
+++ b/test/internalErrors.test.ts
@@ -233,6 +233,8 @@
                 assert.equal(result.headers["retry-after"] !== undefined, expected === "not-run");
             }
             assert.deepEqual(traffics.map(({ inFlight, pendingPrefillMs }) => [inFlight, pendingPrefillMs]), traffics.map(() => [0, 0]));
+            // An error of this node says nothing of an upstream.
+            assert.deepEqual(traffics.map(({ isUnreachable }) => isUnreachable), traffics.map(() => false));
             assert.deepEqual([gateway.inProgress, queuedAt(gateway), gateway.answerMemory.used, usedConnectionsOf(gateway)], [0, 0, 0, 0]);
         });
     }
--- a/test/upstreamContact.test.ts
+++ b/test/upstreamContact.test.ts
@@ -140,6 +140,22 @@
                 state: ContactState.Held,
             },
             { name: "two at two processes", steps: failuresAtTwo, state: ContactState.Doubted },
+            { name: "one request that this node could not send", steps: contact => contact.onFailure("x@1", ContactFailure.Own), state: ContactState.Held },
+            {
+                name: "two requests that this node could not send, with a connection opened in between",
+                steps: contact => {
+                    contact.onFailure("x@1", ContactFailure.Own);
+                    contact.onOpened();
+                    contact.onFailure("y@1", ContactFailure.Own);
+                },
+                state: ContactState.Doubted,
+            },
+            {
+                name: "one probe that this node could not send",
+                steps: contact => contact.onProbeFailed("x@1", ContactFailure.Own),
+                state: ContactState.Doubted,
+            },
+            { name: "one probe whose connection failed", steps: contact => contact.onProbeFailed("x@1", ContactFailure.Connect), state: ContactState.Held },
             {
                 name: "two, with a connection opened in between",
                 steps: contact => {
