--- a/src/platform/upstreamQuestion.ts
+++ b/src/platform/upstreamQuestion.ts
@@ -8,6 +8,8 @@
 import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
 const reportPath = "/api/report";
+/** Paths that can be sent. Any answer shows that the upstream is reached, so another path is asked for in place of one that cannot. */
+const validPath = /^\/[\u0021-\u00ff]*$/;
 /** The signal usually ends a connection attempt earlier. */
 const connectTimeoutMs = 1_000;
 const maxHeadBytes = 16_384;
@@ -47,7 +49,7 @@
         maxHeaderSize: maxHeadBytes,
     });
     try {
-        const path = engine ? reportPath : healthPath;
+        const path = engine ? reportPath : validPath.test(healthPath) ? healthPath : "/";
         const { statusCode, headers, body } = await client.request({ method: "GET", path, headers: { "expect-instance": id }, signal });
         // What follows the head is not needed; closing its connection reports an error, which is not one of the upstream.
         body.on("error", () => undefined);
--- a/test/contactMonitor.test.ts
+++ b/test/contactMonitor.test.ts
@@ -88,6 +88,28 @@
         });
     }
 
+    const paths: readonly { readonly healthPath: string; readonly expected: string; }[] = [
+        { healthPath: "/healthz?deep=1", expected: "/healthz?deep=1" },
+        { healthPath: "healthz", expected: "/" },
+        { healthPath: "", expected: "/" },
+        { healthPath: "/health z", expected: "/" },
+        { healthPath: "/h\u{1f600}", expected: "/" },
+    ];
+    for (const { healthPath, expected } of paths) {
+        // Guards against a path that counts as lost as the health path of a configuration cannot be sent.
+        it(`are answered at an upstream with the health path "${healthPath}"`, async () => {
+            const upstream = await startScriptedUpstream(refuse);
+            const server = { id: "u", service: "desk", address: upstream.address } as Parameters<typeof askUpstream>[0];
+            try {
+                await askUpstream(server, { name: "desk", healthPath, maxConnections: 1 }, AbortSignal.timeout(contactMs), () => undefined);
+                assert.equal(upstream.received[0]?.head.split(" HTTP")[0], `GET ${expected}`);
+            }
+            finally {
+                upstream.close();
+            }
+        });
+    }
+
     it("ask a runner for its report and another upstream for its health, over new connections", async () => {
         const upstreams = await Promise.all([0, 1].map(() => startScriptedUpstream(refuse)));
         const server = { id: "u", service: "desk", address: upstreams[0]!.address } as Parameters<typeof askUpstream>[0];
