--- a/src/placement/runnerManager.ts
+++ b/src/placement/runnerManager.ts
@@ -7,6 +7,7 @@
 import type { Gateway } from "../forward/gateway";
 import { ContactState } from "../types/contactState";
 import { EventId } from "../types/eventId";
+import { FailureKind } from "../types/failureKind";
 import type { RunnerControl, RunnerOrder } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { EngineSpec } from "../types/servingConfig";
@@ -173,11 +174,12 @@
             }
         }
         catch (err) {
-            // A runner that asks for quiet is alive, and one that this node does not reach may be.
-            if (this.gateway.availability.quietMsOf(tracker.server) === 0 && !this.gateway.contact.wasLostSince(requestedAt)) {
+            const { kind, detail } = toFailure(err);
+            // A runner that asks for quiet is alive, and one that this node does not reach or cannot ask may be.
+            if (kind !== FailureKind.Internal && this.gateway.availability.quietMsOf(tracker.server) === 0 && !this.gateway.contact.wasLostSince(requestedAt)) {
                 tracker.failedReports++;
             }
-            emit(EventId.ReportFailed, { runner: tracker.server.id, detail: toFailure(err).detail });
+            emit(EventId.ReportFailed, { runner: tracker.server.id, detail });
         }
     }
 
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -9,7 +9,7 @@
 import { Verdict } from "../types/verdict";
 import { createPunctualConnector } from "../utils/punctualConnector";
 import { createResettingConnector } from "../utils/resettingConnector";
-import { errorCodeOf, readAnswerText, refusedConnectionCode, verdictOfError } from "../utils/transport";
+import { isOwnError, readAnswerText, reasonOf, refusedConnectionCode, verdictOfError } from "../utils/transport";
 import { localCopiesSchema, parseJson, parseWith, residentModelSchema } from "./schemas";
 import { decodeUpstreamWord } from "./upstreamWordDecoder";
 
@@ -101,8 +101,8 @@
             if (err instanceof FailureError) {
                 throw err;
             }
-            const detail = errorCodeOf(err);
-            const kind = detail === refusedConnectionCode ? FailureKind.UpstreamEnded : FailureKind.UpstreamLost;
+            const detail = reasonOf(err);
+            const kind = detail === refusedConnectionCode ? FailureKind.UpstreamEnded : isOwnError(err) ? FailureKind.Internal : FailureKind.UpstreamLost;
             throw FailureError.create({ kind, verdict: verdictOfError(err), detail });
         }
     }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -11,7 +11,7 @@
 import { Verdict } from "../types/verdict";
 import { emit } from "../utils/events";
 import { createPunctualConnector } from "../utils/punctualConnector";
-import { errorCodeOf, readAnswerText, verdictOfError } from "../utils/transport";
+import { readAnswerText, reasonOf, verdictOfError } from "../utils/transport";
 import { parseJson, parseWith } from "./schemas";
 
 /** A local store answers within milliseconds; a connection attempt that takes longer is abandoned. */
@@ -200,7 +200,7 @@
             if (err instanceof FailureError) {
                 throw err;
             }
-            return throwStoreFailure(verdictOfError(err), headTimeout.signal.aborted ? `no answer within ${headTimeoutMs} ms` : errorCodeOf(err));
+            return throwStoreFailure(verdictOfError(err), headTimeout.signal.aborted ? `no answer within ${headTimeoutMs} ms` : reasonOf(err));
         }
         finally {
             clearTimeout(headTimer);
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -32,6 +32,12 @@
     return named === undefined || ownCodes.has(String(named));
 };
 
+/** Code of a transport error, or what an error without one says. */
+export const reasonOf = (err: unknown): string => {
+    const code = errorCodeOf(err);
+    return err instanceof Error && code === err.name ? `${code}: ${err.message}` : code;
+};
+
 /** An error with its stack, for a log line. */
 export const describeError = (err: unknown): string => err instanceof Error ? err.stack ?? err.message : errorCodeOf(err);
 
--- a/test/cutNodesWord.test.ts
+++ b/test/cutNodesWord.test.ts
@@ -1,13 +1,18 @@
 import { install } from "@sinonjs/fake-timers";
 import assert from "node:assert/strict";
 import { after, afterEach, before, beforeEach, describe, it } from "node:test";
+import { FailureError } from "../src/core/failures";
 import { UpstreamContact } from "../src/core/upstreamContact";
 import { UpstreamTraffic } from "../src/core/upstreamTraffic";
 import { unreachableRunners } from "../src/forward/unreachableRunners";
+import type { Controller } from "../src/placement/controller";
+import type { RunnerManager } from "../src/placement/runnerManager";
 import { ContactFailure } from "../src/types/contactFailure";
 import { EventId } from "../src/types/eventId";
+import { FailureKind } from "../src/types/failureKind";
+import { Verdict } from "../src/types/verdict";
 import { observeEvents, setupLogs } from "../src/utils/events";
-import { PlacementFixture } from "./fakes/placementFixture";
+import { PlacementFixture, placementTestService } from "./fakes/placementFixture";
 
 /** What a node has seen of two runners, `x` and `y`, and of the others. */
 interface Seen {
@@ -15,6 +20,8 @@
     fail(id: string): void;
 }
 
+const managerOf = (controller: Controller): RunnerManager => (controller as unknown as { readonly manager: RunnerManager; }).manager;
+
 describe("the word of a node on runners that it does not reach", () => {
     let clock: ReturnType<typeof install>;
     before(() => setupLogs("silent"));
@@ -82,6 +89,21 @@
         });
     }
 
+    const reportFailures: readonly { readonly kind: FailureKind; readonly isReachable: boolean; }[] = [
+        { kind: FailureKind.UpstreamLost, isReachable: false },
+        { kind: FailureKind.Internal, isReachable: true },
+    ];
+    for (const { kind, isReachable } of reportFailures) {
+        it(`is ${isReachable ? "not " : ""}given by a controller whose requests for reports fail: ${kind}`, async () => {
+            const fixture = await PlacementFixture.start(1, 2);
+            await clock.tickAsync(4_000);
+            fixture.control.fetchReport = () => Promise.reject(FailureError.create({ kind, verdict: Verdict.MayHaveRun, detail: "injected" }));
+            await clock.tickAsync(4_000);
+            const trackers = managerOf(fixture.controller).trackersOf(placementTestService);
+            assert.deepEqual(trackers.map(tracker => tracker.isReachable), [isReachable, isReachable]);
+        });
+    }
+
     it("makes the controller ask sound runners once in a while only", async () => {
         const runnerCount = 6;
         const playMs = 12_000;
