--- a/test/fakes/platformProcess.ts
+++ b/test/fakes/platformProcess.ts
@@ -15,6 +15,8 @@
 /** Options of the runtime in the deploy file. */
 const nodeOptions = /^run = "node (.*?)\s*target\//m.exec(readFileSync("deploy/system.toml", "utf8"))![1]!.split(" ");
 
+const kilobytesPerMb = 1_024;
+
 const configDefaults = { limits: { maxHeaderBytes: 4_096, maxBodyBytes: 10_000, headerTimeoutMs: 3_000, idleTimeoutMs: 9_000 } };
 
 const startStore = async (): Promise<readonly [MemoryPlatformStore, Server]> => {
@@ -39,7 +41,7 @@
         private readonly settings: SettingsFileFields,
     ) {}
 
-    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, have another address on loopback, state a memory limit, and run with further options of the runtime. */
+    /** Starts a node with a configuration and the rows of its upstreams; beside `first`, it shares that node's store and configuration. It may be limited to a number of descriptors, load modules before the program, have another address on loopback, state a memory limit, run with further options of the runtime, and be limited to an address space. */
     static async start(
         graceS: number,
         config: object,
@@ -51,6 +53,7 @@
         zone = "a",
         memoryMb?: number,
         runtimeOptions: readonly string[] = [],
+        maxAddressMb?: number,
     ): Promise<PlatformProcess> {
         const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-"));
         const file = join(folder, "boot.toml");
@@ -79,7 +82,11 @@
         }
         const options = [...nodeOptions, ...runtimeOptions, ...modules.flatMap(module => ["--require", module])];
         const command = [process.execPath, ...options, "build/jackdawtrail.cjs", "serve-platform"];
-        const limited = maxDescriptors === undefined ? command : ["sh", "-c", `ulimit -n ${maxDescriptors}; exec "$0" "$@"`, ...command];
+        const limits = [
+            ...maxDescriptors === undefined ? [] : [`ulimit -n ${maxDescriptors}`],
+            ...maxAddressMb === undefined ? [] : [`ulimit -v ${maxAddressMb * kilobytesPerMb}`],
+        ];
+        const limited = limits.length === 0 ? command : ["sh", "-c", [...limits, `exec "$0" "$@"`].join("; "), ...command];
         const node = spawn(limited[0]!, limited.slice(1), {
             env: { ...process.env, JACKDAWTRAIL_NODE_FILE: file },
             stdio: "ignore",
@@ -135,7 +142,7 @@
 
     private readStatusMb(field: string): number {
         const [, kilobytes] = new RegExp(`^${field}:\\s+(\\d+) kB$`, "m").exec(readFileSync(`/proc/${this.process.pid}/status`, "utf8"))!;
-        return Number(kilobytes) / 1_024;
+        return Number(kilobytes) / kilobytesPerMb;
     }
 
     /** Ends the process and the store. */
