--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -12,7 +12,7 @@
 import type { OutgoingRequest } from "./attempt";
 import { sendAttempt } from "./attempt";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind, unsentKinds } from "./attemptEnd";
+import { AttemptEndKind, OwnFault, unsentKinds } from "./attemptEnd";
 import { createAttemptGuard } from "./attemptGuard";
 import { AttemptOutcome } from "./attemptOutcome";
 import { AttemptTimers } from "./attemptTimers";
@@ -104,7 +104,7 @@
         catch (err) {
             // Once the request is sent, its attempt has an end and no error.
             emit(EventId.AttemptStepFailed, { request: call.caller.requestId, step: call.progress.step, detail: describeError(err) });
-            end = { kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined };
+            end = { kind: AttemptEndKind.Unsent, reason: errorCodeOf(err), framing: undefined, own: OwnFault.Request };
         }
         finally {
             timers.stop();
@@ -115,7 +115,7 @@
             this.choice = undefined;
         }
         this.framing = end.framing;
-        recordFailedConnection(gateway.contact, server, end.reason);
+        recordFailedConnection(gateway.contact, server, end);
         if (unsentKinds.has(end.kind)) {
             call.progress.mayHaveRun = mayHaveRunBefore;
         }
@@ -192,7 +192,7 @@
             return AttemptOutcome.Unsendable;
         }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
-            if (end.kind === AttemptEndKind.Unsent && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
+            if (end.kind === AttemptEndKind.Unsent && end.own === undefined && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
                 traffic.onUnreachable();
             }
             this.logFailed(server.id, end.reason, Verdict.NotRun);
