--- a/scripts/buildLock.mjs
+++ b/scripts/buildLock.mjs
@@ -6,7 +6,7 @@
 /** A name for a folder in the kernel's namespace of sockets: it is no file, and is free again once its process has ended, however it ended. */
 const nameOf = folder => `\0jackdawtrail-build-${createHash("sha256").update(realpathSync(folder)).digest("hex")}`;
 
-/** Takes the lock of a folder; false if another process has it. */
+/** Takes the lock of a folder; false if another process has it. The lock only protects: without such sockets a build goes on. */
 const tryLock = async name => {
     const server = createServer();
     try {
@@ -17,7 +17,8 @@
         if (err.code === "EADDRINUSE") {
             return false;
         }
-        throw err;
+        console.error(`no lock against other builds in this folder: ${err.message}`);
+        return true;
     }
 };
 
--- a/scripts/bundleProgram.mjs
+++ b/scripts/bundleProgram.mjs
@@ -85,7 +85,10 @@
     const name = `${prefix}${sha256.slice(0, 16)}.cjs`;
     await writeWhole(join(folder, name), program);
     if (flags.length > 0) {
-        await promisify(execFile)(process.execPath, [...flags, "scripts/writeCodeCache.mjs", resolve(folder, name)]);
+        // The program is compiled at each start without it.
+        await promisify(execFile)(process.execPath, [...flags, "scripts/writeCodeCache.mjs", resolve(folder, name)]).catch(err =>
+            console.error(`no code cache: ${err.message}`)
+        );
     }
     // The entry comes last: what it names is whole on the disk by then.
     await writeWhole(outfile, await buildText({ ...entryOptions, plugins: [loaderOf(name, sha256)] }));
--- a/scripts/writeWhole.mjs
+++ b/scripts/writeWhole.mjs
@@ -7,7 +7,8 @@
         if (contents !== undefined) {
             await handle.writeFile(contents);
         }
-        await handle.sync();
+        // Some file systems sync no folders.
+        await handle.sync().catch(err => console.error(`${path} is not synced: ${err.message}`));
     }
     finally {
         await handle.close();
--- a/test/buildInstall.test.ts
+++ b/test/buildInstall.test.ts
@@ -32,6 +32,18 @@
 writeFileSync(process.argv[2], "program");
 `;
 
+/** Loaded before the build's own code: what some systems refuse. */
+const refusals: Readonly<Record<string, string>> = {
+    "sockets without a file": `require("node:net").Server.prototype.listen = function () {
+    process.nextTick(() => this.emit("error", Object.assign(new Error("refused"), { code: "EPERM" })));
+    return this;
+};`,
+    "syncing files and folders": `require("node:fs").promises.open(process.execPath).then(handle => {
+    Object.getPrototypeOf(handle).sync = () => Promise.reject(Object.assign(new Error("refused"), { code: "EINVAL" }));
+    return handle.close();
+});`,
+};
+
 /** Guards against a build that takes an install for whole by the time of its folder, fails, and fails each time from then on. */
 describe("a build of the system", () => {
     const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-install-"));
@@ -48,8 +60,8 @@
         return root;
     };
     const environment = { ...process.env, PATH: [tools, process.env.PATH].join(delimiter) };
-    const runBuild = (root: string): Promise<number> =>
-        new Promise(resolve => execFile("sh", ["-c", build], { cwd: root, env: environment }, err => resolve(err ? Number(err.code ?? -1) : 0)));
+    const runBuild = (root: string, env: NodeJS.ProcessEnv = environment): Promise<number> =>
+        new Promise(resolve => execFile("sh", ["-c", build], { cwd: root, env }, err => resolve(err ? Number(err.code ?? -1) : 0)));
     const linesOf = (root: string, name: string): number => existsSync(join(root, name)) ? readFileSync(join(root, name), "utf8").split("\n").length - 1 : 0;
     const changeRecord = (root: string, fields: Readonly<Record<string, string>>): void => {
         const file = join(root, "node_modules", ".install.json");
@@ -187,4 +199,15 @@
         rmSync(join(root, "npm-ends"));
         assert.equal(await runBuild(root), 0);
     });
+
+    // Guards against a build that fails for want of something that only protects it.
+    for (const [name, module] of Object.entries(refusals)) {
+        it(`succeeds where the system refuses ${name}`, async () => {
+            const root = createCheckout();
+            const file = join(root, "refusal.cjs");
+            writeFileSync(file, module);
+            assert.equal(await runBuild(root, { ...environment, NODE_OPTIONS: `--require ${file}` }), 0);
+            assert.ok(existsSync(join(root, "target", "jackdawtrail.cjs")));
+        });
+    }
 });
--- a/test/bundleProgram.test.ts
+++ b/test/bundleProgram.test.ts
@@ -11,16 +11,23 @@
 /** More old programs than a build keeps. */
 const oldPrograms = 5;
 
-/** Guards against a build that fails, with its program in place, because an old one vanishes at the same moment or cannot be removed. */
+/** Guards against a build that fails, with its program in place, because an old one vanishes at the same moment or cannot be removed, or because of its code cache. */
 describe("a build of the program", () => {
-    const cases: readonly { readonly name: string; readonly builds: number; readonly vanished?: string; readonly unremovable?: true; }[] = [
+    const cases: readonly {
+        readonly name: string;
+        readonly builds: number;
+        readonly vanished?: string;
+        readonly unremovable?: true;
+        readonly flags?: readonly string[];
+    }[] = [
         // A link without a target is listed, and is gone when it is looked at.
         { name: "passes over an old program that vanishes", builds: 1, vanished: "jackdawtrail-0123456789abcdef.cjs" },
         // A folder is not removed as a file is.
         { name: "passes over old programs that cannot be removed", builds: 1, unremovable: true },
         { name: "succeeds beside others", builds: 4 },
+        { name: "succeeds without a code cache if none can be made", builds: 1, flags: ["--require=./missing.cjs"] },
     ];
-    for (const { name, builds, vanished, unremovable } of cases) {
+    for (const { name, builds, vanished, unremovable, flags = [] } of cases) {
         it(name, async () => {
             const folder = mkdtempSync(join(tmpdir(), "jackdawtrail-build-"));
             const outfile = join(folder, "jackdawtrail.cjs");
@@ -33,7 +40,7 @@
                     mkdirSync(program);
                     utimesSync(program, 1, 1);
                 }
-                await Promise.all([...Array(builds).keys()].map(() => run(process.execPath, ["scripts/bundleProgram.mjs", outfile])));
+                await Promise.all([...Array(builds).keys()].map(() => run(process.execPath, ["scripts/bundleProgram.mjs", outfile, ...flags])));
                 assert.ok(existsSync(outfile));
             }
             finally {
