--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,4 +1,5 @@
 import type { Readable } from "node:stream";
+import { errors } from "undici";
 import { Verdict } from "../types/verdict";
 import type { BodyTimeLimits } from "./bodySource";
 import { BodySource } from "./bodySource";
@@ -27,6 +28,10 @@
 
 /** Whether an error that kept a request from being sent is this node's own: errors of the client and of the system that concern the other side have other codes. */
 export const isOwnError = (err: unknown): boolean => {
+    // Bytes that are no answer are the other side's; not every error of the parser has a code.
+    if (err instanceof errors.HTTPParserError) {
+        return false;
+    }
     const { code, cause } = (err ?? {}) as { code?: unknown; cause?: { code?: unknown; }; };
     const named = code ?? cause?.code;
     return named === undefined || ownCodes.has(String(named));
