--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -2,7 +2,7 @@
 // bundleProgram.mjs. It uses only modules of Node.js, as nothing else may be installed yet.
 import { spawnSync } from "node:child_process";
 import { lockFolder } from "./buildLock.mjs";
-import { findInstallFault, removeInstallRecord, writeInstallRecord } from "./installRecord.mjs";
+import { findInstallFault, hashLockfile, removeInstallRecord, writeInstallRecord } from "./installRecord.mjs";
 
 /** Runs a program; returns whether it succeeded. */
 const run = (command, args) => {
@@ -17,10 +17,12 @@
 const install = async reason => {
     console.error(`installing: ${reason}`);
     removeInstallRecord();
+    // The lockfile may change while npm runs, which has read it by then.
+    const lockfile = hashLockfile();
     if (!run("npm", ["ci", "--silent", "--no-audit", "--no-fund"])) {
         process.exit(1);
     }
-    await writeInstallRecord();
+    await writeInstallRecord(lockfile);
 };
 const bundle = () => run(process.execPath, ["scripts/bundleProgram.mjs", ...process.argv.slice(2)]);
 
--- a/scripts/installRecord.mjs
+++ b/scripts/installRecord.mjs
@@ -26,11 +26,14 @@
     return hash;
 };
 
-const describeInstall = () => {
+/** SHA-256 of the lockfile. */
+export const hashLockfile = () => createHash("sha256").update(readFileSync("package-lock.json")).digest("hex");
+
+const describeInstall = (lockfile = hashLockfile()) => {
     // Tools keep caches in folders whose names begin with a dot.
     const packages = readdirSync(folder, { withFileTypes: true }).filter(({ name }) => !name.startsWith("."));
     return {
-        lockfile: createHash("sha256").update(readFileSync("package-lock.json")).digest("hex"),
+        lockfile,
         platform: process.platform,
         arch: process.arch,
         node: process.version,
@@ -53,8 +56,8 @@
 /** Removes the record before the install changes. */
 export const removeInstallRecord = () => rmSync(recordFile, { force: true });
 
-/** Records an install that has succeeded. */
-export const writeInstallRecord = () => writeWhole(recordFile, JSON.stringify(describeInstall()));
+/** Records an install of a lockfile that has succeeded; by default, of the present one. */
+export const writeInstallRecord = lockfile => writeWhole(recordFile, JSON.stringify(describeInstall(lockfile)));
 
 if (process.argv[1]?.endsWith("installRecord.mjs")) {
     await writeInstallRecord();
--- a/test/buildInstall.test.ts
+++ b/test/buildInstall.test.ts
@@ -7,12 +7,13 @@
 
 const build = /^build = "(.*)"$/m.exec(readFileSync("deploy/system.toml", "utf8"))![1]!;
 
-/** Stands in for npm: installs two packages. The file `npm-ends` in the root makes it end after the first. */
+/** Stands in for npm: installs two packages. The file `npm-ends` in the root makes it end after the first, and `lockfile-changes` stands for a change of the lockfile once it was read. */
 const npm = `#!${process.execPath}
 const { appendFileSync, existsSync, mkdirSync, rmSync, rmdirSync, writeFileSync } = require("node:fs");
 appendFileSync("installs", process.argv.slice(2).join(" ") + "\\n");
 try { mkdirSync("busy"); } catch { appendFileSync("overlaps", "install\\n"); }
 rmSync("node_modules", { recursive: true, force: true });
+if (existsSync("lockfile-changes")) { rmSync("lockfile-changes"); writeFileSync("package-lock.json", "{ }"); }
 mkdirSync("node_modules/esbuild", { recursive: true });
 writeFileSync("node_modules/esbuild/bin", process.platform + "-" + process.arch);
 setTimeout(() => {
@@ -179,6 +180,14 @@
         });
     }
 
+    // Guards against packages of an earlier lockfile that are taken for those of the present one.
+    it("installs again for a lockfile that changed while it was installed", async () => {
+        const root = createCheckout();
+        writeFileSync(join(root, "lockfile-changes"), "");
+        const codes = [await runBuild(root), await runBuild(root)];
+        assert.deepEqual({ codes, installs: linesOf(root, "installs") }, { codes: [0, 0], installs: 2 });
+    });
+
     // Guards against a build that cannot heal after one that was ended.
     it("heals after a build whose install was ended", async () => {
         const root = createCheckout();
