--- a/src/forward/peerReach.ts
+++ b/src/forward/peerReach.ts
@@ -6,6 +6,8 @@
 const askIntervalMs = 200;
 /** Time for which the answer of a peer that reaches upstreams counts. */
 const answerLifetimeMs = 1_000;
+/** Age from which on it is asked for again, so that it is renewed before its end. */
+const renewAfterMs = 400;
 /** Time for which a peer that reaches none is not asked for anything. */
 const avoidedMs = 500;
 
@@ -25,13 +27,13 @@
     /** Whether a peer reached upstreams a moment ago; asks some if that is not known, and returns undefined until one has answered. */
     check(): boolean | undefined {
         const now = performance.now();
-        if (now - this.reachedAt < answerLifetimeMs) {
-            return true;
-        }
-        if (now - this.askedAt >= askIntervalMs) {
+        if (now - this.reachedAt >= renewAfterMs && now - this.askedAt >= askIntervalMs) {
             this.askedAt = now;
             this.ask();
         }
+        if (now - this.reachedAt < answerLifetimeMs) {
+            return true;
+        }
         return this.pending > 0 ? undefined : false;
     }
 
