--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -4,10 +4,10 @@
 import type { AnswerHeaders, HeaderMap, RequestHeaderCodec } from "../types/requestHeaderCodec";
 import { RequestStep } from "../types/requestStep";
 import { emit } from "../utils/events";
-import { describeError, errorCodeOf, isOwnError } from "../utils/transport";
+import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AttemptEnd } from "./attemptEnd";
-import { AttemptEndKind, OwnFault, withdrawn } from "./attemptEnd";
+import { AttemptEndKind, OwnFault, ownFaultOf, withdrawn } from "./attemptEnd";
 import { abortReason, invalidRequestCode, maxInformationalAnswers } from "./attemptErrors";
 import type { CallerPresence } from "./callerPresence";
 import { cutReasonOf } from "./cutReasonOf";
@@ -211,11 +211,11 @@
                 const reason = `${errorCodeOf(err)}${current?.aborted ? " after an abort" : ""}`;
                 const unopened = connection.isReused ? AttemptEndKind.Stale : AttemptEndKind.Unsent;
                 const unsent = errorCodeOf(err) === invalidRequestCode ? AttemptEndKind.Unsendable : unopened;
-                const isOwn = !isSent && !isWithheld && !current?.aborted && isOwnError(err);
-                if (isOwn) {
+                const own = !isSent && !isWithheld && !current?.aborted ? ownFaultOf(err) : undefined;
+                if (own !== undefined) {
                     logError(RequestStep.Send, err);
                 }
-                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason, isOwn ? OwnFault.Client : undefined);
+                finish(isWithheld ? AttemptEndKind.Withheld : isSent ? AttemptEndKind.Lost : unsent, reason, own);
             },
         };
         const outgoing = { method: req.method as Dispatcher.HttpMethod, path: req.path, headers: req.headers, body: req.body };
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -1,3 +1,4 @@
+import { concernsAddress, isOwnError } from "../utils/transport";
 import type { AnswerFraming } from "./answerFraming";
 
 /** How an attempt ended. */
@@ -26,8 +27,13 @@
     Request = "request",
     /** The HTTP client or the system, which would fail for other requests, too. */
     Client = "client",
+    /** The system, for the address of the upstream; it may allow connections to others. */
+    Address = "address",
 }
 
+/** What of this node an error is due to that kept an attempt from being sent; undefined for one of the other side. */
+export const ownFaultOf = (err: unknown): OwnFault | undefined => isOwnError(err) ? (concernsAddress(err) ? OwnFault.Address : OwnFault.Client) : undefined;
+
 /** How and why an attempt ended. */
 export interface AttemptEnd {
     readonly kind: AttemptEndKind;
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -192,7 +192,8 @@
             return AttemptOutcome.Unsendable;
         }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
-            if (end.kind === AttemptEndKind.Unsent && end.own === undefined && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
+            const isUnreached = end.own === undefined || end.own === OwnFault.Address;
+            if (end.kind === AttemptEndKind.Unsent && isUnreached && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
                 traffic.onUnreachable();
             }
             this.logFailed(server.id, end.reason, Verdict.NotRun);
