--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -10,6 +10,7 @@
 import { contactEvents } from "./contactEvents";
 import { ContactEvidence } from "./contactEvidence";
 import { checkTimeoutMs, decisionMs, lostProbeIntervalMs, maxTrustedSilenceMs, minDoubtPauseMs, moreProbesAfterMs } from "./contactTimes";
+import { LastProbeFailure } from "./lastProbeFailure";
 
 /**
  * What this node believes of its own path to the upstreams. One upstream that fails or is silent says nothing of it. Failures at several, or silence of all, raise
@@ -31,8 +32,7 @@
     /** Processes that were probed in the present state. */
     private readonly asked = new Set<string>();
     private failedProbes = 0;
-    /** How the latest probe failed whose failure says something of the path; undefined if one was answered since. */
-    private probeFailure: ContactFailure | undefined;
+    readonly probeFailure = LastProbeFailure.create();
     /** Probes sent since the start, and how often the path was lost. */
     probeCount = 0;
     lossCount = 0;
@@ -51,7 +51,7 @@
 
     /** Whether the path is lost as this node itself cannot send anything: it may not reach peers either. */
     get cannotSend(): boolean {
-        return this.current === ContactState.Lost && this.probeFailure === ContactFailure.Own;
+        return this.current === ContactState.Lost && this.probeFailure.isOwn;
     }
 
     /** Whether a failure of an upstream at a time on the monotonic clock is its own: the path held, and a new connection to another one worked since. */
@@ -118,7 +118,7 @@
     /** Records that a probe was answered; any HTTP answer shows that the path is there. */
     onProbeAnswered(process: string, sentAt: number): void {
         this.checkedAt = undefined;
-        this.probeFailure = undefined;
+        this.probeFailure.forget();
         this.mayConcludeAt = this.clock.nowMs + minDoubtPauseMs;
         this.evidence.onWord(process, sentAt);
         if (this.current !== ContactState.Held) {
@@ -129,7 +129,7 @@
     /** Records that the connection of a probe failed; one that is not answered in time is no event. */
     onProbeFailed(process: string, kind: ContactFailure): void {
         this.failedProbes++;
-        this.probeFailure = kind;
+        this.probeFailure.onFailed(kind);
         this.onFailure(process, kind);
         if (kind === ContactFailure.Own && this.current === ContactState.Held) {
             this.change(ContactState.Doubted, "a probe that could not be sent");
@@ -237,7 +237,7 @@
         this.failedProbes = 0;
         this.asked.clear();
         if (state === ContactState.Held) {
-            this.probeFailure = undefined;
+            this.probeFailure.forget();
             this.mayConcludeAt = this.changedAt + minDoubtPauseMs;
             this.evidence.forgetFailures();
         }
--- a/src/forward/contactMonitor.ts
+++ b/src/forward/contactMonitor.ts
@@ -81,7 +81,10 @@
             const failure = probeFailureOf(err);
             const detail = failure === ContactFailure.Own ? describeError(err) : errorCodeOf(err);
             emit(EventId.ContactProbeFailed, { upstream: server.id, detail, failure, afterMs: Math.round(performance.now() - sentAt) });
-            if (failure !== undefined) {
+            if (failure === undefined) {
+                contact.probeFailure.onUnanswered(sentAt);
+            }
+            else {
                 contact.onProbeFailed(processKey(server), failure);
             }
         }
--- a/test/contactMonitor.test.ts
+++ b/test/contactMonitor.test.ts
@@ -62,6 +62,27 @@
         }
     }
 
+    // Guards against a node that stays not ready for an error of its own that has passed, while the upstreams are silent.
+    it("that this node cannot send are forgotten once it can, though no upstream answers", async () => {
+        const upstreams = await Promise.all([0, 1].map(() => startScriptedUpstream(() => undefined)));
+        const node = await startGateway(upstreams.map(({ address }) => address));
+        const { contact } = node.gateway;
+        let isBroken = true;
+        const stopped = new AbortController();
+        const ask: typeof askUpstream = (...args) => isBroken ? Promise.reject(new RangeError("no memory")) : askUpstream(...args);
+        ContactMonitor.create(node.gateway, ask).start(stopped.signal);
+        await waitFor(() => contact.cannotSend);
+        const cannotSend = [contact.cannotSend];
+        isBroken = false;
+        await waitFor(() => !contact.cannotSend);
+        cannotSend.push(contact.cannotSend);
+        stopped.abort();
+        node.close();
+        upstreams.forEach(upstream => upstream.close());
+        assert.deepEqual(cannotSend, [true, false]);
+        assert.equal(contact.state, ContactState.Lost);
+    });
+
     const limits: readonly { readonly name: string; readonly limitedCount: number; readonly isProbed: boolean; }[] = [
         { name: "leave upstreams alone that have named a limit", limitedCount: 3, isProbed: false },
         { name: "ask upstreams that have named a limit if there are no others", limitedCount: 4, isProbed: true },
