--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -1,4 +1,4 @@
-import { concernsAddress, isOwnError } from "../utils/transport";
+import { isOwnError, isSystemRefusal } from "../utils/transport";
 import type { AnswerFraming } from "./answerFraming";
 
 /** How an attempt ended. */
@@ -25,14 +25,14 @@
 export enum OwnFault {
     /** The handling of this request, of which others know nothing. */
     Request = "request",
-    /** The HTTP client or the system, which would fail for other requests, too. */
+    /** The HTTP client, which would fail for other requests, too. */
     Client = "client",
-    /** The system, for the address of the upstream; it may allow connections to others. */
-    Address = "address",
+    /** The system, which refused a new connection to the upstream: others may be reached, by address or over connections that are open. */
+    System = "system",
 }
 
 /** What of this node an error is due to that kept an attempt from being sent; undefined for one of the other side. */
-export const ownFaultOf = (err: unknown): OwnFault | undefined => isOwnError(err) ? (concernsAddress(err) ? OwnFault.Address : OwnFault.Client) : undefined;
+export const ownFaultOf = (err: unknown): OwnFault | undefined => isOwnError(err) ? (isSystemRefusal(err) ? OwnFault.System : OwnFault.Client) : undefined;
 
 /** How and why an attempt ended. */
 export interface AttemptEnd {
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -192,7 +192,7 @@
             return AttemptOutcome.Unsendable;
         }
         if (end.kind === AttemptEndKind.Unsent || end.kind === AttemptEndKind.Withdrawn) {
-            const isUnreached = end.own === undefined || end.own === OwnFault.Address;
+            const isUnreached = end.own === undefined || end.own === OwnFault.System;
             if (end.kind === AttemptEndKind.Unsent && isUnreached && !this.call.signal.aborted && !this.gateway.contact.wasLostSince(this.sentAt)) {
                 traffic.onUnreachable();
             }
--- a/src/forward/recordFailedConnection.ts
+++ b/src/forward/recordFailedConnection.ts
@@ -26,7 +26,7 @@
 
 /** Records an attempt that failed because its connection did. */
 export const recordFailedConnection = (contact: UpstreamContact, server: UpstreamServer, { reason, own }: AttemptEnd): void => {
-    const failure = own === OwnFault.Client || own === OwnFault.Address ? ContactFailure.Own : contactFailureOf(reason);
+    const failure = own === OwnFault.Client || own === OwnFault.System ? ContactFailure.Own : contactFailureOf(reason);
     if (failure !== undefined) {
         contact.onFailure(processKey(server), failure);
     }
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -25,8 +25,6 @@
 
 /** Error codes with which the system refuses a connection for want of something that this node has too little of, or is not allowed. */
 const ownCodes: ReadonlySet<string> = new Set(["EMFILE", "ENFILE", "ENOMEM", "ENOBUFS", "EADDRNOTAVAIL", "EACCES", "EPERM"]);
-/** Those of them that may concern one address alone. */
-const addressCodes: ReadonlySet<string> = new Set(["EADDRNOTAVAIL", "EACCES", "EPERM"]);
 
 /** Whether an error that kept a request from being sent is this node's own: errors of the client and of the system that concern the other side have other codes. */
 export const isOwnError = (err: unknown): boolean => {
@@ -39,8 +37,8 @@
     return named === undefined || ownCodes.has(String(named));
 };
 
-/** Whether the system refused a connection to an address, while it may allow those to others. */
-export const concernsAddress = (err: unknown): boolean => addressCodes.has(errorCodeOf(err));
+/** Whether the system refused a connection; it may allow those to other addresses, and those that are open go on. */
+export const isSystemRefusal = (err: unknown): boolean => ownCodes.has(errorCodeOf(err));
 
 /** Code of a transport error, or what an error without one says. */
 export const reasonOf = (err: unknown): string => {
--- a/test/destinationErrors.test.ts
+++ b/test/destinationErrors.test.ts
@@ -22,7 +22,7 @@
     before(() => setupLogs("silent"));
     after(() => setupLogs("info"));
 
-    for (const code of ["EADDRNOTAVAIL", "EACCES", "EPERM", "ECONNREFUSED"]) {
+    for (const code of ["EADDRNOTAVAIL", "EACCES", "EPERM", "EMFILE", "ENOBUFS", "ECONNREFUSED"]) {
         it(`is left alone: ${code}`, async () => {
             const upstreams = await Promise.all([0, 1].map(() => startScriptedUpstream(answerLater)));
             const port = Number(upstreams[0]!.address.split(":")[1]);
