--- a/src/core/contactEvidence.ts
+++ b/src/core/contactEvidence.ts
@@ -8,6 +8,8 @@
 const maxQuietMs = 650;
 /** Time for which a failed connection may be explained by a new one that works elsewhere, before an upstream is probed, too. */
 const maxUnexplainedMs = 200;
+/** Time since the last answer within which upstreams are heard. */
+const maxHeardMs = 200;
 /** Failures that a log line names. */
 const maxLoggedFailures = 6;
 
@@ -62,7 +64,11 @@
         this.removeFailures(({ kind }) => kind === ContactFailure.Connect);
     }
 
+    /** Records a failed connection. One that this node could not open says nothing while answers arrive over others. */
     onFailure(process: string, kind: ContactFailure): void {
+        if (kind === ContactFailure.Own && this.lastSpeaker !== undefined && this.quietMs < maxHeardMs) {
+            return;
+        }
         this.failures.set(process, { kind, at: performance.now(), countedAt: this.clock.nowMs });
     }
 
--- a/src/core/upstreamContact.ts
+++ b/src/core/upstreamContact.ts
@@ -180,11 +180,14 @@
 
     private whileDoubted(listTargets: () => readonly UpstreamServer[]): readonly UpstreamServer[] {
         const ageMs = this.clock.nowMs - this.changedAt;
-        if (ageMs >= decisionMs && this.asked.size > 0) {
-            if (this.areProbesSlow) {
-                this.change(ContactState.Held, "answers on open connections, and new ones that open");
-                return [];
-            }
+        const isDecided = ageMs >= decisionMs && this.asked.size > 0;
+        // A node that cannot open connections serves over those that it has.
+        const isServing = this.probeFailure.isOwn && this.evidence.quietMs < ageMs;
+        if (isServing || (isDecided && this.areProbesSlow)) {
+            this.change(ContactState.Held, `answers on open connections, and new ones that ${isServing ? "this node cannot open" : "open"}`);
+            return [];
+        }
+        if (isDecided) {
             this.change(ContactState.Lost, "no answered probe");
             return this.whileLost(listTargets);
         }
