--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -1,6 +1,7 @@
 // Builds the system as the platform runs it: installs what the build needs, unless it is proved to be installed, and bundles the program. The arguments are those of
 // bundleProgram.mjs. It uses only modules of Node.js, as nothing else may be installed yet.
 import { spawnSync } from "node:child_process";
+import { existsSync, mkdirSync, renameSync, rmSync } from "node:fs";
 import { lockFolder } from "./buildLock.mjs";
 import { findInstallFault, hashLockfile, removeInstallRecord, writeInstallRecord } from "./installRecord.mjs";
 
@@ -14,15 +15,30 @@
     return false;
 };
 
+const installFolder = "node_modules";
+const earlierInstall = "target/node_modules";
+
+/** Installs; if npm fails, as without a network, the earlier install is put back. */
 const install = async reason => {
     console.error(`installing: ${reason}`);
-    removeInstallRecord();
     // The lockfile may change while npm runs, which has read it by then.
     const lockfile = hashLockfile();
-    if (!run("npm", ["ci", "--silent", "--no-audit", "--no-fund"])) {
-        process.exit(1);
+    const hasEarlier = existsSync(installFolder);
+    rmSync(earlierInstall, { recursive: true, force: true });
+    if (hasEarlier) {
+        removeInstallRecord();
+        mkdirSync("target", { recursive: true });
+        renameSync(installFolder, earlierInstall);
+    }
+    if (run("npm", ["ci", "--silent", "--no-audit", "--no-fund"])) {
+        await writeInstallRecord(lockfile);
+    }
+    else if (hasEarlier) {
+        console.error("going on with the earlier install");
+        rmSync(installFolder, { recursive: true, force: true });
+        renameSync(earlierInstall, installFolder);
     }
-    await writeInstallRecord(lockfile);
+    rmSync(earlierInstall, { recursive: true, force: true });
 };
 const bundle = () => run(process.execPath, ["scripts/bundleProgram.mjs", ...process.argv.slice(2)]);
 
--- a/test/buildInstall.test.ts
+++ b/test/buildInstall.test.ts
@@ -209,6 +209,21 @@
         assert.equal(await runBuild(root), 0);
     });
 
+    // Guards against a build that destroys an install that works, as it has no record, where npm cannot install.
+    it("goes on with an earlier install if npm fails, and installs again later", async () => {
+        const root = createCheckout();
+        assert.equal(await runBuild(root), 0);
+        rmSync(join(root, "node_modules", ".install.json"));
+        rmSync(join(root, "target"), { recursive: true });
+        writeFileSync(join(root, "npm-ends"), "");
+        assert.equal(await runBuild(root), 0);
+        assert.ok(existsSync(join(root, "target", "jackdawtrail.cjs")));
+        rmSync(join(root, "npm-ends"));
+        assert.equal(await runBuild(root), 0);
+        assert.ok(existsSync(join(root, "node_modules", ".install.json")));
+        assert.equal(linesOf(root, "installs"), 3);
+    });
+
     // Guards against a build that fails for want of something that only protects it.
     for (const [name, module] of Object.entries(refusals)) {
         it(`succeeds where the system refuses ${name}`, async () => {
