--- a/src/platform/upstreamQuestion.ts
+++ b/src/platform/upstreamQuestion.ts
@@ -48,14 +48,22 @@
         bodyTimeout: 0,
         maxHeaderSize: maxHeadBytes,
     });
+    // The client notices the abort of a request only once its connection is open.
+    const giveUp = (): void => {
+        const err = Object.assign(new Error("the time for an answer is over"), { code: "ABORT_ERR" });
+        void client.destroy(err);
+        socket?.destroy(err);
+    };
+    signal.addEventListener("abort", giveUp);
     try {
         const path = engine ? reportPath : validPath.test(healthPath) ? healthPath : "/";
-        const { statusCode, headers, body } = await client.request({ method: "GET", path, headers: { "expect-instance": id }, signal });
+        const { statusCode, headers, body } = await client.request({ method: "GET", path, headers: { "expect-instance": id } });
         // What follows the head is not needed; closing its connection reports an error, which is not one of the upstream.
         body.on("error", () => undefined);
         return decodeUpstreamWord(statusCode, headers);
     }
     finally {
+        signal.removeEventListener("abort", giveUp);
         void client.destroy();
         // The client does not know the socket of a connection that is being opened.
         socket?.destroy();
--- a/test/probeAnswers.test.ts
+++ b/test/probeAnswers.test.ts
@@ -11,6 +11,7 @@
 import { ContactFailure } from "../src/types/contactFailure";
 import { FailureKind } from "../src/types/failureKind";
 import { sleep } from "../src/utils/time";
+import { hangNewConnections } from "./fakes/linkCut";
 import { startScriptedUpstream } from "./fakes/scriptedUpstream";
 
 /** What an upstream in trouble may send that cannot be parsed. */
@@ -27,6 +28,7 @@
 
 const timeoutMs = 300;
 const closingMs = 100;
+const lateMs = 200;
 
 interface Case {
     readonly name: string;
@@ -109,3 +111,24 @@
         });
     }
 });
+
+/** Guards against a probe that outlasts its time, and then counts as a failed connection, while its connection is being opened. */
+describe("a probe whose connection stays silent", () => {
+    it("ends at its time, and says nothing of the path", async () => {
+        const upstream = await startScriptedUpstream(() => undefined);
+        const resume = hangNewConnections([Number(upstream.address.split(":")[1])]);
+        const server = { id: "u", service: "desk", address: upstream.address } as Parameters<typeof askUpstream>[0];
+        const startedAt = performance.now();
+        const err: unknown = await askUpstream(server, { name: "desk", healthPath: "/h", maxConnections: 1 }, AbortSignal.timeout(timeoutMs), () => undefined)
+            .then(
+                () => undefined,
+                (reason: unknown) => reason,
+            );
+        const afterMs = performance.now() - startedAt;
+        resume();
+        upstream.close();
+        assert.ok(err !== undefined);
+        assert.equal(probeFailureOf(err), undefined);
+        assert.ok(afterMs >= timeoutMs - 5 && afterMs < timeoutMs + lateMs, `${afterMs} ms`);
+    });
+});
