--- a/src/cli/codeCache.ts
+++ b/src/cli/codeCache.ts
@@ -1,4 +1,3 @@
-import { createHash } from "node:crypto";
 import { readFileSync } from "node:fs";
 import { CodeCacheUse } from "./codeCacheUse";
 
@@ -19,7 +18,8 @@
 /** The code cache of a program, or why there is none to use. */
 export type CodeCache = { readonly data: Buffer; } | { readonly unusable: CodeCacheUse; };
 
-export const sha256Of = (data: Buffer): string => createHash("sha256").update(data).digest("hex");
+/** Returns the SHA-256 of data, as hexadecimal text. */
+type HashData = (data: Buffer) => string;
 
 const parseRecord = (line: string): Partial<CodeCacheRecord> | undefined => {
     try {
@@ -32,8 +32,8 @@
 };
 
 /** Why a code cache must not be given to V8, which compares its own version and flags, but neither the contents nor the processor. */
-const faultOf = (data: Buffer, record: Partial<CodeCacheRecord> | undefined, program: string): CodeCacheUse | undefined => {
-    if (record?.sha256 !== sha256Of(data)) {
+const faultOf = (data: Buffer, record: Partial<CodeCacheRecord> | undefined, program: string, hash: HashData): CodeCacheUse | undefined => {
+    if (record?.sha256 !== hash(data)) {
         return CodeCacheUse.Damaged;
     }
     const { node, v8 } = process.versions;
@@ -46,7 +46,7 @@
 };
 
 /** Reads the code cache of a program whose SHA-256 is given. */
-export const readCodeCache = (filename: string, program: string): CodeCache => {
+export const readCodeCache = (filename: string, program: string, hash: HashData): CodeCache => {
     let contents: Buffer;
     try {
         contents = readFileSync(filename + cacheSuffix);
@@ -56,6 +56,6 @@
     }
     const end = contents.lastIndexOf("\n");
     const data = contents.subarray(0, Math.max(end, 0));
-    const unusable = faultOf(data, parseRecord(contents.toString("utf8", end + 1)), program);
+    const unusable = faultOf(data, parseRecord(contents.toString("utf8", end + 1)), program, hash);
     return unusable === undefined ? { data } : { unusable };
 };
--- a/src/cli/loadProgram.ts
+++ b/src/cli/loadProgram.ts
@@ -1,8 +1,9 @@
+import type * as Crypto from "node:crypto";
 import { readFileSync } from "node:fs";
 import nodeModule from "node:module";
 import { dirname, join } from "node:path";
 import { Script } from "node:vm";
-import { readCodeCache, sha256Of } from "./codeCache";
+import { readCodeCache } from "./codeCache";
 import { CodeCacheUse } from "./codeCacheUse";
 
 type ModuleFunction = (exports: object, require: NodeJS.Require, module: { exports: object; }, filename: string, dirname: string) => void;
@@ -20,13 +21,16 @@
 export const loadProgram = (name: string, sha256: string, entry: string): LoadedProgram => {
     const filename = join(dirname(entry), name);
     const source = readFileSync(filename);
-    if (sha256Of(source) !== sha256) {
+    const require = nodeModule.createRequire(entry);
+    // An import would load it before the program is read, which takes some milliseconds.
+    const { createHash } = require("node:crypto") as typeof Crypto;
+    const hash = (data: Buffer): string => createHash("sha256").update(data).digest("hex");
+    if (hash(source) !== sha256) {
         throw new Error(`${filename} (${source.length} bytes) is not the file that was built`);
     }
-    const cache = readCodeCache(filename, sha256);
+    const cache = readCodeCache(filename, sha256, hash);
     const script = new Script(nodeModule.wrap(source.toString()), { filename, ...("data" in cache ? { cachedData: cache.data } : {}) });
     const module = { exports: {} };
-    const require = nodeModule.createRequire(entry);
     (script.runInThisContext() as ModuleFunction).call(module.exports, module.exports, require, module, filename, dirname(filename));
     const use = script.cachedDataRejected === true ? CodeCacheUse.Rejected : CodeCacheUse.Used;
     return { exports: module.exports, codeCache: "unusable" in cache ? cache.unusable : use };
