--- a/scripts/buildSystem.mjs
+++ b/scripts/buildSystem.mjs
@@ -18,18 +18,30 @@
 const installFolder = "node_modules";
 const earlierInstall = "target/node_modules";
 
-/** Installs; if npm fails, as without a network, the earlier install is put back. */
-const install = async reason => {
-    console.error(`installing: ${reason}`);
-    // The lockfile may change while npm runs, which has read it by then.
-    const lockfile = hashLockfile();
-    const hasEarlier = existsSync(installFolder);
+/** Moves the earlier install out of the way; returns whether there is one that can be put back. */
+const putAside = () => {
     rmSync(earlierInstall, { recursive: true, force: true });
-    if (hasEarlier) {
+    if (!existsSync(installFolder)) {
+        return false;
+    }
+    try {
         removeInstallRecord();
         mkdirSync("target", { recursive: true });
         renameSync(installFolder, earlierInstall);
+        return true;
+    }
+    catch (err) {
+        console.error(`the earlier install cannot be kept: ${err.message}`);
+        return false;
     }
+};
+
+/** Installs; if npm fails, as without a network, the earlier install is put back. */
+const install = async reason => {
+    console.error(`installing: ${reason}`);
+    // The lockfile may change while npm runs, which has read it by then.
+    const lockfile = hashLockfile();
+    const hasEarlier = putAside();
     if (run("npm", ["ci", "--silent", "--no-audit", "--no-fund"])) {
         await writeInstallRecord(lockfile);
     }
--- a/test/buildInstall.test.ts
+++ b/test/buildInstall.test.ts
@@ -43,6 +43,9 @@
     Object.getPrototypeOf(handle).sync = () => Promise.reject(Object.assign(new Error("refused"), { code: "EINVAL" }));
     return handle.close();
 });`,
+    "renaming folders": `require("node:fs").renameSync = () => {
+    throw Object.assign(new Error("refused"), { code: "EXDEV" });
+};`,
 };
 
 /** Guards against a build that takes an install for whole by the time of its folder, fails, and fails each time from then on. */
@@ -230,7 +233,11 @@
             const root = createCheckout();
             const file = join(root, "refusal.cjs");
             writeFileSync(file, module);
-            assert.equal(await runBuild(root, { ...environment, NODE_OPTIONS: `--require ${file}` }), 0);
+            const env = { ...environment, NODE_OPTIONS: `--require ${file}` };
+            assert.equal(await runBuild(root, env), 0, "in a clean checkout");
+            rmSync(join(root, "node_modules", ".install.json"));
+            rmSync(join(root, "target"), { recursive: true });
+            assert.equal(await runBuild(root, env), 0, "on an earlier install without a record");
             assert.ok(existsSync(join(root, "target", "jackdawtrail.cjs")));
         });
     }
