--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -6,8 +6,8 @@
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
 import { countEvents, SseSplitter } from "../utils/sseSplitter";
-import type { AnswerHead, AnswerSink } from "./attempt";
-import { SinkState } from "./attempt";
+import type { AnswerHead, AnswerSink } from "./answerSink";
+import { SinkState } from "./answerSink";
 import type { Call } from "./call";
 import { addReport } from "./relayHeaders";
 
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -6,6 +6,8 @@
 import { emit } from "../utils/events";
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming, framingOf } from "./answerFraming";
+import type { AnswerHead, AnswerSink } from "./answerSink";
+import { SinkState } from "./answerSink";
 import type { AttemptEnd } from "./attemptEnd";
 import { AttemptEndKind, OwnFault, ownFaultOf, withdrawn } from "./attemptEnd";
 import { abortReason, invalidRequestCode, maxInformationalAnswers } from "./attemptErrors";
@@ -16,13 +18,6 @@
 import type { UpstreamConnection } from "./upstreamConnection";
 import type { UpstreamConnectionPool } from "./upstreamConnectionPool";
 
-/** Status and headers of an answer. */
-export interface AnswerHead {
-    readonly status: number;
-    readonly headers: HeaderMap;
-    readonly decoded: AnswerHeaders;
-}
-
 /** A request as it is sent to an upstream. */
 export interface OutgoingRequest {
     readonly requestId: string;
@@ -36,29 +31,12 @@
     readonly mayRepeat: boolean;
 }
 
-/** What a sink makes of a part of an answer. */
-export enum SinkState {
-    Ready = "ready",
-    /** The upstream is paused until the sink calls `resume`. */
-    Full = "full",
-    /** The answer exceeds a limit: the connection is closed. */
-    TooLarge = "too-large",
-    /** The events do not go on from those that the caller has received: the connection is closed. */
-    OutOfOrder = "out-of-order",
-}
-
 /** Why an answer is given up, by what the sink makes of it. */
 const rejectionReasons: Readonly<Partial<Record<SinkState, string>>> = {
     [SinkState.TooLarge]: "answer too large",
     [SinkState.OutOfOrder]: "events out of order",
 };
 
-/** Consumes an answer as it arrives. */
-export interface AnswerSink {
-    onHead(head: AnswerHead): void;
-    onData(chunk: Buffer, resume: () => void): SinkState;
-}
-
 /** Connects an attempt with what is known of its upstream. */
 export interface AttemptGuard {
     /** Whether the request may still be sent; asked when its connection is open. */
@@ -67,6 +45,8 @@
     onAnyHead(decoded: AnswerHeaders): void;
     /** Called when anything has arrived over the connection, with the time of its opening. */
     onArrival(connectionOpenedAt: number): void;
+    /** Called with the size of each part of a body that arrives, also of one that is ignored. */
+    onPart(bytes: number): void;
 }
 
 const exchange = (
@@ -93,6 +73,7 @@
         let isSent = false;
         let isWithheld = false;
         let informationalAnswers = 0;
+        const received = { parts: 0, bytes: 0 };
         let head: AnswerHead | undefined;
         let framing: AnswerFraming | undefined;
         /** Whether the rest of the answer is ignored. */
@@ -108,7 +89,7 @@
             else {
                 pool.discard(connection);
             }
-            resolve({ kind, reason, framing, own });
+            resolve({ kind, reason, framing, own, received });
         };
         const giveUp = (current: Dispatcher.DispatchController, reason: string): void => {
             isDropped = true;
@@ -181,6 +162,9 @@
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 framingWatch?.onProgress();
                 guard.onArrival(connection.openedAt);
+                guard.onPart(chunk.length);
+                received.parts++;
+                received.bytes += chunk.length;
                 if (isDropped) {
                     return;
                 }
--- a/src/forward/attemptEnd.ts
+++ b/src/forward/attemptEnd.ts
@@ -34,6 +34,14 @@
 /** What of this node an error is due to that kept an attempt from being sent; undefined for one of the other side. */
 export const ownFaultOf = (err: unknown): OwnFault | undefined => isOwnError(err) ? (isSystemRefusal(err) ? OwnFault.System : OwnFault.Client) : undefined;
 
+/** What arrived of an answer's body. */
+export interface ReceivedBody {
+    /** Parts in which the parser delivered it. */
+    readonly parts: number;
+    /** Their bytes, without what frames them. */
+    readonly bytes: number;
+}
+
 /** How and why an attempt ended. */
 export interface AttemptEnd {
     readonly kind: AttemptEndKind;
@@ -42,6 +50,8 @@
     readonly framing: AnswerFraming | undefined;
     /** Whether this node itself is why nothing was sent. */
     readonly own?: OwnFault;
+    /** What arrived of the answer's body. */
+    readonly received?: ReceivedBody;
 }
 
 /** The end of an attempt that was given up before a connection was asked for. */
--- a/src/forward/attemptExecutor.ts
+++ b/src/forward/attemptExecutor.ts
@@ -37,8 +37,8 @@
     /** Undefined outside this node's own attempts: what the relay observes then comes through a peer. */
     private choice: UpstreamChoice | undefined;
     private sentAt = 0;
-    /** How the latest attempt's answer was framed; undefined if no head arrived. */
-    framing: AnswerFraming | undefined;
+    /** How the latest attempt ended. */
+    end: AttemptEnd | undefined;
     private readonly crashObserver: CrashObserver;
     private readonly speedObserver: SpeedObserver;
     /** Whether the latest attempt has not received its first byte yet. */
@@ -114,7 +114,7 @@
             this.removePendingPrefill(choice);
             this.choice = undefined;
         }
-        this.framing = end.framing;
+        this.end = end;
         recordFailedConnection(gateway.contact, server, end);
         if (unsentKinds.has(end.kind)) {
             call.progress.mayHaveRun = mayHaveRunBefore;
@@ -244,6 +244,6 @@
     }
 
     private logFailed(upstream: string, reason: string, verdict: Verdict): void {
-        logAttemptFailed(this.call, this.relay, { upstream, reason, verdict, sentAt: this.sentAt, framing: this.framing });
+        logAttemptFailed(this.call, this.relay, { upstream, reason, verdict, sentAt: this.sentAt, framing: this.end?.framing, received: this.end?.received });
     }
 }
--- a/src/forward/attemptGuard.ts
+++ b/src/forward/attemptGuard.ts
@@ -9,6 +9,7 @@
 export const createAttemptGuard = (gateway: Gateway, call: Call, server: UpstreamServer, sentAt: number): AttemptGuard => ({
     mayStillSend: () => gateway.availability.mayStillSend(server) && isKeyValid(gateway, call),
     onArrival: openedAt => gateway.contact.onWord(processKey(server), openedAt),
+    onPart: bytes => gateway.receivedParts.count(bytes),
     onAnyHead: decoded => {
         const { requestId } = call.caller;
         // An answer to an earlier request may have been written before this one was sent.
--- a/src/forward/cutReasonOf.ts
+++ b/src/forward/cutReasonOf.ts
@@ -1,4 +1,4 @@
-import type { AnswerHead } from "./attempt";
+import type { AnswerHead } from "./answerSink";
 import type { UpstreamConnection } from "./upstreamConnection";
 
 /**
--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -181,7 +181,7 @@
             tally.add(0, 1);
         }
         progress.mayHaveRun = tally.possibleRuns > 0;
-        progress.framing = this.attempts.framing;
+        progress.framing = this.attempts.end?.framing;
         tally.isRetryPaid = this.leavesForPeer || (outcome === AttemptOutcome.Withheld && tally.sends > 0);
         // An upstream that asked for quiet, or still loads the model, has not failed the request: it may get it after that time.
         if (
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -11,6 +11,7 @@
 import { OutputShares } from "../core/outputShares";
 import type { PriorityLevels } from "../core/priorityLevels";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
+import { ReceivedParts } from "../core/receivedParts";
 import { RequestHeap } from "../core/requestHeap";
 import { RequestQueue } from "../core/requestQueue";
 import { ResidencyView } from "../core/residencyView";
@@ -22,6 +23,7 @@
 import { StoreFreshness } from "../core/storeFreshness";
 import { streamLifetimeMsOf } from "../core/streamLifetime";
 import { StreamVersions } from "../core/streamVersions";
+import { TurnWatch } from "../core/turnWatch";
 import { UnfinishedHeads } from "../core/unfinishedHeads";
 import { UpstreamAvailability } from "../core/upstreamAvailability";
 import { UpstreamContact } from "../core/upstreamContact";
@@ -45,6 +47,7 @@
 import { createConfirmation } from "./createConfirmation";
 import { createZoneSpill } from "./createZoneSpill";
 import { Departures } from "./departures";
+import { describeUse } from "./describeUse";
 import { forgetFailuresOnRegain } from "./forgetFailuresOnRegain";
 import { logUpstreamChange } from "./logUpstreamChange";
 import { PeerRelays } from "./peerRelays";
@@ -102,6 +105,8 @@
     /** How long ago the configuration was known to be the newest. */
     readonly confirmation = createConfirmation(this);
     readonly memoryGauge = MemoryGauge.create();
+    readonly receivedParts = ReceivedParts.create();
+    readonly turnWatch = TurnWatch.create(this.receivedParts, () => this.memoryGauge.read());
     readonly outputShares = OutputShares.create();
     /** Memory of the process for its callers and upstreams. */
     readonly memory = MemoryBudget.create({
@@ -112,14 +117,7 @@
     readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
     /** Heads of callers' requests that have not been read to their end. */
     readonly unfinishedHeads = UnfinishedHeads.create<Socket>({ heapLimitBytes: () => this.memoryGauge.read().heapLimit });
-    readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => ({
-        inProgress: this.inProgress,
-        upstreamConnections: this.upstreamConnections,
-        upstreams: this.directory.all().length,
-        requestHeapBytes: this.requestHeap.usedBytes,
-        unfinishedHeadBytes: this.unfinishedHeads.usedBytes,
-        usedByHolder: this.memory.usedByHolder,
-    }));
+    readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => describeUse(this));
     /** Memory for answers that are kept until they are complete. */
     readonly answerMemory = AnswerMemory.create(
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
--- a/src/forward/logAnswered.ts
+++ b/src/forward/logAnswered.ts
@@ -7,7 +7,7 @@
 /** Logs that a request was answered with the answer of an upstream. */
 export const logAnswered = (
     { caller, route, startedAt, progress }: Call,
-    { relay, framing }: AttemptExecutor,
+    { relay, end }: AttemptExecutor,
     upstream: string | undefined,
     sends: number,
 ): void => {
@@ -21,7 +21,9 @@
         peer: progress.peer,
         status: relay.head?.status,
         sends,
-        framing,
+        framing: end?.framing,
+        answerParts: end?.received?.parts,
+        answerBytes: end?.received?.bytes,
         lastEvent: relay.lastEventId,
         firstByteMs: Math.round(relay.firstByteAt - startedAt),
         firstEventMs: isStream ? Math.round(relay.firstEventAt - startedAt) : undefined,
--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -6,8 +6,10 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFraming } from "./answerFraming";
 import type { AnswerRelay } from "./answerRelay";
-import type { AnswerHead, AnswerSink, AttemptGuard } from "./attempt";
-import { sendAttempt, SinkState } from "./attempt";
+import type { AnswerHead, AnswerSink } from "./answerSink";
+import { SinkState } from "./answerSink";
+import type { AttemptGuard } from "./attempt";
+import { sendAttempt } from "./attempt";
 import type { AttemptEnd } from "./attemptEnd";
 import { AttemptEndKind } from "./attemptEnd";
 import { AttemptOutcome } from "./attemptOutcome";
@@ -26,6 +28,7 @@
     mayStillSend: () => isKeyValid(gateway, call),
     onAnyHead: () => undefined,
     onArrival: () => undefined,
+    onPart: bytes => gateway.receivedParts.count(bytes),
 });
 
 /** The peer of an attempt, and what it may do. */
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -27,6 +27,9 @@
     { name: "requests_passed_on", help: "Requests in progress that were passed on to peers", read: () => gateway.peers.passedOn },
     { name: "requests_taken_over", help: "Requests in progress that peers passed on to this node", read: () => gateway.peers.takenOver },
     { name: "answer_bytes_held", help: "Bytes of answers that are kept until they are complete", read: () => gateway.answerMemory.used },
+    { name: "answer_parts_received", help: "Parts in which the bodies of answers arrived, since the start", read: () => gateway.receivedParts.parts },
+    { name: "answer_bytes_received", help: "Bytes of these parts, without what frames them", read: () => gateway.receivedParts.bytes },
+    { name: "longest_turn_seconds", help: "Longest turn of the event loop within the last 3 s", read: () => gateway.turnWatch.longestMs / msPerS },
     { name: "slow_readers", help: "Streams of runners whose callers have not taken all that was written", read: () => gateway.slowReaders.size },
     {
         name: "slow_readers_cut",
--- a/src/node/startWatches.ts
+++ b/src/node/startWatches.ts
@@ -13,5 +13,6 @@
         setInterval(() => gateway.heapWatch.check(), heapCheckIntervalMs),
         setInterval(() => confirmationWatch.check(), confirmationCheckIntervalMs),
     ];
+    void gateway.turnWatch.run(signal);
     signal.addEventListener("abort", () => timers.forEach(timer => clearInterval(timer)), { once: true });
 };
--- a/src/types/eventId.ts
+++ b/src/types/eventId.ts
@@ -24,6 +24,7 @@
     ConnectionsCut = 124,
     HeadsGivenUp = 125,
     PortConnectionsClosed = 126,
+    EventLoopDelayed = 127,
     WaitPassed = 130,
     MetricsUnserved = 131,
     ListenerLost = 132,
--- a/src/utils/eventMeanings.ts
+++ b/src/utils/eventMeanings.ts
@@ -35,6 +35,8 @@
         "connections of callers were closed, with 503 where no other request was on them: heads or trailers that have not been read to their end hold more than their part of the memory (counted each second)",
     [EventId.PortConnectionsClosed]:
         "connections to a port that is not for callers were closed, by reason: unfinished heads or bodies hold too much, a request before the answer to another one, or too many connections (counted each second)",
+    [EventId.EventLoopDelayed]:
+        "a timer fired `lateMs` late, as a turn of the event loop took that long: with the parts and bytes of answers' bodies that arrived meanwhile (`answerParts`, `answerBytes`), and the heap",
     [EventId.ResidentSizeUnknown]: "the resident size of the process cannot be read; only counted bytes limit what callers and upstreams may use",
     [EventId.ProgramLoaded]:
         "the program was loaded; `codeCache` says whether its code cache was used, and if not, why: missing, unreadable, damaged, made from another program, for another runtime or processor, or rejected by V8; the program is compiled then, which takes longer",
--- a/src/utils/turnMeter.ts
+++ b/src/utils/turnMeter.ts
@@ -19,6 +19,11 @@
         return Math.max(0, ...this.samples.map(({ lateMs }) => lateMs));
     }
 
+    /** How late the latest timer fired. */
+    get latestMs(): number {
+        return this.samples.at(-1)?.lateMs ?? 0;
+    }
+
     /** Measures until the signal aborts; `onSample` is called after each sample. */
     async run(onSample: () => void, signal: AbortSignal): Promise<void> {
         while (!signal.aborted) {
