--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -5,6 +5,7 @@
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
+import { PartBuffer } from "../utils/partBuffer";
 import { countEvents, SseSplitter } from "../utils/sseSplitter";
 import type { AnswerHead, AnswerSink } from "./answerSink";
 import { SinkState } from "./answerSink";
@@ -39,14 +40,13 @@
 interface KeptAnswer {
     readonly upstream: string;
     readonly head: AnswerHead;
-    readonly chunks: Buffer[];
-    readonly bytes: number;
+    readonly parts: PartBuffer;
 }
 
 /** Relays the answer to a request: streams event by event, all other answers once they are complete. */
 export class AnswerRelay implements AnswerSink {
     private readonly splitter = SseSplitter.create();
-    private chunks: Buffer[] = [];
+    private parts = PartBuffer.create();
     /** Head of the latest attempt's answer. */
     head: AnswerHead | undefined;
     /** When the head, a part of a plain answer or a complete event of the latest answer last arrived, on the monotonic clock. */
@@ -64,7 +64,6 @@
     private readonly unread: UnreadStream;
     private onDrain: (() => void) | undefined;
     private isStreaming = false;
-    private bufferedBytes = 0;
     private kept: KeptAnswer | undefined;
 
     private constructor(
@@ -113,7 +112,7 @@
 
     /** Keeps the latest attempt's answer, which is complete, for `restoreKept`. */
     keep(upstream: string): void {
-        this.kept = this.head && !this.hasBegun ? { upstream, head: this.head, chunks: this.chunks, bytes: this.bufferedBytes } : undefined;
+        this.kept = this.head && !this.hasBegun ? { upstream, head: this.head, parts: this.parts } : undefined;
     }
 
     /** Makes the answer that was kept the latest one; returns its upstream if there was one. A stream that has begun since cannot be replaced. */
@@ -124,21 +123,19 @@
         }
         this.reset();
         this.head = kept.head;
-        this.chunks = kept.chunks;
-        this.bufferedBytes = kept.bytes;
+        this.parts = kept.parts;
         return kept.upstream;
     }
 
     /** Resets the state for another attempt. */
     reset(): void {
         this.head = undefined;
-        this.chunks = [];
+        this.parts = PartBuffer.create();
         this.isStreaming = false;
-        this.bufferedBytes = 0;
         this.attemptEventAt = undefined;
         this.splitter.dropPartialEvent();
         this.hold.release();
-        this.hold.grow(this.kept?.bytes ?? 0);
+        this.hold.grow(this.kept?.parts.heldBytes ?? 0);
     }
 
     onHead(head: AnswerHead): void {
@@ -160,18 +157,21 @@
     onData(chunk: Buffer, resume: () => void): SinkState {
         if (!this.isStreaming) {
             this.lastProgressAt = performance.now();
-            this.chunks.push(chunk);
-            this.bufferedBytes += chunk.length;
-            return this.bufferedBytes > this.limits.maxAnswerBytes || !this.hold.grow(chunk.length) ? SinkState.TooLarge : SinkState.Ready;
+            const { heldBytes } = this.parts;
+            this.parts.add(chunk);
+            const isHeld = this.hold.grow(this.parts.heldBytes - heldBytes);
+            return isHeld && this.parts.bytes <= this.limits.maxAnswerBytes ? SinkState.Ready : SinkState.TooLarge;
         }
         const { lastEventId } = this;
+        const { heldBytes } = this.splitter;
         const events = this.splitter.push(chunk);
         if (events.length === 0) {
             // A few bytes of an event now and then are no progress.
-            return this.splitter.partialBytes > this.limits.maxEventBytes || !this.hold.grow(chunk.length) ? SinkState.TooLarge : SinkState.Ready;
+            const isHeld = this.hold.grow(this.splitter.heldBytes - heldBytes);
+            return isHeld && this.splitter.partialBytes <= this.limits.maxEventBytes ? SinkState.Ready : SinkState.TooLarge;
         }
         this.hold.release();
-        this.hold.grow(this.splitter.partialBytes);
+        this.hold.grow(this.splitter.heldBytes);
         const isResumption = lastEventId !== undefined && this.attemptEventAt === undefined;
         const text = events.toString("latin1");
         if (!goOnAfter(text, lastEventId, isResumption)) {
@@ -236,11 +236,11 @@
         }
         const head = this.head!;
         copyHeaders(res, head.headers, true);
-        res.setHeader("content-length", this.bufferedBytes);
+        res.setHeader("content-length", this.parts.bytes);
         addReport(res, this.call.progress);
         res.writeHead(head.status);
-        this.chunks.forEach(chunk => res.write(chunk));
+        this.parts.blocks.forEach(block => res.write(block));
         res.end();
-        this.chunks = [];
+        this.parts = PartBuffer.create();
     }
 }
--- a/src/forward/answerSink.ts
+++ b/src/forward/answerSink.ts
@@ -18,6 +18,12 @@
     OutOfOrder = "out-of-order",
 }
 
+/** Why an answer is given up, by what the sink makes of it. */
+export const rejectionReasons: Readonly<Partial<Record<SinkState, string>>> = {
+    [SinkState.TooLarge]: "answer too large",
+    [SinkState.OutOfOrder]: "events out of order",
+};
+
 /** Consumes an answer as it arrives. */
 export interface AnswerSink {
     onHead(head: AnswerHead): void;
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -5,9 +5,10 @@
 import { RequestStep } from "../types/requestStep";
 import { emit } from "../utils/events";
 import { describeError, errorCodeOf } from "../utils/transport";
+import { AnswerFlow } from "./answerFlow";
 import { AnswerFraming, framingOf } from "./answerFraming";
 import type { AnswerHead, AnswerSink } from "./answerSink";
-import { SinkState } from "./answerSink";
+import { rejectionReasons, SinkState } from "./answerSink";
 import type { AttemptEnd } from "./attemptEnd";
 import { AttemptEndKind, OwnFault, ownFaultOf, withdrawn } from "./attemptEnd";
 import { abortReason, invalidRequestCode, maxInformationalAnswers } from "./attemptErrors";
@@ -31,12 +32,6 @@
     readonly mayRepeat: boolean;
 }
 
-/** Why an answer is given up, by what the sink makes of it. */
-const rejectionReasons: Readonly<Partial<Record<SinkState, string>>> = {
-    [SinkState.TooLarge]: "answer too large",
-    [SinkState.OutOfOrder]: "events out of order",
-};
-
 /** Connects an attempt with what is known of its upstream. */
 export interface AttemptGuard {
     /** Whether the request may still be sent; asked when its connection is open. */
@@ -83,6 +78,7 @@
         const finish = (kind: AttemptEndKind, reason: string, own?: OwnFault): void => {
             signal.removeEventListener("abort", onAbort);
             framingWatch?.stop();
+            flow.drop();
             if (kind === AttemptEndKind.Complete) {
                 pool.release(connection);
             }
@@ -113,6 +109,22 @@
                 controller?.abort(abortReason);
             }
         };
+        const deliver = contain(RequestStep.Data, (bytes: Buffer) => {
+            const current = controller;
+            if (!current || isDropped) {
+                return;
+            }
+            guard.onArrival(connection.openedAt);
+            const state = sink.onData(bytes, () => flow.resume(current));
+            const rejection = rejectionReasons[state];
+            if (rejection !== undefined) {
+                giveUp(current, rejection);
+            }
+            else if (state === SinkState.Full) {
+                flow.pause(current);
+            }
+        });
+        const flow = AnswerFlow.create(deliver);
         signal.addEventListener("abort", onAbort, { once: true });
         const handlers: Dispatcher.DispatchHandler = {
             onRequestStart: started => {
@@ -161,31 +173,26 @@
             }),
             onResponseData: contain(RequestStep.Data, (current: Dispatcher.DispatchController, chunk: Buffer) => {
                 framingWatch?.onProgress();
-                guard.onArrival(connection.openedAt);
                 guard.onPart(chunk.length);
                 received.parts++;
                 received.bytes += chunk.length;
-                if (isDropped) {
-                    return;
-                }
-                const state = sink.onData(chunk, () => current.resume());
-                const rejection = rejectionReasons[state];
-                if (rejection !== undefined) {
-                    giveUp(current, rejection);
-                }
-                else if (state === SinkState.Full) {
-                    current.pause();
+                if (!isDropped && !current.aborted) {
+                    flow.add(chunk);
                 }
             }),
             onResponseEnd: contain(RequestStep.End, () => {
+                flow.flush();
                 if (!isDropped) {
                     // A framed answer is complete, whatever happens to its connection afterwards.
                     const cutReason = framing === AnswerFraming.Connection ? cutReasonOf(connection, head) : undefined;
-                    finish(cutReason === undefined ? AttemptEndKind.Complete : AttemptEndKind.Lost, cutReason ?? "whole");
+                    flow.end(() => finish(cutReason === undefined ? AttemptEndKind.Complete : AttemptEndKind.Lost, cutReason ?? "whole"));
                 }
             }),
             // The controller is undefined if no connection was established.
             onResponseError: (current: Dispatcher.DispatchController | undefined, err) => {
+                if (!current?.aborted) {
+                    flow.flush();
+                }
                 if (isDropped) {
                     return;
                 }
--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -1,7 +1,7 @@
 import type { IncomingMessage } from "node:http";
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
-import { ChunkJoiner } from "./chunkJoiner";
+import { ChunkJoiner } from "../utils/chunkJoiner";
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
 import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
--- a/src/utils/sseSplitter.ts
+++ b/src/utils/sseSplitter.ts
@@ -1,24 +1,23 @@
+import { PartBuffer } from "./partBuffer";
+
 const lineFeed = 0x0a;
 const carriageReturn = 0x0d;
 /** Bytes before a line feed that show whether it ends an empty line. */
 const tailBytes = 2;
-/** Parts of an event that arrives in many small pieces are joined. */
-const maxParts = 64;
 
 /** Number of events that end in a text: each ends with an empty line. */
 export const countEvents = (text: string): number => text.match(/\n\r?\n/g)?.length ?? 0;
 
 const noBytes: Buffer = Buffer.alloc(0);
 
-const lastBytesOf = (bytes: Buffer): Buffer => bytes.subarray(Math.max(0, bytes.length - tailBytes));
+/** A copy, as a view would keep all bytes. */
+const lastBytesOf = (bytes: Buffer): Buffer => Buffer.from(bytes.subarray(Math.max(0, bytes.length - tailBytes)));
 
 /** Splits a byte stream of server-sent events at event boundaries; an incomplete event is buffered until its end arrives. */
 export class SseSplitter {
     /** Parts of the incomplete event, and its last bytes: an empty line may be split between two chunks. */
-    private parts: Buffer[] = [];
-    private tail = noBytes;
-    /** Buffered bytes of an incomplete event. */
-    partialBytes = 0;
+    private parts = PartBuffer.create();
+    private tail: Buffer = noBytes;
     /** ID of the last complete event that had one. */
     lastEventId: string | undefined;
 
@@ -29,10 +28,19 @@
         return new SseSplitter();
     }
 
+    /** Buffered bytes of an incomplete event. */
+    get partialBytes(): number {
+        return this.parts.bytes;
+    }
+
+    /** Bytes of memory that they take. */
+    get heldBytes(): number {
+        return this.parts.heldBytes;
+    }
+
     /** Discards an incomplete event, since the stream is resumed with another attempt. */
     dropPartialEvent(): void {
-        this.parts = [];
-        this.partialBytes = 0;
+        this.parts = PartBuffer.create();
         this.tail = noBytes;
     }
 
@@ -44,7 +52,7 @@
             this.keep(chunk, lastBytesOf(joined));
             return noBytes;
         }
-        const complete = Buffer.concat([...this.parts, chunk.subarray(0, end)]);
+        const complete = Buffer.concat([...this.parts.blocks, chunk.subarray(0, end)]);
         this.dropPartialEvent();
         if (end < chunk.length) {
             this.keep(chunk.subarray(end), lastBytesOf(chunk.subarray(end)));
@@ -54,11 +62,7 @@
     }
 
     private keep(part: Buffer, tail: Buffer): void {
-        this.parts.push(part);
-        if (this.parts.length > maxParts) {
-            this.parts = [Buffer.concat(this.parts)];
-        }
-        this.partialBytes += part.length;
+        this.parts.add(part);
         this.tail = tail;
     }
 }
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -3,6 +3,7 @@
 import { Verdict } from "../types/verdict";
 import type { BodyTimeLimits } from "./bodySource";
 import { BodySource } from "./bodySource";
+import { PartBuffer } from "./partBuffer";
 
 /** Error code of a connection that was refused: no process listens at the address. */
 export const refusedConnectionCode = "ECONNREFUSED";
@@ -68,15 +69,13 @@
 
 /** Reads a body with limits on size and time. */
 export const readBody = async (stream: Readable, { maxBytes, ...times }: BodyLimits): Promise<BodyReadResult> => {
-    const chunks: Buffer[] = [];
-    let bytes = 0;
+    const parts = PartBuffer.create();
     const take = (chunk: Buffer): boolean => {
-        bytes += chunk.length;
-        chunks.push(chunk);
-        return bytes <= maxBytes;
+        parts.add(chunk);
+        return parts.bytes <= maxBytes;
     };
     const end = await BodySource.create(stream).read(take, times);
-    return end === "whole" ? { kind: end, body: Buffer.concat(chunks) } : { kind: failedKinds[end] };
+    return end === "whole" ? { kind: end, body: parts.join() } : { kind: failedKinds[end] };
 };
 
 /** An answer that was abandoned because it exceeded a limit. */
--- a/test/chunkJoiner.test.ts
+++ b/test/chunkJoiner.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { ChunkJoiner } from "../src/forward/chunkJoiner";
+import { ChunkJoiner } from "../src/utils/chunkJoiner";
 
 const large = "l".repeat(1_024);
 const small = "s".repeat(1_000);
