--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -6,6 +6,7 @@
 import { zoneGauges } from "../forward/zoneGauges";
 import type { GaugeSpec } from "../plugins/metrics";
 import { MemoryHolder } from "../types/memoryHolder";
+import { readPacer } from "../utils/readPacer";
 
 const msPerS = 1_000;
 
@@ -30,6 +31,7 @@
     { name: "answer_parts_received", help: "Parts in which the bodies of answers arrived, since the start", read: () => gateway.receivedParts.parts },
     { name: "answer_bytes_received", help: "Bytes of these parts, without what frames them", read: () => gateway.receivedParts.bytes },
     { name: "longest_turn_seconds", help: "Longest turn of the event loop within the last 3 s", read: () => gateway.turnWatch.longestMs / msPerS },
+    { name: "read_pauses", help: "How often reading from another process waited for a later turn, since the start", read: () => readPacer.pauses },
     { name: "slow_readers", help: "Streams of runners whose callers have not taken all that was written", read: () => gateway.slowReaders.size },
     {
         name: "slow_readers_cut",
