--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -61,10 +61,10 @@
         return new UpstreamConnection(address, maxHeadBytes, confirm, connectTimeoutMs);
     }
 
-    /** Whether the connection is open, as far as this process has read. */
+    /** Whether the connection is open, as far as this process has read. Bytes that have not been parsed belong to no request that is still to be sent, and may hide an end. */
     get isOpen(): boolean {
         const { client, socket } = this;
-        return socket !== undefined && !socket.destroyed && !socket.readableEnded && !client.destroyed && !client.closed;
+        return socket !== undefined && !socket.destroyed && !socket.readableEnded && socket.readableLength === 0 && !client.destroyed && !client.closed;
     }
 
     /** Whether the connection has carried a request before its present one. */
