--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -33,13 +33,14 @@
         if (this.isWaiting) {
             return nothing;
         }
+        const { readableLength } = this.socket;
         this.measure();
-        if (this.spentMs >= maxConnectionMs) {
+        // Nothing to deliver takes no time, and an end is noticed only by reading.
+        if (this.spentMs >= maxConnectionMs && readableLength > 0) {
             this.isWaiting = true;
             this.pacer.wait(this);
             return nothing;
         }
-        const { readableLength } = this.socket;
         this.deliveredAt = readableLength > 0 ? performance.now() : undefined;
         return readableLength > this.readBytes ? this.readNow(this.readBytes) : this.readNow();
     }
--- a/test/readPacer.test.ts
+++ b/test/readPacer.test.ts
@@ -96,6 +96,13 @@
         assert.ok(longestMs > 0 && longestMs < 100, `${Math.round(longestMs)} ms`);
     });
 
+    it("takes the end at once if nothing is left to read", async () => {
+        const pacer = ReadPacer.create();
+        const socket = await openPaced(pacer, patternOf(100), true);
+        await readAll(socket, () => busyWait(5));
+        assert.equal(pacer.pauses, 0);
+    });
+
     it("is not resumed once it is destroyed", async () => {
         const pacer = ReadPacer.create();
         const socket = await openPaced(pacer, patternOf(200_000), false);
