--- a/src/forward/answerFlow.ts
+++ b/src/forward/answerFlow.ts
@@ -1,5 +1,6 @@
-import type { Dispatcher } from "undici";
+import type { Socket } from "node:net";
 import { ChunkJoiner } from "../utils/chunkJoiner";
+import { readPacer } from "../utils/readPacer";
 
 /** Passes the body of an answer on: the parts of one read together, and none once it has been given up. */
 export class AnswerFlow {
@@ -39,17 +40,17 @@
         this.joiner.drop();
     }
 
-    /** Pauses the upstream, as the sink is full. */
-    pause(controller: Dispatcher.DispatchController): void {
+    /** Pauses the upstream, as the sink is full; what has been read is still passed on. */
+    pause(socket: Socket): void {
         this.isFull = true;
-        controller.pause();
+        readPacer.hold(socket);
     }
 
     /** Lets the upstream go on, as the sink takes more. */
-    resume(controller: Dispatcher.DispatchController): void {
+    resume(socket: Socket): void {
         this.isFull = false;
+        readPacer.release(socket);
         this.onTaken?.();
-        controller.resume();
     }
 
     /** Calls `onTaken` once the sink is not full: the body has arrived in full. */
--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -1,7 +1,7 @@
 import type { ServerResponse } from "node:http";
 import type { AnswerHold } from "../core/answerMemory";
 import { goOnAfter, holdEvent } from "../core/eventOrder";
-import type { SlowReaders, UnreadStream } from "../core/slowReaders";
+import type { SlowReaders } from "../core/slowReaders";
 import type { HeaderMap } from "../types/requestHeaderCodec";
 import { RouteKind } from "../types/servingConfig";
 import type { TransportLimits } from "../types/transportLimits";
@@ -10,6 +10,7 @@
 import type { AnswerHead, AnswerSink } from "./answerSink";
 import { SinkState } from "./answerSink";
 import type { Call } from "./call";
+import { EventWriter } from "./eventWriter";
 import { addReport } from "./relayHeaders";
 
 const connectionHeaders: ReadonlySet<string> = new Set(["connection", "keep-alive", "transfer-encoding", "upgrade", "proxy-connection", "te", "trailer"]);
@@ -61,8 +62,7 @@
     maxEventGapMs = 0;
     /** Events that were relayed, of all attempts. */
     eventCount = 0;
-    private readonly unread: UnreadStream;
-    private onDrain: (() => void) | undefined;
+    private readonly writer: EventWriter;
     private isStreaming = false;
     private kept: KeptAnswer | undefined;
 
@@ -71,14 +71,12 @@
         private readonly limits: TransportLimits,
         private readonly hold: AnswerHold,
         private readonly observer: AnswerObserver,
-        private readonly slowReaders: SlowReaders | undefined,
+        slowReaders: SlowReaders | undefined,
     ) {
-        const { res } = call;
-        this.unread = { request: call.caller.requestId, unreadBytes: () => res.writableLength, cut: () => res.destroy() };
-        res.once("close", () => {
+        this.writer = EventWriter.create(call.res, call.caller.requestId, hold, slowReaders);
+        call.res.once("close", () => {
             hold.release();
-            hold.countUntaken(0);
-            slowReaders?.remove(this.unread);
+            this.writer.close();
         });
     }
 
@@ -189,34 +187,7 @@
         }
         this.lastProgressAt = now;
         this.eventCount += countEvents(text);
-        if (this.slowReaders) {
-            return this.readOn(this.slowReaders, events);
-        }
-        if (this.call.res.write(events)) {
-            return SinkState.Ready;
-        }
-        this.hold.countUntaken(this.call.res.writableLength);
-        this.call.res.once("drain", () => {
-            this.hold.countUntaken(0);
-            resume();
-        });
-        return SinkState.Full;
-    }
-
-    /** Writes events without pausing the upstream; what the caller has not taken is counted. */
-    private readOn(slowReaders: SlowReaders, events: Buffer): SinkState {
-        const { res } = this.call;
-        // A caller that keeps up is not counted; the close of one that was cut ends the attempt.
-        const isBehind = res.writableLength + events.length >= res.writableHighWaterMark;
-        if (res.destroyed || (isBehind && !slowReaders.admit(this.unread, events.length))) {
-            return SinkState.Ready;
-        }
-        if (!res.write(events)) {
-            slowReaders.count(this.unread, res.writableLength);
-            this.onDrain ??= () => slowReaders.remove(this.unread);
-            res.off("drain", this.onDrain).once("drain", this.onDrain);
-        }
-        return SinkState.Ready;
+        return this.writer.write(events, resume);
     }
 
     private onFirstEvent(now: number): void {
--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -111,17 +111,18 @@
         };
         const deliver = contain(RequestStep.Data, (bytes: Buffer) => {
             const current = controller;
-            if (!current || isDropped) {
+            const { socket } = connection;
+            if (!current || !socket || isDropped) {
                 return;
             }
             guard.onArrival(connection.openedAt);
-            const state = sink.onData(bytes, () => flow.resume(current));
+            const state = sink.onData(bytes, () => flow.resume(socket));
             const rejection = rejectionReasons[state];
             if (rejection !== undefined) {
                 giveUp(current, rejection);
             }
             else if (state === SinkState.Full) {
-                flow.pause(current);
+                flow.pause(socket);
             }
         });
         const flow = AnswerFlow.create(deliver);
--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -22,6 +22,7 @@
     private deliveredAt: number | undefined;
     private readBytes = firstReadBytes;
     private isWaiting = false;
+    private isHeld = false;
     private readonly readNow: Socket["read"];
 
     constructor(private readonly pacer: ReadPacer, private readonly socket: Socket) {
@@ -30,7 +31,7 @@
 
     /** Reads, unless this connection has taken its time of the turn: then `readable` is emitted in a later one. */
     read(): unknown {
-        if (this.isWaiting) {
+        if (this.isWaiting || this.isHeld) {
             return nothing;
         }
         const { readableLength } = this.socket;
@@ -45,6 +46,20 @@
         return readableLength > this.readBytes ? this.readNow(this.readBytes) : this.readNow();
     }
 
+    /** Reads nothing until `release`. */
+    hold(): void {
+        this.isHeld = true;
+    }
+
+    /** Reads on in a later turn: the client may be parsing now. */
+    release(): void {
+        if (this.isHeld && !this.isWaiting) {
+            this.isWaiting = true;
+            this.pacer.enqueue(this);
+        }
+        this.isHeld = false;
+    }
+
     /** Goes on reading in a later turn. */
     resume(): void {
         this.isWaiting = false;
@@ -81,6 +96,7 @@
     private turn = 0;
     private isScheduled = false;
     private readonly waiting: PacedConnection[] = [];
+    private readonly connections = new WeakMap<Socket, PacedConnection>();
     private pauseCount = 0;
 
     private constructor() {}
@@ -97,10 +113,21 @@
     /** Paces a connection whose reader calls `read` without a size until it returns null, after each `readable`. */
     pace(socket: Socket): void {
         const connection = new PacedConnection(this, socket);
+        this.connections.set(socket, connection);
         const readNow = socket.read.bind(socket);
         socket.read = size => size === undefined ? connection.read() : readNow(size);
     }
 
+    /** Delivers nothing more of a connection until `release`. Unlike a pause of the client, it does not fail if the connection ends meanwhile. */
+    hold(socket: Socket): void {
+        this.connections.get(socket)?.hold();
+    }
+
+    /** Delivers what arrives over a connection again. */
+    release(socket: Socket): void {
+        this.connections.get(socket)?.release();
+    }
+
     /** Number of the present turn. */
     currentTurn(): number {
         this.schedule();
@@ -110,6 +137,11 @@
     /** Resumes a connection in a later turn. */
     wait(connection: PacedConnection): void {
         this.pauseCount++;
+        this.enqueue(connection);
+    }
+
+    /** Has a connection read in a later turn. */
+    enqueue(connection: PacedConnection): void {
         this.waiting.push(connection);
         this.schedule();
     }
