--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -14,6 +14,9 @@
 /** What `read` returns if there is nothing to read. */
 const nothing: unknown = new Readable({ read: () => undefined }).read();
 
+/** Whether the connection failed, such as by a reset; other errors are this process's own reasons to close it. */
+const isSystemError = (err: Error | undefined): boolean => (err as NodeJS.ErrnoException | undefined)?.errno !== undefined;
+
 /** One connection whose reading is paced. */
 class PacedConnection {
     private turn = -1;
@@ -22,6 +25,7 @@
     private deliveredAt: number | undefined;
     private readBytes = firstReadBytes;
     private isWaiting = false;
+    private isFailing = false;
     private readonly readNow: Socket["read"];
 
     constructor(private readonly pacer: ReadPacer, private readonly socket: Socket) {
@@ -30,6 +34,9 @@
 
     /** Reads, unless this connection has taken its time of the turn: then `readable` is emitted in a later one. */
     read(): unknown {
+        if (this.isFailing) {
+            return this.readNow();
+        }
         if (this.isWaiting) {
             return nothing;
         }
@@ -53,6 +60,14 @@
         }
     }
 
+    /** Delivers what arrived before an error: the stream forgets it when it is destroyed, and it may hold the end of an answer. Its size is bounded by the stream's buffer. */
+    deliverRest(): void {
+        if (this.isWaiting && !this.isFailing && !this.socket.destroyed) {
+            this.isFailing = true;
+            this.socket.emit("readable");
+        }
+    }
+
     private measure(): void {
         const turn = this.pacer.currentTurn();
         if (turn !== this.turn) {
@@ -98,6 +113,13 @@
     pace(socket: Socket): void {
         const connection = new PacedConnection(this, socket);
         const readNow = socket.read.bind(socket);
+        const destroy = socket.destroy.bind(socket);
+        socket.destroy = err => {
+            if (isSystemError(err)) {
+                connection.deliverRest();
+            }
+            return destroy(err);
+        };
         socket.read = size => size === undefined ? connection.read() : readNow(size);
     }
 
--- a/test/readPacer.test.ts
+++ b/test/readPacer.test.ts
@@ -96,6 +96,29 @@
         assert.ok(longestMs > 0 && longestMs < 100, `${Math.round(longestMs)} ms`);
     });
 
+    it("delivers what arrived before a reset", async () => {
+        const sent = patternOf(30_000);
+        const server = createServer(socket => {
+            socket.write(sent);
+            // The reset arrives while the reader works.
+            setTimeout(() => socket.resetAndDestroy(), 10);
+        });
+        server.listen(0, "127.0.0.1");
+        await once(server, "listening");
+        const socket = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        closers.push(() => server.close());
+        ReadPacer.create().pace(socket);
+        const parts: Buffer[] = [];
+        const closed = new Promise(resolve => socket.once("close", resolve));
+        socket.on("error", () => undefined);
+        void readAll(socket, bytes => {
+            parts.push(bytes);
+            busyWait(30);
+        });
+        await closed;
+        assert.deepEqual(Buffer.concat(parts), sent);
+    });
+
     it("takes the end at once if nothing is left to read", async () => {
         const pacer = ReadPacer.create();
         const socket = await openPaced(pacer, patternOf(100), true);
