--- a/src/forward/answerRelay.ts
+++ b/src/forward/answerRelay.ts
@@ -32,7 +32,7 @@
     onHead(head: AnswerHead): void;
     /** Called when the caller is about to receive the first event of its stream. */
     onFirstEvent(): void;
-    /** Called with the time between two chunks of a stream. */
+    /** Called with the mean time between the events of a stream that were read together. */
     onEventGap(ms: number): void;
 }
 
@@ -179,16 +179,17 @@
             return SinkState.OutOfOrder;
         }
         const now = performance.now();
+        const eventCount = countEvents(text);
         if (this.attemptEventAt !== undefined) {
             const gapMs = now - this.lastProgressAt;
             this.maxEventGapMs = Math.max(this.maxEventGapMs, gapMs);
-            this.observer.onEventGap(gapMs);
+            this.observer.onEventGap(gapMs / eventCount);
         }
         if (this.attemptEventAt === undefined && holdEvent(text)) {
             this.onFirstEvent(now);
         }
         this.lastProgressAt = now;
-        this.eventCount += countEvents(text);
+        this.eventCount += eventCount;
         if (this.slowReaders) {
             return this.readOn(this.slowReaders, events);
         }
