--- a/src/forward/answerFlow.ts
+++ b/src/forward/answerFlow.ts
@@ -45,10 +45,12 @@
         controller.pause();
     }
 
-    /** Lets the upstream go on, as the sink takes more. */
+    /** Lets the upstream go on, as the sink takes more; may be called for each part that the sink was full after. */
     resume(controller: Dispatcher.DispatchController): void {
         this.isFull = false;
-        this.onTaken?.();
+        const { onTaken } = this;
+        this.onTaken = undefined;
+        onTaken?.();
         controller.resume();
     }
 
--- /dev/null
+++ b/test/answerFlow.test.ts
@@ -0,0 +1,30 @@
+import assert from "node:assert/strict";
+import { describe, it } from "node:test";
+import type { Dispatcher } from "undici";
+import { AnswerFlow } from "../src/forward/answerFlow";
+
+const controller = { pause: () => undefined, resume: () => undefined } as unknown as Dispatcher.DispatchController;
+
+/** Guards against an answer that ends twice: its connection would be given back while it carries another request. */
+describe("the end of an answer whose caller is slow", () => {
+    const cases: readonly { readonly name: string; readonly pauses: number; readonly resumes: number; }[] = [
+        { name: "a caller that takes more once", pauses: 1, resumes: 1 },
+        { name: "a caller of which each write that was refused tells so", pauses: 2, resumes: 2 },
+        { name: "a caller that takes more again later", pauses: 1, resumes: 3 },
+    ];
+    for (const { name, pauses, resumes } of cases) {
+        it(`comes once: ${name}`, () => {
+            const flow = AnswerFlow.create(() => undefined);
+            let ends = 0;
+            for (let index = 0; index < pauses; index++) {
+                flow.pause(controller);
+            }
+            flow.end(() => ends++);
+            assert.equal(ends, 0);
+            for (let index = 0; index < resumes; index++) {
+                flow.resume(controller);
+            }
+            assert.equal(ends, 1);
+        });
+    }
+});
