--- a/src/forward/answerFlow.ts
+++ b/src/forward/answerFlow.ts
@@ -46,11 +46,13 @@
         readPacer.hold(socket);
     }
 
-    /** Lets the upstream go on, as the sink takes more. */
+    /** Lets the upstream go on, as the sink takes more; may be called for each part that the sink was full after. */
     resume(socket: Socket): void {
         this.isFull = false;
         readPacer.release(socket);
-        this.onTaken?.();
+        const { onTaken } = this;
+        this.onTaken = undefined;
+        onTaken?.();
     }
 
     /** Calls `onTaken` once the sink is not full: the body has arrived in full. */
