--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -9,6 +9,7 @@
 import { MemoryBudget } from "../core/memoryBudget";
 import { memoryLimitOf } from "../core/memoryLimit";
 import { OutputShares } from "../core/outputShares";
+import { OwnAnswerMemory } from "../core/ownAnswerMemory";
 import type { PriorityLevels } from "../core/priorityLevels";
 import { PromptCacheTracker } from "../core/promptCacheTracker";
 import { ReceivedParts } from "../core/receivedParts";
@@ -123,6 +124,8 @@
         () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
         (holder, bytes) => this.memory.charge(holder, bytes),
     );
+    /** Memory for the answers to this node's own questions. */
+    readonly ownAnswers = OwnAnswerMemory.create(() => this.settings.limits.maxOwnAnswerBytes, this.memory);
     /** Events that slow readers have not taken, where runners must be read on. */
     readonly slowReaders = SlowReaders.create(this.memory);
     /** Whether this node reaches upstreams over its own links. */
--- a/src/forward/peerProber.ts
+++ b/src/forward/peerProber.ts
@@ -1,6 +1,8 @@
 import { Agent } from "undici";
 import { toFailure } from "../core/failures";
+import type { OwnAnswerMemory } from "../core/ownAnswerMemory";
 import { EventId } from "../types/eventId";
+import { OwnAnswerKind } from "../types/ownAnswerKind";
 import { createBoundedFetch } from "../utils/boundedFetch";
 import { emit } from "../utils/events";
 import { getOrCreate } from "../utils/maps";
@@ -17,15 +19,15 @@
 /** Asks peers whether they are alive. */
 export class PeerProber {
     private readonly probes = new Map<string, Promise<boolean>>();
-    private readonly fetch = createBoundedFetch(new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), pipelining: 1 }), {
-        maxBytes: maxAnswerBytes,
-        timeoutMs,
-    });
+    private readonly fetch: typeof globalThis.fetch;
 
-    private constructor() {}
+    private constructor(answers: OwnAnswerMemory) {
+        const dispatcher = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), pipelining: 1 });
+        this.fetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs }, () => answers.open(OwnAnswerKind.Peer));
+    }
 
-    static create(): PeerProber {
-        return new PeerProber();
+    static create(answers: OwnAnswerMemory): PeerProber {
+        return new PeerProber(answers);
     }
 
     /** Whether a peer answers, whatever that is; requests that ask at about the same time share one probe. */
--- a/src/forward/peerRelays.ts
+++ b/src/forward/peerRelays.ts
@@ -21,7 +21,7 @@
 /** The peers through which this node serves callers while it does not reach the upstreams itself. */
 export class PeerRelays {
     readonly choice: PeerChoice;
-    readonly prober = PeerProber.create();
+    readonly prober: PeerProber;
     readonly reach: PeerReach;
     private readonly poolByPeer = new Map<string, UpstreamConnectionPool>();
     /** Requests that were passed on and have not ended, and those that peers passed on to this node. */
@@ -38,6 +38,7 @@
             ownZone: () => gateway.settings.availabilityZone,
             random: () => gateway.random(),
         });
+        this.prober = PeerProber.create(gateway.ownAnswers);
         this.reach = PeerReach.create(this.choice, this.prober);
     }
 
--- a/src/node/platformNode.ts
+++ b/src/node/platformNode.ts
@@ -83,8 +83,10 @@
 
     /** Creates a node that does not listen yet; `unexpectedErrors` counts the errors that no handler caught. The metrics may be those of a node that it replaces. */
     static create(settings: PlatformNodeSettings, unexpectedErrors = (): number => 0, metrics = Metrics.create()): PlatformNode {
-        const store = MonitoredStore.create(StoreClient.create(settings.storeAddress, settings.limits));
+        const storeClient = StoreClient.create(settings.storeAddress, settings.limits);
+        const store = MonitoredStore.create(storeClient);
         const gateway = Gateway.create(settings, requestHeaderCodec, createRandom(Date.now() ^ process.pid), store);
+        storeClient.answers = gateway.ownAnswers;
         return new PlatformNode(settings, store, gateway, CallerServer.create(gateway), unexpectedErrors, metrics);
     }
 
@@ -99,7 +101,7 @@
             runners: RunnerClient.create(settings.limits, (runner, word) => {
                 gateway.contact.onWord();
                 gateway.availability.onAnswer(runner, word);
-            }),
+            }, gateway.ownAnswers),
             decodeConfig,
             onConfig: () => server.applyLimits(),
         }, this.stopped.signal);
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -30,6 +30,11 @@
     { name: "answer_parts_received", help: "Parts in which the bodies of answers arrived, since the start", read: () => gateway.receivedParts.parts },
     { name: "answer_bytes_received", help: "Bytes of these parts, without what frames them", read: () => gateway.receivedParts.bytes },
     { name: "longest_turn_seconds", help: "Longest turn of the event loop within the last 3 s", read: () => gateway.turnWatch.longestMs / msPerS },
+    {
+        name: "own_answers_given_up",
+        help: "Answers of runners, peers and the store that this node gave up for their size or for want of memory, since the start",
+        read: () => gateway.ownAnswers.givenUp,
+    },
     { name: "slow_readers", help: "Streams of runners whose callers have not taken all that was written", read: () => gateway.slowReaders.size },
     {
         name: "slow_readers_cut",
--- a/src/placement/controllerClient.ts
+++ b/src/placement/controllerClient.ts
@@ -61,7 +61,7 @@
     ) {
         this.peers = PeerDirectory.create(() => this.self, () => gateway.settings.seeds, gateway.random);
         gateway.peers.setPeers(this.peers.nodes);
-        this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes);
+        this.clients = PeerClients.create(gateway.settings.limits.maxAnswerBytes, gateway.ownAnswers);
         this.placements = PlacementClient.create(
             local.controller,
             this.clients,
--- a/src/placement/peerClients.ts
+++ b/src/placement/peerClients.ts
@@ -1,6 +1,8 @@
 import type { TRPCClient } from "@trpc/client";
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent } from "undici";
+import { OwnAnswerMemory } from "../core/ownAnswerMemory";
+import { OwnAnswerKind } from "../types/ownAnswerKind";
 import type { NodeReport } from "../types/placement";
 import type { FactReport } from "../types/sharedFacts";
 import { createBoundedFetch } from "../utils/boundedFetch";
@@ -17,13 +19,13 @@
     private readonly clients = new Map<string, TRPCClient<PeerServerRouter>>();
     private readonly fetch: typeof globalThis.fetch;
 
-    private constructor(maxAnswerBytes: number) {
+    private constructor(maxAnswerBytes: number, answers: OwnAnswerMemory) {
         const dispatcher = new Agent({ connect: createPunctualConnector({ timeout: connectTimeoutMs }), keepAliveTimeout: 10_000, pipelining: 1 });
-        this.fetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs: peerTimeoutMs });
+        this.fetch = createBoundedFetch(dispatcher, { maxBytes: maxAnswerBytes, timeoutMs: peerTimeoutMs }, () => answers.open(OwnAnswerKind.Peer));
     }
 
-    static create(maxAnswerBytes: number): PeerClients {
-        return new PeerClients(maxAnswerBytes);
+    static create(maxAnswerBytes: number, answers = OwnAnswerMemory.create(() => maxAnswerBytes)): PeerClients {
+        return new PeerClients(maxAnswerBytes, answers);
     }
 
     /** The client of the peer at an address. */
--- a/src/platform/runnerClient.ts
+++ b/src/platform/runnerClient.ts
@@ -1,7 +1,9 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { FailureError } from "../core/failures";
+import { OwnAnswerMemory } from "../core/ownAnswerMemory";
 import { FailureKind } from "../types/failureKind";
+import { OwnAnswerKind } from "../types/ownAnswerKind";
 import type { RunnerAddress, RunnerControl, RunnerOrder, RunnerReport } from "../types/runner";
 import { RunnerOrderAnswer, RunnerOrderKind } from "../types/runner";
 import type { TransportLimits } from "../types/transportLimits";
@@ -53,15 +55,19 @@
     /** An order that is given up must not arrive later: another holder may send orders by then. */
     private readonly orderAgent: Agent;
 
-    private constructor(private readonly limits: TransportLimits, private readonly onWord: WordListener) {
+    private constructor(private readonly limits: TransportLimits, private readonly onWord: WordListener, private readonly answers: OwnAnswerMemory) {
         const options = { keepAliveTimeout: 1_000, keepAliveTimeoutThreshold: 200, maxHeaderSize: limits.maxAnswerHeadBytes, pipelining: 1 };
         this.agent = new Agent({ ...options, connect: createPunctualConnector({ timeout: connectTimeoutMs }) });
         this.orderAgent = new Agent({ ...options, connect: createResettingConnector({ timeout: connectTimeoutMs }) });
     }
 
     /** Creates a client; connections are opened on first use. `onWord` is called with what each answer says of its runner's availability. */
-    static create(limits: TransportLimits, onWord: WordListener = () => undefined): RunnerClient {
-        return new RunnerClient(limits, onWord);
+    static create(
+        limits: TransportLimits,
+        onWord: WordListener = () => undefined,
+        answers = OwnAnswerMemory.create(() => limits.maxOwnAnswerBytes),
+    ): RunnerClient {
+        return new RunnerClient(limits, onWord, answers);
     }
 
     async fetchReport(runner: RunnerAddress): Promise<RunnerReport> {
@@ -77,10 +83,9 @@
                 await res.body.dump();
                 throw FailureError.create({ kind: FailureKind.UpstreamEnded, verdict: Verdict.NotRun, detail: "another process answers at the address" });
             }
-            const result = parseWith(
-                reportSchema,
-                parseJson(await readAnswerText(res.body, { maxBytes: this.limits.maxAnswerBytes, timeoutMs: answerTimeoutMs })),
-            );
+            const hold = this.answers.open(OwnAnswerKind.Runner);
+            const text = await readAnswerText(res.body, { maxBytes: this.limits.maxReportBytes, timeoutMs: answerTimeoutMs, hold });
+            const result = parseWith(reportSchema, parseJson(text));
             if (res.statusCode !== 200 || "faults" in result) {
                 throw FailureError.create({ kind: FailureKind.UpstreamFailed, verdict: Verdict.Ran, detail: `no usable report: status ${res.statusCode}` });
             }
--- a/src/platform/storeClient.ts
+++ b/src/platform/storeClient.ts
@@ -1,8 +1,10 @@
 import { Agent, request } from "undici";
 import { z } from "zod";
 import { FailureError } from "../core/failures";
+import type { OwnAnswerMemory } from "../core/ownAnswerMemory";
 import { EventId } from "../types/eventId";
 import { FailureKind } from "../types/failureKind";
+import { OwnAnswerKind } from "../types/ownAnswerKind";
 import type { FeedResult, RowName, RowResult, RowStore, StoredRow, TransactionResult, VersionedRows } from "../types/rowStore";
 import { FeedKind, TransactionKind } from "../types/rowStore";
 import type { StoreVersion } from "../types/storeVersion";
@@ -67,6 +69,8 @@
 export class StoreClient implements RowStore {
     /** A call that times out closes its connection, which may no longer deliver anything. */
     private readonly agent: Agent;
+    /** Counts what is kept of answers while they are read. */
+    answers: OwnAnswerMemory | undefined;
     /** Newest era that an answer has named. */
     private era: number | undefined;
     /** Ends the calls that wait for changes after a version of an earlier era. */
@@ -182,7 +186,8 @@
             });
             clearTimeout(headTimer);
             const { maxAnswerBytes, answerTimeoutMs, answerSilenceMs } = this.limits;
-            const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs, silenceMs: answerSilenceMs });
+            const hold = this.answers?.open(OwnAnswerKind.Store);
+            const text = await readAnswerText(res.body, { maxBytes: maxAnswerBytes, timeoutMs: answerTimeoutMs, silenceMs: answerSilenceMs, hold });
             const era = eraSchema.safeParse(res.headers[eraHeader] ?? 0).data;
             this.onEra(era ?? 0);
             if (res.statusCode === 503 || res.statusCode === 429) {
--- a/src/types/memoryHolder.ts
+++ b/src/types/memoryHolder.ts
@@ -8,6 +8,8 @@
     AheadBodies = "ahead_bodies",
     /** Answers that are kept until they are complete, and incomplete events. */
     Answers = "answers",
+    /** Answers of the store, peers and runners to the node's own questions, while they are read. */
+    OwnAnswers = "own_answers",
     /** Events of streams that their callers have not taken yet. */
     UntakenEvents = "untaken_events",
     CallerConnections = "caller_connections",
--- a/src/types/transportLimits.ts
+++ b/src/types/transportLimits.ts
@@ -6,6 +6,10 @@
     readonly maxAnswerBytes: number;
     /** Maximum size of all answers together that are kept in memory until they are complete, in bytes. */
     readonly maxHeldAnswerBytes: number;
+    /** Maximum size of a runner's report, in bytes. */
+    readonly maxReportBytes: number;
+    /** Maximum size of all answers of runners, peers and the store together that are kept while the node reads them for itself, in bytes. */
+    readonly maxOwnAnswerBytes: number;
     /** Maximum size of one event of a stream, in bytes. */
     readonly maxEventBytes: number;
     /** Time within which the store and peers begin an answer, and the longest pause within it. */
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -1,5 +1,6 @@
 import type { Readable } from "node:stream";
 import { errors } from "undici";
+import type { MemoryHold } from "../types/memoryHold";
 import { Verdict } from "../types/verdict";
 import type { BodyTimeLimits } from "./bodySource";
 import { BodySource } from "./bodySource";
@@ -33,6 +34,9 @@
     if (err instanceof errors.HTTPParserError) {
         return false;
     }
+    if (errorCodeOf(err) === limitCodes["memory-short"]) {
+        return true;
+    }
     const { code, cause } = (err ?? {}) as { code?: unknown; cause?: { code?: unknown; }; };
     const named = code ?? cause?.code;
     return named === undefined || ownCodes.has(String(named));
@@ -57,25 +61,34 @@
 export type BodyReadResult =
     | { readonly kind: "whole"; readonly body: Buffer; }
     | { readonly kind: "too-large"; }
+    | { readonly kind: "memory-short"; }
     | { readonly kind: "slow"; }
     | { readonly kind: "lost"; };
 
 /** Limits on reading a body. */
 export interface BodyLimits extends BodyTimeLimits {
     readonly maxBytes: number;
+    /** Counts what is kept of the body while it is read. */
+    readonly hold?: MemoryHold;
 }
 
 const failedKinds = { full: "too-large", slow: "slow", stopped: "slow", lost: "lost" } as const;
 
 /** Reads a body with limits on size and time. */
-export const readBody = async (stream: Readable, { maxBytes, ...times }: BodyLimits): Promise<BodyReadResult> => {
+export const readBody = async (stream: Readable, { maxBytes, hold, ...times }: BodyLimits): Promise<BodyReadResult> => {
     const parts = PartBuffer.create();
+    let isHeld = true;
     const take = (chunk: Buffer): boolean => {
+        const { heldBytes } = parts;
         parts.add(chunk);
-        return parts.bytes <= maxBytes;
+        isHeld = hold?.grow(parts.heldBytes - heldBytes) ?? true;
+        return isHeld && parts.bytes <= maxBytes;
     };
     const end = await BodySource.create(stream).read(take, times);
-    return end === "whole" ? { kind: end, body: parts.join() } : { kind: failedKinds[end] };
+    if (end === "whole") {
+        return { kind: end, body: parts.join() };
+    }
+    return { kind: end === "full" && !isHeld ? "memory-short" : failedKinds[end] };
 };
 
 /** An answer that was abandoned because it exceeded a limit. */
@@ -85,21 +98,25 @@
     }
 
     /** Creates the error; the code states the limit. */
-    static create(code: "ANSWER_TOO_LARGE" | "ANSWER_TOO_SLOW" | "ANSWER_CUT"): AnswerLimitError {
+    static create(code: "ANSWER_TOO_LARGE" | "ANSWER_MEMORY_SHORT" | "ANSWER_TOO_SLOW" | "ANSWER_CUT"): AnswerLimitError {
         return new AnswerLimitError(code);
     }
 }
 
-const limitCodes = { "too-large": "ANSWER_TOO_LARGE", slow: "ANSWER_TOO_SLOW", lost: "ANSWER_CUT" } as const;
+const limitCodes = { "too-large": "ANSWER_TOO_LARGE", "memory-short": "ANSWER_MEMORY_SHORT", slow: "ANSWER_TOO_SLOW", lost: "ANSWER_CUT" } as const;
 
-/** Reads an answer's body as text. Beyond a limit it closes the connection and throws. */
+/** Reads an answer's body as text. Beyond a limit it closes the connection and throws; it releases the hold in any case. */
 export const readAnswerText = async (body: Readable, limits: BodyLimits): Promise<string> => {
-    const result = await readBody(body, limits);
+    const { hold } = limits;
+    const result = await readBody(body, limits).finally(() => hold?.release());
     if (result.kind === "whole") {
         return result.body.toString("utf8");
     }
     // Destroying a body that is still being received closes its connection and reports an error, which is already known.
     body.on("error", () => undefined);
     body.destroy();
+    if (result.kind === "too-large" || result.kind === "memory-short") {
+        hold?.giveUp();
+    }
     throw AnswerLimitError.create(limitCodes[result.kind]);
 };
--- a/test/fakes/troubledServer.ts
+++ b/test/fakes/troubledServer.ts
@@ -7,7 +7,7 @@
 const flood = Buffer.alloc(65_536, "x");
 
 /** Writes as fast as the reader takes it until the connection closes. */
-const writeEndlessly = (socket: Socket, bytes: Buffer | string): void => {
+export const writeEndlessly = (socket: Socket, bytes: Buffer | string): void => {
     const write = (): void => {
         while (!socket.destroyed && socket.write(bytes)) {
             // The socket's buffer takes more.
