--- a/test/fakes/endlessReports.ts
+++ b/test/fakes/endlessBodies.ts
@@ -9,8 +9,8 @@
     writeEndlessly(socket, flood);
 };
 
-/** Reports without end. */
-export const endlessReports: Readonly<Record<string, Trouble>> = {
+/** JSON answers without end. */
+export const endlessBodies: Readonly<Record<string, Trouble>> = {
     "one chunk": flooding("Transfer-Encoding: chunked\r\n\r\nfffffffffff\r\n"),
     "a huge told length": flooding("Content-Length: 999999999999\r\n\r\n"),
     "no length": flooding("\r\n"),
--- a/test/fakes/memoryPlatformStore.ts
+++ b/test/fakes/memoryPlatformStore.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { FailureError } from "../../src/core/failures";
 import { FailureKind } from "../../src/types/failureKind";
 import type { FeedResult, RowName, RowResult, RowStore, RowTransaction, StoredRow, TransactionResult, VersionedRows } from "../../src/types/rowStore";
@@ -28,6 +29,8 @@
     isDown = false;
     /** Whether its server leaves requests without an answer. */
     isSilent = false;
+    /** Sends the answers of its server in place of the usual way. */
+    answerWith: ((socket: Socket, status: number, body: string) => void) | undefined;
     /** Share of writes whose answer is lost. */
     lossShare = 0.05;
     /** Whether the next read of a feed finds that its history was dropped. */
--- a/test/fakes/platformStoreServer.ts
+++ b/test/fakes/platformStoreServer.ts
@@ -34,6 +34,11 @@
                 if (store.isSilent) {
                     return alreadyAnswered;
                 }
+                if (store.answerWith) {
+                    const { code, value } = answer instanceof StatusResponse ? answer : new StatusResponse(200, answer);
+                    store.answerWith(input.req.socket, code, JSON.stringify(value));
+                    return alreadyAnswered;
+                }
                 input.res.setHeader("store-era", store.era);
                 return answer;
             }
--- a/test/fakes/smallPieces.ts
+++ b/test/fakes/smallPieces.ts
@@ -78,3 +78,9 @@
     socket.on("drain", write);
     write();
 };
+
+/** Sends a complete answer in chunks of one byte, and closes the connection. */
+export const sendInBytes = (socket: Socket, status: number, body: string): void => {
+    const chunks = [...Buffer.from(body, "utf8").toString("latin1")].map(byte => `1\r\n${byte}\r\n`).join("");
+    socket.end(Buffer.from(`HTTP/1.1 ${status} Told\r\nConnection: close\r\nStore-Era: 1\r\nTransfer-Encoding: chunked\r\n\r\n${chunks}0\r\n\r\n`, "latin1"));
+};
--- a/test/unrulyReports.test.ts
+++ b/test/unrulyReports.test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { describe, it } from "node:test";
-import { endlessReports } from "./fakes/endlessReports";
+import { endlessBodies } from "./fakes/endlessBodies";
 import { callGateway } from "./fakes/gatewayHarness";
 import { PlatformProcess } from "./fakes/platformProcess";
 import { waitFor } from "./fakes/processes";
@@ -25,7 +25,7 @@
     { runners: 18, forms: ["a huge told length"] },
     { runners: 18, forms: ["no length"] },
     { runners: 18, forms: ["chunks of 1 byte"] },
-    { runners: 36, forms: Object.keys(endlessReports) },
+    { runners: 36, forms: Object.keys(endlessBodies) },
 ];
 
 const config = {
@@ -48,7 +48,7 @@
 describe("a node process whose runners send reports without end", () => {
     for (const { runners, forms } of cases) {
         it(`lives, keeps within its memory and serves others: ${runners} runners, ${forms.length > 1 ? "all forms" : forms[0]}`, async () => {
-            const troubled = await Promise.all([...Array(runners).keys()].map(index => startTroubledServer(endlessReports[forms[index % forms.length]!]!)));
+            const troubled = await Promise.all([...Array(runners).keys()].map(index => startTroubledServer(endlessBodies[forms[index % forms.length]!]!)));
             const sound = await startScriptedUpstream((socket, { id }) => void socket.write(answerOf(id, "done")));
             const rows = troubled.map(({ address }, index): [string, object] => [
                 `u${index}`,
