--- a/test/fakes/main.ts
+++ b/test/fakes/main.ts
@@ -1,7 +1,9 @@
 import type { Server } from "node:http";
 import { startBalancer } from "./balancer";
+import { startDiscardingCallers } from "./discardingCallers";
 import { startEngineServer } from "./engineServer";
 import { portOf } from "./jsonServer";
+import { startPieceServer } from "./pieceServer";
 import { startService } from "./service";
 import { startStandaloneInfrastructure } from "./standaloneInfrastructure";
 import { startWeightStore } from "./weightStore";
@@ -12,6 +14,8 @@
     engine: startEngineServer,
     service: startService,
     weightStore: (port, { fetchesPerSecond }: { fetchesPerSecond: number; }) => startWeightStore(port, fetchesPerSecond),
+    pieceServer: startPieceServer,
+    discardingCallers: startDiscardingCallers,
     balancer: (port, { nodeUrls }: { nodeUrls: readonly string[]; }) => startBalancer(port, nodeUrls),
 };
 
--- a/test/fakes/smallPieces.ts
+++ b/test/fakes/smallPieces.ts
@@ -4,11 +4,24 @@
 /** Bytes written at once. */
 const writeBytes = 65_536;
 
+/** How an answer without end is framed: what ends its head, and whether each piece is a chunk. */
+interface Framing {
+    readonly headEnd: string;
+    readonly isChunked: boolean;
+}
+
+const chunked: Framing = { headEnd: "Transfer-Encoding: chunked\r\n\r\n", isChunked: true };
+const untilClose: Framing = { headEnd: "\r\n", isChunked: false };
+const oneChunk: Framing = { headEnd: `${chunked.headEnd}7fffffff\r\n`, isChunked: false };
+const junkForChunk: Framing = { headEnd: chunked.headEnd, isChunked: false };
+const hugeLength: Framing = { headEnd: "Content-Length: 1099511627776\r\n\r\n", isChunked: false };
+const insideHeader: Framing = { headEnd: "A: ", isChunked: false };
+
 /** What an answer in small pieces consists of; the index counts its pieces. */
 export interface PieceForm {
     readonly name: string;
     readonly contentType: string;
-    readonly isChunked: boolean;
+    readonly framing: Framing;
     /** Text before the first piece. */
     readonly start?: string;
     readonly piece: (index: number) => string;
@@ -16,34 +29,49 @@
 
 const json = "application/json";
 const events = "text/event-stream";
+const sameEvent = (): string => "data:\n\n";
+const countedEvent = (index: number): string => `id: ${index}\ndata: z\n\n`;
 
 /** Forms of answers without end in small pieces. */
 export const pieceForms: readonly PieceForm[] = [
-    { name: "chunks of 1 byte", contentType: json, isChunked: true, piece: () => "x" },
-    { name: "chunks of 2 bytes", contentType: json, isChunked: true, piece: () => "xy" },
-    { name: "chunks of a line feed", contentType: events, isChunked: true, piece: () => "\n" },
-    { name: "a comment a chunk", contentType: events, isChunked: true, piece: () => ":\n" },
-    { name: "an event a chunk", contentType: events, isChunked: true, piece: () => "data:\n\n" },
-    { name: "an event with an ID a chunk", contentType: events, isChunked: true, piece: index => `id: ${index}\ndata: z\n\n` },
-    { name: "one event in chunks of 1 byte", contentType: events, isChunked: true, start: "data: ", piece: () => "z" },
-    { name: "one event in chunks of a line", contentType: events, isChunked: true, piece: () => "data: z\n" },
-    { name: "events without chunks", contentType: events, isChunked: false, piece: () => "data:\n\n" },
-    { name: "events with IDs without chunks", contentType: events, isChunked: false, piece: index => `id: ${index}\ndata: z\n\n` },
+    { name: "chunks of 1 byte", contentType: json, framing: chunked, piece: () => "x" },
+    { name: "chunks of 2 bytes", contentType: json, framing: chunked, piece: () => "xy" },
+    { name: "chunks of a line feed", contentType: events, framing: chunked, piece: () => "\n" },
+    { name: "a comment a chunk", contentType: events, framing: chunked, piece: () => ":\n" },
+    { name: "an event a chunk", contentType: events, framing: chunked, piece: sameEvent },
+    { name: "an event with an ID a chunk", contentType: events, framing: chunked, piece: countedEvent },
+    { name: "one event in chunks of 1 byte", contentType: events, framing: chunked, start: "data: ", piece: () => "z" },
+    { name: "one event in chunks of a line", contentType: events, framing: chunked, piece: () => "data: z\n" },
+    { name: "events without chunks", contentType: events, framing: untilClose, piece: sameEvent },
+    { name: "events with IDs without chunks", contentType: events, framing: untilClose, piece: countedEvent },
 ];
 
+/** Further forms of answers without end, which are not in pieces. */
+export const endlessForms: readonly PieceForm[] = [
+    { name: "one header", contentType: events, framing: insideHeader, piece: () => "x" },
+    { name: "junk for the size of a chunk", contentType: events, framing: junkForChunk, piece: () => "junk\r\n" },
+    { name: "one chunk", contentType: events, framing: oneChunk, piece: () => "x" },
+    { name: "a huge length", contentType: events, framing: hugeLength, piece: () => "x" },
+    { name: "no length", contentType: events, framing: untilClose, piece: () => "x" },
+    { name: "comments without chunks", contentType: events, framing: untilClose, piece: () => ":\n" },
+];
+
+/** The form of this name. */
+export const formNamed = (name: string): PieceForm => [...pieceForms, ...endlessForms].find(form => form.name === name)!;
+
 const toChunk = (text: string): string => `${text.length.toString(16)}\r\n${text}\r\n`;
 
 /** Head of a signed answer of a form. */
-export const headOf = (status: number, { contentType, isChunked }: PieceForm): string =>
-    `HTTP/1.1 ${status} Told\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Type: ${contentType}\r\n${isChunked ? "Transfer-Encoding: chunked\r\n" : ""}\r\n`;
+export const headOf = (status: number, { contentType, framing }: PieceForm): string =>
+    `HTTP/1.1 ${status} Told\r\nAttempt-Id: id-1\r\nServer-Seal: s\r\nContent-Type: ${contentType}\r\n${framing.headEnd}`;
 
 /** The bytes of the next pieces, of about the given size. */
-const nextPieces = ({ isChunked, piece }: PieceForm, from: number, bytes: number): { readonly text: string; readonly next: number; } => {
+const nextPieces = ({ framing, piece }: PieceForm, from: number, bytes: number): { readonly text: string; readonly next: number; } => {
     let text = "";
     let next = from;
     while (text.length < bytes) {
         const part = piece(next++);
-        text += isChunked ? toChunk(part) : part;
+        text += framing.isChunked ? toChunk(part) : part;
     }
     return { text, next };
 };
@@ -54,10 +82,13 @@
     readonly pauseMs: number;
 }
 
+/** Pace of a slow answer, 240 KB/s. */
+export const slow: PiecePace = { bytes: 4_800, pauseMs: 20 };
+
 /** Sends an answer of the form without end, as fast as it is read or at a pace. */
 export const sendPieces = (status: number, form: PieceForm, pace?: PiecePace): Trouble => (socket: Socket) => {
     const { start = "" } = form;
-    socket.write(headOf(status, form) + (form.isChunked && start !== "" ? toChunk(start) : start));
+    socket.write(headOf(status, form) + (form.framing.isChunked && start !== "" ? toChunk(start) : start));
     let index = 1;
     const nextText = (bytes: number): string => {
         const { text, next } = nextPieces(form, index, bytes);
