--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -1,9 +1,9 @@
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
 
-/** Time in a turn of the event loop that what one connection delivers may take, and what the connections that wait may take together. */
+/** Time in a turn of the event loop that what one connection delivers may take, and what all connections deliver together. */
 const maxConnectionMs = 1;
-const maxWaitingMs = 4;
+const maxTurnMs = 4;
 /** Bounds of what a connection delivers at once, and when they change: what is done with a byte may take a thousand times as long as with another. */
 const minReadBytes = 1_024;
 const firstReadBytes = 4_096;
@@ -28,13 +28,13 @@
         this.readNow = socket.read.bind(socket);
     }
 
-    /** Reads, unless this connection has taken its time of the turn: then `readable` is emitted in a later one. */
+    /** Reads, unless this connection has taken its time of the turn, or all together theirs: then `readable` is emitted in a later one. */
     read(): unknown {
         if (this.isWaiting) {
             return nothing;
         }
         this.measure();
-        if (this.spentMs >= maxConnectionMs) {
+        if (this.spentMs >= maxConnectionMs || this.pacer.isTurnFull) {
             this.isWaiting = true;
             this.pacer.wait(this);
             return nothing;
@@ -61,6 +61,7 @@
         else if (this.deliveredAt !== undefined) {
             const tookMs = performance.now() - this.deliveredAt;
             this.spentMs += tookMs;
+            this.pacer.count(tookMs);
             if (tookMs > longReadMs) {
                 this.readBytes = Math.max(minReadBytes, this.readBytes / 2);
             }
@@ -78,6 +79,7 @@
  */
 export class ReadPacer {
     private turn = 0;
+    private turnMs = 0;
     private isScheduled = false;
     private readonly waiting: PacedConnection[] = [];
     private pauseCount = 0;
@@ -93,6 +95,16 @@
         return this.pauseCount;
     }
 
+    /** Whether what was delivered in the present turn has taken the time for all connections. */
+    get isTurnFull(): boolean {
+        return this.turnMs >= maxTurnMs;
+    }
+
+    /** Counts time that a delivery has taken in the present turn. */
+    count(ms: number): void {
+        this.turnMs += ms;
+    }
+
     /** Paces a connection whose reader calls `read` without a size until it returns null, after each `readable`. */
     pace(socket: Socket): void {
         const connection = new PacedConnection(this, socket);
@@ -123,7 +135,8 @@
     private beginTurn(): void {
         this.isScheduled = false;
         this.turn++;
-        const endAt = performance.now() + maxWaitingMs;
+        this.turnMs = 0;
+        const endAt = performance.now() + maxTurnMs;
         for (let count = this.waiting.length; count > 0 && performance.now() < endAt; count--) {
             this.waiting.shift()!.resume();
         }
--- a/test/readPacer.test.ts
+++ b/test/readPacer.test.ts
@@ -87,6 +87,25 @@
         assert.ok(longestMs < 100, `${Math.round(longestMs)} ms`);
     });
 
+    it("waits for a later turn if many connections have little to deliver each", async () => {
+        const pacer = ReadPacer.create();
+        const sent = patternOf(3_000);
+        const sockets = await Promise.all(Array.from({ length: 40 }, () => openPaced(pacer, sent, true)));
+        while (sockets.some(({ readableLength }) => readableLength < sent.length)) {
+            await new Promise(resolve => setTimeout(resolve, 5));
+        }
+        const readsByTurn = new Map<number, number>();
+        const onRead = (): void => {
+            const turn = pacer.currentTurn();
+            readsByTurn.set(turn, (readsByTurn.get(turn) ?? 0) + 1);
+            busyWait(0.6);
+        };
+        const received = await Promise.all(sockets.map(socket => readAll(socket, onRead)));
+        received.forEach(bytes => assert.deepEqual(bytes, sent));
+        // 4 ms of a turn, and the read that goes beyond them.
+        assert.ok(Math.max(...readsByTurn.values()) <= 8, `${Math.max(...readsByTurn.values())} reads of 0.6 ms in a turn`);
+    });
+
     it("is not resumed once it is destroyed", async () => {
         const pacer = ReadPacer.create();
         const socket = await openPaced(pacer, patternOf(200_000), false);
