--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
 import { ChunkJoiner } from "./chunkJoiner";
+import { parsePacer } from "./parsePacer";
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
 import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
@@ -20,6 +21,8 @@
     otherBytes: number;
     /** Bytes that the connection has received. */
     receivedBytes: number;
+    /** When the parser announced the first message, headers or part of a body in this read. */
+    startedAt: number | undefined;
 }
 
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
@@ -53,14 +56,20 @@
         if (!parser) {
             return;
         }
-        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead };
+        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead, startedAt: undefined };
+        parsePacer.open(socket);
         this.readings.set(socket, reading);
         const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
-        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
+        const { [ParserCallback.Headers]: headers, [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
         const joiner = ChunkJoiner.create(bytes => body?.call(parser, bytes));
         const unwrap = wrapCallbacks(parser, {
+            [ParserCallback.Headers]: (...args) => {
+                reading.startedAt ??= performance.now();
+                return headers?.apply(parser, args);
+            },
             [ParserCallback.Body]: (...args) => {
                 const chunk = args[0] as Buffer;
+                reading.startedAt ??= performance.now();
                 reading.otherBytes += chunk.length + chunkFramingBytes;
                 if (parser._consumed) {
                     joiner.add(chunk);
@@ -81,6 +90,7 @@
         });
         parser[ParserCallback.MessageBegin] = (...args) => {
             reading.isInHead = true;
+            reading.startedAt ??= performance.now();
             return begin?.(...args);
         };
         parser[ParserCallback.Execute] = (...args) => {
@@ -88,6 +98,10 @@
             const result = execute?.(...args);
             this.onRead(socket, parser, reading);
             this.onParsed(socket);
+            if (reading.startedAt !== undefined) {
+                parsePacer.count(socket, performance.now() - reading.startedAt);
+                reading.startedAt = undefined;
+            }
             return result;
         };
     }
