--- a/src/forward/attempt.ts
+++ b/src/forward/attempt.ts
@@ -7,6 +7,7 @@
 import { describeError, errorCodeOf } from "../utils/transport";
 import { AnswerFlow } from "./answerFlow";
 import { AnswerFraming, framingOf } from "./answerFraming";
+import type { AnswerHeads } from "./answerHeads";
 import type { AnswerHead, AnswerSink } from "./answerSink";
 import { rejectionReasons, SinkState } from "./answerSink";
 import type { AttemptEnd } from "./attemptEnd";
@@ -34,6 +35,7 @@
 
 /** Connects an attempt with what is known of its upstream. */
 export interface AttemptGuard {
+    readonly heads: AnswerHeads;
     /** Whether the request may still be sent; asked when its connection is open. */
     mayStillSend(): boolean;
     /** Called with each head that arrives on the connection, also with that of an answer to another request. */
@@ -144,7 +146,7 @@
                 if (socket) {
                     req.onSend?.(socket);
                 }
-                framingWatch = socket && FramingWatch.start(socket, () => giveUp(started, "framing without end"));
+                framingWatch = socket && FramingWatch.start(socket, guard.heads, reason => giveUp(started, reason));
             },
             onResponseStart: contain(RequestStep.Head, (current: Dispatcher.DispatchController, status: number, headers: HeaderMap) => {
                 framingWatch?.onProgress();
--- a/src/forward/attemptGuard.ts
+++ b/src/forward/attemptGuard.ts
@@ -7,6 +7,7 @@
 
 /** Connects an attempt that began at a time with what this node knows of its upstream. */
 export const createAttemptGuard = (gateway: Gateway, call: Call, server: UpstreamServer, sentAt: number): AttemptGuard => ({
+    heads: gateway.answerHeads,
     mayStillSend: () => gateway.availability.mayStillSend(server) && isKeyValid(gateway, call),
     onArrival: openedAt => gateway.contact.onWord(processKey(server), openedAt),
     onPart: bytes => gateway.receivedParts.count(bytes),
--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -42,6 +42,7 @@
 import { MemoryGauge } from "../utils/memoryGauge";
 import { Notice } from "../utils/notice";
 import type { Random } from "../utils/random";
+import { AnswerHeads } from "./answerHeads";
 import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
 import { createConfirmation } from "./createConfirmation";
@@ -116,6 +117,7 @@
     /** Heap for the requests of callers. */
     readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
     /** Heads of callers' requests that have not been read to their end. */
+    readonly answerHeads = AnswerHeads.create(() => this.memoryGauge.read().heapLimit);
     readonly unfinishedHeads = UnfinishedHeads.create<Socket>({ heapLimitBytes: () => this.memoryGauge.read().heapLimit });
     readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => describeUse(this));
     /** Memory for answers that are kept until they are complete. */
--- a/src/forward/peerAttempt.ts
+++ b/src/forward/peerAttempt.ts
@@ -25,6 +25,7 @@
 const minServerErrorStatus = 500;
 
 const createPeerGuard = (gateway: Gateway, call: Call): AttemptGuard => ({
+    heads: gateway.answerHeads,
     mayStillSend: () => isKeyValid(gateway, call),
     onAnyHead: () => undefined,
     onArrival: () => undefined,
--- a/test/leavingUpstreams.test.ts
+++ b/test/leavingUpstreams.test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { AnswerHeads } from "../src/forward/answerHeads";
 import { SinkState } from "../src/forward/answerSink";
 import { sendAttempt } from "../src/forward/attempt";
 import { AttemptEndKind } from "../src/forward/attemptEnd";
@@ -129,7 +130,13 @@
         const pool = UpstreamConnectionPool.create(upstream.address, 10_000);
         const req = { requestId: "id-1", method: "POST", path: "/x", headers: [], body: Buffer.alloc(0), mayRepeat: false };
         const sink = { onHead: () => undefined, onData: () => SinkState.Ready };
-        const guard = { mayStillSend: () => false, onAnyHead: () => undefined, onArrival: () => undefined, onPart: () => undefined };
+        const guard = {
+            heads: AnswerHeads.create(() => 100_000_000),
+            mayStillSend: () => false,
+            onAnyHead: () => undefined,
+            onArrival: () => undefined,
+            onPart: () => undefined,
+        };
         const caller = { socket: new Socket() } as IncomingMessage;
         const presence = CallerPresence.watch(caller, new EventEmitter() as ServerResponse, Departures.create());
         const { kind } = await sendAttempt(pool, () => req, requestHeaderCodec, sink, guard, presence, AbortSignal.timeout(1_000));
--- a/test/upstreamConnections.test.ts
+++ b/test/upstreamConnections.test.ts
@@ -4,6 +4,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { AnswerHeads } from "../src/forward/answerHeads";
 import { SinkState } from "../src/forward/answerSink";
 import { sendAttempt } from "../src/forward/attempt";
 import type { AttemptEnd } from "../src/forward/attemptEnd";
@@ -26,7 +27,13 @@
 const send = (pool: UpstreamConnectionPool, id: string): Promise<AttemptEnd> => {
     const req = { requestId: id, method: "POST", path: "/x", headers: ["attempt-id", id], body: Buffer.from("question"), mayRepeat: false };
     const sink = { onHead: () => undefined, onData: () => SinkState.Ready };
-    const guard = { mayStillSend: () => true, onAnyHead: () => undefined, onArrival: () => undefined, onPart: () => undefined };
+    const guard = {
+        heads: AnswerHeads.create(() => 100_000_000),
+        mayStillSend: () => true,
+        onAnyHead: () => undefined,
+        onArrival: () => undefined,
+        onPart: () => undefined,
+    };
     const presence = CallerPresence.watch({ socket: new Socket() } as IncomingMessage, new EventEmitter() as ServerResponse, Departures.create());
     presence.confirm = () => new Promise(resolve => setImmediate(() => resolve(true)));
     return sendAttempt(pool, () => req, requestHeaderCodec, sink, guard, presence, AbortSignal.timeout(timeoutMs));
