--- a/src/forward/gateway.ts
+++ b/src/forward/gateway.ts
@@ -1,7 +1,6 @@
 import type { Socket } from "node:net";
 import type { ActiveConfig } from "../core/activeConfig";
 import { createActiveConfig } from "../core/activeConfig";
-import { AnswerMemory } from "../core/answerMemory";
 import { CrashLog } from "../core/crashLog";
 import type { CustomerTable } from "../core/customerTable";
 import { HeapWatch } from "../core/heapWatch";
@@ -46,6 +45,7 @@
 import { AnswerHeads } from "./answerHeads";
 import type { ContactMonitor } from "./contactMonitor";
 import { CrashWatch } from "./crashWatch";
+import { createAnswerMemory } from "./createAnswerMemory";
 import { createConfirmation } from "./createConfirmation";
 import { createZoneSpill } from "./createZoneSpill";
 import { Departures } from "./departures";
@@ -117,15 +117,13 @@
     });
     /** Heap for the requests of callers. */
     readonly requestHeap = RequestHeap.create({ heapLimitBytes: () => this.memoryGauge.read().heapLimit, random: () => this.random() });
-    /** Heads of callers' requests that have not been read to their end. */
+    /** Heads of answers that have not been read to their end. */
     readonly answerHeads = AnswerHeads.create(() => this.memoryGauge.read().heapLimit);
+    /** Heads of callers' requests that have not been read to their end. */
     readonly unfinishedHeads = UnfinishedHeads.create<Socket>({ heapLimitBytes: () => this.memoryGauge.read().heapLimit });
     readonly heapWatch = HeapWatch.create(() => this.memoryGauge.read(), () => describeUse(this));
     /** Memory for answers that are kept until they are complete. */
-    readonly answerMemory = AnswerMemory.create(
-        () => Math.min(this.settings.limits.maxHeldAnswerBytes, this.memory.answerLimitBytes),
-        (holder, bytes) => this.memory.charge(holder, bytes),
-    );
+    readonly answerMemory = createAnswerMemory(this);
     /** Memory for the answers to this node's own questions. */
     readonly ownAnswers = OwnAnswerMemory.create(() => this.settings.limits.maxOwnAnswerBytes, this.memory);
     /** Events that slow readers have not taken, where runners must be read on. */
--- a/test/unreadConnections.test.ts
+++ b/test/unreadConnections.test.ts
@@ -3,6 +3,7 @@
 import type { IncomingMessage, ServerResponse } from "node:http";
 import { Socket } from "node:net";
 import { after, before, describe, it } from "node:test";
+import { AnswerHeads } from "../src/forward/answerHeads";
 import { SinkState } from "../src/forward/answerSink";
 import { sendAttempt } from "../src/forward/attempt";
 import type { AttemptEnd } from "../src/forward/attemptEnd";
@@ -37,7 +38,13 @@
         busyWait(3);
         return SinkState.Ready;
     };
-    const guard = { mayStillSend: () => true, onAnyHead: () => undefined, onArrival: () => undefined, onPart: () => undefined };
+    const guard = {
+        heads: AnswerHeads.create(() => 1_000_000_000),
+        mayStillSend: () => true,
+        onAnyHead: () => undefined,
+        onArrival: () => undefined,
+        onPart: () => undefined,
+    };
     const presence = CallerPresence.watch({ socket: new Socket() } as IncomingMessage, new EventEmitter() as ServerResponse, Departures.create());
     presence.confirm = () => Promise.resolve(true);
     return sendAttempt(pool, () => req, requestHeaderCodec, { onHead: () => undefined, onData }, guard, presence, AbortSignal.timeout(timeoutMs));
