--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -34,9 +34,6 @@
     if (err instanceof errors.HTTPParserError) {
         return false;
     }
-    if (errorCodeOf(err) === limitCodes["memory-short"]) {
-        return true;
-    }
     const { code, cause } = (err ?? {}) as { code?: unknown; cause?: { code?: unknown; }; };
     const named = code ?? cause?.code;
     return named === undefined || ownCodes.has(String(named));
