--- a/src/utils/resettingConnector.ts
+++ b/src/utils/resettingConnector.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import type { buildConnector } from "undici";
+import { errors } from "undici";
 import type { PunctualConnectorOptions } from "./punctualConnector";
 import { createPunctualConnector } from "./punctualConnector";
 
@@ -14,7 +15,8 @@
     let isReset = false;
     socket.destroy = err => {
         if (isReset || !isClientError(err)) {
-            return destroy(err);
+            // A reset ends in a call without an error: the client would take it for the end of an answer without a length.
+            return destroy(err ?? (isReset ? new errors.SocketError("reset") : undefined));
         }
         isReset = true;
         return socket.resetAndDestroy();
