--- a/src/plugins/httpEngines.ts
+++ b/src/plugins/httpEngines.ts
@@ -23,6 +23,8 @@
 const maxReportBytes = 4_194_304;
 const maxProblemBytes = 65_536;
 const maxEventBytes = 1_048_576;
+/** Bytes of a stream that wait for a slow caller: the client keeps each chunk by itself, at a hundred bytes of memory or more. */
+const maxUnreadBytes = 1_024;
 
 /** Statuses by which an engine states that it did not run the request. */
 const refusalStatuses: ReadonlySet<number> = new Set([404, 409, 429, 503]);
@@ -96,6 +98,7 @@
             headers: { "content-type": "application/json", "x-request-id": req.attemptId },
             body: JSON.stringify({ ...body, stream: true }),
             bodyTimeout: Math.min(req.timeoutMs, streamIdleTimeoutMs),
+            highWaterMark: maxUnreadBytes,
             // Bounds the whole answer: bytes that are no answer may arrive without end.
             signal: AbortSignal.any([req.signal, abortAfter(req.timeoutMs)]),
         });
