--- a/test/pieceLoad/pieceJudge.ts
+++ b/test/pieceLoad/pieceJudge.ts
@@ -22,7 +22,9 @@
 };
 
 /** Figures of a result on one line. */
-export const describeResult = ({ peakMb, soundMs, bad, longestTurnMs }: PieceResult): string =>
+export const describeResult = ({ peakMb, soundMs, bad, longestTurnMs, coreWaitMs }: PieceResult): string =>
     `${peakMb} MB, ${soundMs.length} sound requests, ${
         Math.max(...soundMs)
-    } ms at most, longest turn ${longestTurnMs} ms; ${bad.calls} bad calls, ${bad.longestMs} ms at most, ${JSON.stringify(bad.statuses)}`;
+    } ms at most, longest turn ${longestTurnMs} ms, waited ${coreWaitMs} ms for a core; ${bad.calls} bad calls, ${bad.longestMs} ms at most, ${
+        JSON.stringify(bad.statuses)
+    }`;
--- a/test/pieceLoad/pieceResult.ts
+++ b/test/pieceLoad/pieceResult.ts
@@ -13,4 +13,6 @@
     readonly bad: CallersRecord;
     /** Longest turn of the event loop within the last 3 s of the trouble. */
     readonly longestTurnMs: number;
+    /** Time during the trouble for which the main thread of the node waited for a core. */
+    readonly coreWaitMs: number;
 }
--- a/test/pieceLoad/runPieceCase.ts
+++ b/test/pieceLoad/runPieceCase.ts
@@ -1,3 +1,4 @@
+import { readFileSync } from "node:fs";
 import { sleep } from "../../src/utils/time";
 import type { CallersRecord } from "../fakes/discardingCallers";
 import { callGateway } from "../fakes/gatewayHarness";
@@ -16,6 +17,7 @@
 /** Time after the trouble in which the last calls must end. */
 const maxEndMs = 8_000;
 const msPerS = 1_000;
+const nsPerMs = 1e6;
 
 const routeOf = (service: string, routeKind: string): object => ({
     name: service,
@@ -57,6 +59,16 @@
     return { soundMs, failed };
 };
 
+/** Time for which the main thread of a process has waited for a core since its start; NaN once it has ended. */
+const readCoreWaitMs = ({ process }: PlatformProcess): number => {
+    try {
+        return Number(readFileSync(`/proc/${process.pid}/task/${process.pid}/schedstat`, "utf8").split(" ")[1]) / nsPerMs;
+    }
+    catch {
+        return Number.NaN;
+    }
+};
+
 const readRecord = async (callersUrl: string): Promise<CallersRecord> => (await fetch(`${callersUrl}/record`)).json() as Promise<CallersRecord>;
 
 /** Runs one node process beside an upstream that answers without end and one that is sound; sender and callers of the former are processes of their own. */
@@ -68,12 +80,21 @@
     try {
         await waitFor("an answer", async () => (await callGateway(node.front, { path: "/good/x" })).status === 200, startTimeoutMs);
         const callersUrl = await processes.startFake("callers", "discardingCallers", { address: node.front, path: "/bad/x", callers });
+        const waitBeforeMs = readCoreWaitMs(node);
         const times = await callSound(node.front, performance.now() + troubleMs);
+        const coreWaitMs = Math.round(readCoreWaitMs(node) - waitBeforeMs);
         const longestTurnMs = await node.gauge("jackdawtrail_longest_turn_seconds").then(seconds => Math.round(seconds * msPerS), () => Number.NaN);
         await fetch(`${callersUrl}/stop`, { method: "POST" });
         await waitFor("the end of the last calls", async () => (await readRecord(callersUrl)).open === 0, maxEndMs);
         const ended = endOf(node);
-        return { ...times, ended, peakMb: ended === undefined ? Math.round(node.peakMemoryMb) : Number.NaN, bad: await readRecord(callersUrl), longestTurnMs };
+        return {
+            ...times,
+            ended,
+            peakMb: ended === undefined ? Math.round(node.peakMemoryMb) : Number.NaN,
+            bad: await readRecord(callersUrl),
+            longestTurnMs,
+            coreWaitMs,
+        };
     }
     finally {
         node.close();
