--- a/src/forward/answerFlow.ts
+++ b/src/forward/answerFlow.ts
@@ -35,8 +35,9 @@
         this.joiner.flush();
     }
 
-    /** Forgets what has been added. */
+    /** Forgets what has been added, and the end. */
     drop(): void {
+        this.onTaken = undefined;
         this.joiner.drop();
     }
 
--- a/src/forward/upstreamConnection.ts
+++ b/src/forward/upstreamConnection.ts
@@ -2,6 +2,7 @@
 import type { buildConnector } from "undici";
 import { Client } from "undici";
 import { createPunctualConnector } from "../utils/punctualConnector";
+import { isSystemError } from "../utils/transport";
 
 /** Connecting within a VM or availability zone takes a few milliseconds; longer means that the upstream is gone or its accept queue is full. */
 const defaultConnectTimeoutMs = 400;
@@ -21,9 +22,6 @@
 const unlessClosed = (result: buildConnector.CallbackArgs): buildConnector.CallbackArgs =>
     result[1]?.destroyed || result[1]?.readableEnded ? closedError("the upstream closed the connection before the request was sent") : result;
 
-/** Errors of the system come from the peer or the network; all others say why this process destroyed the socket. */
-const isSystemError = (err: Error): boolean => (err as NodeJS.ErrnoException).errno !== undefined;
-
 /** One connection to an upstream, which carries one request at a time. It stands for exactly one socket: its client never connects again. */
 export class UpstreamConnection {
     readonly client: Client;
--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -1,5 +1,6 @@
 import type { Socket } from "node:net";
 import { Readable } from "node:stream";
+import { isSystemError } from "./transport";
 
 /** Time in a turn of the event loop that what one connection delivers may take, and what all connections deliver together. */
 const maxConnectionMs = 1;
@@ -14,9 +15,6 @@
 /** What `read` returns if there is nothing to read. */
 const nothing: unknown = new Readable({ read: () => undefined }).read();
 
-/** Whether the connection failed, such as by a reset; other errors are this process's own reasons to close it. */
-const isSystemError = (err: Error | undefined): boolean => (err as NodeJS.ErrnoException | undefined)?.errno !== undefined;
-
 /** One connection whose reading is paced. */
 class PacedConnection {
     private turn = -1;
--- a/src/utils/transport.ts
+++ b/src/utils/transport.ts
@@ -39,6 +39,9 @@
     return named === undefined || ownCodes.has(String(named));
 };
 
+/** Whether an error of a socket comes from the other side or the network; all others say why this process destroyed it. */
+export const isSystemError = (err: Error | undefined): boolean => (err as NodeJS.ErrnoException | undefined)?.errno !== undefined;
+
 /** Whether the system refused a connection; it may allow those to other addresses, and those that are open go on. */
 export const isSystemRefusal = (err: unknown): boolean => ownCodes.has(errorCodeOf(err));
 
--- a/test/answerFlow.test.ts
+++ b/test/answerFlow.test.ts
@@ -27,4 +27,14 @@
             assert.equal(ends, 1);
         });
     }
+
+    it("does not come once the answer has been given up", () => {
+        const flow = AnswerFlow.create(() => undefined);
+        let ends = 0;
+        flow.pause(socket);
+        flow.end(() => ends++);
+        flow.drop();
+        flow.resume(socket);
+        assert.equal(ends, 0);
+    });
 });
