--- a/test/processSoak.ts
+++ b/test/processSoak.ts
@@ -10,13 +10,16 @@
 });
 const first = Number(values.seed);
 for (let seed = first; seed < first + Number(values.runs); seed++) {
-    const { violations, injectedFaults, requestCount, servedCount, resumedCount, plannedCount, logFolder } = await runSoak(seed, Number(values.seconds));
+    const { violations, injectedFaults, requestCount, servedCount, resumedCount, plannedCount, endlessCalls, endlessAnswered, logFolder } = await runSoak(
+        seed,
+        Number(values.seconds),
+    );
     console.log(
         `${
             violations.length === 0
                 ? "held"
                 : "FAILED"
-        }: seed ${seed}, ${values.seconds} s, ${servedCount} of ${requestCount} requests served, ${resumedCount} streams resumed, ${injectedFaults.length} faults, ${plannedCount} requests during planned work`,
+        }: seed ${seed}, ${values.seconds} s, ${servedCount} of ${requestCount} requests served, ${resumedCount} streams resumed, ${injectedFaults.length} faults, ${plannedCount} requests during planned work, ${endlessAnswered} of ${endlessCalls} endless calls answered`,
     );
     if (violations.length > 0) {
         process.exitCode = 1;
--- a/test/processSoak/runSoak.ts
+++ b/test/processSoak/runSoak.ts
@@ -6,6 +6,7 @@
 import { portOf } from "../fakes/jsonServer";
 import { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
 import { servePlatformStore } from "../fakes/platformStoreServer";
+import { EndlessAnswers } from "./endlessAnswers";
 import { InvariantChecker } from "./invariantChecker";
 import { LossChecker } from "./lossChecker";
 import { runPlannedWork } from "./plannedWork";
@@ -30,6 +31,7 @@
 const limitSalt = 0x11317;
 const wordSalt = 0x3a71;
 const brittleSalt = 0xb217;
+const endlessSalt = 0xe4d1;
 const maxPromptDelayMs = 3_000;
 
 /** Result of a run. */
@@ -42,6 +44,9 @@
     readonly resumedCount: number;
     /** Whole requests that were sent during planned work. */
     readonly plannedCount: number;
+    /** Calls of an upstream that answers without end, and how many of them were answered. */
+    readonly endlessCalls: number;
+    readonly endlessAnswered: number;
     /** Folder of the nodes' logs, which is kept if a check failed. */
     readonly logFolder: string;
 }
@@ -84,6 +89,8 @@
     const limitRun = fleet.limits.run(() => fleet.all(), createRandom(seed ^ limitSalt));
     const wordRun = checker.words.run(fleet, createRandom(seed ^ wordSalt));
     const brittleRun = fleet.brittle.run(fleet, createRandom(seed ^ brittleSalt));
+    const endless = EndlessAnswers.create(store);
+    const endlessRun = endless.run(nodes, createRandom(seed ^ endlessSalt));
     const crashingRuns = sendCrashingPrompts(seed, fleet, nodes, checker, abort.signal);
     const restores = restoreStore(seed, store, fleet, nodes, abort.signal);
     const injectedFaults: string[] = [];
@@ -99,6 +106,7 @@
     await Promise.all([...activeFaults, restores]);
     fleet.limits.end();
     fleet.brittle.end();
+    endless.end();
     checker.words.end();
     nodes.filter(({ isRunning }) => !isRunning).forEach(node => node.start(seeds));
     await sleep(recoveryMs);
@@ -110,7 +118,7 @@
     }
     await runPlannedWork(seed, { nodes, fleet, checker, losses, seeds });
     abort.abort();
-    await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun, brittleRun]);
+    await Promise.all([...callerRuns, ...crashingRuns, limitRun, wordRun, brittleRun, endlessRun]);
     clearInterval(probeTimer);
     await Promise.all(nodes.map(node => node.terminate()));
     fleet.terminate();
@@ -135,6 +143,8 @@
         servedCount: checker.servedCount,
         resumedCount: checker.streamRuns.resumedCount,
         plannedCount: losses.sentCount,
+        endlessCalls: endless.calls,
+        endlessAnswered: endless.answered,
         logFolder,
     };
 };
--- a/test/processSoak/soakFleet.ts
+++ b/test/processSoak/soakFleet.ts
@@ -5,6 +5,7 @@
 import type { MemoryPlatformStore } from "../fakes/memoryPlatformStore";
 import { BrittleTimes } from "./brittleTimes";
 import { CrashingPrompts } from "./crashingPrompts";
+import { endlessRoutes } from "./endlessAnswers";
 import type { InvariantChecker } from "./invariantChecker";
 import { NamedLimits } from "./namedLimits";
 import { healthPath, SoakUpstream } from "./soakUpstream";
@@ -59,6 +60,7 @@
     { path: "/again/", routeKind: "idempotent", service: "desk", attempts: 3 },
     { path: "/stream/", routeKind: "streaming", service: "engines", attempts: 2, gapAimMs: 600 },
     { path: "/resume/", routeKind: "streaming", service: "engines", attempts: 3, gapAimMs: 600, resumable: true },
+    ...endlessRoutes,
 ].map(({ path, ...route }) => ({ name: path, host: "shop.example", prefix: path, timeoutMs: 3_000, sloMs: 500, ...route }));
 
 /** The upstreams with their rows in the directory, and the operators' configuration; both are written to the store. */
@@ -95,7 +97,12 @@
         const config = {
             version: this.configVersion += 1 + Math.floor(this.random() * 3),
             routes: routesOnWire,
-            services: [{ name: "desk", healthPath, maxConns: 100 }, { name: "engines", healthPath, maxConns: 100, engine: engineOnWire }],
+            services: [{ name: "desk", healthPath, maxConns: 100 }, { name: "endless", healthPath, maxConns: 100 }, {
+                name: "engines",
+                healthPath,
+                maxConns: 100,
+                engine: engineOnWire,
+            }],
             limits: { maxHeaderBytes: 8_192, maxBodyBytes: 100_000, headerTimeoutMs: 3_000, idleTimeoutMs: 5_000 },
         };
         this.configBytes = Buffer.from(JSON.stringify(config));
