--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -3,6 +3,8 @@
 /** Time in a turn of the event loop that the reads of one connection may take, and that reads of at least this length may take together. */
 const maxConnectionMs = 1;
 const maxLongReadsMs = 4;
+/** Time from which the next turn is awaited: each wait takes a pass of the event loop. */
+const minCountedMs = 0.2;
 
 /** One connection whose parsing is paced. */
 interface PacedConnection {
@@ -22,6 +24,7 @@
  */
 export class ParsePacer {
     private turn = 0;
+    private turnMs = 0;
     private longReadsMs = 0;
     private isScheduled = false;
     private readonly connections = new Map<Socket, PacedConnection>();
@@ -49,7 +52,10 @@
         if (!connection) {
             return;
         }
-        this.schedule();
+        this.turnMs += tookMs;
+        if (this.turnMs >= minCountedMs) {
+            this.schedule();
+        }
         if (connection.turn !== this.turn) {
             connection.turn = this.turn;
             connection.spentMs = 0;
@@ -94,6 +100,7 @@
     private beginTurn(): void {
         this.isScheduled = false;
         this.turn++;
+        this.turnMs = 0;
         this.longReadsMs = 0;
         const isShort = ({ spentMs }: PacedConnection): boolean => spentMs < maxConnectionMs;
         const long = this.waiting.filter(connection => !isShort(connection));
--- a/src/utils/readPacer.ts
+++ b/src/utils/readPacer.ts
@@ -5,6 +5,8 @@
 /** Time in a turn of the event loop that what one connection delivers may take, and what all connections deliver together. */
 const maxConnectionMs = 1;
 const maxTurnMs = 4;
+/** Time delivered from which the next turn is awaited: each wait takes a pass of the event loop. */
+const minCountedMs = 0.2;
 /** Bounds of what a connection delivers at once, and when they change: what is done with a byte may take a thousand times as long as with another. */
 const minReadBytes = 1_024;
 const firstReadBytes = 4_096;
@@ -133,6 +135,9 @@
     /** Counts time that a delivery has taken in the present turn. */
     count(ms: number): void {
         this.turnMs += ms;
+        if (this.turnMs >= minCountedMs) {
+            this.schedule();
+        }
     }
 
     /** Paces a connection whose reader calls `read` without a size until it returns null, after each `readable`. */
@@ -160,9 +165,8 @@
         this.connections.get(socket)?.release();
     }
 
-    /** Number of the present turn. */
+    /** Number of the present turn; turns in which little was delivered count as one. */
     currentTurn(): number {
-        this.schedule();
         return this.turn;
     }
 
