--- a/test/unrulyOwnCalls.test.ts
+++ b/test/unrulyOwnCalls.test.ts
@@ -27,7 +27,7 @@
 
 /** Calls made at the same time, each to a server of its own. */
 const callCount = 24;
-/** Time limits of the clients are below a second. */
+/** Timeouts of the clients are below a second. */
 const maxMs = 2_000;
 /** Most that may be held: the memory for own answers, and buffers that have not been collected yet. */
 const maxGrowthBytes = 100_000_000;
