--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -5,6 +5,8 @@
 const maxLongReadsMs = 4;
 /** Time from which the next turn is awaited: each wait takes a pass of the event loop. */
 const minCountedMs = 0.2;
+/** Every so many turns a connection of long reads is read ahead of the others. */
+const longTurnInterval = 4;
 
 /** One connection whose parsing is paced. */
 interface PacedConnection {
@@ -12,6 +14,8 @@
     /** The latest turn in which it was read, and the time that its reads took in that turn. */
     turn: number;
     spentMs: number;
+    /** Orders connections by their latest reads; one that has not been read, by its begin. */
+    readNumber: number;
     /** Whether it is not read before a later turn. */
     isWaiting: boolean;
     /** Whether its reading is paused for this reason alone. */
@@ -20,15 +24,15 @@
 
 /**
  * Bounds the time that parsing what callers send takes in one turn of the event loop, whatever it consists of: chunks of one byte take a thousand times as long as
- * their bytes in one chunk. A read cannot be interrupted, so all connections that have not been read wait for a later turn after a long one.
+ * their bytes in one chunk. A read cannot be interrupted, so all connections that have not been read wait for a later turn after a long one, new ones among them.
  */
 export class ParsePacer {
     private turn = 0;
     private turnMs = 0;
     private longReadsMs = 0;
+    private readCount = 0;
     private isScheduled = false;
     private readonly connections = new Map<Socket, PacedConnection>();
-    /** Connections that wait, in order of their last read. */
     private waiting: PacedConnection[] = [];
 
     private constructor() {}
@@ -39,11 +43,15 @@
 
     /** Paces a connection that a server has just accepted. */
     open(socket: Socket): void {
-        const connection: PacedConnection = { socket, turn: -1, spentMs: 0, isWaiting: false, isPaused: false };
+        const connection: PacedConnection = { socket, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
         this.connections.set(socket, connection);
         // The runtime resumes connections whose bodies are read.
         socket.on("resume", () => connection.isWaiting && this.pause(connection));
         socket.once("close", () => this.connections.delete(socket));
+        if (this.isTurnFull) {
+            // It would be read ahead of those that wait already.
+            this.wait(connection);
+        }
     }
 
     /** A read of a connection has been parsed, which took some time. */
@@ -60,18 +68,22 @@
             connection.turn = this.turn;
             connection.spentMs = 0;
         }
+        connection.readNumber = ++this.readCount;
         connection.spentMs += tookMs;
         if (connection.spentMs < maxConnectionMs) {
             return;
         }
         this.wait(connection);
-        if (tookMs >= maxConnectionMs) {
+        if (tookMs >= maxConnectionMs && !this.isTurnFull) {
             this.longReadsMs += tookMs;
+            if (this.isTurnFull) {
+                this.connections.forEach(other => other.turn !== this.turn && this.wait(other));
+            }
         }
-        if (this.longReadsMs >= maxLongReadsMs) {
-            this.longReadsMs = 0;
-            this.connections.forEach(other => other.turn !== this.turn && this.wait(other));
-        }
+    }
+
+    private get isTurnFull(): boolean {
+        return this.longReadsMs >= maxLongReadsMs;
     }
 
     private wait(connection: PacedConnection): void {
@@ -96,22 +108,29 @@
         }
     }
 
-    /** Resumes connections whose last reads were short, and then as many others as a turn has time for: connections are read in the order in which they are resumed. */
+    /**
+     * Resumes connections whose last reads were short, and as many others as a turn has time for, those that were read least recently first: connections are read in the
+     * order in which they are resumed.
+     */
     private beginTurn(): void {
         this.isScheduled = false;
         this.turn++;
         this.turnMs = 0;
         this.longReadsMs = 0;
+        this.waiting.sort((a, b) => a.readNumber - b.readNumber);
         const isShort = ({ spentMs }: PacedConnection): boolean => spentMs < maxConnectionMs;
+        const short = this.waiting.filter(isShort);
         const long = this.waiting.filter(connection => !isShort(connection));
-        this.waiting.filter(isShort).forEach(connection => this.resume(connection));
         let expectedMs = 0;
-        while (long.length > 0 && expectedMs < maxLongReadsMs) {
+        const resumed: PacedConnection[] = [];
+        while (expectedMs < maxLongReadsMs && long.length > 0 && long[0]!.turn < this.turn - 1) {
             const next = long.shift()!;
             expectedMs += next.spentMs;
-            this.resume(next);
+            resumed.push(next);
         }
         this.waiting = long;
+        const order = this.turn % longTurnInterval === 0 ? [...resumed, ...short] : [...short, ...resumed];
+        order.forEach(connection => this.resume(connection));
         if (long.length > 0) {
             this.schedule();
         }
--- a/test/fakes/main.ts
+++ b/test/fakes/main.ts
@@ -2,6 +2,7 @@
 import { startBalancer } from "./balancer";
 import { startDiscardingCallers } from "./discardingCallers";
 import { startEngineServer } from "./engineServer";
+import { startFloodingCallers } from "./floodingCallers";
 import { portOf } from "./jsonServer";
 import { startPieceServer } from "./pieceServer";
 import { startService } from "./service";
@@ -15,6 +16,7 @@
     service: startService,
     weightStore: (port, { fetchesPerSecond }: { fetchesPerSecond: number; }) => startWeightStore(port, fetchesPerSecond),
     pieceServer: startPieceServer,
+    floodingCallers: startFloodingCallers,
     discardingCallers: startDiscardingCallers,
     balancer: (port, { nodeUrls }: { nodeUrls: readonly string[]; }) => startBalancer(port, nodeUrls),
 };
