--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -2,10 +2,11 @@
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
 import { ChunkJoiner } from "../utils/chunkJoiner";
-import { parsePacer } from "./parsePacer";
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
 import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
+import type { RuntimeSocket } from "./runtimeSocket";
+import { SlicedReader } from "./slicedReader";
 
 /** Bytes around a chunk of a body. */
 const chunkFramingBytes = 8;
@@ -15,14 +16,12 @@
     isInHead: boolean;
     /** The request whose chunked body is being read: trailers may follow it. */
     chunked: IncomingMessage | undefined;
-    /** Bytes of the head or the trailers, and of what was read with their beginning. */
+    /** Bytes of the head or the trailers, and of what was parsed with their beginning. */
     headBytes: number;
-    /** Bytes of this read that are a head that has ended, or a body. */
+    /** Bytes of what is parsed now that are a head that has ended, or a body. */
     otherBytes: number;
-    /** Bytes that the connection has received. */
-    receivedBytes: number;
-    /** When the parser announced the first message, headers or part of a body in this read. */
-    startedAt: number | undefined;
+    /** Bytes of the connection that have been parsed. */
+    parsedBytes: number;
 }
 
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
@@ -34,48 +33,38 @@
         private readonly heads: UnfinishedHeads<Socket>,
         private readonly isBusy: (socket: Socket) => boolean,
         private readonly close: (socket: Socket) => void,
-        private readonly onParsed: (socket: Socket) => void,
+        private readonly onParsed: (socket: Socket, parsedBytes: number) => void,
     ) {}
 
     /**
-     * Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room, `onParsed` is called after each
-     * read of a connection.
+     * Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room, `onParsed` is called with
+     * the bytes that have been parsed of a connection, each time it was.
      */
     static create(
         heads: UnfinishedHeads<Socket>,
         isBusy: (socket: Socket) => boolean,
         close: (socket: Socket) => void,
-        onParsed: (socket: Socket) => void = () => undefined,
+        onParsed: (socket: Socket, parsedBytes: number) => void = () => undefined,
     ): HeadWatch {
         return new HeadWatch(heads, isBusy, close, onParsed);
     }
 
     /** Follows a connection that a server has just accepted. */
-    open(socket: Socket): void {
-        const { parser } = socket as Socket & { readonly parser?: RuntimeParser; };
+    open(socket: RuntimeSocket): void {
+        const { parser } = socket;
         if (!parser) {
             return;
         }
-        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead, startedAt: undefined };
-        parsePacer.open(socket);
+        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, parsedBytes: 0 };
         this.readings.set(socket, reading);
-        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
-        const { [ParserCallback.Headers]: headers, [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
+        const { [ParserCallback.MessageBegin]: begin } = parser;
+        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
         const joiner = ChunkJoiner.create(bytes => body?.call(parser, bytes));
         const unwrap = wrapCallbacks(parser, {
-            [ParserCallback.Headers]: (...args) => {
-                reading.startedAt ??= performance.now();
-                return headers?.apply(parser, args);
-            },
             [ParserCallback.Body]: (...args) => {
                 const chunk = args[0] as Buffer;
-                reading.startedAt ??= performance.now();
                 reading.otherBytes += chunk.length + chunkFramingBytes;
-                if (parser._consumed) {
-                    joiner.add(chunk);
-                    return undefined;
-                }
-                return body?.apply(parser, args);
+                joiner.add(chunk);
             },
             [ParserCallback.MessageEnd]: (...args) => {
                 joiner.flush();
@@ -90,20 +79,22 @@
         });
         parser[ParserCallback.MessageBegin] = (...args) => {
             reading.isInHead = true;
-            reading.startedAt ??= performance.now();
             return begin?.(...args);
         };
-        parser[ParserCallback.Execute] = (...args) => {
-            joiner.flush();
-            const result = execute?.(...args);
-            this.onRead(socket, parser, reading);
-            this.onParsed(socket);
-            if (reading.startedAt !== undefined) {
-                parsePacer.count(socket, performance.now() - reading.startedAt);
-                reading.startedAt = undefined;
+        const [execute] = socket.listeners("data") as ((bytes: Buffer) => void)[];
+        if (!execute) {
+            return;
+        }
+        socket.off("data", execute);
+        SlicedReader.open(socket, (bytes, isWhole) => {
+            execute(bytes);
+            if (isWhole) {
+                joiner.flush();
             }
-            return result;
-        };
+            reading.parsedBytes += bytes.length;
+            this.onRead(socket, parser, reading, bytes.length);
+            this.onParsed(socket, reading.parsedBytes);
+        });
     }
 
     /** The head of a request has been read to its end. */
@@ -125,11 +116,8 @@
         this.heads.release(socket);
     }
 
-    private onRead(socket: Socket, parser: RuntimeParser, reading: Reading): void {
-        const { bytesRead } = socket;
+    private onRead(socket: Socket, parser: RuntimeParser, reading: Reading, bytes: number): void {
         const { otherBytes } = reading;
-        const bytes = bytesRead - reading.receivedBytes;
-        reading.receivedBytes = bytesRead;
         reading.otherBytes = 0;
         if (reading.chunked?.complete) {
             reading.chunked = undefined;
--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -3,6 +3,8 @@
 /** Time in a turn of the event loop that the reads of one connection may take, and that reads of at least this length may take together. */
 const maxConnectionMs = 1;
 const maxLongReadsMs = 4;
+/** Time that connections which are resumed may take of what has been read already, in addition. */
+const maxResumedMs = 2;
 /** Time from which the next turn is awaited: each wait takes a pass of the event loop. */
 const minCountedMs = 0.2;
 /** Every so many turns a connection of long reads is read ahead of the others. */
@@ -11,6 +13,8 @@
 /** One connection whose parsing is paced. */
 interface PacedConnection {
     readonly socket: Socket;
+    /** Parses what has been read of it already. */
+    readonly readOn: () => void;
     /** The latest turn in which it was read, and the time that its reads took in that turn. */
     turn: number;
     spentMs: number;
@@ -32,6 +36,7 @@
     private longReadsMs = 0;
     private readCount = 0;
     private isScheduled = false;
+    private isResuming = false;
     private readonly connections = new Map<Socket, PacedConnection>();
     private waiting: PacedConnection[] = [];
 
@@ -41,9 +46,9 @@
         return new ParsePacer();
     }
 
-    /** Paces a connection that a server has just accepted. */
-    open(socket: Socket): void {
-        const connection: PacedConnection = { socket, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
+    /** Paces a connection that a server has just accepted; `readOn` is called when it need not wait any longer. */
+    open(socket: Socket, readOn: () => void = () => undefined): void {
+        const connection: PacedConnection = { socket, readOn, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
         this.connections.set(socket, connection);
         // The runtime resumes connections whose bodies are read.
         socket.on("resume", () => connection.isWaiting && this.pause(connection));
@@ -54,7 +59,12 @@
         }
     }
 
-    /** A read of a connection has been parsed, which took some time. */
+    /** Whether a connection has to wait for a later turn. */
+    isWaiting(socket: Socket): boolean {
+        return this.connections.get(socket)?.isWaiting === true;
+    }
+
+    /** Something of a connection has been parsed, which took some time. */
     count(socket: Socket, tookMs: number): void {
         const connection = this.connections.get(socket);
         if (!connection) {
@@ -74,8 +84,8 @@
             return;
         }
         this.wait(connection);
-        if (tookMs >= maxConnectionMs && !this.isTurnFull) {
-            this.longReadsMs += tookMs;
+        if (!this.isTurnFull && !this.isResuming) {
+            this.longReadsMs += connection.spentMs;
             if (this.isTurnFull) {
                 this.connections.forEach(other => other.turn !== this.turn && this.wait(other));
             }
@@ -123,14 +133,16 @@
         const long = this.waiting.filter(connection => !isShort(connection));
         let expectedMs = 0;
         const resumed: PacedConnection[] = [];
-        while (expectedMs < maxLongReadsMs && long.length > 0 && long[0]!.turn < this.turn - 1) {
+        while (expectedMs < maxResumedMs && long.length > 0 && long[0]!.turn < this.turn - 1) {
             const next = long.shift()!;
             expectedMs += next.spentMs;
             resumed.push(next);
         }
         this.waiting = long;
         const order = this.turn % longTurnInterval === 0 ? [...resumed, ...short] : [...short, ...resumed];
+        this.isResuming = true;
         order.forEach(connection => this.resume(connection));
+        this.isResuming = false;
         if (long.length > 0) {
             this.schedule();
         }
@@ -138,6 +150,10 @@
 
     private resume(connection: PacedConnection): void {
         connection.isWaiting = false;
+        connection.readOn();
+        if (connection.isWaiting) {
+            return;
+        }
         if (connection.isPaused) {
             connection.isPaused = false;
             if (!connection.socket.destroyed) {
--- a/src/forward/portGuard.ts
+++ b/src/forward/portGuard.ts
@@ -48,7 +48,7 @@
             heads,
             socket => this.isBusy(socket),
             socket => this.close(socket, PortClose.Head),
-            socket => this.onRead(socket),
+            (socket, parsedBytes) => this.onRead(socket, parsedBytes),
         );
         server.on("connection", (socket: Socket) => this.onOpened(socket));
         const [handle] = server.listeners("request") as ((req: IncomingMessage, res: ServerResponse) => void)[];
@@ -94,13 +94,13 @@
         return true;
     }
 
-    private onRead(socket: Socket): void {
+    private onRead(socket: Socket, parsedBytes: number): void {
         const connection = this.connections.get(socket);
         if (!connection) {
             return;
         }
         const { req } = connection;
-        connection.receivedBytes = socket.bytesRead;
+        connection.receivedBytes = parsedBytes;
         const isHeld = req !== undefined && !req.complete && this.limits.isBodyCounted?.(req) !== false;
         this.hold(connection, isHeld ? connection.receivedBytes - connection.startBytes : 0);
         if (isHeld && this.heldBytes > this.limits.maxBodyBytes) {
