--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -35,6 +35,7 @@
     private turnMs = 0;
     private longReadsMs = 0;
     private readCount = 0;
+    private pauseCount = 0;
     private isScheduled = false;
     private isResuming = false;
     private readonly connections = new Map<Socket, PacedConnection>();
@@ -46,6 +47,11 @@
         return new ParsePacer();
     }
 
+    /** How often a connection had to wait for a later turn because of what it sent, since the start. */
+    get pauses(): number {
+        return this.pauseCount;
+    }
+
     /** Paces a connection that a server has just accepted; `readOn` is called when it need not wait any longer. */
     open(socket: Socket, readOn: () => void = () => undefined): void {
         const connection: PacedConnection = { socket, readOn, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
@@ -83,6 +89,7 @@
         if (connection.spentMs < maxConnectionMs) {
             return;
         }
+        this.pauseCount++;
         this.wait(connection);
         if (!this.isTurnFull && !this.isResuming) {
             this.longReadsMs += connection.spentMs;
--- a/src/node/platformNodeGauges.ts
+++ b/src/node/platformNodeGauges.ts
@@ -2,6 +2,7 @@
 import type { CallerServer } from "../forward/callerServer";
 import { contactGauges } from "../forward/contactGauges";
 import type { Gateway } from "../forward/gateway";
+import { parsePacer } from "../forward/parsePacer";
 import { speedGauges } from "../forward/speedGauges";
 import { zoneGauges } from "../forward/zoneGauges";
 import type { GaugeSpec } from "../plugins/metrics";
@@ -32,6 +33,11 @@
     { name: "answer_bytes_received", help: "Bytes of these parts, without what frames them", read: () => gateway.receivedParts.bytes },
     { name: "longest_turn_seconds", help: "Longest turn of the event loop within the last 3 s", read: () => gateway.turnWatch.longestMs / msPerS },
     { name: "read_pauses", help: "How often reading from another process waited for a later turn, since the start", read: () => readPacer.pauses },
+    {
+        name: "caller_read_pauses",
+        help: "How often reading from a caller or a peer that calls waited for a later turn, since the start",
+        read: () => parsePacer.pauses,
+    },
     {
         name: "own_answers_given_up",
         help: "Answers of runners, peers and the store that this node gave up for their size or for want of memory, since the start",
