--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -81,19 +81,32 @@
             reading.isInHead = true;
             return begin?.(...args);
         };
-        const [execute] = socket.listeners("data") as ((bytes: Buffer) => void)[];
-        if (!execute) {
+        if (!parser.execute) {
             return;
         }
-        socket.off("data", execute);
-        SlicedReader.open(socket, (bytes, isWhole) => {
-            execute(bytes);
-            if (isWhole) {
-                joiner.flush();
-            }
-            reading.parsedBytes += bytes.length;
-            this.onRead(socket, parser, reading, bytes.length);
-            this.onParsed(socket, reading.parsedBytes);
+        socket.removeAllListeners("data");
+        SlicedReader.open(socket, {
+            parse: (bytes, isWhole) => {
+                const result = parser.execute!(bytes);
+                const isValid = !(result instanceof Error);
+                if (isWhole || !isValid) {
+                    joiner.flush();
+                }
+                // As the runtime's parser does after each read. An error closes the connection, so requests that were parsed before it are handled first.
+                const end = (): unknown => parser[ParserCallback.Execute]?.(result);
+                if (isValid) {
+                    end();
+                }
+                else {
+                    setImmediate(() => socket.destroyed || end());
+                }
+                return isValid;
+            },
+            onParsed: parsedBytes => {
+                reading.parsedBytes += parsedBytes;
+                this.onRead(socket, parser, reading, parsedBytes);
+                this.onParsed(socket, reading.parsedBytes);
+            },
         });
     }
 
--- a/src/forward/runtimeParser.ts
+++ b/src/forward/runtimeParser.ts
@@ -14,8 +14,8 @@
 export type RuntimeParser = { [callback in ParserCallback]?: Callback; } & {
     /** Headers that have been read, names and values alternating. */
     _headers?: readonly string[];
-    /** Whether it reads its connection itself, and tells by `Execute` when it has parsed what one read gave. */
-    _consumed?: boolean;
+    /** Parses bytes; returns their number or an error. */
+    execute?(bytes: Buffer): unknown;
 };
 
 /** The callbacks that the runtime sets once for each parser, which it uses for one connection after the other. It sets the others for each connection. */
--- a/src/forward/slicedReader.ts
+++ b/src/forward/slicedReader.ts
@@ -12,7 +12,13 @@
 const maxHeld = 256;
 const held = new Set<SlicedReader>();
 
-type Parse = (bytes: Buffer, isWhole: boolean) => void;
+/** What is done with the bytes of a connection. */
+interface Parsing {
+    /** Parses a slice; `isWhole` says whether it is the last one of a read. Returns false if nothing more can be parsed. */
+    readonly parse: (bytes: Buffer, isWhole: boolean) => boolean;
+    /** Slices have been parsed one after the other, and nothing else meanwhile. */
+    readonly onParsed: (bytes: number) => void;
+}
 
 /**
  * Parses what one connection of a server receives in slices, which the pacer spreads over turns of the event loop. The runtime's parser would read up to 64 KB itself,
@@ -22,12 +28,13 @@
     /** What has been read and not been parsed. */
     private rest: Buffer | undefined;
     private sliceBytes = firstSliceBytes;
+    private isValid = true;
 
-    private constructor(private readonly socket: RuntimeSocket, private readonly parse: Parse) {}
+    private constructor(private readonly socket: RuntimeSocket, private readonly parsing: Parsing) {}
 
-    /** Takes over the reading of a connection that a server has just accepted. `parse` gets each slice, and whether it is the last of a read. */
-    static open(socket: RuntimeSocket, parse: Parse): void {
-        const reader = new SlicedReader(socket, parse);
+    /** Takes over the reading of a connection that a server has just accepted. */
+    static open(socket: RuntimeSocket, parsing: Parsing): void {
+        const reader = new SlicedReader(socket, parsing);
         parsePacer.open(socket, () => reader.readOn());
         // The parser no longer reads the connection itself once there is a listener. Reading starts and stops as the runtime does it for a parser that does.
         socket.on("data", bytes => reader.add(bytes));
@@ -54,12 +61,14 @@
     /** Parses on, until nothing is left or the connection has to wait. */
     private readOn(): void {
         const { socket } = this;
+        let parsedBytes = 0;
         while (this.rest && this.canParse()) {
             const { rest } = this;
             const slice = held.size > maxHeld ? rest : rest.subarray(0, this.sliceBytes);
             this.keep(slice.length < rest.length ? rest.subarray(slice.length) : undefined);
             const startedAt = performance.now();
-            this.parse(slice, this.rest === undefined);
+            this.isValid = this.parsing.parse(slice, this.rest === undefined);
+            parsedBytes += slice.length;
             const tookMs = performance.now() - startedAt;
             if (tookMs > longSliceMs) {
                 this.sliceBytes = Math.max(minSliceBytes, this.sliceBytes / 2);
@@ -69,12 +78,18 @@
             }
             parsePacer.count(socket, tookMs);
         }
-        setReading(socket, !this.rest && !socket.isPaused());
+        if (parsedBytes > 0) {
+            this.parsing.onParsed(parsedBytes);
+        }
+        if (!this.isValid) {
+            this.keep(undefined);
+        }
+        setReading(socket, this.isValid && !this.rest && !socket.isPaused());
     }
 
     private canParse(): boolean {
         const { socket } = this;
-        return !socket.destroyed && !socket._paused && !parsePacer.isWaiting(socket);
+        return this.isValid && !socket.destroyed && !socket._paused && !parsePacer.isWaiting(socket);
     }
 
     private keep(rest: Buffer | undefined): void {
