--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -2,6 +2,7 @@
 import type { Socket } from "node:net";
 import type { UnfinishedHeads } from "../core/unfinishedHeads";
 import { ChunkJoiner } from "../utils/chunkJoiner";
+import { parsePacer } from "./parsePacer";
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
 import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
@@ -10,18 +11,25 @@
 
 /** Bytes around a chunk of a body. */
 const chunkFramingBytes = 8;
+/** A connection of which one read gave so many chunks and took so long is parsed in slices from then on, and so are all others, and new ones for a time. */
+const minSlicedChunks = 1_000;
+const minSlicedMs = 4;
 
 /** What is being read on a connection. */
 interface Reading {
     isInHead: boolean;
     /** The request whose chunked body is being read: trailers may follow it. */
     chunked: IncomingMessage | undefined;
-    /** Bytes of the head or the trailers, and of what was parsed with their beginning. */
+    /** Bytes of the head or the trailers, and of what was read with their beginning. */
     headBytes: number;
-    /** Bytes of what is parsed now that are a head that has ended, or a body. */
+    /** Bytes of this read that are a head that has ended, or a body. */
     otherBytes: number;
+    /** Chunks of a body in this read. */
+    chunks: number;
     /** Bytes of the connection that have been parsed. */
     parsedBytes: number;
+    /** When the parser announced the first message, headers or part of a body in this read. */
+    startedAt: number | undefined;
 }
 
 /** Follows how much of each head, and of the trailers of each chunked body, has been read, with each read: the parser keeps it until its end. */
@@ -55,15 +63,30 @@
         if (!parser) {
             return;
         }
-        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, parsedBytes: 0 };
+        const reading: Reading = {
+            isInHead: false,
+            chunked: undefined,
+            headBytes: 0,
+            otherBytes: 0,
+            chunks: 0,
+            parsedBytes: socket.bytesRead,
+            startedAt: undefined,
+        };
+        parsePacer.open(socket);
         this.readings.set(socket, reading);
-        const { [ParserCallback.MessageBegin]: begin } = parser;
-        const { [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
+        const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
+        const { [ParserCallback.Headers]: headers, [ParserCallback.Body]: body, [ParserCallback.MessageEnd]: end } = ownCallbacksOf(parser);
         const joiner = ChunkJoiner.create(bytes => body?.call(parser, bytes));
         const unwrap = wrapCallbacks(parser, {
+            [ParserCallback.Headers]: (...args) => {
+                reading.startedAt ??= performance.now();
+                return headers?.apply(parser, args);
+            },
             [ParserCallback.Body]: (...args) => {
                 const chunk = args[0] as Buffer;
+                reading.startedAt ??= performance.now();
                 reading.otherBytes += chunk.length + chunkFramingBytes;
+                reading.chunks++;
                 joiner.add(chunk);
             },
             [ParserCallback.MessageEnd]: (...args) => {
@@ -79,35 +102,41 @@
         });
         parser[ParserCallback.MessageBegin] = (...args) => {
             reading.isInHead = true;
+            reading.startedAt ??= performance.now();
             return begin?.(...args);
         };
-        if (!parser.execute) {
-            return;
-        }
-        socket.removeAllListeners("data");
-        SlicedReader.open(socket, {
-            parse: (bytes, isWhole) => {
-                const result = parser.execute!(bytes);
-                const isValid = !(result instanceof Error);
-                if (isWhole || !isValid) {
-                    joiner.flush();
-                }
-                // As the runtime's parser does after each read. An error closes the connection, so requests that were parsed before it are handled first.
-                const end = (): unknown => parser[ParserCallback.Execute]?.(result);
-                if (isValid) {
-                    end();
-                }
-                else {
-                    setImmediate(() => socket.destroyed || end());
+        let isSliced = false;
+        const slice = (): void => {
+            if (!isSliced && !socket.destroyed) {
+                isSliced = true;
+                SlicedReader.open(socket, parser, bytes => onParsed(reading.parsedBytes + bytes));
+            }
+        };
+        const onParsed = (parsedBytes: number): void => {
+            const bytes = parsedBytes - reading.parsedBytes;
+            reading.parsedBytes = parsedBytes;
+            this.onRead(socket, parser, reading, bytes);
+            this.onParsed(socket, parsedBytes);
+        };
+        parser[ParserCallback.Execute] = (...args) => {
+            joiner.flush();
+            const result = execute?.(...args);
+            if (isSliced) {
+                return result;
+            }
+            onParsed(socket.bytesRead);
+            if (reading.startedAt !== undefined) {
+                const tookMs = performance.now() - reading.startedAt;
+                reading.startedAt = undefined;
+                if (tookMs >= minSlicedMs && reading.chunks >= minSlicedChunks) {
+                    parsePacer.warn();
                 }
-                return isValid;
-            },
-            onParsed: parsedBytes => {
-                reading.parsedBytes += parsedBytes;
-                this.onRead(socket, parser, reading, parsedBytes);
-                this.onParsed(socket, reading.parsedBytes);
-            },
-        });
+                parsePacer.count(socket, tookMs);
+            }
+            reading.chunks = 0;
+            return result;
+        };
+        parsePacer.onWarning(socket, slice);
     }
 
     /** The head of a request has been read to its end. */
--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -9,12 +9,16 @@
 const minCountedMs = 0.2;
 /** Every so many turns a connection of long reads is read ahead of the others. */
 const longTurnInterval = 4;
+/** How long a warning counts for new connections. */
+const warnedMs = 10_000;
 
 /** One connection whose parsing is paced. */
 interface PacedConnection {
     readonly socket: Socket;
     /** Parses what has been read of it already. */
-    readonly readOn: () => void;
+    readOn?: () => void;
+    /** Prepares for reads that take far too long. */
+    heed?: () => void;
     /** The latest turn in which it was read, and the time that its reads took in that turn. */
     turn: number;
     spentMs: number;
@@ -36,6 +40,7 @@
     private longReadsMs = 0;
     private readCount = 0;
     private pauseCount = 0;
+    private warnedAt: number | undefined;
     private isScheduled = false;
     private isResuming = false;
     private readonly connections = new Map<Socket, PacedConnection>();
@@ -52,9 +57,26 @@
         return this.pauseCount;
     }
 
-    /** Paces a connection that a server has just accepted; `readOn` is called when it need not wait any longer. */
-    open(socket: Socket, readOn: () => void = () => undefined): void {
-        const connection: PacedConnection = { socket, readOn, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
+    /** A read took far too long. */
+    warn(): void {
+        this.warnedAt = performance.now();
+        this.connections.forEach(({ heed }) => heed?.());
+    }
+
+    /** Has `heed` called at a warning, or now if there was one lately. */
+    onWarning(socket: Socket, heed: () => void): void {
+        const connection = this.connections.get(socket);
+        if (connection) {
+            connection.heed = heed;
+        }
+        if (this.warnedAt !== undefined && performance.now() - this.warnedAt < warnedMs) {
+            heed();
+        }
+    }
+
+    /** Paces a connection that a server has just accepted. */
+    open(socket: Socket): void {
+        const connection: PacedConnection = { socket, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
         this.connections.set(socket, connection);
         // The runtime resumes connections whose bodies are read.
         socket.on("resume", () => connection.isWaiting && this.pause(connection));
@@ -65,6 +87,14 @@
         }
     }
 
+    /** Has `readOn` called whenever a connection need not wait any longer. */
+    onResume(socket: Socket, readOn: () => void): void {
+        const connection = this.connections.get(socket);
+        if (connection) {
+            connection.readOn = readOn;
+        }
+    }
+
     /** Whether a connection has to wait for a later turn. */
     isWaiting(socket: Socket): boolean {
         return this.connections.get(socket)?.isWaiting === true;
@@ -157,7 +187,7 @@
 
     private resume(connection: PacedConnection): void {
         connection.isWaiting = false;
-        connection.readOn();
+        connection.readOn?.();
         if (connection.isWaiting) {
             return;
         }
--- a/src/forward/slicedReader.ts
+++ b/src/forward/slicedReader.ts
@@ -1,10 +1,11 @@
 import { parsePacer } from "./parsePacer";
+import type { RuntimeParser } from "./runtimeParser";
+import { ParserCallback } from "./runtimeParser";
 import type { RuntimeSocket } from "./runtimeSocket";
 import { setReading } from "./runtimeSocket";
 
 /** Bounds of what is parsed at once, and when they change. */
 const minSliceBytes = 1_024;
-const firstSliceBytes = 4_096;
 const maxSliceBytes = 65_536;
 const longSliceMs = 0.5;
 const shortSliceMs = 0.1;
@@ -12,30 +13,23 @@
 const maxHeld = 256;
 const held = new Set<SlicedReader>();
 
-/** What is done with the bytes of a connection. */
-interface Parsing {
-    /** Parses a slice; `isWhole` says whether it is the last one of a read. Returns false if nothing more can be parsed. */
-    readonly parse: (bytes: Buffer, isWhole: boolean) => boolean;
-    /** Slices have been parsed one after the other, and nothing else meanwhile. */
-    readonly onParsed: (bytes: number) => void;
-}
-
 /**
- * Parses what one connection of a server receives in slices, which the pacer spreads over turns of the event loop. The runtime's parser would read up to 64 KB itself,
- * and cannot be interrupted meanwhile.
+ * Parses what one connection of a server receives in slices, which the pacer spreads over turns of the event loop. The runtime's parser reads up to 64 KB itself, and
+ * cannot be interrupted meanwhile.
  */
 export class SlicedReader {
     /** What has been read and not been parsed. */
     private rest: Buffer | undefined;
-    private sliceBytes = firstSliceBytes;
+    private sliceBytes = minSliceBytes;
     private isValid = true;
 
-    private constructor(private readonly socket: RuntimeSocket, private readonly parsing: Parsing) {}
+    private constructor(private readonly socket: RuntimeSocket, private readonly parser: RuntimeParser, private readonly onParsed: (bytes: number) => void) {}
 
-    /** Takes over the reading of a connection that a server has just accepted. */
-    static open(socket: RuntimeSocket, parsing: Parsing): void {
-        const reader = new SlicedReader(socket, parsing);
-        parsePacer.open(socket, () => reader.readOn());
+    /** Takes over the reading of a connection from its parser. `onParsed` is called after slices that were parsed one after the other. */
+    static open(socket: RuntimeSocket, parser: RuntimeParser, onParsed: (bytes: number) => void): void {
+        const reader = new SlicedReader(socket, parser, onParsed);
+        parsePacer.onResume(socket, () => reader.readOn());
+        socket.removeAllListeners("data");
         // The parser no longer reads the connection itself once there is a listener. Reading starts and stops as the runtime does it for a parser that does.
         socket.on("data", bytes => reader.add(bytes));
         socket.on("pause", () => setReading(socket, false));
@@ -67,7 +61,7 @@
             const slice = held.size > maxHeld ? rest : rest.subarray(0, this.sliceBytes);
             this.keep(slice.length < rest.length ? rest.subarray(slice.length) : undefined);
             const startedAt = performance.now();
-            this.isValid = this.parsing.parse(slice, this.rest === undefined);
+            this.parse(slice);
             parsedBytes += slice.length;
             const tookMs = performance.now() - startedAt;
             if (tookMs > longSliceMs) {
@@ -79,7 +73,7 @@
             parsePacer.count(socket, tookMs);
         }
         if (parsedBytes > 0) {
-            this.parsing.onParsed(parsedBytes);
+            this.onParsed(parsedBytes);
         }
         if (!this.isValid) {
             this.keep(undefined);
@@ -87,6 +81,21 @@
         setReading(socket, this.isValid && !this.rest && !socket.isPaused());
     }
 
+    /** Parses a slice, and then does what the runtime does after each read of its parser. */
+    private parse(slice: Buffer): void {
+        const { parser, socket } = this;
+        const result = parser.execute?.(slice);
+        this.isValid = !(result instanceof Error);
+        const end = (): unknown => parser[ParserCallback.Execute]?.(result);
+        if (this.isValid) {
+            end();
+        }
+        else {
+            // An error closes the connection, so requests that were parsed before it are handled first.
+            setImmediate(() => socket.destroyed || end());
+        }
+    }
+
     private canParse(): boolean {
         const { socket } = this;
         return this.isValid && !socket.destroyed && !socket._paused && !parsePacer.isWaiting(socket);
