--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -149,17 +149,14 @@
     }
 
     private resume(connection: PacedConnection): void {
+        const { socket, isPaused } = connection;
         connection.isWaiting = false;
-        connection.readOn();
-        if (connection.isWaiting) {
-            return;
-        }
-        if (connection.isPaused) {
-            connection.isPaused = false;
-            if (!connection.socket.destroyed) {
-                connection.socket.resume();
-            }
+        connection.isPaused = false;
+        if (isPaused && !socket.destroyed) {
+            // Before it is read on: what takes its bodies may pause it then.
+            socket.resume();
         }
+        connection.readOn();
     }
 }
 
--- a/test/slicedReader.test.ts
+++ b/test/slicedReader.test.ts
@@ -6,6 +6,7 @@
 import { describe, it } from "node:test";
 import { UnfinishedHeads } from "../src/core/unfinishedHeads";
 import { HeadWatch } from "../src/forward/headWatch";
+import { sleep } from "../src/utils/time";
 
 const headOf = (path: string, headers: string): string => `POST ${path} HTTP/1.1\r\nHost: shop.example\r\n${headers}\r\n`;
 const chunked = "Transfer-Encoding: chunked\r\n";
@@ -13,6 +14,11 @@
 const bytes = [...Array(40_000).keys()].map(index => String(index % 10));
 const smallChunks = `${bytes.map(byte => `1\r\n${byte}\r\n`).join("")}0\r\n\r\n`;
 
+/** Sent for a body that nobody takes, and what is read of it: what fills the request's buffer of 16 KB, and one read beyond it. */
+const unreadChunks = 500_000;
+const unreadMs = 500;
+const maxUnreadBytes = 262_144;
+
 interface Case {
     readonly name: string;
     readonly sent: string;
@@ -88,4 +94,21 @@
             assert.deepEqual(received, bodies);
         });
     }
+
+    /** Guards against a pause for a body that is lost as the connection waits for its share of a turn. */
+    it("are not read on while nobody takes a body", async () => {
+        const server = createServer(req => watch.end(req));
+        const watch = HeadWatch.create(UnfinishedHeads.create<Socket>({ heapLimitBytes: () => 1e9 }), () => false, socket => socket.destroy());
+        const accepted = new Promise<Socket>(resolve => server.once("connection", resolve));
+        server.on("connection", (socket: Socket) => watch.open(socket));
+        await new Promise<void>(resolve => server.listen(0, "127.0.0.1", () => resolve()));
+        const caller = connect((server.address() as AddressInfo).port, "127.0.0.1");
+        caller.on("error", () => undefined);
+        caller.write(headOf("/untaken", chunked) + "1\r\nx\r\n".repeat(unreadChunks));
+        const { bytesRead } = await accepted.then(socket => sleep(unreadMs).then(() => socket));
+        caller.destroy();
+        server.close();
+        server.closeAllConnections();
+        assert.ok(bytesRead > 0 && bytesRead <= maxUnreadBytes, `${bytesRead} bytes were read`);
+    });
 });
