--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -152,6 +152,8 @@
         const { socket, isPaused } = connection;
         connection.isWaiting = false;
         connection.isPaused = false;
+        // One that has nothing to be read now must not be taken for one of long reads in later turns: it would go ahead of those that have, again and again.
+        connection.spentMs = 0;
         if (isPaused && !socket.destroyed) {
             // Before it is read on: what takes its bodies may pause it then.
             socket.resume();
--- a/test/parsePacer.test.ts
+++ b/test/parsePacer.test.ts
@@ -103,6 +103,22 @@
         assert.equal(firsts.slice(4).filter(index => index !== 2).length, 3);
     });
 
+    /** Guards against idle connections that are resumed ahead of the others in each turn, as their last reads are the oldest. */
+    it("resumes a connection of long reads though others of them are idle and new ones fill each turn", async () => {
+        const { pacer, sockets, count } = openAll(5);
+        for (let index = 0; index < 5; index++) {
+            count(index, 1.5);
+            await nextTurn();
+        }
+        for (let turn = 0; turn < 5 && sockets[4]!.resumes === 0; turn++) {
+            const newest = new PausableSocket();
+            pacer.open(newest as unknown as Socket);
+            pacer.count(newest as unknown as Socket, 5);
+            await nextTurn();
+        }
+        assert.equal(sockets[4]!.resumes, 1);
+    });
+
     it("leaves a connection paused that the reader of its body has paused", async () => {
         const { sockets: [socket], count } = openAll(1);
         socket!.pause();
