--- a/src/forward/callerServer.ts
+++ b/src/forward/callerServer.ts
@@ -7,6 +7,7 @@
 import { CallerConnections } from "./callerConnections";
 import type { Gateway } from "./gateway";
 import { RequestReception } from "./requestReception";
+import { unparsedBytesOf } from "./slicedReader";
 
 /** Limit of the HTTP parser, above what a configuration may allow; the configured limit is checked on each request. */
 const maxHeaderBytes = 262_144;
@@ -33,7 +34,7 @@
             // The runtime would answer such requests without announcing them, and count none of those that are pipelined.
             requireHostHeader: false,
         }, (req, res) => void this.reception.handle(req, res));
-        this.gracefulClose = GracefulClose.create(this.server);
+        this.gracefulClose = GracefulClose.create(this.server, unparsedBytesOf);
         this.connections = CallerConnections.create(this.server, gateway);
         this.reception = RequestReception.create(gateway, this.connections);
     }
--- a/src/forward/slicedReader.ts
+++ b/src/forward/slicedReader.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { parsePacer } from "./parsePacer";
 import type { RuntimeSocket } from "./runtimeSocket";
 import { setReading } from "./runtimeSocket";
@@ -10,7 +11,10 @@
 const shortSliceMs = 0.1;
 /** Connections of which part of a read may wait, at up to 64 KB each. Reads of others are parsed whole. */
 const maxHeld = 256;
-const held = new Set<SlicedReader>();
+const held = new Map<Socket, Buffer>();
+
+/** Bytes of a connection that have been read and not been parsed. */
+export const unparsedBytesOf = (socket: Socket): number => held.get(socket)?.length ?? 0;
 
 type Parse = (bytes: Buffer, isWhole: boolean) => void;
 
@@ -80,10 +84,10 @@
     private keep(rest: Buffer | undefined): void {
         this.rest = rest;
         if (rest) {
-            held.add(this);
+            held.set(this.socket, rest);
         }
         else {
-            held.delete(this);
+            held.delete(this.socket);
         }
     }
 }
--- a/src/utils/gracefulClose.ts
+++ b/src/utils/gracefulClose.ts
@@ -31,7 +31,7 @@
 interface Connection {
     /** Requests whose responses have not been closed: a response is closed once it was written out. */
     openRequests: number;
-    /** Bytes received when the last response was closed; what is received beyond them belongs to a next request. Undefined before that. */
+    /** Bytes received, and parsed, when the last response was closed; what is received beyond them belongs to a next request. Undefined before that. */
     requestBytes: number | undefined;
     receivedBytes: number;
     /** When the connection was accepted, received bytes or ended a response, on the monotonic clock. */
@@ -49,7 +49,7 @@
     private acceptedAt = Number.NEGATIVE_INFINITY;
     private drained: DrainedBacklog = { accepted: 0, isEmpty: false };
 
-    private constructor(private readonly server: Server) {
+    private constructor(private readonly server: Server, private readonly unparsedBytes: (socket: Socket) => number) {
         server.on("connection", () => {
             this.acceptedCount++;
             this.acceptedAt = performance.now();
@@ -58,9 +58,9 @@
         server.on("request", ({ socket }: IncomingMessage, res: ServerResponse) => this.onRequest(socket, res));
     }
 
-    /** Tracks the connections of a server that does not listen yet. */
-    static create(server: Server): GracefulClose {
-        return new GracefulClose(server);
+    /** Tracks the connections of a server that does not listen yet; `unparsedBytes` says how much has been read of one and waits to be parsed. */
+    static create(server: Server, unparsedBytes: (socket: Socket) => number = () => 0): GracefulClose {
+        return new GracefulClose(server, unparsedBytes);
     }
 
     /** What has been taken from the listen backlog so far. */
@@ -140,7 +140,7 @@
         connection.openRequests++;
         res.once("close", () => {
             connection.openRequests--;
-            connection.requestBytes = socket.bytesRead;
+            connection.requestBytes = socket.bytesRead - this.unparsedBytes(socket);
             connection.activeAt = performance.now();
         });
     }
@@ -158,7 +158,7 @@
             }
             const isQuiet = now - connection.activeAt >= minIdleMs;
             const isBetweenRequests = connection.requestBytes === bytesRead;
-            if (connection.openRequests > 0 || (!isBetweenRequests && !isQuiet)) {
+            if (connection.openRequests > 0 || this.unparsedBytes(socket) > 0 || (!isBetweenRequests && !isQuiet)) {
                 isAwaiting = true;
             }
             else if (isBetweenRequests && isQuiet) {
