--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -120,7 +120,8 @@
 
     /**
      * Resumes connections whose last reads were short, and as many others as a turn has time for, those that were read least recently first: connections are read in the
-     * order in which they are resumed.
+     * order in which they are resumed. One that has just been read lets the others go ahead; if there are none it is resumed, so that the end of its connection is read
+     * before work is done for a caller that has left.
      */
     private beginTurn(): void {
         this.isScheduled = false;
@@ -133,7 +134,7 @@
         const long = this.waiting.filter(connection => !isShort(connection));
         let expectedMs = 0;
         const resumed: PacedConnection[] = [];
-        while (expectedMs < maxResumedMs && long.length > 0 && long[0]!.turn < this.turn - 1) {
+        while (expectedMs < maxResumedMs && long.length > 0 && (short.length === 0 || long[0]!.turn < this.turn - 1)) {
             const next = long.shift()!;
             expectedMs += next.spentMs;
             resumed.push(next);
