--- a/src/forward/parsePacer.ts
+++ b/src/forward/parsePacer.ts
@@ -78,8 +78,8 @@
     open(socket: Socket): void {
         const connection: PacedConnection = { socket, turn: -1, spentMs: 0, readNumber: ++this.readCount, isWaiting: false, isPaused: false };
         this.connections.set(socket, connection);
-        // The runtime resumes connections whose bodies are read.
-        socket.on("resume", () => connection.isWaiting && this.pause(connection));
+        // The runtime resumes connections whose bodies are read. It tells so in a later tick, when it may have paused one again.
+        socket.on("resume", () => connection.isWaiting && !socket.isPaused() && this.pause(connection));
         socket.once("close", () => this.connections.delete(socket));
         if (this.isTurnFull) {
             // It would be read ahead of those that wait already.
@@ -157,7 +157,8 @@
 
     /**
      * Resumes connections whose last reads were short, and as many others as a turn has time for, those that were read least recently first: connections are read in the
-     * order in which they are resumed.
+     * order in which they are resumed. One that has just been read lets the others go ahead; if there are none it is resumed, so that the end of its connection is read
+     * before work is done for a caller that has left.
      */
     private beginTurn(): void {
         this.isScheduled = false;
@@ -170,7 +171,7 @@
         const long = this.waiting.filter(connection => !isShort(connection));
         let expectedMs = 0;
         const resumed: PacedConnection[] = [];
-        while (expectedMs < maxResumedMs && long.length > 0 && long[0]!.turn < this.turn - 1) {
+        while (expectedMs < maxResumedMs && long.length > 0 && (short.length === 0 || long[0]!.turn < this.turn - 1)) {
             const next = long.shift()!;
             expectedMs += next.spentMs;
             resumed.push(next);
@@ -186,17 +187,16 @@
     }
 
     private resume(connection: PacedConnection): void {
+        const { socket, isPaused } = connection;
         connection.isWaiting = false;
-        connection.readOn?.();
-        if (connection.isWaiting) {
-            return;
-        }
-        if (connection.isPaused) {
-            connection.isPaused = false;
-            if (!connection.socket.destroyed) {
-                connection.socket.resume();
-            }
+        connection.isPaused = false;
+        // One that has nothing to be read now must not be taken for one of long reads in later turns: it would go ahead of those that have, again and again.
+        connection.spentMs = 0;
+        if (isPaused && !socket.destroyed) {
+            // Before it is read on: what takes its bodies may pause it then.
+            socket.resume();
         }
+        connection.readOn?.();
     }
 }
 
--- a/src/forward/slicedReader.ts
+++ b/src/forward/slicedReader.ts
@@ -1,3 +1,4 @@
+import type { Socket } from "node:net";
 import { parsePacer } from "./parsePacer";
 import type { RuntimeParser } from "./runtimeParser";
 import { ParserCallback } from "./runtimeParser";
@@ -11,7 +12,10 @@
 const shortSliceMs = 0.1;
 /** Connections of which part of a read may wait, at up to 64 KB each. Reads of others are parsed whole. */
 const maxHeld = 256;
-const held = new Set<SlicedReader>();
+const held = new Map<Socket, Buffer>();
+
+/** Bytes of a connection that have been read and not been parsed. */
+export const unparsedBytesOf = (socket: Socket): number => held.get(socket)?.length ?? 0;
 
 /**
  * Parses what one connection of a server receives in slices, which the pacer spreads over turns of the event loop. The runtime's parser reads up to 64 KB itself, and
@@ -104,10 +108,10 @@
     private keep(rest: Buffer | undefined): void {
         this.rest = rest;
         if (rest) {
-            held.add(this);
+            held.set(this.socket, rest);
         }
         else {
-            held.delete(this);
+            held.delete(this.socket);
         }
     }
 }
