--- a/src/forward/headWatch.ts
+++ b/src/forward/headWatch.ts
@@ -6,9 +6,14 @@
 import { headerBytes } from "./requestHead";
 import type { RuntimeParser } from "./runtimeParser";
 import { ownCallbacksOf, ParserCallback, wrapCallbacks } from "./runtimeParser";
+import type { RuntimeSocket } from "./runtimeSocket";
+import { SlicedReader } from "./slicedReader";
 
 /** Bytes around a chunk of a body. */
 const chunkFramingBytes = 8;
+/** A connection of which one read gave so many chunks and took so long is parsed in slices from then on, and so are all others, and new ones for a time. */
+const minSlicedChunks = 1_000;
+const minSlicedMs = 4;
 
 /** What is being read on a connection. */
 interface Reading {
@@ -19,8 +24,10 @@
     headBytes: number;
     /** Bytes of this read that are a head that has ended, or a body. */
     otherBytes: number;
-    /** Bytes that the connection has received. */
-    receivedBytes: number;
+    /** Chunks of a body in this read. */
+    chunks: number;
+    /** Bytes of the connection that have been parsed. */
+    parsedBytes: number;
     /** When the parser announced the first message, headers or part of a body in this read. */
     startedAt: number | undefined;
 }
@@ -34,29 +41,37 @@
         private readonly heads: UnfinishedHeads<Socket>,
         private readonly isBusy: (socket: Socket) => boolean,
         private readonly close: (socket: Socket) => void,
-        private readonly onParsed: (socket: Socket) => void,
+        private readonly onParsed: (socket: Socket, parsedBytes: number) => void,
     ) {}
 
     /**
-     * Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room, `onParsed` is called after each
-     * read of a connection.
+     * Creates a watch; `isBusy` says whether a connection has unanswered requests, `close` closes one for whose head there is no room, `onParsed` is called with
+     * the bytes that have been parsed of a connection, each time it was.
      */
     static create(
         heads: UnfinishedHeads<Socket>,
         isBusy: (socket: Socket) => boolean,
         close: (socket: Socket) => void,
-        onParsed: (socket: Socket) => void = () => undefined,
+        onParsed: (socket: Socket, parsedBytes: number) => void = () => undefined,
     ): HeadWatch {
         return new HeadWatch(heads, isBusy, close, onParsed);
     }
 
     /** Follows a connection that a server has just accepted. */
-    open(socket: Socket): void {
-        const { parser } = socket as Socket & { readonly parser?: RuntimeParser; };
+    open(socket: RuntimeSocket): void {
+        const { parser } = socket;
         if (!parser) {
             return;
         }
-        const reading: Reading = { isInHead: false, chunked: undefined, headBytes: 0, otherBytes: 0, receivedBytes: socket.bytesRead, startedAt: undefined };
+        const reading: Reading = {
+            isInHead: false,
+            chunked: undefined,
+            headBytes: 0,
+            otherBytes: 0,
+            chunks: 0,
+            parsedBytes: socket.bytesRead,
+            startedAt: undefined,
+        };
         parsePacer.open(socket);
         this.readings.set(socket, reading);
         const { [ParserCallback.MessageBegin]: begin, [ParserCallback.Execute]: execute } = parser;
@@ -71,11 +86,8 @@
                 const chunk = args[0] as Buffer;
                 reading.startedAt ??= performance.now();
                 reading.otherBytes += chunk.length + chunkFramingBytes;
-                if (parser._consumed) {
-                    joiner.add(chunk);
-                    return undefined;
-                }
-                return body?.apply(parser, args);
+                reading.chunks++;
+                joiner.add(chunk);
             },
             [ParserCallback.MessageEnd]: (...args) => {
                 joiner.flush();
@@ -93,17 +105,38 @@
             reading.startedAt ??= performance.now();
             return begin?.(...args);
         };
+        let isSliced = false;
+        const slice = (): void => {
+            if (!isSliced && !socket.destroyed) {
+                isSliced = true;
+                SlicedReader.open(socket, parser, bytes => onParsed(reading.parsedBytes + bytes));
+            }
+        };
+        const onParsed = (parsedBytes: number): void => {
+            const bytes = parsedBytes - reading.parsedBytes;
+            reading.parsedBytes = parsedBytes;
+            this.onRead(socket, parser, reading, bytes);
+            this.onParsed(socket, parsedBytes);
+        };
         parser[ParserCallback.Execute] = (...args) => {
             joiner.flush();
             const result = execute?.(...args);
-            this.onRead(socket, parser, reading);
-            this.onParsed(socket);
+            if (isSliced) {
+                return result;
+            }
+            onParsed(socket.bytesRead);
             if (reading.startedAt !== undefined) {
-                parsePacer.count(socket, performance.now() - reading.startedAt);
+                const tookMs = performance.now() - reading.startedAt;
                 reading.startedAt = undefined;
+                if (tookMs >= minSlicedMs && reading.chunks >= minSlicedChunks) {
+                    parsePacer.warn();
+                }
+                parsePacer.count(socket, tookMs);
             }
+            reading.chunks = 0;
             return result;
         };
+        parsePacer.onWarning(socket, slice);
     }
 
     /** The head of a request has been read to its end. */
@@ -125,11 +158,8 @@
         this.heads.release(socket);
     }
 
-    private onRead(socket: Socket, parser: RuntimeParser, reading: Reading): void {
-        const { bytesRead } = socket;
+    private onRead(socket: Socket, parser: RuntimeParser, reading: Reading, bytes: number): void {
         const { otherBytes } = reading;
-        const bytes = bytesRead - reading.receivedBytes;
-        reading.receivedBytes = bytesRead;
         reading.otherBytes = 0;
         if (reading.chunked?.complete) {
             reading.chunked = undefined;
