--- a/src/forward/forwarder.ts
+++ b/src/forward/forwarder.ts
@@ -39,7 +39,7 @@
     private readonly turns: TurnTaker;
     /** Outcome of the latest attempt; undefined before the first one. */
     private outcome: AttemptOutcome | undefined;
-    /** Upstream that was chosen while the latest attempt was still in progress, which the retry budget was charged for. */
+    /** Upstream that was chosen while the latest attempt was still in progress. */
     private alternative: UpstreamChoice | undefined;
     /** Whether the latest attempt was given up for one through a peer, which the retry budget was charged for. */
     private leavesForPeer = false;
@@ -182,7 +182,7 @@
         }
         progress.mayHaveRun = tally.possibleRuns > 0;
         progress.framing = this.attempts.end?.framing;
-        tally.isRetryPaid = this.leavesForPeer || this.alternative !== undefined || (outcome === AttemptOutcome.Withheld && tally.sends > 0);
+        tally.isRetryPaid = this.leavesForPeer || (outcome === AttemptOutcome.Withheld && tally.sends > 0);
         // An upstream that asked for quiet, or still loads the model, has not failed the request: it may get it after that time.
         if (
             outcome === AttemptOutcome.Withheld || outcome === AttemptOutcome.TooEarly ||
@@ -219,7 +219,10 @@
     private async chooseNextUpstream(): Promise<UpstreamChoice | Refusal> {
         const { gateway, call, alternative, tally } = this;
         this.alternative = undefined;
-        const choice = alternative ?? await this.waitForUpstream();
+        if (alternative) {
+            return alternative;
+        }
+        const choice = await this.waitForUpstream();
         if (isRefusal(choice) || tally.sends === 0 || tally.isRetryPaid || gateway.budgetOf(call.service).withdraw()) {
             return choice;
         }
